--- /dev/null
+++ b/crates/simhost/src/launch.rs
@@ -0,0 +1,76 @@
+//! Hands the settings of the first message to the module, each part only its own.
+
+use crankpick::balance::Balancer;
+use crankpick::interface::{ColdRule, DedupGroup, ExecutionLimits, Place, Repeat, Tenant, Workload};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+/// The value at `path`; what is absent takes its type's zero, and what is mistyped is named.
+fn at<T: DeserializeOwned + Default>(conf: &Value, path: &str) -> Result<T, String> {
+    let place = path.split('.').try_fold(conf, |place, step| place.get(step));
+    match place {
+        None | Some(Value::Null) => Ok(T::default()),
+        Some(value) => T::deserialize(value).map_err(|wrong| format!("Launch: {path} in Conf: {wrong}")),
+    }
+}
+
+fn workload(conf: &Value) -> Result<Workload, String> {
+    let repeat: String = at(conf, "Repeat")?;
+    let group: String = at(conf, "Group")?;
+    Ok(Workload {
+        repeat: match repeat.as_str() {
+            "retryable" => Repeat::Idempotent,
+            "dedup" => Repeat::Deduplicated,
+            "fragile" => Repeat::NonIdempotent,
+            other => return Err(format!("Launch: unknown Repeat {other:?}")),
+        },
+        group: match group.as_str() {
+            "all" | "" => DedupGroup::All,
+            "zone" => DedupGroup::Zone,
+            "cell" => DedupGroup::Cell,
+            other => return Err(format!("Launch: unknown Group {other:?}")),
+        },
+        window_us: at(conf, "WindowUs")?,
+        slo_us: at(conf, "SloTimeUs")?,
+        statement_timeout_us: at(conf, "StatementTimeoutUs")?,
+        importance: at(conf, "Importance")?,
+        tardy_importance: at(conf, "TardyImportance")?,
+    })
+}
+
+fn tenant(conf: &Value) -> Result<Tenant, String> {
+    Ok(Tenant { quota_per_s: at(conf, "QuotaRps")? })
+}
+
+pub fn balancer(salt: u64, conf: &Value) -> Result<Balancer, String> {
+    if !conf.is_object() {
+        return Err("Launch: Conf is not an object".into());
+    }
+    let workloads: Vec<Value> = at(conf, "Workloads")?;
+    let tenants: Vec<Value> = at(conf, "Tenants")?;
+    let workloads: Result<Vec<Workload>, String> = workloads.iter().map(workload).collect();
+    let tenants: Result<Vec<Tenant>, String> = tenants.iter().map(tenant).collect();
+    let advice: bool = at(conf, "Limits.RetryAfter")?;
+    let discovery: String = at(conf, "Discovery")?;
+    Ok(Balancer::new(
+        salt,
+        Place { balancers: at(conf, "Balancers")?, zone: at(conf, "Zone")? },
+        workloads?,
+        tenants?,
+        at(conf, "BeyondShareImportance")?,
+        ExecutionLimits {
+            max_executions: at(conf, "Limits.MaxExecutions")?,
+            may_duplicate: at(conf, "Limits.MayDuplicate")?,
+            cancel: at(conf, "Limits.Cancel")?,
+            max_backoff_us: if advice { at(conf, "Limits.MaxRetryAfterUs")? } else { 0 },
+        },
+        ColdRule {
+            start_capacity: at(conf, "Safety.StartCapacity")?,
+            cold_us: at(conf, "Safety.ColdUs")?,
+            multiple: at(conf, "Safety.TipMultiple")?,
+            window_us: at(conf, "Safety.OverloadForUs")?,
+        },
+        discovery == "subscribe",
+        at(conf, "FamilyInfo.WarmKeys")?,
+    ))
+}
--- /dev/null
+++ b/crates/simhost/src/main.rs
@@ -0,0 +1,319 @@
+//! Hosts instances of the decision module on the simulator's wire: lines in, calls on the module,
+//! lines out. It decides nothing; whatever is malformed ends it with one plain message.
+
+mod launch;
+mod reply;
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, Write};
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use crankpick::balance::{Balancer, Inbox};
+use crankpick::interface::{Ended, Listed, LoadReport, Phase};
+use serde::Deserialize;
+use serde_json::Value;
+
+/// Any line of the wire; which fields must be there depends on `m`.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Line {
+    #[serde(rename = "m")]
+    message: String,
+    sim_time_us: Option<u64>,
+    #[serde(rename = "turn")]
+    turn: Option<u64>,
+    proxy: Option<u64>,
+    salt: Option<u64>,
+    conf: Option<Value>,
+    #[serde(rename = "Ref")]
+    reference: Option<Value>,
+    items: Option<Vec<Item>>,
+    kind: Option<String>,
+    #[serde(rename = "Type")]
+    workload: Option<usize>,
+    #[serde(rename = "Team")]
+    tenant: Option<usize>,
+    affinity: Option<String>,
+    ttl_us: Option<u64>,
+    weight_hint_us: Option<u64>,
+    marks: Option<u64>,
+    attempt: Option<u32>,
+    backend: Option<u32>,
+    duration_us: Option<u64>,
+    rc: Option<u32>,
+    #[serde(default)]
+    done_flag: Option<bool>,
+    gauge: Option<Gauge>,
+    ctx: Option<String>,
+    neighbour: Option<u32>,
+    bytes: Option<String>,
+    gen: Option<u64>,
+    /// The numbered list that an `Endpoints` line meant when it was read.
+    #[serde(skip)]
+    listed: Option<Rc<Vec<Listed>>>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Item {
+    backend: u32,
+    dc: u32,
+    cell: u32,
+    phase: String,
+    nominal: f64,
+    since_us: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct Gauge {
+    busy: Option<f64>,
+    rif: Option<f64>,
+    q: Option<f64>,
+}
+
+/// One instance and its lines of the batch at hand.
+struct Hosted {
+    balancer: Balancer,
+    waiting: Vec<Line>,
+}
+
+fn need<T>(field: Option<T>, message: &str, name: &str) -> Result<T, String> {
+    field.ok_or_else(|| format!("{message} without {name}"))
+}
+
+fn text_reference(line: &Line) -> Result<&str, String> {
+    match &line.reference {
+        Some(Value::String(text)) => Ok(text),
+        Some(_) => Err(format!("{}: Ref is not text", line.message)),
+        None => Err(format!("{} without Ref", line.message)),
+    }
+}
+
+fn list_number(line: &Line) -> Result<u64, String> {
+    let number = need(line.reference.as_ref(), &line.message, "Ref")?;
+    number.as_u64().ok_or_else(|| format!("{}: Ref is not a list's number", line.message))
+}
+
+fn listed(item: &Item) -> Result<Listed, String> {
+    let phase = match item.phase.as_str() {
+        "Ready" => Phase::Ready,
+        "Terminating" => Phase::Terminating,
+        "Gone" => Phase::Gone,
+        other => return Err(format!("Directory: unknown Phase {other:?}")),
+    };
+    Ok(Listed {
+        backend: item.backend,
+        zone: item.dc,
+        cell: item.cell,
+        phase,
+        weight: item.nominal,
+        since_us: item.since_us.unwrap_or(0),
+    })
+}
+
+fn ended(code: u32) -> Result<Ended, String> {
+    Ok(match code {
+        200 => Ended::Completed,
+        502 => Ended::Errored,
+        429 => Ended::TurnedAway,
+        408 => Ended::TimedOut,
+        521 => Ended::Unreachable,
+        520 => Ended::Dropped,
+        444 => Ended::Cancelled,
+        409 => Ended::NotSent,
+        other => return Err(format!("unknown Rc {other}")),
+    })
+}
+
+fn report(gauge: &Option<Gauge>) -> Option<LoadReport> {
+    gauge.as_ref().map(|gauge| LoadReport { utilisation: gauge.busy, in_flight: gauge.rif, queued: gauge.q })
+}
+
+/// Turns one line into its call on the module.
+fn feed(line: &Line, inbox: &mut Inbox) -> Result<(), String> {
+    let message = line.message.as_str();
+    match message {
+        "Accept" => {
+            let hinted = need(line.marks, message, "Marks").unwrap_or(0) & 1 != 0;
+            inbox
+                .query(
+                    text_reference(line)?,
+                    need(line.workload, message, "Type")?,
+                    line.tenant.unwrap_or(0),
+                    line.affinity.as_deref(),
+                    need(line.ttl_us, message, "TtlUs")?,
+                    line.weight_hint_us.filter(|_| hinted),
+                )
+                .map_err(|wrong| format!("{message}: {wrong}"))
+        }
+        "Answer" => {
+            inbox.outcome(
+                text_reference(line)?,
+                need(line.attempt, message, "Attempt")?,
+                ended(need(line.rc, message, "Rc")?)?,
+                need(line.duration_us, message, "DurationUs")?,
+                line.done_flag.unwrap_or(false),
+                need(line.backend, message, "Backend")?,
+                report(&line.gauge),
+            );
+            Ok(())
+        }
+        "Begun" => {
+            need(line.backend, message, "Backend")?;
+            need(line.duration_us, message, "DurationUs")?;
+            inbox.begun(text_reference(line)?, need(line.attempt, message, "Attempt")?);
+            Ok(())
+        }
+        "Withdrawn" => {
+            inbox.withdrawn(text_reference(line)?);
+            Ok(())
+        }
+        "Reminder" => {
+            inbox.woken(need(line.ctx.as_deref(), message, "Ctx")?);
+            Ok(())
+        }
+        "ProbeDone" => {
+            let backend = need(line.backend, message, "Backend")?;
+            need(line.duration_us, message, "DurationUs")?;
+            inbox.probed(backend, ended(need(line.rc, message, "Rc")?)?, report(&line.gauge));
+            Ok(())
+        }
+        "NoteFrom" => {
+            inbox.note(
+                need(line.neighbour, message, "Neighbour")?,
+                need(line.bytes.as_deref(), message, "Bytes")?,
+            );
+            Ok(())
+        }
+        "Endpoints" => {
+            match (line.kind.as_deref(), &line.listed) {
+                (Some("lost"), _) => inbox.list_lost(),
+                (Some("incr"), Some(items)) => inbox.list_changes(items),
+                (Some("total"), Some(items)) => inbox.list_whole(items),
+                (Some("warm_copy"), Some(items)) => inbox.list_whole(items),
+                (kind, _) => return Err(format!("Endpoints: unknown Kind {kind:?}")),
+            }
+            Ok(())
+        }
+        other => Err(format!("unknown message {other:?}")),
+    }
+}
+
+#[derive(Default)]
+struct Host {
+    instances: BTreeMap<u64, Hosted>,
+    directories: BTreeMap<u64, Rc<Vec<Listed>>>,
+}
+
+impl Host {
+    /// Files one line under its instance; lists and the ends of instances take effect in reading order.
+    fn take(&mut self, mut line: Line) -> Result<(), String> {
+        if line.message == "Directory" {
+            let items = need(line.items.take(), "Directory", "Items")?;
+            let items: Result<Vec<Listed>, String> = items.iter().map(listed).collect();
+            self.directories.insert(list_number(&line)?, Rc::new(items?));
+            return Ok(());
+        }
+        let proxy = need(line.proxy, &line.message, "Proxy")?;
+        match line.message.as_str() {
+            "Launch" => {
+                let salt = need(line.salt, "Launch", "Salt")?;
+                let conf = need(line.conf, "Launch", "Conf")?;
+                let balancer = launch::balancer(salt, &conf)?;
+                let waiting = Vec::new();
+                self.instances.insert(proxy, Hosted { balancer, waiting });
+                return Ok(());
+            }
+            "Endpoints" => {
+                let kind = need(line.kind.as_deref(), "Endpoints", "Kind")?;
+                need(line.gen, "Endpoints", "Gen")?;
+                if kind != "lost" {
+                    let number = list_number(&line)?;
+                    let listed = self.directories.get(&number);
+                    line.listed = Some(Rc::clone(
+                        listed.ok_or_else(|| format!("Endpoints: no Directory {number} was sent"))?,
+                    ));
+                }
+            }
+            _ => {}
+        }
+        let hosted = self.instances.get_mut(&proxy);
+        let hosted =
+            hosted.ok_or_else(|| format!("{}: instance {proxy} was never launched", line.message))?;
+        if line.message == "Teardown" {
+            self.instances.remove(&proxy);
+        } else {
+            hosted.waiting.push(line);
+        }
+        Ok(())
+    }
+
+    fn answer(&mut self, now_us: u64, reply: &mut Vec<u8>) -> Result<(), String> {
+        for (proxy, hosted) in &mut self.instances {
+            if hosted.waiting.is_empty() {
+                continue;
+            }
+            let mut writer = reply::Reply::new(*proxy, reply);
+            let lines = std::mem::take(&mut hosted.waiting);
+            hosted
+                .balancer
+                .round(now_us, &mut writer, |inbox| lines.iter().try_for_each(|line| feed(line, inbox)))?;
+        }
+        Ok(())
+    }
+}
+
+fn read_line(input: &mut impl BufRead, text: &mut String) -> Result<Option<Line>, String> {
+    loop {
+        text.clear();
+        let length = input.read_line(text).map_err(|wrong| format!("input: {wrong}"))?;
+        if length == 0 {
+            return Ok(None);
+        }
+        if !text.trim().is_empty() {
+            let line = serde_json::from_str(text);
+            return line.map(Some).map_err(|wrong| {
+                let start: String = text.trim().chars().take(80).collect();
+                format!("{wrong}, in {start}")
+            });
+        }
+    }
+}
+
+fn serve() -> Result<(), String> {
+    let mut input = std::io::stdin().lock();
+    let mut output = std::io::stdout().lock();
+    let mut host = Host::default();
+    let mut text = String::new();
+    let mut reply = Vec::new();
+    while let Some(head) = read_line(&mut input, &mut text)? {
+        if head.message != "Batch" {
+            return Err(format!("expected Batch, got {:?}", head.message));
+        }
+        let now_us = need(head.sim_time_us, "Batch", "SimTimeUs")?;
+        let turn = need(head.turn, "Batch", "turn")?;
+        loop {
+            let line = read_line(&mut input, &mut text)?.ok_or("input ended inside a batch")?;
+            if line.message == "EofBatch" {
+                break;
+            }
+            host.take(line)?;
+        }
+        reply.clear();
+        host.answer(now_us, &mut reply)?;
+        reply::finished(turn, &mut reply);
+        output.write_all(&reply).and_then(|()| output.flush()).map_err(|wrong| format!("output: {wrong}"))?;
+    }
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    match serve() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(wrong) => {
+            eprintln!("crankpick-simhost: {}", wrong.replace('\n', " "));
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/simhost/src/reply.rs
@@ -0,0 +1,114 @@
+//! Writes decisions as lines of the wire, straight into the reply.
+
+use crankpick::interface::Writer;
+use serde::Serialize;
+
+pub struct Reply<'a> {
+    proxy: u64,
+    lines: &'a mut Vec<u8>,
+}
+
+#[derive(Serialize, Default)]
+#[serde(rename_all = "PascalCase")]
+struct Out<'a> {
+    #[serde(rename = "m")]
+    message: &'a str,
+    proxy: u64,
+    #[serde(rename = "Ref", skip_serializing_if = "Option::is_none")]
+    qry: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    backend: Option<u32>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    give_up_after_us: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    attempt: Option<u32>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    backoff_us: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    in_us: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    ctx: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    want: Option<bool>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    recipient: Option<u32>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    bytes: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    line: Option<&'a str>,
+}
+
+impl<'a> Reply<'a> {
+    pub fn new(proxy: u64, lines: &'a mut Vec<u8>) -> Self {
+        Reply { proxy, lines }
+    }
+
+    fn put(&mut self, out: Out) {
+        let out = Out { proxy: self.proxy, ..out };
+        serde_json::to_writer(&mut *self.lines, &out).expect("plain text and numbers always serialise");
+        self.lines.push(b'\n');
+    }
+}
+
+pub fn finished(turn: u64, lines: &mut Vec<u8>) {
+    let line = serde_json::json!({ "m": "Finished", "turn": turn });
+    lines.extend_from_slice(line.to_string().as_bytes());
+    lines.push(b'\n');
+}
+
+impl Writer for Reply<'_> {
+    fn execute(&mut self, qry: &str, backend: u32, timeout_us: u64) {
+        self.put(Out {
+            message: "HandOff",
+            qry: Some(qry),
+            backend: Some(backend),
+            give_up_after_us: Some(timeout_us),
+            ..Out::default()
+        });
+    }
+
+    fn cancel(&mut self, qry: &str, execution: u32) {
+        self.put(Out { message: "Revoke", qry: Some(qry), attempt: Some(execution), ..Out::default() });
+    }
+
+    fn reject(&mut self, qry: &str, backoff_us: u64) {
+        self.put(Out {
+            message: "OverloadReply",
+            qry: Some(qry),
+            backoff_us: Some(backoff_us),
+            ..Out::default()
+        });
+    }
+
+    fn abort(&mut self, qry: &str) {
+        self.put(Out { message: "RespondError", qry: Some(qry), ..Out::default() });
+    }
+
+    fn wake(&mut self, in_us: u64, token: &str) {
+        self.put(Out { message: "WakeAt", in_us: Some(in_us), ctx: Some(token), ..Out::default() });
+    }
+
+    fn subscribe(&mut self) {
+        self.put(Out { message: "Subscribe", want: Some(true), ..Out::default() });
+    }
+
+    fn fetch_list(&mut self) {
+        self.put(Out { message: "QueryAll", ..Out::default() });
+    }
+
+    fn probe(&mut self, backend: u32) {
+        self.put(Out { message: "SoundOut", backend: Some(backend), ..Out::default() });
+    }
+
+    fn close_idle(&mut self, backend: u32) {
+        self.put(Out { message: "LetGo", backend: Some(backend), ..Out::default() });
+    }
+
+    fn tell(&mut self, peer: Option<u32>, bytes: &str) {
+        self.put(Out { message: "Announce", recipient: peer, bytes: Some(bytes), ..Out::default() });
+    }
+
+    fn log(&mut self, line: &str) {
+        self.put(Out { message: "Record", line: Some(line), ..Out::default() });
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,114 @@
+//! What passes between the decisions in `balance` and whoever hosts them: plain values and the
+//! writer that takes decisions away. Times are whole microseconds; nothing here decides anything.
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    Idempotent,
+    Deduplicated,
+    NonIdempotent,
+}
+
+/// Which backends drop repeats of a deduplicated query together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DedupGroup {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug)]
+pub struct Workload {
+    pub repeat: Repeat,
+    pub group: DedupGroup,
+    pub window_us: u64,
+    pub slo_us: u64,
+    pub statement_timeout_us: u64,
+    pub importance: f64,
+    /// The part of the importance still earned between the SLO time and the statement timeout.
+    pub tardy_importance: f64,
+}
+
+/// The queries a second, over all proxies, that lie within a tenant's share.
+#[derive(Clone, Copy, Debug)]
+pub struct Tenant {
+    pub quota_per_s: f64,
+}
+
+/// This proxy among its peers.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    pub balancers: u32,
+    pub zone: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct ExecutionLimits {
+    pub max_executions: u32,
+    pub may_duplicate: bool,
+    pub cancel: bool,
+    /// The longest back-off a client heeds; 0 where no advice reaches clients.
+    pub max_backoff_us: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct ColdRule {
+    pub start_capacity: f64,
+    pub cold_us: u64,
+    pub multiple: f64,
+    pub window_us: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Ready,
+    Terminating,
+    Gone,
+}
+
+/// One line of the list of backends.
+#[derive(Clone, Copy, Debug)]
+pub struct Listed {
+    pub backend: u32,
+    pub zone: u32,
+    pub cell: u32,
+    pub phase: Phase,
+    pub weight: f64,
+    /// When it last started; 0 means long ago.
+    pub since_us: u64,
+}
+
+/// How an execution ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    Completed,
+    Errored,
+    TurnedAway,
+    TimedOut,
+    Unreachable,
+    Dropped,
+    Cancelled,
+    NotSent,
+}
+
+/// A backend's word on its own load; what a deployment does not report is absent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LoadReport {
+    pub utilisation: Option<f64>,
+    pub in_flight: Option<f64>,
+    pub queued: Option<f64>,
+}
+
+/// Takes each decision at the moment it is made.
+pub trait Writer {
+    fn execute(&mut self, qry: &str, backend: u32, timeout_us: u64);
+    fn cancel(&mut self, qry: &str, execution: u32);
+    fn reject(&mut self, qry: &str, backoff_us: u64);
+    fn abort(&mut self, qry: &str);
+    fn wake(&mut self, in_us: u64, token: &str);
+    fn subscribe(&mut self);
+    fn fetch_list(&mut self);
+    fn probe(&mut self, backend: u32);
+    fn close_idle(&mut self, backend: u32);
+    fn tell(&mut self, peer: Option<u32>, bytes: &str);
+    fn log(&mut self, line: &str);
+}
