Cap the queries held per backend and halve the target time

Cause: backends were left with 10 to 20 queries each; crowded ones turn slow and stay slow ('overdriven').

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -14,6 +14,9 @@
 const REGROUP_US: u64 = 30_000_000;
 const SWEEP_US: u64 = 25_000;
 const DEFAULT_MAX: f64 = 8.0;
+/// Queries that all proxies together leave with one backend: more only wait there, where they can no
+/// longer be rejected, and a crowded backend may slow down and stay slow.
+const CROWD: u32 = 6;
 /// A backend is judged by its last few outcomes, one bit each, newest lowest.
 const OUTCOMES: u32 = 8;
 
@@ -81,6 +84,7 @@
     must_ask: bool,
     asked_failures: u32,
     target_us: f64,
+    crowd: usize,
     fleet: BTreeMap<u32, Backend>,
     groups: [Vec<Member>; 4],
     regroup_us: u64,
@@ -197,7 +201,8 @@
             tenants: tenants.iter().map(allowance).collect(),
             must_ask,
             asked_failures: 0,
-            target_us: slo_us as f64 / 4.0,
+            target_us: slo_us as f64 / 8.0,
+            crowd: (CROWD / place.balancers.max(1)).max(1) as usize,
             workloads,
             fleet: BTreeMap::new(),
             groups: Default::default(),
@@ -356,6 +361,7 @@
         let qry = &self.queries[&serial];
         let usable = |backend: &Backend| {
             backend.open(now_us)
+                && backend.held.len() < self.crowd
                 && qry.executions.iter().all(|exec| exec.backend != backend.listed.backend)
                 && self.allowed(qry, backend, now_us)
                 && self.within_cold_budget(backend, qry.load, now_us)
