Give up at once on queries that even the fastest backend cannot end in time

Cause: under heavy tails, queries of many times the usual work run until their client leaves, cancel stops nothing, and the client asks again.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -33,6 +33,7 @@
     workload: usize,
     kind: usize,
     load: f64,
+    hint_us: Option<u64>,
     arrived_us: u64,
     deadline_us: u64,
     weight: f64,
@@ -91,6 +92,7 @@
     regroup_gap_us: u64,
     hints: Histogram<u32>,
     unit_us: f64,
+    speeds: Histogram<u32>,
     traffic: [f64; 4],
     queries: BTreeMap<u64, Query>,
     serials: HashMap<String, u64>,
@@ -210,6 +212,7 @@
             regroup_gap_us: 1_000_000,
             hints: small_histogram(),
             unit_us: 0.0,
+            speeds: small_histogram(),
             traffic: [0.0; 4],
             queries: BTreeMap::new(),
             serials: HashMap::new(),
@@ -591,7 +594,7 @@
         let Some(about) = self.b.workloads.get(workload) else {
             return Err(format!("workload {workload} is not in the settings"));
         };
-        let slo_us = about.slo_us;
+        let (slo_us, tardy) = (about.slo_us, about.tardy_importance);
         let mut weight = about.importance / most.max(1e-9);
         if let Some(share) = self.b.tenants.get_mut(tenant) {
             let gained = share.per_us * self.now_us.saturating_sub(share.filled_us) as f64;
@@ -609,6 +612,13 @@
                 self.b.unit_us = self.b.hints.mean() / 2.0;
             }
         }
+        // Some queries cannot end in time even on the fastest backend: executed, they would only
+        // keep it from the others, the more so as clients ask again.
+        let fastest = self.b.speeds.value_at_quantile(0.9) as f64 / 1e3;
+        let takes_us = hint_us.filter(|_| fastest > 0.0).map_or(0.0, |hint_us| hint_us as f64 / fastest);
+        if takes_us > slo_us as f64 {
+            weight *= tardy;
+        }
         let (kind, load) = self.b.kind_of(hint_us);
         self.b.traffic[kind] += load;
         self.b.further = (self.b.further + 0.1).min(20.0);
@@ -619,6 +629,7 @@
             workload,
             kind,
             load,
+            hint_us,
             arrived_us: self.now_us,
             deadline_us: self.now_us + ttl_us,
             weight,
@@ -628,7 +639,7 @@
         self.b.serials.insert(id.to_owned(), serial);
         self.b.queries.insert(serial, qry);
         let pressure = self.b.expected_wait_us(rank(weight)) / slo_us.max(1) as f64;
-        if self.b.rng.f64() < (pressure - 0.25) / 0.5 {
+        if takes_us > ttl_us as f64 || self.b.rng.f64() < (pressure - 0.25) / 0.5 {
             self.b.give_up(serial, self.out);
         } else {
             self.b.waiting.insert((Reverse(rank(weight)), serial));
@@ -661,7 +672,15 @@
             }
         }
         match ended {
-            Ended::Completed => self.b.judge(backend, true, self.now_us),
+            Ended::Completed => {
+                if let Some(hint_us) = self.b.queries[&serial].hint_us {
+                    self.b.speeds.saturating_record(hint_us * 1000 / took_us.max(1));
+                    if self.b.speeds.len() >= 256 {
+                        halve(&mut self.b.speeds);
+                    }
+                }
+                self.b.judge(backend, true, self.now_us);
+            }
             Ended::Cancelled | Ended::NotSent => {}
             _ => self.b.judge(backend, false, self.now_us),
         }
