--- a/src/balance.rs
+++ b/src/balance.rs
@@ -361,6 +361,12 @@
     }
 
     fn choose(&mut self, serial: u64, now_us: u64, second: bool) -> Option<u32> {
+        let ready = self.fleet.values().filter(|backend| backend.listed.phase == Phase::Ready).count();
+        let held: usize = self.fleet.values().map(|backend| backend.held.len()).sum();
+        // Where proxies are many, one query of each on a backend is a crowd already.
+        if held >= (ready * CROWD as usize / self.place.balancers.max(1) as usize).max(1) {
+            return None;
+        }
         let qry = &self.queries[&serial];
         let usable = |backend: &Backend| {
             backend.open(now_us)
