--- a/src/balance.rs
+++ b/src/balance.rs
@@ -688,6 +688,11 @@
                 self.b.judge(backend, true, self.now_us);
             }
             Ended::Cancelled | Ended::NotSent => {}
+            // It says itself that it is full; as it answers at once it would else look the roomiest.
+            Ended::TurnedAway => {
+                let at = self.b.fleet.get_mut(&backend).expect("just used");
+                at.shut_until_us = at.shut_until_us.max(self.now_us + 2 * self.b.target_us as u64);
+            }
             _ => self.b.judge(backend, false, self.now_us),
         }
         let qry = &self.b.queries[&serial];
