--- a/src/balance.rs
+++ b/src/balance.rs
@@ -403,21 +403,22 @@
             .map(|backend| backend.listed.backend)
             .collect();
         let reach = 1.0 + qry.weight;
-        let fits = |backend: &Backend| backend.held.is_empty() || backend.load + load <= backend.max || load > VALUES[3] && backend.load < backend.max;
+        let fits = |backend: &Backend| backend.held.is_empty() || backend.load + load <= backend.max;
         let bears = |backend: &Backend| !second && backend.load < backend.max * reach;
-        self.roomiest(&members, load, fits)
-            .or_else(|| self.roomiest(&others, load, fits))
-            .or_else(|| self.roomiest(&members, load, bears))
-            .or_else(|| self.roomiest(&others, load, bears))
+        let near: Vec<u32> =
+            members.iter().copied().filter(|id| self.fleet[id].listed.zone == self.place.zone).collect();
+        self.roomiest(&near, fits)
+            .or_else(|| self.roomiest(&members, fits))
+            .or_else(|| self.roomiest(&others, fits))
+            .or_else(|| self.roomiest(&members, bears))
+            .or_else(|| self.roomiest(&others, bears))
     }
 
-    fn roomiest(&mut self, among: &[u32], load: f64, takes: impl Fn(&Backend) -> bool) -> Option<u32> {
+    fn roomiest(&mut self, among: &[u32], takes: impl Fn(&Backend) -> bool) -> Option<u32> {
         let (mut best, mut most, mut ties) = (None, f64::NEG_INFINITY, 0);
         for id in among {
             let backend = &self.fleet[id];
-            // A long tail fits nowhere: it goes where it would end soonest.
-            let tail = load > VALUES[3];
-            let room = if tail { -(backend.load + load) / backend.max } else { backend.max - backend.load };
+            let room = backend.max - backend.load;
             if !takes(backend) || room < most {
                 continue;
             }
