--- a/src/balance.rs
+++ b/src/balance.rs
@@ -23,6 +23,7 @@
 struct Execution {
     backend: u32,
     sent_us: u64,
+    expected_us: u64,
     serial: u64,
     out: bool,
     may_have_run: bool,
@@ -405,10 +406,7 @@
         let reach = 1.0 + qry.weight;
         let fits = |backend: &Backend| backend.held.is_empty() || backend.load + load <= backend.max;
         let bears = |backend: &Backend| !second && backend.load < backend.max * reach;
-        let near: Vec<u32> =
-            members.iter().copied().filter(|id| self.fleet[id].listed.zone == self.place.zone).collect();
-        self.roomiest(&near, fits)
-            .or_else(|| self.roomiest(&members, fits))
+        self.roomiest(&members, fits)
             .or_else(|| self.roomiest(&others, fits))
             .or_else(|| self.roomiest(&members, bears))
             .or_else(|| self.roomiest(&others, bears))
@@ -444,6 +442,7 @@
         qry.executions.push(Execution {
             backend: id,
             sent_us: now_us,
+            expected_us: (backend.load / backend.max.max(1e-9) * self.target_us) as u64,
             serial: self.next_serial,
             out: true,
             may_have_run: false,
@@ -568,7 +567,8 @@
             .iter()
             .filter(|(_, qry)| !qry.over && qry.executions.len() == 1 && qry.out())
             .filter(|(_, qry)| {
-                now_us > qry.executions[0].sent_us + self.workloads[qry.workload].slo_us / 2
+                now_us > qry.executions[0].sent_us + self.workloads[qry.workload].slo_us / 3
+ && now_us > qry.executions[0].sent_us + 2 * qry.executions[0].expected_us
                     && (qry.executions.len() as u32) < self.limits.max_executions
             })
             .map(|(serial, _)| *serial)
