Learn paces in hinted work; long tails fit where they would end within their SLO time

Cause: one value a type misprices long tails, and paces learned from type values were wrong by a factor.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -34,6 +34,8 @@
     workload: usize,
     kind: usize,
     load: f64,
+    /// What the hint says in the same units, where `load` is the type's value.
+    work: f64,
     hint_us: Option<u64>,
     arrived_us: u64,
     deadline_us: u64,
@@ -47,6 +49,7 @@
     serial: u64,
     sent_us: u64,
     load: f64,
+    work: f64,
     ahead: f64,
 }
 
@@ -54,6 +57,8 @@
     listed: Listed,
     held: VecDeque<Held>,
     load: f64,
+    work: f64,
+    pace: f64,
     rates: Histogram<u32>,
     rate: Option<f64>,
     sampled_us: u64,
@@ -129,6 +134,8 @@
             listed,
             held: VecDeque::new(),
             load: 0.0,
+            work: 0.0,
+            pace: 0.0,
             rates: small_histogram(),
             rate: None,
             sampled_us: 0,
@@ -264,6 +271,7 @@
                 let age_us = now_us.saturating_sub(oldest.sent_us).max(1);
                 pace = pace.min(oldest.ahead / age_us as f64);
             }
+            backend.pace = pace;
             backend.max = pace * self.target_us * backend.warmth(&self.cold, now_us);
         }
     }
@@ -404,7 +412,16 @@
             .map(|backend| backend.listed.backend)
             .collect();
         let reach = 1.0 + qry.weight;
-        let fits = |backend: &Backend| backend.held.is_empty() || backend.load + load <= backend.max;
+        // A long tail is past every maximum: it fits where it would end within its SLO time.
+        let left_us = (qry.arrived_us + self.workloads[qry.workload].slo_us).saturating_sub(now_us) as f64;
+        let (work, tail) = (qry.work, load > VALUES[3]);
+        let fits = |backend: &Backend| {
+            if tail {
+                backend.load < backend.max && backend.work + work <= backend.pace * left_us
+            } else {
+                backend.held.is_empty() || backend.load + load <= backend.max
+            }
+        };
         let bears = |backend: &Backend| !second && backend.load < backend.max * reach;
         self.roomiest(&members, fits)
             .or_else(|| self.roomiest(&others, fits))
@@ -434,7 +451,8 @@
         let backend = self.fleet.get_mut(&id).expect("chosen backends are known");
         self.next_serial += 1;
         backend.load += qry.load;
-        let held = Held { serial: self.next_serial, sent_us: now_us, load: qry.load, ahead: backend.load };
+        backend.work += qry.work;
+        let held = Held { serial: self.next_serial, sent_us: now_us, load: qry.load, work: qry.work, ahead: backend.work };
         if backend.warmth(&self.cold, now_us) < 1.0 {
             backend.cold_sent.push_back((now_us, qry.load));
         }
@@ -442,7 +460,7 @@
         qry.executions.push(Execution {
             backend: id,
             sent_us: now_us,
-            expected_us: (backend.load / backend.max.max(1e-9) * self.target_us) as u64,
+            expected_us: (backend.work / backend.pace.max(1e-9)) as u64,
             serial: self.next_serial,
             out: true,
             may_have_run: false,
@@ -638,6 +656,7 @@
             workload,
             kind,
             load,
+            work: hint_us.filter(|_| self.b.unit_us > 0.0).map_or(load, |hint| hint as f64 / self.b.unit_us),
             hint_us,
             arrived_us: self.now_us,
             deadline_us: self.now_us + ttl_us,
@@ -676,6 +695,7 @@
         if let Some(place) = at.held.iter().position(|held| held.serial == exec.serial) {
             let held = at.held.remove(place).expect("found above");
             at.load = if at.held.is_empty() { 0.0 } else { at.load - held.load };
+            at.work = if at.held.is_empty() { 0.0 } else { at.work - held.work };
             if matches!(ended, Ended::Completed | Ended::TimedOut) {
                 at.learn(held.ahead, took_us, self.now_us);
             }
@@ -764,7 +784,7 @@
             let restarted = old.as_ref().is_none_or(|old| old.listed.since_us != item.since_us);
             let mut backend = Backend::new(*item);
             if let Some(old) = old {
-                (backend.held, backend.load) = (old.held, old.load);
+                (backend.held, backend.load, backend.work) = (old.held, old.load, old.work);
                 if !restarted {
                     (backend.rates, backend.rate) = (old.rates, old.rate);
                 }
