--- a/crates/simhost/src/launch.rs
+++ b/crates/simhost/src/launch.rs
@@ -1,7 +1,7 @@
 //! Hands the settings of the first message to the module, each part only its own.
 
 use crankpick::balance::Balancer;
-use crankpick::interface::{ColdRule, DedupGroup, ExecutionLimits, Place, Repeat, Tenant, Workload};
+use crankpick::interface::{ColdRule, DedupGroup, ExecutionLimits, Repeat, Tenant, Workload};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
@@ -54,7 +54,7 @@
     let discovery: String = at(conf, "Discovery")?;
     Ok(Balancer::new(
         salt,
-        Place { balancers: at(conf, "Balancers")?, zone: at(conf, "Zone")? },
+        at(conf, "Balancers")?,
         workloads?,
         tenants?,
         at(conf, "BeyondShareImportance")?,
@@ -71,6 +71,5 @@
             window_us: at(conf, "Safety.OverloadForUs")?,
         },
         discovery == "subscribe",
-        at(conf, "FamilyInfo.WarmKeys")?,
     ))
 }
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -34,7 +34,6 @@
     workload: Option<usize>,
     #[serde(rename = "Team")]
     tenant: Option<usize>,
-    affinity: Option<String>,
     ttl_us: Option<u64>,
     weight_hint_us: Option<u64>,
     marks: Option<u64>,
@@ -68,8 +67,6 @@
 #[derive(Deserialize)]
 struct Gauge {
     busy: Option<f64>,
-    rif: Option<f64>,
-    q: Option<f64>,
 }
 
 /// One instance and its lines of the batch at hand.
@@ -127,7 +124,7 @@
 }
 
 fn report(gauge: &Option<Gauge>) -> Option<LoadReport> {
-    gauge.as_ref().map(|gauge| LoadReport { utilisation: gauge.busy, in_flight: gauge.rif, queued: gauge.q })
+    gauge.as_ref().map(|gauge| LoadReport { utilisation: gauge.busy })
 }
 
 /// Turns one line into its call on the module.
@@ -135,26 +132,23 @@
     let message = line.message.as_str();
     match message {
         "Accept" => {
-            let hinted = need(line.marks, message, "Marks").unwrap_or(0) & 1 != 0;
+            let hinted = line.marks.unwrap_or(0) & 1 != 0;
+            let id = text_reference(line)?;
+            let workload = need(line.workload, message, "Type")?;
+            let ttl_us = need(line.ttl_us, message, "TtlUs")?;
+            let hint_us = line.weight_hint_us.filter(|_| hinted);
             inbox
-                .query(
-                    text_reference(line)?,
-                    need(line.workload, message, "Type")?,
-                    line.tenant.unwrap_or(0),
-                    line.affinity.as_deref(),
-                    need(line.ttl_us, message, "TtlUs")?,
-                    line.weight_hint_us.filter(|_| hinted),
-                )
+                .query(id, workload, line.tenant.unwrap_or(0), ttl_us, hint_us)
                 .map_err(|wrong| format!("{message}: {wrong}"))
         }
         "Answer" => {
+            need(line.backend, message, "Backend")?;
             inbox.outcome(
                 text_reference(line)?,
                 need(line.attempt, message, "Attempt")?,
                 ended(need(line.rc, message, "Rc")?)?,
                 need(line.duration_us, message, "DurationUs")?,
                 line.done_flag.unwrap_or(false),
-                need(line.backend, message, "Backend")?,
                 report(&line.gauge),
             );
             Ok(())
@@ -162,7 +156,8 @@
         "Begun" => {
             need(line.backend, message, "Backend")?;
             need(line.duration_us, message, "DurationUs")?;
-            inbox.begun(text_reference(line)?, need(line.attempt, message, "Attempt")?);
+            need(line.attempt, message, "Attempt")?;
+            inbox.begun(text_reference(line)?);
             Ok(())
         }
         "Withdrawn" => {
@@ -176,14 +171,14 @@
         "ProbeDone" => {
             let backend = need(line.backend, message, "Backend")?;
             need(line.duration_us, message, "DurationUs")?;
-            inbox.probed(backend, ended(need(line.rc, message, "Rc")?)?, report(&line.gauge));
+            ended(need(line.rc, message, "Rc")?)?;
+            inbox.reported(backend, report(&line.gauge).unwrap_or_default());
             Ok(())
         }
         "NoteFrom" => {
-            inbox.note(
-                need(line.neighbour, message, "Neighbour")?,
-                need(line.bytes.as_deref(), message, "Bytes")?,
-            );
+            need(line.neighbour, message, "Neighbour")?;
+            need(line.bytes.as_deref(), message, "Bytes")?;
+            // The proxies tell one another nothing yet, so a note holds nothing to pass on.
             Ok(())
         }
         "Endpoints" => {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,7 +1,7 @@
 //! All decisions of the proxy. A host makes one `Balancer` an instance and calls `round` once for
-//! each batch of news: inside the call it feeds what came in through `Inbox`; then the round places
-//! what waits. Decisions leave through the `Writer`; it and all plain types stand in `interface.rs`.
-//! The mechanism (types, groups, rotation, best fit) follows docs/design.md, which names each exception.
+//! each batch of news: inside the call it feeds what came in through `Inbox`, then the round places
+//! what waits. Decisions leave through the `Writer`; it and the plain types stand in interface.rs.
+//! The mechanism (types, groups, rotation, best fit) and each exception to it: docs/design.md.
 
 use crate::interface::*;
 use fastrand::Rng;
@@ -11,20 +11,22 @@
 
 /// The paper's load values of the four types, from plain to heavy on all counts.
 const VALUES: [f64; 4] = [1.0, 2.0, 2.0, 3.0];
+/// Hints are cut half-way between the values, the two equal ones half-way between their cuts.
+const CUTS: [f64; 3] = [1.5, 2.0, 2.5];
 const REGROUP_US: u64 = 30_000_000;
 const SWEEP_US: u64 = 25_000;
 const DEFAULT_MAX: f64 = 8.0;
-/// Queries that all proxies together leave with one backend: more only wait there, where they can no
-/// longer be rejected, and a crowded backend may slow down and stay slow.
-const CROWD: u32 = 6;
 /// A backend is judged by its last few outcomes, one bit each, newest lowest.
 const OUTCOMES: u32 = 8;
+/// Queries that all proxies together leave with one backend: more only wait there, where they can no
+/// longer be rejected, and a crowded backend may turn slow and stay slow.
+const CROWD: usize = 6;
 
 struct Execution {
     backend: u32,
+    serial: u64,
     sent_us: u64,
     expected_us: u64,
-    serial: u64,
     out: bool,
     may_have_run: bool,
 }
@@ -33,20 +35,19 @@
     id: String,
     workload: usize,
     kind: usize,
+    /// What it adds to a backend's load: its type's value, or for a long tail what its hint says.
     load: f64,
-    /// What the hint says in the same units, where `load` is the type's value.
+    /// What its hint says in load units.
     work: f64,
-    hint_us: Option<u64>,
     arrived_us: u64,
     deadline_us: u64,
-    weight: f64,
+    importance: f64,
     executions: Vec<Execution>,
     over: bool,
 }
 
-/// An execution that a backend still holds, with our load on the backend once it was added.
+/// An execution still out, with our work on the backend once it was added.
 struct Held {
-    serial: u64,
     sent_us: u64,
     load: f64,
     work: f64,
@@ -55,18 +56,17 @@
 
 struct Backend {
     listed: Listed,
-    held: VecDeque<Held>,
-    load: f64,
-    work: f64,
-    pace: f64,
-    rates: Histogram<u32>,
-    rate: Option<f64>,
+    held: BTreeMap<u64, Held>,
+    utilisation: Option<f64>,
+    paces: Histogram<u32>,
     sampled_us: u64,
+    /// Work a microsecond, as last set from the outcomes, and the maximum that follows from it.
+    pace: f64,
+    max: f64,
     failures: u32,
     shut_until_us: u64,
     shut_for_us: u64,
     cold_sent: VecDeque<(u64, f64)>,
-    max: f64,
 }
 
 struct Allowance {
@@ -82,72 +82,68 @@
 
 pub struct Balancer {
     rng: Rng,
-    place: Place,
+    balancers: usize,
     workloads: Vec<Workload>,
     limits: ExecutionLimits,
     cold: ColdRule,
     beyond_share: f64,
     tenants: Vec<Allowance>,
     must_ask: bool,
-    asked_failures: u32,
+    asks_lost: u32,
     target_us: f64,
-    crowd: usize,
+    slowest_pace: f64,
     fleet: BTreeMap<u32, Backend>,
     groups: [Vec<Member>; 4],
     regroup_us: u64,
     regroup_gap_us: u64,
     hints: Histogram<u32>,
-    unit_us: f64,
     speeds: Histogram<u32>,
+    unit_us: f64,
     traffic: [f64; 4],
     queries: BTreeMap<u64, Query>,
     serials: HashMap<String, u64>,
     waiting: BTreeSet<(Reverse<u64>, u64)>,
-    next_serial: u64,
+    last_serial: u64,
     further: f64,
     sweeping: bool,
-    started: bool,
 }
 
 pub struct Inbox<'a> {
-    b: &'a mut Balancer,
+    balancer: &'a mut Balancer,
     out: &'a mut dyn Writer,
     now_us: u64,
 }
 
-fn halve(histogram: &mut Histogram<u32>) {
-    let kept: Vec<(u64, u32)> =
-        histogram.iter_recorded().map(|bin| (bin.value_iterated_to(), bin.count_at_value() / 2)).collect();
-    histogram.reset();
-    for (value, count) in kept {
-        histogram.saturating_record_n(value, count);
+fn histogram() -> Histogram<u32> {
+    Histogram::new_with_bounds(1, 1 << 30, 1).expect("the bounds are constant and sound")
+}
+
+/// Records one value; once `most` are kept, all count half, so that the newer ones lead.
+fn record(values: &mut Histogram<u32>, value: f64, most: u64) {
+    values.saturating_record(value as u64);
+    if values.len() >= most {
+        halve(values);
     }
 }
 
-fn small_histogram() -> Histogram<u32> {
-    Histogram::new_with_bounds(1, 1 << 30, 1).expect("constant bounds")
+fn halve(values: &mut Histogram<u32>) {
+    let bins: Vec<(u64, u32)> =
+        values.iter_recorded().map(|bin| (bin.value_iterated_to(), bin.count_at_value() / 2)).collect();
+    values.reset();
+    bins.into_iter().for_each(|(value, count)| values.saturating_record_n(value, count));
 }
 
 impl Backend {
-    fn new(listed: Listed) -> Self {
-        Backend {
-            listed,
-            held: VecDeque::new(),
-            load: 0.0,
-            work: 0.0,
-            pace: 0.0,
-            rates: small_histogram(),
-            rate: None,
-            sampled_us: 0,
-            failures: 0,
-            shut_until_us: 0,
-            shut_for_us: 0,
-            cold_sent: VecDeque::new(),
-            max: DEFAULT_MAX,
-        }
-    }
-
-    /// The share of its capacity that a started backend surely has; 1 once warm.
+    fn ready(&self) -> bool {
+        self.listed.phase == Phase::Ready
+    }
+
+    fn open(&self, now_us: u64) -> bool {
+        // One that was shut gets one query at a time until one is completed.
+        self.ready() && now_us >= self.shut_until_us && (self.shut_for_us == 0 || self.held.is_empty())
+    }
+
+    /// The part of its capacity that a started backend surely has; 1 once it is warm.
     fn warmth(&self, cold: &ColdRule, now_us: u64) -> f64 {
         let age_us = now_us.saturating_sub(self.listed.since_us);
         if self.listed.since_us == 0 || age_us >= cold.cold_us {
@@ -156,19 +152,17 @@
         cold.start_capacity + (1.0 - cold.start_capacity) * age_us as f64 / cold.cold_us as f64
     }
 
-    fn open(&self, now_us: u64) -> bool {
-        self.listed.phase == Phase::Ready
-            && now_us >= self.shut_until_us
-            && (self.shut_for_us == 0 || self.held.is_empty())
+    fn load(&self) -> f64 {
+        let own: f64 = self.held.values().map(|held| held.load).sum();
+        own + self.utilisation.unwrap_or(0.0) * self.max
     }
 
-    fn learn(&mut self, ahead: f64, took_us: u64, now_us: u64) {
-        self.rates.saturating_record((ahead * 1e9 / took_us.max(1000) as f64) as u64);
-        if self.rates.len() >= 2 * u64::from(OUTCOMES) {
-            halve(&mut self.rates);
-        }
-        self.sampled_us = now_us;
-        self.rate = Some(self.rates.value_at_quantile(0.5) as f64 / 1e9);
+    fn work(&self) -> f64 {
+        self.held.values().map(|held| held.work).sum()
+    }
+
+    fn learned(&self) -> Option<f64> {
+        (!self.paces.is_empty()).then(|| self.paces.value_at_quantile(0.5) as f64 / 1e9)
     }
 }
 
@@ -180,55 +174,52 @@
     fn out(&self) -> bool {
         self.executions.iter().any(|exec| exec.out)
     }
+
+    fn rank(&self) -> Reverse<u64> {
+        Reverse((self.importance * 1e3) as u64)
+    }
 }
 
 impl Balancer {
-    #[allow(clippy::too_many_arguments)]
     pub fn new(
         seed: u64,
-        place: Place,
+        balancers: u32,
         workloads: Vec<Workload>,
         tenants: Vec<Tenant>,
         beyond_share: f64,
         limits: ExecutionLimits,
         cold: ColdRule,
         must_ask: bool,
-        _warm_keys: bool,
     ) -> Self {
-        let slo_us = workloads.iter().map(|workload| workload.slo_us).min().unwrap_or(1_000_000);
-        let balancers = f64::from(place.balancers.max(1));
-        let allowance = |tenant: &Tenant| Allowance {
-            per_us: tenant.quota_per_s / balancers / 1e6,
-            left: tenant.quota_per_s / balancers,
-            filled_us: 0,
-        };
+        let slo_us = workloads.iter().map(|workload| workload.slo_us).min().unwrap_or(0);
+        let share = |tenant: &Tenant| tenant.quota_per_s / f64::from(balancers.max(1));
+        let allowance = |tenant| Allowance { per_us: share(tenant) / 1e6, left: share(tenant), filled_us: 0 };
         Balancer {
             rng: Rng::with_seed(seed),
-            place,
+            balancers: balancers.max(1) as usize,
             limits,
             cold,
             beyond_share,
             tenants: tenants.iter().map(allowance).collect(),
             must_ask,
-            asked_failures: 0,
-            target_us: slo_us as f64 / 8.0,
-            crowd: (CROWD / place.balancers.max(1)).max(1) as usize,
+            asks_lost: 0,
+            target_us: (slo_us as f64 / 8.0).max(1.0),
+            slowest_pace: 0.0,
             workloads,
             fleet: BTreeMap::new(),
             groups: Default::default(),
             regroup_us: 0,
             regroup_gap_us: 1_000_000,
-            hints: small_histogram(),
+            hints: histogram(),
+            speeds: histogram(),
             unit_us: 0.0,
-            speeds: small_histogram(),
             traffic: [0.0; 4],
             queries: BTreeMap::new(),
             serials: HashMap::new(),
             waiting: BTreeSet::new(),
-            next_serial: 0,
+            last_serial: 0,
             further: 10.0,
             sweeping: false,
-            started: false,
         }
     }
 
@@ -239,13 +230,10 @@
         out: &mut dyn Writer,
         feed: impl FnOnce(&mut Inbox) -> Result<(), E>,
     ) -> Result<(), E> {
-        if !self.started {
-            self.started = true;
-            if self.must_ask {
-                out.subscribe();
-            }
+        if std::mem::take(&mut self.must_ask) {
+            out.subscribe();
         }
-        feed(&mut Inbox { b: self, out, now_us })?;
+        feed(&mut Inbox { balancer: self, out, now_us })?;
         self.set_maxima(now_us);
         if now_us >= self.regroup_us {
             self.regroup(now_us);
@@ -258,210 +246,177 @@
         Ok(())
     }
 
-    /// A maximum is the load that a backend works off within the target time at the pace its outcomes
-    /// show; without outcomes it is the mean of the others' maxima.
+    fn backend(&mut self, id: u32) -> &mut Backend {
+        self.fleet.get_mut(&id).expect("only listed backends are used")
+    }
+
+    /// A maximum is the work that a backend does within the target time at the pace its outcomes show;
+    /// without outcomes it is the mean of the others' maxima.
     fn set_maxima(&mut self, now_us: u64) {
-        let known: Vec<f64> = self.fleet.values().filter_map(|backend| backend.rate).collect();
-        let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
+        let known: Vec<f64> = self.fleet.values().filter_map(Backend::learned).collect();
+        let unknown = DEFAULT_MAX / self.target_us;
+        let mean = if known.is_empty() { unknown } else { known.iter().sum::<f64>() / known.len() as f64 };
+        self.slowest_pace = known.iter().copied().fold(mean, f64::min);
         for backend in self.fleet.values_mut() {
-            let pace = if known.is_empty() { DEFAULT_MAX / self.target_us } else { mean };
-            let mut pace = backend.rate.unwrap_or(pace);
-            // A backend that stands still yields no outcomes: what it has held longest bounds its pace.
-            if let Some(oldest) = backend.held.front() {
+            backend.pace = backend.learned().unwrap_or(mean);
+            // One that stands still yields no outcomes: what it has held longest bounds its pace.
+            if let Some(oldest) = backend.held.values().next() {
                 let age_us = now_us.saturating_sub(oldest.sent_us).max(1);
-                pace = pace.min(oldest.ahead / age_us as f64);
+                backend.pace = backend.pace.min(oldest.ahead / age_us as f64);
             }
-            backend.pace = pace;
-            backend.max = pace * self.target_us * backend.warmth(&self.cold, now_us);
+            backend.max = backend.pace * self.target_us * backend.warmth(&self.cold, now_us);
         }
     }
 
-    fn kind_of(&self, hint_us: Option<u64>) -> (usize, f64) {
-        let Some(hint_us) = hint_us.filter(|_| self.unit_us > 0.0) else { return (0, VALUES[0]) };
-        let units = hint_us as f64 / self.unit_us;
-        let kind = [1.5, 2.0, 2.5].iter().filter(|edge| units >= **edge).count();
-        // Long tails: beyond the heaviest value a query counts what its hint says.
-        (kind, if kind == 3 { units.max(VALUES[3]) } else { VALUES[kind] })
-    }
-
+    /// Sizes each type's group by its share of the load units, in learned maxima, strongest first.
     fn regroup(&mut self, now_us: u64) {
+        // A proxy that has just started knows no traffic: its first groups hold all, then grow in age.
         self.regroup_us = now_us + self.regroup_gap_us;
         self.regroup_gap_us = (self.regroup_gap_us * 2).min(REGROUP_US);
-        let mut servers: Vec<(u32, f64)> = self
-            .fleet
-            .values()
-            .filter(|backend| backend.listed.phase == Phase::Ready)
-            .map(|backend| (backend.listed.backend, backend.max))
-            .collect();
-        servers.sort_by(|a, b| b.1.total_cmp(&a.1));
-        let whole: f64 = servers.iter().map(|server| server.1).sum();
+        let ready = self.fleet.values().filter(|backend| backend.ready());
+        let mut servers: Vec<&Backend> = ready.collect();
+        servers.sort_by(|a, b| b.max.total_cmp(&a.max));
+        let whole: f64 = servers.iter().map(|server| server.max).sum();
         let units: f64 = self.traffic.iter().sum();
         let mut wanted = self.traffic.map(|traffic| whole * traffic / units.max(1e-9));
         let mut groups: [Vec<Member>; 4] = Default::default();
-        if units > 0.0 {
-            for (index, (backend, max)) in servers.iter().enumerate() {
-                let empty = |kind: &usize| wanted[*kind] > 0.0 && groups[*kind].is_empty();
-                let bare = (0..4).filter(empty).count();
-                let among = (0..4).filter(|kind| servers.len() - index > bare || empty(kind));
-                let kind = among.max_by(|a, b| wanted[*a].total_cmp(&wanted[*b])).unwrap_or(0);
-                wanted[kind] -= max;
-                groups[kind].push(Member { backend: *backend, turn: 0.0 });
-            }
+        let member = |server: &&Backend, chance: f64| Member {
+            backend: server.listed.backend,
+            turn: chance * server.listed.weight,
+        };
+        for (index, server) in servers.iter().enumerate().filter(|_| units > 0.0) {
+            let bare = |kind: &usize| self.traffic[*kind] > 0.0 && groups[*kind].is_empty();
+            let spare = servers.len() - index > (0..4).filter(bare).count();
+            let among = (0..4).filter(|kind| spare || bare(kind));
+            let kind = among.max_by(|a, b| wanted[*a].total_cmp(&wanted[*b])).unwrap_or(0);
+            wanted[kind] -= server.max;
+            groups[kind].push(member(server, self.rng.f64()));
         }
-        for group in &mut groups {
-            if group.is_empty() {
-                group.extend(servers.iter().map(|server| Member { backend: server.0, turn: 0.0 }));
-            }
-            for member in group.iter_mut() {
-                member.turn = self.rng.f64() * self.fleet[&member.backend].listed.weight;
-            }
+        for group in groups.iter_mut().filter(|group| group.is_empty()) {
+            group.extend(servers.iter().map(|server| member(server, self.rng.f64())));
         }
         self.groups = groups;
         self.traffic = self.traffic.map(|traffic| traffic / 2.0);
-        if !self.hints.is_empty() {
-            self.unit_us = self.hints.mean() / 2.0;
-            halve(&mut self.hints);
-        }
+        self.set_unit();
+        halve(&mut self.hints);
     }
 
-    fn leave(&mut self, backend: u32, now_us: u64) {
-        for group in &mut self.groups {
-            group.retain(|member| member.backend != backend);
-        }
-        if self.groups.iter().any(Vec::is_empty) {
-            self.regroup_us = now_us;
+    /// A load unit is half the mean hint, so that the values' cuts lie where most hints do.
+    fn set_unit(&mut self) {
+        if !self.hints.is_empty() {
+            self.unit_us = self.hints.mean() / 2.0;
         }
     }
 
-    /// Whether rule 2 and the settings let this query have an execution on this backend now.
-    fn allowed(&self, qry: &Query, backend: &Backend, now_us: u64) -> bool {
-        let listed = &backend.listed;
-        let Some(earlier) = qry.may_have_run() else { return true };
+    /// Whether rule 2 lets this query have a further execution on this backend now.
+    fn allowed(&self, qry: &Query, on: &Listed, now_us: u64) -> bool {
+        let Some(first) = qry.may_have_run() else { return true };
         let workload = &self.workloads[qry.workload];
+        let first_on = &self.fleet[&first.backend].listed;
         match workload.repeat {
             Repeat::Idempotent => true,
             Repeat::NonIdempotent => false,
-            Repeat::Deduplicated => {
-                let first = &self.fleet[&earlier.backend].listed;
-                now_us < earlier.sent_us + workload.window_us
-                    && match workload.group {
-                        DedupGroup::All => true,
-                        DedupGroup::Zone => listed.zone == first.zone,
-                        DedupGroup::Cell => listed.cell == first.cell,
-                    }
-            }
+            Repeat::Deduplicated if now_us >= first.sent_us + workload.window_us => false,
+            Repeat::Deduplicated => match workload.group {
+                DedupGroup::All => true,
+                DedupGroup::Zone => on.zone == first_on.zone,
+                DedupGroup::Cell => on.cell == first_on.cell,
+            },
         }
     }
 
-    fn within_cold_budget(&self, backend: &Backend, load: f64, now_us: u64) -> bool {
+    /// Rule 4: this proxy's share of what a cold backend bears in a window, by the slowest warm pace.
+    fn within_cold_budget(&self, backend: &Backend, work: f64, now_us: u64) -> bool {
         let warmth = backend.warmth(&self.cold, now_us);
-        if warmth >= 1.0 {
-            return true;
-        }
-        let warm = self.fleet.values().filter(|other| other.warmth(&self.cold, now_us) >= 1.0);
-        let pace = warm.filter_map(|other| other.rate).fold(f64::INFINITY, f64::min);
-        let pace = if pace.is_finite() { pace } else { DEFAULT_MAX / self.target_us };
-        let window = self.cold.window_us as f64;
-        let budget =
-            self.cold.multiple * warmth * pace * window / f64::from(self.place.balancers.max(1)) / 2.0;
-        let since = now_us.saturating_sub(self.cold.window_us);
-        let sent: f64 = backend.cold_sent.iter().filter(|sent| sent.0 >= since).map(|sent| sent.1).sum();
-        sent + load <= budget
+        let window_us = self.cold.window_us;
+        let bears = self.cold.multiple * warmth * self.slowest_pace * window_us as f64;
+        let recent = backend.cold_sent.iter().filter(|sent| sent.0 + window_us >= now_us);
+        let sent: f64 = recent.map(|sent| sent.1).sum();
+        // Half of it is left for chance and for what the other proxies misjudge.
+        warmth >= 1.0 || sent + work <= bears / self.balancers as f64 / 2.0
     }
 
     fn choose(&mut self, serial: u64, now_us: u64, second: bool) -> Option<u32> {
-        let ready = self.fleet.values().filter(|backend| backend.listed.phase == Phase::Ready).count();
+        let ready = self.fleet.values().filter(|backend| backend.ready()).count();
         let held: usize = self.fleet.values().map(|backend| backend.held.len()).sum();
         // Where proxies are many, one query of each on a backend is a crowd already.
-        if held >= (ready * CROWD as usize / self.place.balancers.max(1) as usize).max(1) {
+        if held >= (ready * CROWD / self.balancers).max(1) {
             return None;
         }
         let qry = &self.queries[&serial];
         let usable = |backend: &Backend| {
             backend.open(now_us)
-                && backend.held.len() < self.crowd
+                && backend.held.len() < (CROWD / self.balancers).max(1)
                 && qry.executions.iter().all(|exec| exec.backend != backend.listed.backend)
-                && self.allowed(qry, backend, now_us)
-                && self.within_cold_budget(backend, qry.load, now_us)
+                && self.allowed(qry, &backend.listed, now_us)
+                && self.within_cold_budget(backend, qry.work, now_us)
         };
-        let group = &self.groups[qry.kind];
-        let members: Vec<usize> =
-            (0..group.len()).filter(|i| usable(&self.fleet[&group[*i].backend])).collect();
-        let (load, max) = members.iter().fold((0.0, 0.0), |sum, i| {
-            let backend = &self.fleet[&group[*i].backend];
-            (sum.0 + backend.load, sum.1 + backend.max)
-        });
-        if !members.is_empty() && load <= max / 10.0 {
-            let group = &mut self.groups[qry.kind];
-            let mut total = 0.0;
-            for i in &members {
-                let weight = self.fleet[&group[*i].backend].listed.weight;
-                group[*i].turn += weight;
-                total += weight;
+        let kind = qry.kind;
+        let (mut load, mut max, mut weight) = (0.0, 0.0, 0.0);
+        let mut own = Vec::new();
+        for (place, member) in self.groups[kind].iter().enumerate() {
+            let backend = &self.fleet[&member.backend];
+            if usable(backend) {
+                (load, max) = (load + backend.load(), max + backend.max);
+                weight += backend.listed.weight;
+                own.push((place, member.backend));
             }
-            let next = members.into_iter().max_by(|a, b| group[*a].turn.total_cmp(&group[*b].turn))?;
-            group[next].turn -= total;
-            return Some(group[next].backend);
-        }
-        let load = qry.load;
-        let members: Vec<u32> = members.iter().map(|i| group[*i].backend).collect();
-        let others: Vec<u32> = self
-            .fleet
-            .values()
-            .filter(|backend| usable(backend))
-            .map(|backend| backend.listed.backend)
-            .collect();
-        let reach = 1.0 + qry.weight;
-        // A long tail is past every maximum: it fits where it would end within its SLO time.
-        let left_us = (qry.arrived_us + self.workloads[qry.workload].slo_us).saturating_sub(now_us) as f64;
-        let (work, tail) = (qry.work, load > VALUES[3]);
-        let fits = |backend: &Backend| {
-            if tail {
-                backend.load < backend.max && backend.work + work <= backend.pace * left_us
-            } else {
-                backend.held.is_empty() || backend.load + load <= backend.max
+        }
+        if load <= max / 10.0 && !own.is_empty() {
+            let group = &mut self.groups[kind];
+            for (place, id) in &own {
+                group[*place].turn += self.fleet[id].listed.weight;
             }
+            let turn = |place: &&(usize, u32)| group[place.0].turn;
+            let next = own.iter().max_by(|a, b| turn(a).total_cmp(&turn(b)))?;
+            group[next.0].turn -= weight;
+            return Some(next.1);
+        }
+        // A long tail is past every maximum: it fits where it would end within its SLO time.
+        let slo_us = qry.arrived_us + self.workloads[qry.workload].slo_us;
+        let left_us = slo_us.saturating_sub(now_us) as f64;
+        let (load, work, reach) = (qry.load, qry.work, 1.0 + qry.importance);
+        let fits = |backend: &Backend| match load > VALUES[3] {
+            true => backend.load() < backend.max && backend.work() + work <= backend.pace * left_us,
+            false => backend.held.is_empty() || backend.load() + load <= backend.max,
         };
-        let bears = |backend: &Backend| !second && backend.load < backend.max * reach;
-        self.roomiest(&members, fits)
-            .or_else(|| self.roomiest(&others, fits))
-            .or_else(|| self.roomiest(&members, bears))
-            .or_else(|| self.roomiest(&others, bears))
-    }
-
-    fn roomiest(&mut self, among: &[u32], takes: impl Fn(&Backend) -> bool) -> Option<u32> {
-        let (mut best, mut most, mut ties) = (None, f64::NEG_INFINITY, 0);
-        for id in among {
-            let backend = &self.fleet[id];
-            let room = backend.max - backend.load;
-            if !takes(backend) || room < most {
-                continue;
-            }
-            ties = if room > most { 1 } else { ties + 1 };
-            if self.rng.u32(0..ties) == 0 {
-                best = Some(*id);
+        // Past the maxima the more important go further; what nothing bears waits where it can still
+        // be rejected.
+        let bears = |backend: &Backend| !second && backend.load() < backend.max * reach;
+        let own: Vec<u32> = own.into_iter().map(|member| member.1).collect();
+        let all: Vec<u32> = self.fleet.iter().filter(|(_, b)| usable(b)).map(|(id, _)| *id).collect();
+        let mut roomiest = |among: &[u32], takes: &dyn Fn(&Backend) -> bool| {
+            let (mut best, mut most, mut ties) = (None, f64::NEG_INFINITY, 0);
+            for id in among.iter().filter(|id| takes(&self.fleet[id])) {
+                let room = self.fleet[id].max - self.fleet[id].load();
+                ties = if room == most { ties + 1 } else { 1 };
+                if room > most || room == most && self.rng.u32(0..ties) == 0 {
+                    (best, most) = (Some(*id), room);
+                }
             }
-            most = room;
-        }
-        best
+            best
+        };
+        roomiest(&own, &fits)
+            .or_else(|| roomiest(&all, &fits))
+            .or_else(|| roomiest(&own, &bears))
+            .or_else(|| roomiest(&all, &bears))
     }
 
     fn execute(&mut self, serial: u64, id: u32, now_us: u64, out: &mut dyn Writer) {
+        self.last_serial += 1;
         let qry = self.queries.get_mut(&serial).expect("placed queries are live");
-        let backend = self.fleet.get_mut(&id).expect("chosen backends are known");
-        self.next_serial += 1;
-        backend.load += qry.load;
-        backend.work += qry.work;
-        let held = Held { serial: self.next_serial, sent_us: now_us, load: qry.load, work: qry.work, ahead: backend.work };
+        let backend = self.fleet.get_mut(&id).expect("only listed backends are used");
         if backend.warmth(&self.cold, now_us) < 1.0 {
-            backend.cold_sent.push_back((now_us, qry.load));
+            backend.cold_sent.push_back((now_us, qry.work));
         }
-        backend.held.push_back(held);
+        let ahead = backend.work() + qry.work;
+        let held = Held { sent_us: now_us, load: qry.load, work: qry.work, ahead };
+        backend.held.insert(self.last_serial, held);
         qry.executions.push(Execution {
             backend: id,
+            serial: self.last_serial,
             sent_us: now_us,
-            expected_us: (backend.work / backend.pace.max(1e-9)) as u64,
-            serial: self.next_serial,
+            expected_us: (ahead / backend.pace.max(1e-9)) as u64,
             out: true,
             may_have_run: false,
         });
@@ -469,33 +424,27 @@
     }
 
     fn place_waiting(&mut self, now_us: u64, out: &mut dyn Writer) {
-        let order: Vec<(Reverse<u64>, u64)> = self.waiting.iter().copied().collect();
         let mut full = false;
-        for entry in order {
+        for entry in self.waiting.clone() {
             let qry = &self.queries[&entry.1];
             let last_chance = qry.deadline_us <= now_us + 2 * SWEEP_US;
-            if full && !last_chance {
-                continue;
-            }
-            let free = qry.may_have_run().is_none();
-            if qry.deadline_us > now_us {
-                if let Some(id) = self.choose(entry.1, now_us, false) {
-                    self.waiting.remove(&entry);
-                    self.execute(entry.1, id, now_us, out);
-                    continue;
-                }
-            }
-            full |= free;
-            if last_chance {
+            let (bound, on_time) = (qry.may_have_run().is_some(), qry.deadline_us > now_us);
+            let place = if full || !on_time { None } else { self.choose(entry.1, now_us, false) };
+            if let Some(id) = place {
+                self.waiting.remove(&entry);
+                self.execute(entry.1, id, now_us, out);
+            } else if last_chance {
                 self.give_up(entry.1, out);
             }
+            // What even an unbound query finds full is full for the less important after it.
+            full |= place.is_none() && !bound;
         }
     }
 
     /// The final answer to a query that gets no further execution, at once.
     fn give_up(&mut self, serial: u64, out: &mut dyn Writer) {
-        let wait_us = self.expected_wait_us(0);
-        let qry = self.queries.get_mut(&serial).expect("given up once");
+        let wait_us = self.expected_wait_us(Reverse(0)) as u64;
+        let qry = &self.queries[&serial];
         let workload = &self.workloads[qry.workload];
         let harmless = match workload.repeat {
             Repeat::Idempotent => true,
@@ -503,21 +452,20 @@
             Repeat::NonIdempotent => qry.may_have_run().is_none(),
         };
         if harmless {
-            out.reject(&qry.id, (wait_us as u64).max(100_000).min(self.limits.max_backoff_us));
+            out.reject(&qry.id, wait_us.max(self.target_us as u64).min(self.limits.max_backoff_us));
         } else {
             out.abort(&qry.id);
         }
         self.close(serial, out);
     }
 
-    /// Ends a query here; its executions still out are called off and counted until they end.
+    /// Ends a query here; executions still out are called off and count until their outcome.
     fn close(&mut self, serial: u64, out: &mut dyn Writer) {
         let Some(qry) = self.queries.get_mut(&serial) else { return };
-        self.waiting.remove(&(Reverse(rank(qry.weight)), serial));
+        self.waiting.remove(&(qry.rank(), serial));
         if !qry.over && self.limits.cancel {
-            for (number, _) in qry.executions.iter().enumerate().filter(|(_, exec)| exec.out) {
-                out.cancel(&qry.id, number as u32);
-            }
+            let still = qry.executions.iter().enumerate().filter(|(_, exec)| exec.out);
+            still.for_each(|(number, _)| out.cancel(&qry.id, number as u32));
         }
         qry.over = true;
         if !qry.out() {
@@ -526,29 +474,27 @@
         }
     }
 
-    fn expected_wait_us(&self, least: u64) -> f64 {
-        let ahead: f64 = self
-            .waiting
-            .iter()
-            .take_while(|entry| entry.0 .0 >= least)
-            .map(|entry| self.queries[&entry.1].load)
-            .sum();
-        let pace: f64 = self.fleet.values().filter(|b| b.listed.phase == Phase::Ready).map(|b| b.max).sum();
-        ahead / (pace / self.target_us).max(1e-9)
+    /// How long the work that waits at this rank or above takes the fleet at its learned paces.
+    fn expected_wait_us(&self, rank: Reverse<u64>) -> f64 {
+        let before = self.waiting.iter().take_while(|entry| entry.0 <= rank);
+        let ahead: f64 = before.map(|entry| self.queries[&entry.1].work).sum();
+        let pace: f64 = self.fleet.values().filter(|b| b.ready()).map(|b| b.pace).sum();
+        ahead / pace.max(1e-9)
     }
 
+    /// Shuts a backend whose last few outcomes are bad and twice as bad as its peers': when all fail
+    /// alike it is no backend's fault, and at most a third of the fleet is shut.
     fn judge(&mut self, id: u32, success: bool, now_us: u64) {
-        let ready = self.fleet.values().filter(|b| b.listed.phase == Phase::Ready).count() as u32;
-        let shut = self.fleet.values().filter(|b| b.shut_for_us > 0).count() as u32;
-        let mask = (1 << OUTCOMES) - 1;
-        let all: u32 = self.fleet.values().map(|b| (b.failures & mask).count_ones()).sum();
-        let backend = self.fleet.get_mut(&id).expect("judged backends are known");
+        let recent = |backend: &Backend| (backend.failures & ((1 << OUTCOMES) - 1)).count_ones();
+        let ready = self.fleet.values().filter(|backend| backend.ready()).count() as u32;
+        let shut = self.fleet.values().filter(|backend| backend.shut_for_us > 0).count() as u32;
+        let all: u32 = self.fleet.values().map(recent).sum();
+        let backend = self.backend(id);
         backend.failures = backend.failures << 1 | u32::from(!success);
-        let own = (backend.failures & mask).count_ones();
+        let worse = recent(backend) >= 3 && recent(backend) * ready >= 2 * all && shut * 3 < ready;
         if success {
-            backend.shut_for_us = 0;
-            backend.shut_until_us = 0;
-        } else if backend.shut_for_us > 0 || (own >= 3 && own * ready >= 2 * all && shut * 3 < ready) {
+            (backend.shut_for_us, backend.shut_until_us) = (0, 0);
+        } else if backend.shut_for_us > 0 || worse {
             backend.shut_for_us = (backend.shut_for_us * 2).clamp(500_000, 4_000_000);
             backend.shut_until_us = now_us + backend.shut_for_us;
             backend.failures = 0;
@@ -557,125 +503,116 @@
 
     fn sweep(&mut self, now_us: u64, out: &mut dyn Writer) {
         for backend in self.fleet.values_mut() {
-            if backend.rate.is_some() && now_us > backend.sampled_us + 5_000_000 {
-                halve(&mut backend.rates);
+            // Without new outcomes an old pace fades, or a backend that was slow once would stay unused.
+            if now_us > backend.sampled_us + 5_000_000 {
+                halve(&mut backend.paces);
                 backend.sampled_us = now_us;
-                if backend.rates.is_empty() {
-                    backend.rate = None;
-                }
-            }
-            while backend.cold_sent.front().is_some_and(|sent| sent.0 + self.cold.window_us < now_us) {
-                backend.cold_sent.pop_front();
             }
-        }
-        let stale: Vec<u64> = self
-            .waiting
-            .iter()
-            .map(|entry| entry.1)
-            .filter(|serial| {
-                let qry = &self.queries[serial];
-                now_us > qry.arrived_us + self.workloads[qry.workload].slo_us / 2
-            })
-            .collect();
-        for serial in stale {
+            backend.cold_sent.retain(|sent| sent.0 + self.cold.window_us >= now_us);
+        }
+        // Half the SLO time in vain here leaves too little for the rest: a prompt answer is better.
+        let slo_us = |qry: &Query| self.workloads[qry.workload].slo_us;
+        let waiting = self.waiting.iter().map(|entry| entry.1);
+        let stale = |serial: &u64| {
+            let qry = &self.queries[serial];
+            now_us > qry.arrived_us + slo_us(qry) / 2
+        };
+        for serial in waiting.filter(stale).collect::<Vec<u64>>() {
             self.give_up(serial, out);
         }
-        let late: Vec<u64> = self
-            .queries
-            .iter()
-            .filter(|(_, qry)| !qry.over && qry.executions.len() == 1 && qry.out())
-            .filter(|(_, qry)| {
-                now_us > qry.executions[0].sent_us + self.workloads[qry.workload].slo_us / 3
- && now_us > qry.executions[0].sent_us + 2 * qry.executions[0].expected_us
-                    && (qry.executions.len() as u32) < self.limits.max_executions
-            })
-            .map(|(serial, _)| *serial)
-            .collect();
-        for serial in late {
-            if self.further < 1.0 || !self.limits.may_duplicate {
-                break;
-            }
-            if let Some(id) = self.choose(serial, now_us, true) {
-                self.further -= 1.0;
-                self.execute(serial, id, now_us, out);
+        // A second copy goes out past twice the expected time, within a budget that overload spends at
+        // once: further executions must not feed it.
+        let slo_us = |qry: &Query| self.workloads[qry.workload].slo_us;
+        let late = |qry: &Query| {
+            let most = self.limits.max_executions as usize;
+            let lone = !qry.over && qry.executions.len() == 1 && most > 1 && qry.out();
+            lone && qry
+                .executions
+                .iter()
+                .all(|exec| now_us > exec.sent_us + (2 * exec.expected_us).max(slo_us(qry) / 3))
+        };
+        let late = self.queries.iter().filter(|(_, qry)| self.limits.may_duplicate && late(qry));
+        for serial in late.map(|(serial, _)| *serial).collect::<Vec<u64>>() {
+            if self.further >= 1.0 {
+                if let Some(id) = self.choose(serial, now_us, true) {
+                    self.further -= 1.0;
+                    self.execute(serial, id, now_us, out);
+                }
             }
         }
     }
 }
 
-fn rank(weight: f64) -> u64 {
-    (weight * 1000.0) as u64
-}
-
 impl Inbox<'_> {
     pub fn query(
         &mut self,
         id: &str,
         workload: usize,
         tenant: usize,
-        _key: Option<&str>,
         ttl_us: u64,
         hint_us: Option<u64>,
     ) -> Result<(), String> {
-        let most = self.b.workloads.iter().map(|workload| workload.importance).fold(0.0, f64::max);
-        let Some(about) = self.b.workloads.get(workload) else {
-            return Err(format!("workload {workload} is not in the settings"));
-        };
-        let (slo_us, tardy) = (about.slo_us, about.tardy_importance);
-        let mut weight = about.importance / most.max(1e-9);
-        if let Some(share) = self.b.tenants.get_mut(tenant) {
+        let b = &mut *self.balancer;
+        let most = b.workloads.iter().map(|workload| workload.importance).fold(1e-9, f64::max);
+        let about = b.workloads.get(workload).ok_or_else(|| format!("unknown workload {workload}"))?;
+        let slo_us = about.slo_us as f64;
+        let mut importance = about.importance / most;
+        if let Some(share) = b.tenants.get_mut(tenant) {
             let gained = share.per_us * self.now_us.saturating_sub(share.filled_us) as f64;
             share.left = (share.left + gained).min(share.per_us * 1e6);
             share.filled_us = self.now_us;
-            if share.left >= 1.0 {
-                share.left -= 1.0;
-            } else {
-                weight *= self.b.beyond_share;
-            }
+            let within = share.left >= 1.0;
+            share.left -= if within { 1.0 } else { 0.0 };
+            importance *= if within { 1.0 } else { b.beyond_share };
         }
         if let Some(hint_us) = hint_us {
-            self.b.hints.saturating_record(hint_us);
-            if self.b.hints.len().is_power_of_two() {
-                self.b.unit_us = self.b.hints.mean() / 2.0;
+            b.hints.saturating_record(hint_us);
+            if b.hints.len().is_power_of_two() {
+                b.set_unit();
             }
         }
-        // Some queries cannot end in time even on the fastest backend: executed, they would only
-        // keep it from the others, the more so as clients ask again.
-        let fastest = self.b.speeds.value_at_quantile(0.9) as f64 / 1e3;
-        let takes_us = hint_us.filter(|_| fastest > 0.0).map_or(0.0, |hint_us| hint_us as f64 / fastest);
-        if takes_us > slo_us as f64 {
-            weight *= tardy;
-        }
-        let (kind, load) = self.b.kind_of(hint_us);
-        self.b.traffic[kind] += load;
-        self.b.further = (self.b.further + 0.1).min(20.0);
-        self.b.next_serial += 1;
-        let serial = self.b.next_serial;
+        let units = hint_us.filter(|_| b.unit_us > 0.0).map(|hint_us| hint_us as f64 / b.unit_us);
+        let kind = CUTS.iter().filter(|cut| units.is_some_and(|units| units >= **cut)).count();
+        let long = units.filter(|_| kind == 3).unwrap_or(0.0);
+        let load = VALUES[kind].max(long);
+        b.traffic[kind] += load;
+        // Some cannot end in time even on the fastest backend: executed, they would only keep it from
+        // the others, the more so as their clients ask again.
+        let fastest = b.speeds.value_at_quantile(0.9).max(1) as f64 / 1e3;
+        let known = !b.speeds.is_empty();
+        let takes_us = hint_us.filter(|_| known).map_or(0.0, |hint_us| hint_us as f64 / fastest);
+        if takes_us > slo_us {
+            importance *= b.workloads[workload].tardy_importance;
+        }
+        b.further = (b.further + 0.1).min(20.0);
+        b.last_serial += 1;
+        let serial = b.last_serial;
         let qry = Query {
             id: id.to_owned(),
             workload,
             kind,
             load,
-            work: hint_us.filter(|_| self.b.unit_us > 0.0).map_or(load, |hint| hint as f64 / self.b.unit_us),
-            hint_us,
+            work: units.unwrap_or(load),
             arrived_us: self.now_us,
-            deadline_us: self.now_us + ttl_us,
-            weight,
+            deadline_us: self.now_us.saturating_add(ttl_us),
+            importance,
             executions: Vec::new(),
             over: false,
         };
-        self.b.serials.insert(id.to_owned(), serial);
-        self.b.queries.insert(serial, qry);
-        let pressure = self.b.expected_wait_us(rank(weight)) / slo_us.max(1) as f64;
-        if takes_us > ttl_us as f64 || self.b.rng.f64() < (pressure - 0.25) / 0.5 {
-            self.b.give_up(serial, self.out);
+        let rank = qry.rank();
+        b.serials.insert(id.to_owned(), serial);
+        b.queries.insert(serial, qry);
+        // Turned away by chance, from a quarter of the SLO time in expected wait to three quarters;
+        // the less important wait behind more, so they are turned away more often.
+        let pressure = b.expected_wait_us(rank) / slo_us.max(1.0);
+        if takes_us > ttl_us as f64 || b.rng.f64() < (pressure - 0.25) / 0.5 {
+            b.give_up(serial, self.out);
         } else {
-            self.b.waiting.insert((Reverse(rank(weight)), serial));
+            b.waiting.insert((rank, serial));
         }
         Ok(())
     }
 
-    #[allow(clippy::too_many_arguments)]
     pub fn outcome(
         &mut self,
         id: &str,
@@ -683,127 +620,131 @@
         ended: Ended,
         took_us: u64,
         over: bool,
-        backend: u32,
-        _report: Option<LoadReport>,
+        report: Option<LoadReport>,
     ) {
-        let Some(&serial) = self.b.serials.get(id) else { return };
-        let qry = self.b.queries.get_mut(&serial).expect("serials are of live queries");
+        let (b, now_us) = (&mut *self.balancer, self.now_us);
+        let Some(&serial) = b.serials.get(id) else { return };
+        let qry = b.queries.get_mut(&serial).expect("serials are of live queries");
         let Some(exec) = qry.executions.get_mut(execution as usize).filter(|exec| exec.out) else { return };
+        let backend = b.fleet.get_mut(&exec.backend).expect("only listed backends are used");
         exec.out = false;
         exec.may_have_run = !matches!(ended, Ended::TurnedAway | Ended::Unreachable | Ended::NotSent);
-        let at = self.b.fleet.get_mut(&backend).expect("executions go to known backends");
-        if let Some(place) = at.held.iter().position(|held| held.serial == exec.serial) {
-            let held = at.held.remove(place).expect("found above");
-            at.load = if at.held.is_empty() { 0.0 } else { at.load - held.load };
-            at.work = if at.held.is_empty() { 0.0 } else { at.work - held.work };
-            if matches!(ended, Ended::Completed | Ended::TimedOut) {
-                at.learn(held.ahead, took_us, self.now_us);
-            }
+        let held = backend.held.remove(&exec.serial);
+        backend.utilisation = report.and_then(|report| report.utilisation).or(backend.utilisation);
+        if let Some(held) = held.filter(|_| matches!(ended, Ended::Completed | Ended::TimedOut)) {
+            record(&mut backend.paces, held.ahead * 1e9 / took_us.max(1) as f64, 2 * u64::from(OUTCOMES));
+            backend.sampled_us = now_us;
         }
-        match ended {
-            Ended::Completed => {
-                if let Some(hint_us) = self.b.queries[&serial].hint_us {
-                    self.b.speeds.saturating_record(hint_us * 1000 / took_us.max(1));
-                    if self.b.speeds.len() >= 256 {
-                        halve(&mut self.b.speeds);
-                    }
-                }
-                self.b.judge(backend, true, self.now_us);
-            }
-            Ended::Cancelled | Ended::NotSent => {}
+        if ended == Ended::TurnedAway {
             // It says itself that it is full; as it answers at once it would else look the roomiest.
-            Ended::TurnedAway => {
-                let at = self.b.fleet.get_mut(&backend).expect("just used");
-                at.shut_until_us = at.shut_until_us.max(self.now_us + 2 * self.b.target_us as u64);
-            }
-            _ => self.b.judge(backend, false, self.now_us),
-        }
-        let qry = &self.b.queries[&serial];
-        if over || qry.over {
-            self.b.close(serial, self.out);
-        } else if !qry.out() {
-            let free = matches!(ended, Ended::Unreachable);
-            let more = (qry.executions.len() as u32) < self.b.limits.max_executions
-                && qry.deadline_us > self.now_us
-                && (free || self.b.further >= 1.0)
-                && self.b.fleet.values().any(|other| {
-                    other.listed.phase == Phase::Ready && self.b.allowed(qry, other, self.now_us)
-                });
+            let until_us = now_us + 2 * b.target_us as u64;
+            backend.shut_until_us = backend.shut_until_us.max(until_us);
+        }
+        if ended == Ended::Completed && b.unit_us > 0.0 {
+            record(&mut b.speeds, qry.work * b.unit_us * 1e3 / took_us.max(1) as f64, 256);
+        }
+        let (id, closed, out) = (exec.backend, over || qry.over, qry.out());
+        match ended {
+            Ended::Cancelled | Ended::NotSent | Ended::TurnedAway => {}
+            _ => b.judge(id, ended == Ended::Completed, now_us),
+        }
+        if closed {
+            b.close(serial, self.out);
+        } else if !out {
+            let qry = &b.queries[&serial];
+            // What never reached a backend burdens none, so it takes nothing from the budget.
+            let price = if ended == Ended::Unreachable { 0.0 } else { 1.0 };
+            let more = (qry.executions.len() as u32) < b.limits.max_executions
+                && qry.deadline_us > now_us
+                && b.further >= price
+                && b.fleet.values().any(|other| other.ready() && b.allowed(qry, &other.listed, now_us));
             if more {
-                self.b.further -= if free { 0.0 } else { 1.0 };
-                self.b.waiting.insert((Reverse(rank(qry.weight)), serial));
+                b.further -= price;
+                b.waiting.insert((qry.rank(), serial));
             } else {
-                self.b.give_up(serial, self.out);
+                b.give_up(serial, self.out);
             }
         }
     }
 
     /// A stream has started: the answer is the client's now and nothing is left to decide.
-    pub fn begun(&mut self, id: &str, _execution: u32) {
-        if let Some(serial) = self.b.serials.get(id) {
-            self.b.queries.get_mut(serial).expect("serials are of live queries").over = true;
+    pub fn begun(&mut self, id: &str) {
+        if let Some(serial) = self.balancer.serials.get(id) {
+            self.balancer.queries.get_mut(serial).expect("serials are of live queries").over = true;
         }
     }
 
     pub fn withdrawn(&mut self, id: &str) {
-        if let Some(&serial) = self.b.serials.get(id) {
-            self.b.close(serial, self.out);
+        if let Some(&serial) = self.balancer.serials.get(id) {
+            self.balancer.close(serial, self.out);
         }
     }
 
     pub fn woken(&mut self, token: &str) {
         match token {
-            "sweep" => {
-                self.b.sweeping = false;
-                self.b.sweep(self.now_us, self.out);
-            }
             "ask" => self.out.subscribe(),
-            _ => {}
+            _ => {
+                self.balancer.sweeping = false;
+                self.balancer.sweep(self.now_us, self.out);
+            }
         }
     }
 
-    pub fn probed(&mut self, _backend: u32, _ended: Ended, _report: Option<LoadReport>) {}
-
-    pub fn note(&mut self, _peer: u32, _bytes: &str) {}
+    pub fn reported(&mut self, backend: u32, report: LoadReport) {
+        if let Some(backend) = self.balancer.fleet.get_mut(&backend) {
+            backend.utilisation = report.utilisation.or(backend.utilisation);
+        }
+    }
 
+    /// Asks anew after a jittered wait that grows, so that the proxies don't keep the list down.
     pub fn list_lost(&mut self) {
-        self.b.asked_failures = (self.b.asked_failures + 1).min(4);
-        let most = 250_000u64 << self.b.asked_failures;
-        self.out.wake(self.b.rng.u64(most / 2..most), "ask");
+        let b = &mut *self.balancer;
+        b.asks_lost = (b.asks_lost + 1).min(4);
+        let most = 250_000 << b.asks_lost;
+        self.out.wake(b.rng.u64(most / 2..most), "ask");
     }
 
     pub fn list_changes(&mut self, items: &[Listed]) {
-        self.b.asked_failures = 0;
+        let b = &mut *self.balancer;
+        b.asks_lost = 0;
         for item in items {
-            let fresh = |b: &Backend| b.listed.since_us == item.since_us && b.listed.phase == item.phase;
-            if self.b.fleet.get(&item.backend).is_some_and(fresh) {
-                self.b.fleet.get_mut(&item.backend).expect("just seen").listed = *item;
-                continue;
+            let old = b.fleet.remove(&item.backend);
+            let was = old.as_ref().map(|old| (old.listed.phase, old.listed.since_us));
+            let mut backend = match old {
+                Some(old) if was.is_some_and(|was| was.1 == item.since_us) => old,
+                // What started anew has forgotten nothing good or bad; what is out there still counts.
+                restarted => Backend {
+                    listed: *item,
+                    held: restarted.map(|old| old.held).unwrap_or_default(),
+                    utilisation: None,
+                    paces: histogram(),
+                    sampled_us: self.now_us,
+                    pace: 0.0,
+                    max: 0.0,
+                    failures: 0,
+                    shut_until_us: 0,
+                    shut_for_us: 0,
+                    cold_sent: VecDeque::new(),
+                },
+            };
+            backend.listed = *item;
+            b.fleet.insert(item.backend, backend);
+            if item.phase == Phase::Ready && was != Some((item.phase, item.since_us)) {
+                b.regroup_us = self.now_us;
             }
-            let old = self.b.fleet.remove(&item.backend);
-            let restarted = old.as_ref().is_none_or(|old| old.listed.since_us != item.since_us);
-            let mut backend = Backend::new(*item);
-            if let Some(old) = old {
-                (backend.held, backend.load, backend.work) = (old.held, old.load, old.work);
-                if !restarted {
-                    (backend.rates, backend.rate) = (old.rates, old.rate);
-                }
-            }
-            self.b.fleet.insert(item.backend, backend);
-            if item.phase != Phase::Ready {
-                self.b.leave(item.backend, self.now_us);
-            } else {
-                self.b.regroup_us = self.now_us;
+        }
+        for group in &mut b.groups {
+            group.retain(|member| b.fleet[&member.backend].ready());
+            if group.is_empty() {
+                b.regroup_us = self.now_us;
             }
         }
     }
 
     pub fn list_whole(&mut self, items: &[Listed]) {
         let named: BTreeSet<u32> = items.iter().map(|item| item.backend).collect();
-        let missing: Vec<u32> = self.b.fleet.keys().filter(|id| !named.contains(id)).copied().collect();
-        for id in missing {
-            self.b.fleet.get_mut(&id).expect("listed above").listed.phase = Phase::Gone;
-            self.b.leave(id, self.now_us);
+        for (_, backend) in self.balancer.fleet.iter_mut().filter(|(id, _)| !named.contains(id)) {
+            backend.listed.phase = Phase::Gone;
         }
         self.list_changes(items);
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -34,13 +34,6 @@
     pub quota_per_s: f64,
 }
 
-/// This proxy among its peers.
-#[derive(Clone, Copy, Debug)]
-pub struct Place {
-    pub balancers: u32,
-    pub zone: u32,
-}
-
 #[derive(Clone, Copy, Debug)]
 pub struct ExecutionLimits {
     pub max_executions: u32,
@@ -94,8 +87,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LoadReport {
     pub utilisation: Option<f64>,
-    pub in_flight: Option<f64>,
-    pub queued: Option<f64>,
 }
 
 /// Takes each decision at the moment it is made.
