--- a/src/balance.rs
+++ b/src/balance.rs
@@ -4,10 +4,10 @@
 //! The mechanism (types, groups, rotation, best fit) and each exception to it: docs/design.md.
 
 use crate::interface::*;
+use crate::kept::*;
 use fastrand::Rng;
-use hdrhistogram::Histogram;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// The paper's load values of the four types, from plain to heavy on all counts.
 const VALUES: [f64; 4] = [1.0, 2.0, 2.0, 3.0];
@@ -16,70 +16,11 @@
 const REGROUP_US: u64 = 30_000_000;
 const SWEEP_US: u64 = 25_000;
 const DEFAULT_MAX: f64 = 8.0;
-/// A backend is judged by its last few outcomes, one bit each, newest lowest.
-const OUTCOMES: u32 = 8;
 /// Queries that all proxies together leave with one backend: more only wait there, where they can no
 /// longer be rejected, and a crowded backend may turn slow and stay slow.
 const CROWD: usize = 6;
 
-struct Execution {
-    backend: u32,
-    serial: u64,
-    sent_us: u64,
-    expected_us: u64,
-    out: bool,
-    may_have_run: bool,
-}
-
-struct Query {
-    id: String,
-    workload: usize,
-    kind: usize,
-    /// What it adds to a backend's load: its type's value, or for a long tail what its hint says.
-    load: f64,
-    /// What its hint says in load units.
-    work: f64,
-    arrived_us: u64,
-    deadline_us: u64,
-    importance: f64,
-    executions: Vec<Execution>,
-    over: bool,
-}
-
-/// An execution still out, with our work on the backend once it was added.
-struct Held {
-    sent_us: u64,
-    load: f64,
-    work: f64,
-    ahead: f64,
-}
-
-struct Backend {
-    listed: Listed,
-    held: BTreeMap<u64, Held>,
-    utilisation: Option<f64>,
-    paces: Histogram<u32>,
-    sampled_us: u64,
-    /// Work a microsecond, as last set from the outcomes, and the maximum that follows from it.
-    pace: f64,
-    max: f64,
-    failures: u32,
-    shut_until_us: u64,
-    shut_for_us: u64,
-    cold_sent: VecDeque<(u64, f64)>,
-}
-
-struct Allowance {
-    per_us: f64,
-    left: f64,
-    filled_us: u64,
-}
-
-struct Member {
-    backend: u32,
-    turn: f64,
-}
-
+#[derive(Default)]
 pub struct Balancer {
     rng: Rng,
     balancers: usize,
@@ -96,8 +37,8 @@
     groups: [Vec<Member>; 4],
     regroup_us: u64,
     regroup_gap_us: u64,
-    hints: Histogram<u32>,
-    speeds: Histogram<u32>,
+    hints: Bins,
+    speeds: Bins,
     unit_us: f64,
     traffic: [f64; 4],
     queries: BTreeMap<u64, Query>,
@@ -114,25 +55,6 @@
     now_us: u64,
 }
 
-fn histogram() -> Histogram<u32> {
-    Histogram::new_with_bounds(1, 1 << 30, 1).expect("the bounds are constant and sound")
-}
-
-/// Records one value; once `most` are kept, all count half, so that the newer ones lead.
-fn record(values: &mut Histogram<u32>, value: f64, most: u64) {
-    values.saturating_record(value as u64);
-    if values.len() >= most {
-        halve(values);
-    }
-}
-
-fn halve(values: &mut Histogram<u32>) {
-    let bins: Vec<(u64, u32)> =
-        values.iter_recorded().map(|bin| (bin.value_iterated_to(), bin.count_at_value() / 2)).collect();
-    values.reset();
-    bins.into_iter().for_each(|(value, count)| values.saturating_record_n(value, count));
-}
-
 impl Backend {
     fn ready(&self) -> bool {
         self.listed.phase == Phase::Ready
@@ -162,34 +84,14 @@
     }
 
     fn learned(&self) -> Option<f64> {
-        (!self.paces.is_empty()).then(|| self.paces.value_at_quantile(0.5) as f64 / 1e9)
-    }
-}
-
-impl Query {
-    fn may_have_run(&self) -> Option<&Execution> {
-        self.executions.iter().find(|exec| exec.out || exec.may_have_run)
-    }
-
-    fn out(&self) -> bool {
-        self.executions.iter().any(|exec| exec.out)
-    }
-
-    fn rank(&self) -> Reverse<u64> {
-        Reverse((self.importance * 1e3) as u64)
+        self.paces.at(0.5).map(|pace| pace / 1e9)
     }
 }
 
 impl Balancer {
     pub fn new(
-        seed: u64,
-        balancers: u32,
-        workloads: Vec<Workload>,
-        tenants: Vec<Tenant>,
-        beyond_share: f64,
-        limits: ExecutionLimits,
-        cold: ColdRule,
-        must_ask: bool,
+        seed: u64, balancers: u32, workloads: Vec<Workload>, tenants: Vec<Tenant>, beyond_share: f64,
+        limits: ExecutionLimits, cold: ColdRule, must_ask: bool,
     ) -> Self {
         let slo_us = workloads.iter().map(|workload| workload.slo_us).min().unwrap_or(0);
         let share = |tenant: &Tenant| tenant.quota_per_s / f64::from(balancers.max(1));
@@ -197,38 +99,22 @@
         Balancer {
             rng: Rng::with_seed(seed),
             balancers: balancers.max(1) as usize,
+            tenants: tenants.iter().map(allowance).collect(),
+            target_us: (slo_us as f64 / 8.0).max(1.0),
+            workloads,
             limits,
             cold,
             beyond_share,
-            tenants: tenants.iter().map(allowance).collect(),
             must_ask,
-            asks_lost: 0,
-            target_us: (slo_us as f64 / 8.0).max(1.0),
-            slowest_pace: 0.0,
-            workloads,
-            fleet: BTreeMap::new(),
-            groups: Default::default(),
-            regroup_us: 0,
             regroup_gap_us: 1_000_000,
-            hints: histogram(),
-            speeds: histogram(),
-            unit_us: 0.0,
-            traffic: [0.0; 4],
-            queries: BTreeMap::new(),
-            serials: HashMap::new(),
-            waiting: BTreeSet::new(),
-            last_serial: 0,
             further: 10.0,
-            sweeping: false,
+            ..Balancer::default()
         }
     }
 
     /// Takes in all news of one batch through `feed`, then places what waits.
     pub fn round<E>(
-        &mut self,
-        now_us: u64,
-        out: &mut dyn Writer,
-        feed: impl FnOnce(&mut Inbox) -> Result<(), E>,
+        &mut self, now_us: u64, out: &mut dyn Writer, feed: impl FnOnce(&mut Inbox) -> Result<(), E>,
     ) -> Result<(), E> {
         if std::mem::take(&mut self.must_ask) {
             out.subscribe();
@@ -298,7 +184,7 @@
         self.groups = groups;
         self.traffic = self.traffic.map(|traffic| traffic / 2.0);
         self.set_unit();
-        halve(&mut self.hints);
+        self.hints.halve();
     }
 
     /// A load unit is half the mean hint, so that the values' cuts lie where most hints do.
@@ -310,7 +196,7 @@
 
     /// Whether rule 2 lets this query have a further execution on this backend now.
     fn allowed(&self, qry: &Query, on: &Listed, now_us: u64) -> bool {
-        let Some(first) = qry.may_have_run() else { return true };
+        let Some(first) = qry.binding() else { return true };
         let workload = &self.workloads[qry.workload];
         let first_on = &self.fleet[&first.backend].listed;
         match workload.repeat {
@@ -428,7 +314,7 @@
         for entry in self.waiting.clone() {
             let qry = &self.queries[&entry.1];
             let last_chance = qry.deadline_us <= now_us + 2 * SWEEP_US;
-            let (bound, on_time) = (qry.may_have_run().is_some(), qry.deadline_us > now_us);
+            let (bound, on_time) = (qry.binding().is_some(), qry.deadline_us > now_us);
             let place = if full || !on_time { None } else { self.choose(entry.1, now_us, false) };
             if let Some(id) = place {
                 self.waiting.remove(&entry);
@@ -448,8 +334,8 @@
         let workload = &self.workloads[qry.workload];
         let harmless = match workload.repeat {
             Repeat::Idempotent => true,
-            Repeat::Deduplicated => workload.group == DedupGroup::All || qry.may_have_run().is_none(),
-            Repeat::NonIdempotent => qry.may_have_run().is_none(),
+            Repeat::Deduplicated => workload.group == DedupGroup::All || qry.binding().is_none(),
+            Repeat::NonIdempotent => qry.binding().is_none(),
         };
         if harmless {
             out.reject(&qry.id, wait_us.max(self.target_us as u64).min(self.limits.max_backoff_us));
@@ -485,12 +371,12 @@
     /// Shuts a backend whose last few outcomes are bad and twice as bad as its peers': when all fail
     /// alike it is no backend's fault, and at most a third of the fleet is shut.
     fn judge(&mut self, id: u32, success: bool, now_us: u64) {
-        let recent = |backend: &Backend| (backend.failures & ((1 << OUTCOMES) - 1)).count_ones();
+        let recent = |backend: &Backend| backend.failures.count_ones();
         let ready = self.fleet.values().filter(|backend| backend.ready()).count() as u32;
         let shut = self.fleet.values().filter(|backend| backend.shut_for_us > 0).count() as u32;
         let all: u32 = self.fleet.values().map(recent).sum();
         let backend = self.backend(id);
-        backend.failures = backend.failures << 1 | u32::from(!success);
+        backend.failures = backend.failures << 1 | u8::from(!success);
         let worse = recent(backend) >= 3 && recent(backend) * ready >= 2 * all && shut * 3 < ready;
         if success {
             (backend.shut_for_us, backend.shut_until_us) = (0, 0);
@@ -505,7 +391,7 @@
         for backend in self.fleet.values_mut() {
             // Without new outcomes an old pace fades, or a backend that was slow once would stay unused.
             if now_us > backend.sampled_us + 5_000_000 {
-                halve(&mut backend.paces);
+                backend.paces.halve();
                 backend.sampled_us = now_us;
             }
             backend.cold_sent.retain(|sent| sent.0 + self.cold.window_us >= now_us);
@@ -545,12 +431,7 @@
 
 impl Inbox<'_> {
     pub fn query(
-        &mut self,
-        id: &str,
-        workload: usize,
-        tenant: usize,
-        ttl_us: u64,
-        hint_us: Option<u64>,
+        &mut self, id: &str, workload: usize, tenant: usize, ttl_us: u64, hint_us: Option<u64>,
     ) -> Result<(), String> {
         let b = &mut *self.balancer;
         let most = b.workloads.iter().map(|workload| workload.importance).fold(1e-9, f64::max);
@@ -566,7 +447,7 @@
             importance *= if within { 1.0 } else { b.beyond_share };
         }
         if let Some(hint_us) = hint_us {
-            b.hints.saturating_record(hint_us);
+            b.hints.record(hint_us as f64, u64::MAX);
             if b.hints.len().is_power_of_two() {
                 b.set_unit();
             }
@@ -578,9 +459,8 @@
         b.traffic[kind] += load;
         // Some cannot end in time even on the fastest backend: executed, they would only keep it from
         // the others, the more so as their clients ask again.
-        let fastest = b.speeds.value_at_quantile(0.9).max(1) as f64 / 1e3;
-        let known = !b.speeds.is_empty();
-        let takes_us = hint_us.filter(|_| known).map_or(0.0, |hint_us| hint_us as f64 / fastest);
+        let takes = |hint_us: u64| b.speeds.at(0.9).map(|fastest| hint_us as f64 * 1e3 / fastest);
+        let takes_us = hint_us.and_then(takes).unwrap_or(0.0);
         if takes_us > slo_us {
             importance *= b.workloads[workload].tardy_importance;
         }
@@ -614,12 +494,7 @@
     }
 
     pub fn outcome(
-        &mut self,
-        id: &str,
-        execution: u32,
-        ended: Ended,
-        took_us: u64,
-        over: bool,
+        &mut self, id: &str, execution: u32, ended: Ended, took_us: u64, over: bool,
         report: Option<LoadReport>,
     ) {
         let (b, now_us) = (&mut *self.balancer, self.now_us);
@@ -632,7 +507,7 @@
         let held = backend.held.remove(&exec.serial);
         backend.utilisation = report.and_then(|report| report.utilisation).or(backend.utilisation);
         if let Some(held) = held.filter(|_| matches!(ended, Ended::Completed | Ended::TimedOut)) {
-            record(&mut backend.paces, held.ahead * 1e9 / took_us.max(1) as f64, 2 * u64::from(OUTCOMES));
+            backend.paces.record(held.ahead * 1e9 / took_us.max(1) as f64, 16);
             backend.sampled_us = now_us;
         }
         if ended == Ended::TurnedAway {
@@ -641,7 +516,7 @@
             backend.shut_until_us = backend.shut_until_us.max(until_us);
         }
         if ended == Ended::Completed && b.unit_us > 0.0 {
-            record(&mut b.speeds, qry.work * b.unit_us * 1e3 / took_us.max(1) as f64, 256);
+            b.speeds.record(qry.work * b.unit_us * 1e3 / took_us.max(1) as f64, 256);
         }
         let (id, closed, out) = (exec.backend, over || qry.over, qry.out());
         match ended {
@@ -710,22 +585,10 @@
         for item in items {
             let old = b.fleet.remove(&item.backend);
             let was = old.as_ref().map(|old| (old.listed.phase, old.listed.since_us));
+            // What started anew is judged and learned anew; what is still out there counts on.
             let mut backend = match old {
                 Some(old) if was.is_some_and(|was| was.1 == item.since_us) => old,
-                // What started anew has forgotten nothing good or bad; what is out there still counts.
-                restarted => Backend {
-                    listed: *item,
-                    held: restarted.map(|old| old.held).unwrap_or_default(),
-                    utilisation: None,
-                    paces: histogram(),
-                    sampled_us: self.now_us,
-                    pace: 0.0,
-                    max: 0.0,
-                    failures: 0,
-                    shut_until_us: 0,
-                    shut_for_us: 0,
-                    cold_sent: VecDeque::new(),
-                },
+                old => Backend { held: old.map(|old| old.held).unwrap_or_default(), ..Backend::default() },
             };
             backend.listed = *item;
             b.fleet.insert(item.backend, backend);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -34,7 +34,7 @@
     pub quota_per_s: f64,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct ExecutionLimits {
     pub max_executions: u32,
     pub may_duplicate: bool,
@@ -43,7 +43,7 @@
     pub max_backoff_us: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct ColdRule {
     pub start_capacity: f64,
     pub cold_us: u64,
@@ -51,15 +51,16 @@
     pub window_us: u64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Phase {
     Ready,
     Terminating,
+    #[default]
     Gone,
 }
 
 /// One line of the list of backends.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Listed {
     pub backend: u32,
     pub zone: u32,
--- /dev/null
+++ b/src/kept.rs
@@ -0,0 +1,126 @@
+//! What the decisions in `balance` remember. Nothing is decided here.
+
+use crate::interface::Listed;
+use hdrhistogram::Histogram;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, VecDeque};
+
+/// A small histogram of few coarse bins.
+pub struct Bins(Histogram<u32>);
+
+impl Default for Bins {
+    fn default() -> Self {
+        Bins(Histogram::new_with_bounds(1, 1 << 30, 1).expect("the bounds are constant and sound"))
+    }
+}
+
+impl Bins {
+    /// Records one value; once `most` are kept, all count half, so that the newer ones lead.
+    pub fn record(&mut self, value: f64, most: u64) {
+        self.0.saturating_record(value as u64);
+        if self.0.len() >= most {
+            self.halve();
+        }
+    }
+
+    pub fn halve(&mut self) {
+        let bins: Vec<(u64, u32)> =
+            self.0.iter_recorded().map(|bin| (bin.value_iterated_to(), bin.count_at_value() / 2)).collect();
+        self.0.reset();
+        bins.into_iter().for_each(|(value, count)| self.0.saturating_record_n(value, count));
+    }
+
+    pub fn len(&self) -> u64 {
+        self.0.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    pub fn at(&self, quantile: f64) -> Option<f64> {
+        (!self.0.is_empty()).then(|| self.0.value_at_quantile(quantile) as f64)
+    }
+
+    pub fn mean(&self) -> f64 {
+        self.0.mean()
+    }
+}
+
+pub struct Execution {
+    pub backend: u32,
+    pub serial: u64,
+    pub sent_us: u64,
+    pub expected_us: u64,
+    pub out: bool,
+    pub may_have_run: bool,
+}
+
+pub struct Query {
+    pub id: String,
+    pub workload: usize,
+    pub kind: usize,
+    /// What it adds to a backend's load: its type's value, or for a long tail what its hint says.
+    pub load: f64,
+    /// What its hint says in load units.
+    pub work: f64,
+    pub arrived_us: u64,
+    pub deadline_us: u64,
+    pub importance: f64,
+    pub executions: Vec<Execution>,
+    pub over: bool,
+}
+
+impl Query {
+    /// The execution that binds all further ones: the first that is out or may have run.
+    pub fn binding(&self) -> Option<&Execution> {
+        self.executions.iter().find(|exec| exec.out || exec.may_have_run)
+    }
+
+    pub fn out(&self) -> bool {
+        self.executions.iter().any(|exec| exec.out)
+    }
+
+    /// Its place among the waiting: the more important before, then the older.
+    pub fn rank(&self) -> Reverse<u64> {
+        Reverse((self.importance * 1e3) as u64)
+    }
+}
+
+/// An execution still out, with our work on the backend once it was added.
+pub struct Held {
+    pub sent_us: u64,
+    pub load: f64,
+    pub work: f64,
+    pub ahead: f64,
+}
+
+#[derive(Default)]
+pub struct Backend {
+    pub listed: Listed,
+    pub held: BTreeMap<u64, Held>,
+    pub utilisation: Option<f64>,
+    pub paces: Bins,
+    pub sampled_us: u64,
+    /// Work a microsecond as last set from the outcomes, and the maximum that follows from it.
+    pub pace: f64,
+    pub max: f64,
+    /// The last outcomes, one bit each, newest lowest; a set bit is a failure.
+    pub failures: u8,
+    pub shut_until_us: u64,
+    pub shut_for_us: u64,
+    pub cold_sent: VecDeque<(u64, f64)>,
+}
+
+/// What a tenant may still ask for within its share.
+pub struct Allowance {
+    pub per_us: f64,
+    pub left: f64,
+    pub filled_us: u64,
+}
+
+/// A backend in a group, with its turn in the rotation.
+pub struct Member {
+    pub backend: u32,
+    pub turn: f64,
+}
