--- a/src/balance.rs
+++ b/src/balance.rs
@@ -482,10 +482,10 @@
         let rank = qry.rank();
         b.serials.insert(id.to_owned(), serial);
         b.queries.insert(serial, qry);
-        // Turned away by chance, from a tenth of the SLO time in expected wait to half;
+        // Turned away by chance, from a twentieth of the SLO time in expected wait to a quarter;
         // the less important wait behind more, so they are turned away more often.
         let pressure = b.expected_wait_us(rank) / slo_us.max(1.0);
-        if takes_us > ttl_us as f64 || b.rng.f64() < (pressure - 0.1) / 0.4 {
+        if takes_us > ttl_us as f64 || b.rng.f64() < (pressure - 0.05) / 0.2 {
             b.give_up(serial, self.out);
         } else {
             b.waiting.insert((rank, serial));
