--- a/src/balance.rs
+++ b/src/balance.rs
@@ -19,6 +19,7 @@
 /// Queries that all proxies together leave with one backend: more only wait there, where they can no
 /// longer be rejected, and a crowded backend may turn slow and stay slow.
 const CROWD: usize = 6;
+const CROWD_US: u64 = 1_000_000;
 
 #[derive(Default)]
 pub struct Balancer {
@@ -74,6 +75,13 @@
         cold.start_capacity + (1.0 - cold.start_capacity) * age_us as f64 / cold.cold_us as f64
     }
 
+    fn hear(&mut self, report: LoadReport, now_us: u64) {
+        self.utilisation = report.utilisation.or(self.utilisation);
+        if let Some(crowd) = report.crowd {
+            (self.crowd, self.crowd_until_us) = (crowd, now_us + CROWD_US);
+        }
+    }
+
     fn load(&self) -> f64 {
         let own: f64 = self.held.values().map(|held| held.load).sum();
         own + self.utilisation.unwrap_or(0.0) * self.max
@@ -232,6 +240,7 @@
         let qry = &self.queries[&serial];
         let usable = |backend: &Backend| {
             backend.open(now_us)
+                && (backend.crowd < CROWD as f64 || now_us > backend.crowd_until_us)
                 && backend.held.len() < (CROWD / self.balancers).max(1)
                 && qry.executions.iter().all(|exec| exec.backend != backend.listed.backend)
                 && self.allowed(qry, &backend.listed, now_us)
@@ -505,7 +514,7 @@
         exec.out = false;
         exec.may_have_run = !matches!(ended, Ended::TurnedAway | Ended::Unreachable | Ended::NotSent);
         let held = backend.held.remove(&exec.serial);
-        backend.utilisation = report.and_then(|report| report.utilisation).or(backend.utilisation);
+        backend.hear(report.unwrap_or_default(), now_us);
         if let Some(held) = held.filter(|_| matches!(ended, Ended::Completed | Ended::TimedOut)) {
             backend.paces.record(held.ahead * 1e9 / took_us.max(1) as f64, 16);
             backend.sampled_us = now_us;
@@ -567,7 +576,7 @@
 
     pub fn reported(&mut self, backend: u32, report: LoadReport) {
         if let Some(backend) = self.balancer.fleet.get_mut(&backend) {
-            backend.utilisation = report.utilisation.or(backend.utilisation);
+            backend.hear(report, self.now_us);
         }
     }
 
