With more than 6 proxies each uses its own part of the list

Cause: one query of each of 9 or 12 proxies on a backend is a crowd already, and all prefer the same fast ones.

--- a/crates/simhost/src/launch.rs
+++ b/crates/simhost/src/launch.rs
@@ -55,6 +55,7 @@
     Ok(Balancer::new(
         salt,
         at(conf, "Balancers")?,
+        at(conf, "MyNumber")?,
         workloads?,
         tenants?,
         at(conf, "BeyondShareImportance")?,
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -67,8 +67,6 @@
 #[derive(Deserialize)]
 struct Gauge {
     busy: Option<f64>,
-    rif: Option<f64>,
-    q: Option<f64>,
 }
 
 /// One instance and its lines of the batch at hand.
@@ -126,7 +124,7 @@
 }
 
 fn report(gauge: &Option<Gauge>) -> Option<LoadReport> {
-    gauge.as_ref().map(|gauge| LoadReport { utilisation: gauge.busy, crowd: gauge.rif.or(gauge.q) })
+    gauge.as_ref().map(|gauge| LoadReport { utilisation: gauge.busy })
 }
 
 /// Turns one line into its call on the module.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -19,12 +19,12 @@
 /// Queries that all proxies together leave with one backend: more only wait there, where they can no
 /// longer be rejected, and a crowded backend may turn slow and stay slow.
 const CROWD: usize = 6;
-const CROWD_US: u64 = 1_000_000;
 
 #[derive(Default)]
 pub struct Balancer {
     rng: Rng,
     balancers: usize,
+    number: usize,
     workloads: Vec<Workload>,
     limits: ExecutionLimits,
     cold: ColdRule,
@@ -75,13 +75,6 @@
         cold.start_capacity + (1.0 - cold.start_capacity) * age_us as f64 / cold.cold_us as f64
     }
 
-    fn hear(&mut self, report: LoadReport, now_us: u64) {
-        self.utilisation = report.utilisation.or(self.utilisation);
-        if let Some(crowd) = report.crowd {
-            (self.crowd, self.crowd_until_us) = (crowd, now_us + CROWD_US);
-        }
-    }
-
     fn load(&self) -> f64 {
         let own: f64 = self.held.values().map(|held| held.load).sum();
         own + self.utilisation.unwrap_or(0.0) * self.max
@@ -98,8 +91,8 @@
 
 impl Balancer {
     pub fn new(
-        seed: u64, balancers: u32, workloads: Vec<Workload>, tenants: Vec<Tenant>, beyond_share: f64,
-        limits: ExecutionLimits, cold: ColdRule, must_ask: bool,
+        seed: u64, balancers: u32, number: u32, workloads: Vec<Workload>, tenants: Vec<Tenant>,
+        beyond_share: f64, limits: ExecutionLimits, cold: ColdRule, must_ask: bool,
     ) -> Self {
         let slo_us = workloads.iter().map(|workload| workload.slo_us).min().unwrap_or(0);
         let share = |tenant: &Tenant| tenant.quota_per_s / f64::from(balancers.max(1));
@@ -107,6 +100,7 @@
         Balancer {
             rng: Rng::with_seed(seed),
             balancers: balancers.max(1) as usize,
+            number: number as usize,
             tenants: tenants.iter().map(allowance).collect(),
             target_us: (slo_us as f64 / 8.0).max(1.0),
             workloads,
@@ -167,7 +161,10 @@
         // A proxy that has just started knows no traffic: its first groups hold all, then grow in age.
         self.regroup_us = now_us + self.regroup_gap_us;
         self.regroup_gap_us = (self.regroup_gap_us * 2).min(REGROUP_US);
-        let ready = self.fleet.values().filter(|backend| backend.ready());
+        // Where proxies are many, one query of each is a crowd already: each uses its own part of the list.
+        let places = self.fleet.values_mut().filter(|backend| backend.ready()).enumerate();
+        places.for_each(|(place, backend)| backend.ours = (place + self.number) % self.balancers < CROWD);
+        let ready = self.fleet.values().filter(|backend| backend.ready() && backend.ours);
         let mut servers: Vec<&Backend> = ready.collect();
         servers.sort_by(|a, b| b.max.total_cmp(&a.max));
         let whole: f64 = servers.iter().map(|server| server.max).sum();
@@ -231,16 +228,10 @@
     }
 
     fn choose(&mut self, serial: u64, now_us: u64, second: bool) -> Option<u32> {
-        let ready = self.fleet.values().filter(|backend| backend.ready()).count();
-        let held: usize = self.fleet.values().map(|backend| backend.held.len()).sum();
-        // Where proxies are many, one query of each on a backend is a crowd already.
-        if held >= (ready * CROWD / self.balancers).max(1) {
-            return None;
-        }
         let qry = &self.queries[&serial];
         let usable = |backend: &Backend| {
             backend.open(now_us)
-                && (backend.crowd < CROWD as f64 || now_us > backend.crowd_until_us)
+                && (backend.ours || qry.binding().is_some())
                 && backend.held.len() < (CROWD / self.balancers).max(1)
                 && qry.executions.iter().all(|exec| exec.backend != backend.listed.backend)
                 && self.allowed(qry, &backend.listed, now_us)
@@ -514,7 +505,7 @@
         exec.out = false;
         exec.may_have_run = !matches!(ended, Ended::TurnedAway | Ended::Unreachable | Ended::NotSent);
         let held = backend.held.remove(&exec.serial);
-        backend.hear(report.unwrap_or_default(), now_us);
+        backend.utilisation = report.and_then(|report| report.utilisation).or(backend.utilisation);
         if let Some(held) = held.filter(|_| matches!(ended, Ended::Completed | Ended::TimedOut)) {
             backend.paces.record(held.ahead * 1e9 / took_us.max(1) as f64, 16);
             backend.sampled_us = now_us;
@@ -576,7 +567,7 @@
 
     pub fn reported(&mut self, backend: u32, report: LoadReport) {
         if let Some(backend) = self.balancer.fleet.get_mut(&backend) {
-            backend.hear(report, self.now_us);
+            backend.utilisation = report.utilisation.or(backend.utilisation);
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -88,8 +88,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LoadReport {
     pub utilisation: Option<f64>,
-    /// Queries that it holds, or where that is not told those that wait.
-    pub crowd: Option<f64>,
 }
 
 /// Takes each decision at the moment it is made.
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -99,10 +99,9 @@
 pub struct Backend {
     pub listed: Listed,
     pub held: BTreeMap<u64, Held>,
+    /// Whether it is among those that this proxy uses, where proxies are many.
+    pub ours: bool,
     pub utilisation: Option<f64>,
-    /// What it last reported to hold, until when that counts.
-    pub crowd: f64,
-    pub crowd_until_us: u64,
     pub paces: Bins,
     pub sampled_us: u64,
     /// Work a microsecond as last set from the outcomes, and the maximum that follows from it.
