--- a/src/balance.rs
+++ b/src/balance.rs
@@ -57,10 +57,6 @@
 }
 
 impl Backend {
-    fn ready(&self) -> bool {
-        self.listed.phase == Phase::Ready
-    }
-
     fn open(&self, now_us: u64) -> bool {
         // One that was shut gets one query at a time until one is completed.
         self.ready() && now_us >= self.shut_until_us && (self.shut_for_us == 0 || self.held.is_empty())
@@ -74,19 +70,6 @@
         }
         cold.start_capacity + (1.0 - cold.start_capacity) * age_us as f64 / cold.cold_us as f64
     }
-
-    fn load(&self) -> f64 {
-        let own: f64 = self.held.values().map(|held| held.load).sum();
-        own + self.utilisation.unwrap_or(0.0) * self.max
-    }
-
-    fn work(&self) -> f64 {
-        self.held.values().map(|held| held.work).sum()
-    }
-
-    fn learned(&self) -> Option<f64> {
-        self.paces.at(0.5).map(|pace| pace / 1e9)
-    }
 }
 
 impl Balancer {
@@ -134,10 +117,6 @@
         Ok(())
     }
 
-    fn backend(&mut self, id: u32) -> &mut Backend {
-        self.fleet.get_mut(&id).expect("only listed backends are used")
-    }
-
     /// A maximum is the work that a backend does within the target time at the pace its outcomes show;
     /// without outcomes it is the mean of the others' maxima.
     fn set_maxima(&mut self, now_us: u64) {
@@ -145,7 +124,10 @@
         let unknown = DEFAULT_MAX / self.target_us;
         let mean = if known.is_empty() { unknown } else { known.iter().sum::<f64>() / known.len() as f64 };
         self.slowest_pace = known.iter().copied().fold(mean, f64::min);
+        let reported: Vec<f64> = self.fleet.values().filter_map(|backend| backend.utilisation).collect();
+        let used = reported.iter().sum::<f64>() / reported.len().max(1) as f64;
         for backend in self.fleet.values_mut() {
+            backend.used = backend.utilisation.unwrap_or(used);
             backend.pace = backend.learned().unwrap_or(mean);
             // One that stands still yields no outcomes: what it has held longest bounds its pace.
             if let Some(oldest) = backend.held.values().next() {
@@ -164,6 +146,9 @@
         // Where proxies are many, one query of each is a crowd already: each uses its own part of the list.
         let places = self.fleet.values_mut().filter(|backend| backend.ready()).enumerate();
         places.for_each(|(place, backend)| backend.ours = (place + self.number) % self.balancers < CROWD);
+        let ours = self.fleet.values().filter(|backend| backend.ready() && backend.ours).count();
+        // A part of one or none could not outlast a failure.
+        self.fleet.values_mut().for_each(|backend| backend.ours |= ours < 2);
         let ready = self.fleet.values().filter(|backend| backend.ready() && backend.ours);
         let mut servers: Vec<&Backend> = ready.collect();
         servers.sort_by(|a, b| b.max.total_cmp(&a.max));
@@ -259,8 +244,7 @@
             return Some(next.1);
         }
         // A long tail is past every maximum: it fits where it would end within its SLO time.
-        let slo_us = qry.arrived_us + self.workloads[qry.workload].slo_us;
-        let left_us = slo_us.saturating_sub(now_us) as f64;
+        let left_us = (qry.arrived_us + qry.slo_us).saturating_sub(now_us) as f64;
         let (load, work, reach) = (qry.load, qry.work, 1.0 + qry.importance);
         let fits = |backend: &Backend| match load > VALUES[3] {
             true => backend.load() < backend.max && backend.work() + work <= backend.pace * left_us,
@@ -274,7 +258,7 @@
         let mut roomiest = |among: &[u32], takes: &dyn Fn(&Backend) -> bool| {
             let (mut best, mut most, mut ties) = (None, f64::NEG_INFINITY, 0);
             for id in among.iter().filter(|id| takes(&self.fleet[id])) {
-                let room = self.fleet[id].max - self.fleet[id].load();
+                let room = self.fleet[id].room();
                 ties = if room == most { ties + 1 } else { 1 };
                 if room > most || room == most && self.rng.u32(0..ties) == 0 {
                     (best, most) = (Some(*id), room);
@@ -311,9 +295,10 @@
 
     fn place_waiting(&mut self, now_us: u64, out: &mut dyn Writer) {
         let mut full = false;
+        let none = !self.fleet.values().any(|backend| backend.ready());
         for entry in self.waiting.clone() {
             let qry = &self.queries[&entry.1];
-            let last_chance = qry.deadline_us <= now_us + 2 * SWEEP_US;
+            let last_chance = none || qry.deadline_us <= now_us + 2 * SWEEP_US;
             let (bound, on_time) = (qry.binding().is_some(), qry.deadline_us > now_us);
             let place = if full || !on_time { None } else { self.choose(entry.1, now_us, false) };
             if let Some(id) = place {
@@ -375,7 +360,7 @@
         let ready = self.fleet.values().filter(|backend| backend.ready()).count() as u32;
         let shut = self.fleet.values().filter(|backend| backend.shut_for_us > 0).count() as u32;
         let all: u32 = self.fleet.values().map(recent).sum();
-        let backend = self.backend(id);
+        let backend = self.fleet.get_mut(&id).expect("only listed backends are used");
         backend.failures = backend.failures << 1 | u8::from(!success);
         let worse = recent(backend) >= 3 && recent(backend) * ready >= 2 * all && shut * 3 < ready;
         if success {
@@ -397,27 +382,21 @@
             backend.cold_sent.retain(|sent| sent.0 + self.cold.window_us >= now_us);
         }
         // Half the SLO time in vain here leaves too little for the rest: a prompt answer is better.
-        let slo_us = |qry: &Query| self.workloads[qry.workload].slo_us;
-        let waiting = self.waiting.iter().map(|entry| entry.1);
-        let stale = |serial: &u64| {
-            let qry = &self.queries[serial];
-            now_us > qry.arrived_us + slo_us(qry) / 2
-        };
-        for serial in waiting.filter(stale).collect::<Vec<u64>>() {
-            self.give_up(serial, out);
+        let waiting = self.waiting.iter().map(|entry| &self.queries[&entry.1]);
+        let stale = waiting.filter(|qry| now_us > qry.arrived_us + qry.slo_us / 2);
+        for id in stale.map(|qry| qry.id.clone()).collect::<Vec<String>>() {
+            self.give_up(self.serials[&id], out);
         }
         // A second copy goes out past twice the expected time, within a budget that overload spends at
         // once: further executions must not feed it.
-        let slo_us = |qry: &Query| self.workloads[qry.workload].slo_us;
-        let late = |qry: &Query| {
-            let most = self.limits.max_executions as usize;
-            let lone = !qry.over && qry.executions.len() == 1 && most > 1 && qry.out();
-            lone && qry
-                .executions
-                .iter()
-                .all(|exec| now_us > exec.sent_us + (2 * exec.expected_us).max(slo_us(qry) / 3))
-        };
-        let late = self.queries.iter().filter(|(_, qry)| self.limits.may_duplicate && late(qry));
+        let late = self.queries.iter().filter(|(_, qry)| match &qry.executions[..] {
+            [exec]
+                if exec.out && !qry.over && self.limits.may_duplicate && self.limits.max_executions > 1 =>
+            {
+                now_us > exec.sent_us + (2 * exec.expected_us).max(qry.slo_us / 3)
+            }
+            _ => false,
+        });
         for serial in late.map(|(serial, _)| *serial).collect::<Vec<u64>>() {
             if self.further >= 1.0 {
                 if let Some(id) = self.choose(serial, now_us, true) {
@@ -436,15 +415,10 @@
         let b = &mut *self.balancer;
         let most = b.workloads.iter().map(|workload| workload.importance).fold(1e-9, f64::max);
         let about = b.workloads.get(workload).ok_or_else(|| format!("unknown workload {workload}"))?;
-        let slo_us = about.slo_us as f64;
+        let slo_us = about.slo_us;
         let mut importance = about.importance / most;
-        if let Some(share) = b.tenants.get_mut(tenant) {
-            let gained = share.per_us * self.now_us.saturating_sub(share.filled_us) as f64;
-            share.left = (share.left + gained).min(share.per_us * 1e6);
-            share.filled_us = self.now_us;
-            let within = share.left >= 1.0;
-            share.left -= if within { 1.0 } else { 0.0 };
-            importance *= if within { 1.0 } else { b.beyond_share };
+        if !b.tenants.get_mut(tenant).is_none_or(|share| share.take(self.now_us, 1e6)) {
+            importance *= b.beyond_share;
         }
         if let Some(hint_us) = hint_us {
             b.hints.record(hint_us as f64, u64::MAX);
@@ -454,14 +428,15 @@
         }
         let units = hint_us.filter(|_| b.unit_us > 0.0).map(|hint_us| hint_us as f64 / b.unit_us);
         let kind = CUTS.iter().filter(|cut| units.is_some_and(|units| units >= **cut)).count();
-        let long = units.filter(|_| kind == 3).unwrap_or(0.0);
-        let load = VALUES[kind].max(long);
+        // The exception for long tails: past the heaviest value a query counts what its hint says.
+        let load =
+            if kind < 3 { VALUES[kind] } else { units.map_or(VALUES[3], |units| units.max(VALUES[3])) };
         b.traffic[kind] += load;
         // Some cannot end in time even on the fastest backend: executed, they would only keep it from
         // the others, the more so as their clients ask again.
         let takes = |hint_us: u64| b.speeds.at(0.9).map(|fastest| hint_us as f64 * 1e3 / fastest);
         let takes_us = hint_us.and_then(takes).unwrap_or(0.0);
-        if takes_us > slo_us {
+        if takes_us > slo_us as f64 {
             importance *= b.workloads[workload].tardy_importance;
         }
         b.further = (b.further + 0.1).min(20.0);
@@ -474,6 +449,7 @@
             load,
             work: units.unwrap_or(load),
             arrived_us: self.now_us,
+            slo_us,
             deadline_us: self.now_us.saturating_add(ttl_us),
             importance,
             executions: Vec::new(),
@@ -484,7 +460,7 @@
         b.queries.insert(serial, qry);
         // Turned away by chance, from a twentieth of the SLO time in expected wait to a quarter;
         // the less important wait behind more, so they are turned away more often.
-        let pressure = b.expected_wait_us(rank) / slo_us.max(1.0);
+        let pressure = b.expected_wait_us(rank) / slo_us.max(1) as f64;
         if takes_us > ttl_us as f64 || b.rng.f64() < (pressure - 0.05) / 0.2 {
             b.give_up(serial, self.out);
         } else {
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -1,6 +1,6 @@
 //! What the decisions in `balance` remember. Nothing is decided here.
 
-use crate::interface::Listed;
+use crate::interface::{Listed, Phase};
 use hdrhistogram::Histogram;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
@@ -65,6 +65,7 @@
     /// What its hint says in load units.
     pub work: f64,
     pub arrived_us: u64,
+    pub slo_us: u64,
     pub deadline_us: u64,
     pub importance: f64,
     pub executions: Vec<Execution>,
@@ -102,6 +103,8 @@
     /// Whether it is among those that this proxy uses, where proxies are many.
     pub ours: bool,
     pub utilisation: Option<f64>,
+    /// What counts as its utilisation: its own report, else the mean of the reports there are.
+    pub used: f64,
     pub paces: Bins,
     pub sampled_us: u64,
     /// Work a microsecond as last set from the outcomes, and the maximum that follows from it.
@@ -114,6 +117,29 @@
     pub cold_sent: VecDeque<(u64, f64)>,
 }
 
+impl Backend {
+    pub fn ready(&self) -> bool {
+        self.listed.phase == Phase::Ready
+    }
+
+    pub fn load(&self) -> f64 {
+        let own: f64 = self.held.values().map(|held| held.load).sum();
+        own + self.used * self.max
+    }
+
+    pub fn work(&self) -> f64 {
+        self.held.values().map(|held| held.work).sum()
+    }
+
+    pub fn room(&self) -> f64 {
+        self.max - self.load()
+    }
+
+    pub fn learned(&self) -> Option<f64> {
+        self.paces.at(0.5).map(|pace| pace / 1e9)
+    }
+}
+
 /// What a tenant may still ask for within its share.
 pub struct Allowance {
     pub per_us: f64,
@@ -121,6 +147,17 @@
     pub filled_us: u64,
 }
 
+impl Allowance {
+    /// Takes one query from what has gathered over at most `most_us`, if that much is left.
+    pub fn take(&mut self, now_us: u64, most_us: f64) -> bool {
+        let gained = self.per_us * now_us.saturating_sub(self.filled_us) as f64;
+        (self.left, self.filled_us) = ((self.left + gained).min(self.per_us * most_us), now_us);
+        let within = self.left >= 1.0;
+        self.left -= f64::from(u8::from(within));
+        within
+    }
+}
+
 /// A backend in a group, with its turn in the rotation.
 pub struct Member {
     pub backend: u32,
