--- a/src/balance.rs
+++ b/src/balance.rs
@@ -7,7 +7,7 @@
 use crate::kept::*;
 use fastrand::Rng;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The paper's load values of the four types, from plain to heavy on all counts.
 const VALUES: [f64; 4] = [1.0, 2.0, 2.0, 3.0];
@@ -42,9 +42,8 @@
     speeds: Bins,
     unit_us: f64,
     traffic: [f64; 4],
-    queries: BTreeMap<u64, Query>,
-    serials: HashMap<String, u64>,
-    waiting: BTreeSet<(Reverse<u64>, u64)>,
+    queries: BTreeMap<String, Query>,
+    waiting: BTreeSet<Place>,
     last_serial: u64,
     further: f64,
     sweeping: bool,
@@ -61,15 +60,6 @@
         // One that was shut gets one query at a time until one is completed.
         self.ready() && now_us >= self.shut_until_us && (self.shut_for_us == 0 || self.held.is_empty())
     }
-
-    /// The part of its capacity that a started backend surely has; 1 once it is warm.
-    fn warmth(&self, cold: &ColdRule, now_us: u64) -> f64 {
-        let age_us = now_us.saturating_sub(self.listed.since_us);
-        if self.listed.since_us == 0 || age_us >= cold.cold_us {
-            return 1.0;
-        }
-        cold.start_capacity + (1.0 - cold.start_capacity) * age_us as f64 / cold.cold_us as f64
-    }
 }
 
 impl Balancer {
@@ -212,8 +202,8 @@
         warmth >= 1.0 || sent + work <= bears / self.balancers as f64 / 2.0
     }
 
-    fn choose(&mut self, serial: u64, now_us: u64, second: bool) -> Option<u32> {
-        let qry = &self.queries[&serial];
+    fn choose(&mut self, qry: &str, now_us: u64, second: bool) -> Option<u32> {
+        let qry = &self.queries[qry];
         let usable = |backend: &Backend| {
             backend.open(now_us)
                 && (backend.ours || qry.binding().is_some())
@@ -272,9 +262,9 @@
             .or_else(|| roomiest(&all, &bears))
     }
 
-    fn execute(&mut self, serial: u64, id: u32, now_us: u64, out: &mut dyn Writer) {
+    fn execute(&mut self, qry: &str, id: u32, now_us: u64, out: &mut dyn Writer) {
         self.last_serial += 1;
-        let qry = self.queries.get_mut(&serial).expect("placed queries are live");
+        let qry = self.queries.get_mut(qry).expect("placed queries are live");
         let backend = self.fleet.get_mut(&id).expect("only listed backends are used");
         if backend.warmth(&self.cold, now_us) < 1.0 {
             backend.cold_sent.push_back((now_us, qry.work));
@@ -282,14 +272,8 @@
         let ahead = backend.work() + qry.work;
         let held = Held { sent_us: now_us, load: qry.load, work: qry.work, ahead };
         backend.held.insert(self.last_serial, held);
-        qry.executions.push(Execution {
-            backend: id,
-            serial: self.last_serial,
-            sent_us: now_us,
-            expected_us: (ahead / backend.pace.max(1e-9)) as u64,
-            out: true,
-            may_have_run: false,
-        });
+        let expected_us = (ahead / backend.pace.max(1e-9)) as u64;
+        qry.executions.push(Execution::new(id, self.last_serial, now_us, expected_us));
         out.execute(&qry.id, id, qry.deadline_us - now_us);
     }
 
@@ -297,15 +281,15 @@
         let mut full = false;
         let none = !self.fleet.values().any(|backend| backend.ready());
         for entry in self.waiting.clone() {
-            let qry = &self.queries[&entry.1];
+            let qry = &self.queries[&entry.2];
             let last_chance = none || qry.deadline_us <= now_us + 2 * SWEEP_US;
             let (bound, on_time) = (qry.binding().is_some(), qry.deadline_us > now_us);
-            let place = if full || !on_time { None } else { self.choose(entry.1, now_us, false) };
+            let place = if full || !on_time { None } else { self.choose(&entry.2, now_us, false) };
             if let Some(id) = place {
                 self.waiting.remove(&entry);
-                self.execute(entry.1, id, now_us, out);
+                self.execute(&entry.2, id, now_us, out);
             } else if last_chance {
-                self.give_up(entry.1, out);
+                self.give_up(&entry.2, out);
             }
             // What even an unbound query finds full is full for the less important after it.
             full |= place.is_none() && !bound;
@@ -313,9 +297,9 @@
     }
 
     /// The final answer to a query that gets no further execution, at once.
-    fn give_up(&mut self, serial: u64, out: &mut dyn Writer) {
+    fn give_up(&mut self, qry: &str, out: &mut dyn Writer) {
         let wait_us = self.expected_wait_us(Reverse(0)) as u64;
-        let qry = &self.queries[&serial];
+        let qry = &self.queries[qry];
         let workload = &self.workloads[qry.workload];
         let harmless = match workload.repeat {
             Repeat::Idempotent => true,
@@ -327,28 +311,28 @@
         } else {
             out.abort(&qry.id);
         }
-        self.close(serial, out);
+        let id = qry.id.clone();
+        self.close(&id, out);
     }
 
     /// Ends a query here; executions still out are called off and count until their outcome.
-    fn close(&mut self, serial: u64, out: &mut dyn Writer) {
-        let Some(qry) = self.queries.get_mut(&serial) else { return };
-        self.waiting.remove(&(qry.rank(), serial));
+    fn close(&mut self, id: &str, out: &mut dyn Writer) {
+        let Some(qry) = self.queries.get_mut(id) else { return };
+        self.waiting.remove(&qry.place());
         if !qry.over && self.limits.cancel {
             let still = qry.executions.iter().enumerate().filter(|(_, exec)| exec.out);
             still.for_each(|(number, _)| out.cancel(&qry.id, number as u32));
         }
         qry.over = true;
         if !qry.out() {
-            self.serials.remove(&qry.id);
-            self.queries.remove(&serial);
+            self.queries.remove(id);
         }
     }
 
     /// How long the work that waits at this rank or above takes the fleet at its learned paces.
     fn expected_wait_us(&self, rank: Reverse<u64>) -> f64 {
         let before = self.waiting.iter().take_while(|entry| entry.0 <= rank);
-        let ahead: f64 = before.map(|entry| self.queries[&entry.1].work).sum();
+        let ahead: f64 = before.map(|entry| self.queries[&entry.2].work).sum();
         let pace: f64 = self.fleet.values().filter(|b| b.ready()).map(|b| b.pace).sum();
         ahead / pace.max(1e-9)
     }
@@ -382,10 +366,10 @@
             backend.cold_sent.retain(|sent| sent.0 + self.cold.window_us >= now_us);
         }
         // Half the SLO time in vain here leaves too little for the rest: a prompt answer is better.
-        let waiting = self.waiting.iter().map(|entry| &self.queries[&entry.1]);
+        let waiting = self.waiting.iter().map(|entry| &self.queries[&entry.2]);
         let stale = waiting.filter(|qry| now_us > qry.arrived_us + qry.slo_us / 2);
         for id in stale.map(|qry| qry.id.clone()).collect::<Vec<String>>() {
-            self.give_up(self.serials[&id], out);
+            self.give_up(&id, out);
         }
         // A second copy goes out past twice the expected time, within a budget that overload spends at
         // once: further executions must not feed it.
@@ -397,11 +381,11 @@
             }
             _ => false,
         });
-        for serial in late.map(|(serial, _)| *serial).collect::<Vec<u64>>() {
+        for qry in late.map(|(id, _)| id.clone()).collect::<Vec<String>>() {
             if self.further >= 1.0 {
-                if let Some(id) = self.choose(serial, now_us, true) {
+                if let Some(id) = self.choose(&qry, now_us, true) {
                     self.further -= 1.0;
-                    self.execute(serial, id, now_us, out);
+                    self.execute(&qry, id, now_us, out);
                 }
             }
         }
@@ -441,9 +425,9 @@
         }
         b.further = (b.further + 0.1).min(20.0);
         b.last_serial += 1;
-        let serial = b.last_serial;
         let qry = Query {
             id: id.to_owned(),
+            serial: b.last_serial,
             workload,
             kind,
             load,
@@ -455,16 +439,15 @@
             executions: Vec::new(),
             over: false,
         };
-        let rank = qry.rank();
-        b.serials.insert(id.to_owned(), serial);
-        b.queries.insert(serial, qry);
+        let place = qry.place();
+        b.queries.insert(id.to_owned(), qry);
         // Turned away by chance, from a twentieth of the SLO time in expected wait to a quarter;
         // the less important wait behind more, so they are turned away more often.
-        let pressure = b.expected_wait_us(rank) / slo_us.max(1) as f64;
+        let pressure = b.expected_wait_us(place.0) / slo_us.max(1) as f64;
         if takes_us > ttl_us as f64 || b.rng.f64() < (pressure - 0.05) / 0.2 {
-            b.give_up(serial, self.out);
+            b.give_up(id, self.out);
         } else {
-            b.waiting.insert((rank, serial));
+            b.waiting.insert(place);
         }
         Ok(())
     }
@@ -474,8 +457,7 @@
         report: Option<LoadReport>,
     ) {
         let (b, now_us) = (&mut *self.balancer, self.now_us);
-        let Some(&serial) = b.serials.get(id) else { return };
-        let qry = b.queries.get_mut(&serial).expect("serials are of live queries");
+        let Some(qry) = b.queries.get_mut(id) else { return };
         let Some(exec) = qry.executions.get_mut(execution as usize).filter(|exec| exec.out) else { return };
         let backend = b.fleet.get_mut(&exec.backend).expect("only listed backends are used");
         exec.out = false;
@@ -494,15 +476,15 @@
         if ended == Ended::Completed && b.unit_us > 0.0 {
             b.speeds.record(qry.work * b.unit_us * 1e3 / took_us.max(1) as f64, 256);
         }
-        let (id, closed, out) = (exec.backend, over || qry.over, qry.out());
+        let (judged, closed, out) = (exec.backend, over || qry.over, qry.out());
         match ended {
             Ended::Cancelled | Ended::NotSent | Ended::TurnedAway => {}
-            _ => b.judge(id, ended == Ended::Completed, now_us),
+            _ => b.judge(judged, ended == Ended::Completed, now_us),
         }
         if closed {
-            b.close(serial, self.out);
+            b.close(id, self.out);
         } else if !out {
-            let qry = &b.queries[&serial];
+            let qry = &b.queries[id];
             // What never reached a backend burdens none, so it takes nothing from the budget.
             let price = if ended == Ended::Unreachable { 0.0 } else { 1.0 };
             let more = (qry.executions.len() as u32) < b.limits.max_executions
@@ -511,24 +493,22 @@
                 && b.fleet.values().any(|other| other.ready() && b.allowed(qry, &other.listed, now_us));
             if more {
                 b.further -= price;
-                b.waiting.insert((qry.rank(), serial));
+                b.waiting.insert(qry.place());
             } else {
-                b.give_up(serial, self.out);
+                b.give_up(id, self.out);
             }
         }
     }
 
     /// A stream has started: the answer is the client's now and nothing is left to decide.
     pub fn begun(&mut self, id: &str) {
-        if let Some(serial) = self.balancer.serials.get(id) {
-            self.balancer.queries.get_mut(serial).expect("serials are of live queries").over = true;
+        if let Some(qry) = self.balancer.queries.get_mut(id) {
+            qry.over = true;
         }
     }
 
     pub fn withdrawn(&mut self, id: &str) {
-        if let Some(&serial) = self.balancer.serials.get(id) {
-            self.balancer.close(serial, self.out);
-        }
+        self.balancer.close(id, self.out);
     }
 
     pub fn woken(&mut self, token: &str) {
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -1,6 +1,6 @@
 //! What the decisions in `balance` remember. Nothing is decided here.
 
-use crate::interface::{Listed, Phase};
+use crate::interface::{ColdRule, Listed, Phase};
 use hdrhistogram::Histogram;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
@@ -56,8 +56,15 @@
     pub may_have_run: bool,
 }
 
+impl Execution {
+    pub fn new(backend: u32, serial: u64, sent_us: u64, expected_us: u64) -> Self {
+        Execution { backend, serial, sent_us, expected_us, out: true, may_have_run: false }
+    }
+}
+
 pub struct Query {
     pub id: String,
+    pub serial: u64,
     pub workload: usize,
     pub kind: usize,
     /// What it adds to a backend's load: its type's value, or for a long tail what its hint says.
@@ -83,11 +90,13 @@
     }
 
     /// Its place among the waiting: the more important before, then the older.
-    pub fn rank(&self) -> Reverse<u64> {
-        Reverse((self.importance * 1e3) as u64)
+    pub fn place(&self) -> Place {
+        (Reverse((self.importance * 1e3) as u64), self.serial, self.id.clone())
     }
 }
 
+pub type Place = (Reverse<u64>, u64, String);
+
 /// An execution still out, with our work on the backend once it was added.
 pub struct Held {
     pub sent_us: u64,
@@ -122,6 +131,15 @@
         self.listed.phase == Phase::Ready
     }
 
+    /// The part of its capacity that a started backend surely has; 1 once it is warm.
+    pub fn warmth(&self, cold: &ColdRule, now_us: u64) -> f64 {
+        let age_us = now_us.saturating_sub(self.listed.since_us);
+        if self.listed.since_us == 0 || age_us >= cold.cold_us {
+            return 1.0;
+        }
+        cold.start_capacity + (1.0 - cold.start_capacity) * age_us as f64 / cold.cold_us as f64
+    }
+
     pub fn load(&self) -> f64 {
         let own: f64 = self.held.values().map(|held| held.load).sum();
         own + self.used * self.max
