--- a/crates/simhost/src/launch.rs
+++ b/crates/simhost/src/launch.rs
@@ -32,7 +32,6 @@
         },
         window_us: at(conf, "WindowUs")?,
         slo_us: at(conf, "SloTimeUs")?,
-        statement_timeout_us: at(conf, "StatementTimeoutUs")?,
         importance: at(conf, "Importance")?,
         tardy_importance: at(conf, "TardyImportance")?,
     })
--- /dev/null
+++ b/crates/simhost/tests/wire.rs
@@ -0,0 +1,77 @@
+//! The adapter as the simulator meets it: lines in, lines out, one plain message on what is malformed.
+
+use std::io::Write;
+use std::process::{Command, Stdio};
+
+const LAUNCH: &str = r#"{"m":"Launch","Proxy":3,"Salt":9,"Conf":{"Balancers":2,"Discovery":"subscribe","News":[1],"Workloads":[{"Group":"all","Importance":1.0,"Repeat":"retryable","SloTimeUs":1000000,"StatementTimeoutUs":2000000}],"Limits":{"MaxExecutions":2}}}"#;
+const LIST: &str = r#"{"m":"Directory","Ref":0,"Items":[{"Backend":7,"Dc":0,"GenerationHw":0,"Cell":0,"Phase":"Ready","Nominal":1}]}
+{"m":"Endpoints","Proxy":3,"Kind":"warm_copy","Gen":1,"Ref":0}"#;
+const ACCEPT: &str =
+    r#"{"m":"Accept","Proxy":3,"Ref":"43cf59165d3a91c4","Type":0,"TtlUs":240000,"Marks":0,"Colour":"red"}"#;
+
+fn play(input: &str) -> (bool, String, String) {
+    let mut host = Command::new(env!("CARGO_BIN_EXE_crankpick-simhost"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the adapter starts");
+    // A host that ends early stops reading: what it says then is what counts.
+    let _ = host.stdin.take().expect("piped").write_all(input.as_bytes());
+    let output = host.wait_with_output().expect("the adapter ends");
+    let text = |bytes| String::from_utf8(bytes).expect("UTF-8");
+    (output.status.success(), text(output.stdout), text(output.stderr))
+}
+
+fn batch(turn: u64, lines: &[&str]) -> String {
+    let now_us = 8_000_000 + turn * 5_000;
+    let lines: String = lines.iter().map(|line| format!("{line}\n")).collect();
+    format!("{{\"m\":\"Batch\",\"SimTimeUs\":{now_us},\"turn\":{turn}}}\n{lines}{{\"m\":\"EofBatch\"}}\n")
+}
+
+#[test]
+fn answers_each_batch_and_ends_cleanly() {
+    let input = batch(1, &[]) + &batch(2, &[LAUNCH, LIST, ACCEPT]);
+    let (success, out, err) = play(&input);
+    assert!(success && err.is_empty(), "{err}");
+    let lines: Vec<&str> = out.lines().collect();
+    assert_eq!(lines[0], r#"{"m":"Finished","turn":1}"#);
+    assert_eq!(lines[1], r#"{"m":"Subscribe","Proxy":3,"Want":true}"#);
+    let sent = r#"{"m":"HandOff","Proxy":3,"Ref":"43cf59165d3a91c4","Backend":7,"GiveUpAfterUs":240000}"#;
+    assert_eq!(lines[2], sent);
+    assert_eq!(lines[4], r#"{"m":"Finished","turn":2}"#);
+}
+
+#[test]
+fn lists_are_resolved_and_instances_replaced_in_reading_order() {
+    let other = LIST.replace("\"Backend\":7", "\"Backend\":8").replace("warm_copy", "total");
+    let again = [LAUNCH, LIST, r#"{"m":"Teardown","Proxy":3}"#, LAUNCH, LIST, other.as_str(), ACCEPT];
+    let (success, out, err) = play(&batch(1, &again));
+    assert!(success, "{err}");
+    assert!(out.contains("\"Backend\":8") && !out.contains("\"Backend\":7"), "{out}");
+}
+
+#[test]
+fn what_is_malformed_ends_it_with_one_plain_line() {
+    let launched = batch(1, &[LAUNCH, LIST]);
+    let cases = [
+        ("not JSON\n".to_owned(), "expected"),
+        (batch(2, &[r#"{"m":"Surprise","Proxy":3}"#]), "Surprise"),
+        (batch(2, &[r#"{"Proxy":3}"#]), "`m`"),
+        (batch(2, &[&ACCEPT.replace("\"TtlUs\":240000,", "")]), "TtlUs"),
+        (batch(2, &[&ACCEPT.replace("240000", "\"soon\"")]), "soon"),
+        (batch(2, &[&ACCEPT.replace("\"Type\":0", "\"Type\":5")]), "workload 5"),
+        (batch(2, &[&ACCEPT.replace("\"Proxy\":3", "\"Proxy\":4")]), "instance 4"),
+        (
+            batch(2, &[&LIST.lines().nth(1).expect("two lines").replace("\"Ref\":0", "\"Ref\":5")]),
+            "Directory 5",
+        ),
+        (batch(2, &[]).replace("{\"m\":\"EofBatch\"}\n", ""), "inside a batch"),
+        (batch(2, &[&LAUNCH.replace("1000000", "\"long\"")]), "SloTimeUs"),
+    ];
+    for (input, named) in cases {
+        let (success, _, err) = play(&(launched.clone() + &input));
+        assert!(!success && err.lines().count() == 1 && err.contains(named), "{named}: {err}");
+        assert!(!err.contains("panicked"), "{err}");
+    }
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -338,7 +338,7 @@
     }
 
     /// Shuts a backend whose last few outcomes are bad and twice as bad as its peers': when all fail
-    /// alike it is no backend's fault, and at most a third of the fleet is shut.
+    /// alike it is no backend's fault, and about a third of the fleet is shut at most.
     fn judge(&mut self, id: u32, success: bool, now_us: u64) {
         let recent = |backend: &Backend| backend.failures.count_ones();
         let ready = self.fleet.values().filter(|backend| backend.ready()).count() as u32;
@@ -377,7 +377,9 @@
             [exec]
                 if exec.out && !qry.over && self.limits.may_duplicate && self.limits.max_executions > 1 =>
             {
-                now_us > exec.sent_us + (2 * exec.expected_us).max(qry.slo_us / 3)
+                // One whose deadline is reached gets none: its time-out is on its way here.
+                let late_us = (2 * exec.expected_us).max(qry.slo_us / 3);
+                now_us < qry.deadline_us && now_us > exec.sent_us + late_us
             }
             _ => false,
         });
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -22,7 +22,6 @@
     pub group: DedupGroup,
     pub window_us: u64,
     pub slo_us: u64,
-    pub statement_timeout_us: u64,
     pub importance: f64,
     /// The part of the importance still earned between the SLO time and the statement timeout.
     pub tardy_importance: f64,
--- /dev/null
+++ b/tests/ledger/mod.rs
@@ -0,0 +1,217 @@
+//! An independent record of what an instance was told and what it decided, which holds the rules against it.
+
+use crankpick::balance::{Balancer, Inbox};
+use crankpick::interface::*;
+use std::collections::BTreeMap;
+
+pub struct Sent {
+    pub backend: u32,
+    pub at_us: u64,
+    pub until_us: u64,
+    pub ended: Option<Ended>,
+}
+
+pub struct Taken {
+    pub workload: usize,
+    pub deadline_us: u64,
+    pub sent: Vec<Sent>,
+    pub answer: Option<&'static str>,
+}
+
+pub struct Ledger {
+    pub now_us: u64,
+    pub workloads: Vec<Workload>,
+    pub limits: ExecutionLimits,
+    pub told: BTreeMap<u32, (Listed, u64)>,
+    pub queries: BTreeMap<String, Taken>,
+    pub wakes: Vec<(u64, String)>,
+    pub asked: u32,
+    pub wrong: Vec<String>,
+}
+
+pub const COLD: ColdRule =
+    ColdRule { start_capacity: 0.2, cold_us: 10_000_000, multiple: 3.0, window_us: 2_000_000 };
+
+pub fn workload(repeat: Repeat, group: DedupGroup, importance: f64) -> Workload {
+    let (slo_us, window_us) = (1_000_000, 900_000);
+    Workload { repeat, group, window_us, slo_us, importance, tardy_importance: 0.3 }
+}
+
+pub fn ready(backend: u32) -> Listed {
+    let (zone, cell, phase) = (backend % 2, backend % 3, Phase::Ready);
+    Listed { backend, zone, cell, phase, weight: 1.0, since_us: 0 }
+}
+
+impl Ledger {
+    pub fn new(workloads: Vec<Workload>, limits: ExecutionLimits) -> Self {
+        let (told, queries, wakes, wrong) = (BTreeMap::new(), BTreeMap::new(), Vec::new(), Vec::new());
+        Ledger { now_us: 7_000_000, workloads, limits, told, queries, wakes, asked: 0, wrong }
+    }
+
+    pub fn balancer(&self, seed: u64, balancers: u32, number: u32) -> Balancer {
+        let (workloads, tenants) = (self.workloads.clone(), vec![Tenant { quota_per_s: 200.0 }; 2]);
+        Balancer::new(seed, balancers, number, workloads, tenants, 0.1, self.limits, COLD, true)
+    }
+
+    /// One round `step_us` later, with the timers that are due; then the clock is held against rule 1.
+    pub fn round(
+        &mut self, balancer: &mut Balancer, step_us: u64, feed: impl FnOnce(&mut Ledger, &mut Inbox),
+    ) {
+        self.now_us += step_us;
+        let (due, later): (Vec<_>, Vec<_>) = self.wakes.drain(..).partition(|wake| wake.0 <= self.now_us);
+        self.wakes = later;
+        let mut written = Written(Vec::new());
+        let fed: Result<(), ()> = balancer.round(self.now_us, &mut written, |inbox| {
+            due.iter().for_each(|wake| inbox.woken(&wake.1));
+            feed(self, inbox);
+            Ok(())
+        });
+        fed.expect("feeding never fails here");
+        written.0.into_iter().for_each(|decision| decision(self));
+        let now_us = self.now_us;
+        let overdue =
+            self.queries.iter().filter(|(_, qry)| qry.answer.is_none() && now_us > qry.deadline_us + 20_000);
+        let overdue: Vec<String> = overdue.map(|(id, _)| format!("{id} has no answer in time")).collect();
+        self.wrong.extend(overdue);
+    }
+
+    pub fn take(&mut self, inbox: &mut Inbox, id: &str, workload: usize, ttl_us: u64, hint_us: Option<u64>) {
+        let deadline_us = self.now_us + ttl_us;
+        let taken = Taken { workload, deadline_us, sent: Vec::new(), answer: None };
+        self.queries.insert(id.into(), taken);
+        inbox.query(id, workload, 0, ttl_us, hint_us).expect("a known workload");
+    }
+
+    pub fn end(&mut self, inbox: &mut Inbox, id: &str, number: usize, ended: Ended) {
+        let qry = self.queries.get_mut(id).expect("taken before");
+        let took_us = self.now_us - qry.sent[number].at_us;
+        qry.sent[number].ended = Some(ended);
+        if ended == Ended::Completed {
+            qry.answer.get_or_insert("completed");
+        }
+        inbox.outcome(id, number as u32, ended, took_us, qry.answer.is_some(), None);
+    }
+
+    pub fn tell(&mut self, inbox: &mut Inbox, items: &[Listed]) {
+        items.iter().for_each(|item| {
+            self.told.insert(item.backend, (*item, self.now_us));
+        });
+        inbox.list_changes(items);
+    }
+
+    /// The executions still out, by query and number.
+    pub fn out(&self) -> Vec<(String, usize)> {
+        let all =
+            self.queries.iter().flat_map(|(id, qry)| qry.sent.iter().enumerate().map(move |sent| (id, sent)));
+        all.filter(|(_, (_, sent))| sent.ended.is_none())
+            .map(|(id, (number, _))| (id.clone(), number))
+            .collect()
+    }
+
+    fn sent(&mut self, id: &str, backend: u32, timeout_us: u64) {
+        let (now_us, limits) = (self.now_us, self.limits);
+        let Some((on, told_us)) = self.told.get(&backend).copied() else {
+            return self.wrong.push(format!("{id} went to {backend}, which no list has named"));
+        };
+        let qry = self.queries.get_mut(id).expect("only taken queries are executed");
+        let workload = &self.workloads[qry.workload];
+        let ran = |sent: &&Sent| {
+            !matches!(sent.ended, Some(Ended::TurnedAway | Ended::Unreachable | Ended::NotSent))
+        };
+        let group = |listed: Listed| match workload.group {
+            DedupGroup::All => 0,
+            DedupGroup::Zone => listed.zone,
+            DedupGroup::Cell => listed.cell,
+        };
+        let out = qry.sent.iter().any(|sent| sent.ended.is_none());
+        let first = qry.sent.iter().find(ran);
+        let breaks = [
+            (
+                qry.answer.is_some() || now_us > qry.deadline_us,
+                "is executed after its answer or its deadline",
+            ),
+            (
+                on.phase != Phase::Ready && now_us > told_us + 500_000,
+                "goes to a backend that drains or is gone",
+            ),
+            (out && !limits.may_duplicate, "is out twice at a time"),
+            (qry.sent.len() as u32 >= limits.max_executions, "is executed too often"),
+            (workload.repeat == Repeat::NonIdempotent && first.is_some(), "may have two effects"),
+            (
+                workload.repeat == Repeat::Deduplicated
+                    && first.is_some_and(|first| {
+                        group(on) != group(self.told[&first.backend].0)
+                            || now_us > first.at_us + workload.window_us
+                    }),
+                "is repeated outside its group or window",
+            ),
+        ];
+        let broken = breaks.iter().filter(|rule| rule.0).map(|rule| format!("{id} {}", rule.1));
+        self.wrong.extend(broken);
+        qry.sent.push(Sent { backend, at_us: now_us, until_us: now_us + timeout_us, ended: None });
+    }
+
+    fn answered(&mut self, id: &str, answer: &'static str) {
+        let qry = self.queries.get_mut(id).expect("only taken queries are answered");
+        let workload = &self.workloads[qry.workload];
+        let ran = |sent: &Sent| {
+            !matches!(sent.ended, Some(Ended::TurnedAway | Ended::Unreachable | Ended::NotSent))
+        };
+        let harmless = workload.repeat == Repeat::Idempotent
+            || workload.repeat == Repeat::Deduplicated && workload.group == DedupGroup::All;
+        if answer == "rejected" && !harmless && qry.sent.iter().any(ran) {
+            self.wrong.push(format!("{id} is rejected though it may have run"));
+        }
+        // A client may leave in the very round that answers it, which the round cannot know.
+        if qry.answer.replace(answer).is_some_and(|earlier| earlier != "withdrawn") {
+            self.wrong.push(format!("{id} is answered twice"));
+        }
+    }
+}
+
+type Decision = Box<dyn FnOnce(&mut Ledger)>;
+
+struct Written(Vec<Decision>);
+
+impl Written {
+    fn put(&mut self, decision: impl FnOnce(&mut Ledger) + 'static) {
+        self.0.push(Box::new(decision));
+    }
+}
+
+impl Writer for Written {
+    fn execute(&mut self, qry: &str, backend: u32, timeout_us: u64) {
+        let qry = qry.to_owned();
+        self.put(move |ledger| ledger.sent(&qry, backend, timeout_us));
+    }
+    fn cancel(&mut self, qry: &str, execution: u32) {
+        let qry = qry.to_owned();
+        self.put(move |ledger| {
+            if !ledger.limits.cancel || ledger.queries[&qry].sent.len() <= execution as usize {
+                ledger
+                    .wrong
+                    .push(format!("{qry} is cancelled where that is not allowed or nothing was sent"));
+            }
+        });
+    }
+    fn reject(&mut self, qry: &str, _backoff_us: u64) {
+        let qry = qry.to_owned();
+        self.put(move |ledger| ledger.answered(&qry, "rejected"));
+    }
+    fn abort(&mut self, qry: &str) {
+        let qry = qry.to_owned();
+        self.put(move |ledger| ledger.answered(&qry, "aborted"));
+    }
+    fn wake(&mut self, in_us: u64, token: &str) {
+        let token = token.to_owned();
+        self.put(move |ledger| ledger.wakes.push((ledger.now_us + in_us, token)));
+    }
+    fn subscribe(&mut self) {
+        self.put(|ledger| ledger.asked += 1);
+    }
+    fn fetch_list(&mut self) {}
+    fn probe(&mut self, _backend: u32) {}
+    fn close_idle(&mut self, _backend: u32) {}
+    fn tell(&mut self, _peer: Option<u32>, _bytes: &str) {}
+    fn log(&mut self, _line: &str) {}
+}
--- /dev/null
+++ b/tests/mechanism.rs
@@ -0,0 +1,208 @@
+//! Plain cases of the mechanism and of what stands around it.
+
+mod ledger;
+
+use crankpick::balance::Balancer;
+use crankpick::interface::*;
+use ledger::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+const LIMITS: ExecutionLimits =
+    ExecutionLimits { max_executions: 3, may_duplicate: false, cancel: true, max_backoff_us: 2_000_000 };
+
+fn start(kind: Repeat, backends: u32, balancers: u32) -> (Ledger, Balancer) {
+    let mut ledger = Ledger::new(vec![workload(kind, DedupGroup::All, 1.0)], LIMITS);
+    let mut balancer = ledger.balancer(5, balancers, 0);
+    let listed: Vec<Listed> = (0..backends).map(ready).collect();
+    ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.tell(inbox, &listed));
+    (ledger, balancer)
+}
+
+fn ask(ledger: &mut Ledger, balancer: &mut Balancer, id: &str, hint_us: Option<u64>) {
+    ledger.round(balancer, 5_000, |ledger, inbox| ledger.take(inbox, id, 0, 900_000, hint_us));
+}
+
+fn end(ledger: &mut Ledger, balancer: &mut Balancer, after_us: u64, how: impl Fn(&Sent) -> Ended) {
+    ledger.round(balancer, after_us, |ledger, inbox| {
+        for (id, number) in ledger.out() {
+            let ended = how(&ledger.queries[&id].sent[number]);
+            ledger.end(inbox, &id, number, ended);
+        }
+    });
+}
+
+/// Asks for one query after the other, each ended before the next, and counts where they went.
+fn spread(ledger: &mut Ledger, balancer: &mut Balancer, name: &str, hints: &[Option<u64>]) -> Vec<u32> {
+    let mut to = Vec::new();
+    for (number, hint_us) in hints.iter().enumerate() {
+        let id = format!("{name}{number}");
+        ask(ledger, balancer, &id, *hint_us);
+        to.extend(ledger.queries[&id].sent.iter().map(|sent| sent.backend));
+        end(ledger, balancer, 20_000, |_| Ended::Completed);
+    }
+    assert_eq!(ledger.wrong, Vec::<String>::new());
+    to
+}
+
+#[test]
+fn a_light_group_rotates_evenly() {
+    let (mut ledger, mut balancer) = start(Repeat::Idempotent, 4, 2);
+    let mut counts = BTreeMap::new();
+    for backend in spread(&mut ledger, &mut balancer, "q", &[None; 24]) {
+        *counts.entry(backend).or_insert(0) += 1;
+    }
+    assert_eq!(counts, (0..4).map(|backend| (backend, 6)).collect());
+}
+
+#[test]
+fn types_go_to_groups_of_their_own() {
+    let (mut ledger, mut balancer) = start(Repeat::Idempotent, 8, 2);
+    let hints: Vec<Option<u64>> =
+        (0..200).map(|number| Some([5_000, 5_000, 5_000, 90_000][number % 4])).collect();
+    spread(&mut ledger, &mut balancer, "learn", &hints);
+    let plain = spread(&mut ledger, &mut balancer, "plain", &[Some(5_000); 30]);
+    let heavy = spread(&mut ledger, &mut balancer, "heavy", &[Some(90_000); 30]);
+    let (plain, heavy) = (BTreeSet::from_iter(plain), BTreeSet::from_iter(heavy));
+    assert!(plain.is_disjoint(&heavy), "{plain:?} and {heavy:?} overlap");
+    assert!(heavy.len() > plain.len(), "the heavy hold more load units: {plain:?} {heavy:?}");
+}
+
+#[test]
+fn a_busy_group_goes_by_room_and_lets_a_slow_backend_be() {
+    let (mut ledger, mut balancer) = start(Repeat::Idempotent, 4, 1);
+    let (mut counts, mut free_us) = ([0; 4], [0; 4]);
+    for step in 0..600 {
+        let id = format!("q{step:03}");
+        ask(&mut ledger, &mut balancer, &id, None);
+        counts[ledger.queries[&id].sent[0].backend as usize] += 1;
+        // Each works on one query at a time, the last one twelve times slower.
+        ledger.round(&mut balancer, 5_000, |ledger, inbox| {
+            for (id, number) in ledger.out() {
+                let (sent, now_us) = (&ledger.queries[&id].sent[number], ledger.now_us);
+                let (at, takes_us) =
+                    (sent.backend as usize, if sent.backend == 3 { 300_000 } else { 25_000 });
+                if now_us >= sent.at_us.max(free_us[at]) + takes_us {
+                    free_us[at] = now_us;
+                    ledger.end(inbox, &id, number, Ended::Completed);
+                }
+            }
+        });
+    }
+    assert!(counts.iter().all(|count| *count > 0), "{counts:?}");
+    assert!(counts[3] * 4 < counts[0], "{counts:?}");
+}
+
+#[test]
+fn only_a_backend_worse_than_its_peers_is_shut_and_it_comes_back() {
+    let (mut ledger, mut balancer) = start(Repeat::Idempotent, 4, 2);
+    let mut counts = [[0; 4]; 3];
+    for (phase, fails) in [vec![1], vec![0, 1, 2, 3], vec![]].iter().enumerate() {
+        for number in 0..80 {
+            let id = format!("{phase}-{number}");
+            ask(&mut ledger, &mut balancer, &id, None);
+            counts[phase][ledger.queries[&id].sent[0].backend as usize] += 1;
+            let how =
+                |sent: &Sent| if fails.contains(&sent.backend) { Ended::Errored } else { Ended::Completed };
+            (0..3).for_each(|_| end(&mut ledger, &mut balancer, 20_000, how));
+        }
+    }
+    assert!(counts[0][1] * 2 < counts[0][0], "{counts:?}");
+    assert!(counts[1].iter().filter(|count| **count > 0).count() >= 3, "{counts:?}");
+    assert!(counts[2].iter().all(|count| *count > 4), "{counts:?}");
+}
+
+#[test]
+fn a_backend_that_drains_or_is_gone_gets_nothing_from_then_on() {
+    let (mut ledger, mut balancer) = start(Repeat::Idempotent, 3, 2);
+    let mut items = [ready(0), ready(1)];
+    (items[0].phase, items[1].phase) = (Phase::Terminating, Phase::Gone);
+    ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.tell(inbox, &items));
+    assert_eq!(spread(&mut ledger, &mut balancer, "q", &[None; 6]), vec![2; 6]);
+    ledger.round(&mut balancer, 5_000, |_, inbox| inbox.list_whole(&[ready(0)]));
+    ledger.told.insert(0, (ready(0), ledger.now_us));
+    assert_eq!(spread(&mut ledger, &mut balancer, "r", &[None; 6]), vec![0; 6]);
+}
+
+#[test]
+fn a_cold_backend_gets_no_more_than_this_proxys_share_of_what_it_bears() {
+    let (mut ledger, mut balancer) = start(Repeat::Idempotent, 2, 2);
+    let hints = [Some(20_000); 40];
+    spread(&mut ledger, &mut balancer, "warm", &hints);
+    let since_us = ledger.now_us;
+    let restarted = Listed { since_us, ..ready(0) };
+    ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.tell(inbox, &[restarted]));
+    let mut work_us = 0;
+    while ledger.now_us < since_us + COLD.window_us {
+        let id = format!("cold{}", ledger.now_us);
+        ask(&mut ledger, &mut balancer, &id, hints[0]);
+        work_us += ledger.queries[&id].sent.iter().filter(|sent| sent.backend == 0).count() as u64 * 20_000;
+        end(&mut ledger, &mut balancer, 20_000, |_| Ended::Completed);
+    }
+    // At twice its first warmth, for two proxies; what warm backends do was seen to be one core's work.
+    let bears_us = COLD.multiple * COLD.start_capacity * 2.0 * COLD.window_us as f64 / 2.0;
+    assert!(work_us > 0 && (work_us as f64) < bears_us, "{work_us} of {bears_us}");
+}
+
+#[test]
+fn where_proxies_are_many_each_uses_its_own_part() {
+    let mut users = [0; 8];
+    for number in 0..12 {
+        let mut ledger = Ledger::new(vec![workload(Repeat::Idempotent, DedupGroup::All, 1.0)], LIMITS);
+        let mut balancer = ledger.balancer(5, 12, number);
+        let listed: Vec<Listed> = (0..8).map(ready).collect();
+        ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.tell(inbox, &listed));
+        let met = BTreeSet::from_iter(spread(&mut ledger, &mut balancer, "q", &[None; 30]));
+        met.iter().for_each(|backend| users[*backend as usize] += 1);
+    }
+    assert!(users.iter().all(|users| (1..=7).contains(users)), "{users:?}");
+}
+
+#[test]
+fn what_cannot_end_in_time_is_rejected_at_once() {
+    let (mut ledger, mut balancer) = start(Repeat::NonIdempotent, 3, 2);
+    spread(&mut ledger, &mut balancer, "learn", &[Some(20_000); 20]);
+    ask(&mut ledger, &mut balancer, "hopeless", Some(5_000_000));
+    let qry = &ledger.queries["hopeless"];
+    assert_eq!((qry.sent.len(), qry.answer), (0, Some("rejected")));
+}
+
+#[test]
+fn without_backends_the_answer_is_prompt_and_after_a_run_it_is_an_abort() {
+    let (mut ledger, mut balancer) = start(Repeat::NonIdempotent, 0, 2);
+    ask(&mut ledger, &mut balancer, "none", None);
+    assert_eq!(ledger.queries["none"].answer, Some("rejected"));
+    ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.tell(inbox, &[ready(0), ready(1)]));
+    ask(&mut ledger, &mut balancer, "ran", None);
+    end(&mut ledger, &mut balancer, 5_000, |_| Ended::Errored);
+    assert_eq!(ledger.queries["ran"].answer, Some("aborted"));
+    ask(&mut ledger, &mut balancer, "moved", None);
+    end(&mut ledger, &mut balancer, 5_000, |_| Ended::Unreachable);
+    assert_eq!(ledger.queries["moved"].sent.len(), 2);
+    assert_eq!(ledger.wrong, Vec::<String>::new());
+}
+
+#[test]
+fn a_second_copy_never_leaves_after_the_deadline() {
+    let limits = ExecutionLimits { may_duplicate: true, ..LIMITS };
+    let mut ledger = Ledger::new(vec![workload(Repeat::Idempotent, DedupGroup::All, 1.0)], limits);
+    let mut balancer = ledger.balancer(5, 2, 0);
+    ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.tell(inbox, &[ready(0), ready(1)]));
+    ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.take(inbox, "q", 0, 300_000, None));
+    assert_eq!(ledger.queries["q"].sent[0].until_us, ledger.queries["q"].deadline_us);
+    // The next sweep that comes finds the deadline reached.
+    ledger.round(&mut balancer, 600_000, |_, _| {});
+    assert_eq!(ledger.queries["q"].sent.len(), 1);
+}
+
+#[test]
+fn a_lost_list_is_asked_for_again_later_and_later() {
+    let (mut ledger, mut balancer) = start(Repeat::Idempotent, 2, 2);
+    let mut waits = Vec::new();
+    for _ in 0..5 {
+        ledger.round(&mut balancer, 5_000, |_, inbox| inbox.list_lost());
+        waits.push(ledger.wakes.last().expect("a later ask").0 - ledger.now_us);
+    }
+    ledger.round(&mut balancer, 5_000_000, |_, _| {});
+    assert_eq!(ledger.asked, 6, "one at launch and one for each loss");
+    assert!(waits[4] > waits[0] && waits[4] < COLD.cold_us, "{waits:?}");
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,81 @@
+//! Seeded random runs: after every round the record in `ledger` is held against the four rules.
+
+mod ledger;
+
+use crankpick::interface::*;
+use ledger::*;
+use quickcheck::{Gen, QuickCheck};
+
+fn run(seed: u64) -> Vec<String> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let groups = [DedupGroup::All, DedupGroup::Zone, DedupGroup::Cell];
+    let group = groups[rng.usize(0..3)];
+    let kinds = [Repeat::Idempotent, Repeat::Deduplicated, Repeat::NonIdempotent];
+    let workloads = kinds.iter().map(|kind| workload(*kind, group, 1.0 + rng.f64() * 9.0)).collect();
+    let (may_duplicate, cancel, max_executions) = (rng.bool(), rng.bool(), rng.u32(1..6));
+    let limits =
+        ExecutionLimits { may_duplicate, cancel, max_executions, max_backoff_us: rng.u64(0..2) * 500_000 };
+    let mut ledger = Ledger::new(workloads, limits);
+    let mut balancer = ledger.balancer(seed, rng.u32(0..12), rng.u32(0..12));
+    let (backends, hinted, rate) = (rng.u32(0..12), rng.bool(), rng.usize(1..6));
+    let (failing, steps) = (rng.f64() * 0.5, 250);
+    for step in 0..steps + 150 {
+        let pause_us = rng.u64(1_000..15_000);
+        ledger.round(&mut balancer, pause_us, |ledger, inbox| {
+            if step == 0 {
+                let listed: Vec<Listed> = (0..backends).map(ready).collect();
+                ledger.tell(inbox, &listed);
+            } else if rng.u8(0..12) == 0 && backends > 0 {
+                let mut item = ready(rng.u32(0..backends + 2));
+                item.phase = [Phase::Ready, Phase::Ready, Phase::Terminating, Phase::Gone][rng.usize(0..4)];
+                item.since_us = [0, ledger.now_us - 500_000][rng.usize(0..2)];
+                ledger.tell(inbox, &[item]);
+            }
+            if rng.u8(0..40) == 0 {
+                inbox.list_lost();
+            }
+            let live: Vec<String> =
+                ledger.queries.iter().filter(|qry| qry.1.answer.is_none()).map(|qry| qry.0.clone()).collect();
+            if !live.is_empty() && rng.u8(0..20) == 0 {
+                let id = &live[rng.usize(0..live.len())];
+                ledger.queries.get_mut(id).expect("live").answer = Some("withdrawn");
+                inbox.withdrawn(id);
+            }
+            for (id, number) in ledger.out() {
+                let sent = &ledger.queries[&id].sent[number];
+                let ends =
+                    [Ended::Errored, Ended::TurnedAway, Ended::Unreachable, Ended::Dropped, Ended::Cancelled];
+                if ledger.now_us >= sent.until_us {
+                    ledger.end(inbox, &id, number, Ended::TimedOut);
+                } else if rng.u8(0..12) == 0 {
+                    let fails = rng.f64() < failing;
+                    ledger.end(
+                        inbox,
+                        &id,
+                        number,
+                        if fails { ends[rng.usize(0..5)] } else { Ended::Completed },
+                    );
+                }
+            }
+            for number in 0..if step < steps { rng.usize(0..rate) } else { 0 } {
+                let (id, kind) = (format!("{step}-{number}"), rng.usize(0..3));
+                let ttl_us =
+                    [rng.u64(0..60_000), rng.u64(200_000..1_500_000)][usize::from(rng.u8(0..10) > 0)];
+                let hint_us = hinted.then(|| rng.u64(1_000..400_000));
+                ledger.take(inbox, &id, kind, ttl_us, hint_us);
+            }
+        });
+        if !ledger.wrong.is_empty() {
+            break;
+        }
+    }
+    ledger.wrong
+}
+
+#[test]
+fn rules_hold_in_random_runs() {
+    fn holds(seed: u64) -> Result<(), String> {
+        run(seed).first().map_or(Ok(()), |wrong| Err(wrong.clone()))
+    }
+    QuickCheck::new().rng(Gen::from_size_and_seed(100, 41)).tests(300).quickcheck(holds as fn(u64) -> _);
+}
