--- a/src/balance.rs
+++ b/src/balance.rs
@@ -139,7 +139,7 @@
         self.regroup_gap_us = (self.regroup_gap_us * 2).min(REGROUP_US);
         // Where proxies are many, one query of each is a crowd already: each uses its own part of the list.
         let places = self.fleet.values_mut().filter(|backend| backend.ready()).enumerate();
-        places.for_each(|(place, backend)| backend.ours = (place + self.number) % self.balancers < CROWD);
+        places.for_each(|(place, backend)| backend.ours = (place + self.number) % self.balancers < 4);
         let ours = self.fleet.values().filter(|backend| backend.ready() && backend.ours).count();
         // A part of one or none could not outlast a failure.
         self.fleet.values_mut().for_each(|backend| backend.ours |= ours < 2);
