Parts of the list as arcs of a ring, shared by at most 3 proxies

Cause: with 10 or 12 proxies even 4 sharing a backend crowd it; parts by remainder left some proxies with one backend.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -19,6 +19,8 @@
 /// Queries that all proxies together leave with one backend: more only wait there, where they can no
 /// longer be rejected, and a crowded backend may turn slow and stay slow.
 const CROWD: usize = 6;
+/// Proxies that share one backend at most: one query of each of many would be a crowd again.
+const SHARED_BY: usize = 3;
 
 #[derive(Default)]
 pub struct Balancer {
@@ -137,12 +139,12 @@
         // A proxy that has just started knows no traffic: its first groups hold all, then grow in age.
         self.regroup_us = now_us + self.regroup_gap_us;
         self.regroup_gap_us = (self.regroup_gap_us * 2).min(REGROUP_US);
-        // Where proxies are many, one query of each is a crowd already: each uses its own part of the list.
+        // Where proxies are many, each uses its own part of the list, two backends at the least.
+        let count = self.fleet.values().filter(|backend| backend.ready()).count();
+        let part = (SHARED_BY * count).div_ceil(self.balancers).max(2);
+        let first = self.number * count / self.balancers;
         let places = self.fleet.values_mut().filter(|backend| backend.ready()).enumerate();
-        places.for_each(|(place, backend)| backend.ours = (place + self.number) % self.balancers < 4);
-        let ours = self.fleet.values().filter(|backend| backend.ready() && backend.ours).count();
-        // A part of one or none could not outlast a failure.
-        self.fleet.values_mut().for_each(|backend| backend.ours |= ours < 2);
+        places.for_each(|(place, backend)| backend.ours = (place + count - first % count) % count < part);
         let ready = self.fleet.values().filter(|backend| backend.ready() && backend.ours);
         let mut servers: Vec<&Backend> = ready.collect();
         servers.sort_by(|a, b| b.max.total_cmp(&a.max));
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -152,7 +152,7 @@
         let met = BTreeSet::from_iter(spread(&mut ledger, &mut balancer, "q", &[None; 30]));
         met.iter().for_each(|backend| users[*backend as usize] += 1);
     }
-    assert!(users.iter().all(|users| (1..=7).contains(users)), "{users:?}");
+    assert!(users.iter().all(|users| (1..=4).contains(users)), "{users:?}");
 }
 
 #[test]
