--- a/src/balance.rs
+++ b/src/balance.rs
@@ -451,10 +451,10 @@
         };
         let place = qry.place();
         b.queries.insert(id.to_owned(), qry);
-        // Turned away by chance, from a twentieth of the SLO time in expected wait to a quarter;
+        // Turned away by chance, from a fiftieth of the SLO time in expected wait to an eighth;
         // the less important wait behind more, so they are turned away more often.
         let pressure = b.expected_wait_us(place.0) / slo_us.max(1) as f64;
-        if takes_us > ttl_us as f64 || b.rng.f64() < (pressure - 0.05) / 0.2 {
+        if takes_us > ttl_us as f64 || b.rng.f64() < (pressure - 0.02) / 0.1 {
             b.give_up(id, self.out);
         } else {
             b.waiting.insert(place);
