--- a/src/kept.rs
+++ b/src/kept.rs
@@ -5,45 +5,57 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 
-/// A small histogram of few coarse bins.
-pub struct Bins(Histogram<u32>);
+/// A small histogram of few coarse bins; its middle is kept, since it is asked for far more often than it moves.
+pub struct Bins {
+    values: Histogram<u32>,
+    middle: Option<f64>,
+}
 
 impl Default for Bins {
     fn default() -> Self {
-        Bins(Histogram::new_with_bounds(1, 1 << 30, 1).expect("the bounds are constant and sound"))
+        let values = Histogram::new_with_bounds(1, 1 << 30, 1).expect("the bounds are constant and sound");
+        Bins { values, middle: None }
     }
 }
 
 impl Bins {
     /// Records one value; once `most` are kept, all count half, so that the newer ones lead.
     pub fn record(&mut self, value: f64, most: u64) {
-        self.0.saturating_record(value as u64);
-        if self.0.len() >= most {
+        self.values.saturating_record(value as u64);
+        if self.values.len() >= most {
             self.halve();
         }
+        self.middle = self.at(0.5);
     }
 
     pub fn halve(&mut self) {
-        let bins: Vec<(u64, u32)> =
-            self.0.iter_recorded().map(|bin| (bin.value_iterated_to(), bin.count_at_value() / 2)).collect();
-        self.0.reset();
-        bins.into_iter().for_each(|(value, count)| self.0.saturating_record_n(value, count));
+        let halved = |bin: hdrhistogram::iterators::IterationValue<u32>| {
+            (bin.value_iterated_to(), bin.count_at_value() / 2)
+        };
+        let bins: Vec<(u64, u32)> = self.values.iter_recorded().map(halved).collect();
+        self.values.reset();
+        bins.into_iter().for_each(|(value, count)| self.values.saturating_record_n(value, count));
+        self.middle = self.at(0.5);
     }
 
     pub fn len(&self) -> u64 {
-        self.0.len()
+        self.values.len()
     }
 
     pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
+        self.values.is_empty()
     }
 
     pub fn at(&self, quantile: f64) -> Option<f64> {
-        (!self.0.is_empty()).then(|| self.0.value_at_quantile(quantile) as f64)
+        (!self.values.is_empty()).then(|| self.values.value_at_quantile(quantile) as f64)
+    }
+
+    pub fn middle(&self) -> Option<f64> {
+        self.middle
     }
 
     pub fn mean(&self) -> f64 {
-        self.0.mean()
+        self.values.mean()
     }
 }
 
@@ -154,7 +166,7 @@
     }
 
     pub fn learned(&self) -> Option<f64> {
-        self.paces.at(0.5).map(|pace| pace / 1e9)
+        self.paces.middle().map(|pace| pace / 1e9)
     }
 }
 
