--- a/src/balance.rs
+++ b/src/balance.rs
@@ -209,6 +209,7 @@
     }
 
     fn choose(&mut self, qry: &str, now_us: u64, second: bool) -> Option<u32> {
+        let mut rng = self.rng.fork();
         let qry = &self.queries[qry];
         let usable = |backend: &Backend| {
             backend.open(now_us)
@@ -250,7 +251,6 @@
         // be rejected.
         let bears = |backend: &Backend| !second && backend.load() < backend.max * reach;
         let own: Vec<u32> = own.into_iter().map(|member| member.1).collect();
-        let all: Vec<u32> = self.fleet.iter().filter(|(_, b)| usable(b)).map(|(id, _)| *id).collect();
         let mut roomiest = |among: &[u32], takes: &dyn Fn(&Backend) -> bool| {
             let (mut best, mut most, mut ties) = (None, f64::NEG_INFINITY, 0);
             for id in among.iter().filter(|id| takes(&self.fleet[id])) {
@@ -258,16 +258,17 @@
                 let ends_us = (backend.work() + work) / backend.pace;
                 let room = if load > VALUES[3] { -ends_us } else { backend.room() };
                 ties = if room == most { ties + 1 } else { 1 };
-                if room > most || room == most && self.rng.u32(0..ties) == 0 {
+                if room > most || room == most && rng.u32(0..ties) == 0 {
                     (best, most) = (Some(*id), room);
                 }
             }
             best
         };
-        roomiest(&own, &fits)
-            .or_else(|| roomiest(&all, &fits))
-            .or_else(|| roomiest(&own, &bears))
-            .or_else(|| roomiest(&all, &bears))
+        if let Some(id) = roomiest(&own, &fits) {
+            return Some(id);
+        }
+        let all: Vec<u32> = self.fleet.iter().filter(|(_, b)| usable(b)).map(|(id, _)| *id).collect();
+        roomiest(&all, &fits).or_else(|| roomiest(&own, &bears)).or_else(|| roomiest(&all, &bears))
     }
 
     fn execute(&mut self, qry: &str, id: u32, now_us: u64, out: &mut dyn Writer) {
