--- a/src/balance.rs
+++ b/src/balance.rs
@@ -342,7 +342,7 @@
     fn expected_wait_us(&self, rank: Reverse<u64>) -> f64 {
         let before = self.waiting.iter().take_while(|entry| entry.0 <= rank);
         let ahead: f64 = before.map(|entry| self.queries[&entry.2].work).sum();
-        let pace: f64 = self.fleet.values().filter(|b| b.ready()).map(|b| b.pace).sum();
+        let pace: f64 = self.fleet.values().filter(|b| b.ready() && b.ours).map(|b| b.pace).sum();
         ahead / pace.max(1e-9)
     }
 
