--- a/src/balance.rs
+++ b/src/balance.rs
@@ -230,7 +230,8 @@
                 own.push((place, member.backend));
             }
         }
-        if load <= max / 10.0 && !own.is_empty() {
+        // Rotation would send a long tail to the slowest as readily as to the fastest.
+        if load <= max / 10.0 && !own.is_empty() && qry.load <= VALUES[3] {
             let group = &mut self.groups[kind];
             for (place, id) in &own {
                 group[*place].turn += self.fleet[id].listed.weight;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -92,6 +92,19 @@
     assert!(counts[3] * 4 < counts[0], "{counts:?}");
 }
 
+#[test]
+fn a_long_tail_goes_to_a_fast_backend_even_when_all_are_idle() {
+    let (mut ledger, mut balancer) = start(Repeat::Idempotent, 4, 2);
+    for number in 0..60 {
+        let (id, hint_us) = (format!("q{number}"), if number % 6 == 5 { 400_000 } else { 20_000 });
+        ask(&mut ledger, &mut balancer, &id, Some(hint_us));
+        let at = ledger.queries[&id].sent[0].backend;
+        assert!(number < 30 || hint_us == 20_000 || at != 3, "{id} went to the slow one");
+        let takes_us = hint_us / 2 * if at == 3 { 4 } else { 1 };
+        end(&mut ledger, &mut balancer, takes_us, |_| Ended::Completed);
+    }
+}
+
 #[test]
 fn only_a_backend_worse_than_its_peers_is_shut_and_it_comes_back() {
     let (mut ledger, mut balancer) = start(Repeat::Idempotent, 4, 2);
