Cold budget: the whole share at the warmth of the window's middle, not half of it now

Cause: during releases cold backends were kept from work by halving a budget already low, since a pace seen under load is less than what the backend does.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -197,15 +197,15 @@
         }
     }
 
-    /// Rule 4: this proxy's share of what a cold backend bears in a window, by the slowest warm pace.
+    /// Rule 4: this proxy's share of what a cold backend bears in a window, by the slowest pace seen, which is
+    /// less than what that backend does, since others' work slows it too.
     fn within_cold_budget(&self, backend: &Backend, work: f64, now_us: u64) -> bool {
-        let warmth = backend.warmth(&self.cold, now_us);
         let window_us = self.cold.window_us;
+        let warmth = backend.warmth(&self.cold, now_us.saturating_sub(window_us / 2));
         let bears = self.cold.multiple * warmth * self.slowest_pace * window_us as f64;
         let recent = backend.cold_sent.iter().filter(|sent| sent.0 + window_us >= now_us);
         let sent: f64 = recent.map(|sent| sent.1).sum();
-        // Half of it is left for chance and for what the other proxies misjudge.
-        warmth >= 1.0 || sent + work <= bears / self.balancers as f64 / 2.0
+        warmth >= 1.0 || sent + work <= bears / self.balancers as f64
     }
 
     fn choose(&mut self, qry: &str, now_us: u64, second: bool) -> Option<u32> {
