--- a/src/balance.rs
+++ b/src/balance.rs
@@ -36,6 +36,7 @@
     asks_lost: u32,
     target_us: f64,
     slowest_pace: f64,
+    usual_pace: f64,
     fleet: BTreeMap<u32, Backend>,
     groups: [Vec<Member>; 4],
     regroup_us: u64,
@@ -117,11 +118,10 @@
     /// without outcomes it is the mean of the others' maxima.
     fn set_maxima(&mut self, now_us: u64) {
         let known: Vec<f64> = self.fleet.values().filter_map(Backend::learned).collect();
-        let unknown = DEFAULT_MAX / self.target_us;
-        let mean = if known.is_empty() { unknown } else { known.iter().sum::<f64>() / known.len() as f64 };
+        let mean = mean_or(&known, DEFAULT_MAX / self.target_us);
         self.slowest_pace = known.iter().copied().fold(mean, f64::min);
         let reported: Vec<f64> = self.fleet.values().filter_map(|backend| backend.utilisation).collect();
-        let used = reported.iter().sum::<f64>() / reported.len().max(1) as f64;
+        let used = mean_or(&reported, 0.0);
         for backend in self.fleet.values_mut() {
             backend.used = backend.utilisation.unwrap_or(used);
             backend.pace = backend.learned().unwrap_or(mean);
@@ -132,6 +132,8 @@
             }
             backend.max = backend.pace * self.target_us * backend.warmth(&self.cold, now_us);
         }
+        let paces: Vec<f64> = self.fleet.values().filter(|b| b.ready()).map(|b| b.pace).collect();
+        self.usual_pace = mean_or(&paces, 0.0);
     }
 
     /// Sizes each type's group by its share of the load units, in learned maxima, strongest first.
@@ -248,8 +250,7 @@
             true => backend.load() < backend.max && backend.work() + work <= backend.pace * left_us,
             false => backend.held.is_empty() || backend.load() + load <= backend.max,
         };
-        // Past the maxima the more important go further; what nothing bears waits where it can still
-        // be rejected.
+        // Past the maxima the more important go further; the rest waits where it can still be rejected.
         let bears = |backend: &Backend| !second && backend.load() < backend.max * reach;
         let own: Vec<u32> = own.into_iter().map(|member| member.1).collect();
         let mut roomiest = |among: &[u32], takes: &dyn Fn(&Backend) -> bool| {
@@ -381,15 +382,14 @@
         for id in stale.map(|qry| qry.id.clone()).collect::<Vec<String>>() {
             self.give_up(&id, out);
         }
-        // A second copy goes out past twice the expected time, within a budget that overload spends at
-        // once: further executions must not feed it.
+        // A second copy leaves a backend that is slow against its peers, never one among a slow fleet, within
+        // a budget that overload spends at once: further executions must not feed it.
+        let two = self.limits.may_duplicate && self.limits.max_executions > 1;
         let late = self.queries.iter().filter(|(_, qry)| match &qry.executions[..] {
-            [exec]
-                if exec.out && !qry.over && self.limits.may_duplicate && self.limits.max_executions > 1 =>
-            {
-                // One whose deadline is reached gets none: its time-out is on its way here.
-                let late_us = (2 * exec.expected_us).max(qry.slo_us / 3);
-                now_us < qry.deadline_us && now_us > exec.sent_us + late_us
+            // One whose deadline is reached gets none: its time-out is on its way here.
+            [exec] if two && exec.out && !qry.over && now_us < qry.deadline_us => {
+                let slow = self.fleet[&exec.backend].pace * 2.0 < self.usual_pace;
+                slow && now_us > exec.sent_us + (2 * exec.expected_us).max(qry.slo_us / 3)
             }
             _ => false,
         });
@@ -428,8 +428,7 @@
         let load =
             if kind < 3 { VALUES[kind] } else { units.map_or(VALUES[3], |units| units.max(VALUES[3])) };
         b.traffic[kind] += load;
-        // Some cannot end in time even on the fastest backend: executed, they would only keep it from
-        // the others, the more so as their clients ask again.
+        // Some cannot end in time even on the fastest backend: they would only keep it from the others.
         let takes = |hint_us: u64| b.speeds.at(0.9).map(|fastest| hint_us as f64 * 1e3 / fastest);
         let takes_us = hint_us.and_then(takes).unwrap_or(0.0);
         if takes_us > slo_us as f64 {
@@ -453,8 +452,7 @@
         };
         let place = qry.place();
         b.queries.insert(id.to_owned(), qry);
-        // Turned away by chance, from a fiftieth of the SLO time in expected wait to an eighth;
-        // the less important wait behind more, so they are turned away more often.
+        // By chance, from a fiftieth of the SLO time in expected wait to an eighth; the cheaper wait behind more.
         let pressure = b.expected_wait_us(place.0) / slo_us.max(1) as f64;
         if takes_us > ttl_us as f64 || b.rng.f64() < (pressure - 0.02) / 0.1 {
             b.give_up(id, self.out);
@@ -531,9 +529,10 @@
     }
 
     pub fn reported(&mut self, backend: u32, report: LoadReport) {
-        if let Some(backend) = self.balancer.fleet.get_mut(&backend) {
-            backend.utilisation = report.utilisation.or(backend.utilisation);
-        }
+        let backend = self.balancer.fleet.get_mut(&backend);
+        backend
+            .into_iter()
+            .for_each(|backend| backend.utilisation = report.utilisation.or(backend.utilisation));
     }
 
     /// Asks anew after a jittered wait that grows, so that the proxies don't keep the list down.
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -59,6 +59,14 @@
     }
 }
 
+/// The mean of some values, or what counts where there are none.
+pub fn mean_or(values: &[f64], none: f64) -> f64 {
+    if values.is_empty() {
+        return none;
+    }
+    values.iter().sum::<f64>() / values.len() as f64
+}
+
 pub struct Execution {
     pub backend: u32,
     pub serial: u64,
