--- a/src/balance.rs
+++ b/src/balance.rs
@@ -199,8 +199,8 @@
         }
     }
 
-    /// Rule 4: this proxy's share of what a cold backend bears in a window, by the slowest pace seen, which is
-    /// less than what that backend does, since others' work slows it too.
+    /// Rule 4: this proxy's share of what a cold backend bears in a window, by the slowest pace seen; that
+    /// is less than what that backend does, since others' work slows it too.
     fn within_cold_budget(&self, backend: &Backend, work: f64, now_us: u64) -> bool {
         let window_us = self.cold.window_us;
         let warmth = backend.warmth(&self.cold, now_us.saturating_sub(window_us / 2));
@@ -452,7 +452,7 @@
         };
         let place = qry.place();
         b.queries.insert(id.to_owned(), qry);
-        // By chance, from a fiftieth of the SLO time in expected wait to an eighth; the cheaper wait behind more.
+        // By chance, from a fiftieth of the SLO time in expected wait to an eighth; the cheap wait longer.
         let pressure = b.expected_wait_us(place.0) / slo_us.max(1) as f64;
         if takes_us > ttl_us as f64 || b.rng.f64() < (pressure - 0.02) / 0.1 {
             b.give_up(id, self.out);
