--- a/src/kept.rs
+++ b/src/kept.rs
@@ -5,7 +5,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 
-/// A small histogram of few coarse bins; its middle is kept, since it is asked for far more often than it moves.
+/// A small histogram of few coarse bins; its middle is kept, since it is asked for more often than it moves.
 pub struct Bins {
     values: Histogram<u32>,
     middle: Option<f64>,
