--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -41,7 +41,6 @@
     backend: Option<u32>,
     duration_us: Option<u64>,
     rc: Option<u32>,
-    #[serde(default)]
     done_flag: Option<bool>,
     gauge: Option<Gauge>,
     ctx: Option<String>,
@@ -185,8 +184,7 @@
             match (line.kind.as_deref(), &line.listed) {
                 (Some("lost"), _) => inbox.list_lost(),
                 (Some("incr"), Some(items)) => inbox.list_changes(items),
-                (Some("total"), Some(items)) => inbox.list_whole(items),
-                (Some("warm_copy"), Some(items)) => inbox.list_whole(items),
+                (Some("total" | "warm_copy"), Some(items)) => inbox.list_whole(items),
                 (kind, _) => return Err(format!("Endpoints: unknown Kind {kind:?}")),
             }
             Ok(())
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -114,17 +114,21 @@
         Ok(())
     }
 
+    fn ready(&self) -> impl Iterator<Item = &Backend> {
+        self.fleet.values().filter(|backend| backend.ready())
+    }
+
     /// A maximum is the work that a backend does within the target time at the pace its outcomes show;
     /// without outcomes it is the mean of the others' maxima.
     fn set_maxima(&mut self, now_us: u64) {
-        let known: Vec<f64> = self.fleet.values().filter_map(Backend::learned).collect();
+        let known: Vec<f64> = self.fleet.values().filter_map(|backend| backend.learned).collect();
         let mean = mean_or(&known, DEFAULT_MAX / self.target_us);
         self.slowest_pace = known.iter().copied().fold(mean, f64::min);
         let reported: Vec<f64> = self.fleet.values().filter_map(|backend| backend.utilisation).collect();
         let used = mean_or(&reported, 0.0);
         for backend in self.fleet.values_mut() {
             backend.used = backend.utilisation.unwrap_or(used);
-            backend.pace = backend.learned().unwrap_or(mean);
+            backend.pace = backend.learned.unwrap_or(mean);
             // One that stands still yields no outcomes: what it has held longest bounds its pace.
             if let Some(oldest) = backend.held.values().next() {
                 let age_us = now_us.saturating_sub(oldest.sent_us).max(1);
@@ -132,17 +136,17 @@
             }
             backend.max = backend.pace * self.target_us * backend.warmth(&self.cold, now_us);
         }
-        let paces: Vec<f64> = self.fleet.values().filter(|b| b.ready()).map(|b| b.pace).collect();
+        let paces: Vec<f64> = self.ready().map(|backend| backend.pace).collect();
         self.usual_pace = mean_or(&paces, 0.0);
     }
 
     /// Sizes each type's group by its share of the load units, in learned maxima, strongest first.
     fn regroup(&mut self, now_us: u64) {
-        // A proxy that has just started knows no traffic: its first groups hold all, then grow in age.
+        // A proxy that has just started knows no traffic: its first groups hold all and are soon rebuilt.
         self.regroup_us = now_us + self.regroup_gap_us;
         self.regroup_gap_us = (self.regroup_gap_us * 2).min(REGROUP_US);
         // Where proxies are many, each uses its own part of the list, two backends at the least.
-        let count = self.fleet.values().filter(|backend| backend.ready()).count();
+        let count = self.ready().count();
         let part = (SHARED_BY * count).div_ceil(self.balancers).max(2);
         let first = self.number * count / self.balancers;
         let places = self.fleet.values_mut().filter(|backend| backend.ready()).enumerate();
@@ -221,7 +225,7 @@
                 && self.allowed(qry, &backend.listed, now_us)
                 && self.within_cold_budget(backend, qry.work, now_us)
         };
-        let kind = qry.kind;
+        let (kind, tail) = (qry.kind, qry.load > VALUES[3]);
         let (mut load, mut max, mut weight) = (0.0, 0.0, 0.0);
         let mut own = Vec::new();
         for (place, member) in self.groups[kind].iter().enumerate() {
@@ -233,7 +237,7 @@
             }
         }
         // Rotation would send a long tail to the slowest as readily as to the fastest.
-        if load <= max / 10.0 && !own.is_empty() && qry.load <= VALUES[3] {
+        if load <= max / 10.0 && !own.is_empty() && !tail {
             let group = &mut self.groups[kind];
             for (place, id) in &own {
                 group[*place].turn += self.fleet[id].listed.weight;
@@ -246,7 +250,7 @@
         // A long tail is past every maximum: it fits where it would end within its SLO time.
         let left_us = (qry.arrived_us + qry.slo_us).saturating_sub(now_us) as f64;
         let (load, work, reach) = (qry.load, qry.work, 1.0 + qry.importance);
-        let fits = |backend: &Backend| match load > VALUES[3] {
+        let fits = |backend: &Backend| match tail {
             true => backend.load() < backend.max && backend.work() + work <= backend.pace * left_us,
             false => backend.held.is_empty() || backend.load() + load <= backend.max,
         };
@@ -258,7 +262,7 @@
             for id in among.iter().filter(|id| takes(&self.fleet[id])) {
                 let backend = &self.fleet[id];
                 let ends_us = (backend.work() + work) / backend.pace;
-                let room = if load > VALUES[3] { -ends_us } else { backend.room() };
+                let room = if tail { -ends_us } else { backend.room() };
                 ties = if room == most { ties + 1 } else { 1 };
                 if room > most || room == most && rng.u32(0..ties) == 0 {
                     (best, most) = (Some(*id), room);
@@ -290,7 +294,7 @@
 
     fn place_waiting(&mut self, now_us: u64, out: &mut dyn Writer) {
         let mut full = false;
-        let none = !self.fleet.values().any(|backend| backend.ready());
+        let none = self.ready().next().is_none();
         for entry in self.waiting.clone() {
             let qry = &self.queries[&entry.2];
             let last_chance = none || qry.deadline_us <= now_us + 2 * SWEEP_US;
@@ -308,9 +312,9 @@
     }
 
     /// The final answer to a query that gets no further execution, at once.
-    fn give_up(&mut self, qry: &str, out: &mut dyn Writer) {
+    fn give_up(&mut self, id: &str, out: &mut dyn Writer) {
         let wait_us = self.expected_wait_us(Reverse(0)) as u64;
-        let qry = &self.queries[qry];
+        let qry = &self.queries[id];
         let workload = &self.workloads[qry.workload];
         let harmless = match workload.repeat {
             Repeat::Idempotent => true,
@@ -322,8 +326,7 @@
         } else {
             out.abort(&qry.id);
         }
-        let id = qry.id.clone();
-        self.close(&id, out);
+        self.close(id, out);
     }
 
     /// Ends a query here; executions still out are called off and count until their outcome.
@@ -344,7 +347,7 @@
     fn expected_wait_us(&self, rank: Reverse<u64>) -> f64 {
         let before = self.waiting.iter().take_while(|entry| entry.0 <= rank);
         let ahead: f64 = before.map(|entry| self.queries[&entry.2].work).sum();
-        let pace: f64 = self.fleet.values().filter(|b| b.ready() && b.ours).map(|b| b.pace).sum();
+        let pace: f64 = self.ready().filter(|backend| backend.ours).map(|backend| backend.pace).sum();
         ahead / pace.max(1e-9)
     }
 
@@ -352,7 +355,7 @@
     /// alike it is no backend's fault, and about a third of the fleet is shut at most.
     fn judge(&mut self, id: u32, success: bool, now_us: u64) {
         let recent = |backend: &Backend| backend.failures.count_ones();
-        let ready = self.fleet.values().filter(|backend| backend.ready()).count() as u32;
+        let ready = self.ready().count() as u32;
         let shut = self.fleet.values().filter(|backend| backend.shut_for_us > 0).count() as u32;
         let all: u32 = self.fleet.values().map(recent).sum();
         let backend = self.fleet.get_mut(&id).expect("only listed backends are used");
@@ -371,8 +374,7 @@
         for backend in self.fleet.values_mut() {
             // Without new outcomes an old pace fades, or a backend that was slow once would stay unused.
             if now_us > backend.sampled_us + 5_000_000 {
-                backend.paces.halve();
-                backend.sampled_us = now_us;
+                backend.fade(now_us);
             }
             backend.cold_sent.retain(|sent| sent.0 + self.cold.window_us >= now_us);
         }
@@ -425,8 +427,8 @@
         let units = hint_us.filter(|_| b.unit_us > 0.0).map(|hint_us| hint_us as f64 / b.unit_us);
         let kind = CUTS.iter().filter(|cut| units.is_some_and(|units| units >= **cut)).count();
         // The exception for long tails: past the heaviest value a query counts what its hint says.
-        let load =
-            if kind < 3 { VALUES[kind] } else { units.map_or(VALUES[3], |units| units.max(VALUES[3])) };
+        let long = units.filter(|_| kind == 3).unwrap_or(0.0);
+        let load = VALUES[kind].max(long);
         b.traffic[kind] += load;
         // Some cannot end in time even on the fastest backend: they would only keep it from the others.
         let takes = |hint_us: u64| b.speeds.at(0.9).map(|fastest| hint_us as f64 * 1e3 / fastest);
@@ -473,10 +475,9 @@
         exec.out = false;
         exec.may_have_run = !matches!(ended, Ended::TurnedAway | Ended::Unreachable | Ended::NotSent);
         let held = backend.held.remove(&exec.serial);
-        backend.utilisation = report.and_then(|report| report.utilisation).or(backend.utilisation);
+        backend.hear(report.unwrap_or_default());
         if let Some(held) = held.filter(|_| matches!(ended, Ended::Completed | Ended::TimedOut)) {
-            backend.paces.record(held.ahead * 1e9 / took_us.max(1) as f64, 16);
-            backend.sampled_us = now_us;
+            backend.learn(held.ahead / took_us.max(1) as f64, 16, now_us);
         }
         if ended == Ended::TurnedAway {
             // It says itself that it is full; as it answers at once it would else look the roomiest.
@@ -500,7 +501,7 @@
             let more = (qry.executions.len() as u32) < b.limits.max_executions
                 && qry.deadline_us > now_us
                 && b.further >= price
-                && b.fleet.values().any(|other| other.ready() && b.allowed(qry, &other.listed, now_us));
+                && b.ready().any(|other| b.allowed(qry, &other.listed, now_us));
             if more {
                 b.further -= price;
                 b.waiting.insert(qry.place());
@@ -529,10 +530,9 @@
     }
 
     pub fn reported(&mut self, backend: u32, report: LoadReport) {
-        let backend = self.balancer.fleet.get_mut(&backend);
-        backend
-            .into_iter()
-            .for_each(|backend| backend.utilisation = report.utilisation.or(backend.utilisation));
+        if let Some(backend) = self.balancer.fleet.get_mut(&backend) {
+            backend.hear(report);
+        }
     }
 
     /// Asks anew after a jittered wait that grows, so that the proxies don't keep the list down.
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -1,61 +1,51 @@
 //! What the decisions in `balance` remember. Nothing is decided here.
 
-use crate::interface::{ColdRule, Listed, Phase};
+use crate::interface::{ColdRule, Listed, LoadReport, Phase};
 use hdrhistogram::Histogram;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 
-/// A small histogram of few coarse bins; its middle is kept, since it is asked for more often than it moves.
-pub struct Bins {
-    values: Histogram<u32>,
-    middle: Option<f64>,
-}
+/// A small histogram of few coarse bins.
+pub struct Bins(Histogram<u32>);
 
 impl Default for Bins {
     fn default() -> Self {
-        let values = Histogram::new_with_bounds(1, 1 << 30, 1).expect("the bounds are constant and sound");
-        Bins { values, middle: None }
+        Bins(Histogram::new_with_bounds(1, 1 << 30, 1).expect("the bounds are constant and sound"))
     }
 }
 
 impl Bins {
     /// Records one value; once `most` are kept, all count half, so that the newer ones lead.
     pub fn record(&mut self, value: f64, most: u64) {
-        self.values.saturating_record(value as u64);
-        if self.values.len() >= most {
+        self.0.saturating_record(value as u64);
+        if self.0.len() >= most {
             self.halve();
         }
-        self.middle = self.at(0.5);
     }
 
     pub fn halve(&mut self) {
         let halved = |bin: hdrhistogram::iterators::IterationValue<u32>| {
             (bin.value_iterated_to(), bin.count_at_value() / 2)
         };
-        let bins: Vec<(u64, u32)> = self.values.iter_recorded().map(halved).collect();
-        self.values.reset();
-        bins.into_iter().for_each(|(value, count)| self.values.saturating_record_n(value, count));
-        self.middle = self.at(0.5);
+        let bins: Vec<(u64, u32)> = self.0.iter_recorded().map(halved).collect();
+        self.0.reset();
+        bins.into_iter().for_each(|(value, count)| self.0.saturating_record_n(value, count));
     }
 
     pub fn len(&self) -> u64 {
-        self.values.len()
+        self.0.len()
     }
 
     pub fn is_empty(&self) -> bool {
-        self.values.is_empty()
+        self.0.is_empty()
     }
 
     pub fn at(&self, quantile: f64) -> Option<f64> {
-        (!self.values.is_empty()).then(|| self.values.value_at_quantile(quantile) as f64)
-    }
-
-    pub fn middle(&self) -> Option<f64> {
-        self.middle
+        (!self.0.is_empty()).then(|| self.0.value_at_quantile(quantile) as f64)
     }
 
     pub fn mean(&self) -> f64 {
-        self.values.mean()
+        self.0.mean()
     }
 }
 
@@ -135,6 +125,8 @@
     /// What counts as its utilisation: its own report, else the mean of the reports there are.
     pub used: f64,
     pub paces: Bins,
+    /// The middle of the paces, kept since it is asked for far more often than it moves.
+    pub learned: Option<f64>,
     pub sampled_us: u64,
     /// Work a microsecond as last set from the outcomes, and the maximum that follows from it.
     pub pace: f64,
@@ -173,8 +165,23 @@
         self.max - self.load()
     }
 
-    pub fn learned(&self) -> Option<f64> {
-        self.paces.middle().map(|pace| pace / 1e9)
+    pub fn learn(&mut self, pace: f64, most: u64, now_us: u64) {
+        self.paces.record(pace * 1e9, most);
+        self.sampled(now_us);
+    }
+
+    pub fn fade(&mut self, now_us: u64) {
+        self.paces.halve();
+        self.sampled(now_us);
+    }
+
+    fn sampled(&mut self, now_us: u64) {
+        self.learned = self.paces.at(0.5).map(|pace| pace / 1e9);
+        self.sampled_us = now_us;
+    }
+
+    pub fn hear(&mut self, report: LoadReport) {
+        self.utilisation = report.utilisation.or(self.utilisation);
     }
 }
 
--- a/tests/ledger/mod.rs
+++ b/tests/ledger/mod.rs
@@ -11,6 +11,12 @@
     pub ended: Option<Ended>,
 }
 
+impl Sent {
+    fn may_have_run(&self) -> bool {
+        !matches!(self.ended, Some(Ended::TurnedAway | Ended::Unreachable | Ended::NotSent))
+    }
+}
+
 pub struct Taken {
     pub workload: usize,
     pub deadline_us: u64,
@@ -113,16 +119,13 @@
         };
         let qry = self.queries.get_mut(id).expect("only taken queries are executed");
         let workload = &self.workloads[qry.workload];
-        let ran = |sent: &&Sent| {
-            !matches!(sent.ended, Some(Ended::TurnedAway | Ended::Unreachable | Ended::NotSent))
-        };
         let group = |listed: Listed| match workload.group {
             DedupGroup::All => 0,
             DedupGroup::Zone => listed.zone,
             DedupGroup::Cell => listed.cell,
         };
         let out = qry.sent.iter().any(|sent| sent.ended.is_none());
-        let first = qry.sent.iter().find(ran);
+        let first = qry.sent.iter().find(|sent| sent.may_have_run());
         let outside = |first: &Sent| {
             group(on) != group(self.told[&first.backend].0) || now_us > first.at_us + workload.window_us
         };
@@ -149,12 +152,9 @@
     fn answered(&mut self, id: &str, answer: &'static str) {
         let qry = self.queries.get_mut(id).expect("only taken queries are answered");
         let workload = &self.workloads[qry.workload];
-        let ran = |sent: &Sent| {
-            !matches!(sent.ended, Some(Ended::TurnedAway | Ended::Unreachable | Ended::NotSent))
-        };
         let harmless = workload.repeat == Repeat::Idempotent
             || workload.repeat == Repeat::Deduplicated && workload.group == DedupGroup::All;
-        if answer == "rejected" && !harmless && qry.sent.iter().any(ran) {
+        if answer == "rejected" && !harmless && qry.sent.iter().any(Sent::may_have_run) {
             self.wrong.push(format!("{id} is rejected though it may have run"));
         }
         // A client may leave in the very round that answers it, which the round cannot know.
