A tenant's share saves up four queries at the least

Cause: a quota divided by 800 proxies fills a bucket of one second to less than one query, so all traffic of all tenants counted as beyond its share. Four may be saved now.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -19,6 +19,8 @@
 /// Queries that all proxies together leave with one backend: more only wait there, where they can no
 /// longer be rejected, and a crowded backend may turn slow and stay slow.
 const CROWD: usize = 6;
+/// Queries a tenant may save up at the least: a share of a quota over many proxies holds less than one.
+const SHARE_KEPT: f64 = 4.0;
 /// Proxies that share one backend at most: one query of each of many would be a crowd again.
 const SHARED_BY: usize = 3;
 
@@ -72,7 +74,7 @@
     ) -> Self {
         let slo_us = workloads.iter().map(|workload| workload.slo_us).min().unwrap_or(0);
         let share = |tenant: &Tenant| tenant.quota_per_s / f64::from(balancers.max(1));
-        let allowance = |tenant| Allowance { per_us: share(tenant) / 1e6, left: share(tenant), filled_us: 0 };
+        let allowance = |tenant| Allowance { per_us: share(tenant) / 1e6, left: share(tenant).max(SHARE_KEPT), filled_us: 0 };
         Balancer {
             rng: Rng::with_seed(seed),
             balancers: balancers.max(1) as usize,
@@ -415,7 +417,7 @@
         let about = b.workloads.get(workload).ok_or_else(|| format!("unknown workload {workload}"))?;
         let slo_us = about.slo_us;
         let mut importance = about.importance / most;
-        if !b.tenants.get_mut(tenant).is_none_or(|share| share.take(self.now_us, 1e6)) {
+        if !b.tenants.get_mut(tenant).is_none_or(|share| share.take(self.now_us, SHARE_KEPT)) {
             importance *= b.beyond_share;
         }
         if let Some(hint_us) = hint_us {
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -193,10 +193,10 @@
 }
 
 impl Allowance {
-    /// Takes one query from what has gathered over at most `most_us`, if that much is left.
-    pub fn take(&mut self, now_us: u64, most_us: f64) -> bool {
+    /// Takes one query from what has gathered over a second, or at most `least` where that is more.
+    pub fn take(&mut self, now_us: u64, least: f64) -> bool {
         let gained = self.per_us * now_us.saturating_sub(self.filled_us) as f64;
-        (self.left, self.filled_us) = ((self.left + gained).min(self.per_us * most_us), now_us);
+        (self.left, self.filled_us) = ((self.left + gained).min((self.per_us * 1e6).max(least)), now_us);
         let within = self.left >= 1.0;
         self.left -= f64::from(u8::from(within));
         within
