--- a/crates/simhost/src/launch.rs
+++ b/crates/simhost/src/launch.rs
@@ -71,5 +71,6 @@
             window_us: at(conf, "Safety.OverloadForUs")?,
         },
         discovery == "subscribe",
+        at(conf, "Limits.Peers")?,
     ))
 }
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -176,8 +176,7 @@
         }
         "NoteFrom" => {
             need(line.neighbour, message, "Neighbour")?;
-            need(line.bytes.as_deref(), message, "Bytes")?;
-            // The proxies tell one another nothing yet, so a note holds nothing to pass on.
+            inbox.told(need(line.bytes.as_deref(), message, "Bytes")?);
             Ok(())
         }
         "Endpoints" => {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -13,6 +13,8 @@
 const VALUES: [f64; 4] = [1.0, 2.0, 2.0, 3.0];
 /// Hints are cut half-way between the values, the two equal ones half-way between their cuts.
 const CUTS: [f64; 3] = [1.5, 2.0, 2.5];
+/// A pace may be wrong, and a note tells of no end: what was told counts no longer than this.
+const TOLD_US: u64 = 4_000_000;
 const REGROUP_US: u64 = 30_000_000;
 const SWEEP_US: u64 = 25_000;
 const DEFAULT_MAX: f64 = 8.0;
@@ -23,12 +25,17 @@
 const SHARE_KEPT: f64 = 4.0;
 /// Proxies that share one backend at most: one query of each of many would be a crowd again.
 const SHARED_BY: usize = 3;
+/// Backends in a proxy's part at the least: with notes from the peers it can tell a few apart, without
+/// them more than two would only gather more unseen queries on each.
+const PART_TOLD: usize = 4;
+const PART_ALONE: usize = 2;
 
 #[derive(Default)]
 pub struct Balancer {
     rng: Rng,
     balancers: usize,
     number: usize,
+    peers: bool,
     workloads: Vec<Workload>,
     limits: ExecutionLimits,
     cold: ColdRule,
@@ -40,6 +47,8 @@
     slowest_pace: f64,
     usual_pace: f64,
     fleet: BTreeMap<u32, Backend>,
+    /// The backends that this proxy uses: all, or where proxies are many its part of the list.
+    part: Vec<u32>,
     groups: [Vec<Member>; 4],
     regroup_us: u64,
     regroup_gap_us: u64,
@@ -70,7 +79,7 @@
 impl Balancer {
     pub fn new(
         seed: u64, balancers: u32, number: u32, workloads: Vec<Workload>, tenants: Vec<Tenant>,
-        beyond_share: f64, limits: ExecutionLimits, cold: ColdRule, must_ask: bool,
+        beyond_share: f64, limits: ExecutionLimits, cold: ColdRule, must_ask: bool, peers: bool,
     ) -> Self {
         let slo_us = workloads.iter().map(|workload| workload.slo_us).min().unwrap_or(0);
         let share = |tenant: &Tenant| tenant.quota_per_s / f64::from(balancers.max(1));
@@ -79,6 +88,7 @@
             rng: Rng::with_seed(seed),
             balancers: balancers.max(1) as usize,
             number: number as usize,
+            peers,
             tenants: tenants.iter().map(allowance).collect(),
             target_us: (slo_us as f64 / 8.0).max(1.0),
             workloads,
@@ -100,10 +110,14 @@
             out.subscribe();
         }
         feed(&mut Inbox { balancer: self, out, now_us })?;
-        self.set_maxima(now_us);
         if now_us >= self.regroup_us {
             self.regroup(now_us);
         }
+        // A peer's note alone calls for no decision.
+        if self.waiting.is_empty() && self.sweeping {
+            return Ok(());
+        }
+        self.set_maxima(now_us);
         // Only after all news: what ends in this batch needs no second copy.
         if !self.sweeping {
             self.sweep(now_us, out);
@@ -116,19 +130,23 @@
         Ok(())
     }
 
-    fn ready(&self) -> impl Iterator<Item = &Backend> {
-        self.fleet.values().filter(|backend| backend.ready())
+    fn ours(&self) -> impl Iterator<Item = &Backend> {
+        self.part.iter().map(|id| &self.fleet[id])
     }
 
     /// A maximum is the work that a backend does within the target time at the pace its outcomes show;
     /// without outcomes it is the mean of the others' maxima.
     fn set_maxima(&mut self, now_us: u64) {
-        let known: Vec<f64> = self.fleet.values().filter_map(|backend| backend.learned).collect();
+        let known: Vec<f64> = self.ours().filter_map(|backend| backend.learned).collect();
         let mean = mean_or(&known, DEFAULT_MAX / self.target_us);
         self.slowest_pace = known.iter().copied().fold(mean, f64::min);
-        let reported: Vec<f64> = self.fleet.values().filter_map(|backend| backend.utilisation).collect();
+        let reported: Vec<f64> = self.ours().filter_map(|backend| backend.utilisation).collect();
         let used = mean_or(&reported, 0.0);
-        for backend in self.fleet.values_mut() {
+        let bound = self.waiting.iter().any(|entry| self.queries[&entry.2].binding().is_some());
+        let ids = if bound { self.fleet.keys().copied().collect() } else { self.part.clone() };
+        for id in ids {
+            let backend = self.fleet.get_mut(&id).expect("parts hold listed backends");
+            backend.told.retain(|told| told.until_us > now_us);
             backend.used = backend.utilisation.unwrap_or(used);
             backend.pace = backend.learned.unwrap_or(mean);
             // One that stands still yields no outcomes: what it has held longest bounds its pace.
@@ -138,7 +156,7 @@
             }
             backend.max = backend.pace * self.target_us * backend.warmth(&self.cold, now_us);
         }
-        let paces: Vec<f64> = self.ready().map(|backend| backend.pace).collect();
+        let paces: Vec<f64> = self.ours().map(|backend| backend.pace).collect();
         self.usual_pace = mean_or(&paces, 0.0);
     }
 
@@ -148,13 +166,21 @@
         self.regroup_us = now_us + self.regroup_gap_us;
         self.regroup_gap_us = (self.regroup_gap_us * 2).min(REGROUP_US);
         // Where proxies are many, each uses its own part of the list, two backends at the least.
-        let count = self.ready().count();
-        let part = (SHARED_BY * count).div_ceil(self.balancers).max(2);
-        let first = self.number * count / self.balancers;
-        let places = self.fleet.values_mut().filter(|backend| backend.ready()).enumerate();
-        places.for_each(|(place, backend)| backend.ours = (place + count - first % count) % count < part);
-        let ready = self.fleet.values().filter(|backend| backend.ready() && backend.ours);
-        let mut servers: Vec<&Backend> = ready.collect();
+        let ready: Vec<u32> = self.fleet.values().filter(|b| b.ready()).map(|b| b.listed.backend).collect();
+        let (count, balancers) = (ready.len(), self.balancers);
+        let least = if self.peers { PART_TOLD } else { PART_ALONE };
+        let part = (SHARED_BY * count).div_ceil(balancers).max(least).min(count);
+        let holds = |number: usize, place: usize| (place + count - number * count / balancers) % count < part;
+        self.part.clear();
+        for (place, id) in ready.into_iter().enumerate().filter(|(place, _)| holds(self.number, *place)) {
+            self.part.push(id);
+            let others = (0..balancers).filter(|other| *other != self.number && holds(*other, place));
+            let backend = self.fleet.get_mut(&id).expect("parts hold listed backends");
+            backend.sharers = others.map(|other| other as u32).collect();
+        }
+        self.set_maxima(now_us);
+        let mut rng = self.rng.fork();
+        let mut servers: Vec<&Backend> = self.ours().collect();
         servers.sort_by(|a, b| b.max.total_cmp(&a.max));
         let whole: f64 = servers.iter().map(|server| server.max).sum();
         let units: f64 = self.traffic.iter().sum();
@@ -170,10 +196,10 @@
             let among = (0..4).filter(|kind| spare || bare(kind));
             let kind = among.max_by(|a, b| wanted[*a].total_cmp(&wanted[*b])).unwrap_or(0);
             wanted[kind] -= server.max;
-            groups[kind].push(member(server, self.rng.f64()));
+            groups[kind].push(member(server, rng.f64()));
         }
         for group in groups.iter_mut().filter(|group| group.is_empty()) {
-            group.extend(servers.iter().map(|server| member(server, self.rng.f64())));
+            group.extend(servers.iter().map(|server| member(server, rng.f64())));
         }
         self.groups = groups;
         self.traffic = self.traffic.map(|traffic| traffic / 2.0);
@@ -213,7 +239,8 @@
         let bears = self.cold.multiple * warmth * self.slowest_pace * window_us as f64;
         let recent = backend.cold_sent.iter().filter(|sent| sent.0 + window_us >= now_us);
         let sent: f64 = recent.map(|sent| sent.1).sum();
-        warmth >= 1.0 || sent + work <= bears / self.balancers as f64
+        let users = if self.part.contains(&backend.listed.backend) { backend.sharers.len() + 1 } else { self.balancers };
+        warmth >= 1.0 || sent + work <= bears / users as f64
     }
 
     fn choose(&mut self, qry: &str, now_us: u64, second: bool) -> Option<u32> {
@@ -221,8 +248,10 @@
         let qry = &self.queries[qry];
         let usable = |backend: &Backend| {
             backend.open(now_us)
-                && (backend.ours || qry.binding().is_some())
-                && backend.held.len() < (CROWD / self.balancers).max(1)
+                && match self.peers {
+                    true => backend.held.len() + backend.told.len() < CROWD,
+                    false => backend.held.len() < (CROWD / self.balancers).max(1),
+                }
                 && qry.executions.iter().all(|exec| exec.backend != backend.listed.backend)
                 && self.allowed(qry, &backend.listed, now_us)
                 && self.within_cold_budget(backend, qry.work, now_us)
@@ -275,7 +304,11 @@
         if let Some(id) = roomiest(&own, &fits) {
             return Some(id);
         }
-        let all: Vec<u32> = self.fleet.iter().filter(|(_, b)| usable(b)).map(|(id, _)| *id).collect();
+        // A bound query's group may lie outside the part.
+        let all: Vec<u32> = match qry.binding() {
+            Some(_) => self.fleet.values().filter(|b| usable(b)).map(|b| b.listed.backend).collect(),
+            None => self.ours().filter(|b| usable(b)).map(|b| b.listed.backend).collect(),
+        };
         roomiest(&all, &fits).or_else(|| roomiest(&own, &bears)).or_else(|| roomiest(&all, &bears))
     }
 
@@ -284,6 +317,7 @@
         let qry = self.queries.get_mut(qry).expect("placed queries are live");
         let backend = self.fleet.get_mut(&id).expect("only listed backends are used");
         if backend.warmth(&self.cold, now_us) < 1.0 {
+            backend.cold_sent.retain(|sent| sent.0 + self.cold.window_us >= now_us);
             backend.cold_sent.push_back((now_us, qry.work));
         }
         let ahead = backend.work() + qry.work;
@@ -292,11 +326,17 @@
         let expected_us = (ahead / backend.pace.max(1e-9)) as u64;
         qry.executions.push(Execution::new(id, self.last_serial, now_us, expected_us));
         out.execute(&qry.id, id, qry.deadline_us - now_us);
+        if self.peers {
+            // An end is not told: it would cost as much again, and one's own outcomes show what is done.
+            let digit = char::from_digit(qry.work.ceil().min(35.0) as u32, 36).unwrap_or('z');
+            let note = format!("{:x}{digit}", id & 0xffff);
+            backend.sharers.iter().for_each(|peer| out.tell(Some(*peer), &note));
+        }
     }
 
     fn place_waiting(&mut self, now_us: u64, out: &mut dyn Writer) {
         let mut full = false;
-        let none = self.ready().next().is_none();
+        let none = self.part.is_empty();
         for entry in self.waiting.clone() {
             let qry = &self.queries[&entry.2];
             let last_chance = none || qry.deadline_us <= now_us + 2 * SWEEP_US;
@@ -349,7 +389,8 @@
     fn expected_wait_us(&self, rank: Reverse<u64>) -> f64 {
         let before = self.waiting.iter().take_while(|entry| entry.0 <= rank);
         let ahead: f64 = before.map(|entry| self.queries[&entry.2].work).sum();
-        let pace: f64 = self.ready().filter(|backend| backend.ours).map(|backend| backend.pace).sum();
+        let users = |backend: &Backend| if self.peers { backend.sharers.len() + 1 } else { 1 };
+        let pace: f64 = self.ours().map(|backend| backend.pace / users(backend) as f64).sum();
         ahead / pace.max(1e-9)
     }
 
@@ -357,9 +398,9 @@
     /// alike it is no backend's fault, and about a third of the fleet is shut at most.
     fn judge(&mut self, id: u32, success: bool, now_us: u64) {
         let recent = |backend: &Backend| backend.failures.count_ones();
-        let ready = self.ready().count() as u32;
-        let shut = self.fleet.values().filter(|backend| backend.shut_for_us > 0).count() as u32;
-        let all: u32 = self.fleet.values().map(recent).sum();
+        let ready = self.part.len() as u32;
+        let shut = self.ours().filter(|backend| backend.shut_for_us > 0).count() as u32;
+        let all: u32 = self.ours().map(recent).sum();
         let backend = self.fleet.get_mut(&id).expect("only listed backends are used");
         backend.failures = backend.failures << 1 | u8::from(!success);
         let worse = recent(backend) >= 3 && recent(backend) * ready >= 2 * all && shut * 3 < ready;
@@ -373,12 +414,12 @@
     }
 
     fn sweep(&mut self, now_us: u64, out: &mut dyn Writer) {
-        for backend in self.fleet.values_mut() {
+        for id in &self.part {
+            let backend = self.fleet.get_mut(id).expect("parts hold listed backends");
             // Without new outcomes an old pace fades, or a backend that was slow once would stay unused.
             if now_us > backend.sampled_us + 5_000_000 {
                 backend.fade(now_us);
             }
-            backend.cold_sent.retain(|sent| sent.0 + self.cold.window_us >= now_us);
         }
         // Half the SLO time in vain here leaves too little for the rest: a prompt answer is better.
         let waiting = self.waiting.iter().map(|entry| &self.queries[&entry.2]);
@@ -477,6 +518,10 @@
         exec.out = false;
         exec.may_have_run = !matches!(ended, Ended::TurnedAway | Ended::Unreachable | Ended::NotSent);
         let held = backend.held.remove(&exec.serial);
+        if ended == Ended::Completed {
+            // What peers sent before it is done too: backends take queries in turn.
+            backend.told.retain(|told| told.at_us > exec.sent_us);
+        }
         backend.hear(report.unwrap_or_default());
         if let Some(held) = held.filter(|_| matches!(ended, Ended::Completed | Ended::TimedOut)) {
             backend.learn(held.ahead / took_us.max(1) as f64, 16, now_us);
@@ -503,7 +548,7 @@
             let more = (qry.executions.len() as u32) < b.limits.max_executions
                 && qry.deadline_us > now_us
                 && b.further >= price
-                && b.ready().any(|other| b.allowed(qry, &other.listed, now_us));
+                && b.fleet.values().any(|other| other.ready() && b.allowed(qry, &other.listed, now_us));
             if more {
                 b.further -= price;
                 b.waiting.insert(qry.place());
@@ -513,6 +558,19 @@
         }
     }
 
+    /// What a peer has just sent to a backend that both use, told by the end of its id and one digit.
+    pub fn told(&mut self, note: &str) {
+        let b = &mut *self.balancer;
+        let short = note.get(..note.len().saturating_sub(1)).and_then(|id| u32::from_str_radix(id, 16).ok());
+        let work = note.chars().last().and_then(|digit| digit.to_digit(36));
+        let id = b.part.iter().find(|id| Some(**id & 0xffff) == short);
+        if let (Some(id), Some(work)) = (id, work.map(f64::from)) {
+            let backend = b.fleet.get_mut(id).expect("parts hold listed backends");
+            let takes_us = ((backend.work() + work) / backend.pace.max(1e-9)) as u64;
+            backend.told.push(Told { at_us: self.now_us, until_us: self.now_us + takes_us.min(TOLD_US), work });
+        }
+    }
+
     /// A stream has started: the answer is the client's now and nothing is left to decide.
     pub fn begun(&mut self, id: &str) {
         if let Some(qry) = self.balancer.queries.get_mut(id) {
@@ -562,6 +620,7 @@
                 b.regroup_us = self.now_us;
             }
         }
+        b.part.retain(|id| b.fleet[id].ready());
         for group in &mut b.groups {
             group.retain(|member| b.fleet[&member.backend].ready());
             if group.is_empty() {
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -115,12 +115,20 @@
     pub ahead: f64,
 }
 
+/// A peer's execution, counted until it is held to be done.
+pub struct Told {
+    pub at_us: u64,
+    pub until_us: u64,
+    pub work: f64,
+}
+
 #[derive(Default)]
 pub struct Backend {
     pub listed: Listed,
     pub held: BTreeMap<u64, Held>,
-    /// Whether it is among those that this proxy uses, where proxies are many.
-    pub ours: bool,
+    /// The other proxies that use it, and what they have told of.
+    pub sharers: Vec<u32>,
+    pub told: Vec<Told>,
     pub utilisation: Option<f64>,
     /// What counts as its utilisation: its own report, else the mean of the reports there are.
     pub used: f64,
@@ -154,11 +162,16 @@
 
     pub fn load(&self) -> f64 {
         let own: f64 = self.held.values().map(|held| held.load).sum();
-        own + self.used * self.max
+        own + self.others() + self.used * self.max
     }
 
     pub fn work(&self) -> f64 {
-        self.held.values().map(|held| held.work).sum()
+        self.others() + self.held.values().map(|held| held.work).sum::<f64>()
+    }
+
+    /// The work that peers have told of.
+    pub fn others(&self) -> f64 {
+        self.told.iter().map(|told| told.work).sum()
     }
 
     pub fn room(&self) -> f64 {
