Peers that share a backend are told of executions on it, starts and ends; a judge by the part

Cause: with 5 proxies to a backend each holds less than one query at a time and sees nothing of the others' work; the paper assumes one balancer. What a proxy has out above the plain type is told to those that share the backend, and counts as load there. Parts are of six backends where that may be done, cut from a list in which data centres take turns.

--- a/crates/simhost/src/launch.rs
+++ b/crates/simhost/src/launch.rs
@@ -37,8 +37,8 @@
     })
 }
 
-fn tenant(conf: &Value) -> Result<Tenant, String> {
-    Ok(Tenant { quota_per_s: at(conf, "QuotaRps")? })
+fn tenant(conf: &Value, beyond_importance: f64) -> Result<Tenant, String> {
+    Ok(Tenant { quota_per_s: at(conf, "QuotaRps")?, beyond_importance })
 }
 
 pub fn balancer(salt: u64, conf: &Value) -> Result<Balancer, String> {
@@ -48,7 +48,8 @@
     let workloads: Vec<Value> = at(conf, "Workloads")?;
     let tenants: Vec<Value> = at(conf, "Tenants")?;
     let workloads: Result<Vec<Workload>, String> = workloads.iter().map(workload).collect();
-    let tenants: Result<Vec<Tenant>, String> = tenants.iter().map(tenant).collect();
+    let beyond: f64 = at(conf, "BeyondShareImportance")?;
+    let tenants: Result<Vec<Tenant>, String> = tenants.iter().map(|one| tenant(one, beyond)).collect();
     let advice: bool = at(conf, "Limits.RetryAfter")?;
     let discovery: String = at(conf, "Discovery")?;
     Ok(Balancer::new(
@@ -57,7 +58,6 @@
         at(conf, "MyNumber")?,
         workloads?,
         tenants?,
-        at(conf, "BeyondShareImportance")?,
         ExecutionLimits {
             max_executions: at(conf, "Limits.MaxExecutions")?,
             may_duplicate: at(conf, "Limits.MayDuplicate")?,
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -175,8 +175,8 @@
             Ok(())
         }
         "NoteFrom" => {
-            need(line.neighbour, message, "Neighbour")?;
-            inbox.told(need(line.bytes.as_deref(), message, "Bytes")?);
+            let peer = need(line.neighbour, message, "Neighbour")?;
+            inbox.told(peer, need(line.bytes.as_deref(), message, "Bytes")?);
             Ok(())
         }
         "Endpoints" => {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -13,7 +13,7 @@
 const VALUES: [f64; 4] = [1.0, 2.0, 2.0, 3.0];
 /// Hints are cut half-way between the values, the two equal ones half-way between their cuts.
 const CUTS: [f64; 3] = [1.5, 2.0, 2.5];
-/// A pace may be wrong, and a note tells of no end: what was told counts no longer than this.
+/// The note of an end may be lost: what was told counts no longer than this.
 const TOLD_US: u64 = 4_000_000;
 const REGROUP_US: u64 = 30_000_000;
 const SWEEP_US: u64 = 25_000;
@@ -21,13 +21,15 @@
 /// Queries that all proxies together leave with one backend: more only wait there, where they can no
 /// longer be rejected, and a crowded backend may turn slow and stay slow.
 const CROWD: usize = 6;
+/// The same where the peers' are known: all of these are there, not only as many as there might be.
+const CROWD_TOLD: usize = 4;
 /// Queries a tenant may save up at the least: a share of a quota over many proxies holds less than one.
 const SHARE_KEPT: f64 = 4.0;
 /// Proxies that share one backend at most: one query of each of many would be a crowd again.
 const SHARED_BY: usize = 3;
 /// Backends in a proxy's part at the least: with notes from the peers it can tell a few apart, without
 /// them more than two would only gather more unseen queries on each.
-const PART_TOLD: usize = 4;
+const PART_TOLD: usize = 6;
 const PART_ALONE: usize = 2;
 
 #[derive(Default)]
@@ -39,7 +41,6 @@
     workloads: Vec<Workload>,
     limits: ExecutionLimits,
     cold: ColdRule,
-    beyond_share: f64,
     tenants: Vec<Allowance>,
     must_ask: bool,
     asks_lost: u32,
@@ -79,11 +80,16 @@
 impl Balancer {
     pub fn new(
         seed: u64, balancers: u32, number: u32, workloads: Vec<Workload>, tenants: Vec<Tenant>,
-        beyond_share: f64, limits: ExecutionLimits, cold: ColdRule, must_ask: bool, peers: bool,
+        limits: ExecutionLimits, cold: ColdRule, must_ask: bool, peers: bool,
     ) -> Self {
         let slo_us = workloads.iter().map(|workload| workload.slo_us).min().unwrap_or(0);
         let share = |tenant: &Tenant| tenant.quota_per_s / f64::from(balancers.max(1));
-        let allowance = |tenant| Allowance { per_us: share(tenant) / 1e6, left: share(tenant).max(SHARE_KEPT), filled_us: 0 };
+        let allowance = |tenant: &Tenant| Allowance {
+            per_us: share(tenant) / 1e6,
+            left: share(tenant).max(SHARE_KEPT),
+            filled_us: 0,
+            beyond: tenant.beyond_importance,
+        };
         Balancer {
             rng: Rng::with_seed(seed),
             balancers: balancers.max(1) as usize,
@@ -94,7 +100,6 @@
             workloads,
             limits,
             cold,
-            beyond_share,
             must_ask,
             regroup_gap_us: 1_000_000,
             further: 10.0,
@@ -166,13 +171,24 @@
         self.regroup_us = now_us + self.regroup_gap_us;
         self.regroup_gap_us = (self.regroup_gap_us * 2).min(REGROUP_US);
         // Where proxies are many, each uses its own part of the list, two backends at the least.
-        let ready: Vec<u32> = self.fleet.values().filter(|b| b.ready()).map(|b| b.listed.backend).collect();
+        // Data centres take turns in the list, so that each part has backends of all in their proportion.
+        let mut sizes: BTreeMap<u32, f64> = BTreeMap::new();
+        let mut ready: Vec<(f64, u32)> = Vec::new();
+        for backend in self.fleet.values().filter(|backend| backend.ready()) {
+            let place = sizes.entry(backend.listed.zone).or_default();
+            *place += 1.0;
+            ready.push((*place - 0.5, backend.listed.backend));
+        }
+        ready.iter_mut().for_each(|(place, id)| *place /= sizes[&self.fleet[id].listed.zone]);
+        ready.sort_by(|a, b| a.0.total_cmp(&b.0));
         let (count, balancers) = (ready.len(), self.balancers);
         let least = if self.peers { PART_TOLD } else { PART_ALONE };
         let part = (SHARED_BY * count).div_ceil(balancers).max(least).min(count);
-        let holds = |number: usize, place: usize| (place + count - number * count / balancers) % count < part;
+        let holds =
+            |number: usize, place: usize| (place + count - number * count / balancers % count) % count < part;
         self.part.clear();
-        for (place, id) in ready.into_iter().enumerate().filter(|(place, _)| holds(self.number, *place)) {
+        for (place, (_, id)) in ready.into_iter().enumerate().filter(|(place, _)| holds(self.number, *place))
+        {
             self.part.push(id);
             let others = (0..balancers).filter(|other| *other != self.number && holds(*other, place));
             let backend = self.fleet.get_mut(&id).expect("parts hold listed backends");
@@ -239,7 +255,11 @@
         let bears = self.cold.multiple * warmth * self.slowest_pace * window_us as f64;
         let recent = backend.cold_sent.iter().filter(|sent| sent.0 + window_us >= now_us);
         let sent: f64 = recent.map(|sent| sent.1).sum();
-        let users = if self.part.contains(&backend.listed.backend) { backend.sharers.len() + 1 } else { self.balancers };
+        let users = if self.part.contains(&backend.listed.backend) {
+            backend.sharers.len() + 1
+        } else {
+            self.balancers
+        };
         warmth >= 1.0 || sent + work <= bears / users as f64
     }
 
@@ -249,7 +269,7 @@
         let usable = |backend: &Backend| {
             backend.open(now_us)
                 && match self.peers {
-                    true => backend.held.len() + backend.told.len() < CROWD,
+                    true => backend.held.len() + backend.told.len() < CROWD_TOLD,
                     false => backend.held.len() < (CROWD / self.balancers).max(1),
                 }
                 && qry.executions.iter().all(|exec| exec.backend != backend.listed.backend)
@@ -326,11 +346,9 @@
         let expected_us = (ahead / backend.pace.max(1e-9)) as u64;
         qry.executions.push(Execution::new(id, self.last_serial, now_us, expected_us));
         out.execute(&qry.id, id, qry.deadline_us - now_us);
-        if self.peers {
-            // An end is not told: it would cost as much again, and one's own outcomes show what is done.
-            let digit = char::from_digit(qry.work.ceil().min(35.0) as u32, 36).unwrap_or('z');
-            let note = format!("{:x}{digit}", id & 0xffff);
-            backend.sharers.iter().for_each(|peer| out.tell(Some(*peer), &note));
+        // What a plain query adds is less than the notes of it cost.
+        if self.peers && (qry.kind > 0 || self.unit_us == 0.0) {
+            backend.tell(qry.work, out);
         }
     }
 
@@ -459,7 +477,7 @@
         let slo_us = about.slo_us;
         let mut importance = about.importance / most;
         if !b.tenants.get_mut(tenant).is_none_or(|share| share.take(self.now_us, SHARE_KEPT)) {
-            importance *= b.beyond_share;
+            importance *= b.tenants[tenant].beyond;
         }
         if let Some(hint_us) = hint_us {
             b.hints.record(hint_us as f64, u64::MAX);
@@ -518,9 +536,8 @@
         exec.out = false;
         exec.may_have_run = !matches!(ended, Ended::TurnedAway | Ended::Unreachable | Ended::NotSent);
         let held = backend.held.remove(&exec.serial);
-        if ended == Ended::Completed {
-            // What peers sent before it is done too: backends take queries in turn.
-            backend.told.retain(|told| told.at_us > exec.sent_us);
+        if b.peers && held.is_some() && (qry.kind > 0 || b.unit_us == 0.0) {
+            backend.tell(0.0, self.out);
         }
         backend.hear(report.unwrap_or_default());
         if let Some(held) = held.filter(|_| matches!(ended, Ended::Completed | Ended::TimedOut)) {
@@ -558,16 +575,16 @@
         }
     }
 
-    /// What a peer has just sent to a backend that both use, told by the end of its id and one digit.
-    pub fn told(&mut self, note: &str) {
-        let b = &mut *self.balancer;
-        let short = note.get(..note.len().saturating_sub(1)).and_then(|id| u32::from_str_radix(id, 16).ok());
-        let work = note.chars().last().and_then(|digit| digit.to_digit(36));
-        let id = b.part.iter().find(|id| Some(**id & 0xffff) == short);
-        if let (Some(id), Some(work)) = (id, work.map(f64::from)) {
-            let backend = b.fleet.get_mut(id).expect("parts hold listed backends");
-            let takes_us = ((backend.work() + work) / backend.pace.max(1e-9)) as u64;
-            backend.told.push(Told { at_us: self.now_us, until_us: self.now_us + takes_us.min(TOLD_US), work });
+    /// A peer has sent some work to a backend that both use or, where the work is nothing, has done with its oldest.
+    pub fn told(&mut self, peer: u32, note: &str) {
+        let (b, now_us) = (&mut *self.balancer, self.now_us);
+        let Some((short, work)) = read_note(note) else { return };
+        let Some(id) = b.part.iter().find(|id| *id & 0xffff == short) else { return };
+        let backend = b.fleet.get_mut(id).expect("parts hold listed backends");
+        if work > 0.0 {
+            backend.told.push(Told { peer, work, until_us: now_us + TOLD_US });
+        } else if let Some(oldest) = backend.told.iter().position(|told| told.peer == peer) {
+            backend.told.remove(oldest);
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -31,6 +31,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Tenant {
     pub quota_per_s: f64,
+    /// What the importance beyond it is scaled by.
+    pub beyond_importance: f64,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -1,6 +1,6 @@
 //! What the decisions in `balance` remember. Nothing is decided here.
 
-use crate::interface::{ColdRule, Listed, LoadReport, Phase};
+use crate::interface::{ColdRule, Listed, LoadReport, Phase, Writer};
 use hdrhistogram::Histogram;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
@@ -117,9 +117,16 @@
 
 /// A peer's execution, counted until it is held to be done.
 pub struct Told {
-    pub at_us: u64,
-    pub until_us: u64,
+    pub peer: u32,
     pub work: f64,
+    pub until_us: u64,
+}
+
+/// A note between proxies: the end of a backend's id, then a sign for the work in quarters of a load unit.
+pub fn read_note(note: &str) -> Option<(u32, f64)> {
+    let sign = note.chars().last()?;
+    let short = u32::from_str_radix(&note[..note.len() - sign.len_utf8()], 16).ok()?;
+    Some((short, f64::from((sign as u32).saturating_sub(33)) / 4.0))
 }
 
 #[derive(Default)]
@@ -169,6 +176,14 @@
         self.others() + self.held.values().map(|held| held.work).sum::<f64>()
     }
 
+    /// Tells all who share it of one execution's work, or of nothing when one has ended.
+    pub fn tell(&self, work: f64, out: &mut dyn Writer) {
+        let least = f64::from(u8::from(work > 0.0));
+        let sign = char::from(33 + (work * 4.0).round().clamp(least, 93.0) as u8);
+        let note = format!("{:x}{sign}", self.listed.backend & 0xffff);
+        self.sharers.iter().for_each(|peer| out.tell(Some(*peer), &note));
+    }
+
     /// The work that peers have told of.
     pub fn others(&self) -> f64 {
         self.told.iter().map(|told| told.work).sum()
@@ -203,6 +218,8 @@
     pub per_us: f64,
     pub left: f64,
     pub filled_us: u64,
+    /// What the importance beyond it is scaled by.
+    pub beyond: f64,
 }
 
 impl Allowance {
--- a/tests/ledger/mod.rs
+++ b/tests/ledger/mod.rs
@@ -32,6 +32,8 @@
     pub queries: BTreeMap<String, Taken>,
     pub wakes: Vec<(u64, String)>,
     pub asked: u32,
+    pub peers: bool,
+    pub notes: Vec<(u32, String)>,
     pub wrong: Vec<String>,
 }
 
@@ -51,12 +53,24 @@
 impl Ledger {
     pub fn new(workloads: Vec<Workload>, limits: ExecutionLimits) -> Self {
         let (told, queries, wakes, wrong) = (BTreeMap::new(), BTreeMap::new(), Vec::new(), Vec::new());
-        Ledger { now_us: 7_000_000, workloads, limits, told, queries, wakes, asked: 0, wrong }
+        Ledger {
+            now_us: 7_000_000,
+            workloads,
+            limits,
+            told,
+            queries,
+            wakes,
+            asked: 0,
+            peers: false,
+            notes: Vec::new(),
+            wrong,
+        }
     }
 
     pub fn balancer(&self, seed: u64, balancers: u32, number: u32) -> Balancer {
-        let (workloads, tenants) = (self.workloads.clone(), vec![Tenant { quota_per_s: 200.0 }; 2]);
-        Balancer::new(seed, balancers, number, workloads, tenants, 0.1, self.limits, COLD, true)
+        let (workloads, tenants) =
+            (self.workloads.clone(), vec![Tenant { quota_per_s: 200.0, beyond_importance: 0.1 }; 2]);
+        Balancer::new(seed, balancers, number, workloads, tenants, self.limits, COLD, true, self.peers)
     }
 
     /// One round `step_us` later, with the timers that are due; then the clock is held against rule 1.
@@ -207,6 +221,14 @@
     fn fetch_list(&mut self) {}
     fn probe(&mut self, _backend: u32) {}
     fn close_idle(&mut self, _backend: u32) {}
-    fn tell(&mut self, _peer: Option<u32>, _bytes: &str) {}
+    fn tell(&mut self, peer: Option<u32>, bytes: &str) {
+        let note = (peer.expect("no note goes to all"), bytes.to_owned());
+        self.put(move |ledger| {
+            if !ledger.peers {
+                ledger.wrong.push("a note is sent where proxies may not talk".into());
+            }
+            ledger.notes.push(note);
+        });
+    }
     fn log(&mut self, _line: &str) {}
 }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -235,3 +235,17 @@
     ask(&mut ledger, &mut balancer, "after", None);
     assert_eq!(ledger.queries["after"].sent.len(), 0, "both have just said that they are full");
 }
+
+#[test]
+fn what_peers_tell_of_a_backend_counts_until_its_end_and_what_is_sent_is_told() {
+    let (mut ledger, _) = start(Repeat::Idempotent, 2, 2, 0, false);
+    ledger.peers = true;
+    let mut balancer = ledger.balancer(5, 2, 0);
+    let listed = [ready(0), ready(1)];
+    ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.tell(inbox, &listed));
+    ledger.round(&mut balancer, 5_000, |_, inbox| (0..3).for_each(|_| inbox.told(1, "0z")));
+    assert_eq!(spread(&mut ledger, &mut balancer, "q", &[None; 4]), vec![1; 4]);
+    assert_eq!(ledger.notes.len(), 8, "a start and an end of each to the one peer: {:?}", ledger.notes);
+    ledger.round(&mut balancer, 5_000, |_, inbox| (0..3).for_each(|_| inbox.told(1, "0!")));
+    assert!(spread(&mut ledger, &mut balancer, "r", &[None; 4]).contains(&0));
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -16,6 +16,7 @@
     let max_backoff_us = rng.u64(0..2) * 500_000;
     let limits = ExecutionLimits { may_duplicate, cancel, max_executions, max_backoff_us };
     let mut ledger = Ledger::new(workloads, limits);
+    ledger.peers = rng.bool();
     let mut balancer = ledger.balancer(seed, rng.u32(0..12), rng.u32(0..12));
     let (backends, hinted, rate) = (rng.u32(0..12), rng.bool(), rng.usize(1..6));
     let (failing, steps) = (rng.f64() * 0.5, 250);
@@ -31,6 +32,9 @@
                 item.since_us = [0, ledger.now_us - 500_000][rng.usize(0..2)];
                 ledger.tell(inbox, &[item]);
             }
+            if rng.u8(0..10) == 0 {
+                inbox.told(rng.u32(0..12), ["3A", "5!", "", "é", "zz"][rng.usize(0..5)]);
+            }
             if rng.u8(0..40) == 0 {
                 inbox.list_lost();
             }
