--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -168,10 +168,10 @@
             Ok(())
         }
         "ProbeDone" => {
-            let backend = need(line.backend, message, "Backend")?;
+            need(line.backend, message, "Backend")?;
             need(line.duration_us, message, "DurationUs")?;
             ended(need(line.rc, message, "Rc")?)?;
-            inbox.reported(backend, report(&line.gauge).unwrap_or_default());
+            // No backend is ever probed, so nothing hangs on the answer.
             Ok(())
         }
         "NoteFrom" => {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,13 +1,14 @@
 //! All decisions of the proxy. A host makes one `Balancer` an instance and calls `round` once for
 //! each batch of news: inside the call it feeds what came in through `Inbox`, then the round places
 //! what waits. Decisions leave through the `Writer`; it and the plain types stand in interface.rs.
-//! The mechanism (types, groups, rotation, best fit) and each exception to it: docs/design.md.
+//! What it remembers stands in kept.rs. The mechanism (types, groups, rotation, best fit) and each exception to it: docs/design.md.
 
 use crate::interface::*;
+pub use crate::kept::Balancer;
 use crate::kept::*;
 use fastrand::Rng;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 /// The paper's load values of the four types, from plain to heavy on all counts.
 const VALUES: [f64; 4] = [1.0, 2.0, 2.0, 3.0];
@@ -21,49 +22,18 @@
 /// Queries that all proxies together leave with one backend: more only wait there, where they can no
 /// longer be rejected, and a crowded backend may turn slow and stay slow.
 const CROWD: usize = 6;
-/// The same where the peers' are known: all of these are there, not only as many as there might be.
+/// The same where the peers' are known and none is a guess.
 const CROWD_TOLD: usize = 4;
 /// Queries a tenant may save up at the least: a share of a quota over many proxies holds less than one.
 const SHARE_KEPT: f64 = 4.0;
+/// Sharers that are told of an execution for each load unit of its work.
+const WORTH_TELLING: f64 = 16.0;
 /// Proxies that share one backend at most: one query of each of many would be a crowd again.
 const SHARED_BY: usize = 3;
-/// Backends in a proxy's part at the least: with notes from the peers it can tell a few apart, without
-/// them more than two would only gather more unseen queries on each.
+/// Backends in a part at the least: without notes from peers more would gather more unseen queries on each.
 const PART_TOLD: usize = 6;
 const PART_ALONE: usize = 2;
 
-#[derive(Default)]
-pub struct Balancer {
-    rng: Rng,
-    balancers: usize,
-    number: usize,
-    peers: bool,
-    workloads: Vec<Workload>,
-    limits: ExecutionLimits,
-    cold: ColdRule,
-    tenants: Vec<Allowance>,
-    must_ask: bool,
-    asks_lost: u32,
-    target_us: f64,
-    slowest_pace: f64,
-    usual_pace: f64,
-    fleet: BTreeMap<u32, Backend>,
-    /// The backends that this proxy uses: all, or where proxies are many its part of the list.
-    part: Vec<u32>,
-    groups: [Vec<Member>; 4],
-    regroup_us: u64,
-    regroup_gap_us: u64,
-    hints: Bins,
-    speeds: Bins,
-    unit_us: f64,
-    traffic: [f64; 4],
-    queries: BTreeMap<String, Query>,
-    waiting: BTreeSet<Place>,
-    last_serial: u64,
-    further: f64,
-    sweeping: bool,
-}
-
 pub struct Inbox<'a> {
     balancer: &'a mut Balancer,
     out: &'a mut dyn Writer,
@@ -75,6 +45,11 @@
         // One that was shut gets one query at a time until one is completed.
         self.ready() && now_us >= self.shut_until_us && (self.shut_for_us == 0 || self.held.is_empty())
     }
+
+    fn tells(&self, peers: bool, work: f64) -> bool {
+        // A note costs as often as there are sharers: for many it is worth that only of much work.
+        peers && work * WORTH_TELLING >= self.sharers.len() as f64
+    }
 }
 
 impl Balancer {
@@ -84,18 +59,14 @@
     ) -> Self {
         let slo_us = workloads.iter().map(|workload| workload.slo_us).min().unwrap_or(0);
         let share = |tenant: &Tenant| tenant.quota_per_s / f64::from(balancers.max(1));
-        let allowance = |tenant: &Tenant| Allowance {
-            per_us: share(tenant) / 1e6,
-            left: share(tenant).max(SHARE_KEPT),
-            filled_us: 0,
-            beyond: tenant.beyond_importance,
-        };
+        let allowance = |tenant: &Tenant| Allowance::new(share(tenant), SHARE_KEPT, tenant.beyond_importance);
         Balancer {
             rng: Rng::with_seed(seed),
             balancers: balancers.max(1) as usize,
             number: number as usize,
             peers,
             tenants: tenants.iter().map(allowance).collect(),
+            most_importance: workloads.iter().map(|workload| workload.importance).fold(1e-9, f64::max),
             target_us: (slo_us as f64 / 8.0).max(1.0),
             workloads,
             limits,
@@ -161,8 +132,6 @@
             }
             backend.max = backend.pace * self.target_us * backend.warmth(&self.cold, now_us);
         }
-        let paces: Vec<f64> = self.ours().map(|backend| backend.pace).collect();
-        self.usual_pace = mean_or(&paces, 0.0);
     }
 
     /// Sizes each type's group by its share of the load units, in learned maxima, strongest first.
@@ -171,28 +140,21 @@
         self.regroup_us = now_us + self.regroup_gap_us;
         self.regroup_gap_us = (self.regroup_gap_us * 2).min(REGROUP_US);
         // Where proxies are many, each uses its own part of the list, two backends at the least.
-        // Data centres take turns in the list, so that each part has backends of all in their proportion.
-        let mut sizes: BTreeMap<u32, f64> = BTreeMap::new();
-        let mut ready: Vec<(f64, u32)> = Vec::new();
-        for backend in self.fleet.values().filter(|backend| backend.ready()) {
-            let place = sizes.entry(backend.listed.zone).or_default();
-            *place += 1.0;
-            ready.push((*place - 0.5, backend.listed.backend));
-        }
-        ready.iter_mut().for_each(|(place, id)| *place /= sizes[&self.fleet[id].listed.zone]);
-        ready.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let ready: Vec<u32> = self.fleet.values().filter(|b| b.ready()).map(|b| b.listed.backend).collect();
         let (count, balancers) = (ready.len(), self.balancers);
         let least = if self.peers { PART_TOLD } else { PART_ALONE };
         let part = (SHARED_BY * count).div_ceil(balancers).max(least).min(count);
         let holds =
             |number: usize, place: usize| (place + count - number * count / balancers % count) % count < part;
         self.part.clear();
-        for (place, (_, id)) in ready.into_iter().enumerate().filter(|(place, _)| holds(self.number, *place))
-        {
-            self.part.push(id);
-            let others = (0..balancers).filter(|other| *other != self.number && holds(*other, place));
-            let backend = self.fleet.get_mut(&id).expect("parts hold listed backends");
-            backend.sharers = others.map(|other| other as u32).collect();
+        for (place, id) in ready.iter().enumerate() {
+            let backend = self.fleet.get_mut(id).expect("ready ones are listed");
+            backend.sharers.clear();
+            if holds(self.number, place) {
+                self.part.push(*id);
+                let others = (0..balancers).filter(|other| *other != self.number && holds(*other, place));
+                backend.sharers.extend(others.map(|other| other as u32));
+            }
         }
         self.set_maxima(now_us);
         let mut rng = self.rng.fork();
@@ -202,48 +164,36 @@
         let units: f64 = self.traffic.iter().sum();
         let mut wanted = self.traffic.map(|traffic| whole * traffic / units.max(1e-9));
         let mut groups: [Vec<Member>; 4] = Default::default();
-        let member = |server: &&Backend, chance: f64| Member {
-            backend: server.listed.backend,
-            turn: chance * server.listed.weight,
-        };
         for (index, server) in servers.iter().enumerate().filter(|_| units > 0.0) {
             let bare = |kind: &usize| self.traffic[*kind] > 0.0 && groups[*kind].is_empty();
             let spare = servers.len() - index > (0..4).filter(bare).count();
             let among = (0..4).filter(|kind| spare || bare(kind));
             let kind = among.max_by(|a, b| wanted[*a].total_cmp(&wanted[*b])).unwrap_or(0);
             wanted[kind] -= server.max;
-            groups[kind].push(member(server, rng.f64()));
+            groups[kind].push(Member::new(server, rng.f64()));
         }
         for group in groups.iter_mut().filter(|group| group.is_empty()) {
-            group.extend(servers.iter().map(|server| member(server, rng.f64())));
+            group.extend(servers.iter().map(|server| Member::new(server, rng.f64())));
         }
         self.groups = groups;
         self.traffic = self.traffic.map(|traffic| traffic / 2.0);
-        self.set_unit();
         self.hints.halve();
     }
 
-    /// A load unit is half the mean hint, so that the values' cuts lie where most hints do.
-    fn set_unit(&mut self) {
-        if !self.hints.is_empty() {
-            self.unit_us = self.hints.mean() / 2.0;
-        }
-    }
-
     /// Whether rule 2 lets this query have a further execution on this backend now.
     fn allowed(&self, qry: &Query, on: &Listed, now_us: u64) -> bool {
         let Some(first) = qry.binding() else { return true };
         let workload = &self.workloads[qry.workload];
         let first_on = &self.fleet[&first.backend].listed;
+        let together = match workload.group {
+            DedupGroup::All => true,
+            DedupGroup::Zone => on.zone == first_on.zone,
+            DedupGroup::Cell => on.cell == first_on.cell,
+        };
         match workload.repeat {
             Repeat::Idempotent => true,
             Repeat::NonIdempotent => false,
-            Repeat::Deduplicated if now_us >= first.sent_us + workload.window_us => false,
-            Repeat::Deduplicated => match workload.group {
-                DedupGroup::All => true,
-                DedupGroup::Zone => on.zone == first_on.zone,
-                DedupGroup::Cell => on.cell == first_on.cell,
-            },
+            Repeat::Deduplicated => together && now_us < first.sent_us + workload.window_us,
         }
     }
 
@@ -255,23 +205,17 @@
         let bears = self.cold.multiple * warmth * self.slowest_pace * window_us as f64;
         let recent = backend.cold_sent.iter().filter(|sent| sent.0 + window_us >= now_us);
         let sent: f64 = recent.map(|sent| sent.1).sum();
-        let users = if self.part.contains(&backend.listed.backend) {
-            backend.sharers.len() + 1
-        } else {
-            self.balancers
-        };
+        let users = if backend.sharers.is_empty() { self.balancers } else { backend.sharers.len() + 1 };
         warmth >= 1.0 || sent + work <= bears / users as f64
     }
 
     fn choose(&mut self, qry: &str, now_us: u64, second: bool) -> Option<u32> {
         let mut rng = self.rng.fork();
         let qry = &self.queries[qry];
+        let most = if self.peers { CROWD_TOLD } else { (CROWD / self.balancers).max(1) };
         let usable = |backend: &Backend| {
             backend.open(now_us)
-                && match self.peers {
-                    true => backend.held.len() + backend.told.len() < CROWD_TOLD,
-                    false => backend.held.len() < (CROWD / self.balancers).max(1),
-                }
+                && backend.held.len() + backend.told.len() < most
                 && qry.executions.iter().all(|exec| exec.backend != backend.listed.backend)
                 && self.allowed(qry, &backend.listed, now_us)
                 && self.within_cold_budget(backend, qry.work, now_us)
@@ -279,24 +223,22 @@
         let (kind, tail) = (qry.kind, qry.load > VALUES[3]);
         let (mut load, mut max, mut weight) = (0.0, 0.0, 0.0);
         let mut own = Vec::new();
-        for (place, member) in self.groups[kind].iter().enumerate() {
+        for member in &self.groups[kind] {
             let backend = &self.fleet[&member.backend];
             if usable(backend) {
                 (load, max) = (load + backend.load(), max + backend.max);
                 weight += backend.listed.weight;
-                own.push((place, member.backend));
+                own.push(member.backend);
             }
         }
         // Rotation would send a long tail to the slowest as readily as to the fastest.
         if load <= max / 10.0 && !own.is_empty() && !tail {
-            let group = &mut self.groups[kind];
-            for (place, id) in &own {
-                group[*place].turn += self.fleet[id].listed.weight;
-            }
-            let turn = |place: &&(usize, u32)| group[place.0].turn;
-            let next = own.iter().max_by(|a, b| turn(a).total_cmp(&turn(b)))?;
-            group[next.0].turn -= weight;
-            return Some(next.1);
+            let mut among: Vec<&mut Member> =
+                self.groups[kind].iter_mut().filter(|member| own.contains(&member.backend)).collect();
+            among.iter_mut().for_each(|member| member.turn += self.fleet[&member.backend].listed.weight);
+            let next = among.into_iter().max_by(|a, b| a.turn.total_cmp(&b.turn))?;
+            next.turn -= weight;
+            return Some(next.backend);
         }
         // A long tail is past every maximum: it fits where it would end within its SLO time.
         let left_us = (qry.arrived_us + qry.slo_us).saturating_sub(now_us) as f64;
@@ -307,13 +249,10 @@
         };
         // Past the maxima the more important go further; the rest waits where it can still be rejected.
         let bears = |backend: &Backend| !second && backend.load() < backend.max * reach;
-        let own: Vec<u32> = own.into_iter().map(|member| member.1).collect();
         let mut roomiest = |among: &[u32], takes: &dyn Fn(&Backend) -> bool| {
             let (mut best, mut most, mut ties) = (None, f64::NEG_INFINITY, 0);
-            for id in among.iter().filter(|id| takes(&self.fleet[id])) {
-                let backend = &self.fleet[id];
-                let ends_us = (backend.work() + work) / backend.pace;
-                let room = if tail { -ends_us } else { backend.room() };
+            for (id, backend) in among.iter().map(|id| (id, &self.fleet[id])).filter(|of| takes(of.1)) {
+                let room = if tail { -(backend.work() + work) / backend.pace } else { backend.room() };
                 ties = if room == most { ties + 1 } else { 1 };
                 if room > most || room == most && rng.u32(0..ties) == 0 {
                     (best, most) = (Some(*id), room);
@@ -321,15 +260,14 @@
             }
             best
         };
-        if let Some(id) = roomiest(&own, &fits) {
-            return Some(id);
-        }
         // A bound query's group may lie outside the part.
-        let all: Vec<u32> = match qry.binding() {
-            Some(_) => self.fleet.values().filter(|b| usable(b)).map(|b| b.listed.backend).collect(),
-            None => self.ours().filter(|b| usable(b)).map(|b| b.listed.backend).collect(),
-        };
-        roomiest(&all, &fits).or_else(|| roomiest(&own, &bears)).or_else(|| roomiest(&all, &bears))
+        let mut all = self.part.clone();
+        if qry.binding().is_some() {
+            all = self.fleet.keys().copied().collect();
+        }
+        all.retain(|id| usable(&self.fleet[id]));
+        let first = roomiest(&own, &fits).or_else(|| roomiest(&all, &fits));
+        first.or_else(|| roomiest(&own, &bears)).or_else(|| roomiest(&all, &bears))
     }
 
     fn execute(&mut self, qry: &str, id: u32, now_us: u64, out: &mut dyn Writer) {
@@ -346,18 +284,16 @@
         let expected_us = (ahead / backend.pace.max(1e-9)) as u64;
         qry.executions.push(Execution::new(id, self.last_serial, now_us, expected_us));
         out.execute(&qry.id, id, qry.deadline_us - now_us);
-        // What a plain query adds is less than the notes of it cost.
-        if self.peers && (qry.kind > 0 || self.unit_us == 0.0) {
+        if backend.tells(self.peers, qry.work) {
             backend.tell(qry.work, out);
         }
     }
 
     fn place_waiting(&mut self, now_us: u64, out: &mut dyn Writer) {
         let mut full = false;
-        let none = self.part.is_empty();
         for entry in self.waiting.clone() {
             let qry = &self.queries[&entry.2];
-            let last_chance = none || qry.deadline_us <= now_us + 2 * SWEEP_US;
+            let last_chance = self.part.is_empty() || qry.deadline_us <= now_us + 2 * SWEEP_US;
             let (bound, on_time) = (qry.binding().is_some(), qry.deadline_us > now_us);
             let place = if full || !on_time { None } else { self.choose(&entry.2, now_us, false) };
             if let Some(id) = place {
@@ -376,11 +312,8 @@
         let wait_us = self.expected_wait_us(Reverse(0)) as u64;
         let qry = &self.queries[id];
         let workload = &self.workloads[qry.workload];
-        let harmless = match workload.repeat {
-            Repeat::Idempotent => true,
-            Repeat::Deduplicated => workload.group == DedupGroup::All || qry.binding().is_none(),
-            Repeat::NonIdempotent => qry.binding().is_none(),
-        };
+        let all = workload.repeat == Repeat::Deduplicated && workload.group == DedupGroup::All;
+        let harmless = qry.binding().is_none() || workload.repeat == Repeat::Idempotent || all;
         if harmless {
             out.reject(&qry.id, wait_us.max(self.target_us as u64).min(self.limits.max_backoff_us));
         } else {
@@ -447,21 +380,21 @@
         }
         // A second copy leaves a backend that is slow against its peers, never one among a slow fleet, within
         // a budget that overload spends at once: further executions must not feed it.
+        let paces: Vec<f64> = self.ours().map(|backend| backend.pace).collect();
+        let usual = mean_or(&paces, 0.0);
         let two = self.limits.may_duplicate && self.limits.max_executions > 1;
         let late = self.queries.iter().filter(|(_, qry)| match &qry.executions[..] {
             // One whose deadline is reached gets none: its time-out is on its way here.
             [exec] if two && exec.out && !qry.over && now_us < qry.deadline_us => {
-                let slow = self.fleet[&exec.backend].pace * 2.0 < self.usual_pace;
+                let slow = self.fleet[&exec.backend].pace * 2.0 < usual;
                 slow && now_us > exec.sent_us + (2 * exec.expected_us).max(qry.slo_us / 3)
             }
             _ => false,
         });
         for qry in late.map(|(id, _)| id.clone()).collect::<Vec<String>>() {
-            if self.further >= 1.0 {
-                if let Some(id) = self.choose(&qry, now_us, true) {
-                    self.further -= 1.0;
-                    self.execute(&qry, id, now_us, out);
-                }
+            if let Some(id) = (self.further >= 1.0).then(|| self.choose(&qry, now_us, true)).flatten() {
+                self.further -= 1.0;
+                self.execute(&qry, id, now_us, out);
             }
         }
     }
@@ -472,30 +405,29 @@
         &mut self, id: &str, workload: usize, tenant: usize, ttl_us: u64, hint_us: Option<u64>,
     ) -> Result<(), String> {
         let b = &mut *self.balancer;
-        let most = b.workloads.iter().map(|workload| workload.importance).fold(1e-9, f64::max);
         let about = b.workloads.get(workload).ok_or_else(|| format!("unknown workload {workload}"))?;
-        let slo_us = about.slo_us;
-        let mut importance = about.importance / most;
+        let (slo_us, tardy) = (about.slo_us, about.tardy_importance);
+        let mut importance = about.importance / b.most_importance;
         if !b.tenants.get_mut(tenant).is_none_or(|share| share.take(self.now_us, SHARE_KEPT)) {
             importance *= b.tenants[tenant].beyond;
         }
         if let Some(hint_us) = hint_us {
             b.hints.record(hint_us as f64, u64::MAX);
+            // A load unit is half the mean hint, so that the values' cuts lie where most hints do.
             if b.hints.len().is_power_of_two() {
-                b.set_unit();
+                b.unit_us = b.hints.mean() / 2.0;
             }
         }
         let units = hint_us.filter(|_| b.unit_us > 0.0).map(|hint_us| hint_us as f64 / b.unit_us);
         let kind = CUTS.iter().filter(|cut| units.is_some_and(|units| units >= **cut)).count();
         // The exception for long tails: past the heaviest value a query counts what its hint says.
-        let long = units.filter(|_| kind == 3).unwrap_or(0.0);
-        let load = VALUES[kind].max(long);
+        let load = units.filter(|_| kind == 3).map_or(VALUES[kind], |units| units.max(VALUES[3]));
         b.traffic[kind] += load;
         // Some cannot end in time even on the fastest backend: they would only keep it from the others.
-        let takes = |hint_us: u64| b.speeds.at(0.9).map(|fastest| hint_us as f64 * 1e3 / fastest);
-        let takes_us = hint_us.and_then(takes).unwrap_or(0.0);
+        let takes_us =
+            hint_us.zip(b.speeds.at(0.9)).map_or(0.0, |(hint, fastest)| hint as f64 * 1e3 / fastest);
         if takes_us > slo_us as f64 {
-            importance *= b.workloads[workload].tardy_importance;
+            importance *= tardy;
         }
         b.further = (b.further + 0.1).min(20.0);
         b.last_serial += 1;
@@ -536,7 +468,7 @@
         exec.out = false;
         exec.may_have_run = !matches!(ended, Ended::TurnedAway | Ended::Unreachable | Ended::NotSent);
         let held = backend.held.remove(&exec.serial);
-        if b.peers && held.is_some() && (qry.kind > 0 || b.unit_us == 0.0) {
+        if held.is_some() && backend.tells(b.peers, qry.work) {
             backend.tell(0.0, self.out);
         }
         backend.hear(report.unwrap_or_default());
@@ -545,8 +477,7 @@
         }
         if ended == Ended::TurnedAway {
             // It says itself that it is full; as it answers at once it would else look the roomiest.
-            let until_us = now_us + 2 * b.target_us as u64;
-            backend.shut_until_us = backend.shut_until_us.max(until_us);
+            backend.shut_until_us = backend.shut_until_us.max(now_us + 2 * b.target_us as u64);
         }
         if ended == Ended::Completed && b.unit_us > 0.0 {
             b.speeds.record(qry.work * b.unit_us * 1e3 / took_us.max(1) as f64, 256);
@@ -606,12 +537,6 @@
         }
     }
 
-    pub fn reported(&mut self, backend: u32, report: LoadReport) {
-        if let Some(backend) = self.balancer.fleet.get_mut(&backend) {
-            backend.hear(report);
-        }
-    }
-
     /// Asks anew after a jittered wait that grows, so that the proxies don't keep the list down.
     pub fn list_lost(&mut self) {
         let b = &mut *self.balancer;
@@ -624,25 +549,20 @@
         let b = &mut *self.balancer;
         b.asks_lost = 0;
         for item in items {
-            let old = b.fleet.remove(&item.backend);
-            let was = old.as_ref().map(|old| (old.listed.phase, old.listed.since_us));
+            let backend = b.fleet.entry(item.backend).or_default();
             // What started anew is judged and learned anew; what is still out there counts on.
-            let mut backend = match old {
-                Some(old) if was.is_some_and(|was| was.1 == item.since_us) => old,
-                old => Backend { held: old.map(|old| old.held).unwrap_or_default(), ..Backend::default() },
-            };
-            backend.listed = *item;
-            b.fleet.insert(item.backend, backend);
-            if item.phase == Phase::Ready && was != Some((item.phase, item.since_us)) {
+            if backend.listed.since_us != item.since_us {
+                *backend = Backend { held: std::mem::take(&mut backend.held), ..Backend::default() };
+            }
+            if item.phase == Phase::Ready && !backend.ready() {
                 b.regroup_us = self.now_us;
             }
+            backend.listed = *item;
         }
         b.part.retain(|id| b.fleet[id].ready());
-        for group in &mut b.groups {
-            group.retain(|member| b.fleet[&member.backend].ready());
-            if group.is_empty() {
-                b.regroup_us = self.now_us;
-            }
+        b.groups.iter_mut().for_each(|group| group.retain(|member| b.fleet[&member.backend].ready()));
+        if b.groups.iter().any(Vec::is_empty) {
+            b.regroup_us = self.now_us;
         }
     }
 
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -1,9 +1,10 @@
 //! What the decisions in `balance` remember. Nothing is decided here.
 
-use crate::interface::{ColdRule, Listed, LoadReport, Phase, Writer};
+use crate::interface::*;
+use fastrand::Rng;
 use hdrhistogram::Histogram;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A small histogram of few coarse bins.
 pub struct Bins(Histogram<u32>);
@@ -36,10 +37,6 @@
         self.0.len()
     }
 
-    pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
-    }
-
     pub fn at(&self, quantile: f64) -> Option<f64> {
         (!self.0.is_empty()).then(|| self.0.value_at_quantile(quantile) as f64)
     }
@@ -223,6 +220,10 @@
 }
 
 impl Allowance {
+    pub fn new(per_s: f64, least: f64, beyond: f64) -> Self {
+        Allowance { per_us: per_s / 1e6, left: per_s.max(least), filled_us: 0, beyond }
+    }
+
     /// Takes one query from what has gathered over a second, or at most `least` where that is more.
     pub fn take(&mut self, now_us: u64, least: f64) -> bool {
         let gained = self.per_us * now_us.saturating_sub(self.filled_us) as f64;
@@ -233,8 +234,48 @@
     }
 }
 
+/// All that an instance remembers.
+#[derive(Default)]
+pub struct Balancer {
+    pub(crate) rng: Rng,
+    pub(crate) balancers: usize,
+    pub(crate) number: usize,
+    pub(crate) peers: bool,
+    pub(crate) workloads: Vec<Workload>,
+    pub(crate) limits: ExecutionLimits,
+    pub(crate) cold: ColdRule,
+    pub(crate) tenants: Vec<Allowance>,
+    pub(crate) must_ask: bool,
+    pub(crate) asks_lost: u32,
+    pub(crate) target_us: f64,
+    pub(crate) most_importance: f64,
+    pub(crate) slowest_pace: f64,
+    pub(crate) fleet: BTreeMap<u32, Backend>,
+    /// The backends that this proxy uses: all, or where proxies are many its part of the list.
+    pub(crate) part: Vec<u32>,
+    pub(crate) groups: [Vec<Member>; 4],
+    pub(crate) regroup_us: u64,
+    pub(crate) regroup_gap_us: u64,
+    pub(crate) hints: Bins,
+    pub(crate) speeds: Bins,
+    pub(crate) unit_us: f64,
+    pub(crate) traffic: [f64; 4],
+    pub(crate) queries: BTreeMap<String, Query>,
+    pub(crate) waiting: BTreeSet<Place>,
+    pub(crate) last_serial: u64,
+    pub(crate) further: f64,
+    pub(crate) sweeping: bool,
+}
+
 /// A backend in a group, with its turn in the rotation.
 pub struct Member {
     pub backend: u32,
     pub turn: f64,
 }
+
+impl Member {
+    /// In a turn of its own by chance, a part of what its weight adds at each.
+    pub fn new(server: &Backend, chance: f64) -> Self {
+        Member { backend: server.listed.backend, turn: chance * server.listed.weight }
+    }
+}
