--- a/src/balance.rs
+++ b/src/balance.rs
@@ -122,14 +122,13 @@
         let ids = if bound { self.fleet.keys().copied().collect() } else { self.part.clone() };
         for id in ids {
             let backend = self.fleet.get_mut(&id).expect("parts hold listed backends");
-            backend.told.retain(|told| told.at_us + TOLD_US > now_us);
+            backend.told.retain(|told| told.until_us > now_us);
             backend.used = backend.utilisation.unwrap_or(used);
             backend.pace = backend.learned.unwrap_or(mean);
             // One that stands still yields no outcomes: what it has held longest bounds its pace.
-            let held = backend.held.values().next().map(|oldest| (oldest.ahead, oldest.sent_us));
-            let told = backend.told.first().map(|oldest| (oldest.ahead, oldest.at_us));
-            for (ahead, since_us) in held.into_iter().chain(told) {
-                backend.pace = backend.pace.min(ahead / now_us.saturating_sub(since_us).max(1) as f64);
+            if let Some(oldest) = backend.held.values().next() {
+                let age_us = now_us.saturating_sub(oldest.sent_us).max(1);
+                backend.pace = backend.pace.min(oldest.ahead / age_us as f64);
             }
             backend.max = backend.pace * self.target_us * backend.warmth(&self.cold, now_us);
         }
@@ -514,8 +513,7 @@
         let Some(id) = b.part.iter().find(|id| *id & 0xffff == short) else { return };
         let backend = b.fleet.get_mut(id).expect("parts hold listed backends");
         if work > 0.0 {
-            let ahead = backend.work() + work;
-            backend.told.push(Told { peer, work, at_us: now_us, ahead });
+            backend.told.push(Told { peer, work, until_us: now_us + TOLD_US });
         } else if let Some(oldest) = backend.told.iter().position(|told| told.peer == peer) {
             backend.told.remove(oldest);
         }
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -116,9 +116,7 @@
 pub struct Told {
     pub peer: u32,
     pub work: f64,
-    pub at_us: u64,
-    /// All work there with it, as far as known here.
-    pub ahead: f64,
+    pub until_us: u64,
 }
 
 /// A note between proxies: the end of a backend's id, then a sign for the work in quarters of a load unit.
