A backend found crowded rests, by how many share it, and not for the most important

What an execution took beyond its own work and a target time now keeps the proxy away from that backend for half that time for each sharer past three, scaled by one minus the query's importance.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,7 +1,7 @@
 //! All decisions of the proxy. A host makes one `Balancer` an instance and calls `round` once for
 //! each batch of news: inside the call it feeds what came in through `Inbox`, then the round places
-//! what waits. Decisions leave through the `Writer`; it and the plain types stand in interface.rs.
-//! What it remembers stands in kept.rs. The mechanism (types, groups, rotation, best fit) and each exception to it: docs/design.md.
+//! what waits. Decisions leave through the `Writer` (interface.rs); memory stands in kept.rs, the
+//! mechanism (types, groups, rotation, best fit) and each exception to it in docs/design.md.
 
 use crate::interface::*;
 pub use crate::kept::Balancer;
@@ -19,15 +19,14 @@
 const REGROUP_US: u64 = 30_000_000;
 const SWEEP_US: u64 = 25_000;
 const DEFAULT_MAX: f64 = 8.0;
-/// Queries that all proxies together leave with one backend: more only wait there, where they can no
-/// longer be rejected, and a crowded backend may turn slow and stay slow.
+/// Queries left with one backend by all proxies: more only wait where none can reject them, and slow it.
 const CROWD: usize = 6;
 /// The same where the peers' are known and none is a guess.
 const CROWD_TOLD: usize = 4;
 /// Queries a tenant may save up at the least: a share of a quota over many proxies holds less than one.
 const SHARE_KEPT: f64 = 4.0;
 /// Sharers that are told of an execution for each load unit of its work.
-const WORTH_TELLING: f64 = 16.0;
+const WORTH_TELLING: f64 = 20.0;
 /// Proxies that share one backend at most: one query of each of many would be a crowd again.
 const SHARED_BY: usize = 3;
 /// Backends in a part at the least: without notes from peers more would gather more unseen queries on each.
@@ -41,9 +40,12 @@
 }
 
 impl Backend {
-    fn open(&self, now_us: u64) -> bool {
+    fn open(&self, now_us: u64, importance: f64) -> bool {
+        // The most important need not wait out a rest, so that it is the cheap ones that are turned away.
+        let rested_us = self.rest.0 + (self.rest.1 * (1.0 - importance)) as u64;
         // One that was shut gets one query at a time until one is completed.
-        self.ready() && now_us >= self.shut_until_us && (self.shut_for_us == 0 || self.held.is_empty())
+        let open = self.shut_for_us == 0 || self.held.is_empty();
+        open && self.ready() && now_us >= self.shut_until_us.max(rested_us)
     }
 
     fn tells(&self, peers: bool, work: f64) -> bool {
@@ -110,14 +112,12 @@
         self.part.iter().map(|id| &self.fleet[id])
     }
 
-    /// A maximum is the work that a backend does within the target time at the pace its outcomes show;
-    /// without outcomes it is the mean of the others' maxima.
+    /// A maximum is the work done within the target time at the learned pace, else at the others' mean.
     fn set_maxima(&mut self, now_us: u64) {
-        let known: Vec<f64> = self.ours().filter_map(|backend| backend.learned).collect();
-        let mean = mean_or(&known, DEFAULT_MAX / self.target_us);
-        self.slowest_pace = known.iter().copied().fold(mean, f64::min);
-        let reported: Vec<f64> = self.ours().filter_map(|backend| backend.utilisation).collect();
-        let used = mean_or(&reported, 0.0);
+        let known = || self.ours().filter_map(|backend| backend.learned);
+        let mean = mean_or(known(), DEFAULT_MAX / self.target_us);
+        self.slowest_pace = known().fold(mean, f64::min);
+        let used = mean_or(self.ours().filter_map(|backend| backend.utilisation), 0.0);
         let bound = self.waiting.iter().any(|entry| self.queries[&entry.2].binding().is_some());
         let ids = if bound { self.fleet.keys().copied().collect() } else { self.part.clone() };
         for id in ids {
@@ -139,13 +139,12 @@
         // A proxy that has just started knows no traffic: its first groups hold all and are soon rebuilt.
         self.regroup_us = now_us + self.regroup_gap_us;
         self.regroup_gap_us = (self.regroup_gap_us * 2).min(REGROUP_US);
-        // Where proxies are many, each uses its own part of the list, two backends at the least.
+        // Where proxies are many, each uses its own part of the list, an arc.
         let ready: Vec<u32> = self.fleet.values().filter(|b| b.ready()).map(|b| b.listed.backend).collect();
         let (count, balancers) = (ready.len(), self.balancers);
         let least = if self.peers { PART_TOLD } else { PART_ALONE };
         let part = (SHARED_BY * count).div_ceil(balancers).max(least).min(count);
-        let holds =
-            |number: usize, place: usize| (place + count - number * count / balancers % count) % count < part;
+        let holds = |of: usize, place: usize| (place + count - of * count / balancers % count) % count < part;
         self.part.clear();
         for (place, id) in ready.iter().enumerate() {
             let backend = self.fleet.get_mut(id).expect("ready ones are listed");
@@ -197,8 +196,7 @@
         }
     }
 
-    /// Rule 4: this proxy's share of what a cold backend bears in a window, by the slowest pace seen; that
-    /// is less than what that backend does, since others' work slows it too.
+    /// Rule 4: this proxy's share of what a cold backend bears in a window, by the slowest pace seen.
     fn within_cold_budget(&self, backend: &Backend, work: f64, now_us: u64) -> bool {
         let window_us = self.cold.window_us;
         let warmth = backend.warmth(&self.cold, now_us.saturating_sub(window_us / 2));
@@ -214,7 +212,7 @@
         let qry = &self.queries[qry];
         let most = if self.peers { CROWD_TOLD } else { (CROWD / self.balancers).max(1) };
         let usable = |backend: &Backend| {
-            backend.open(now_us)
+            backend.open(now_us, qry.importance)
                 && backend.held.len() + backend.told.len() < most
                 && qry.executions.iter().all(|exec| exec.backend != backend.listed.backend)
                 && self.allowed(qry, &backend.listed, now_us)
@@ -279,8 +277,9 @@
             backend.cold_sent.push_back((now_us, qry.work));
         }
         let ahead = backend.work() + qry.work;
-        let held = Held { sent_us: now_us, load: qry.load, work: qry.work, ahead };
-        backend.held.insert(self.last_serial, held);
+        backend
+            .held
+            .insert(self.last_serial, Held { sent_us: now_us, load: qry.load, work: qry.work, ahead });
         let expected_us = (ahead / backend.pace.max(1e-9)) as u64;
         qry.executions.push(Execution::new(id, self.last_serial, now_us, expected_us));
         out.execute(&qry.id, id, qry.deadline_us - now_us);
@@ -380,8 +379,7 @@
         }
         // A second copy leaves a backend that is slow against its peers, never one among a slow fleet, within
         // a budget that overload spends at once: further executions must not feed it.
-        let paces: Vec<f64> = self.ours().map(|backend| backend.pace).collect();
-        let usual = mean_or(&paces, 0.0);
+        let usual = mean_or(self.ours().map(|backend| backend.pace), 0.0);
         let two = self.limits.may_duplicate && self.limits.max_executions > 1;
         let late = self.queries.iter().filter(|(_, qry)| match &qry.executions[..] {
             // One whose deadline is reached gets none: its time-out is on its way here.
@@ -474,6 +472,11 @@
         backend.hear(report.unwrap_or_default());
         if let Some(held) = held.filter(|_| matches!(ended, Ended::Completed | Ended::TimedOut)) {
             backend.learn(held.ahead / took_us.max(1) as f64, 16, now_us);
+            // What passed beyond its own work went to a crowd of others: stay away so that all take turns.
+            let alone_us = b.speeds.at(0.9).map_or(0.0, |fastest| held.work * b.unit_us * 1e3 / fastest);
+            let extra_us = (took_us as f64 - alone_us - b.target_us).clamp(0.0, 1e6);
+            let unseen = backend.sharers.len().saturating_sub(SHARED_BY) as f64;
+            backend.rest = (now_us, extra_us * unseen / 2.0);
         }
         if ended == Ended::TurnedAway {
             // It says itself that it is full; as it answers at once it would else look the roomiest.
@@ -506,7 +509,7 @@
         }
     }
 
-    /// A peer has sent some work to a backend that both use or, where the work is nothing, has done with its oldest.
+    /// A peer has sent work to a backend that both use; no work means that its oldest there has ended.
     pub fn told(&mut self, peer: u32, note: &str) {
         let (b, now_us) = (&mut *self.balancer, self.now_us);
         let Some((short, work)) = read_note(note) else { return };
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -47,11 +47,13 @@
 }
 
 /// The mean of some values, or what counts where there are none.
-pub fn mean_or(values: &[f64], none: f64) -> f64 {
-    if values.is_empty() {
-        return none;
+pub fn mean_or(values: impl Iterator<Item = f64>, none: f64) -> f64 {
+    let (sum, count) = values.fold((0.0, 0.0), |(sum, count), value| (sum + value, count + 1.0));
+    if count > 0.0 {
+        sum / count
+    } else {
+        none
     }
-    values.iter().sum::<f64>() / values.len() as f64
 }
 
 pub struct Execution {
@@ -147,6 +149,8 @@
     pub failures: u8,
     pub shut_until_us: u64,
     pub shut_for_us: u64,
+    /// Since when it is left alone for being crowded, and how long.
+    pub rest: (u64, f64),
     pub cold_sent: VecDeque<(u64, f64)>,
 }
 
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -249,3 +249,21 @@
     ledger.round(&mut balancer, 5_000, |_, inbox| (0..3).for_each(|_| inbox.told(1, "0!")));
     assert!(spread(&mut ledger, &mut balancer, "r", &[None; 4]).contains(&0));
 }
+
+#[test]
+fn a_crowded_backend_is_left_alone_by_cheap_queries_but_not_by_the_most_important() {
+    let (mut ledger, _) = start(Repeat::Idempotent, 2, 40, 0, false);
+    ledger.workloads.push(workload(Repeat::Idempotent, DedupGroup::All, 0.1));
+    let mut balancer = ledger.balancer(5, 40, 0);
+    let listed = [ready(0), ready(1)];
+    ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.tell(inbox, &listed));
+    spread(&mut ledger, &mut balancer, "learn", &[Some(20_000); 20]);
+    // Each takes most of a second though it is light: others must be there.
+    ["a", "b"].iter().for_each(|id| ask(&mut ledger, &mut balancer, id, Some(20_000)));
+    end(&mut ledger, &mut balancer, 800_000, |_| Ended::Completed);
+    ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.take(inbox, "cheap", 1, 900_000, Some(20_000)));
+    assert_eq!(ledger.queries["cheap"].sent.len(), 0, "both rest");
+    ask(&mut ledger, &mut balancer, "dear", Some(20_000));
+    assert_eq!(ledger.queries["dear"].sent.len(), 1);
+    assert_eq!(ledger.wrong, Vec::<String>::new());
+}
