--- a/src/balance.rs
+++ b/src/balance.rs
@@ -26,7 +26,7 @@
 /// Queries a tenant may save up at the least: a share of a quota over many proxies holds less than one.
 const SHARE_KEPT: f64 = 4.0;
 /// Sharers that are told of an execution for each load unit of its work.
-const WORTH_TELLING: f64 = 20.0;
+const WORTH_TELLING: f64 = 8.0;
 /// Proxies that share one backend at most: one query of each of many would be a crowd again.
 const SHARED_BY: usize = 3;
 /// Backends in a part at the least: without notes from peers more would gather more unseen queries on each.
@@ -412,7 +412,7 @@
         if let Some(hint_us) = hint_us {
             b.hints.record(hint_us as f64, u64::MAX);
             // A load unit is half the mean hint, so that the values' cuts lie where most hints do.
-            if b.hints.len().is_power_of_two() {
+            if b.hints.len() < 16 || b.hints.len().is_multiple_of(16) {
                 b.unit_us = b.hints.mean() / 2.0;
             }
         }
