--- a/src/balance.rs
+++ b/src/balance.rs
@@ -176,7 +176,6 @@
         }
         self.groups = groups;
         self.traffic = self.traffic.map(|traffic| traffic / 2.0);
-        self.hints.halve();
     }
 
     /// Whether rule 2 lets this query have a further execution on this backend now.
@@ -410,9 +409,9 @@
             importance *= b.tenants[tenant].beyond;
         }
         if let Some(hint_us) = hint_us {
-            b.hints.record(hint_us as f64, u64::MAX);
+            b.hints.record(hint_us as f64, 512);
             // A load unit is half the mean hint, so that the values' cuts lie where most hints do.
-            if b.hints.len() < 16 || b.hints.len().is_multiple_of(16) {
+            if b.hints.len().is_power_of_two() {
                 b.unit_us = b.hints.mean() / 2.0;
             }
         }
