Parts cut anew when a backend leaves, where proxies share parts

Cause: parts are arcs of the whole list; when backends left, some proxies kept arcs of the old list and a few backends had far more users than others.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -556,7 +556,9 @@
             if backend.listed.since_us != item.since_us {
                 *backend = Backend { held: std::mem::take(&mut backend.held), ..Backend::default() };
             }
-            if item.phase == Phase::Ready && !backend.ready() {
+            // Parts are cut from the whole list: where they are, one that leaves moves them all.
+            let (was, is) = (backend.ready(), item.phase == Phase::Ready);
+            if is && !was || was && !is && b.balancers > SHARED_BY {
                 b.regroup_us = self.now_us;
             }
             backend.listed = *item;
@@ -570,9 +572,9 @@
 
     pub fn list_whole(&mut self, items: &[Listed]) {
         let named: BTreeSet<u32> = items.iter().map(|item| item.backend).collect();
-        for (_, backend) in self.balancer.fleet.iter_mut().filter(|(id, _)| !named.contains(id)) {
-            backend.listed.phase = Phase::Gone;
-        }
-        self.list_changes(items);
+        let missing = self.balancer.fleet.values().filter(|backend| !named.contains(&backend.listed.backend));
+        let gone = missing.map(|backend| Listed { phase: Phase::Gone, ..backend.listed });
+        let items: Vec<Listed> = gone.chain(items.iter().copied()).collect();
+        self.list_changes(&items);
     }
 }
