--- a/src/balance.rs
+++ b/src/balance.rs
@@ -19,9 +19,8 @@
 const REGROUP_US: u64 = 30_000_000;
 const SWEEP_US: u64 = 25_000;
 const DEFAULT_MAX: f64 = 8.0;
-/// Queries left with one backend by all proxies: more only wait where none can reject them, and slow it.
+/// Queries left with one backend by all: more only wait where none can reject them; as guessed, and as told.
 const CROWD: usize = 6;
-/// The same where the peers' are known and none is a guess.
 const CROWD_TOLD: usize = 4;
 /// Queries a tenant may save up at the least: a share of a quota over many proxies holds less than one.
 const SHARE_KEPT: f64 = 4.0;
