--- a/tests/ledger/mod.rs
+++ b/tests/ledger/mod.rs
@@ -145,14 +145,8 @@
         };
         let deduplicated = workload.repeat == Repeat::Deduplicated;
         let breaks = [
-            (
-                qry.answer.is_some() || now_us > qry.deadline_us,
-                "is executed after its answer or its deadline",
-            ),
-            (
-                on.phase != Phase::Ready && now_us > told_us + 500_000,
-                "goes to a backend that drains or is gone",
-            ),
+            (qry.answer.is_some() || now_us > qry.deadline_us, "is executed after its answer or deadline"),
+            (on.phase != Phase::Ready && now_us > told_us + 500_000, "goes to one that drains or is gone"),
             (out && !limits.may_duplicate, "is out twice at a time"),
             (qry.sent.len() as u32 >= limits.max_executions, "is executed too often"),
             (workload.repeat == Repeat::NonIdempotent && first.is_some(), "may have two effects"),
@@ -197,9 +191,7 @@
         let qry = qry.to_owned();
         self.put(move |ledger| {
             if !ledger.limits.cancel || ledger.queries[&qry].sent.len() <= execution as usize {
-                ledger
-                    .wrong
-                    .push(format!("{qry} is cancelled where that is not allowed or nothing was sent"));
+                ledger.wrong.push(format!("{qry} is cancelled where it may not be or never went"));
             }
         });
     }
@@ -224,9 +216,7 @@
     fn tell(&mut self, peer: Option<u32>, bytes: &str) {
         let note = (peer.expect("no note goes to all"), bytes.to_owned());
         self.put(move |ledger| {
-            if !ledger.peers {
-                ledger.wrong.push("a note is sent where proxies may not talk".into());
-            }
+            ledger.wrong.extend((!ledger.peers).then(|| "a note leaves where none may".into()));
             ledger.notes.push(note);
         });
     }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -13,10 +13,15 @@
     let limits =
         ExecutionLimits { max_executions: 3, may_duplicate, cancel: true, max_backoff_us: 2_000_000 };
     let mut ledger = Ledger::new(vec![workload(kind, DedupGroup::All, 1.0)], limits);
+    let balancer = listed(&mut ledger, backends, balancers, number);
+    (ledger, balancer)
+}
+
+fn listed(ledger: &mut Ledger, backends: u32, balancers: u32, number: u32) -> Balancer {
     let mut balancer = ledger.balancer(5, balancers, number);
     let listed: Vec<Listed> = (0..backends).map(ready).collect();
     ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.tell(inbox, &listed));
-    (ledger, balancer)
+    balancer
 }
 
 fn ask(ledger: &mut Ledger, balancer: &mut Balancer, id: &str, hint_us: Option<u64>) {
@@ -240,9 +245,7 @@
 fn what_peers_tell_of_a_backend_counts_until_its_end_and_what_is_sent_is_told() {
     let (mut ledger, _) = start(Repeat::Idempotent, 2, 2, 0, false);
     ledger.peers = true;
-    let mut balancer = ledger.balancer(5, 2, 0);
-    let listed = [ready(0), ready(1)];
-    ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.tell(inbox, &listed));
+    let mut balancer = listed(&mut ledger, 2, 2, 0);
     ledger.round(&mut balancer, 5_000, |_, inbox| (0..3).for_each(|_| inbox.told(1, "0z")));
     assert_eq!(spread(&mut ledger, &mut balancer, "q", &[None; 4]), vec![1; 4]);
     assert_eq!(ledger.notes.len(), 8, "a start and an end of each to the one peer: {:?}", ledger.notes);
@@ -254,9 +257,7 @@
 fn a_crowded_backend_is_left_alone_by_cheap_queries_but_not_by_the_most_important() {
     let (mut ledger, _) = start(Repeat::Idempotent, 2, 40, 0, false);
     ledger.workloads.push(workload(Repeat::Idempotent, DedupGroup::All, 0.1));
-    let mut balancer = ledger.balancer(5, 40, 0);
-    let listed = [ready(0), ready(1)];
-    ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.tell(inbox, &listed));
+    let mut balancer = listed(&mut ledger, 2, 40, 0);
     spread(&mut ledger, &mut balancer, "learn", &[Some(20_000); 20]);
     // Each takes most of a second though it is light: others must be there.
     ["a", "b"].iter().for_each(|id| ask(&mut ledger, &mut balancer, id, Some(20_000)));
