Writer without the four methods that nothing calls; the crowded case also covers a share over 800 proxies

No decision changes. The case was seen to fail with a share that saves up a fifth of a query, without the rest, and, for the notes, without what is told.

--- a/crates/simhost/src/reply.rs
+++ b/crates/simhost/src/reply.rs
@@ -34,8 +34,6 @@
     recipient: Option<u32>,
     #[serde(skip_serializing_if = "Option::is_none")]
     bytes: Option<&'a str>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    line: Option<&'a str>,
 }
 
 impl<'a> Reply<'a> {
@@ -92,23 +90,7 @@
         self.put(Out { message: "Subscribe", want: Some(true), ..Out::default() });
     }
 
-    fn fetch_list(&mut self) {
-        self.put(Out { message: "QueryAll", ..Out::default() });
-    }
-
-    fn probe(&mut self, backend: u32) {
-        self.put(Out { message: "SoundOut", backend: Some(backend), ..Out::default() });
-    }
-
-    fn close_idle(&mut self, backend: u32) {
-        self.put(Out { message: "LetGo", backend: Some(backend), ..Out::default() });
-    }
-
-    fn tell(&mut self, peer: Option<u32>, bytes: &str) {
-        self.put(Out { message: "Announce", recipient: peer, bytes: Some(bytes), ..Out::default() });
-    }
-
-    fn log(&mut self, line: &str) {
-        self.put(Out { message: "Record", line: Some(line), ..Out::default() });
+    fn tell(&mut self, peer: u32, bytes: &str) {
+        self.put(Out { message: "Announce", recipient: Some(peer), bytes: Some(bytes), ..Out::default() });
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -99,9 +99,5 @@
     fn abort(&mut self, qry: &str);
     fn wake(&mut self, in_us: u64, token: &str);
     fn subscribe(&mut self);
-    fn fetch_list(&mut self);
-    fn probe(&mut self, backend: u32);
-    fn close_idle(&mut self, backend: u32);
-    fn tell(&mut self, peer: Option<u32>, bytes: &str);
-    fn log(&mut self, line: &str);
+    fn tell(&mut self, peer: u32, bytes: &str);
 }
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -182,7 +182,7 @@
         let least = f64::from(u8::from(work > 0.0));
         let sign = char::from(33 + (work * 4.0).round().clamp(least, 93.0) as u8);
         let note = format!("{:x}{sign}", self.listed.backend & 0xffff);
-        self.sharers.iter().for_each(|peer| out.tell(Some(*peer), &note));
+        self.sharers.iter().for_each(|peer| out.tell(*peer, &note));
     }
 
     /// The work that peers have told of.
--- a/tests/ledger/mod.rs
+++ b/tests/ledger/mod.rs
@@ -210,15 +210,11 @@
     fn subscribe(&mut self) {
         self.put(|ledger| ledger.asked += 1);
     }
-    fn fetch_list(&mut self) {}
-    fn probe(&mut self, _backend: u32) {}
-    fn close_idle(&mut self, _backend: u32) {}
-    fn tell(&mut self, peer: Option<u32>, bytes: &str) {
-        let note = (peer.expect("no note goes to all"), bytes.to_owned());
+    fn tell(&mut self, peer: u32, bytes: &str) {
+        let note = (peer, bytes.to_owned());
         self.put(move |ledger| {
             ledger.wrong.extend((!ledger.peers).then(|| "a note leaves where none may".into()));
             ledger.notes.push(note);
         });
     }
-    fn log(&mut self, _line: &str) {}
 }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -257,8 +257,10 @@
 fn a_crowded_backend_is_left_alone_by_cheap_queries_but_not_by_the_most_important() {
     let (mut ledger, _) = start(Repeat::Idempotent, 2, 40, 0, false);
     ledger.workloads.push(workload(Repeat::Idempotent, DedupGroup::All, 0.1));
-    let mut balancer = listed(&mut ledger, 2, 40, 0);
+    let mut balancer = listed(&mut ledger, 2, 800, 0);
     spread(&mut ledger, &mut balancer, "learn", &[Some(20_000); 20]);
+    // By then a share of a quota over 800 proxies has saved up some queries, which count in full.
+    ledger.round(&mut balancer, 20_000_000, |_, _| {});
     // Each takes most of a second though it is light: others must be there.
     ["a", "b"].iter().for_each(|id| ask(&mut ledger, &mut balancer, id, Some(20_000)));
     end(&mut ledger, &mut balancer, 800_000, |_| Ended::Completed);
