--- a/src/balance.rs
+++ b/src/balance.rs
@@ -24,9 +24,9 @@
 const CROWD_TOLD: usize = 4;
 /// Queries a tenant may save up at the least: a share of a quota over many proxies holds less than one.
 const SHARE_KEPT: f64 = 4.0;
-/// Sharers that are told of an execution for each load unit of its work.
+/// Sharers told of an execution for each load unit of its work: as many notes as it has sharers go out.
 const WORTH_TELLING: f64 = 8.0;
-/// Proxies that share one backend at most: one query of each of many would be a crowd again.
+/// Proxies that share one backend, where a part may be that small: one query of each of many is a crowd.
 const SHARED_BY: usize = 3;
 /// Backends in a part at the least: without notes from peers more would gather more unseen queries on each.
 const PART_TOLD: usize = 6;
@@ -343,7 +343,7 @@
     }
 
     /// Shuts a backend whose last few outcomes are bad and twice as bad as its peers': when all fail
-    /// alike it is no backend's fault, and about a third of the fleet is shut at most.
+    /// alike it is no backend's fault, and about a third of the part is shut at most.
     fn judge(&mut self, id: u32, success: bool, now_us: u64) {
         let recent = |backend: &Backend| backend.failures.count_ones();
         let ready = self.part.len() as u32;
