--- a/src/kept.rs
+++ b/src/kept.rs
@@ -179,8 +179,9 @@
 
     /// Tells all who share it of one execution's work, or of nothing when one has ended.
     pub fn tell(&self, work: f64, out: &mut dyn Writer) {
-        let least = f64::from(u8::from(work > 0.0));
-        let sign = char::from(33 + (work * 4.0).round().clamp(least, 93.0) as u8);
+        // Work that rounds to nothing would read as an end.
+        let quarters = if work > 0.0 { (work * 4.0).round().clamp(1.0, 93.0) } else { 0.0 };
+        let sign = char::from(33 + quarters as u8);
         let note = format!("{:x}{sign}", self.listed.backend & 0xffff);
         self.sharers.iter().for_each(|peer| out.tell(*peer, &note));
     }
@@ -278,7 +279,7 @@
 }
 
 impl Member {
-    /// In a turn of its own by chance, a part of what its weight adds at each.
+    /// With a first turn drawn by chance, below what its weight adds each time.
     pub fn new(server: &Backend, chance: f64) -> Self {
         Member { backend: server.listed.backend, turn: chance * server.listed.weight }
     }
