The proxy on sockets: axum in front, hyper-util's client behind, the module unchanged

One program round the module: front, query, decide, connect, backends, discovery, peers. The settings and list entries move to crates/launch for both hosts.

--- a/crates/simhost/src/launch.rs
+++ b/crates/launch/src/lib.rs
@@ -1,4 +1,9 @@
-//! Hands the settings of the first message to the module, each part only its own.
+//! Turns what an instance is told at its start, and the entries of its list, into the core's types.
+//! Both hosts use it, so that a setting means the same on sockets as in the simulator.
+
+mod list;
+
+pub use list::{Entry, Instance};
 
 use crankpick::balance::Balancer;
 use crankpick::interface::{ColdRule, DedupGroup, ExecutionLimits, Repeat, Tenant, Workload};
@@ -6,11 +11,11 @@
 use serde_json::Value;
 
 /// The value at `path`; what is absent takes its type's zero, and what is mistyped is named.
-fn at<T: DeserializeOwned + Default>(conf: &Value, path: &str) -> Result<T, String> {
+pub fn at<T: DeserializeOwned + Default>(conf: &Value, path: &str) -> Result<T, String> {
     let place = path.split('.').try_fold(conf, |place, step| place.get(step));
     match place {
         None | Some(Value::Null) => Ok(T::default()),
-        Some(value) => T::deserialize(value).map_err(|wrong| format!("Launch: {path} in Conf: {wrong}")),
+        Some(value) => T::deserialize(value).map_err(|wrong| format!("{path} in the settings: {wrong}")),
     }
 }
 
@@ -22,13 +27,13 @@
             "retryable" => Repeat::Idempotent,
             "dedup" => Repeat::Deduplicated,
             "fragile" => Repeat::NonIdempotent,
-            other => return Err(format!("Launch: unknown Repeat {other:?}")),
+            other => return Err(format!("settings: unknown Repeat {other:?}")),
         },
         group: match group.as_str() {
             "all" | "" => DedupGroup::All,
             "zone" => DedupGroup::Zone,
             "cell" => DedupGroup::Cell,
-            other => return Err(format!("Launch: unknown Group {other:?}")),
+            other => return Err(format!("settings: unknown Group {other:?}")),
         },
         window_us: at(conf, "WindowUs")?,
         slo_us: at(conf, "SloTimeUs")?,
@@ -41,9 +46,15 @@
     Ok(Tenant { quota_per_s: at(conf, "QuotaRps")?, beyond_importance })
 }
 
+/// The value that every entry of the list at `path` has under `name`: the names of workloads, say.
+pub fn each<T: DeserializeOwned + Default>(conf: &Value, path: &str, name: &str) -> Result<Vec<T>, String> {
+    let entries: Vec<Value> = at(conf, path)?;
+    entries.iter().map(|entry| at(entry, name)).collect()
+}
+
 pub fn balancer(salt: u64, conf: &Value) -> Result<Balancer, String> {
     if !conf.is_object() {
-        return Err("Launch: Conf is not an object".into());
+        return Err("the settings are not an object".into());
     }
     let workloads: Vec<Value> = at(conf, "Workloads")?;
     let tenants: Vec<Value> = at(conf, "Tenants")?;
--- /dev/null
+++ b/crates/proxy/src/backends.rs
@@ -0,0 +1,181 @@
+//! Carries executions to backends by hyper-util's client and tells how each ended.
+
+use std::collections::BTreeMap;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use axum::http::request::Parts;
+use axum::http::uri::{Authority, Scheme};
+use axum::http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri};
+use bytes::Bytes;
+use crankpick::interface::{Ended, LoadReport};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::connect::{capture_connection, CaptureConnection};
+use hyper_util::client::legacy::{Client, Error as ClientError};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tokio::time::{timeout, Instant};
+
+use crate::connect::{Connector, Link, OverBudget};
+
+/// Bodies hold at most this much, either way.
+pub const MOST_BODY: usize = 64 << 10;
+
+pub struct Backends {
+    client: Client<Connector, Full<Bytes>>,
+    addresses: Mutex<BTreeMap<u32, SocketAddr>>,
+}
+
+/// What an execution came to. The body is there where it completed.
+pub struct Heard {
+    pub ended: Ended,
+    pub took_us: u64,
+    pub report: Option<LoadReport>,
+    pub answer: Option<Response<Bytes>>,
+}
+
+impl Backends {
+    pub fn new(budget: usize, connect_timeout: Duration, idle_close: Duration) -> Self {
+        // The client lets go of an idle connection before it ends itself, and that before the backend
+        // would: so none ends under a request that was just written to it.
+        let connector = Connector::new(budget, connect_timeout, idle_close.mul_f64(0.85));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(idle_close.mul_f64(0.8))
+            .retry_canceled_requests(false)
+            .build(connector);
+        Backends { client, addresses: Mutex::default() }
+    }
+
+    pub fn place(&self, backend: u32, address: SocketAddr) {
+        self.addresses.lock().unwrap_or_else(PoisonError::into_inner).insert(backend, address);
+    }
+
+    fn address(&self, backend: u32) -> Option<SocketAddr> {
+        self.addresses.lock().unwrap_or_else(PoisonError::into_inner).get(&backend).copied()
+    }
+
+    /// One execution, to its end. Dropped before, it closes its connection.
+    pub async fn execute(
+        self: Arc<Self>, backend: u32, head: Arc<Parts>, body: Bytes, wait: Duration,
+    ) -> Heard {
+        let sent = Instant::now();
+        let length = body.len();
+        let request = self.address(backend).and_then(|address| outgoing(address, &head, body, wait));
+        let Some(mut request) = request else { return Heard::without_answer(Ended::NotSent, sent) };
+        let connection = capture_connection(&mut request);
+        let heard = timeout(wait, async {
+            let answer = self.client.request(request).await.map_err(|wrong| {
+                let ended = why_no_answer(&wrong, link(&connection).as_deref(), length);
+                tracing::debug!(code = "no_answer", backend, ?ended, "{wrong}: {:?}", wrong.source());
+                ended
+            })?;
+            read(answer, link(&connection).as_deref()).await
+        })
+        .await;
+        match heard {
+            Ok(Ok((ended, report, answer))) => {
+                let answer = (ended == Ended::Completed).then_some(answer);
+                Heard { ended, report, answer, ..Heard::without_answer(ended, sent) }
+            }
+            Ok(Err(ended)) => Heard::without_answer(ended, sent),
+            Err(_) => Heard::without_answer(Ended::TimedOut, sent),
+        }
+    }
+}
+
+impl Heard {
+    fn without_answer(ended: Ended, sent: Instant) -> Self {
+        Heard { ended, took_us: sent.elapsed().as_micros() as u64, report: None, answer: None }
+    }
+}
+
+/// The connection that a request was given, if it got that far.
+fn link(connection: &CaptureConnection) -> Option<Arc<Link>> {
+    let connected = connection.connection_metadata();
+    let mut extras = axum::http::Extensions::new();
+    connected.as_ref()?.get_extras(&mut extras);
+    extras.remove::<Arc<Link>>()
+}
+
+/// No answer came: only what surely never was written whole counts as never run.
+fn why_no_answer(wrong: &ClientError, link: Option<&Link>, body: usize) -> Ended {
+    let mut source = wrong.source();
+    while let Some(cause) = source {
+        if cause.is::<OverBudget>() {
+            return Ended::NotSent;
+        }
+        source = cause.source();
+    }
+    match link {
+        None => Ended::Unreachable,
+        Some(link) if link.wrote_less_than(body) => Ended::Unreachable,
+        Some(_) => Ended::Dropped,
+    }
+}
+
+async fn read(
+    answer: Response<Incoming>, link: Option<&Link>,
+) -> Result<(Ended, Option<LoadReport>, Response<Bytes>), Ended> {
+    let request = link.map(Link::request);
+    let (head, body) = answer.into_parts();
+    let never_ran = head.headers.get("x-not-run").is_some_and(|value| value == "1");
+    let ended = match head.status {
+        StatusCode::OK => Ended::Completed,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if never_ran => Ended::TurnedAway,
+        _ => Ended::Errored,
+    };
+    let report = load_report(&head.headers);
+    let body = Limited::new(body, MOST_BODY).collect().await.map_err(|_| Ended::Dropped)?.to_bytes();
+    if let Some((link, request)) = link.zip(request) {
+        link.rest(request);
+    }
+    let mut whole = Response::new(body);
+    if let Some(kind) = head.headers.get("content-type") {
+        whole.headers_mut().insert("content-type", kind.clone());
+    }
+    Ok((ended, report, whole))
+}
+
+/// `X-Load: inflight=7,queue=2,util=0.61`; fields that no decision needs are skipped.
+fn load_report(headers: &HeaderMap) -> Option<LoadReport> {
+    let fields = headers.get("x-load")?.to_str().ok()?;
+    let mut report = LoadReport::default();
+    for (name, value) in fields.split(',').filter_map(|field| field.split_once('=')) {
+        if name.trim() == "util" {
+            report.utilisation = value.trim().parse().ok().filter(|value: &f64| value.is_finite());
+        }
+    }
+    Some(report)
+}
+
+/// What belongs to the connection it came on and not to the request.
+const HOP_BY_HOP: [&str; 10] = [
+    "connection",
+    "content-length",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// The request as the backend gets it: method, path, query and body as the bytes that came.
+fn outgoing(address: SocketAddr, head: &Parts, body: Bytes, wait: Duration) -> Option<Request<Full<Bytes>>> {
+    let mut uri = head.uri.clone().into_parts();
+    uri.scheme = Some(Scheme::HTTP);
+    uri.authority = Some(Authority::try_from(address.to_string()).ok()?);
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = head.method.clone();
+    *request.uri_mut() = Uri::from_parts(uri).ok()?;
+    *request.headers_mut() = head.headers.clone();
+    HOP_BY_HOP.iter().for_each(|name| drop(request.headers_mut().remove(*name)));
+    let deadline = HeaderValue::try_from(format!("{}u", wait.as_micros())).ok()?;
+    request.headers_mut().insert("x-deadline", deadline);
+    Some(request)
+}
--- /dev/null
+++ b/crates/proxy/src/decide.rs
@@ -0,0 +1,183 @@
+//! Holds the module on sockets: feeds it what came in, hands its decisions to those who carry them
+//! out, and keeps its clock and its wake-ups. Each call is one round and ends before anything waits.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crankpick::balance::{Balancer, Inbox};
+use crankpick::interface::{Ended, Listed, LoadReport, Writer};
+use tokio::sync::{mpsc, Notify};
+
+use crate::peers::Peers;
+
+/// What the module decided about one query; executions are numbered from 0 in this order.
+#[derive(Debug, PartialEq)]
+pub enum Decided {
+    Execute { backend: u32, timeout_us: u64 },
+    Cancel { execution: u32 },
+    Reject { backoff_us: u64 },
+    Abort,
+}
+
+/// Why a query was not taken.
+pub enum NotTaken {
+    /// One with the same id is still in hand: outcomes could no longer be told apart.
+    Known,
+    Unsound(String),
+}
+
+/// Unix time that never goes back: `startedAtMs` is compared with it.
+pub struct Clock {
+    start: Instant,
+    start_us: u64,
+}
+
+impl Clock {
+    pub fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), start_us: unix.as_micros() as u64 }
+    }
+
+    pub fn now_us(&self) -> u64 {
+        self.start_us + self.start.elapsed().as_micros() as u64
+    }
+}
+
+pub struct Decide {
+    held: Mutex<Held>,
+    clock: Clock,
+    /// Decisions that one query can have waiting: its executions, their cancels and its answer.
+    most_decided: usize,
+}
+
+struct Held {
+    balancer: Balancer,
+    desk: Desk,
+}
+
+/// Where the module's decisions go.
+struct Desk {
+    queries: BTreeMap<String, mpsc::Sender<Decided>>,
+    wakes: Vec<(u64, String)>,
+    list_wanted: Arc<Notify>,
+    peers: Arc<Peers>,
+}
+
+impl Desk {
+    fn pass(&self, qry: &str, decided: Decided) {
+        if let Some(query) = self.queries.get(qry) {
+            if let Err(lost) = query.try_send(decided) {
+                tracing::error!(code = "decision_lost", qry, "{lost}");
+            }
+        }
+    }
+}
+
+impl Writer for Desk {
+    fn execute(&mut self, qry: &str, backend: u32, timeout_us: u64) {
+        self.pass(qry, Decided::Execute { backend, timeout_us });
+    }
+
+    fn cancel(&mut self, qry: &str, execution: u32) {
+        self.pass(qry, Decided::Cancel { execution });
+    }
+
+    fn reject(&mut self, qry: &str, backoff_us: u64) {
+        self.pass(qry, Decided::Reject { backoff_us });
+    }
+
+    fn abort(&mut self, qry: &str) {
+        self.pass(qry, Decided::Abort);
+    }
+
+    fn wake(&mut self, in_us: u64, token: &str) {
+        self.wakes.push((in_us, token.to_owned()));
+    }
+
+    fn subscribe(&mut self) {
+        self.list_wanted.notify_one();
+    }
+
+    fn tell(&mut self, peer: u32, bytes: &str) {
+        self.peers.tell(peer, bytes);
+    }
+}
+
+impl Decide {
+    pub fn new(
+        balancer: Balancer, max_executions: u32, list_wanted: Arc<Notify>, peers: Arc<Peers>,
+    ) -> Arc<Self> {
+        let desk = Desk { queries: BTreeMap::new(), wakes: Vec::new(), list_wanted, peers };
+        let most_decided = 2 * max_executions.max(1) as usize + 2;
+        Arc::new(Decide { held: Mutex::new(Held { balancer, desk }), clock: Clock::new(), most_decided })
+    }
+
+    fn round<E>(self: &Arc<Self>, feed: impl FnOnce(&mut Inbox) -> Result<(), E>) -> Result<(), E> {
+        let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        let Held { balancer, desk } = &mut *held;
+        let fed = balancer.round(self.clock.now_us(), desk, feed);
+        // The module has one wake-up of a kind out at a time, so these tasks stay few.
+        for (in_us, token) in desk.wakes.drain(..) {
+            tokio::spawn(Arc::clone(self).wake(in_us, token));
+        }
+        fed
+    }
+
+    async fn wake(self: Arc<Self>, in_us: u64, token: String) {
+        tokio::time::sleep(Duration::from_micros(in_us)).await;
+        self.news(|inbox| inbox.woken(&token));
+    }
+
+    /// A round on news that can't be unsound.
+    pub fn news(self: &Arc<Self>, feed: impl FnOnce(&mut Inbox)) {
+        let Ok(()) = self.round(|inbox| {
+            feed(inbox);
+            Ok::<(), Infallible>(())
+        });
+    }
+
+    /// Takes a query in; its decisions come on the channel, the first perhaps at once.
+    pub fn query(
+        self: &Arc<Self>, id: &str, workload: usize, tenant: usize, ttl_us: u64, hint_us: Option<u64>,
+    ) -> Result<mpsc::Receiver<Decided>, NotTaken> {
+        let (sender, decided) = mpsc::channel(self.most_decided);
+        {
+            let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+            if held.desk.queries.contains_key(id) {
+                return Err(NotTaken::Known);
+            }
+            held.desk.queries.insert(id.to_owned(), sender);
+        }
+        self.round(|inbox| inbox.query(id, workload, tenant, ttl_us, hint_us)).map_err(|wrong| {
+            self.forget(id);
+            NotTaken::Unsound(wrong)
+        })?;
+        Ok(decided)
+    }
+
+    pub fn outcome(
+        self: &Arc<Self>, id: &str, execution: u32, ended: Ended, took_us: u64, report: Option<LoadReport>,
+    ) {
+        // The first that completes is the client's answer, and ends the query.
+        let over = ended == Ended::Completed;
+        self.news(|inbox| inbox.outcome(id, execution, ended, took_us, over, report));
+    }
+
+    pub fn withdrawn(self: &Arc<Self>, id: &str) {
+        self.news(|inbox| inbox.withdrawn(id));
+    }
+
+    /// No decision about this query is waited for any more.
+    pub fn forget(&self, id: &str) {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner).desk.queries.remove(id);
+    }
+
+    pub fn list(self: &Arc<Self>, whole: bool, items: &[Listed]) {
+        self.news(|inbox| match whole {
+            true => inbox.list_whole(items),
+            false => inbox.list_changes(items),
+        });
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/front.rs
@@ -0,0 +1,195 @@
+//! Takes clients' connections, within a budget of descriptors, until it is told to stop.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use axum::http::StatusCode;
+use axum::routing::any;
+use axum::Router;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::time::{sleep, sleep_until, Instant};
+use tower_service::Service;
+
+use crate::query::{plain, serve, Proxy};
+
+/// Connections go on coming for up to 0.4 s after the signal to end.
+const LATE: Duration = Duration::from_millis(650);
+/// Against clients that open a connection or keep one and never say anything.
+const SILENT: Duration = Duration::from_secs(60);
+/// Of a connection's buffer: heads are small, and many connections share the memory.
+const MOST_BUFFER: usize = 32 << 10;
+
+pub fn router(proxy: Arc<Proxy>) -> Router {
+    let ready = || async { plain(StatusCode::OK, "ready") };
+    Router::new().route("/-/ready", any(ready)).fallback(serve).with_state(proxy)
+}
+
+/// What is known of each open connection.
+struct Client {
+    /// None while a request is in hand.
+    idle_since: Mutex<Option<Instant>>,
+    asked: AtomicBool,
+    asked_to_end: AtomicBool,
+    end: Notify,
+}
+
+impl Client {
+    fn idle(&self) -> Option<Instant> {
+        *self.idle_since.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set_idle(&self, since: Option<Instant>) {
+        *self.idle_since.lock().unwrap_or_else(PoisonError::into_inner) = since;
+    }
+}
+
+#[derive(Default)]
+struct Clients {
+    open: Mutex<BTreeMap<u64, Arc<Client>>>,
+}
+
+impl Clients {
+    /// Asks the connection that has been idle for longest to end.
+    fn end_longest_idle(&self) {
+        let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        let idle = open.values().filter(|client| !client.asked_to_end.load(Ordering::Relaxed));
+        let idle = idle.filter_map(|client| client.idle().map(|since| (since, client)));
+        if let Some((_, client)) = idle.min_by_key(|(since, _)| *since) {
+            client.asked_to_end.store(true, Ordering::Relaxed);
+            client.end.notify_one();
+        }
+    }
+}
+
+/// Accepts until `stop` turns true and a little longer, then waits for all connections to end.
+pub async fn run(listener: TcpListener, router: Router, budget: usize, stop: watch::Receiver<bool>) {
+    let clients = Arc::new(Clients::default());
+    let room = Arc::new(Semaphore::new(budget));
+    let mut number = 0;
+    let mut told = stop.clone();
+    let mut late = Box::pin(async {
+        let _ = told.wait_for(|stop| *stop).await;
+        sleep(LATE).await;
+    });
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            () = &mut late => break,
+            accepted = accept(&listener, &room, &clients) => accepted,
+        };
+        let (stream, address, permit) = accepted;
+        number += 1;
+        let client = Arc::new(Client {
+            idle_since: Mutex::new(Some(Instant::now())),
+            asked: AtomicBool::new(false),
+            asked_to_end: AtomicBool::new(false),
+            end: Notify::new(),
+        });
+        clients.open.lock().unwrap_or_else(PoisonError::into_inner).insert(number, Arc::clone(&client));
+        let (clients, router, stop) = (Arc::clone(&clients), router.clone(), stop.clone());
+        tokio::spawn(async move {
+            let opened = Instant::now();
+            let code = hold(stream, &client, router, stop).await;
+            clients.open.lock().unwrap_or_else(PoisonError::into_inner).remove(&number);
+            let open_ms = opened.elapsed().as_millis() as u64;
+            tracing::info!(code, %address, open_ms, "client connection ended");
+            drop(permit);
+        });
+    }
+    drop(listener);
+    let _ = room.acquire_many(budget as u32).await;
+}
+
+/// The next connection. What goes wrong here passes: no error may end the loop.
+async fn accept(
+    listener: &TcpListener, room: &Arc<Semaphore>, clients: &Clients,
+) -> (TcpStream, SocketAddr, OwnedSemaphorePermit) {
+    loop {
+        let permit = match Arc::clone(room).try_acquire_owned() {
+            Ok(permit) => permit,
+            Err(_) => {
+                // Beyond the budget the kernel holds what comes until a place is free.
+                clients.end_longest_idle();
+                tokio::select! {
+                    permit = Arc::clone(room).acquire_owned() => match permit {
+                        Ok(permit) => permit,
+                        Err(_) => std::future::pending().await,
+                    },
+                    () = sleep(Duration::from_millis(50)) => continue,
+                }
+            }
+        };
+        match listener.accept().await {
+            Ok((stream, address)) => return (stream, address, permit),
+            Err(wrong) => {
+                tracing::warn!(code = "accept_failed", "{wrong}");
+                clients.end_longest_idle();
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+/// Serves one connection to its end; returns the reason's code.
+async fn hold(
+    stream: TcpStream, client: &Arc<Client>, router: Router, mut stop: watch::Receiver<bool>,
+) -> &'static str {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(|request| {
+        client.asked.store(true, Ordering::Relaxed);
+        client.set_idle(None);
+        let mut router = router.clone();
+        async move {
+            let answer = router.call(request).await;
+            client.set_idle(Some(Instant::now()));
+            answer.map_err(|never: Infallible| never)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(SILENT)
+        .max_buf_size(MOST_BUFFER)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let (mut code, mut stopped_at, mut patient) = ("closed_by_client", None, true);
+    loop {
+        let patience_ends = stopped_at.unwrap_or_else(Instant::now) + 2 * LATE;
+        tokio::select! {
+            ended = connection.as_mut() => {
+                return match ended {
+                    Ok(()) => code,
+                    Err(wrong) if wrong.is_timeout() => "silent",
+                    Err(wrong) if wrong.is_parse() => "not_http",
+                    Err(_) => "client_gone",
+                };
+            }
+            _ = stop.wait_for(|stop| *stop), if stopped_at.is_none() => {
+                (code, stopped_at) = ("stopping", Some(Instant::now()));
+                // One that is idle ends now; one that has not asked yet is answered once more.
+                connection.as_mut().graceful_shutdown();
+            }
+            () = sleep_until(patience_ends), if stopped_at.is_some() && patient => {
+                patient = false;
+                if client.idle().is_some() {
+                    return code;
+                }
+            }
+            () = client.end.notified() => {
+                code = "over_budget";
+                connection.as_mut().graceful_shutdown();
+                // One that never asked would wait for its first request.
+                if !client.asked.load(Ordering::Relaxed) && client.idle().is_some() {
+                    return code;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/main.rs
@@ -0,0 +1,145 @@
+//! The proxy on sockets: reads what it is told at its start, puts the parts together and runs them
+//! until SIGTERM. Every decision about a query is the module's (`crankpick::balance`).
+
+mod backends;
+mod connect;
+mod decide;
+mod discovery;
+mod front;
+mod peers;
+mod query;
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crankpick_launch::{at, each};
+use serde_json::Value;
+use tokio::net::TcpSocket;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{watch, Notify};
+use tokio::time::sleep;
+
+use crate::backends::Backends;
+use crate::decide::Decide;
+use crate::discovery::{Discovery, List};
+use crate::peers::Peers;
+use crate::query::Proxy;
+
+/// Descriptors that are neither clients' nor backends': log, runtime, list, peers, listener, and some spare.
+const RESERVED: usize = 48;
+/// Where the limits name none.
+const SOCKETS: usize = 1024;
+/// SIGKILL comes 3.7 s after SIGTERM at the soonest: by then all that was taken must be answered.
+const LAST_CALL: Duration = Duration::from_millis(3_300);
+const LAST_WRITES: Duration = Duration::from_millis(200);
+
+fn address(told: &Value, path: &str) -> Result<SocketAddr, String> {
+    let text: String = at(told, path)?;
+    text.parse().map_err(|_| format!("{path}: no address in {text:?}"))
+}
+
+fn addresses(told: &Value, path: &str) -> Result<Vec<SocketAddr>, String> {
+    let texts: Vec<String> = at(told, path)?;
+    texts.iter().map(|text| text.parse().map_err(|_| format!("{path}: no address in {text:?}"))).collect()
+}
+
+fn seed(told: &Value) -> Result<u64, String> {
+    let text: String = at(told, "seed")?;
+    u64::from_str_radix(&text, 16).map_err(|_| format!("seed: {text:?} is not hexadecimal"))
+}
+
+async fn run(told: Value) -> Result<(), String> {
+    let settings = told.get("settings").ok_or("no settings")?;
+    let sockets: usize = match at(&told, "limits.sockets")? {
+        0 => SOCKETS,
+        sockets => sockets,
+    };
+    // Half for clients, half for backends: a query in hand holds about one of each.
+    let budget = sockets.saturating_sub(RESERVED).max(2) / 2;
+    let micros = |path: &str| at(settings, path).map(Duration::from_micros);
+
+    let listen = address(&told, "listen")?;
+    let peer_listen = told.get("peer_listen").filter(|value| !value.is_null());
+    let peer_listen = peer_listen.map(|_| address(&told, "peer_listen")).transpose()?;
+    let peers = Arc::new(Peers::new(peer_listen, addresses(&told, "peers")?)?);
+    let backends = Arc::new(Backends::new(
+        budget,
+        micros("Limits.ConnectTimeoutUs")?.max(Duration::from_millis(1)),
+        micros("Limits.IdleCloseUs")?.max(Duration::from_millis(1)),
+    ));
+    let balancer = crankpick_launch::balancer(seed(&told)?, settings)?;
+    let list_wanted = Arc::new(Notify::new());
+    let decide = Decide::new(
+        balancer,
+        at(settings, "Limits.MaxExecutions")?,
+        Arc::clone(&list_wanted),
+        Arc::clone(&peers),
+    );
+    // Where the list comes unasked the module never asks: the first watch is ours to open.
+    if at::<String>(settings, "Discovery")? != "subscribe" {
+        list_wanted.notify_one();
+    }
+    let mut discovery = Discovery::new(Arc::clone(&decide), Arc::clone(&backends), at(settings, "Zones")?);
+    let known: List = at(&told, "known")?;
+    discovery.take(known, true).map_err(|wrong| format!("known: {wrong}"))?;
+    tokio::spawn(discovery.follow(address(&told, "discovery")?, list_wanted));
+    tokio::spawn(peers.listen(Arc::clone(&decide)));
+
+    let (stopping, stop) = watch::channel(false);
+    let (ended, ending) = watch::channel(false);
+    let proxy = Proxy {
+        decide,
+        backends,
+        workloads: each(settings, "Workloads", "Name")?,
+        statement_timeouts_us: each(settings, "Workloads", "StatementTimeoutUs")?,
+        tenants: each(settings, "Tenants", "Name")?,
+        ending,
+    };
+    let socket = if listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+    let listener = socket.and_then(|socket| {
+        // The one before this may have left connections that the kernel still remembers.
+        socket.set_reuseaddr(true)?;
+        socket.bind(listen)?;
+        socket.listen(1024)
+    });
+    let listener = listener.map_err(|wrong| format!("listen on {listen}: {wrong}"))?;
+    let mut term = signal(SignalKind::terminate()).map_err(|wrong| format!("SIGTERM: {wrong}"))?;
+    tracing::info!(code = "listening", %listen, budget, "ready");
+    let front = front::run(listener, front::router(Arc::new(proxy)), budget, stop);
+    let last = async {
+        term.recv().await;
+        tracing::info!(code = "stopping", "told to end");
+        let _ = stopping.send(true);
+        sleep(LAST_CALL).await;
+        let _ = ended.send(true);
+        sleep(LAST_WRITES).await;
+    };
+    tokio::select! {
+        () = front => {}
+        () = last => {}
+    }
+    tracing::info!(code = "ended", "all that was taken is answered");
+    Ok(())
+}
+
+fn told() -> Result<Value, String> {
+    let path = std::env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG names no file")?;
+    let text = std::fs::read_to_string(&path).map_err(|wrong| format!("{path}: {wrong}"))?;
+    serde_json::from_str(&text).map_err(|wrong| format!("{path}: {wrong}"))
+}
+
+fn main() -> ExitCode {
+    tracing_subscriber::fmt().with_ansi(false).with_target(false).with_writer(std::io::stderr).init();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|wrong| format!("runtime: {wrong}"));
+    let ended = runtime.and_then(|runtime| runtime.block_on(async { run(told()?).await }));
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(wrong) => {
+            eprintln!("crankpick: {}", wrong.replace('\n', " "));
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/query.rs
@@ -0,0 +1,233 @@
+//! The life of one query, from the client's request to the one final answer, in one task.
+
+use std::future::{poll_fn, Future};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Poll;
+use std::time::{Duration, Instant};
+
+use axum::body::Body;
+use axum::extract::{Request, State};
+use axum::http::request::Parts;
+use axum::http::{HeaderMap, HeaderValue, Response, StatusCode};
+use crankpick::interface::Ended;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
+
+use crate::backends::{Backends, Heard, MOST_BODY};
+use crate::decide::{Decide, Decided, NotTaken};
+
+/// Kept back from what the client waits, for the way there and for writing the answer.
+const ROOM: Duration = Duration::from_millis(10);
+
+/// What every query needs, and the names that requests use, in the order of the settings.
+pub struct Proxy {
+    pub decide: Arc<Decide>,
+    pub backends: Arc<Backends>,
+    pub workloads: Vec<String>,
+    pub statement_timeouts_us: Vec<u64>,
+    pub tenants: Vec<String>,
+    /// Turns true when the process must end: what is still in hand gets its answer.
+    pub ending: watch::Receiver<bool>,
+}
+
+pub async fn serve(State(proxy): State<Arc<Proxy>>, request: Request) -> Response<Body> {
+    let came = Instant::now();
+    let (head, body) = request.into_parts();
+    let asked = match Asked::read(&head, &proxy) {
+        Ok(asked) => asked,
+        Err(wrong) => return plain(StatusCode::BAD_REQUEST, &wrong),
+    };
+    let body = match timeout(asked.wait, Limited::new(body, MOST_BODY).collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(wrong)) if wrong.is::<LengthLimitError>() => {
+            return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body holds more than 64 KiB")
+        }
+        Ok(Err(_)) => return plain(StatusCode::BAD_REQUEST, "the body broke off"),
+        Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
+    };
+    // The client counts from when it sent the request: what the body took on its way is gone.
+    let ttl_us = asked.wait.saturating_sub(came.elapsed() + ROOM).as_micros() as u64;
+    let taken = proxy.decide.query(&asked.id, asked.workload, asked.tenant, ttl_us, asked.hint_us);
+    let decided = match taken {
+        Ok(decided) => decided,
+        Err(NotTaken::Known) => {
+            return plain(StatusCode::BAD_REQUEST, "this X-Request-Id is in hand already")
+        }
+        Err(NotTaken::Unsound(wrong)) => return plain(StatusCode::BAD_REQUEST, &wrong),
+    };
+    let mut life = Life::new(Arc::clone(&proxy.decide), asked.id, decided);
+    let head = Arc::new(head);
+    let mut executions = 0;
+    let mut ending = proxy.ending.clone();
+    loop {
+        tokio::select! {
+            biased;
+            heard = next_outcome(&mut life.out) => {
+                let (execution, heard) = heard;
+                life.report(execution, &heard);
+                if let Some(answer) = heard.answer {
+                    life.answered = true;
+                    return answer.map(Body::from);
+                }
+            }
+            decided = life.decided.recv() => match decided {
+                Some(Decided::Execute { backend, timeout_us }) => {
+                    let wait = Duration::from_micros(timeout_us);
+                    let backends = Arc::clone(&proxy.backends);
+                    let execution = backends.execute(backend, Arc::clone(&head), body.clone(), wait);
+                    life.out.push((executions, Box::pin(execution)));
+                    executions += 1;
+                }
+                Some(Decided::Cancel { execution }) => life.cancel(execution),
+                Some(Decided::Reject { backoff_us }) => {
+                    life.answered = true;
+                    return rejected(backoff_us);
+                }
+                Some(Decided::Abort) | None => {
+                    life.answered = true;
+                    return plain(StatusCode::BAD_GATEWAY, "given up; it may have been executed");
+                }
+            },
+            _ = ending.wait_for(|ending| *ending) => {
+                return plain(StatusCode::BAD_GATEWAY, "the proxy ends; it may have been executed");
+            }
+        }
+    }
+}
+
+type Running = Pin<Box<dyn Future<Output = Heard> + Send>>;
+
+/// Stands for a query that the module holds. Dropped, whether answered or because the client went, it
+/// leaves the module with an outcome for each execution.
+struct Life {
+    decide: Arc<Decide>,
+    id: String,
+    decided: mpsc::Receiver<Decided>,
+    out: Vec<(u32, Running)>,
+    answered: bool,
+}
+
+impl Life {
+    fn new(decide: Arc<Decide>, id: String, decided: mpsc::Receiver<Decided>) -> Self {
+        Life { decide, id, decided, out: Vec::new(), answered: false }
+    }
+
+    fn report(&self, execution: u32, heard: &Heard) {
+        self.decide.outcome(&self.id, execution, heard.ended, heard.took_us, heard.report);
+    }
+
+    /// Dropping the execution closes its connection: that is how a backend hears of it.
+    fn cancel(&mut self, execution: u32) {
+        let before = self.out.len();
+        self.out.retain(|(number, _)| *number != execution);
+        if self.out.len() < before {
+            self.decide.outcome(&self.id, execution, Ended::Cancelled, 0, None);
+        }
+    }
+}
+
+/// The next execution to end; waits for good while none is out.
+async fn next_outcome(out: &mut Vec<(u32, Running)>) -> (u32, Heard) {
+    poll_fn(|cx| {
+        for (place, (execution, running)) in out.iter_mut().enumerate() {
+            if let Poll::Ready(heard) = running.as_mut().poll(cx) {
+                let execution = *execution;
+                drop(out.remove(place));
+                return Poll::Ready((execution, heard));
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
+
+impl Drop for Life {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.decide.withdrawn(&self.id);
+        }
+        while let Ok(decided) = self.decided.try_recv() {
+            match decided {
+                Decided::Cancel { execution } => self.cancel(execution),
+                // Sent in the same moment as the client went: it never left.
+                Decided::Execute { .. } | Decided::Reject { .. } | Decided::Abort => {}
+            }
+        }
+        self.decide.forget(&self.id);
+        // Where executions may not be called off they go on until their own end.
+        for (execution, running) in self.out.drain(..) {
+            let (decide, id) = (Arc::clone(&self.decide), self.id.clone());
+            tokio::spawn(async move {
+                let heard = running.await;
+                decide.outcome(&id, execution, heard.ended, heard.took_us, heard.report);
+            });
+        }
+    }
+}
+
+/// What the decisions need of a request; all else goes on as it came.
+struct Asked {
+    id: String,
+    workload: usize,
+    tenant: usize,
+    wait: Duration,
+    hint_us: Option<u64>,
+}
+
+impl Asked {
+    fn read(head: &Parts, proxy: &Proxy) -> Result<Self, String> {
+        let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+        let id = text("x-request-id").filter(|id| !id.is_empty()).ok_or("X-Request-Id is missing")?;
+        let name = head.uri.path().split('/').nth(1).unwrap_or_default();
+        let workload = proxy.workloads.iter().position(|workload| workload == name);
+        let workload = workload.ok_or_else(|| format!("no workload {name:?}"))?;
+        let wait = match text("x-deadline") {
+            Some(wait) => duration(wait).ok_or_else(|| format!("X-Deadline {wait:?}"))?,
+            None => Duration::from_micros(proxy.statement_timeouts_us[workload]),
+        };
+        // A tenant on no list has no share to be beyond.
+        let tenant = text("x-tenant").and_then(|name| proxy.tenants.iter().position(|tenant| tenant == name));
+        Ok(Asked {
+            id: id.to_owned(),
+            workload,
+            tenant: tenant.unwrap_or(usize::MAX),
+            wait,
+            hint_us: hint(&head.headers),
+        })
+    }
+}
+
+fn hint(headers: &HeaderMap) -> Option<u64> {
+    let hint: f64 = headers.get("x-cost-hint")?.to_str().ok()?.trim().parse().ok()?;
+    (hint.is_finite() && hint >= 0.0).then_some(hint as u64)
+}
+
+/// `480m` or `480u`. An hour is longer than any client waits, and keeps sums sound.
+fn duration(text: &str) -> Option<Duration> {
+    let text = text.trim();
+    let (number, unit_us) = match text.strip_suffix('m') {
+        Some(number) => (number, 1e3),
+        None => (text.strip_suffix('u')?, 1.0),
+    };
+    let us = number.trim().parse::<f64>().ok()? * unit_us;
+    (us.is_finite() && us >= 0.0).then(|| Duration::from_micros(us.min(3.6e9) as u64))
+}
+
+pub fn plain(status: StatusCode, text: &str) -> Response<Body> {
+    let mut answer = Response::new(Body::from(format!("{text}\n")));
+    *answer.status_mut() = status;
+    answer
+}
+
+fn rejected(backoff_us: u64) -> Response<Body> {
+    let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "turned away; trying again is harmless");
+    if backoff_us > 0 {
+        let seconds = format!("{:.3}", Duration::from_micros(backoff_us).as_secs_f64());
+        if let Ok(seconds) = HeaderValue::try_from(seconds) {
+            answer.headers_mut().insert("retry-after", seconds);
+        }
+    }
+    answer
+}
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -1,7 +1,6 @@
 //! Hosts instances of the decision module on the simulator's wire: lines in, calls on the module,
 //! lines out. It decides nothing; whatever is malformed ends it with one plain message.
 
-mod launch;
 mod reply;
 
 use std::collections::BTreeMap;
@@ -10,7 +9,8 @@
 use std::rc::Rc;
 
 use crankpick::balance::{Balancer, Inbox};
-use crankpick::interface::{Ended, Listed, LoadReport, Phase};
+use crankpick::interface::{Ended, Listed, LoadReport};
+use crankpick_launch::Entry;
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -28,7 +28,7 @@
     conf: Option<Value>,
     #[serde(rename = "Ref")]
     reference: Option<Value>,
-    items: Option<Vec<Item>>,
+    items: Option<Vec<Entry>>,
     kind: Option<String>,
     #[serde(rename = "Type")]
     workload: Option<usize>,
@@ -52,17 +52,6 @@
     listed: Option<Rc<Vec<Listed>>>,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Item {
-    backend: u32,
-    dc: u32,
-    cell: u32,
-    phase: String,
-    nominal: f64,
-    since_us: Option<u64>,
-}
-
 #[derive(Deserialize)]
 struct Gauge {
     busy: Option<f64>,
@@ -91,23 +80,6 @@
     number.as_u64().ok_or_else(|| format!("{}: Ref is not a list's number", line.message))
 }
 
-fn listed(item: &Item) -> Result<Listed, String> {
-    let phase = match item.phase.as_str() {
-        "Ready" => Phase::Ready,
-        "Terminating" => Phase::Terminating,
-        "Gone" => Phase::Gone,
-        other => return Err(format!("Directory: unknown Phase {other:?}")),
-    };
-    Ok(Listed {
-        backend: item.backend,
-        zone: item.dc,
-        cell: item.cell,
-        phase,
-        weight: item.nominal,
-        since_us: item.since_us.unwrap_or(0),
-    })
-}
-
 fn ended(code: u32) -> Result<Ended, String> {
     Ok(match code {
         200 => Ended::Completed,
@@ -203,8 +175,9 @@
     fn take(&mut self, mut line: Line) -> Result<(), String> {
         if line.message == "Directory" {
             let items = need(line.items.take(), "Directory", "Items")?;
-            let items: Result<Vec<Listed>, String> = items.iter().map(listed).collect();
-            self.directories.insert(list_number(&line)?, Rc::new(items?));
+            let items: Result<Vec<Listed>, String> = items.iter().map(Entry::listed).collect();
+            let items = items.map_err(|wrong| format!("Directory: {wrong}"))?;
+            self.directories.insert(list_number(&line)?, Rc::new(items));
             return Ok(());
         }
         let proxy = need(line.proxy, &line.message, "Proxy")?;
@@ -212,7 +185,8 @@
             "Launch" => {
                 let salt = need(line.salt, "Launch", "Salt")?;
                 let conf = need(line.conf, "Launch", "Conf")?;
-                let balancer = launch::balancer(salt, &conf)?;
+                let balancer =
+                    crankpick_launch::balancer(salt, &conf).map_err(|wrong| format!("Launch: {wrong}"))?;
                 let waiting = Vec::new();
                 self.instances.insert(proxy, Hosted { balancer, waiting });
                 return Ok(());
