--- a/crates/proxy/src/connect.rs
+++ b/crates/proxy/src/connect.rs
@@ -135,7 +135,7 @@
         links.insert(number, Arc::clone(&link));
         drop(links);
         Ok(Wire {
-            stream: stream,
+            stream,
             link,
             number,
             links: self.links,
