--- a/crates/proxy/src/connect.rs
+++ b/crates/proxy/src/connect.rs
@@ -268,7 +268,8 @@
     fn drop(&mut self) {
         self.links.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.number);
         let state = self.link.lock();
-        let ended = if state.idle_since.is_some() { "let_go" } else { "given_up" };
+        // The client may let go of an idle one before it ends itself.
+        let ended = if state.idle_since.is_some() { "idle" } else { "given_up" };
         tracing::info!(
             code = state.why.unwrap_or(ended),
             address = %self.address,
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -7,7 +7,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use axum::http::StatusCode;
+use axum::http::header::CONNECTION;
+use axum::http::{HeaderValue, StatusCode};
 use axum::routing::any;
 use axum::Router;
 use hyper::server::conn::http1;
@@ -143,14 +144,18 @@
     stream: TcpStream, client: &Arc<Client>, router: Router, mut stop: watch::Receiver<bool>,
 ) -> &'static str {
     let _ = stream.set_nodelay(true);
+    let stopping = stop.clone();
     let service = service_fn(|request| {
         client.asked.store(true, Ordering::Relaxed);
         client.set_idle(None);
-        let mut router = router.clone();
+        let (mut router, stopping) = (router.clone(), stopping.clone());
         async move {
-            let answer = router.call(request).await;
+            let mut answer = router.call(request).await?;
             client.set_idle(Some(Instant::now()));
-            answer.map_err(|never: Infallible| never)
+            if *stopping.borrow() {
+                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(answer)
         }
     });
     let connection = http1::Builder::new()
@@ -173,8 +178,11 @@
             }
             _ = stop.wait_for(|stop| *stop), if stopped_at.is_none() => {
                 (code, stopped_at) = ("stopping", Some(Instant::now()));
-                // One that is idle ends now; one that has not asked yet is answered once more.
-                connection.as_mut().graceful_shutdown();
+                // One that is idle ends now. hyper would end one that has not asked yet as well, and with it
+                // the query that is on its way there: that one ends by its answer's header instead.
+                if client.asked.load(Ordering::Relaxed) {
+                    connection.as_mut().graceful_shutdown();
+                }
             }
             () = sleep_until(patience_ends), if stopped_at.is_some() && patient => {
                 patient = false;
@@ -185,10 +193,6 @@
             () = client.end.notified() => {
                 code = "over_budget";
                 connection.as_mut().graceful_shutdown();
-                // One that never asked would wait for its first request.
-                if !client.asked.load(Ordering::Relaxed) && client.idle().is_some() {
-                    return code;
-                }
             }
         }
     }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -9,6 +9,7 @@
 mod peers;
 mod query;
 
+use std::io::Write;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -20,6 +21,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{watch, Notify};
 use tokio::time::sleep;
+use tracing_appender::non_blocking::NonBlockingBuilder;
 
 use crate::backends::Backends;
 use crate::decide::Decide;
@@ -106,7 +108,8 @@
     });
     let listener = listener.map_err(|wrong| format!("listen on {listen}: {wrong}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|wrong| format!("SIGTERM: {wrong}"))?;
-    tracing::info!(code = "listening", %listen, budget, "ready");
+    let bound = listener.local_addr().unwrap_or(listen);
+    tracing::info!(code = "listening", listen = %bound, budget, "ready");
     let front = front::run(listener, front::router(Arc::new(proxy)), budget, stop);
     let last = async {
         term.recv().await;
@@ -131,14 +134,17 @@
 }
 
 fn main() -> ExitCode {
-    tracing_subscriber::fmt().with_ansi(false).with_target(false).with_writer(std::io::stderr).init();
+    // A log that nobody reads loses lines; it must not hold up queries, nor end the process.
+    let (log, _flush) = NonBlockingBuilder::default().buffered_lines_limit(8_192).finish(std::io::stderr());
+    let format = tracing_subscriber::fmt().with_ansi(false).with_target(false).log_internal_errors(false);
+    format.with_writer(log).init();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|wrong| format!("runtime: {wrong}"));
     let ended = runtime.and_then(|runtime| runtime.block_on(async { run(told()?).await }));
     match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(wrong) => {
-            eprintln!("crankpick: {}", wrong.replace('\n', " "));
+            let _ = writeln!(std::io::stderr(), "crankpick: {}", wrong.replace('\n', " "));
             ExitCode::FAILURE
         }
     }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::net::UdpSocket;
 
@@ -9,6 +10,7 @@
 
 /// Longer ones are not for the network between proxies.
 const MOST_BYTES: usize = 256;
+const PAUSE: Duration = Duration::from_millis(100);
 
 pub struct Peers {
     /// None where proxies may not talk.
@@ -43,9 +45,10 @@
         loop {
             let (length, from) = match socket.recv_from(&mut bytes).await {
                 Ok(received) => received,
-                // A peer that is down sends this back; the next note may come from one that is up.
-                Err(_) => {
-                    tokio::task::yield_now().await;
+                Err(wrong) => {
+                    tracing::warn!(code = "peer_failed", "{wrong}");
+                    // An error that stays must not take the whole thread.
+                    tokio::time::sleep(PAUSE).await;
                     continue;
                 }
             };
--- /dev/null
+++ b/crates/proxy/tests/sockets/main.rs
@@ -0,0 +1,367 @@
+//! The program as its neighbours meet it: started for each case, spoken to over sockets.
+
+mod random;
+mod stand_ins;
+
+use serde_json::json;
+use stand_ins::*;
+use std::net::UdpSocket;
+use std::sync::mpsc::TryRecvError;
+use std::time::{Duration, Instant};
+
+#[test]
+fn passes_on_the_bytes_that_came_and_keeps_its_connections() {
+    let (discovery, backend) = (Discovery::start(), Backend::start());
+    let proxy = Proxy::start(&configuration(&discovery, &[backend.address]));
+    let mut client = proxy.client();
+    for turn in 0..3 {
+        client.say(
+            format!(
+                "POST /move/a%2Fb//c?x=%20&k= HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: q{turn}\r\nX-Tenant: acme\r\n\
+                 X-Deadline: 1500m\r\nIdempotency-Key: 5c0f\r\nX-Cost-Hint: 900\r\nContent-Length: 4\r\n\r\n"
+            )
+            .as_bytes(),
+        );
+        client.say(b"\0\xff{\n");
+        let mut asked = backend.next();
+        assert_eq!(asked.message.start(), "POST /move/a%2Fb//c?x=%20&k= HTTP/1.1");
+        assert_eq!(asked.message.body, b"\0\xff{\n");
+        assert_eq!(asked.message.header("x-request-id"), Some(format!("q{turn}").as_str()));
+        assert_eq!(asked.message.header("idempotency-key"), Some("5c0f"));
+        let wait = asked.message.header("x-deadline").and_then(|wait| wait.strip_suffix('u'));
+        let wait: u32 = wait.expect("how long the proxy waits").parse().expect("a number");
+        assert!((1_000_000..1_500_000).contains(&wait), "{wait}");
+        assert_eq!(asked.connection, 0, "a needless connection");
+        asked.answer(200, "X-Load: inflight=7,util=0.6,odd\r\n", "{\"done\": 1}");
+        let heard = client.heard();
+        assert_eq!((heard.status(), heard.body.as_slice()), (200, b"{\"done\": 1}".as_slice()));
+    }
+    client.say(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert_eq!(client.heard().status(), 200);
+}
+
+#[test]
+fn what_is_no_query_is_told_so_and_reaches_nobody() {
+    let (discovery, backend) = (Discovery::start(), Backend::start());
+    let proxy = Proxy::start(&configuration(&discovery, &[backend.address]));
+    let long = "x".repeat(70_000);
+    let cases = [
+        ("GET /read/1 HTTP/1.1\r\nHost: x\r\n\r\n".to_owned(), 400),
+        ("GET /other/1 HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\n\r\n".to_owned(), 400),
+        ("GET /read/1 HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nX-Deadline: soon\r\n\r\n".to_owned(), 400),
+        ("GET /read/1 HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nX-Deadline: -5m\r\n\r\n".to_owned(), 400),
+        ("nonsense\r\n\r\n".to_owned(), 400),
+        (
+            format!(
+                "POST /pay/1 HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nContent-Length: 70000\r\n\r\n{long}"
+            ),
+            413,
+        ),
+    ];
+    for (bytes, status) in cases {
+        let mut client = proxy.client();
+        client.say(bytes.as_bytes());
+        assert_eq!(client.heard().status(), status, "{}", &bytes[..40.min(bytes.len())]);
+    }
+    let (mut first, mut second) = (proxy.client(), proxy.client());
+    first.ask("read", "twin", 2_000);
+    let mut asked = backend.next();
+    second.ask("read", "twin", 2_000);
+    assert_eq!(second.heard().status(), 400, "two in hand under one id can't be told apart");
+    asked.answer(200, "", "one");
+    assert_eq!(first.heard().body, b"one");
+    assert!(backend.is_quiet());
+}
+
+/// hyper-util's client would resend on a fresh connection what broke on a kept one: an execution more.
+#[test]
+fn what_may_have_run_is_never_sent_again() {
+    let (discovery, backend) = (Discovery::start(), Backend::start());
+    let proxy = Proxy::start(&configuration(&discovery, &[backend.address]));
+    let mut client = proxy.client();
+    client.ask("pay", "warm", 2_000);
+    backend.next().answer(200, "", "ok");
+    assert_eq!(client.heard().status(), 200);
+    client.ask("pay", "broken", 2_000);
+    let asked = backend.next();
+    assert_eq!(asked.connection, 0, "the kept connection is used");
+    asked.break_off();
+    assert_eq!(client.heard().status(), 502, "it may have run: no rejection");
+    client.ask("pay", "error", 2_000);
+    backend.next().answer(500, "", "");
+    assert_eq!(client.heard().status(), 502);
+    client.ask("pay", "busy", 2_000);
+    backend.next().answer(503, "Retry-After: 1\r\n", "");
+    assert_eq!(client.heard().status(), 502, "a backend's 503 alone proves nothing");
+    client.ask("pay", "half", 2_000);
+    let mut asked = backend.next();
+    asked.answer(200, "Content-Length: 9\r\nX-Odd: 1\r\n", "");
+    asked.break_off();
+    assert_eq!(client.heard().status(), 502, "an answer that is not whole is none");
+    assert!(backend.is_quiet());
+}
+
+#[test]
+fn what_never_ran_goes_to_another_backend() {
+    let discovery = Discovery::start();
+    let full = Backend::answering(|asked| asked.answer(503, "X-Not-Run: 1\r\n", ""));
+    let sound = Backend::answering(|asked| asked.answer(200, "", "ok"));
+    for bad in [full, nowhere()] {
+        let proxy = Proxy::start(&configuration(&discovery, &[bad, bad, sound]));
+        let mut client = proxy.client();
+        for number in 0..6 {
+            client.ask("pay", &format!("q{number}"), 2_000);
+            assert_eq!(client.heard().status(), 200);
+        }
+    }
+}
+
+#[test]
+fn a_query_that_no_backend_can_take_is_rejected_with_advice() {
+    let discovery = Discovery::start();
+    let proxy = Proxy::start(&configuration(&discovery, &[]));
+    let mut client = proxy.client();
+    client.ask("pay", "q", 2_000);
+    let heard = client.heard();
+    assert_eq!(heard.status(), 503);
+    let wait: f64 = heard.header("retry-after").expect("advice").parse().expect("seconds");
+    assert!(wait > 0.0 && wait <= 2.0, "{wait}");
+}
+
+#[test]
+fn giving_up_closes_the_connection_and_answers_in_time() {
+    let (discovery, backend) = (Discovery::start(), Backend::start());
+    let proxy = Proxy::start(&configuration(&discovery, &[backend.address]));
+    let mut client = proxy.client();
+    let sent = Instant::now();
+    client.ask("pay", "late", 300);
+    let asked = backend.next();
+    assert_eq!(client.heard().status(), 502);
+    assert!(sent.elapsed() < Duration::from_millis(350), "{:?}", sent.elapsed());
+    assert_eq!(backend.closed.recv_timeout(PATIENCE), Ok(asked.connection));
+    // The client that leaves takes its query along.
+    let mut leaving = proxy.client();
+    leaving.ask("pay", "gone", 3_000);
+    let asked = backend.next();
+    drop(leaving);
+    assert_eq!(backend.closed.recv_timeout(Duration::from_millis(2_000)), Ok(asked.connection));
+    proxy.logged("code=\"client_gone\"");
+    assert!(backend.is_quiet());
+}
+
+#[test]
+fn where_nothing_may_be_called_off_a_given_up_execution_runs_to_its_end() {
+    let (discovery, backend) = (Discovery::start(), Backend::start());
+    let mut told = configuration(&discovery, &[backend.address]);
+    told["settings"]["Limits"]["Cancel"] = json!(false);
+    let proxy = Proxy::start(&told);
+    let mut leaving = proxy.client();
+    leaving.ask("pay", "gone", 3_000);
+    let mut asked = backend.next();
+    drop(leaving);
+    proxy.logged("code=\"client_gone\"");
+    asked.answer(200, "", "late");
+    let mut client = proxy.client();
+    client.ask("pay", "next", 3_000);
+    let mut next = backend.next();
+    assert_eq!(next.connection, asked.connection, "the first was read to its end");
+    next.answer(200, "", "ok");
+    assert_eq!(client.heard().body, b"ok");
+    assert_eq!(backend.closed.try_recv(), Err(TryRecvError::Empty));
+}
+
+#[test]
+fn idle_connections_end_before_the_backend_would_end_them() {
+    let (discovery, backend) = (Discovery::start(), Backend::start());
+    let mut told = configuration(&discovery, &[backend.address]);
+    told["settings"]["Limits"]["IdleCloseUs"] = json!(1_000_000);
+    let proxy = Proxy::start(&told);
+    let mut client = proxy.client();
+    client.ask("read", "q", 2_000);
+    backend.next().answer(200, "", "ok");
+    assert_eq!(client.heard().status(), 200);
+    let idle = Instant::now();
+    assert_eq!(backend.closed.recv_timeout(PATIENCE), Ok(0));
+    assert!(idle.elapsed() < Duration::from_secs(1), "{:?}", idle.elapsed());
+    proxy.logged("code=\"idle\"");
+}
+
+#[test]
+fn follows_the_list_over_watches_that_end_or_fall_silent() {
+    let (discovery, old, new) = (Discovery::start(), Backend::start(), Backend::start());
+    let proxy = Proxy::start(&configuration(&discovery, &[old.address]));
+    let mut watch = discovery.next();
+    assert_eq!(watch.asked, "GET /api/targets?watch=1&after=41 HTTP/1.1");
+    let change = vec![instance("s-0", old.address, "DRAINING"), instance("s-1", new.address, "SERVING")];
+    watch.say("");
+    watch.say(&list(43, false, change).to_string());
+    watch.say("no JSON");
+    proxy.logged("code=\"watch_ended\"");
+    // What came before the line that nobody understands holds; the next watch begins there.
+    let mut watch = discovery.next();
+    assert!(watch.asked.contains("after=43"), "{}", watch.asked);
+    let mut client = proxy.client();
+    for number in 0..4 {
+        client.ask("read", &format!("q{number}"), 2_000);
+        new.next().answer(200, "", "ok");
+        assert_eq!(client.heard().status(), 200);
+    }
+    assert!(old.is_quiet());
+    watch.say(&list(50, true, vec![instance("s-0", old.address, "SERVING")]).to_string());
+    // It stays open and says nothing more, as one does whose machine has vanished.
+    assert!(discovery.next().asked.contains("after=50"));
+    assert!(proxy.logged("code=\"watch_ended\"").contains("silent"));
+    client.ask("read", "last", 2_000);
+    old.next().answer(200, "", "ok");
+    assert_eq!(client.heard().status(), 200);
+    assert!(new.is_quiet(), "what a whole list does not name is gone");
+}
+
+#[test]
+fn ends_in_order_when_told_to() {
+    let (discovery, backend) = (Discovery::start(), Backend::start());
+    let mut proxy = Proxy::start(&configuration(&discovery, &[backend.address]));
+    let (mut busy, mut idle) = (proxy.client(), proxy.client());
+    idle.ask("read", "before", 3_000);
+    backend.next().answer(200, "", "ok");
+    assert_eq!(idle.heard().status(), 200);
+    busy.ask("pay", "taken", 3_000);
+    let mut taken = backend.next();
+    proxy.terminate();
+    assert!(idle.hear().is_none(), "an idle connection ends at once");
+    let mut late = proxy.client();
+    late.ask("pay", "late", 3_000);
+    let mut asked = backend.next();
+    asked.answer(200, "", "late");
+    let heard = late.heard();
+    assert_eq!((heard.status(), heard.header("connection")), (200, Some("close")));
+    taken.answer(200, "", "taken");
+    let heard = busy.heard();
+    assert_eq!((heard.body.as_slice(), heard.header("connection")), (b"taken".as_slice(), Some("close")));
+    assert!(proxy.ended().success());
+}
+
+#[test]
+fn answers_what_is_still_in_hand_before_it_is_killed() {
+    let (discovery, backend) = (Discovery::start(), Backend::start());
+    let mut proxy = Proxy::start(&configuration(&discovery, &[backend.address]));
+    let mut client = proxy.client();
+    client.ask("pay", "long", 60_000);
+    let _asked = backend.next();
+    let told = Instant::now();
+    proxy.terminate();
+    assert_eq!(client.heard().status(), 502);
+    assert!(proxy.ended().success() && told.elapsed() < Duration::from_millis(3_700));
+}
+
+/// Beyond the budget the longest idle connections make room, on both sides.
+#[test]
+fn stays_within_its_descriptors_and_outlives_their_end() {
+    let discovery = Discovery::start();
+    let backends: Vec<Backend> = (0..6).map(|_| Backend::start()).collect();
+    let addresses: Vec<_> = backends.iter().map(|backend| backend.address).collect();
+    let mut told = configuration(&discovery, &addresses);
+    told["limits"]["sockets"] = json!(56);
+    let proxy = Proxy::start(&told);
+    let mut clients: Vec<Client> = Vec::new();
+    for number in 0..9 {
+        let mut client = proxy.client();
+        client.ask("read", &format!("q{number}"), 3_000);
+        let asked = loop {
+            let waiting = backends.iter().find_map(|backend| backend.asked.try_recv().ok());
+            if let Some(asked) = waiting {
+                break asked;
+            }
+        };
+        { asked }.answer(200, "", "ok");
+        assert_eq!(client.heard().status(), 200);
+        clients.push(client);
+    }
+    assert!(clients[0].hear().is_none(), "the longest idle made room");
+    drop((clients, proxy));
+
+    // The same without a budget that binds: the kernel says no, and the proxy goes on.
+    let sound = Backend::answering(|asked| asked.answer(200, "", "ok"));
+    let proxy = Proxy::limited(&configuration(&discovery, &[sound]), Some(24));
+    let crowd: Vec<Client> = (0..40).map(|_| proxy.client()).collect();
+    proxy.logged("code=\"accept_failed\"");
+    drop(crowd);
+    let mut client = proxy.client();
+    client.ask("read", "after", 3_000);
+    assert_eq!(client.heard().status(), 200);
+}
+
+#[test]
+fn tells_its_peers_of_what_it_sends() {
+    let (discovery, backend) = (Discovery::start(), Backend::start());
+    let other = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    other.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    let own = UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).expect("a free port");
+    let mut told = configuration(&discovery, &[backend.address]);
+    told["peer_listen"] = json!(own.to_string());
+    told["peers"] = json!([own.to_string(), other.local_addr().expect("bound").to_string()]);
+    told["settings"]["Balancers"] = json!(2);
+    told["settings"]["Limits"]["Peers"] = json!(true);
+    let proxy = Proxy::start(&told);
+    let mut client = proxy.client();
+    client.ask("read", "q", 3_000);
+    let mut asked = backend.next();
+    let mut note = [0; 300];
+    let begun = other.recv(&mut note).expect("a note of the start");
+    assert!(begun > 0 && begun <= 256);
+    asked.answer(200, "", "ok");
+    assert!(other.recv(&mut note).expect("a note of the end") > 0);
+    // Four executions that the peer tells of crowd the backend: it is full for ours until one ends.
+    let (id, full) = (std::str::from_utf8(&note[..begun - 1]).expect("text").to_owned(), "A");
+    for _ in 0..4 {
+        other.send_to(format!("{id}{full}").as_bytes(), own).expect("sent");
+    }
+    other.send_to(b"\xff\xfe", own).expect("sent");
+    client.heard();
+    client.ask("pay", "waits", 400);
+    assert_eq!(client.heard().status(), 503, "never sent, so rejected");
+    assert!(backend.is_quiet());
+}
+
+#[test]
+fn what_is_unsound_at_the_start_ends_it_with_one_plain_line() {
+    let discovery = Discovery::start();
+    let sound = configuration(&discovery, &[]);
+    let mut cases = vec![(json!("text"), "settings")];
+    for (place, value, named) in [
+        ("/listen", json!("here"), "listen"),
+        ("/seed", json!("zz"), "seed"),
+        ("/discovery", json!(7), "discovery"),
+        ("/known/instances", json!([instance("s", nowhere(), "ASLEEP")]), "ASLEEP"),
+        ("/settings/Workloads/0/Repeat", json!("often"), "often"),
+        ("/settings/Limits/MaxExecutions", json!("many"), "MaxExecutions"),
+    ] {
+        let mut told = sound.clone();
+        *told.pointer_mut(place).expect("there") = value;
+        cases.push((told, named));
+    }
+    for (told, named) in cases {
+        let (mut child, mut log) = launch(&told, None);
+        let mut said = String::new();
+        std::io::Read::read_to_string(&mut log, &mut said).expect("text");
+        let success = child.wait().expect("it ends").success();
+        assert!(!success && said.lines().count() == 1 && said.contains(named), "{named}: {said}");
+    }
+}
+
+#[test]
+fn a_log_that_nobody_reads_holds_up_nothing() {
+    let discovery = Discovery::start();
+    let sound = Backend::answering(|asked| asked.answer(200, "", "ok"));
+    for closed in [false, true] {
+        let proxy = Proxy::unread(&configuration(&discovery, &[sound]), closed);
+        // Well past what a pipe holds.
+        for number in 0..1_500 {
+            let mut client = proxy.client();
+            if number % 100 == 0 {
+                client.ask("read", &format!("q{number}"), 3_000);
+                assert_eq!(client.heard().status(), 200);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/tests/sockets/random.rs
@@ -0,0 +1,93 @@
+//! Seeded random runs of the program: backends that answer, fail, turn away, break off or stay silent,
+//! and after every answer the record of what reached them is held against the rules.
+
+use super::stand_ins::*;
+use quickcheck::{Gen, QuickCheck};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// What reached backends under an id: whether it surely never ran there.
+type Record = Arc<Mutex<BTreeMap<String, Vec<bool>>>>;
+
+fn backend(seed: u64, record: Record) -> std::net::SocketAddr {
+    let rng = Mutex::new(fastrand::Rng::with_seed(seed));
+    let silent = Mutex::new(Vec::new());
+    Backend::answering(move |asked| {
+        let id = asked.message.header("x-request-id").expect("every query has one").to_owned();
+        let draw = rng.lock().expect("one at a time").u8(0..20);
+        record.lock().expect("whole").entry(id.clone()).or_default().push((14..17).contains(&draw));
+        match draw {
+            0..=11 => asked.answer(200, "X-Load: inflight=1\r\n", &id),
+            12 => asked.answer(500, "", ""),
+            13 => asked.answer(503, "", ""),
+            14..=16 => asked.answer(503, "X-Not-Run: 1\r\n", ""),
+            17 => asked.break_off(),
+            18 => {
+                asked.answer(200, "Content-Length: 99\r\nX-Odd: 1\r\n", "");
+                asked.break_off();
+            }
+            _ => silent.lock().expect("one at a time").push(asked.message.head.len()),
+        }
+    })
+}
+
+/// One client's queries, one after the other; what it heard against what the backends saw.
+fn play(mut connection: Client, record: &Record, client: usize, seed: u64) -> Result<(), String> {
+    let mut rng = fastrand::Rng::with_seed(seed.wrapping_add(client as u64));
+    for number in 0..25 {
+        let (id, wait_ms) = (format!("{seed:x}-{client}-{number}"), rng.u64(150..400));
+        let kind = ["read", "pay", "move"][rng.usize(0..3)];
+        let sent = Instant::now();
+        connection.ask(kind, &id, wait_ms);
+        let heard = connection.hear().ok_or(format!("{id} has no answer"))?;
+        let late = sent.elapsed().saturating_sub(Duration::from_millis(wait_ms));
+        // The protocol's 50 ms and the settings' slack, and as much again for a busy machine.
+        if late > Duration::from_millis(140) {
+            return Err(format!("{id} is answered {late:?} late"));
+        }
+        let executions = || record.lock().expect("whole").get(&id).cloned().unwrap_or_default();
+        let ran = executions();
+        let may_have_run = ran.iter().filter(|never| !**never).count();
+        let broken = match (kind, heard.status()) {
+            (_, 200) if heard.body != id.as_bytes() => Some("has another's answer"),
+            ("pay", _) if may_have_run > 1 => Some("may have two effects"),
+            ("pay", _) if ran.iter().rev().skip(1).any(|never| !never) => {
+                Some("went on after it may have run")
+            }
+            ("pay", 429 | 503) if may_have_run > 0 => Some("is rejected though it may have run"),
+            (_, 200 | 502 | 503) if ran.len() <= 4 => None,
+            _ => Some("has too many executions or an answer of no known kind"),
+        };
+        if let Some(broken) = broken {
+            return Err(format!("{id} ({kind}) {broken}: {} after {ran:?}", heard.start()));
+        }
+        if executions().len() > ran.len() {
+            return Err(format!("{id} is executed after its answer"));
+        }
+    }
+    Ok(())
+}
+
+fn run(seed: u64) -> Result<(), String> {
+    let (discovery, record) = (Discovery::start(), Record::default());
+    let addresses: Vec<_> = (0..3).map(|n| backend(seed.wrapping_add(n), Arc::clone(&record))).collect();
+    let mut told = configuration(&discovery, &[&addresses[..], &[nowhere()]].concat());
+    told["seed"] = json!(format!("{seed:x}"));
+    let proxy = Proxy::start(&told);
+    std::thread::scope(|scope| {
+        let (proxy, record) = (&proxy, &record);
+        let play = |client: usize| {
+            let connection = proxy.client();
+            scope.spawn(move || play(connection, record, client, seed))
+        };
+        let clients: Vec<_> = (0..8).map(play).collect();
+        clients.into_iter().try_for_each(|client| client.join().expect("no panic"))
+    })
+}
+
+#[test]
+fn rules_hold_over_sockets() {
+    QuickCheck::new().rng(Gen::from_size_and_seed(100, 7)).tests(4).quickcheck(run as fn(u64) -> _);
+}
--- /dev/null
+++ b/crates/proxy/tests/sockets/stand_ins.rs
@@ -0,0 +1,328 @@
+//! The program under test and what stands in for its neighbours: backends, discovery, clients. What
+//! the tests wait for comes on channels, never after a set time.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+
+/// Far longer than anything here takes: reached only where a test fails.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A message as it came: head lines, then the body.
+#[derive(Debug)]
+pub struct Message {
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    /// None once the other side has closed or reset the connection.
+    fn read(from: &mut BufReader<TcpStream>) -> Option<Message> {
+        let mut head = String::new();
+        while !head.ends_with("\r\n\r\n") {
+            if from.read_line(&mut head).ok()? == 0 {
+                return None;
+            }
+        }
+        let mut message = Message { head, body: Vec::new() };
+        let length = message.header("content-length").map_or(0, |length| length.parse().expect("a length"));
+        message.body.resize(length, 0);
+        from.read_exact(&mut message.body).ok()?;
+        Some(message)
+    }
+
+    pub fn start(&self) -> &str {
+        self.head.lines().next().unwrap_or_default()
+    }
+
+    pub fn status(&self) -> u16 {
+        self.start().split(' ').nth(1).expect("a status").parse().expect("a number")
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut fields = self.head.lines().skip(1).filter_map(|line| line.split_once(": "));
+        fields.find(|field| field.0.eq_ignore_ascii_case(name)).map(|field| field.1)
+    }
+}
+
+/// A request that has reached a backend and waits there for what the test makes of it.
+pub struct Asked {
+    pub message: Message,
+    /// The number of its connection, from 0.
+    pub connection: usize,
+    stream: TcpStream,
+}
+
+impl Asked {
+    pub fn answer(&mut self, status: u16, headers: &str, body: &str) {
+        let head = format!("HTTP/1.1 {status} Said\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
+        // The proxy may have given it up.
+        let _ = self.stream.write_all((head + body).as_bytes());
+    }
+
+    pub fn break_off(&self) {
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+}
+
+pub struct Backend {
+    pub address: SocketAddr,
+    pub asked: Receiver<Asked>,
+    /// The numbers of connections that the proxy has ended.
+    pub closed: Receiver<usize>,
+}
+
+fn hold(number: usize, stream: TcpStream, asked: Sender<Asked>, closed: Sender<usize>) {
+    let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+    while let Some(message) = Message::read(&mut reader) {
+        let stream = stream.try_clone().expect("a second handle");
+        if asked.send(Asked { message, connection: number, stream }).is_err() {
+            return;
+        }
+    }
+    let _ = closed.send(number);
+}
+
+impl Backend {
+    pub fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        let ((asks, asked), (closes, closed)) = (channel(), channel());
+        std::thread::spawn(move || {
+            for (number, stream) in listener.incoming().flatten().enumerate() {
+                let (asks, closes) = (asks.clone(), closes.clone());
+                std::thread::spawn(move || hold(number, stream, asks, closes));
+            }
+        });
+        Backend { address, asked, closed }
+    }
+
+    /// One that answers every request by itself, as `with` says.
+    pub fn answering(with: impl Fn(&mut Asked) + Send + 'static) -> SocketAddr {
+        let backend = Backend::start();
+        let address = backend.address;
+        std::thread::spawn(move || backend.asked.iter().for_each(|mut asked| with(&mut asked)));
+        address
+    }
+
+    pub fn next(&self) -> Asked {
+        self.asked.recv_timeout(PATIENCE).expect("a request reaches the backend")
+    }
+
+    /// Nothing more has come, and what the proxy sent before it answered the client would have.
+    pub fn is_quiet(&self) -> bool {
+        self.asked.try_recv().is_err()
+    }
+}
+
+/// An address that nobody listens at.
+pub fn nowhere() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a free port")
+}
+
+/// Discovery: each watch comes to the test, which says what is told on it.
+pub struct Discovery {
+    address: SocketAddr,
+    watches: Receiver<Watch>,
+}
+
+pub struct Watch {
+    pub asked: String,
+    stream: TcpStream,
+}
+
+impl Watch {
+    pub fn say(&mut self, line: &str) {
+        let _ = write!(self.stream, "{:x}\r\n{line}\n\r\n", line.len() + 1);
+    }
+}
+
+impl Discovery {
+    pub fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        let (opens, watches) = channel();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+                let Some(message) = Message::read(&mut reader) else { continue };
+                let mut watch = Watch { asked: message.start().to_owned(), stream };
+                let _ = write!(watch.stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                if opens.send(watch).is_err() {
+                    return;
+                }
+            }
+        });
+        Discovery { address, watches }
+    }
+
+    pub fn next(&self) -> Watch {
+        self.watches.recv_timeout(PATIENCE).expect("the proxy watches")
+    }
+}
+
+pub fn instance(id: &str, address: SocketAddr, lifecycle: &str) -> Value {
+    json!({"instanceId": id, "hostPort": address.to_string(), "zone": "a", "machineType": "m", "cell": 0,
+           "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0, "colour": "red"})
+}
+
+pub fn list(generation: u64, reset: bool, instances: Vec<Value>) -> Value {
+    json!({"generation": generation, "reset": reset, "instances": instances})
+}
+
+/// The program, with a configuration of its own.
+pub struct Proxy {
+    pub address: SocketAddr,
+    child: Child,
+    log: Receiver<String>,
+}
+
+pub fn workload(name: &str, repeat: &str) -> Value {
+    json!({"Name": name, "Repeat": repeat, "Group": "all", "Importance": 1.0, "TardyImportance": 0.2,
+           "SloTimeUs": 1_000_000, "StatementTimeoutUs": 3_000_000, "WindowUs": 5_000_000})
+}
+
+pub fn configuration(discovery: &Discovery, backends: &[SocketAddr]) -> Value {
+    let known =
+        backends.iter().enumerate().map(|(n, address)| instance(&format!("s-{n}"), *address, "SERVING"));
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(),
+        "seed": "8c1f30d27a5be964", "limits": {"sockets": 256}, "peers": [],
+        "known": list(41, true, known.collect()),
+        "settings": {
+            "Balancers": 1, "MyNumber": 0, "Discovery": "subscribe", "Zones": ["a"], "Colour": "red",
+            "Limits": {"MaxExecutions": 4, "MayDuplicate": false, "Cancel": true, "RetryAfter": true,
+                       "MaxRetryAfterUs": 2_000_000, "ConnectTimeoutUs": 250_000, "IdleCloseUs": 30_000_000},
+            "Safety": {"StartCapacity": 0.5, "ColdUs": 1_000_000, "TipMultiple": 3.0, "OverloadForUs": 1_000_000},
+            "Workloads": [workload("read", "retryable"), workload("pay", "fragile"), workload("move", "dedup")],
+            "Tenants": [{"Name": "acme", "Portion": 1.0, "QuotaRps": 1000.0}],
+        },
+    })
+}
+
+/// Starts the program and hands over its log; `limit` bounds its descriptors from outside.
+pub fn launch(configuration: &Value, limit: Option<u32>) -> (Child, BufReader<ChildStderr>) {
+    static NUMBER: AtomicU32 = AtomicU32::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("crankpick-{}-{number}.json", std::process::id()));
+    std::fs::write(&path, configuration.to_string()).expect("a writable temporary folder");
+    let limit = limit.map_or(String::new(), |limit| format!("ulimit -n {limit}; "));
+    let mut child = Command::new("/bin/sh")
+        .args(["-c", &format!("{limit}exec {}", env!("CARGO_BIN_EXE_crankpick"))])
+        .env("EDGE_CONFIG", &path)
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    let log = BufReader::new(child.stderr.take().expect("piped"));
+    (child, log)
+}
+
+fn listening(line: &str) -> SocketAddr {
+    let address = line.split("listen=").nth(1).and_then(|rest| rest.split(' ').next());
+    address.expect("the address is logged").parse().expect("an address")
+}
+
+impl Proxy {
+    pub fn start(configuration: &Value) -> Self {
+        Proxy::limited(configuration, None)
+    }
+
+    pub fn limited(configuration: &Value, limit: Option<u32>) -> Self {
+        let (child, reader) = launch(configuration, limit);
+        let (lines, log) = channel();
+        std::thread::spawn(move || {
+            reader.lines().map_while(Result::ok).try_for_each(|line| lines.send(line))
+        });
+        let mut proxy = Proxy { address: nowhere(), child, log };
+        proxy.address = listening(&proxy.logged("code=\"listening\""));
+        proxy
+    }
+
+    /// One whose log is read up to the address and no further: the pipe fills up, or is closed.
+    pub fn unread(configuration: &Value, closed: bool) -> Self {
+        let (child, mut reader) = launch(configuration, None);
+        let ((_, log), mut line) = (channel(), String::new());
+        reader.read_line(&mut line).expect("the log opens with the address");
+        if !closed {
+            std::mem::forget(reader);
+        }
+        Proxy { address: listening(&line), child, log }
+    }
+
+    /// The next line of the log that holds `text`.
+    pub fn logged(&self, text: &str) -> String {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let line = self.log.recv_timeout(left).unwrap_or_else(|_| panic!("{text} is logged"));
+            if line.contains(text) {
+                return line;
+            }
+        }
+    }
+
+    pub fn client(&self) -> Client {
+        Client::new(TcpStream::connect(self.address).expect("the proxy accepts"))
+    }
+
+    pub fn terminate(&self) {
+        let told = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        assert!(told.expect("kill runs").success());
+    }
+
+    pub fn ended(&mut self) -> ExitStatus {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            match self.child.try_wait().expect("a child of ours") {
+                Some(status) => return status,
+                None => assert!(Instant::now() < until, "the proxy ends"),
+            }
+            std::thread::yield_now();
+        }
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub struct Client {
+    stream: BufReader<TcpStream>,
+}
+
+impl Client {
+    fn new(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        Client { stream: BufReader::new(stream) }
+    }
+
+    pub fn say(&mut self, bytes: &[u8]) {
+        let _ = self.stream.get_mut().write_all(bytes);
+    }
+
+    /// Sends a query with an id of its own.
+    pub fn ask(&mut self, workload: &str, id: &str, wait_ms: u64) {
+        let method = if workload == "read" { "GET" } else { "POST" };
+        let length = if workload == "read" { "" } else { "Content-Length: 2\r\n" };
+        let body = if workload == "read" { "" } else { "ok" };
+        let head = format!("{method} /{workload}/x HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: {id}\r\n");
+        self.say(format!("{head}X-Deadline: {wait_ms}m\r\nX-Tenant: acme\r\n{length}\r\n{body}").as_bytes());
+    }
+
+    /// None where the proxy has ended the connection.
+    pub fn hear(&mut self) -> Option<Message> {
+        Message::read(&mut self.stream)
+    }
+
+    pub fn heard(&mut self) -> Message {
+        self.hear().expect("an answer")
+    }
+}
