--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -58,8 +58,9 @@
         0 => SOCKETS,
         sockets => sockets,
     };
-    // Half for clients, half for backends: a query in hand holds about one of each.
-    let budget = sockets.saturating_sub(RESERVED).max(2) / 2;
+    // Two thirds for clients: each query in hand holds one there, but one that waits holds no backend's.
+    let budget = sockets.saturating_sub(RESERVED).max(3);
+    let (clients, executions) = (budget - budget / 3, budget / 3);
     let micros = |path: &str| at(settings, path).map(Duration::from_micros);
 
     let listen = address(&told, "listen")?;
@@ -67,7 +68,7 @@
     let peer_listen = peer_listen.map(|_| address(&told, "peer_listen")).transpose()?;
     let peers = Arc::new(Peers::new(peer_listen, addresses(&told, "peers")?)?);
     let backends = Arc::new(Backends::new(
-        budget,
+        executions,
         micros("Limits.ConnectTimeoutUs")?.max(Duration::from_millis(1)),
         micros("Limits.IdleCloseUs")?.max(Duration::from_millis(1)),
     ));
@@ -109,8 +110,8 @@
     let listener = listener.map_err(|wrong| format!("listen on {listen}: {wrong}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|wrong| format!("SIGTERM: {wrong}"))?;
     let bound = listener.local_addr().unwrap_or(listen);
-    tracing::info!(code = "listening", listen = %bound, budget, "ready");
-    let front = front::run(listener, front::router(Arc::new(proxy)), budget, stop);
+    tracing::info!(code = "listening", listen = %bound, clients, executions, "ready");
+    let front = front::run(listener, front::router(Arc::new(proxy)), clients, stop);
     let last = async {
         term.recv().await;
         tracing::info!(code = "stopping", "told to end");
--- a/crates/proxy/src/query.rs
+++ b/crates/proxy/src/query.rs
@@ -183,9 +183,11 @@
         let name = head.uri.path().split('/').nth(1).unwrap_or_default();
         let workload = proxy.workloads.iter().position(|workload| workload == name);
         let workload = workload.ok_or_else(|| format!("no workload {name:?}"))?;
+        // No client of this workload waits longer, whatever it says: a place is not held for an hour.
+        let most = Duration::from_micros(proxy.statement_timeouts_us[workload]);
         let wait = match text("x-deadline") {
-            Some(wait) => duration(wait).ok_or_else(|| format!("X-Deadline {wait:?}"))?,
-            None => Duration::from_micros(proxy.statement_timeouts_us[workload]),
+            Some(wait) => duration(wait).ok_or_else(|| format!("X-Deadline {wait:?}"))?.min(most),
+            None => most,
         };
         // A tenant on no list has no share to be beyond.
         let tenant = text("x-tenant").and_then(|name| proxy.tenants.iter().position(|tenant| tenant == name));
@@ -204,7 +206,7 @@
     (hint.is_finite() && hint >= 0.0).then_some(hint as u64)
 }
 
-/// `480m` or `480u`. An hour is longer than any client waits, and keeps sums sound.
+/// `480m` or `480u`.
 fn duration(text: &str) -> Option<Duration> {
     let text = text.trim();
     let (number, unit_us) = match text.strip_suffix('m') {
@@ -212,7 +214,7 @@
         None => (text.strip_suffix('u')?, 1.0),
     };
     let us = number.trim().parse::<f64>().ok()? * unit_us;
-    (us.is_finite() && us >= 0.0).then(|| Duration::from_micros(us.min(3.6e9) as u64))
+    (us.is_finite() && us >= 0.0).then(|| Duration::from_micros(us as u64))
 }
 
 pub fn plain(status: StatusCode, text: &str) -> Response<Body> {
