One unsound list entry no longer hides the others; headers go on end to end

An answer's headers go on but for the hop's own; a connection not opened for want of descriptors counts against no backend. The socket tests hold each but the last.

--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -133,9 +133,7 @@
         link.rest(request);
     }
     let mut whole = Response::new(body);
-    if let Some(kind) = head.headers.get("content-type") {
-        whole.headers_mut().insert("content-type", kind.clone());
-    }
+    *whole.headers_mut() = end_to_end(&head.headers);
     Ok((ended, report, whole))
 }
 
@@ -165,6 +163,15 @@
     "upgrade",
 ];
 
+/// The headers that go on: a hop's own stay behind, those that it names under `Connection` as well.
+fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named = headers.get_all("connection").iter().filter_map(|value| value.to_str().ok());
+    let named: Vec<&str> = named.flat_map(|value| value.split(',')).map(str::trim).collect();
+    let mut kept = headers.clone();
+    HOP_BY_HOP.iter().chain(&named).for_each(|name| drop(kept.remove(*name)));
+    kept
+}
+
 /// The request as the backend gets it: method, path, query and body as the bytes that came.
 fn outgoing(address: SocketAddr, head: &Parts, body: Bytes, wait: Duration) -> Option<Request<Full<Bytes>>> {
     let mut uri = head.uri.clone().into_parts();
@@ -173,8 +180,7 @@
     let mut request = Request::new(Full::new(body));
     *request.method_mut() = head.method.clone();
     *request.uri_mut() = Uri::from_parts(uri).ok()?;
-    *request.headers_mut() = head.headers.clone();
-    HOP_BY_HOP.iter().for_each(|name| drop(request.headers_mut().remove(*name)));
+    *request.headers_mut() = end_to_end(&head.headers);
     let deadline = HeaderValue::try_from(format!("{}u", wait.as_micros())).ok()?;
     request.headers_mut().insert("x-deadline", deadline);
     Some(request)
--- a/crates/proxy/src/connect.rs
+++ b/crates/proxy/src/connect.rs
@@ -27,6 +27,9 @@
     idle: Duration,
 }
 
+/// ENFILE and EMFILE.
+const NO_DESCRIPTOR: [i32; 2] = [23, 24];
+
 /// Marks the error of a connection that was not tried for want of descriptors: no backend's fault.
 #[derive(Debug)]
 pub struct OverBudget;
@@ -118,7 +121,10 @@
         let opened = tokio::time::timeout(self.timeout, TcpStream::connect(address)).await;
         let stream = opened.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())).map_err(|wrong| {
             tracing::info!(code = "backend_unreachable", %address, "{wrong}");
-            wrong
+            if NO_DESCRIPTOR.iter().any(|code| wrong.raw_os_error() == Some(*code)) {
+                return OverBudget.into();
+            }
+            Box::<dyn std::error::Error + Send + Sync>::from(wrong)
         })?;
         stream.set_nodelay(true)?;
         let state = State {
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use crankpick::interface::Listed;
+use crankpick::interface::{Listed, Phase};
 use crankpick_launch::Instance;
 use http_body_util::{BodyExt, Empty};
 use hyper::header::HOST;
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
+use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::timeout;
@@ -31,15 +32,16 @@
     #[serde(default)]
     reset: bool,
     #[serde(default)]
-    instances: Vec<Instance>,
+    instances: Vec<Value>,
 }
 
 pub struct Discovery {
     decide: Arc<Decide>,
     backends: Arc<Backends>,
     zones: Vec<String>,
-    /// The module's number for each id. It is drawn from the text, so that all proxies have the same.
-    numbers: BTreeMap<String, u32>,
+    /// Each id as last listed, with the module's number for it. That is drawn from the text, so that all
+    /// proxies have the same.
+    listed: BTreeMap<String, Listed>,
     generation: u64,
 }
 
@@ -50,39 +52,62 @@
 
 impl Discovery {
     pub fn new(decide: Arc<Decide>, backends: Arc<Backends>, zones: Vec<String>) -> Self {
-        Discovery { decide, backends, zones, numbers: BTreeMap::new(), generation: 0 }
+        Discovery { decide, backends, zones, listed: BTreeMap::new(), generation: 0 }
     }
 
-    fn number(&mut self, id: &str) -> u32 {
-        if let Some(number) = self.numbers.get(id) {
-            return *number;
+    /// What is known of an id.
+    fn last(&mut self, id: &str) -> Listed {
+        if let Some(last) = self.listed.get(id) {
+            return *last;
         }
-        let mut number = hash(id);
-        while self.numbers.values().any(|taken| *taken == number) {
-            number = number.wrapping_add(1);
+        let mut backend = hash(id);
+        while self.listed.values().any(|taken| taken.backend == backend) {
+            backend = backend.wrapping_add(1);
         }
-        self.numbers.insert(id.to_owned(), number);
-        number
+        Listed { backend, ..Listed::default() }
     }
 
-    /// Takes in one list; `whole` where it holds all there is, as the copy from before the start does.
-    pub fn take(&mut self, list: List, whole: bool) -> Result<(), String> {
-        let mut items: Vec<Listed> = Vec::new();
-        for instance in &list.instances {
-            let number = self.number(&instance.instance_id);
-            let item = instance.listed(number, &self.zones)?;
-            if !instance.host_port.is_empty() {
-                let address = instance.host_port.parse();
-                let address = address.map_err(|_| format!("hostPort {:?}", instance.host_port))?;
-                self.backends.place(number, address);
-            }
-            items.push(item);
+    /// One entry, with its address in place.
+    fn entry(&mut self, entry: &Value) -> Result<Listed, String> {
+        let instance = Instance::deserialize(entry).map_err(|wrong| wrong.to_string())?;
+        let last = self.last(&instance.instance_id);
+        let mut listed = instance.listed(last.backend, &self.zones)?;
+        if listed.phase == Phase::Gone {
+            // It may come with its id alone. Its zone and cell still bind what may have run there.
+            listed = Listed { phase: Phase::Gone, ..last };
+        } else {
+            let address = instance.host_port.parse();
+            let address = address.map_err(|_| format!("hostPort {:?}", instance.host_port))?;
+            self.backends.place(listed.backend, address);
         }
+        self.listed.insert(instance.instance_id, listed);
+        Ok(listed)
+    }
+
+    /// Takes in the list from before the start, whole and sound or not at all.
+    pub fn known(&mut self, list: &List) -> Result<(), String> {
+        let items: Result<Vec<Listed>, String> =
+            list.instances.iter().map(|entry| self.entry(entry)).collect();
         self.generation = list.generation;
-        self.decide.list(whole || list.reset, &items);
+        self.decide.list(true, &items?);
         Ok(())
     }
 
+    /// Takes in news. An entry that can't be understood must not keep the others' from us: its backend
+    /// counts as draining until there is better news.
+    fn news(&mut self, list: &List) {
+        let mut items: Vec<Listed> = Vec::new();
+        for entry in &list.instances {
+            items.extend(self.entry(entry).or_else(|wrong| {
+                tracing::warn!(code = "entry_unsound", "{wrong}, in {entry}");
+                let id = entry.get("instanceId").and_then(Value::as_str).ok_or(())?;
+                Ok::<_, ()>(Listed { phase: Phase::Terminating, ..self.last(id) })
+            }));
+        }
+        self.generation = list.generation;
+        self.decide.list(list.reset, &items);
+    }
+
     /// Runs for good: the module says when to ask, also how long to wait after a loss.
     pub async fn follow(mut self, address: SocketAddr, wanted: Arc<Notify>) {
         loop {
@@ -126,7 +151,7 @@
                     if !line.trim_ascii().is_empty() {
                         let list: List = serde_json::from_slice(&line)
                             .map_err(|wrong| format!("not to be understood: {wrong}"))?;
-                        self.take(list, false)?;
+                        self.news(&list);
                     }
                     line.clear();
                 }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -86,7 +86,7 @@
     }
     let mut discovery = Discovery::new(Arc::clone(&decide), Arc::clone(&backends), at(settings, "Zones")?);
     let known: List = at(&told, "known")?;
-    discovery.take(known, true).map_err(|wrong| format!("known: {wrong}"))?;
+    discovery.known(&known).map_err(|wrong| format!("known: {wrong}"))?;
     tokio::spawn(discovery.follow(address(&told, "discovery")?, list_wanted));
     tokio::spawn(peers.listen(Arc::clone(&decide)));
 
--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -18,7 +18,7 @@
         client.say(
             format!(
                 "POST /move/a%2Fb//c?x=%20&k= HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: q{turn}\r\nX-Tenant: acme\r\n\
-                 X-Deadline: 1500m\r\nIdempotency-Key: 5c0f\r\nX-Cost-Hint: 900\r\nContent-Length: 4\r\n\r\n"
+                 X-Deadline: 1500m\r\nIdempotency-Key: 5c0f\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nX-Cost-Hint: 900\r\nContent-Length: 4\r\n\r\n"
             )
             .as_bytes(),
         );
@@ -32,8 +32,14 @@
         let wait: u32 = wait.expect("how long the proxy waits").parse().expect("a number");
         assert!((1_000_000..1_500_000).contains(&wait), "{wait}");
         assert_eq!(asked.connection, 0, "a needless connection");
-        asked.answer(200, "X-Load: inflight=7,util=0.6,odd\r\n", "{\"done\": 1}");
+        assert_eq!(
+            asked.message.header("x-hop"),
+            None,
+            "what belongs to the client's connection stays there"
+        );
+        asked.answer(200, "X-Load: inflight=7,util=0.6,odd\r\nETag: \"7\"\r\n", "{\"done\": 1}");
         let heard = client.heard();
+        assert_eq!(heard.header("etag"), Some("\"7\""));
         assert_eq!((heard.status(), heard.body.as_slice()), (200, b"{\"done\": 1}".as_slice()));
     }
     client.say(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
@@ -195,11 +201,15 @@
     let change = vec![instance("s-0", old.address, "DRAINING"), instance("s-1", new.address, "SERVING")];
     watch.say("");
     watch.say(&list(43, false, change).to_string());
+    // An entry that nobody understands holds up neither the others nor the proxy.
+    let odd = json!({"instanceId": "s-2", "hostPort": "nowhere", "lifecycle": "SERVING"});
+    watch.say(&list(44, false, vec![odd, instance("s-0", old.address, "ASLEEP")]).to_string());
+    proxy.logged("code=\"entry_unsound\"");
     watch.say("no JSON");
     proxy.logged("code=\"watch_ended\"");
     // What came before the line that nobody understands holds; the next watch begins there.
     let mut watch = discovery.next();
-    assert!(watch.asked.contains("after=43"), "{}", watch.asked);
+    assert!(watch.asked.contains("after=44"), "{}", watch.asked);
     let mut client = proxy.client();
     for number in 0..4 {
         client.ask("read", &format!("q{number}"), 2_000);
