Socket tests that catch what four breaks on purpose had slipped past

With the proxy broken in seventeen ways on purpose, four passed: half an answer held to be never run (the stand-in's half answer was no sound head, so it ended elsewhere), idle connections not ended by themselves (the library's own look came at the right time by chance), no idle connection to a backend making room, a whole list taken as changes. Each is caught now; the other thirteen were before.

--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -99,9 +99,7 @@
     backend.next().answer(503, "Retry-After: 1\r\n", "");
     assert_eq!(client.heard().status(), 502, "a backend's 503 alone proves nothing");
     client.ask("pay", "half", 2_000);
-    let mut asked = backend.next();
-    asked.answer(200, "Content-Length: 9\r\nX-Odd: 1\r\n", "");
-    asked.break_off();
+    backend.next().answer_half();
     assert_eq!(client.heard().status(), 502, "an answer that is not whole is none");
     assert!(backend.is_quiet());
 }
@@ -182,9 +180,14 @@
     told["settings"]["Limits"]["IdleCloseUs"] = json!(2_000_000);
     let proxy = Proxy::start(&told);
     let mut client = proxy.client();
-    client.ask("read", "q", 2_000);
-    backend.next().answer(200, "", "ok");
-    assert_eq!(client.heard().status(), 200);
+    for id in ["first", "second"] {
+        // The client library looks for old connections now and then, from the first one on: the second
+        // query falls between two looks, and only the connection itself ends in time.
+        std::thread::sleep(Duration::from_millis(if id == "first" { 0 } else { 600 }));
+        client.ask("read", id, 2_000);
+        backend.next().answer(200, "", "ok");
+        assert_eq!(client.heard().status(), 200);
+    }
     let idle = Instant::now();
     assert_eq!(backend.closed.recv_timeout(PATIENCE), Ok(0));
     assert!(idle.elapsed() < Duration::from_secs(2), "{:?}", idle.elapsed());
@@ -220,9 +223,11 @@
     // It stays open and says nothing more, as one does whose machine has vanished.
     assert!(discovery.next().asked.contains("after=50"));
     assert!(proxy.logged("code=\"watch_ended\"").contains("silent"));
-    client.ask("read", "last", 2_000);
-    old.next().answer(200, "", "ok");
-    assert_eq!(client.heard().status(), 200);
+    for number in 0..4 {
+        client.ask("read", &format!("last{number}"), 2_000);
+        old.next().answer(200, "", "ok");
+        assert_eq!(client.heard().status(), 200);
+    }
     assert!(new.is_quiet(), "what a whole list does not name is gone");
 }
 
@@ -289,6 +294,7 @@
         clients.push(client);
     }
     assert!(clients[0].hear().is_none(), "the longest idle made room");
+    proxy.logged("backend connection ended code=\"over_budget\"");
     drop((clients, proxy));
 
     // The same without a budget that binds: the kernel says no, and the proxy goes on.
--- a/crates/proxy/tests/sockets/random.rs
+++ b/crates/proxy/tests/sockets/random.rs
@@ -24,10 +24,7 @@
             13 => asked.answer(503, "", ""),
             14..=16 => asked.answer(503, "X-Not-Run: 1\r\n", ""),
             17 => asked.break_off(),
-            18 => {
-                asked.answer(200, "Content-Length: 99\r\nX-Odd: 1\r\n", "");
-                asked.break_off();
-            }
+            18 => asked.answer_half(),
             _ => silent.lock().expect("one at a time").push(asked.message.head.len()),
         }
     })
--- a/crates/proxy/tests/sockets/stand_ins.rs
+++ b/crates/proxy/tests/sockets/stand_ins.rs
@@ -65,6 +65,12 @@
         let _ = self.stream.write_all((head + body).as_bytes());
     }
 
+    /// An answer that is cut short.
+    pub fn answer_half(&mut self) {
+        let _ = self.stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+        self.break_off();
+    }
+
     pub fn break_off(&self) {
         let _ = self.stream.shutdown(Shutdown::Both);
     }
