--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -33,6 +33,9 @@
 const RESERVED: usize = 48;
 /// Where the limits name none.
 const SOCKETS: usize = 1024;
+/// Where the settings name no time to connect, or none that idle connections may stand.
+const CONNECT: Duration = Duration::from_secs(1);
+const IDLE: Duration = Duration::from_secs(10);
 /// SIGKILL comes 3.7 s after SIGTERM at the soonest: by then all that was taken must be answered.
 const LAST_CALL: Duration = Duration::from_millis(3_300);
 const LAST_WRITES: Duration = Duration::from_millis(200);
@@ -61,7 +64,10 @@
     // Two thirds for clients: each query in hand holds one there, but one that waits holds no backend's.
     let budget = sockets.saturating_sub(RESERVED).max(3);
     let (clients, executions) = (budget - budget / 3, budget / 3);
-    let micros = |path: &str| at(settings, path).map(Duration::from_micros);
+    let micros = |path: &str, unsaid: Duration| match at(settings, path) {
+        Ok(0) => Ok(unsaid),
+        said => said.map(Duration::from_micros),
+    };
 
     let listen = address(&told, "listen")?;
     let peer_listen = told.get("peer_listen").filter(|value| !value.is_null());
@@ -69,8 +75,8 @@
     let peers = Arc::new(Peers::new(peer_listen, addresses(&told, "peers")?)?);
     let backends = Arc::new(Backends::new(
         executions,
-        micros("Limits.ConnectTimeoutUs")?.max(Duration::from_millis(1)),
-        micros("Limits.IdleCloseUs")?.max(Duration::from_millis(1)),
+        micros("Limits.ConnectTimeoutUs", CONNECT)?,
+        micros("Limits.IdleCloseUs", IDLE)?,
     ));
     let balancer = crankpick_launch::balancer(seed(&told)?, settings)?;
     let list_wanted = Arc::new(Notify::new());
--- a/crates/proxy/src/query.rs
+++ b/crates/proxy/src/query.rs
@@ -21,6 +21,9 @@
 /// Kept back from what the client waits, for the way there and for writing the answer.
 const ROOM: Duration = Duration::from_millis(10);
 
+/// How long a query may take where neither its client nor the settings say.
+const UNSAID: Duration = Duration::from_secs(60);
+
 /// What every query needs, and the names that requests use, in the order of the settings.
 pub struct Proxy {
     pub decide: Arc<Decide>,
@@ -184,7 +187,10 @@
         let workload = proxy.workloads.iter().position(|workload| workload == name);
         let workload = workload.ok_or_else(|| format!("no workload {name:?}"))?;
         // No client of this workload waits longer, whatever it says: a place is not held for an hour.
-        let most = Duration::from_micros(proxy.statement_timeouts_us[workload]);
+        let most = match proxy.statement_timeouts_us[workload] {
+            0 => UNSAID,
+            most => Duration::from_micros(most),
+        };
         let wait = match text("x-deadline") {
             Some(wait) => duration(wait).ok_or_else(|| format!("X-Deadline {wait:?}"))?.min(most),
             None => most,
--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -46,6 +46,30 @@
     assert_eq!(client.heard().status(), 200);
 }
 
+#[test]
+fn limits_that_are_not_named_bind_nobody() {
+    let (discovery, backend) = (Discovery::start(), Backend::start());
+    let mut told = configuration(&discovery, &[backend.address]);
+    for (place, name) in [
+        ("/settings/Limits", "ConnectTimeoutUs"),
+        ("/settings/Limits", "IdleCloseUs"),
+        ("/settings/Workloads/1", "StatementTimeoutUs"),
+        ("/limits", "sockets"),
+    ] {
+        let holder = told.pointer_mut(place).and_then(|holder| holder.as_object_mut());
+        holder.expect("there").remove(name).expect("there before");
+    }
+    let proxy = Proxy::start(&told);
+    let mut client = proxy.client();
+    for id in ["first", "second"] {
+        client.ask("pay", id, 2_000);
+        let mut asked = backend.next();
+        assert_eq!(asked.connection, 0);
+        asked.answer(200, "", "ok");
+        assert_eq!(client.heard().status(), 200);
+    }
+}
+
 #[test]
 fn what_is_no_query_is_told_so_and_reaches_nobody() {
     let (discovery, backend) = (Discovery::start(), Backend::start());
