Read once more: twins in the proxy merged, no headers copied for answers that go nowhere

Two ways to report an outcome, to parse an address and to wake a connection's reader are one each; times that the settings leave out are filled in once at the start instead of one of them at each query; the headers of a 500 or a 503 were copied for an answer that was then dropped.

--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -72,14 +72,11 @@
                 tracing::debug!(code = "no_answer", backend, ?ended, "{wrong}: {:?}", wrong.source());
                 ended
             })?;
-            read(answer, link(&connection).as_deref()).await
+            read(answer, link(&connection).as_deref(), sent).await
         })
         .await;
         match heard {
-            Ok(Ok((ended, report, answer))) => {
-                let answer = (ended == Ended::Completed).then_some(answer);
-                Heard { ended, report, answer, ..Heard::without_answer(ended, sent) }
-            }
+            Ok(Ok(heard)) => heard,
             Ok(Err(ended)) => Heard::without_answer(ended, sent),
             Err(_) => Heard::without_answer(Ended::TimedOut, sent),
         }
@@ -116,9 +113,7 @@
     }
 }
 
-async fn read(
-    answer: Response<Incoming>, link: Option<&Link>,
-) -> Result<(Ended, Option<LoadReport>, Response<Bytes>), Ended> {
+async fn read(answer: Response<Incoming>, link: Option<&Link>, sent: Instant) -> Result<Heard, Ended> {
     let execution = link.map(Link::execution);
     let (head, body) = answer.into_parts();
     let never_ran = head.headers.get("x-not-run").is_some_and(|value| value == "1");
@@ -132,9 +127,12 @@
     if let Some((link, execution)) = link.zip(execution) {
         link.rest(execution);
     }
-    let mut whole = Response::new(body);
-    *whole.headers_mut() = end_to_end(&head.headers);
-    Ok((ended, report, whole))
+    let answer = (ended == Ended::Completed).then(|| {
+        let mut whole = Response::new(body);
+        *whole.headers_mut() = end_to_end(&head.headers);
+        whole
+    });
+    Ok(Heard { report, answer, ..Heard::without_answer(ended, sent) })
 }
 
 /// `X-Load: inflight=7,queue=2,util=0.61`; fields that no decision needs are skipped.
--- a/crates/proxy/src/connect.rs
+++ b/crates/proxy/src/connect.rs
@@ -57,6 +57,15 @@
     reader: Option<Waker>,
 }
 
+impl State {
+    /// The reader looks anew at whether the connection still stands.
+    fn wake(&mut self) {
+        if let Some(reader) = self.reader.take() {
+            reader.wake();
+        }
+    }
+}
+
 impl Link {
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -74,9 +83,7 @@
         if state.executions == execution {
             state.idle_since = Some(Instant::now());
             state.written = 0;
-            if let Some(reader) = state.reader.take() {
-                reader.wake();
-            }
+            state.wake();
         }
     }
 
@@ -102,9 +109,7 @@
         if let Some((_, link)) = idle.min_by_key(|(since, _)| *since) {
             let mut state = link.lock();
             state.why = Some("over_budget");
-            if let Some(reader) = state.reader.take() {
-                reader.wake();
-            }
+            state.wake();
         }
     }
 
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -56,7 +56,7 @@
     }
 
     /// What is known of an id.
-    fn last(&mut self, id: &str) -> Listed {
+    fn last(&self, id: &str) -> Listed {
         if let Some(last) = self.listed.get(id) {
             return *last;
         }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -33,21 +33,32 @@
 const RESERVED: usize = 48;
 /// Where the limits name none.
 const SOCKETS: usize = 1024;
-/// Where the settings name no time to connect, or none that idle connections may stand.
+/// Where the settings name no time to connect, none that idle connections may stand, or none for a query.
 const CONNECT: Duration = Duration::from_secs(1);
 const IDLE: Duration = Duration::from_secs(10);
+const STATEMENT: Duration = Duration::from_secs(60);
 /// SIGKILL comes 3.7 s after SIGTERM at the soonest: by then all that was taken must be answered.
 const LAST_CALL: Duration = Duration::from_millis(3_300);
 const LAST_WRITES: Duration = Duration::from_millis(200);
 
-fn address(told: &Value, path: &str) -> Result<SocketAddr, String> {
-    let text: String = at(told, path)?;
+fn parsed(path: &str, text: &str) -> Result<SocketAddr, String> {
     text.parse().map_err(|_| format!("{path}: no address in {text:?}"))
 }
 
+fn address(told: &Value, path: &str) -> Result<SocketAddr, String> {
+    parsed(path, &at::<String>(told, path)?)
+}
+
 fn addresses(told: &Value, path: &str) -> Result<Vec<SocketAddr>, String> {
-    let texts: Vec<String> = at(told, path)?;
-    texts.iter().map(|text| text.parse().map_err(|_| format!("{path}: no address in {text:?}"))).collect()
+    at::<Vec<String>>(told, path)?.iter().map(|text| parsed(path, text)).collect()
+}
+
+/// A time that the settings leave out reads as zero.
+fn said(us: u64, unsaid: Duration) -> Duration {
+    match us {
+        0 => unsaid,
+        us => Duration::from_micros(us),
+    }
 }
 
 fn seed(told: &Value) -> Result<u64, String> {
@@ -64,10 +75,6 @@
     // Two thirds for clients: each query in hand holds one there, but one that waits holds no backend's.
     let budget = sockets.saturating_sub(RESERVED).max(3);
     let (clients, executions) = (budget - budget / 3, budget / 3);
-    let micros = |path: &str, unsaid: Duration| match at(settings, path) {
-        Ok(0) => Ok(unsaid),
-        said => said.map(Duration::from_micros),
-    };
 
     let listen = address(&told, "listen")?;
     let peer_listen = told.get("peer_listen").filter(|value| !value.is_null());
@@ -75,8 +82,8 @@
     let peers = Arc::new(Peers::new(peer_listen, addresses(&told, "peers")?)?);
     let backends = Arc::new(Backends::new(
         executions,
-        micros("Limits.ConnectTimeoutUs", CONNECT)?,
-        micros("Limits.IdleCloseUs", IDLE)?,
+        said(at(settings, "Limits.ConnectTimeoutUs")?, CONNECT),
+        said(at(settings, "Limits.IdleCloseUs")?, IDLE),
     ));
     let balancer = crankpick_launch::balancer(seed(&told)?, settings)?;
     let list_wanted = Arc::new(Notify::new());
@@ -98,11 +105,12 @@
 
     let (stopping, stop) = watch::channel(false);
     let (ended, ending) = watch::channel(false);
+    let statement_timeouts = each(settings, "Workloads", "StatementTimeoutUs")?;
     let proxy = Proxy {
         decide,
         backends,
         workloads: each(settings, "Workloads", "Name")?,
-        statement_timeouts_us: each(settings, "Workloads", "StatementTimeoutUs")?,
+        statement_timeouts: statement_timeouts.into_iter().map(|us| said(us, STATEMENT)).collect(),
         tenants: each(settings, "Tenants", "Name")?,
         ending,
     };
--- a/crates/proxy/src/query.rs
+++ b/crates/proxy/src/query.rs
@@ -21,15 +21,12 @@
 /// Kept back from what the client waits, for the way there and for writing the answer.
 const ROOM: Duration = Duration::from_millis(10);
 
-/// How long a query may take where neither its client nor the settings say.
-const UNSAID: Duration = Duration::from_secs(60);
-
 /// What every query needs, and the names that requests use, in the order of the settings.
 pub struct Proxy {
     pub decide: Arc<Decide>,
     pub backends: Arc<Backends>,
     pub workloads: Vec<String>,
-    pub statement_timeouts_us: Vec<u64>,
+    pub statement_timeouts: Vec<Duration>,
     pub tenants: Vec<String>,
     /// Turns true when the process must end: what is still in hand gets its answer.
     pub ending: watch::Receiver<bool>,
@@ -69,7 +66,7 @@
             biased;
             heard = next_outcome(&mut life.out) => {
                 let (execution, heard) = heard;
-                life.report(execution, &heard);
+                report(&life.decide, &life.id, execution, &heard);
                 if let Some(answer) = heard.answer {
                     life.answered = true;
                     return answer.map(Body::from);
@@ -117,10 +114,6 @@
         Life { decide, id, decided, out: Vec::new(), answered: false }
     }
 
-    fn report(&self, execution: u32, heard: &Heard) {
-        self.decide.outcome(&self.id, execution, heard.ended, heard.took_us, heard.report);
-    }
-
     /// Dropping the execution closes its connection: that is how a backend hears of it.
     fn cancel(&mut self, execution: u32) {
         let before = self.out.len();
@@ -131,6 +124,10 @@
     }
 }
 
+fn report(decide: &Arc<Decide>, id: &str, execution: u32, heard: &Heard) {
+    decide.outcome(id, execution, heard.ended, heard.took_us, heard.report);
+}
+
 /// The next execution to end; waits for good while none is out.
 async fn next_outcome(out: &mut Vec<(u32, Running)>) -> (u32, Heard) {
     poll_fn(|cx| {
@@ -163,8 +160,7 @@
         for (execution, running) in self.out.drain(..) {
             let (decide, id) = (Arc::clone(&self.decide), self.id.clone());
             tokio::spawn(async move {
-                let heard = running.await;
-                decide.outcome(&id, execution, heard.ended, heard.took_us, heard.report);
+                report(&decide, &id, execution, &running.await);
             });
         }
     }
@@ -187,10 +183,7 @@
         let workload = proxy.workloads.iter().position(|workload| workload == name);
         let workload = workload.ok_or_else(|| format!("no workload {name:?}"))?;
         // No client of this workload waits longer, whatever it says: a place is not held for an hour.
-        let most = match proxy.statement_timeouts_us[workload] {
-            0 => UNSAID,
-            most => Duration::from_micros(most),
-        };
+        let most = proxy.statement_timeouts[workload];
         let wait = match text("x-deadline") {
             Some(wait) => duration(wait).ok_or_else(|| format!("X-Deadline {wait:?}"))?.min(most),
             None => most,
