--- a/crates/proxy/src/query.rs
+++ b/crates/proxy/src/query.rs
@@ -67,7 +67,6 @@
     };
     let mut life = Life::new(Arc::clone(&proxy.decide), asked.id, decided);
     let head = Arc::new(head);
-    let mut executions = 0;
     let mut ending = proxy.ending.clone();
     loop {
         tokio::select! {
@@ -85,8 +84,8 @@
                     let wait = Duration::from_micros(timeout_us);
                     let backends = Arc::clone(&proxy.backends);
                     let execution = backends.execute(backend, Arc::clone(&head), body.clone(), wait);
-                    life.out.push((executions, Box::pin(execution)));
-                    executions += 1;
+                    life.out.push((life.executions, Box::pin(execution)));
+                    life.executions += 1;
                 }
                 Some(Decided::Cancel { execution }) => life.cancel(execution),
                 Some(Decided::Reject { backoff_us }) => {
@@ -114,12 +113,14 @@
     id: String,
     decided: mpsc::Receiver<Decided>,
     out: Vec<(u32, Running)>,
+    /// How many were begun: the number of the next.
+    executions: u32,
     answered: bool,
 }
 
 impl Life {
     fn new(decide: Arc<Decide>, id: String, decided: mpsc::Receiver<Decided>) -> Self {
-        Life { decide, id, decided, out: Vec::new(), answered: false }
+        Life { decide, id, decided, out: Vec::new(), executions: 0, answered: false }
     }
 
     /// Dropping the execution closes its connection: that is how a backend hears of it.
@@ -160,8 +161,12 @@
         while let Ok(decided) = self.decided.try_recv() {
             match decided {
                 Decided::Cancel { execution } => self.cancel(execution),
-                // Sent in the same moment as the client went: it never left.
-                Decided::Execute { .. } | Decided::Reject { .. } | Decided::Abort => {}
+                // Decided in the same moment as the client went: it never left, and must not count as out.
+                Decided::Execute { .. } => {
+                    self.decide.outcome(&self.id, self.executions, Ended::NotSent, 0, false, None);
+                    self.executions += 1;
+                }
+                Decided::Reject { .. } | Decided::Abort => {}
             }
         }
         self.decide.forget(&self.id);
@@ -261,3 +266,34 @@
     }
     answer
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::peers::Peers;
+    use crankpick::interface::{Listed, Phase};
+    use serde_json::json;
+
+    /// Without its outcome each would burden the only backend for good, until nothing goes there.
+    #[tokio::test]
+    async fn an_execution_decided_as_the_client_goes_is_not_left_out_there() {
+        let settings = json!({
+            "Balancers": 1, "Discovery": "subscribe", "Limits": {"MaxExecutions": 4, "Cancel": true},
+            "Workloads": [{"Name": "read", "Repeat": "retryable", "SloTimeUs": 1_000_000, "Importance": 1.0}],
+        });
+        let balancer = crankpick_launch::balancer(7, &settings).expect("sound");
+        let peers = Arc::new(Peers::new(None, vec![]).expect("none"));
+        let decide = Decide::new(balancer, 4, Arc::default(), peers);
+        decide.list(true, &[Listed { backend: 1, phase: Phase::Ready, weight: 1.0, ..Listed::default() }]);
+        for turn in 0..50 {
+            let id = turn.to_string();
+            let mut decided = decide.query(&id, 0, 0, 5_000_000, None).ok().expect("taken");
+            let first = decided.try_recv();
+            assert!(matches!(first, Ok(Decided::Execute { .. })), "turn {turn}: {first:?}");
+            // As if it were still on its way to the query's task.
+            let (late, decided) = mpsc::channel(9);
+            late.try_send(first.expect("there")).expect("room");
+            drop(Life::new(Arc::clone(&decide), id, decided));
+        }
+    }
+}
