Answers up to a 32nd of the memory pass; a pause, not the whole answer, has the time to connect

At fault: one bound for bodies either way. Now a 32nd of the memory limit bounds an answer, so that 3 GB still ends at once; and an answer may take its time as long as it goes on.

--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -20,7 +20,7 @@
 
 use crate::connect::{Connector, Link, OverBudget};
 
-/// Bodies hold at most this much, either way.
+/// Of a query's body. Answers have been seen to hold several times as much.
 pub const MOST_BODY: usize = 64 << 10;
 
 /// A backend's word on the moment, not on the query.
@@ -29,6 +29,7 @@
 pub struct Backends {
     client: Client<Connector, Full<Bytes>>,
     connector: Connector,
+    most_answer: usize,
     addresses: Mutex<BTreeMap<u32, SocketAddr>>,
 }
 
@@ -41,17 +42,17 @@
 }
 
 impl Backends {
-    pub fn new(budget: usize, connect_timeout: Duration, idle_close: Duration) -> Self {
+    pub fn new(budget: usize, most_answer: usize, connect_timeout: Duration, idle_close: Duration) -> Self {
         // The client lets go of an idle connection before it ends itself, and that before the backend
         // would: so none ends under a request that was just written to it.
-        let connector = Connector::new(budget, connect_timeout, idle_close.mul_f64(0.85));
+        let connector = Connector::new(budget, 2 * most_answer, connect_timeout, idle_close.mul_f64(0.85));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(idle_close.mul_f64(0.8))
             .retry_canceled_requests(false)
             .http1_max_buf_size(MOST_BODY)
             .build(connector.clone());
-        Backends { client, connector, addresses: Mutex::default() }
+        Backends { client, connector, most_answer, addresses: Mutex::default() }
     }
 
     pub fn place(&self, backend: u32, address: SocketAddr) {
@@ -83,7 +84,7 @@
                 let answer = self.client.request(request).await;
                 let link = link(&connection);
                 match answer {
-                    Ok(answer) => return read(answer, link.as_deref(), sent).await,
+                    Ok(answer) => return read(answer, self.most_answer, link.as_deref(), sent).await,
                     // Another connection: what the last request left behind is not this one's fault.
                     Err(_) if link.as_deref().is_some_and(Link::spent_unused) => {}
                     Err(wrong) => return Err(why_no_answer(&wrong, link.as_deref(), body.len())),
@@ -129,7 +130,9 @@
     }
 }
 
-async fn read(answer: Response<Incoming>, link: Option<&Link>, sent: Instant) -> Result<Heard, Ended> {
+async fn read(
+    answer: Response<Incoming>, most: usize, link: Option<&Link>, sent: Instant,
+) -> Result<Heard, Ended> {
     let execution = link.map(Link::execution);
     let (head, body) = answer.into_parts();
     let never_ran = head.headers.get("x-not-run").is_some_and(|value| value == "1");
@@ -142,10 +145,10 @@
     };
     let report = load_report(&head.headers);
     // One that is said to be too long is not worth reading.
-    if body.size_hint().lower() > MOST_BODY as u64 {
+    if body.size_hint().lower() > most as u64 {
         return Err(Ended::Dropped);
     }
-    let body = Limited::new(body, MOST_BODY).collect().await.map_err(|_| Ended::Dropped)?.to_bytes();
+    let body = Limited::new(body, most).collect().await.map_err(|_| Ended::Dropped)?.to_bytes();
     if let Some((link, execution)) = link.zip(execution) {
         link.rest(execution);
     }
--- a/crates/proxy/src/connect.rs
+++ b/crates/proxy/src/connect.rs
@@ -26,12 +26,12 @@
 pub struct Connector {
     budget: Arc<Semaphore>,
     links: Arc<Mutex<BTreeMap<u64, Arc<Link>>>>,
+    /// A whole answer holds no more: head, body and what 1xx answers come ahead.
+    most: usize,
     timeout: Duration,
     idle: Duration,
 }
 
-/// A whole answer holds no more: head, body and what 1xx answers come ahead.
-const MOST_ANSWER: usize = 256 << 10;
 /// ENFILE and EMFILE.
 const NO_DESCRIPTOR: [i32; 2] = [23, 24];
 
@@ -58,7 +58,7 @@
     idle_since: Option<Instant>,
     written: usize,
     executions: u64,
-    /// When the answer in hand began, and what has come of it.
+    /// When the last of the answer in hand came, and how much of it has come.
     answer: Option<(Instant, usize)>,
     why: Option<&'static str>,
     reader: Option<Waker>,
@@ -111,8 +111,8 @@
 }
 
 impl Connector {
-    pub fn new(budget: usize, timeout: Duration, idle: Duration) -> Self {
-        Connector { budget: Arc::new(Semaphore::new(budget)), links: Arc::default(), timeout, idle }
+    pub fn new(budget: usize, most: usize, timeout: Duration, idle: Duration) -> Self {
+        Connector { budget: Arc::new(Semaphore::new(budget)), links: Arc::default(), most, timeout, idle }
     }
 
     /// No connection to this backend is used again.
@@ -182,6 +182,7 @@
             address,
             opened: Instant::now(),
             idle: self.idle,
+            most: self.most,
             patience: self.timeout,
             ends: Box::pin(tokio::time::sleep(self.idle)),
             _permit: permit,
@@ -216,7 +217,8 @@
     address: SocketAddr,
     opened: Instant,
     idle: Duration,
-    /// What an answer that has begun may take to its end: a few ways there and back, as opening does.
+    most: usize,
+    /// What an answer that has begun may pause: a few ways there and back, as opening takes.
     patience: Duration,
     ends: Pin<Box<Sleep>>,
     _permit: OwnedSemaphorePermit,
@@ -239,11 +241,11 @@
         let mut state = wire.link.lock();
         match &read {
             Poll::Ready(Ok(())) if came > 0 => {
-                let (began, length) = state.answer.unwrap_or((Instant::now(), 0));
-                state.answer = Some((began, length + came));
+                let (_, length) = state.answer.unwrap_or((Instant::now(), 0));
+                state.answer = Some((Instant::now(), length + came));
                 if state.idle_since.is_some() {
                     state.why.get_or_insert("more_than_asked");
-                } else if length + came > MOST_ANSWER {
+                } else if length + came > wire.most {
                     state.why.get_or_insert("endless");
                     return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
                 }
@@ -260,7 +262,7 @@
                     // An end of input is what makes the client let go of a connection that rests.
                     (Some(_), _) if state.why.is_some() => return Poll::Ready(Ok(())),
                     (Some(since), _) => (since + wire.idle, "idle"),
-                    (None, Some((began, _))) => (began + wire.patience, "endless"),
+                    (None, Some((came, _))) => (came + wire.patience, "endless"),
                     (None, None) => return read,
                 };
                 wire.ends.as_mut().reset(until);
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -33,6 +33,10 @@
 const RESERVED: usize = 48;
 /// Where the limits name none.
 const SOCKETS: usize = 1024;
+/// Of the memory for one whole answer: a few dozen are in hand at a time, and few of them are large.
+const ANSWERS: usize = 32;
+/// Where the limits name no memory.
+const MEMORY_MB: usize = 128;
 /// Where the settings name no time to connect, none that idle connections may stand, or none for a query.
 const CONNECT: Duration = Duration::from_secs(1);
 const IDLE: Duration = Duration::from_secs(10);
@@ -94,6 +98,10 @@
         0 => SOCKETS,
         sockets => sockets,
     };
+    let memory_mb = match at(&told, "limits.memory_mb")? {
+        0 => MEMORY_MB,
+        memory_mb => memory_mb,
+    };
     // Two thirds for clients: each query in hand holds one there, but one that waits holds no backend's.
     let budget = sockets.saturating_sub(RESERVED).max(3);
     let (clients, executions) = (budget - budget / 3, budget / 3);
@@ -104,6 +112,7 @@
     let peers = Arc::new(Peers::new(peer_listen, addresses(&told, "peers")?)?);
     let backends = Arc::new(Backends::new(
         executions,
+        (memory_mb << 20) / ANSWERS,
         said(at(settings, "Limits.ConnectTimeoutUs")?, CONNECT),
         said(at(settings, "Limits.IdleCloseUs")?, IDLE),
     ));
--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -235,6 +235,23 @@
     assert!(backend.is_quiet());
 }
 
+#[test]
+fn large_answers_are_passed_on_whole_also_in_pieces() {
+    let (discovery, backend) = (Discovery::start(), Backend::start());
+    let proxy = Proxy::start(&configuration(&discovery, &[backend.address]));
+    let mut client = proxy.client();
+    let body = "0123456789abcdef".repeat(50_000);
+    for turn in 0..3 {
+        client.ask("pay", &format!("q{turn}"), 2_000);
+        let mut asked = backend.next();
+        assert_eq!(asked.connection, 0);
+        asked.say(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).as_bytes());
+        body.as_bytes().chunks(300_000).for_each(|piece| asked.say(piece));
+        let heard = client.heard();
+        assert!(heard.status() == 200 && heard.body == body.as_bytes());
+    }
+}
+
 #[test]
 fn a_new_backend_at_an_old_address_inherits_nothing() {
     let (discovery, backend) = (Discovery::start(), Backend::start());
