Executions that later ones have passed by no longer burden, crowd or slow their backend

Ruled out: health (10 % shut), room (13 % full). At fault: set_maxima took the oldest held for the backend's pace, and load, work and crowd counted all held (balance.rs). Now what was passed by and is late (twice the target time, twice its own work) counts as lost: no load, a second copy where allowed.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -43,7 +43,7 @@
         // The most important need not wait out a rest, so that it is the cheap ones that are turned away.
         let rested_us = self.rest.0 + (self.rest.1 * (1.0 - importance)) as u64;
         // One that was shut gets one query at a time until one is completed.
-        let open = self.shut_for_us == 0 || self.held.is_empty();
+        let open = self.shut_for_us == 0 || self.idle();
         open && self.ready() && now_us >= self.shut_until_us.max(rested_us)
     }
 
@@ -124,8 +124,12 @@
             backend.told.retain(|told| told.until_us > now_us);
             backend.used = backend.utilisation.unwrap_or(used);
             backend.pace = backend.learned.unwrap_or(mean);
-            // One that stands still yields no outcomes: what it has held longest bounds its pace.
-            if let Some(oldest) = backend.held.values().next() {
+            // What later completions have passed by hangs on a dead connection once it is late as well.
+            let (pace, passed) = (backend.pace.max(1e-9), backend.passed);
+            let late_us = |held: &Held| held.sent_us + (2.0 * self.target_us.max(held.work / pace)) as u64;
+            backend.held.range_mut(..passed).for_each(|(_, held)| held.lost = now_us > late_us(held));
+            // One that stands still yields no outcomes: the oldest not passed by bounds its pace.
+            if let Some((_, oldest)) = backend.held.range(passed..).next() {
                 let age_us = now_us.saturating_sub(oldest.sent_us).max(1);
                 backend.pace = backend.pace.min(oldest.ahead / age_us as f64);
             }
@@ -241,7 +245,7 @@
         let (load, work, reach) = (qry.load, qry.work, 1.0 + qry.importance);
         let fits = |backend: &Backend| match tail {
             true => backend.load() < backend.max && backend.work() + work <= backend.pace * left_us,
-            false => backend.held.is_empty() || backend.load() + load <= backend.max,
+            false => backend.idle() || backend.load() + load <= backend.max,
         };
         // Past the maxima the more important go further; the rest waits where it can still be rejected.
         let bears = |backend: &Backend| !second && backend.load() < backend.max * reach;
@@ -274,16 +278,13 @@
             backend.cold_sent.retain(|sent| sent.0 + self.cold.window_us >= now_us);
             backend.cold_sent.push_back((now_us, qry.work));
         }
-        let ahead = backend.work() + qry.work;
-        let told = backend.tells(self.peers, qry.work);
-        let held = Held { sent_us: now_us, load: qry.load, work: qry.work, ahead, told };
+        let (ahead, told) = (backend.work() + qry.work, backend.tells(self.peers, qry.work));
+        let held = Held { sent_us: now_us, load: qry.load, work: qry.work, ahead, told, lost: false };
         backend.held.insert(self.last_serial, held);
         let expected_us = (ahead / backend.pace.max(1e-9)) as u64;
         qry.executions.push(Execution::new(id, self.last_serial, now_us, expected_us));
         out.execute(&qry.id, id, qry.deadline_us - now_us);
-        if told {
-            backend.tell(out);
-        }
+        backend.tell(told, out);
     }
 
     fn place_waiting(&mut self, now_us: u64, out: &mut dyn Writer) {
@@ -382,8 +383,10 @@
         let late = self.queries.iter().filter(|(_, qry)| match &qry.executions[..] {
             // One whose deadline is reached gets none: its time-out is on its way here.
             [exec] if two && exec.out && !qry.over && now_us < qry.deadline_us => {
-                let slow = self.fleet[&exec.backend].pace * 2.0 < usual;
-                slow && now_us > exec.sent_us + (2 * exec.expected_us).max(qry.slo_us / 3)
+                let backend = &self.fleet[&exec.backend];
+                let lost = backend.held.get(&exec.serial).is_some_and(|held| held.lost);
+                let late_us = exec.sent_us + (2 * exec.expected_us).max(qry.slo_us / 3);
+                lost || backend.pace * 2.0 < usual && now_us > late_us
             }
             _ => false,
         });
@@ -464,9 +467,7 @@
         exec.out = false;
         exec.may_have_run = !matches!(ended, Ended::TurnedAway | Ended::Unreachable | Ended::NotSent);
         let held = backend.held.remove(&exec.serial);
-        if held.as_ref().is_some_and(|held| held.told) {
-            backend.tell(self.out);
-        }
+        backend.tell(held.as_ref().is_some_and(|held| held.told), self.out);
         backend.hear(report.unwrap_or_default());
         if let Some(held) = held.filter(|_| matches!(ended, Ended::Completed | Ended::TimedOut)) {
             backend.learn(held.ahead / took_us.max(1) as f64, 16, now_us);
@@ -480,13 +481,14 @@
             // It says itself that it is full; as it answers at once it would else look the roomiest.
             backend.shut_until_us = backend.shut_until_us.max(now_us + 2 * b.target_us as u64);
         }
+        let done = if ended == Ended::Completed { exec.serial } else { 0 };
+        backend.passed = backend.passed.max(done);
         if ended == Ended::Completed && b.unit_us > 0.0 {
             b.speeds.record(qry.work * b.unit_us * 1e3 / took_us.max(1) as f64, 256);
         }
         let (judged, closed, out) = (exec.backend, over || qry.over, qry.out());
-        match ended {
-            Ended::Cancelled | Ended::NotSent | Ended::TurnedAway => {}
-            _ => b.judge(judged, ended == Ended::Completed, now_us),
+        if !matches!(ended, Ended::Cancelled | Ended::NotSent | Ended::TurnedAway) {
+            b.judge(judged, ended == Ended::Completed, now_us);
         }
         if closed {
             b.close(id, self.out);
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -114,6 +114,8 @@
     pub ahead: f64,
     /// Whether the sharers are told of it.
     pub told: bool,
+    /// Held to hang on a dead connection: no load of the backend's.
+    pub lost: bool,
 }
 
 /// What a peer has last told of all its executions on a backend, counted until it is held to be done.
@@ -162,6 +164,8 @@
     /// The middle of the paces, kept since it is asked for far more often than it moves.
     pub learned: Option<f64>,
     pub sampled_us: u64,
+    /// The latest execution that has completed: what was sent before it and is still out was passed by.
+    pub passed: u64,
     /// Work a microsecond as last set from the outcomes, and the maximum that follows from it.
     pub pace: f64,
     pub max: f64,
@@ -188,20 +192,32 @@
         cold.start_capacity + (1.0 - cold.start_capacity) * age_us as f64 / cold.cold_us as f64
     }
 
+    /// Our executions that the backend is held to have.
+    fn there(&self) -> impl Iterator<Item = &Held> {
+        self.held.values().filter(|held| !held.lost)
+    }
+
+    pub fn idle(&self) -> bool {
+        self.there().next().is_none()
+    }
+
     pub fn load(&self) -> f64 {
-        let own: f64 = self.held.values().map(|held| held.load).sum();
+        let own: f64 = self.there().map(|held| held.load).sum();
         own + self.others() + self.used * self.max
     }
 
     pub fn work(&self) -> f64 {
-        self.others() + self.held.values().map(|held| held.work).sum::<f64>()
+        self.others() + self.there().map(|held| held.work).sum::<f64>()
     }
 
-    /// Tells all who share it of what is out there: each note stands alone, as others may be lost or late.
-    pub fn tell(&mut self, out: &mut dyn Writer) {
+    /// Tells all who share it, where that is worth it, of what is out there: each note stands alone, as others may be lost or late.
+    pub fn tell(&mut self, worth: bool, out: &mut dyn Writer) {
+        if !worth {
+            return;
+        }
         self.turn = (self.turn + 1) % SIGNS;
         let sign = |value: u32| char::from(33 + value.min(u32::from(SIGNS) - 1) as u8);
-        let told = || self.held.values().filter(|held| held.told);
+        let told = || self.there().filter(|held| held.told);
         let work = (told().map(|held| held.work).sum::<f64>() * 4.0).round();
         let work = (work as u32).clamp(u32::from(told().count() > 0), u32::from(SIGNS).pow(2) - 1);
         let (high, low) = (work / u32::from(SIGNS), work % u32::from(SIGNS));
@@ -213,7 +229,7 @@
 
     /// How many executions are out there, as far as is known.
     pub fn crowd(&self) -> usize {
-        self.held.len() + self.told.iter().map(|told| told.count).sum::<usize>()
+        self.there().count() + self.told.iter().map(|told| told.count).sum::<usize>()
     }
 
     /// The work that peers have told of.
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -230,6 +230,26 @@
     }
 }
 
+/// A connection may fall silent while its backend goes on.
+#[test]
+fn what_later_ones_have_passed_by_is_lost_and_takes_no_place() {
+    for passed in [true, false] {
+        let (mut ledger, mut balancer) = start(Repeat::NonIdempotent, 1, 2, 0, false);
+        spread(&mut ledger, &mut balancer, "learn", &[None; 24]);
+        let ask_three = |ledger: &mut Ledger, balancer: &mut Balancer, ids: [&str; 3]| {
+            ids.iter().for_each(|id| ask(ledger, balancer, id, None));
+            ids.iter().filter(|id| !ledger.queries[**id].sent.is_empty()).count()
+        };
+        assert_eq!(ask_three(&mut ledger, &mut balancer, ["a", "b", "c"]), 3);
+        let ends = if passed { "c" } else { "a" };
+        ledger.round(&mut balancer, 20_000, |ledger, inbox| ledger.end(inbox, ends, 0, Ended::Completed));
+        (0..25).for_each(|_| ledger.round(&mut balancer, 20_000, |_, _| {}));
+        let sent = ask_three(&mut ledger, &mut balancer, ["d", "e", "f"]);
+        assert_eq!(sent, if passed { 3 } else { 0 }, "where the last, not the first, has ended: {passed}");
+        assert_eq!(ledger.wrong, Vec::<String>::new());
+    }
+}
+
 #[test]
 fn a_crowded_or_full_backend_gets_nothing_more() {
     let (mut ledger, mut balancer) = start(Repeat::Idempotent, 2, 2, 0, false);
