--- a/src/balance.rs
+++ b/src/balance.rs
@@ -386,7 +386,7 @@
                 let backend = &self.fleet[&exec.backend];
                 let lost = backend.held.get(&exec.serial).is_some_and(|held| held.lost);
                 let late_us = exec.sent_us + (2 * exec.expected_us).max(qry.slo_us / 3);
-                lost || backend.pace * 2.0 < usual && now_us > late_us
+                (lost || backend.pace * 2.0 < usual) && now_us > late_us
             }
             _ => false,
         });
