Room among clients is made for several at once; a young silent one no longer holds up accepting

At fault: my own end_one_idle (front.rs) ended nobody while the oldest of those that never asked was under 5 ms old, so a steady crowd left one place each 5 ms. Now the youngest are passed over, the longest idle go instead, four at once.

--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -35,6 +35,8 @@
 const UNREAD: Duration = Duration::from_secs(3);
 /// Who connects asks right away: one that has not by then is the first to make room.
 const YOUNG: Duration = Duration::from_millis(5);
+/// Connections ended together where there is no room.
+const AT_ONCE: usize = 4;
 /// Of a connection's buffer: heads are small, and many connections share the memory.
 const MOST_BUFFER: usize = 32 << 10;
 
@@ -68,16 +70,17 @@
 }
 
 impl Clients {
-    /// Makes room: of those that never asked the oldest ends, unless it may be about to; where there is
-    /// none the one that has been idle for longest.
-    fn end_one_idle(&self) {
+    /// Makes room for a few at once, as they come by hundreds: first those that never asked, but for the
+    /// youngest, which may be about to; then those that have been idle for longest.
+    fn end_some_idle(&self) {
         let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
         let idle = open.values().filter(|client| !client.asked_to_end.load(Ordering::Relaxed));
         let idle = idle.filter_map(|client| {
             client.idle().map(|since| (client.asked.load(Ordering::Relaxed), since, client))
         });
-        let first = idle.min_by_key(|(asked, since, _)| (*asked, *since));
-        if let Some((_, _, client)) = first.filter(|(asked, since, _)| *asked || since.elapsed() > YOUNG) {
+        let mut idle: Vec<_> = idle.filter(|(asked, since, _)| *asked || since.elapsed() > YOUNG).collect();
+        idle.sort_by_key(|(asked, since, _)| (*asked, *since));
+        for (_, _, client) in idle.into_iter().take(AT_ONCE) {
             client.asked_to_end.store(true, Ordering::Relaxed);
             client.end.notify_one();
         }
@@ -183,7 +186,7 @@
             Ok(permit) => permit,
             Err(_) => {
                 // Beyond the budget the kernel holds what comes until a place is free.
-                clients.end_one_idle();
+                clients.end_some_idle();
                 tokio::select! {
                     permit = Arc::clone(room).acquire_owned() => match permit {
                         Ok(permit) => permit,
@@ -197,7 +200,7 @@
             Ok((stream, address)) => return (stream, address, permit),
             Err(wrong) => {
                 tracing::warn!(code = "accept_error", "{wrong}");
-                clients.end_one_idle();
+                clients.end_some_idle();
                 sleep(Duration::from_millis(20)).await;
             }
         }
