Idle clients end past a quarter of the descriptors, so that they don't use up the clients' third

Checked with a line a twentieth accept: 128 connections, a third of the descriptors, had asked and stood idle, and new queries stopped until their 2.2 s were up. Ruled out: health, notes and load (nobody shut, crowd as usual), evictions of clients about to ask (200 ends in the first 5 s). At fault: front.rs ended idle clients only at its own budget of two thirds. Now past a quarter, the longest idle first.

--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -139,7 +139,11 @@
 }
 
 /// Accepts until `stop` turns true and a little longer, then waits for all connections to end.
-pub async fn run(listener: TcpListener, router: Router, budget: usize, stop: watch::Receiver<bool>) {
+/// Past `easy` open ones idle ones end already: whoever deals out connections may count those that nobody
+/// uses against those that ask.
+pub async fn run(
+    listener: TcpListener, router: Router, budget: usize, easy: usize, stop: watch::Receiver<bool>,
+) {
     let clients = Arc::new(Clients::default());
     let room = Arc::new(Semaphore::new(budget));
     let mut number = 0;
@@ -155,6 +159,9 @@
             accepted = accept(&listener, &room, &clients) => accepted,
         };
         let (stream, address, permit) = accepted;
+        if budget.saturating_sub(room.available_permits()) > easy {
+            clients.end_some_idle();
+        }
         number += 1;
         let client = Arc::new(Client {
             idle_since: Mutex::new(Some(Instant::now())),
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -31,6 +31,8 @@
 
 /// Descriptors that are neither clients' nor backends': log, runtime, list, peers, listener, and some spare.
 const RESERVED: usize = 48;
+/// Of the descriptors for clients' connections before idle ones end: clients get a third at most.
+const EASY: usize = 4;
 /// Where the limits name none.
 const SOCKETS: usize = 1024;
 /// Of the memory for one whole answer: a few dozen are in hand at a time, and few of them are large.
@@ -159,7 +161,7 @@
     let mut term = signal(SignalKind::terminate()).map_err(|wrong| format!("SIGTERM: {wrong}"))?;
     let bound = listener.local_addr().unwrap_or(listen);
     tracing::info!(code = "listening", listen = %bound, clients, executions, "ready");
-    let front = front::run(listener, front::router(Arc::new(proxy)), clients, stop);
+    let front = front::run(listener, front::router(Arc::new(proxy)), clients, sockets / EASY, stop);
     let last = async {
         term.recv().await;
         tracing::info!(code = "stopping", "told to end");
--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -166,6 +166,23 @@
     assert!(asked.elapsed() < Duration::from_secs(2), "they wait for the crowd's own end");
 }
 
+/// Long before the budget is spent, and before their time is up.
+#[test]
+fn those_that_asked_once_and_stay_end_past_a_quarter_of_the_descriptors() {
+    let discovery = Discovery::start();
+    let proxy = Proxy::start(&configuration(&discovery, &[]));
+    let opened = Instant::now();
+    let mut crowd: Vec<Client> = Vec::new();
+    for _ in 0..100 {
+        let mut client = proxy.client();
+        client.say(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+        assert_eq!(client.heard().status(), 200);
+        crowd.push(client);
+    }
+    assert!(crowd[0].hear().is_none() && opened.elapsed() < Duration::from_secs(2));
+    proxy.logged("client connection ended code=\"over_budget\"");
+}
+
 #[test]
 fn what_a_backend_will_not_take_is_told_and_not_tried_elsewhere() {
     let (discovery, backend, other) = (Discovery::start(), Backend::start(), Backend::start());
