--- a/crates/launch/src/lib.rs
+++ b/crates/launch/src/lib.rs
@@ -6,7 +6,7 @@
 pub use list::{Entry, Instance};
 
 use crankpick::balance::Balancer;
-use crankpick::interface::{ColdRule, DedupGroup, ExecutionLimits, Repeat, Tenant, Workload};
+use crankpick::interface::{ColdRule, DedupGroup, ExecutionLimits, Repeat, Standing, Tenant, Workload};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
@@ -71,6 +71,7 @@
     let tenants: Result<Vec<Tenant>, String> = tenants.iter().map(|one| tenant(one, beyond)).collect();
     let advice: bool = at(conf, "Limits.RetryAfter")?;
     let discovery: String = at(conf, "Discovery")?;
+    let via: String = at(conf, "Report.Via")?;
     Ok(Balancer::new(
         salt,
         at(conf, "Balancers")?,
@@ -91,5 +92,11 @@
         },
         discovery == "subscribe",
         at(conf, "Limits.Peers")?,
+        Standing {
+            zone: at(conf, "Zone")?,
+            crossing: at(conf, "Prices.CrossZone")?,
+            // Where answers bring reports, probes would tell nothing new.
+            probes: at(conf, "Limits.Probes")? && matches!(via.as_str(), "pull" | "silent"),
+        },
     ))
 }
--- a/crates/proxy/src/decide.rs
+++ b/crates/proxy/src/decide.rs
@@ -100,6 +100,10 @@
         self.list_wanted.notify_one();
     }
 
+    fn probe(&mut self, _backend: u32) {
+        // Settings under which the module probes are refused at the start.
+    }
+
     fn tell(&mut self, peer: u32, bytes: &str) {
         self.peers.tell(peer, bytes);
     }
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -55,6 +55,8 @@
 #[derive(Deserialize)]
 struct Gauge {
     busy: Option<f64>,
+    rif: Option<f64>,
+    fail_rate: Option<f64>,
 }
 
 /// One instance and its lines of the batch at hand.
@@ -95,7 +97,11 @@
 }
 
 fn report(gauge: &Option<Gauge>) -> Option<LoadReport> {
-    gauge.as_ref().map(|gauge| LoadReport { utilisation: gauge.busy })
+    gauge.as_ref().map(|gauge| LoadReport {
+        utilisation: gauge.busy,
+        held: gauge.rif,
+        errors_per_s: gauge.fail_rate,
+    })
 }
 
 /// Turns one line into its call on the module.
@@ -140,10 +146,12 @@
             Ok(())
         }
         "ProbeDone" => {
-            need(line.backend, message, "Backend")?;
-            need(line.duration_us, message, "DurationUs")?;
-            ended(need(line.rc, message, "Rc")?)?;
-            // No backend is ever probed, so nothing hangs on the answer.
+            inbox.probed(
+                need(line.backend, message, "Backend")?,
+                ended(need(line.rc, message, "Rc")?)?,
+                need(line.duration_us, message, "DurationUs")?,
+                report(&line.gauge),
+            );
             Ok(())
         }
         "NoteFrom" => {
--- a/crates/simhost/src/reply.rs
+++ b/crates/simhost/src/reply.rs
@@ -90,6 +90,10 @@
         self.put(Out { message: "Subscribe", want: Some(true), ..Out::default() });
     }
 
+    fn probe(&mut self, backend: u32) {
+        self.put(Out { message: "SoundOut", backend: Some(backend), ..Out::default() });
+    }
+
     fn tell(&mut self, peer: u32, bytes: &str) {
         self.put(Out { message: "Announce", recipient: Some(peer), bytes: Some(bytes), ..Out::default() });
     }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -20,7 +20,6 @@
 const SWEEP_US: u64 = 25_000;
 const DEFAULT_MAX: f64 = 8.0;
 /// Queries left with one backend by all: more only wait where none can reject them; as guessed, and as told.
-const CROWD: usize = 6;
 const CROWD_TOLD: usize = 4;
 /// Queries a tenant may save up at the least: a share of a quota over many proxies holds less than one.
 const SHARE_KEPT: f64 = 4.0;
@@ -32,6 +31,9 @@
 const PART_TOLD: usize = 6;
 const PART_ALONE: usize = 2;
 
+/// Candidates probed at a time.
+const WAVE: usize = 2;
+
 pub struct Inbox<'a> {
     balancer: &'a mut Balancer,
     out: &'a mut dyn Writer,
@@ -56,7 +58,7 @@
 impl Balancer {
     pub fn new(
         seed: u64, balancers: u32, number: u32, workloads: Vec<Workload>, tenants: Vec<Tenant>,
-        limits: ExecutionLimits, cold: ColdRule, must_ask: bool, peers: bool,
+        limits: ExecutionLimits, cold: ColdRule, must_ask: bool, peers: bool, standing: Standing,
     ) -> Self {
         let slo_us = workloads.iter().map(|workload| workload.slo_us).min().unwrap_or(0);
         let share = |tenant: &Tenant| tenant.quota_per_s / f64::from(balancers.max(1));
@@ -66,6 +68,8 @@
             balancers: balancers.max(1) as usize,
             number: number as usize,
             peers,
+            standing,
+            quickest_us: u64::MAX,
             tenants: tenants.iter().map(allowance).collect(),
             most_importance: workloads.iter().map(|workload| workload.importance).fold(1e-9, f64::max),
             target_us: (slo_us as f64 / 8.0).max(1.0),
@@ -116,20 +120,36 @@
         let known = || self.ours().filter_map(|backend| backend.learned);
         let mean = mean_or(known(), DEFAULT_MAX / self.target_us);
         self.slowest_pace = known().fold(mean, f64::min);
+        // TRIAL: by weight
+        let probes = self.standing.probes;
+        let by_weight = |backend: &Backend| backend.learned.map(|pace| pace / backend.listed.weight.max(0.01));
+        let per_weight = mean_or(self.ours().filter_map(by_weight), DEFAULT_MAX / self.target_us);
         let used = mean_or(self.ours().filter_map(|backend| backend.utilisation), 0.0);
-        let bound = self.waiting.iter().any(|entry| self.queries[&entry.2].binding().is_some());
+        let bound = self.waiting.iter().map(|entry| &self.queries[&entry.2]);
+        let bound = bound.into_iter().any(|qry| qry.binding().is_some() || qry.waves > 1);
         let ids = if bound { self.fleet.keys().copied().collect() } else { self.part.clone() };
         for id in ids {
             let backend = self.fleet.get_mut(&id).expect("parts hold listed backends");
             backend.told.retain(|told| told.until_us > now_us);
             backend.used = backend.utilisation.unwrap_or(used);
             backend.pace = backend.learned.unwrap_or(mean);
+            if probes {
+                let prior = per_weight * backend.listed.weight.max(0.01);
+                let count = backend.paces.len() as f64;
+                backend.pace = (backend.learned.unwrap_or(0.0) * count + prior * 2.0) / (count + 2.0);
+                let age_us = now_us.saturating_sub(backend.seen.0) as f64;
+                backend.found = (backend.seen.1 - backend.pace * age_us).max(0.0);
+                if let Some((sent_us, _)) = backend.probed {
+                    let silent_us = now_us.saturating_sub(sent_us.saturating_add(self.quickest_us));
+                    backend.found = backend.found.max(silent_us as f64 * backend.pace);
+                }
+            }
             // What later completions have passed by hangs on a dead connection once it is late as well.
             let (pace, passed) = (backend.pace.max(1e-9), backend.passed);
             let late_us = |held: &Held| held.sent_us + (2.0 * self.target_us.max(held.work / pace)) as u64;
             backend.held.range_mut(..passed).for_each(|(_, held)| held.lost = now_us > late_us(held));
             // One that stands still yields no outcomes: the oldest not passed by bounds its pace.
-            if let Some((_, oldest)) = backend.held.range(passed..).next() {
+            if let Some((_, oldest)) = backend.held.range(passed..).next().filter(|_| !probes) {
                 let age_us = now_us.saturating_sub(oldest.sent_us).max(1);
                 backend.pace = backend.pace.min(oldest.ahead / age_us as f64);
             }
@@ -147,14 +167,20 @@
         let (count, balancers) = (ready.len(), self.balancers);
         let least = if self.peers { PART_TOLD } else { PART_ALONE };
         let part = (SHARED_BY * count).div_ceil(balancers).max(least).min(count);
-        let holds = |of: usize, place: usize| (place + count - of * count / balancers % count) % count < part;
+        let near = |id: &u32| self.standing.zone.is_none_or(|zone| self.fleet[id].listed.zone == zone);
+        let near: BTreeSet<u32> = ready.iter().copied().filter(near).collect();
+        let probes = self.standing.probes;
+        let holds = |of: usize, place: usize| match probes {
+            true => of == self.number && (near.is_empty() || near.contains(&ready[place])),
+            false => (place + count - of * count / balancers % count) % count < part,
+        };
         self.part.clear();
         for (place, id) in ready.iter().enumerate() {
             let backend = self.fleet.get_mut(id).expect("ready ones are listed");
             backend.sharers.clear();
             if holds(self.number, place) {
                 self.part.push(*id);
-                let others = (0..balancers).filter(|other| *other != self.number && holds(*other, place));
+                let others = (0..balancers).filter(|other| !probes && *other != self.number && holds(*other, place));
                 backend.sharers.extend(others.map(|other| other as u32));
             }
         }
@@ -209,16 +235,74 @@
         warmth >= 1.0 || sent + work <= bears / users as f64
     }
 
-    fn choose(&mut self, qry: &str, now_us: u64, second: bool) -> Option<u32> {
+    /// Whether rules, health and room for its kind let this query go to this backend at all.
+    fn usable(&self, qry: &Query, backend: &Backend, now_us: u64) -> bool {
+        backend.open(now_us, qry.importance)
+            && (self.standing.probes || backend.crowd() < CROWD_TOLD)
+            && qry.executions.iter().all(|exec| exec.backend != backend.listed.backend)
+            && self.allowed(qry, &backend.listed, now_us)
+            && self.within_cold_budget(backend, qry.work, now_us)
+    }
+
+    /// Work of this backend's that a crossing costs a query, by its importance against the others'.
+    fn toll(&self, qry: &Query, backend: &Backend) -> f64 {
+        let far = self.standing.zone.is_some_and(|zone| zone != backend.listed.zone);
+        let worth = qry.importance * qry.work / self.usual_importance.max(1e-9);
+        f64::from(u8::from(far)) * self.standing.crossing / worth.max(1e-3) * qry.slo_us as f64 * backend.pace
+    }
+
+    /// Probes candidates in waves, of the group, of the zone, of all: the next when the best does not fit.
+    /// True once the best of them is known.
+    fn ask(&mut self, id: &str, now_us: u64, out: &mut dyn Writer) -> bool {
+        loop {
+            let qry = &self.queries[id];
+            let asked = qry.asked.iter().map(|id| &self.fleet[id]).filter(|at| self.usable(qry, at, now_us));
+            let spare = |backend: &Backend| backend.room() - self.toll(qry, backend);
+            let best = asked.max_by(|a, b| spare(a).total_cmp(&spare(b)));
+            let fits = best.is_some_and(|best| best.load() + qry.load <= best.max || best.load() <= 0.0);
+            if fits || qry.waves > 2 {
+                return best.is_none_or(|best| best.probed.is_none());
+            }
+            // Farther ones only where the crossing costs less than the wait.
+            let (kind, wave) = (qry.kind, qry.waves);
+            let worst = best.map_or(f64::INFINITY, Backend::load);
+            let worth_it = |backend: &&Backend| match wave {
+                0 => self.groups[kind].iter().any(|member| member.backend == backend.listed.backend),
+                1 => self.part.contains(&backend.listed.backend),
+                _ => self.toll(qry, backend) < worst,
+            };
+            let mut rng = self.rng.clone();
+            let mut of: Vec<(f64, u32)> = (self.fleet.values())
+                .filter(worth_it)
+                .filter(|backend| !qry.asked.contains(&backend.listed.backend) && self.usable(qry, backend, now_us))
+                .map(|backend| (rng.f64().powf(1.0 / backend.listed.weight.max(0.01)), backend.listed.backend))
+                .collect();
+            of.sort_by(|a, b| b.0.total_cmp(&a.0));
+            of.truncate(WAVE);
+            self.rng = rng;
+            let qry = self.queries.get_mut(id).expect("waiting queries are live");
+            qry.waves += 1;
+            for (_, at) in of {
+                qry.asked.push(at);
+                let backend = self.fleet.get_mut(&at).expect("candidates are listed");
+                if backend.probed.is_none() {
+                    backend.probed = Some((now_us, self.last_serial));
+                    out.probe(at);
+                }
+            }
+        }
+    }
+
+    fn choose(&mut self, id: &str, now_us: u64, second: bool, out: &mut dyn Writer) -> Option<u32> {
+        let asks = self.standing.probes && !second;
+        if asks && !self.ask(id, now_us, out) {
+            return None;
+        }
         let mut rng = self.rng.fork();
-        let qry = &self.queries[qry];
-        let most = if self.peers { CROWD_TOLD } else { (CROWD / self.balancers).max(1) };
+        let qry = &self.queries[id];
+        let asked = |id: &u32| !asks || qry.asked.contains(id) && self.fleet[id].probed.is_none();
         let usable = |backend: &Backend| {
-            backend.open(now_us, qry.importance)
-                && backend.crowd() < most
-                && qry.executions.iter().all(|exec| exec.backend != backend.listed.backend)
-                && self.allowed(qry, &backend.listed, now_us)
-                && self.within_cold_budget(backend, qry.work, now_us)
+            asked(&backend.listed.backend) && self.usable(qry, backend, now_us)
         };
         let (kind, tail) = (qry.kind, qry.load > VALUES[3]);
         let (mut load, mut max, mut weight) = (0.0, 0.0, 0.0);
@@ -252,7 +336,7 @@
         let mut roomiest = |among: &[u32], takes: &dyn Fn(&Backend) -> bool| {
             let (mut best, mut most, mut ties) = (None, f64::NEG_INFINITY, 0);
             for (id, backend) in among.iter().map(|id| (id, &self.fleet[id])).filter(|of| takes(of.1)) {
-                let room = if tail { -(backend.work() + work) / backend.pace } else { backend.room() };
+                let room = if tail { -(backend.work() + work + self.toll(qry, backend)) / backend.pace } else { backend.room() - self.toll(qry, backend) };
                 ties = if room == most { ties + 1 } else { 1 };
                 if room > most || room == most && rng.u32(0..ties) == 0 {
                     (best, most) = (Some(*id), room);
@@ -265,6 +349,9 @@
         if qry.binding().is_some() {
             all = self.fleet.keys().copied().collect();
         }
+        if asks {
+            all = qry.asked.clone();
+        }
         all.retain(|id| usable(&self.fleet[id]));
         let first = roomiest(&own, &fits).or_else(|| roomiest(&all, &fits));
         first.or_else(|| roomiest(&own, &bears)).or_else(|| roomiest(&all, &bears))
@@ -293,18 +380,23 @@
             let qry = &self.queries[&entry.2];
             let last_chance = self.part.is_empty() || qry.deadline_us <= now_us + 2 * SWEEP_US;
             let (bound, on_time) = (qry.binding().is_some(), qry.deadline_us > now_us);
-            let place = if full || !on_time { None } else { self.choose(&entry.2, now_us, false) };
+            let place = if full || !on_time { None } else { self.choose(&entry.2, now_us, false, out) };
             if let Some(id) = place {
                 self.waiting.remove(&entry);
                 self.execute(&entry.2, id, now_us, out);
-            } else if last_chance {
+            } else if last_chance || self.standing.probes && self.asked_all(&entry.2) {
                 self.give_up(&entry.2, out);
             }
             // What even an unbound query finds full is full for the less important after it.
-            full |= place.is_none() && !bound;
+            full |= place.is_none() && !bound && !self.standing.probes;
         }
     }
 
+    fn asked_all(&self, id: &str) -> bool {
+        let qry = &self.queries[id];
+        qry.waves > 2 && qry.asked.iter().all(|at| self.fleet[at].probed.is_none())
+    }
+
     /// The final answer to a query that gets no further execution, at once.
     fn give_up(&mut self, id: &str, out: &mut dyn Writer) {
         let wait_us = self.expected_wait_us(Reverse(0)) as u64;
@@ -352,11 +444,12 @@
         let all: u32 = self.ours().map(recent).sum();
         let backend = self.fleet.get_mut(&id).expect("only listed backends are used");
         backend.failures = backend.failures << 1 | u8::from(!success);
-        let worse = recent(backend) >= 3 && recent(backend) * ready >= 2 * all && shut * 3 < ready;
+        let (least, rest_us) = if self.standing.probes { (1, 2_000_000) } else { (3, 500_000) };
+        let worse = recent(backend) >= least && recent(backend) * ready >= 2 * all && shut * 3 < ready;
         if success {
             (backend.shut_for_us, backend.shut_until_us) = (0, 0);
         } else if backend.shut_for_us > 0 || worse {
-            backend.shut_for_us = (backend.shut_for_us * 2).clamp(500_000, 4_000_000);
+            backend.shut_for_us = (backend.shut_for_us * 2).clamp(rest_us, rest_us * 8);
             backend.shut_until_us = now_us + backend.shut_for_us;
             backend.failures = 0;
         }
@@ -391,7 +484,7 @@
             _ => false,
         });
         for qry in late.map(|(id, _)| id.clone()).collect::<Vec<String>>() {
-            if let Some(id) = (self.further >= 1.0).then(|| self.choose(&qry, now_us, true)).flatten() {
+            if let Some(id) = (self.further >= 1.0).then(|| self.choose(&qry, now_us, true, out)).flatten() {
                 self.further -= 1.0;
                 self.execute(&qry, id, now_us, out);
             }
@@ -437,6 +530,8 @@
             kind,
             load,
             work: units.unwrap_or(load),
+            asked: Vec::new(),
+            waves: 0,
             arrived_us: self.now_us,
             slo_us,
             deadline_us: self.now_us.saturating_add(ttl_us),
@@ -444,10 +539,12 @@
             executions: Vec::new(),
             over: false,
         };
+        b.usual_importance += (importance * qry.work - b.usual_importance) / b.hints.len().clamp(1, 64) as f64;
         let place = qry.place();
         b.queries.insert(id.to_owned(), qry);
         // By chance, from a fiftieth of the SLO time in expected wait to an eighth; the cheap wait longer.
         let pressure = b.expected_wait_us(place.0) / slo_us.max(1) as f64;
+        let pressure = if b.standing.probes { 0.0 } else { pressure };
         if takes_us > ttl_us as f64 || b.rng.f64() < (pressure - 0.02) / 0.1 {
             b.give_up(id, self.out);
         } else {
@@ -469,7 +566,8 @@
         let held = backend.held.remove(&exec.serial);
         backend.tell(held.as_ref().is_some_and(|held| held.told), self.out);
         backend.hear(report.unwrap_or_default());
-        if let Some(held) = held.filter(|_| matches!(ended, Ended::Completed | Ended::TimedOut)) {
+        let tells = ended == Ended::Completed || ended == Ended::TimedOut && !b.standing.probes;
+        if let Some(held) = held.filter(|_| tells) {
             backend.learn(held.ahead / took_us.max(1) as f64, 16, now_us);
             // What passed beyond its own work went to a crowd of others: stay away so that all take turns.
             let alone_us = b.speeds.at(0.9).map_or(0.0, |fastest| held.work * b.unit_us * 1e3 / fastest);
@@ -493,9 +591,14 @@
         if closed {
             b.close(id, self.out);
         } else if !out {
+            let qry = b.queries.get_mut(id).expect("open queries are live");
+            (qry.waves, qry.asked) = (0, Vec::new());
             let qry = &b.queries[id];
             // What reached no backend, or hardly, burdens none, so it takes nothing from the budget.
-            let price = if matches!(ended, Ended::Unreachable | Ended::Stale) { 0.0 } else { 1.0 };
+            let price = if matches!(ended, Ended::Unreachable | Ended::Stale)
+                || b.standing.probes && ended == Ended::TurnedAway
+            {
+                0.0 } else { 1.0 };
             let more = (qry.executions.len() as u32) < b.limits.max_executions
                 && qry.deadline_us > now_us
                 && b.further >= price
@@ -509,6 +612,33 @@
         }
     }
 
+    /// A probe is back: what it waited for, or what the backend says it holds, is the load there.
+    pub fn probed(&mut self, id: u32, ended: Ended, took_us: u64, report: Option<LoadReport>) {
+        let (b, now_us) = (&mut *self.balancer, self.now_us);
+        let Some(backend) = b.fleet.get_mut(&id) else { return };
+        let Some((_, serial)) = backend.probed.take() else { return };
+        backend.hear(report.unwrap_or_default());
+        if ended == Ended::Completed {
+            b.quickest_us = b.quickest_us.min(took_us);
+            backend.passed = backend.passed.max(serial);
+        }
+        let waited = (took_us.saturating_sub(b.quickest_us)) as f64 * backend.pace;
+        let (own, count) = backend.there().fold((0.0, 0.0), |sum, held| (sum.0 + held.work, sum.1 + 1.0));
+        let held = report.and_then(|report| report.held).map(|held| (held - count).max(0.0) * VALUES[1]);
+        backend.seen = (now_us, held.unwrap_or(waited - own).max(0.0));
+        if ended != Ended::Completed {
+            backend.seen.1 = backend.max * 8.0;
+        }
+        let errors = report.and_then(|report| report.errors_per_s).unwrap_or(0.0);
+        let capacity = backend.pace * 1e6 / VALUES[1];
+        if errors > capacity / 4.0 {
+            backend.shut_until_us = backend.shut_until_us.max(now_us + 1_000_000);
+        }
+        if matches!(ended, Ended::TimedOut | Ended::Unreachable | Ended::Dropped) {
+            b.judge(id, false, now_us);
+        }
+    }
+
     /// A peer tells of all that it has out on a backend that both use.
     pub fn told(&mut self, peer: u32, note: &str) {
         let (b, until_us) = (&mut *self.balancer, self.now_us + TOLD_US);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -91,6 +91,19 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LoadReport {
     pub utilisation: Option<f64>,
+    /// Queries that it holds, ours among them.
+    pub held: Option<f64>,
+    pub errors_per_s: Option<f64>,
+}
+
+/// Where a proxy stands, and whether it asks backends for what their answers don't tell.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Standing {
+    /// None where the proxy is in no zone: then no backend is nearer than another.
+    pub zone: Option<u32>,
+    /// What an execution in another zone costs, in importance of a mean query.
+    pub crossing: f64,
+    pub probes: bool,
 }
 
 /// Takes each decision at the moment it is made.
@@ -101,5 +114,6 @@
     fn abort(&mut self, qry: &str);
     fn wake(&mut self, in_us: u64, token: &str);
     fn subscribe(&mut self);
+    fn probe(&mut self, backend: u32);
     fn tell(&mut self, peer: u32, bytes: &str);
 }
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -80,6 +80,9 @@
     pub load: f64,
     /// What its hint says in load units.
     pub work: f64,
+    /// The candidates probed for it, wave by wave, and how many waves there were.
+    pub asked: Vec<u32>,
+    pub waves: u32,
     pub arrived_us: u64,
     pub slo_us: u64,
     pub deadline_us: u64,
@@ -176,6 +179,12 @@
     /// Since when it is left alone for being crowded, and how long.
     pub rest: (u64, f64),
     pub cold_sent: VecDeque<(u64, f64)>,
+    /// When the probe that is out left, and how many executions had left by then.
+    pub probed: Option<(u64, u64)>,
+    /// What the last probe found there beside ours, and when.
+    pub seen: (u64, f64),
+    /// What is left of it by now, as last set.
+    pub found: f64,
 }
 
 impl Backend {
@@ -193,7 +202,7 @@
     }
 
     /// Our executions that the backend is held to have.
-    fn there(&self) -> impl Iterator<Item = &Held> {
+    pub fn there(&self) -> impl Iterator<Item = &Held> {
         self.held.values().filter(|held| !held.lost)
     }
 
@@ -203,11 +212,11 @@
 
     pub fn load(&self) -> f64 {
         let own: f64 = self.there().map(|held| held.load).sum();
-        own + self.others() + self.used * self.max
+        own + self.others() + self.found + self.used * self.max
     }
 
     pub fn work(&self) -> f64 {
-        self.others() + self.there().map(|held| held.work).sum::<f64>()
+        self.others() + self.found + self.there().map(|held| held.work).sum::<f64>()
     }
 
     /// Tells all who share it, where that is worth it, of what is out there: each note stands alone, as others may be lost or late.
@@ -292,6 +301,10 @@
     pub(crate) balancers: usize,
     pub(crate) number: usize,
     pub(crate) peers: bool,
+    pub(crate) standing: Standing,
+    /// The quickest probe, which found nothing to wait for, and the queries' mean importance.
+    pub(crate) quickest_us: u64,
+    pub(crate) usual_importance: f64,
     pub(crate) workloads: Vec<Workload>,
     pub(crate) limits: ExecutionLimits,
     pub(crate) cold: ColdRule,
@@ -325,7 +338,8 @@
         self.part.retain(|id| fleet[id].ready());
         self.groups.iter_mut().for_each(|group| group.retain(|member| fleet[&member.backend].ready()));
         let executions = self.queries.values().flat_map(|qry| &qry.executions);
-        let known: BTreeSet<u32> = executions.map(|exec| exec.backend).collect();
+        let asked = self.queries.values().flat_map(|qry| qry.asked.iter().copied());
+        let known: BTreeSet<u32> = executions.map(|exec| exec.backend).chain(asked).collect();
         fleet.retain(|id, backend| backend.listed.phase != Phase::Gone || known.contains(id));
     }
 }
@@ -356,6 +370,7 @@
         fn abort(&mut self, _: &str) {}
         fn wake(&mut self, _: u64, _: &str) {}
         fn subscribe(&mut self) {}
+        fn probe(&mut self, _: u32) {}
         fn tell(&mut self, _: u32, _: &str) {}
     }
 
@@ -371,7 +386,7 @@
         };
         let limits = ExecutionLimits { max_executions: 3, ..ExecutionLimits::default() };
         let cold = ColdRule::default();
-        let mut balancer = Balancer::new(7, 1, 0, vec![workload], vec![], limits, cold, false, false);
+        let mut balancer = Balancer::new(7, 1, 0, vec![workload], vec![], limits, cold, false, false, Standing::default());
         let listed = |backend, phase| Listed { backend, phase, weight: 1.0, ..Listed::default() };
         for turn in 0..100 {
             let id = turn.to_string();
