--- a/src/balance.rs
+++ b/src/balance.rs
@@ -329,7 +329,7 @@
         let (load, work, reach) = (qry.load, qry.work, 1.0 + qry.importance);
         let fits = |backend: &Backend| match tail {
             true => backend.load() < backend.max && backend.work() + work <= backend.pace * left_us,
-            false => backend.idle() || backend.load() + load <= backend.max,
+            false => backend.idle() && backend.found <= 0.0 || backend.load() + load <= backend.max,
         };
         // Past the maxima the more important go further; the rest waits where it can still be rejected.
         let bears = |backend: &Backend| !second && backend.load() < backend.max * reach;
