--- a/src/balance.rs
+++ b/src/balance.rs
@@ -34,6 +34,7 @@
 
 /// Candidates probed at a time.
 const WAVE: usize = 2;
+const BEAR: f64 = 2.0;
 
 pub struct Inbox<'a> {
     balancer: &'a mut Balancer,
@@ -375,6 +376,11 @@
             all = qry.asked.clone();
         }
         all.retain(|id| usable(&self.fleet[id]));
+        if asks {
+            let least = |id: &u32| self.fleet[id].load() <= self.fleet[id].max * BEAR * qry.importance;
+            all.retain(least);
+            own.retain(least);
+        }
         let first = roomiest(&own, &fits).or_else(|| roomiest(&all, &fits));
         first.or_else(|| roomiest(&own, &bears)).or_else(|| roomiest(&all, &bears))
     }
