--- a/src/balance.rs
+++ b/src/balance.rs
@@ -34,7 +34,8 @@
 
 /// Candidates probed at a time.
 const WAVE: usize = 2;
-const BEAR: f64 = 2.0;
+const STRAIN_US: f64 = 2e6;
+const BEAR: f64 = 3.0;
 
 pub struct Inbox<'a> {
     balancer: &'a mut Balancer,
@@ -273,7 +274,13 @@
             let best = asked.max_by(|a, b| spare(a).total_cmp(&spare(b)));
             let fits = best.is_some_and(|best| best.load() + qry.load <= best.max || best.load() <= 0.0);
             if fits || qry.waves > 2 {
-                return best.is_none_or(|best| best.probed.is_none());
+                let known = best.is_none_or(|best| best.probed.is_none());
+                // What was found, in maxima: the next queries may be turned away for it without a probe.
+                let strain = best.map_or(BEAR, |best| best.load() / best.max.max(1e-9)).min(BEAR * 2.0);
+                if known {
+                    self.strain = (now_us, strain);
+                }
+                return known;
             }
             // Farther ones only where the crossing costs less than the wait.
             let worst = best.map_or(f64::INFINITY, Backend::load);
@@ -377,9 +384,9 @@
         }
         all.retain(|id| usable(&self.fleet[id]));
         if asks {
-            let least = |id: &u32| self.fleet[id].load() <= self.fleet[id].max * BEAR * qry.importance;
-            all.retain(least);
-            own.retain(least);
+            let strain = |id: &u32| self.fleet[id].load() / self.fleet[id].max.max(1e-9);
+            all.retain(|id| strain(id) <= BEAR * qry.importance);
+            own.retain(|id| strain(id) <= BEAR * qry.importance);
         }
         let first = roomiest(&own, &fits).or_else(|| roomiest(&all, &fits));
         first.or_else(|| roomiest(&own, &bears)).or_else(|| roomiest(&all, &bears))
@@ -573,8 +580,13 @@
         let place = qry.place();
         b.queries.insert(id.to_owned(), qry);
         // By chance, from a fiftieth of the SLO time in expected wait to an eighth; the cheap wait longer.
-        let wait_us = if b.standing.probes { 0.0 } else { b.expected_wait_us(place.0) };
-        let pressure = wait_us / slo_us.max(1) as f64;
+        let pressure = if b.standing.probes {
+            let age_us = self.now_us.saturating_sub(b.strain.0) as f64;
+            let strain = b.strain.1 * (1.0 - age_us / STRAIN_US).max(0.0);
+            (strain / (BEAR * importance.max(1e-9)) - 0.9) * 0.1 + 0.02
+        } else {
+            b.expected_wait_us(place.0) / slo_us.max(1) as f64
+        };
         if takes_us > ttl_us as f64 || b.rng.f64() < (pressure - 0.02) / 0.1 {
             b.give_up(id, self.out);
         } else {
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -304,6 +304,7 @@
     pub(crate) standing: Standing,
     /// The quickest probe, which found nothing to wait for, and the queries' mean importance.
     pub(crate) quickest_us: u64,
+    pub(crate) strain: (u64, f64),
     pub(crate) maxima_us: u64,
     pub(crate) fade_us: u64,
     pub(crate) usual_pace: f64,
