--- a/src/balance.rs
+++ b/src/balance.rs
@@ -34,6 +34,8 @@
 
 /// Candidates probed at a time.
 const WAVE: usize = 2;
+/// Outcomes from which the fastest pace is known well enough to call a query hopeless.
+const ENOUGH: u64 = 16;
 const STRAIN_US: f64 = 2e6;
 const BEAR: f64 = 3.0;
 
@@ -553,8 +555,9 @@
         let load = units.filter(|_| kind == 3).map_or(VALUES[kind], |units| units.max(VALUES[3]));
         b.traffic[kind] += load;
         // Some cannot end in time even on the fastest backend: they would only keep it from the others.
-        let takes_us =
-            hint_us.zip(b.speeds.at(0.9)).map_or(0.0, |(hint, fastest)| hint as f64 * 1e3 / fastest);
+        // Few outcomes tell nothing of the fastest: one that met a crowd would make all queries hopeless.
+        let fastest = b.speeds.at(0.9).filter(|_| b.speeds.len() >= ENOUGH);
+        let takes_us = hint_us.zip(fastest).map_or(0.0, |(hint, fastest)| hint as f64 * 1e3 / fastest);
         if takes_us > slo_us as f64 {
             importance *= tardy;
         }
