--- a/src/balance.rs
+++ b/src/balance.rs
@@ -111,7 +111,8 @@
         self.place_waiting(now_us, out);
         if !self.sweeping && !self.queries.is_empty() {
             self.sweeping = true;
-            out.wake(SWEEP_US, "sweep");
+            let calm = self.standing.probes && self.waiting.is_empty();
+            out.wake(if calm { SWEEP_US * 4 } else { SWEEP_US }, "sweep");
         }
         Ok(())
     }
@@ -266,16 +267,32 @@
         f64::from(u8::from(far)) * self.standing.crossing / worth.max(1e-3) * qry.slo_us as f64 * backend.pace
     }
 
-    /// Probes candidates in waves, of the group, of the zone, of all: the next when the best does not fit.
-    /// True once the best of them is known.
+    /// The next in the smooth weighted rotation of those in the group that `may` be used.
+    fn rotate(&mut self, kind: usize, may: &[u32]) -> Option<u32> {
+        let mut among: Vec<&mut Member> =
+            self.groups[kind].iter_mut().filter(|member| may.contains(&member.backend)).collect();
+        let weight = |member: &Member| self.fleet[&member.backend].listed.weight;
+        let whole: f64 = among.iter().map(|member| weight(member)).sum();
+        among.iter_mut().for_each(|member| member.turn += weight(member));
+        let next = among.into_iter().max_by(|a, b| a.turn.total_cmp(&b.turn))?;
+        next.turn -= whole;
+        Some(next.backend)
+    }
+
+    /// Probes candidates: the group's next in rotation, and unless it is light some of the group, where none
+    /// of them fits of the zone, of all where the wait costs more than crossing. True once the best is known.
     fn ask(&mut self, id: &str, now_us: u64, out: &mut dyn Writer) -> bool {
         loop {
             let qry = &self.queries[id];
             let asked = qry.asked.iter().map(|id| &self.fleet[id]).filter(|at| self.usable(qry, at, now_us));
             let spare = |backend: &Backend| backend.room() - self.toll(qry, backend);
             let best = asked.max_by(|a, b| spare(a).total_cmp(&spare(b)));
-            let fits = best.is_some_and(|best| best.load() + qry.load <= best.max || best.load() <= 0.0);
-            if fits || qry.waves > 2 {
+            let tail = qry.load > VALUES[3];
+            let enough = |best: &Backend| match qry.waves {
+                1 => best.load() <= best.max / 10.0,
+                _ => best.load() + qry.load <= best.max || best.load() <= best.max / 10.0,
+            };
+            if best.is_some_and(enough) || qry.waves > 3 {
                 let known = best.is_none_or(|best| best.probed.is_none());
                 // What was found, in maxima: the next queries may be turned away for it without a probe.
                 let strain = best.map_or(BEAR, |best| best.load() / best.max.max(1e-9)).min(BEAR * 2.0);
@@ -284,36 +301,40 @@
                 }
                 return known;
             }
-            // Farther ones only where the crossing costs less than the wait.
             let worst = best.map_or(f64::INFINITY, Backend::load);
-            let mut rng = self.rng.clone();
-            let group = &self.groups[qry.kind];
-            let among = |place: usize| match qry.waves {
-                0 => group[place].backend,
-                1 => self.part[place],
-                _ => self.beyond[place],
-            };
-            let count = [group.len(), self.part.len(), self.beyond.len()][qry.waves as usize];
-            let mut of: Vec<u32> = Vec::new();
             let fit = |at: &u32| {
                 let backend = &self.fleet[at];
                 !qry.asked.contains(at) && self.usable(qry, backend, now_us) && self.toll(qry, backend) < worst
             };
-            if qry.binding().is_some() {
+            let (kind, bound) = (qry.kind, qry.binding().is_some());
+            let mut waves = if bound { 4 } else { qry.waves + 1 };
+            let mut of: Vec<u32> = Vec::new();
+            if bound {
                 of = self.fleet.keys().copied().filter(fit).collect();
-            } else if count > 0 {
-                for _ in 0..WAVE * 4 {
+            } else if qry.waves == 0 && !tail {
+                let may: Vec<u32> = self.groups[kind].iter().map(|member| member.backend).filter(fit).collect();
+                of = self.rotate(kind, &may).into_iter().collect();
+            } else {
+                waves = waves.max(2);
+                let mut rng = self.rng.clone();
+                let group = &self.groups[kind];
+                let among = |place: usize| match waves {
+                    2 => group[place].backend,
+                    3 => self.part[place],
+                    _ => self.beyond[place],
+                };
+                let count = [0, 0, group.len(), self.part.len(), self.beyond.len()][waves as usize];
+                for _ in 0..if count > 0 { WAVE * 4 } else { 0 } {
                     let at = among(rng.usize(0..count));
                     let chance = rng.f64() * self.most_weight;
                     if of.len() < WAVE && chance <= self.fleet[&at].listed.weight && !of.contains(&at) && fit(&at) {
                         of.push(at);
                     }
                 }
+                self.rng = rng;
             }
-            let waves = if qry.binding().is_some() { 3 } else { qry.waves + 1 };
             let qry = self.queries.get_mut(id).expect("waiting queries are live");
             qry.waves = waves;
-            self.rng = rng;
             for at in of {
                 qry.asked.push(at);
                 let backend = self.fleet.get_mut(&at).expect("candidates are listed");
@@ -337,24 +358,18 @@
             asked(&backend.listed.backend) && self.usable(qry, backend, now_us)
         };
         let (kind, tail) = (qry.kind, qry.load > VALUES[3]);
-        let (mut load, mut max, mut weight) = (0.0, 0.0, 0.0);
+        let (mut load, mut max) = (0.0, 0.0);
         let mut own = Vec::new();
         for member in &self.groups[kind] {
             let backend = &self.fleet[&member.backend];
             if usable(backend) {
                 (load, max) = (load + backend.load(), max + backend.max);
-                weight += backend.listed.weight;
                 own.push(member.backend);
             }
         }
         // Rotation would send a long tail to the slowest as readily as to the fastest.
-        if load <= max / 10.0 && !own.is_empty() && !tail {
-            let mut among: Vec<&mut Member> =
-                self.groups[kind].iter_mut().filter(|member| own.contains(&member.backend)).collect();
-            among.iter_mut().for_each(|member| member.turn += self.fleet[&member.backend].listed.weight);
-            let next = among.into_iter().max_by(|a, b| a.turn.total_cmp(&b.turn))?;
-            next.turn -= weight;
-            return Some(next.backend);
+        if load <= max / 10.0 && !own.is_empty() && !tail && !asks {
+            return self.rotate(kind, &own);
         }
         // A long tail is past every maximum: it fits where it would end within its SLO time.
         let left_us = (qry.arrived_us + qry.slo_us).saturating_sub(now_us) as f64;
@@ -431,7 +446,7 @@
 
     fn asked_all(&self, id: &str) -> bool {
         let qry = &self.queries[id];
-        qry.waves > 2 && qry.asked.iter().all(|at| self.fleet[at].probed.is_none())
+        qry.waves > 3 && qry.asked.iter().all(|at| self.fleet[at].probed.is_none())
     }
 
     /// The final answer to a query that gets no further execution, at once.
