--- a/src/kept.rs
+++ b/src/kept.rs
@@ -25,6 +25,9 @@
     }
 
     pub fn halve(&mut self) {
+        if self.0.is_empty() {
+            return;
+        }
         let halved = |bin: hdrhistogram::iterators::IterationValue<u32>| {
             (bin.value_iterated_to(), bin.count_at_value() / 2)
         };
