--- a/src/balance.rs
+++ b/src/balance.rs
@@ -527,6 +527,28 @@
         // a budget that overload spends at once: further executions must not feed it.
         let usual = mean_or(self.ours().map(|backend| backend.pace), 0.0);
         let two = self.limits.may_duplicate && self.limits.max_executions > 1;
+        // Where copies may not run side by side, a late execution is called off before the next one leaves.
+        let moves = self.standing.probes && !two && self.limits.cancel && self.limits.max_executions > 1;
+        let late = self.queries.iter_mut().filter(|(_, qry)| moves && !qry.over && now_us < qry.deadline_us);
+        for (id, qry) in late {
+            let left = qry.executions.len() as u32;
+            let repeat = self.workloads[qry.workload].repeat;
+            let Some(exec) = qry.executions.last_mut().filter(|exec| exec.out && !exec.called_off) else { continue };
+            let late_us = exec.sent_us + (2 * exec.expected_us).max(qry.slo_us / 4);
+            let free = self.further >= 1.0 && left < self.limits.max_executions;
+            if repeat == Repeat::NonIdempotent || now_us < late_us || !free {
+                continue;
+            }
+            // A probe that is answered has passed it by, so its own answer is lost.
+            let backend = self.fleet.get_mut(&exec.backend).expect("only listed backends are used");
+            if backend.held.get(&exec.serial).is_some_and(|held| held.lost) {
+                exec.called_off = true;
+                out.cancel(id, left - 1);
+            } else if backend.probed.is_none() && backend.passed <= exec.serial {
+                backend.probed = Some((now_us, self.last_serial));
+                out.probe(exec.backend);
+            }
+        }
         let late = self.queries.iter().filter(|(_, qry)| match &qry.executions[..] {
             // One whose deadline is reached gets none: its time-out is on its way here.
             [exec] if two && exec.out && !qry.over && now_us < qry.deadline_us => {
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -65,12 +65,13 @@
     pub sent_us: u64,
     pub expected_us: u64,
     pub out: bool,
+    pub called_off: bool,
     pub may_have_run: bool,
 }
 
 impl Execution {
     pub fn new(backend: u32, serial: u64, sent_us: u64, expected_us: u64) -> Self {
-        Execution { backend, serial, sent_us, expected_us, out: true, may_have_run: false }
+        Execution { backend, serial, sent_us, expected_us, out: true, called_off: false, may_have_run: false }
     }
 }
 
