--- a/src/balance.rs
+++ b/src/balance.rs
@@ -36,6 +36,7 @@
 const WAVE: usize = 2;
 /// Outcomes from which the fastest pace is known well enough to call a query hopeless.
 const ENOUGH: u64 = 16;
+const LOSS: f64 = 0.125;
 const STRAIN_US: f64 = 2e6;
 const BEAR: f64 = 3.0;
 
@@ -264,7 +265,11 @@
     fn toll(&self, qry: &Query, backend: &Backend) -> f64 {
         let far = self.standing.zone.is_some_and(|zone| zone != backend.listed.zone);
         let worth = qry.importance * qry.work / self.usual_importance.max(1e-9);
-        f64::from(u8::from(far)) * self.standing.crossing / worth.max(1e-3) * qry.slo_us as f64 * backend.pace
+        let crossing = f64::from(u8::from(far)) * self.standing.crossing / worth.max(1e-3);
+        // One that must never run twice has one chance: what lost answers lately loses it by as much.
+        let once = self.workloads[qry.workload].repeat == Repeat::NonIdempotent;
+        let lost = f64::from(u8::from(once) * backend.failures.count_ones() as u8) * LOSS;
+        (crossing + lost) * qry.slo_us as f64 * backend.pace
     }
 
     /// The next in the smooth weighted rotation of those in the group that `may` be used.
@@ -661,13 +666,15 @@
             // It says itself that it is full; as it answers at once it would else look the roomiest.
             backend.shut_until_us = backend.shut_until_us.max(now_us + 2 * b.target_us as u64);
         }
+        let lost = b.standing.probes && (ended == Ended::TimedOut || ended == Ended::Cancelled && exec.called_off);
+        backend.failures = backend.failures << u8::from(lost) | u8::from(lost);
         let done = if ended == Ended::Completed { exec.serial } else { 0 };
         backend.passed = backend.passed.max(done);
         if ended == Ended::Completed && b.unit_us > 0.0 {
             b.speeds.record(qry.work * b.unit_us * 1e3 / took_us.max(1) as f64, 256);
         }
         let (judged, closed, out) = (exec.backend, over || qry.over, qry.out());
-        if !matches!(ended, Ended::Cancelled | Ended::NotSent | Ended::TurnedAway | Ended::Stale) {
+        if !lost && !matches!(ended, Ended::Cancelled | Ended::NotSent | Ended::TurnedAway | Ended::Stale) {
             b.judge(judged, ended == Ended::Completed, now_us);
         }
         if closed {
