--- a/src/balance.rs
+++ b/src/balance.rs
@@ -309,7 +309,7 @@
             let worst = best.map_or(f64::INFINITY, Backend::load);
             let fit = |at: &u32| {
                 let backend = &self.fleet[at];
-                !qry.asked.contains(at) && self.usable(qry, backend, now_us) && self.toll(qry, backend) < worst
+                !qry.asked.contains(at) && self.usable(qry, backend, now_us) && self.toll(qry, backend) < worst && backend.found < backend.max * BEAR
             };
             let (kind, bound) = (qry.kind, qry.binding().is_some());
             let mut waves = if bound { 4 } else { qry.waves + 1 };
@@ -716,7 +716,7 @@
         let held = report.and_then(|report| report.held).map(|held| (held - count).max(0.0) * VALUES[1]);
         backend.seen = (now_us, held.unwrap_or(waited - own).max(0.0));
         if ended != Ended::Completed {
-            backend.seen.1 = backend.max * 8.0;
+            backend.seen.1 = backend.max * if ended == Ended::TurnedAway { 4.0 } else { 8.0 };
         }
         let errors = report.and_then(|report| report.errors_per_s).unwrap_or(0.0);
         let capacity = backend.pace * 1e6 / VALUES[1];
