--- a/src/balance.rs
+++ b/src/balance.rs
@@ -36,6 +36,7 @@
 const WAVE: usize = 2;
 /// Outcomes from which the fastest pace is known well enough to call a query hopeless.
 const ENOUGH: u64 = 16;
+const LEAST: f64 = 4.0;
 const LOSS: f64 = 0.125;
 const STRAIN_US: f64 = 2e6;
 const BEAR: f64 = 3.0;
@@ -406,9 +407,9 @@
         }
         all.retain(|id| usable(&self.fleet[id]));
         if asks {
-            let strain = |id: &u32| self.fleet[id].load() / self.fleet[id].max.max(1e-9);
-            all.retain(|id| strain(id) <= BEAR * qry.importance);
-            own.retain(|id| strain(id) <= BEAR * qry.importance);
+            let bears = |id: &u32| self.fleet[id].load() <= (self.fleet[id].max * BEAR * qry.importance).max(LEAST);
+            all.retain(bears);
+            own.retain(bears);
         }
         let first = roomiest(&own, &fits).or_else(|| roomiest(&all, &fits));
         first.or_else(|| roomiest(&own, &bears)).or_else(|| roomiest(&all, &bears))
@@ -720,7 +721,7 @@
         }
         let errors = report.and_then(|report| report.errors_per_s).unwrap_or(0.0);
         let capacity = backend.pace * 1e6 / VALUES[1];
-        if errors > capacity / 4.0 {
+        if errors > capacity / 16.0 {
             backend.shut_until_us = backend.shut_until_us.max(now_us + 1_000_000);
         }
         if matches!(ended, Ended::TimedOut | Ended::Unreachable | Ended::Dropped) {
