--- a/src/balance.rs
+++ b/src/balance.rs
@@ -295,7 +295,7 @@
             let best = asked.max_by(|a, b| spare(a).total_cmp(&spare(b)));
             let tail = qry.load > VALUES[3];
             let enough = |best: &Backend| match qry.waves {
-                1 => best.load() <= best.max / 10.0,
+                1 => best.load() <= (best.max / 10.0).max(VALUES[1]),
                 _ => best.load() + qry.load <= best.max || best.load() <= best.max / 10.0,
             };
             if best.is_some_and(enough) || qry.waves > 3 {
