--- a/src/balance.rs
+++ b/src/balance.rs
@@ -6,7 +6,6 @@
 use crate::interface::*;
 pub use crate::kept::Balancer;
 use crate::kept::*;
-use fastrand::Rng;
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
 
@@ -19,18 +18,14 @@
 const REGROUP_US: u64 = 30_000_000;
 const MAXIMA_US: u64 = 250_000;
 const SWEEP_US: u64 = 25_000;
-const DEFAULT_MAX: f64 = 8.0;
 /// Queries left with one backend by all: more only wait where none can reject them; as guessed, and as told.
 const CROWD_TOLD: usize = 4;
-/// Queries a tenant may save up at the least: a share of a quota over many proxies holds less than one.
-const SHARE_KEPT: f64 = 4.0;
 /// Sharers told of an execution for each load unit of its work: as many notes as it has sharers go out.
 const WORTH_TELLING: f64 = 8.0;
 /// Proxies that share one backend, where a part may be that small: one query of each of many is a crowd.
 const SHARED_BY: usize = 3;
-/// Backends in a part at the least: without notes from peers more would gather more unseen queries on each.
-const PART_TOLD: usize = 6;
-const PART_ALONE: usize = 2;
+/// Backends in a part at the least.
+const PART_LEAST: usize = 6;
 
 /// Candidates probed at a time.
 const WAVE: usize = 2;
@@ -38,6 +33,8 @@
 const ENOUGH: u64 = 16;
 const LEAST: f64 = 4.0;
 const LOSS: f64 = 0.125;
+/// Outcomes that the usual pace for a backend's weight counts as, where few ever come.
+const SURE: f64 = 2.0;
 const STRAIN_US: f64 = 2e6;
 const BEAR: f64 = 3.0;
 
@@ -63,33 +60,6 @@
 }
 
 impl Balancer {
-    pub fn new(
-        seed: u64, balancers: u32, number: u32, workloads: Vec<Workload>, tenants: Vec<Tenant>,
-        limits: ExecutionLimits, cold: ColdRule, must_ask: bool, peers: bool, standing: Standing,
-    ) -> Self {
-        let slo_us = workloads.iter().map(|workload| workload.slo_us).min().unwrap_or(0);
-        let share = |tenant: &Tenant| tenant.quota_per_s / f64::from(balancers.max(1));
-        let allowance = |tenant: &Tenant| Allowance::new(share(tenant), SHARE_KEPT, tenant.beyond_importance);
-        Balancer {
-            rng: Rng::with_seed(seed),
-            balancers: balancers.max(1) as usize,
-            number: number as usize,
-            peers,
-            standing,
-            quickest_us: u64::MAX,
-            tenants: tenants.iter().map(allowance).collect(),
-            most_importance: workloads.iter().map(|workload| workload.importance).fold(1e-9, f64::max),
-            target_us: (slo_us as f64 / 8.0).max(1.0),
-            workloads,
-            limits,
-            cold,
-            must_ask,
-            regroup_gap_us: 1_000_000,
-            further: 10.0,
-            ..Balancer::default()
-        }
-    }
-
     /// Takes in all news of one batch through `feed`, then places what waits.
     pub fn round<E>(
         &mut self, now_us: u64, out: &mut dyn Writer, feed: impl FnOnce(&mut Inbox) -> Result<(), E>,
@@ -143,28 +113,13 @@
         };
         for id in ids {
             let Some(backend) = self.fleet.get_mut(&id) else { continue };
-            backend.told.retain(|told| told.until_us > now_us);
-            backend.used = backend.utilisation.unwrap_or(self.used);
-            backend.pace = backend.learned.unwrap_or(self.usual_pace);
-            if probes {
-                let prior = self.weight_pace * backend.listed.weight.max(0.01);
-                let count = backend.paces.len() as f64;
-                backend.pace = (backend.learned.unwrap_or(0.0) * count + prior * 2.0) / (count + 2.0);
-                let age_us = now_us.saturating_sub(backend.seen.0) as f64;
-                backend.found = (backend.seen.1 - backend.pace * age_us).max(0.0);
-                if let Some((sent_us, _)) = backend.probed {
-                    let silent_us = now_us.saturating_sub(sent_us.saturating_add(self.quickest_us));
-                    backend.found = backend.found.max(silent_us as f64 * backend.pace);
-                }
-            }
-            // What later completions have passed by hangs on a dead connection once it is late as well.
-            let (pace, passed) = (backend.pace.max(1e-9), backend.passed);
-            let late_us = |held: &Held| held.sent_us + (2.0 * self.target_us.max(held.work / pace)) as u64;
-            backend.held.range_mut(..passed).for_each(|(_, held)| held.lost = now_us > late_us(held));
+            let usual_pace = if probes { self.weight_pace * backend.listed.weight.max(0.01) } else { self.usual_pace };
+            let sure = if probes { SURE } else { 0.0 };
+            backend.recall(now_us, self.used, usual_pace, sure, self.target_us, self.quickest_us);
             // One that stands still yields no outcomes: the oldest not passed by bounds its pace.
-            if let Some((_, oldest)) = backend.held.range(passed..).next().filter(|_| !probes) {
-                let age_us = now_us.saturating_sub(oldest.sent_us).max(1);
-                backend.pace = backend.pace.min(oldest.ahead / age_us as f64);
+            let oldest = backend.held.range(backend.passed..).next().filter(|_| !probes);
+            if let Some(least) = oldest.map(|(_, held)| held.ahead / now_us.saturating_sub(held.sent_us).max(1) as f64) {
+                backend.pace = backend.pace.min(least);
             }
             backend.max = backend.pace * self.target_us * backend.warmth(&self.cold, now_us);
         }
@@ -179,8 +134,7 @@
         let ready: Vec<u32> = self.fleet.values().filter(|b| b.ready()).map(|b| b.listed.backend).collect();
         let (count, balancers) = (ready.len(), self.balancers);
         self.maxima_us = 0;
-        let least = if self.peers { PART_TOLD } else { PART_ALONE };
-        let part = (SHARED_BY * count).div_ceil(balancers).max(least).min(count);
+        let part = (SHARED_BY * count).div_ceil(balancers).max(PART_LEAST).min(count);
         let near = |id: &u32| self.standing.zone.is_none_or(|zone| self.fleet[id].listed.zone == zone);
         let near: BTreeSet<u32> = ready.iter().copied().filter(near).collect();
         let probes = self.standing.probes;
@@ -582,7 +536,7 @@
         let about = b.workloads.get(workload).ok_or_else(|| format!("unknown workload {workload}"))?;
         let (slo_us, tardy) = (about.slo_us, about.tardy_importance);
         let mut importance = about.importance / b.most_importance;
-        if !b.tenants.get_mut(tenant).is_none_or(|share| share.take(self.now_us, SHARE_KEPT)) {
+        if !b.tenants.get_mut(tenant).is_none_or(|share| share.take(self.now_us)) {
             importance *= b.tenants[tenant].beyond;
         }
         if let Some(hint_us) = hint_us {
@@ -731,14 +685,7 @@
 
     /// A peer tells of all that it has out on a backend that both use.
     pub fn told(&mut self, peer: u32, note: &str) {
-        let (b, until_us) = (&mut *self.balancer, self.now_us + TOLD_US);
-        let Some((short, told)) = read_note(note) else { return };
-        let Some(id) = b.part.iter().find(|id| *id & 0xffff == short) else { return };
-        let last = &mut b.fleet.get_mut(id).expect("parts hold listed backends").told;
-        if last.iter().all(|last| last.peer != peer || told.is_newer_than(last)) {
-            last.retain(|last| last.peer != peer);
-            last.push(Told { peer, until_us, ..told });
-        }
+        self.balancer.told(peer, note, self.now_us + TOLD_US);
     }
 
     /// A stream has started: the answer is the client's now and nothing is left to decide.
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -6,6 +6,11 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+/// Queries a tenant may save up at the least: a share of a quota over many proxies holds less than one.
+const SHARE_KEPT: f64 = 4.0;
+/// What a backend takes on at the most before any outcome tells.
+pub const DEFAULT_MAX: f64 = 8.0;
+
 /// A small histogram of few coarse bins.
 pub struct Bins(Histogram<u32>);
 
@@ -250,6 +255,25 @@
         self.told.iter().map(|told| told.work).sum()
     }
 
+    /// Sets what follows from its outcomes, notes and probes by now. `usual_pace` stands for it without
+    /// outcomes and counts as `sure` of them beside.
+    pub fn recall(
+        &mut self, now_us: u64, used: f64, usual_pace: f64, sure: f64, target_us: f64, quickest_us: u64,
+    ) {
+        self.told.retain(|told| told.until_us > now_us);
+        self.used = self.utilisation.unwrap_or(used);
+        let (count, learned) = (self.paces.len() as f64, self.learned.unwrap_or(usual_pace));
+        self.pace = if count > 0.0 { (learned * count + usual_pace * sure) / (count + sure) } else { usual_pace };
+        self.found = (self.seen.1 - self.pace * now_us.saturating_sub(self.seen.0) as f64).max(0.0);
+        // One that has not answered yet holds at least what it could have done meanwhile.
+        let silent = self.probed.map(|sent| now_us.saturating_sub(sent.0.saturating_add(quickest_us)));
+        self.found = self.found.max(silent.unwrap_or(0) as f64 * self.pace);
+        // What later completions have passed by hangs on a dead connection once it is late as well.
+        let (pace, passed) = (self.pace.max(1e-9), self.passed);
+        let late_us = |held: &Held| held.sent_us + (2.0 * target_us.max(held.work / pace)) as u64;
+        self.held.range_mut(..passed).for_each(|(_, held)| held.lost = now_us > late_us(held));
+    }
+
     pub fn room(&self) -> f64 {
         self.max - self.load()
     }
@@ -284,14 +308,14 @@
 }
 
 impl Allowance {
-    pub fn new(per_s: f64, least: f64, beyond: f64) -> Self {
-        Allowance { per_us: per_s / 1e6, left: per_s.max(least), filled_us: 0, beyond }
+    pub fn new(per_s: f64, beyond: f64) -> Self {
+        Allowance { per_us: per_s / 1e6, left: per_s.max(SHARE_KEPT), filled_us: 0, beyond }
     }
 
-    /// Takes one query from what has gathered over a second, or at most `least` where that is more.
-    pub fn take(&mut self, now_us: u64, least: f64) -> bool {
+    /// Takes one query from what has gathered over a second, or at most `SHARE_KEPT` where that is more.
+    pub fn take(&mut self, now_us: u64) -> bool {
         let gained = self.per_us * now_us.saturating_sub(self.filled_us) as f64;
-        (self.left, self.filled_us) = ((self.left + gained).min((self.per_us * 1e6).max(least)), now_us);
+        (self.left, self.filled_us) = ((self.left + gained).min((self.per_us * 1e6).max(SHARE_KEPT)), now_us);
         let within = self.left >= 1.0;
         self.left -= f64::from(u8::from(within));
         within
@@ -344,6 +368,43 @@
 }
 
 impl Balancer {
+    pub fn new(
+        seed: u64, balancers: u32, number: u32, workloads: Vec<Workload>, tenants: Vec<Tenant>,
+        limits: ExecutionLimits, cold: ColdRule, must_ask: bool, peers: bool, standing: Standing,
+    ) -> Self {
+        let slo_us = workloads.iter().map(|workload| workload.slo_us).min().unwrap_or(0);
+        let share = |tenant: &Tenant| tenant.quota_per_s / f64::from(balancers.max(1));
+        let allowance = |tenant: &Tenant| Allowance::new(share(tenant), tenant.beyond_importance);
+        Balancer {
+            rng: Rng::with_seed(seed),
+            balancers: balancers.max(1) as usize,
+            number: number as usize,
+            peers,
+            standing,
+            quickest_us: u64::MAX,
+            tenants: tenants.iter().map(allowance).collect(),
+            most_importance: workloads.iter().map(|workload| workload.importance).fold(1e-9, f64::max),
+            target_us: (slo_us as f64 / 8.0).max(1.0),
+            workloads,
+            limits,
+            cold,
+            must_ask,
+            regroup_gap_us: 1_000_000,
+            further: 10.0,
+            ..Balancer::default()
+        }
+    }
+
+    pub(crate) fn told(&mut self, peer: u32, note: &str, until_us: u64) {
+        let Some((short, told)) = read_note(note) else { return };
+        let Some(id) = self.part.iter().find(|id| *id & 0xffff == short) else { return };
+        let last = &mut self.fleet.get_mut(id).expect("parts hold listed backends").told;
+        if last.iter().all(|last| last.peer != peer || told.is_newer_than(last)) {
+            last.retain(|last| last.peer != peer);
+            last.push(Told { peer, until_us, ..told });
+        }
+    }
+
     /// Leaves out of parts and groups whoever is not ready, and forgets those gone that no query knows.
     pub(crate) fn forget_gone(&mut self) {
         let fleet = &mut self.fleet;
