--- a/src/balance.rs
+++ b/src/balance.rs
@@ -18,7 +18,7 @@
 const REGROUP_US: u64 = 30_000_000;
 const MAXIMA_US: u64 = 250_000;
 const SWEEP_US: u64 = 25_000;
-/// Queries left with one backend by all: more only wait where none can reject them; as guessed, and as told.
+/// Queries left with one backend by all, as told: more only wait where none can reject them.
 const CROWD_TOLD: usize = 4;
 /// Sharers told of an execution for each load unit of its work: as many notes as it has sharers go out.
 const WORTH_TELLING: f64 = 8.0;
@@ -26,17 +26,20 @@
 const SHARED_BY: usize = 3;
 /// Backends in a part at the least.
 const PART_LEAST: usize = 6;
-
 /// Candidates probed at a time.
 const WAVE: usize = 2;
-/// Outcomes from which the fastest pace is known well enough to call a query hopeless.
-const ENOUGH: u64 = 16;
-const LEAST: f64 = 4.0;
+const PROBE_LOST_US: u64 = 2_000_000;
+/// Maxima of load found by a probe that the most important query still accepts, and the load that any does.
+const BEARS: f64 = 3.0;
+const BEARS_LEAST: f64 = 4.0;
+/// What probes found may turn the next queries away for so long.
+const STRAIN_US: f64 = 2e6;
+/// Of the SLO time, what each lost answer among the last eight costs a query with one chance.
 const LOSS: f64 = 0.125;
 /// Outcomes that the usual pace for a backend's weight counts as, where few ever come.
 const SURE: f64 = 2.0;
-const STRAIN_US: f64 = 2e6;
-const BEAR: f64 = 3.0;
+/// Outcomes from which the fastest pace is known well enough to call a query hopeless.
+const ENOUGH: u64 = 16;
 
 pub struct Inbox<'a> {
     balancer: &'a mut Balancer,
@@ -89,10 +92,6 @@
         Ok(())
     }
 
-    fn ours(&self) -> impl Iterator<Item = &Backend> {
-        self.part.iter().map(|id| &self.fleet[id])
-    }
-
     /// A maximum is the work done within the target time at the learned pace, else at the others' mean for
     /// its weight. Where candidates are probed only theirs need be current, the others' four times a second.
     fn set_maxima(&mut self, now_us: u64) {
@@ -105,21 +104,24 @@
             let known = || self.ours().filter_map(|backend| backend.learned);
             let mean = mean_or(known(), DEFAULT_MAX / self.target_us);
             self.slowest_pace = known().fold(mean, f64::min);
-            let by_weight = |backend: &Backend| backend.learned.map(|pace| pace / backend.listed.weight.max(0.01));
-            self.usual_pace = mean;
+            let by_weight = |backend: &Backend| backend.learned.map(|pace| pace / backend.weight());
             self.weight_pace = mean_or(self.ours().filter_map(by_weight), DEFAULT_MAX / self.target_us);
             self.used = mean_or(self.ours().filter_map(|backend| backend.utilisation), 0.0);
-            if bound || probes { self.fleet.keys().copied().collect() } else { self.part.clone() }
+            let all = self.fleet.keys().copied();
+            if bound || probes {
+                all.collect()
+            } else {
+                self.part.clone()
+            }
         };
         for id in ids {
             let Some(backend) = self.fleet.get_mut(&id) else { continue };
-            let usual_pace = if probes { self.weight_pace * backend.listed.weight.max(0.01) } else { self.usual_pace };
-            let sure = if probes { SURE } else { 0.0 };
-            backend.recall(now_us, self.used, usual_pace, sure, self.target_us, self.quickest_us);
+            let usual_pace = self.weight_pace * backend.weight();
+            backend.recall(now_us, self.used, usual_pace, SURE, self.target_us, self.quickest_us);
             // One that stands still yields no outcomes: the oldest not passed by bounds its pace.
-            let oldest = backend.held.range(backend.passed..).next().filter(|_| !probes);
-            if let Some(least) = oldest.map(|(_, held)| held.ahead / now_us.saturating_sub(held.sent_us).max(1) as f64) {
-                backend.pace = backend.pace.min(least);
+            for (_, held) in backend.held.range(backend.passed..).take(usize::from(!probes)) {
+                let age_us = now_us.saturating_sub(held.sent_us).max(1);
+                backend.pace = backend.pace.min(held.ahead / age_us as f64);
             }
             backend.max = backend.pace * self.target_us * backend.warmth(&self.cold, now_us);
         }
@@ -149,7 +151,8 @@
             backend.sharers.clear();
             if holds(self.number, place) {
                 self.part.push(*id);
-                let others = (0..balancers).filter(|other| !probes && *other != self.number && holds(*other, place));
+                let others =
+                    (0..balancers).filter(|other| !probes && *other != self.number && holds(*other, place));
                 backend.sharers.extend(others.map(|other| other as u32));
             } else if probes {
                 self.beyond.push(*id);
@@ -244,65 +247,64 @@
     fn ask(&mut self, id: &str, now_us: u64, out: &mut dyn Writer) -> bool {
         loop {
             let qry = &self.queries[id];
-            let asked = qry.asked.iter().map(|id| &self.fleet[id]).filter(|at| self.usable(qry, at, now_us));
+            let usable = |at: &&Backend| self.usable(qry, at, now_us);
             let spare = |backend: &Backend| backend.room() - self.toll(qry, backend);
+            let asked = qry.asked.iter().map(|at| &self.fleet[at]).filter(usable);
             let best = asked.max_by(|a, b| spare(a).total_cmp(&spare(b)));
-            let tail = qry.load > VALUES[3];
-            let enough = |best: &Backend| match qry.waves {
-                1 => best.load() <= (best.max / 10.0).max(VALUES[1]),
-                _ => best.load() + qry.load <= best.max || best.load() <= best.max / 10.0,
-            };
+            // One mean query on the rotation's next leaves it light: more cores than one can't be told.
+            let light = if qry.waves == 1 { VALUES[1] } else { 0.0 };
+            let fits = |best: &Backend| qry.waves > 1 && best.load() + qry.load <= best.max;
+            let enough = |best: &Backend| best.load() <= light.max(best.max / 10.0) || fits(best);
             if best.is_some_and(enough) || qry.waves > 3 {
                 let known = best.is_none_or(|best| best.probed.is_none());
                 // What was found, in maxima: the next queries may be turned away for it without a probe.
-                let strain = best.map_or(BEAR, |best| best.load() / best.max.max(1e-9)).min(BEAR * 2.0);
-                if known {
-                    self.strain = (now_us, strain);
-                }
+                let strain = best.map_or(BEARS, |best| best.load() / best.max.max(1e-9)).min(BEARS * 2.0);
+                self.strain = if known { (now_us, strain) } else { self.strain };
                 return known;
             }
             let worst = best.map_or(f64::INFINITY, Backend::load);
             let fit = |at: &u32| {
                 let backend = &self.fleet[at];
-                !qry.asked.contains(at) && self.usable(qry, backend, now_us) && self.toll(qry, backend) < worst && backend.found < backend.max * BEAR
+                let better = self.toll(qry, backend) < worst && backend.found < backend.max * BEARS;
+                better && !qry.asked.contains(at) && usable(&backend)
             };
             let (kind, bound) = (qry.kind, qry.binding().is_some());
-            let mut waves = if bound { 4 } else { qry.waves + 1 };
+            let group = || self.groups[kind].iter().map(|member| member.backend).collect();
+            let (waves, from): (u32, Vec<u32>) = match qry.waves {
+                _ if bound => (4, self.fleet.keys().copied().filter(fit).collect()),
+                0 if qry.load <= VALUES[3] => (1, group()),
+                0 | 1 => (2, group()),
+                2 => (3, self.part.clone()),
+                _ => (4, self.beyond.clone()),
+            };
             let mut of: Vec<u32> = Vec::new();
-            if bound {
-                of = self.fleet.keys().copied().filter(fit).collect();
-            } else if qry.waves == 0 && !tail {
-                let may: Vec<u32> = self.groups[kind].iter().map(|member| member.backend).filter(fit).collect();
-                of = self.rotate(kind, &may).into_iter().collect();
+            if waves == 1 {
+                let may: Vec<u32> = from.into_iter().filter(fit).collect();
+                of.extend(self.rotate(kind, &may));
             } else {
-                waves = waves.max(2);
                 let mut rng = self.rng.clone();
-                let group = &self.groups[kind];
-                let among = |place: usize| match waves {
-                    2 => group[place].backend,
-                    3 => self.part[place],
-                    _ => self.beyond[place],
-                };
-                let count = [0, 0, group.len(), self.part.len(), self.beyond.len()][waves as usize];
-                for _ in 0..if count > 0 { WAVE * 4 } else { 0 } {
-                    let at = among(rng.usize(0..count));
-                    let chance = rng.f64() * self.most_weight;
-                    if of.len() < WAVE && chance <= self.fleet[&at].listed.weight && !of.contains(&at) && fit(&at) {
+                for _ in 0..if from.is_empty() { 0 } else { WAVE * 4 } {
+                    let at = from[rng.usize(..from.len())];
+                    let drawn = rng.f64() * self.most_weight <= self.fleet[&at].listed.weight;
+                    if drawn && of.len() < WAVE && !of.contains(&at) && fit(&at) {
                         of.push(at);
                     }
                 }
                 self.rng = rng;
             }
+            of.iter().for_each(|at| self.probe(*at, now_us, out));
             let qry = self.queries.get_mut(id).expect("waiting queries are live");
             qry.waves = waves;
-            for at in of {
-                qry.asked.push(at);
-                let backend = self.fleet.get_mut(&at).expect("candidates are listed");
-                if backend.probed.is_none() {
-                    backend.probed = Some((now_us, self.last_serial));
-                    out.probe(at);
-                }
-            }
+            qry.asked.extend(of);
+        }
+    }
+
+    /// One probe of a backend is out at a time, unless it never returns.
+    fn probe(&mut self, id: u32, now_us: u64, out: &mut dyn Writer) {
+        let backend = self.fleet.get_mut(&id).expect("only listed backends are probed");
+        if backend.probed.is_none_or(|(sent_us, _)| now_us > sent_us + PROBE_LOST_US) {
+            backend.probed = Some((now_us, self.last_serial + 1));
+            out.probe(id);
         }
     }
 
@@ -313,10 +315,10 @@
         }
         let mut rng = self.rng.fork();
         let qry = &self.queries[id];
-        let asked = |id: &u32| !asks || qry.asked.contains(id) && self.fleet[id].probed.is_none();
-        let usable = |backend: &Backend| {
-            asked(&backend.listed.backend) && self.usable(qry, backend, now_us)
-        };
+        // Of what probes found the less is borne the less important the query is.
+        let bears = |at: &Backend| at.load() <= (at.max * BEARS * qry.importance).max(BEARS_LEAST);
+        let known = |at: &Backend| qry.asked.contains(&at.listed.backend) && at.probed.is_none() && bears(at);
+        let usable = |at: &Backend| (!asks || known(at)) && self.usable(qry, at, now_us);
         let (kind, tail) = (qry.kind, qry.load > VALUES[3]);
         let (mut load, mut max) = (0.0, 0.0);
         let mut own = Vec::new();
@@ -343,7 +345,8 @@
         let mut roomiest = |among: &[u32], takes: &dyn Fn(&Backend) -> bool| {
             let (mut best, mut most, mut ties) = (None, f64::NEG_INFINITY, 0);
             for (id, backend) in among.iter().map(|id| (id, &self.fleet[id])).filter(|of| takes(of.1)) {
-                let room = if tail { -(backend.work() + work + self.toll(qry, backend)) / backend.pace } else { backend.room() - self.toll(qry, backend) };
+                let (toll, ahead) = (self.toll(qry, backend), backend.work() + work);
+                let room = if tail { -(ahead + toll) / backend.pace } else { backend.room() - toll };
                 ties = if room == most { ties + 1 } else { 1 };
                 if room > most || room == most && rng.u32(0..ties) == 0 {
                     (best, most) = (Some(*id), room);
@@ -352,19 +355,12 @@
             best
         };
         // A bound query's group may lie outside the part.
-        let mut all = self.part.clone();
-        if qry.binding().is_some() {
-            all = self.fleet.keys().copied().collect();
-        }
-        if asks {
-            all = qry.asked.clone();
-        }
+        let mut all = match qry.binding() {
+            _ if asks => qry.asked.clone(),
+            Some(_) => self.fleet.keys().copied().collect(),
+            None => self.part.clone(),
+        };
         all.retain(|id| usable(&self.fleet[id]));
-        if asks {
-            let bears = |id: &u32| self.fleet[id].load() <= (self.fleet[id].max * BEAR * qry.importance).max(LEAST);
-            all.retain(bears);
-            own.retain(bears);
-        }
         let first = roomiest(&own, &fits).or_else(|| roomiest(&all, &fits));
         first.or_else(|| roomiest(&own, &bears)).or_else(|| roomiest(&all, &bears))
     }
@@ -396,7 +392,7 @@
             if let Some(id) = place {
                 self.waiting.remove(&entry);
                 self.execute(&entry.2, id, now_us, out);
-            } else if last_chance || self.standing.probes && self.asked_all(&entry.2) {
+            } else if last_chance || self.queries[&entry.2].asked_all(&self.fleet) {
                 self.give_up(&entry.2, out);
             }
             // What even an unbound query finds full is full for the less important after it.
@@ -404,11 +400,6 @@
         }
     }
 
-    fn asked_all(&self, id: &str) -> bool {
-        let qry = &self.queries[id];
-        qry.waves > 3 && qry.asked.iter().all(|at| self.fleet[at].probed.is_none())
-    }
-
     /// The final answer to a query that gets no further execution, at once.
     fn give_up(&mut self, id: &str, out: &mut dyn Writer) {
         let wait_us = self.expected_wait_us(Reverse(0)) as u64;
@@ -438,21 +429,13 @@
         }
     }
 
-    /// How long the work that waits at this rank or above takes the fleet at its learned paces.
-    fn expected_wait_us(&self, rank: Reverse<u64>) -> f64 {
-        let before = self.waiting.iter().take_while(|entry| entry.0 <= rank);
-        let ahead: f64 = before.map(|entry| self.queries[&entry.2].work).sum();
-        let users = |backend: &Backend| if self.peers { backend.sharers.len() + 1 } else { 1 };
-        let pace: f64 = self.ours().map(|backend| backend.pace / users(backend) as f64).sum();
-        ahead / pace.max(1e-9)
-    }
-
     /// Shuts a backend whose last few outcomes are bad and twice as bad as its peers': when all fail
     /// alike it is no backend's fault, and about a third of the part is shut at most.
     fn judge(&mut self, id: u32, success: bool, now_us: u64) {
+        let judged = self.fleet.get_mut(&id).expect("only listed backends are used");
+        judged.failures = judged.failures << 1 | u8::from(!success);
         if success {
-            let backend = self.fleet.get_mut(&id).expect("only listed backends are used");
-            (backend.failures, backend.shut_for_us, backend.shut_until_us) = (backend.failures << 1, 0, 0);
+            (judged.shut_for_us, judged.shut_until_us) = (0, 0);
             return;
         }
         let recent = |backend: &Backend| backend.failures.count_ones();
@@ -460,7 +443,6 @@
         let shut = self.ours().filter(|backend| backend.shut_for_us > 0).count() as u32;
         let all: u32 = self.ours().map(recent).sum();
         let backend = self.fleet.get_mut(&id).expect("only listed backends are used");
-        backend.failures = backend.failures << 1 | 1;
         let (least, rest_us) = if self.standing.probes { (1, 2_000_000) } else { (3, 500_000) };
         let worse = recent(backend) >= least && recent(backend) * ready >= 2 * all && shut * 3 < ready;
         if backend.shut_for_us > 0 || worse {
@@ -474,8 +456,7 @@
         if now_us >= self.fade_us {
             self.fade_us = now_us + MAXIMA_US;
             // Without new outcomes an old pace fades, or a backend that was slow once would stay unused.
-            let old = |backend: &&mut Backend| now_us > backend.sampled_us + 5_000_000;
-            self.fleet.values_mut().filter(old).for_each(|backend| backend.fade(now_us));
+            self.fleet.values_mut().for_each(|backend| backend.fade(now_us, 5_000_000));
         }
         // Half the SLO time in vain here leaves too little for the rest: a prompt answer is better.
         let waiting = self.waiting.iter().map(|entry| &self.queries[&entry.2]);
@@ -484,45 +465,38 @@
             self.give_up(&id, out);
         }
         // A second copy leaves a backend that is slow against its peers, never one among a slow fleet, within
-        // a budget that overload spends at once: further executions must not feed it.
+        // a budget that overload spends at once: further executions must not feed it. Where copies may not
+        // run side by side what is lost is called off first; a probe that is answered tells that it was passed.
         let usual = mean_or(self.ours().map(|backend| backend.pace), 0.0);
-        let two = self.limits.may_duplicate && self.limits.max_executions > 1;
-        // Where copies may not run side by side, a late execution is called off before the next one leaves.
-        let moves = self.standing.probes && !two && self.limits.cancel && self.limits.max_executions > 1;
-        let late = self.queries.iter_mut().filter(|(_, qry)| moves && !qry.over && now_us < qry.deadline_us);
-        for (id, qry) in late {
-            let left = qry.executions.len() as u32;
-            let repeat = self.workloads[qry.workload].repeat;
-            let Some(exec) = qry.executions.last_mut().filter(|exec| exec.out && !exec.called_off) else { continue };
-            let late_us = exec.sent_us + (2 * exec.expected_us).max(qry.slo_us / 4);
-            let free = self.further >= 1.0 && left < self.limits.max_executions;
-            if repeat == Repeat::NonIdempotent || now_us < late_us || !free {
-                continue;
-            }
-            // A probe that is answered has passed it by, so its own answer is lost.
-            let backend = self.fleet.get_mut(&exec.backend).expect("only listed backends are used");
-            if backend.held.get(&exec.serial).is_some_and(|held| held.lost) {
-                exec.called_off = true;
-                out.cancel(id, left - 1);
-            } else if backend.probed.is_none() && backend.passed <= exec.serial {
-                backend.probed = Some((now_us, self.last_serial));
-                out.probe(exec.backend);
-            }
-        }
-        let late = self.queries.iter().filter(|(_, qry)| match &qry.executions[..] {
+        let (two, most) = (self.limits.may_duplicate, self.limits.max_executions as usize);
+        let moves = self.standing.probes && self.limits.cancel;
+        let late = |qry: &Query| {
+            let left = qry.executions.len();
+            let exec = qry.executions.last().filter(|exec| exec.out && !exec.called_off)?;
+            let once = self.workloads[qry.workload].repeat == Repeat::NonIdempotent;
+            let may = left < most && if two { left == 1 } else { moves && !once };
             // One whose deadline is reached gets none: its time-out is on its way here.
-            [exec] if two && exec.out && !qry.over && now_us < qry.deadline_us => {
-                let backend = &self.fleet[&exec.backend];
-                let lost = backend.held.get(&exec.serial).is_some_and(|held| held.lost);
-                let late_us = exec.sent_us + (2 * exec.expected_us).max(qry.slo_us / 3);
-                (lost || backend.pace * 2.0 < usual) && now_us > late_us
-            }
-            _ => false,
-        });
-        for qry in late.map(|(id, _)| id.clone()).collect::<Vec<String>>() {
-            if let Some(id) = (self.further >= 1.0).then(|| self.choose(&qry, now_us, true, out)).flatten() {
+            let late_us = exec.sent_us + (2 * exec.expected_us).max(qry.slo_us / 3);
+            let due = may && !qry.over && now_us < qry.deadline_us && now_us > late_us;
+            due.then(|| (qry.id.clone(), exec.backend, exec.serial))
+        };
+        for (id, at, serial) in self.queries.values().filter_map(late).collect::<Vec<_>>() {
+            let backend = &self.fleet[&at];
+            let lost = backend.held.get(&serial).is_some_and(|held| held.lost);
+            let slow = backend.pace * 2.0 < usual;
+            if self.further < 1.0 {
+                break;
+            } else if !two && lost {
+                let qry = self.queries.get_mut(&id).expect("late queries are live");
+                out.cancel(&id, qry.executions.len() as u32 - 1);
+                qry.executions.last_mut().expect("one is late").called_off = true;
+            } else if !two && backend.passed <= serial {
+                self.probe(at, now_us, out);
+            } else if let Some(to) =
+                (two && (lost || slow)).then(|| self.choose(&id, now_us, true, out)).flatten()
+            {
                 self.further -= 1.0;
-                self.execute(&qry, id, now_us, out);
+                self.execute(&id, to, now_us, out);
             }
         }
     }
@@ -539,13 +513,7 @@
         if !b.tenants.get_mut(tenant).is_none_or(|share| share.take(self.now_us)) {
             importance *= b.tenants[tenant].beyond;
         }
-        if let Some(hint_us) = hint_us {
-            b.hints.record(hint_us as f64, 512);
-            // A load unit is half the mean hint, so that the values' cuts lie where most hints do.
-            if b.hints.len().is_power_of_two() {
-                b.unit_us = b.hints.mean() / 2.0;
-            }
-        }
+        hint_us.into_iter().for_each(|hint_us| b.hinted(hint_us as f64));
         let units = hint_us.filter(|_| b.unit_us > 0.0).map(|hint_us| hint_us as f64 / b.unit_us);
         let kind = CUTS.iter().filter(|cut| units.is_some_and(|units| units >= **cut)).count();
         // The exception for long tails: past the heaviest value a query counts what its hint says.
@@ -567,23 +535,21 @@
             kind,
             load,
             work: units.unwrap_or(load),
-            asked: Vec::new(),
-            waves: 0,
             arrived_us: self.now_us,
             slo_us,
             deadline_us: self.now_us.saturating_add(ttl_us),
             importance,
-            executions: Vec::new(),
-            over: false,
+            ..Query::default()
         };
-        b.usual_importance += (importance * qry.work - b.usual_importance) / b.hints.len().clamp(1, 64) as f64;
+        b.usual_importance +=
+            (importance * qry.work - b.usual_importance) / b.hints.len().clamp(1, 64) as f64;
         let place = qry.place();
         b.queries.insert(id.to_owned(), qry);
         // By chance, from a fiftieth of the SLO time in expected wait to an eighth; the cheap wait longer.
         let pressure = if b.standing.probes {
             let age_us = self.now_us.saturating_sub(b.strain.0) as f64;
             let strain = b.strain.1 * (1.0 - age_us / STRAIN_US).max(0.0);
-            (strain / (BEAR * importance.max(1e-9)) - 0.9) * 0.1 + 0.02
+            (strain / (BEARS * importance.max(1e-9)) - 0.9) * 0.1 + 0.02
         } else {
             b.expected_wait_us(place.0) / slo_us.max(1) as f64
         };
@@ -621,28 +587,26 @@
             // It says itself that it is full; as it answers at once it would else look the roomiest.
             backend.shut_until_us = backend.shut_until_us.max(now_us + 2 * b.target_us as u64);
         }
-        let lost = b.standing.probes && (ended == Ended::TimedOut || ended == Ended::Cancelled && exec.called_off);
+        let lost = b.standing.probes && (ended == Ended::TimedOut || exec.called_off);
         backend.failures = backend.failures << u8::from(lost) | u8::from(lost);
-        let done = if ended == Ended::Completed { exec.serial } else { 0 };
-        backend.passed = backend.passed.max(done);
-        if ended == Ended::Completed && b.unit_us > 0.0 {
+        let completed = ended == Ended::Completed;
+        backend.passed = backend.passed.max(if completed { exec.serial } else { 0 });
+        if completed && b.unit_us > 0.0 {
             b.speeds.record(qry.work * b.unit_us * 1e3 / took_us.max(1) as f64, 256);
         }
         let (judged, closed, out) = (exec.backend, over || qry.over, qry.out());
+        (qry.waves, qry.asked) = (0, Vec::new());
         if !lost && !matches!(ended, Ended::Cancelled | Ended::NotSent | Ended::TurnedAway | Ended::Stale) {
-            b.judge(judged, ended == Ended::Completed, now_us);
+            b.judge(judged, completed, now_us);
         }
         if closed {
             b.close(id, self.out);
         } else if !out {
-            let qry = b.queries.get_mut(id).expect("open queries are live");
-            (qry.waves, qry.asked) = (0, Vec::new());
             let qry = &b.queries[id];
             // What reached no backend, or hardly, burdens none, so it takes nothing from the budget.
-            let price = if matches!(ended, Ended::Unreachable | Ended::Stale)
-                || b.standing.probes && ended == Ended::TurnedAway
-            {
-                0.0 } else { 1.0 };
+            let free = matches!(ended, Ended::Unreachable | Ended::Stale)
+                || b.standing.probes && ended == Ended::TurnedAway;
+            let price = if free { 0.0 } else { 1.0 };
             let more = (qry.executions.len() as u32) < b.limits.max_executions
                 && qry.deadline_us > now_us
                 && b.further >= price
@@ -659,26 +623,19 @@
     /// A probe is back: what it waited for, or what the backend says it holds, is the load there.
     pub fn probed(&mut self, id: u32, ended: Ended, took_us: u64, report: Option<LoadReport>) {
         let (b, now_us) = (&mut *self.balancer, self.now_us);
-        let Some(backend) = b.fleet.get_mut(&id) else { return };
-        let Some((_, serial)) = backend.probed.take() else { return };
-        backend.hear(report.unwrap_or_default());
-        if ended == Ended::Completed {
-            b.quickest_us = b.quickest_us.min(took_us);
-            backend.passed = backend.passed.max(serial);
-        }
-        let waited = (took_us.saturating_sub(b.quickest_us)) as f64 * backend.pace;
-        let (own, count) = backend.there().fold((0.0, 0.0), |sum, held| (sum.0 + held.work, sum.1 + 1.0));
-        let held = report.and_then(|report| report.held).map(|held| (held - count).max(0.0) * VALUES[1]);
-        backend.seen = (now_us, held.unwrap_or(waited - own).max(0.0));
-        if ended != Ended::Completed {
-            backend.seen.1 = backend.max * if ended == Ended::TurnedAway { 4.0 } else { 8.0 };
-        }
+        let Some(backend) = b.fleet.get_mut(&id).filter(|backend| backend.probed.is_some()) else { return };
+        b.quickest_us = if ended == Ended::Completed { b.quickest_us.min(took_us) } else { b.quickest_us };
+        let waited_us = took_us.saturating_sub(b.quickest_us);
+        // One that took no more probes is well past its maximum, one that said nothing farther.
+        let silent = match ended {
+            Ended::Completed => None,
+            Ended::TurnedAway => Some(4.0 * backend.max),
+            _ => Some(8.0 * backend.max),
+        };
+        backend.see(now_us, waited_us, report.unwrap_or_default(), VALUES[1], silent);
         let errors = report.and_then(|report| report.errors_per_s).unwrap_or(0.0);
-        let capacity = backend.pace * 1e6 / VALUES[1];
-        if errors > capacity / 16.0 {
-            backend.shut_until_us = backend.shut_until_us.max(now_us + 1_000_000);
-        }
-        if matches!(ended, Ended::TimedOut | Ended::Unreachable | Ended::Dropped) {
+        let fails = errors * VALUES[1] > backend.pace * 1e6 / 16.0;
+        if fails || matches!(ended, Ended::TimedOut | Ended::Unreachable | Ended::Dropped) {
             b.judge(id, false, now_us);
         }
     }
@@ -715,32 +672,16 @@
     }
 
     pub fn list_changes(&mut self, items: &[Listed]) {
+        // Parts are cut from the whole list: where they are, one that leaves moves them all.
         let b = &mut *self.balancer;
-        b.asks_lost = 0;
-        for item in items {
-            let backend = b.fleet.entry(item.backend).or_default();
-            // What started anew is judged and learned anew; what is still out there counts on.
-            if backend.listed.since_us != item.since_us {
-                *backend = Backend { held: std::mem::take(&mut backend.held), ..Backend::default() };
-            }
-            // Parts are cut from the whole list: where they are, one that leaves moves them all.
-            let (was, is) = (backend.ready(), item.phase == Phase::Ready);
-            if is && !was || was && !is && b.balancers > SHARED_BY {
-                b.regroup_us = self.now_us;
-            }
-            backend.listed = *item;
-        }
-        b.forget_gone();
-        if b.groups.iter().any(Vec::is_empty) {
+        let (came, left) = b.listed(items);
+        if came || left && b.balancers > SHARED_BY || b.groups.iter().any(Vec::is_empty) {
             b.regroup_us = self.now_us;
         }
     }
 
     pub fn list_whole(&mut self, items: &[Listed]) {
-        let named: BTreeSet<u32> = items.iter().map(|item| item.backend).collect();
-        let missing = self.balancer.fleet.values().filter(|backend| !named.contains(&backend.listed.backend));
-        let gone = missing.map(|backend| Listed { phase: Phase::Gone, ..backend.listed });
-        let items: Vec<Listed> = gone.chain(items.iter().copied()).collect();
+        let items = self.balancer.with_those_gone(items);
         self.list_changes(&items);
     }
 }
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -80,6 +80,7 @@
     }
 }
 
+#[derive(Default)]
 pub struct Query {
     pub id: String,
     pub serial: u64,
@@ -110,6 +111,11 @@
         self.executions.iter().any(|exec| exec.out)
     }
 
+    /// Whether all waves of candidates were probed for it and none is waited for.
+    pub fn asked_all(&self, fleet: &BTreeMap<u32, Backend>) -> bool {
+        self.waves > 3 && self.asked.iter().all(|at| fleet[at].probed.is_none())
+    }
+
     /// Its place among the waiting: the more important before, then the older.
     pub fn place(&self) -> Place {
         (Reverse((self.importance * 1e3) as u64), self.serial, self.id.clone())
@@ -201,6 +207,11 @@
         self.listed.phase == Phase::Ready
     }
 
+    /// Its weight in the list, where that says anything.
+    pub fn weight(&self) -> f64 {
+        self.listed.weight.max(0.01)
+    }
+
     /// The part of its capacity that a started backend surely has; 1 once it is warm.
     pub fn warmth(&self, cold: &ColdRule, now_us: u64) -> f64 {
         let age_us = now_us.saturating_sub(self.listed.since_us);
@@ -255,6 +266,17 @@
         self.told.iter().map(|told| told.work).sum()
     }
 
+    /// Takes in what a probe waited for or was told, less what is ours; `silent` where it was not answered.
+    pub fn see(&mut self, now_us: u64, waited_us: u64, report: LoadReport, each: f64, silent: Option<f64>) {
+        let (own, count) = self.there().fold((0.0, 0.0), |sum, held| (sum.0 + held.work, sum.1 + 1.0));
+        let held = report.held.map(|held| (held - count) * each);
+        let there = held.unwrap_or(waited_us as f64 * self.pace - own).max(0.0);
+        self.seen = (now_us, silent.unwrap_or(there));
+        let passed = self.probed.take().filter(|_| silent.is_none());
+        self.passed = self.passed.max(passed.map_or(0, |(_, serial)| serial));
+        self.hear(report);
+    }
+
     /// Sets what follows from its outcomes, notes and probes by now. `usual_pace` stands for it without
     /// outcomes and counts as `sure` of them beside.
     pub fn recall(
@@ -263,7 +285,8 @@
         self.told.retain(|told| told.until_us > now_us);
         self.used = self.utilisation.unwrap_or(used);
         let (count, learned) = (self.paces.len() as f64, self.learned.unwrap_or(usual_pace));
-        self.pace = if count > 0.0 { (learned * count + usual_pace * sure) / (count + sure) } else { usual_pace };
+        self.pace =
+            if count > 0.0 { (learned * count + usual_pace * sure) / (count + sure) } else { usual_pace };
         self.found = (self.seen.1 - self.pace * now_us.saturating_sub(self.seen.0) as f64).max(0.0);
         // One that has not answered yet holds at least what it could have done meanwhile.
         let silent = self.probed.map(|sent| now_us.saturating_sub(sent.0.saturating_add(quickest_us)));
@@ -283,9 +306,11 @@
         self.sampled(now_us);
     }
 
-    pub fn fade(&mut self, now_us: u64) {
-        self.paces.halve();
-        self.sampled(now_us);
+    pub fn fade(&mut self, now_us: u64, after_us: u64) {
+        if now_us > self.sampled_us + after_us {
+            self.paces.halve();
+            self.sampled(now_us);
+        }
     }
 
     fn sampled(&mut self, now_us: u64) {
@@ -335,7 +360,6 @@
     pub(crate) strain: (u64, f64),
     pub(crate) maxima_us: u64,
     pub(crate) fade_us: u64,
-    pub(crate) usual_pace: f64,
     pub(crate) weight_pace: f64,
     pub(crate) most_weight: f64,
     pub(crate) used: f64,
@@ -395,6 +419,53 @@
         }
     }
 
+    pub(crate) fn ours(&self) -> impl Iterator<Item = &Backend> {
+        self.part.iter().map(|id| &self.fleet[id])
+    }
+
+    /// How long the work that waits at this rank or above takes the fleet at its learned paces.
+    pub(crate) fn expected_wait_us(&self, rank: Reverse<u64>) -> f64 {
+        let before = self.waiting.iter().take_while(|entry| entry.0 <= rank);
+        let ahead: f64 = before.map(|entry| self.queries[&entry.2].work).sum();
+        let users = |backend: &Backend| if self.peers { backend.sharers.len() + 1 } else { 1 };
+        let pace: f64 = self.ours().map(|backend| backend.pace / users(backend) as f64).sum();
+        ahead / pace.max(1e-9)
+    }
+
+    /// A load unit is half the mean hint, so that the values' cuts lie where most hints do.
+    pub(crate) fn hinted(&mut self, hint_us: f64) {
+        self.hints.record(hint_us, 512);
+        if self.hints.len().is_power_of_two() {
+            self.unit_us = self.hints.mean() / 2.0;
+        }
+    }
+
+    /// Takes in entries of the list; tells whether a ready backend came, and whether one left.
+    pub(crate) fn listed(&mut self, items: &[Listed]) -> (bool, bool) {
+        self.asks_lost = 0;
+        let (mut came, mut left) = (false, false);
+        for item in items {
+            let backend = self.fleet.entry(item.backend).or_default();
+            // What started anew is judged and learned anew; what is still out there counts on.
+            if backend.listed.since_us != item.since_us {
+                *backend = Backend { held: std::mem::take(&mut backend.held), ..Backend::default() };
+            }
+            let (was, is) = (backend.ready(), item.phase == Phase::Ready);
+            (came, left) = (came || is && !was, left || was && !is);
+            backend.listed = *item;
+        }
+        self.forget_gone();
+        (came, left)
+    }
+
+    /// A whole list, with those that it no longer names as gone before it.
+    pub(crate) fn with_those_gone(&self, items: &[Listed]) -> Vec<Listed> {
+        let named: BTreeSet<u32> = items.iter().map(|item| item.backend).collect();
+        let missing = self.fleet.values().filter(|backend| !named.contains(&backend.listed.backend));
+        let gone = missing.map(|backend| Listed { phase: Phase::Gone, ..backend.listed });
+        gone.chain(items.iter().copied()).collect()
+    }
+
     pub(crate) fn told(&mut self, peer: u32, note: &str, until_us: u64) {
         let Some((short, told)) = read_note(note) else { return };
         let Some(id) = self.part.iter().find(|id| *id & 0xffff == short) else { return };
@@ -460,7 +531,8 @@
         };
         let limits = ExecutionLimits { max_executions: 3, ..ExecutionLimits::default() };
         let cold = ColdRule::default();
-        let mut balancer = Balancer::new(7, 1, 0, vec![workload], vec![], limits, cold, false, false, Standing::default());
+        let mut balancer =
+            Balancer::new(7, 1, 0, vec![workload], vec![], limits, cold, false, false, Standing::default());
         let listed = |backend, phase| Listed { backend, phase, weight: 1.0, ..Listed::default() };
         for turn in 0..100 {
             let id = turn.to_string();
