--- a/src/balance.rs
+++ b/src/balance.rs
@@ -84,10 +84,11 @@
             self.sweep(now_us, out);
         }
         self.place_waiting(now_us, out);
-        if !self.sweeping && !self.queries.is_empty() {
+        // Those woken seldom are woken anew as something comes to wait.
+        if (!self.sweeping || self.calm && !self.waiting.is_empty()) && !self.queries.is_empty() {
             self.sweeping = true;
-            let calm = self.standing.probes && self.waiting.is_empty();
-            out.wake(if calm { SWEEP_US * 4 } else { SWEEP_US }, "sweep");
+            self.calm = self.standing.probes && self.waiting.is_empty();
+            out.wake(if self.calm { SWEEP_US * 4 } else { SWEEP_US }, "sweep");
         }
         Ok(())
     }
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -389,6 +389,8 @@
     pub(crate) last_serial: u64,
     pub(crate) further: f64,
     pub(crate) sweeping: bool,
+    /// Whether the next wake is a late one, as nothing waited.
+    pub(crate) calm: bool,
 }
 
 impl Balancer {
--- a/tests/ledger/mod.rs
+++ b/tests/ledger/mod.rs
@@ -172,6 +172,9 @@
         if answer == "rejected" && !harmless && qry.sent.iter().any(Sent::may_have_run) {
             self.wrong.push(format!("{id} is rejected though it may have run"));
         }
+        if self.now_us > qry.deadline_us + 20_000 {
+            self.wrong.push(format!("{id} is answered too late"));
+        }
         // A client may leave in the very round that answers it, which the round cannot know.
         if qry.answer.replace(answer).is_some_and(|earlier| earlier != "withdrawn") {
             self.wrong.push(format!("{id} is answered twice"));
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -199,6 +199,37 @@
     assert_eq!(ledger.queries["q"].sent.len(), 1);
 }
 
+/// A proxy with little to do is woken seldom, but what comes to wait again has little time.
+#[test]
+fn what_waits_again_near_its_deadline_is_answered_by_the_proxys_own_wakes() {
+    for late_us in (780_000..900_000).step_by(5_000) {
+        let (mut ledger, _) = start(Repeat::NonIdempotent, 0, 2, 0, false);
+        ledger.standing.probes = true;
+        let mut balancer = listed(&mut ledger, 3, 2, 0);
+        ask(&mut ledger, &mut balancer, "q", None);
+        let deadline_us = ledger.queries["q"].deadline_us;
+        let at = ledger.probed.remove(0);
+        ledger.round(&mut balancer, 5_000, |_, inbox| inbox.probed(at, Ended::Completed, 900, None));
+        assert_eq!(ledger.queries["q"].sent.len(), 1);
+        let back_us = deadline_us - 900_000 + late_us;
+        let mut back = false;
+        // Rounds come at its wakes alone, and once as the execution comes back; no probe is answered.
+        while ledger.now_us < deadline_us + 50_000 {
+            let wake_us = ledger.wakes.iter().map(|wake| wake.0).min().unwrap_or(u64::MAX);
+            let due = !back && back_us <= wake_us;
+            let next_us = if due { back_us } else { wake_us.min(deadline_us + 50_000) };
+            let step_us = next_us.saturating_sub(ledger.now_us);
+            ledger.round(&mut balancer, step_us, |ledger, inbox| {
+                if due {
+                    ledger.end(inbox, "q", 0, Ended::Unreachable);
+                }
+            });
+            back |= due;
+        }
+        assert_eq!(ledger.wrong, Vec::<String>::new(), "back after {late_us}");
+    }
+}
+
 #[test]
 fn a_lost_list_is_asked_for_again_later_and_later() {
     let (mut ledger, mut balancer) = start(Repeat::Idempotent, 2, 2, 0, false);
