--- a/src/balance.rs
+++ b/src/balance.rs
@@ -133,18 +133,16 @@
         self.regroup_gap_us = (self.regroup_gap_us * 2).min(REGROUP_US);
         // Where proxies are many, each uses its own part of the list: its zone if it probes, else an arc.
         let ready: Vec<u32> = self.fleet.values().filter(|b| b.ready()).map(|b| b.listed.backend).collect();
-        let (count, balancers) = (ready.len(), self.balancers);
+        let (count, balancers, probes) = (ready.len(), self.balancers, self.standing.probes);
         self.maxima_us = 0;
         let part = (SHARED_BY * count).div_ceil(balancers).max(PART_LEAST).min(count);
         let near = |id: &u32| self.standing.zone.is_none_or(|zone| self.fleet[id].listed.zone == zone);
         let near: BTreeSet<u32> = ready.iter().copied().filter(near).collect();
-        let probes = self.standing.probes;
         let holds = |of: usize, place: usize| match probes {
             true => of == self.number && (near.is_empty() || near.contains(&ready[place])),
             false => (place + count - of * count / balancers % count) % count < part,
         };
-        self.part.clear();
-        self.beyond.clear();
+        (self.part, self.beyond) = (Vec::new(), Vec::new());
         for (place, id) in ready.iter().enumerate() {
             let backend = self.fleet.get_mut(id).expect("ready ones are listed");
             backend.sharers.clear();
@@ -255,11 +253,11 @@
             let fits = |best: &Backend| qry.waves > 1 && best.load() + qry.load <= best.max;
             let enough = |best: &Backend| best.load() <= light.max(best.max / 10.0) || fits(best);
             if best.is_some_and(enough) || qry.waves > 3 {
-                let known = best.is_none_or(|best| best.probed.is_none());
                 // What was found, in maxima: the next queries may be turned away for it without a probe.
-                let strain = best.map_or(BEARS, |best| best.load() / best.max.max(1e-9)).min(BEARS * 2.0);
-                self.strain = if known { (now_us, strain) } else { self.strain };
-                return known;
+                let found =
+                    best.filter(|best| best.probed.is_none()).map(|best| best.load() / best.max.max(1e-9));
+                self.strain = found.map_or(self.strain, |found| (now_us, found.min(BEARS * 2.0)));
+                return found.is_some() || best.is_none();
             }
             let fit = |at: &u32| {
                 let backend = &self.fleet[at];
@@ -481,7 +479,6 @@
         for (id, at, serial) in self.queries.values().filter_map(late).collect::<Vec<_>>() {
             let backend = &self.fleet[&at];
             let lost = backend.held.get(&serial).is_some_and(|held| held.lost);
-            let slow = backend.pace * 2.0 < usual;
             if self.further < 1.0 {
                 break;
             } else if !two && lost {
@@ -490,8 +487,9 @@
                 qry.executions.last_mut().expect("one is late").called_off = true;
             } else if !two && backend.passed <= serial {
                 self.probe(at, now_us, out);
-            } else if let Some(to) =
-                (two && (lost || slow)).then(|| self.choose(&id, now_us, true, out)).flatten()
+            } else if let Some(to) = (two && (lost || backend.pace * 2.0 < usual))
+                .then(|| self.choose(&id, now_us, true, out))
+                .flatten()
             {
                 self.further -= 1.0;
                 self.execute(&id, to, now_us, out);
