--- a/src/balance.rs
+++ b/src/balance.rs
@@ -6,8 +6,8 @@
 use crate::interface::*;
 pub use crate::kept::Balancer;
 use crate::kept::*;
+use fastrand::Rng;
 use std::cmp::Reverse;
-use std::collections::BTreeSet;
 
 /// The paper's load values of the four types, from plain to heavy on all counts.
 const VALUES: [f64; 4] = [1.0, 2.0, 2.0, 3.0];
@@ -24,8 +24,9 @@
 const WORTH_TELLING: f64 = 8.0;
 /// Proxies that share one backend, where a part may be that small: one query of each of many is a crowd.
 const SHARED_BY: usize = 3;
-/// Backends in a part at the least.
+/// Backends in an arc at the least, and those of its zone, and of others, that a probing proxy draws.
 const PART_LEAST: usize = 6;
+const PART_PROBED: usize = 8;
 /// Candidates probed at a time.
 const WAVE: usize = 2;
 const PROBE_LOST_US: u64 = 2_000_000;
@@ -108,10 +109,9 @@
             let by_weight = |backend: &Backend| backend.learned.map(|pace| pace / backend.weight());
             self.weight_pace = mean_or(self.ours().filter_map(by_weight), DEFAULT_MAX / self.target_us);
             self.used = mean_or(self.ours().filter_map(|backend| backend.utilisation), 0.0);
-            match probes || self.waiting.iter().any(bound) {
-                true => self.fleet.keys().copied().collect(),
-                false => self.part.clone(),
-            }
+            let all =
+                if self.waiting.iter().any(bound) { self.fleet.keys().copied().collect() } else { vec![] };
+            self.part.iter().chain(&self.beyond).copied().chain(all).collect()
         };
         for id in ids {
             let Some(backend) = self.fleet.get_mut(&id) else { continue };
@@ -135,26 +135,27 @@
         let ready: Vec<u32> = self.fleet.values().filter(|b| b.ready()).map(|b| b.listed.backend).collect();
         let (count, balancers, probes) = (ready.len(), self.balancers, self.standing.probes);
         self.maxima_us = 0;
-        let part = (SHARED_BY * count).div_ceil(balancers).max(PART_LEAST).min(count);
-        let near = |id: &u32| self.standing.zone.is_none_or(|zone| self.fleet[id].listed.zone == zone);
-        let near: BTreeSet<u32> = ready.iter().copied().filter(near).collect();
-        let holds = |of: usize, place: usize| match probes {
-            true => of == self.number && (near.is_empty() || near.contains(&ready[place])),
-            false => (place + count - of * count / balancers % count) % count < part,
-        };
+        let arc = if probes { 0 } else { (SHARED_BY * count).div_ceil(balancers).max(PART_LEAST).min(count) };
+        let holds = |of: usize, place: usize| (place + count - of * count / balancers % count) % count < arc;
         (self.part, self.beyond) = (Vec::new(), Vec::new());
         for (place, id) in ready.iter().enumerate() {
             let backend = self.fleet.get_mut(id).expect("ready ones are listed");
             backend.sharers.clear();
             if holds(self.number, place) {
                 self.part.push(*id);
-                let others =
-                    (0..balancers).filter(|other| !probes && *other != self.number && holds(*other, place));
+                let others = (0..balancers).filter(|other| *other != self.number && holds(*other, place));
                 backend.sharers.extend(others.map(|other| other as u32));
-            } else if probes {
-                self.beyond.push(*id);
             }
         }
+        // One that probes draws its part by lot: each connection costs, and a backend holds only so many.
+        if probes {
+            let mut drawn = ready;
+            drawn.sort_by_key(|id| Rng::with_seed(self.lot ^ u64::from(*id)).u64(..));
+            let here = |id: &u32| self.standing.zone.is_none_or(|zone| self.fleet[id].listed.zone == zone);
+            let (mut near, mut far): (Vec<u32>, Vec<u32>) = drawn.into_iter().partition(here);
+            [&mut near, &mut far].into_iter().for_each(|ids| ids.truncate(PART_PROBED));
+            (self.part, self.beyond) = if near.is_empty() { (far, near) } else { (near, far) };
+        }
         self.set_maxima(now_us);
         self.most_weight = self.fleet.values().map(|backend| backend.listed.weight).fold(0.0, f64::max);
         let mut rng = self.rng.fork();
@@ -620,13 +621,13 @@
         let (b, now_us) = (&mut *self.balancer, self.now_us);
         let Some(backend) = b.fleet.get_mut(&id).filter(|backend| backend.probed.is_some()) else { return };
         b.quickest_us = if ended == Ended::Completed { b.quickest_us.min(took_us) } else { b.quickest_us };
-        let waited_us = took_us.saturating_sub(b.quickest_us);
         // One that took no more probes is well past its maximum, one that said nothing farther.
         let silent = match ended {
             Ended::Completed => None,
             Ended::TurnedAway => Some(4.0 * backend.max),
             _ => Some(8.0 * backend.max),
         };
+        let waited_us = took_us.saturating_sub(b.quickest_us);
         backend.see(now_us, waited_us, report.unwrap_or_default(), VALUES[1], silent);
         let errors = report.and_then(|report| report.errors_per_s);
         let fails = errors.is_some_and(|errors| errors * VALUES[1] > backend.pace * 1e6 / 16.0);
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -352,6 +352,7 @@
 #[derive(Default)]
 pub struct Balancer {
     pub(crate) rng: Rng,
+    pub(crate) lot: u64,
     pub(crate) balancers: usize,
     pub(crate) number: usize,
     pub(crate) standing: Standing,
@@ -403,6 +404,7 @@
         let allowance = |tenant: &Tenant| Allowance::new(share(tenant), tenant.beyond_importance);
         Balancer {
             rng: Rng::with_seed(seed),
+            lot: seed,
             balancers: balancers.max(1) as usize,
             number: number as usize,
             standing,
