--- a/src/balance.rs
+++ b/src/balance.rs
@@ -134,10 +134,9 @@
         // Where proxies are many, each uses its own part of the list: its zone if it probes, else an arc.
         let ready: Vec<u32> = self.fleet.values().filter(|b| b.ready()).map(|b| b.listed.backend).collect();
         let (count, balancers, probes) = (ready.len(), self.balancers, self.standing.probes);
-        self.maxima_us = 0;
         let arc = if probes { 0 } else { (SHARED_BY * count).div_ceil(balancers).max(PART_LEAST).min(count) };
         let holds = |of: usize, place: usize| (place + count - of * count / balancers % count) % count < arc;
-        (self.part, self.beyond) = (Vec::new(), Vec::new());
+        (self.maxima_us, self.part, self.beyond) = (0, Vec::new(), Vec::new());
         for (place, id) in ready.iter().enumerate() {
             let backend = self.fleet.get_mut(id).expect("ready ones are listed");
             backend.sharers.clear();
