--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -167,6 +167,33 @@
     assert!(users.iter().all(|users| (2..=5).contains(users)), "{users:?}");
 }
 
+#[test]
+fn a_proxy_that_probes_keeps_to_a_few_backends_of_its_zone_drawn_by_lot() {
+    let mut drawn = BTreeSet::new();
+    for seed in 0..6 {
+        let (mut ledger, _) = start(Repeat::Idempotent, 0, 2, 0, false);
+        ledger.standing = Standing { zone: Some(0), crossing: 0.2, probes: true, ..Standing::default() };
+        let mut balancer = ledger.balancer(seed, 300, seed as u32);
+        let all: Vec<Listed> = (0..60).map(ready).collect();
+        ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.tell(inbox, &all));
+        let mut met = BTreeSet::new();
+        for number in 0..60 {
+            let id = format!("q{number}");
+            ask(&mut ledger, &mut balancer, &id, None);
+            ledger.round(&mut balancer, 5_000, |ledger, inbox| {
+                let probed = std::mem::take(&mut ledger.probed);
+                probed.into_iter().for_each(|at| inbox.probed(at, Ended::Completed, 900, None));
+            });
+            met.extend(ledger.queries[&id].sent.iter().map(|sent| sent.backend));
+            end(&mut ledger, &mut balancer, 20_000, |_| Ended::Completed);
+        }
+        assert_eq!((ledger.wrong, met.len()), (vec![], 8), "each connection costs: {met:?}");
+        assert!(met.iter().all(|backend| backend % 2 == 0), "those of zone 0 do: {met:?}");
+        drawn.extend(met);
+    }
+    assert!(drawn.len() > 16, "all draw the same: {drawn:?}");
+}
+
 #[test]
 fn what_cannot_be_done_is_answered_at_once_and_after_a_run_it_is_an_abort() {
     let (mut ledger, mut balancer) = start(Repeat::NonIdempotent, 0, 2, 0, false);
