Read once more: parts by shape apart, lots drawn once a backend, no sentinel arc, bounds told as they act

Comments and pages that were wrong: what a probe's answer may be, and that the queue's bound (2 maxima for the most important) holds beside 3.

--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -135,7 +135,7 @@
     }
 
     /// Asks a backend for no more than a sign of life and its load report: a request without an id, which
-    /// none takes for a query. Whatever it says to that but that it is full is the sign.
+    /// none takes for a query. What would be passed on as an answer is the sign, a 404 too.
     pub async fn probe(self: Arc<Self>, backend: u32, path: Uri) -> Heard {
         let mut request = Request::new(());
         *request.uri_mut() = path;
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -30,7 +30,7 @@
 /// Candidates probed at a time.
 const WAVE: usize = 2;
 const PROBE_LOST_US: u64 = 2_000_000;
-/// Maxima of load found by a probe that the most important query still accepts, and the load that any does.
+/// Maxima of load found by a probe past which the most important is refused, and the load that any accepts.
 const BEARS: f64 = 3.0;
 const BEARS_LEAST: f64 = 4.0;
 /// What probes found may turn the next queries away for so long.
@@ -97,9 +97,8 @@
     /// A maximum is the work done within the target time at the learned pace, else at the others' mean for
     /// its weight. Where candidates are probed only theirs need be current, the others' four times a second.
     fn set_maxima(&mut self, now_us: u64) {
-        let probes = self.standing.probes;
         let bound = |entry: &Place| self.queries[&entry.2].binding().is_some();
-        let ids: Vec<u32> = if probes && now_us < self.maxima_us {
+        let ids: Vec<u32> = if self.standing.probes && now_us < self.maxima_us {
             self.waiting.iter().flat_map(|entry| self.queries[&entry.2].asked.iter().copied()).collect()
         } else {
             self.maxima_us = now_us + MAXIMA_US;
@@ -109,16 +108,17 @@
             let by_weight = |backend: &Backend| backend.learned.map(|pace| pace / backend.weight());
             self.weight_pace = mean_or(self.ours().filter_map(by_weight), DEFAULT_MAX / self.target_us);
             self.used = mean_or(self.ours().filter_map(|backend| backend.utilisation), 0.0);
-            let all =
-                if self.waiting.iter().any(bound) { self.fleet.keys().copied().collect() } else { vec![] };
-            self.part.iter().chain(&self.beyond).copied().chain(all).collect()
+            match self.waiting.iter().any(bound) {
+                true => self.fleet.keys().copied().collect(),
+                false => self.part.iter().chain(&self.beyond).copied().collect(),
+            }
         };
         for id in ids {
             let Some(backend) = self.fleet.get_mut(&id) else { continue };
             let usual_pace = self.weight_pace * backend.weight();
             backend.recall(now_us, self.used, usual_pace, SURE, self.target_us, self.quickest_us);
             // One that stands still yields no outcomes: the oldest not passed by bounds its pace.
-            for (_, held) in backend.held.range(backend.passed..).take(usize::from(!probes)) {
+            for (_, held) in backend.held.range(backend.passed..).take(usize::from(!self.standing.probes)) {
                 let age_us = now_us.saturating_sub(held.sent_us).max(1);
                 backend.pace = backend.pace.min(held.ahead / age_us as f64);
             }
@@ -131,29 +131,29 @@
         // A proxy that has just started knows no traffic: its first groups hold all and are soon rebuilt.
         self.regroup_us = now_us + self.regroup_gap_us;
         self.regroup_gap_us = (self.regroup_gap_us * 2).min(REGROUP_US);
-        // Where proxies are many, each uses its own part of the list: its zone if it probes, else an arc.
-        let ready: Vec<u32> = self.fleet.values().filter(|b| b.ready()).map(|b| b.listed.backend).collect();
-        let (count, balancers, probes) = (ready.len(), self.balancers, self.standing.probes);
-        let arc = if probes { 0 } else { (SHARED_BY * count).div_ceil(balancers).max(PART_LEAST).min(count) };
-        let holds = |of: usize, place: usize| (place + count - of * count / balancers % count) % count < arc;
+        let mut ids: Vec<u32> = self.fleet.values().filter(|b| b.ready()).map(|b| b.listed.backend).collect();
         (self.maxima_us, self.part, self.beyond) = (0, Vec::new(), Vec::new());
-        for (place, id) in ready.iter().enumerate() {
-            let backend = self.fleet.get_mut(id).expect("ready ones are listed");
-            backend.sharers.clear();
-            if holds(self.number, place) {
-                self.part.push(*id);
-                let others = (0..balancers).filter(|other| *other != self.number && holds(*other, place));
-                backend.sharers.extend(others.map(|other| other as u32));
-            }
-        }
-        // One that probes draws its part by lot: each connection costs, and a backend holds only so many.
-        if probes {
-            let mut drawn = ready;
-            drawn.sort_by_key(|id| Rng::with_seed(self.lot ^ u64::from(*id)).u64(..));
+        if self.standing.probes {
+            // Each connection costs, and a backend holds only so many: a few of the own zone, drawn by lot.
+            ids.sort_by_cached_key(|id| Rng::with_seed(self.lot ^ u64::from(*id)).u64(..));
             let here = |id: &u32| self.standing.zone.is_none_or(|zone| self.fleet[id].listed.zone == zone);
-            let (mut near, mut far): (Vec<u32>, Vec<u32>) = drawn.into_iter().partition(here);
-            [&mut near, &mut far].into_iter().for_each(|ids| ids.truncate(PART_PROBED));
+            let (mut near, mut far): (Vec<u32>, Vec<u32>) = ids.into_iter().partition(here);
+            [&mut near, &mut far].into_iter().for_each(|part| part.truncate(PART_PROBED));
             (self.part, self.beyond) = if near.is_empty() { (far, near) } else { (near, far) };
+        } else {
+            // Where proxies are many, each uses its own part of the list, an arc.
+            let (count, balancers) = (ids.len(), self.balancers);
+            let part = (SHARED_BY * count).div_ceil(balancers).max(PART_LEAST).min(count);
+            let holds = |of: usize, at: usize| (at + count - of * count / balancers % count) % count < part;
+            for (place, id) in ids.iter().enumerate() {
+                let backend = self.fleet.get_mut(id).expect("ready ones are listed");
+                backend.sharers.clear();
+                if holds(self.number, place) {
+                    self.part.push(*id);
+                    let others = (0..balancers).filter(|other| *other != self.number && holds(*other, place));
+                    backend.sharers.extend(others.map(|other| other as u32));
+                }
+            }
         }
         self.set_maxima(now_us);
         self.most_weight = self.fleet.values().map(|backend| backend.listed.weight).fold(0.0, f64::max);
@@ -252,7 +252,7 @@
             let light = if qry.waves == 1 { VALUES[1] } else { 0.0 };
             let fits = |best: &Backend| qry.waves > 1 && best.load() + qry.load <= best.max;
             let enough = |best: &Backend| best.load() <= light.max(best.max / 10.0) || fits(best);
-            if best.is_some_and(enough) || qry.waves > 3 {
+            if best.is_some_and(enough) || qry.waves >= WAVES {
                 // What was found, in maxima: the next queries may be turned away for it without a probe.
                 let found =
                     best.filter(|best| best.probed.is_none()).map(|best| best.load() / best.max.max(1e-9));
@@ -267,11 +267,11 @@
             let (kind, bound) = (qry.kind, qry.binding().is_some());
             let group = || self.groups[kind].iter().map(|member| member.backend).collect();
             let (waves, from): (u32, Vec<u32>) = match qry.waves {
-                _ if bound => (4, self.fleet.keys().copied().filter(fit).collect()),
+                _ if bound => (WAVES, self.fleet.keys().copied().filter(fit).collect()),
                 0 if qry.load <= VALUES[3] => (1, group()),
                 0 | 1 => (2, group()),
                 2 => (3, self.part.clone()),
-                _ => (4, self.beyond.clone()),
+                _ => (WAVES, self.beyond.clone()),
             };
             let mut of: Vec<u32> = Vec::new();
             if waves == 1 {
@@ -312,8 +312,8 @@
         let mut rng = self.rng.fork();
         let qry = &self.queries[id];
         // Of what probes found the less is borne the less important the query is.
-        let bears = |at: &Backend| at.load() <= (at.max * BEARS * qry.importance).max(BEARS_LEAST);
-        let known = |at: &Backend| qry.asked.contains(&at.listed.backend) && at.probed.is_none() && bears(at);
+        let least = |at: &Backend| at.load() <= (at.max * BEARS * qry.importance).max(BEARS_LEAST);
+        let known = |at: &Backend| qry.asked.contains(&at.listed.backend) && at.probed.is_none() && least(at);
         let usable = |at: &Backend| (!asks || known(at)) && self.usable(qry, at, now_us);
         let (kind, tail) = (qry.kind, qry.load > VALUES[3]);
         let (mut load, mut max) = (0.0, 0.0);
@@ -542,14 +542,14 @@
         let place = qry.place();
         b.queries.insert(id.to_owned(), qry);
         // By chance, from a fiftieth of the SLO time in expected wait to an eighth; the cheap wait longer.
-        let pressure = if b.standing.probes {
+        let chance = if b.standing.probes {
             let age_us = self.now_us.saturating_sub(b.strain.0) as f64;
             let strain = b.strain.1 * (1.0 - age_us / STRAIN_US).max(0.0);
-            (strain / (BEARS * importance.max(1e-9)) - 0.9) * 0.1 + 0.02
+            strain / (BEARS * importance.max(1e-9)) - 0.9
         } else {
-            b.expected_wait_us(place.0) / slo_us.max(1) as f64
+            (b.expected_wait_us(place.0) / slo_us.max(1) as f64 - 0.02) / 0.1
         };
-        if takes_us > ttl_us as f64 || b.rng.f64() < (pressure - 0.02) / 0.1 {
+        if takes_us > ttl_us as f64 || b.rng.f64() < chance {
             b.give_up(id, self.out);
         } else {
             b.waiting.insert(place);
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -8,6 +8,8 @@
 
 /// Queries a tenant may save up at the least: a share of a quota over many proxies holds less than one.
 const SHARE_KEPT: f64 = 4.0;
+/// Waves of candidates that a query has probed for it: rotation's next, its group, the part, those beyond.
+pub const WAVES: u32 = 4;
 /// What a backend takes on at the most before any outcome tells.
 pub const DEFAULT_MAX: f64 = 8.0;
 
@@ -113,7 +115,7 @@
 
     /// Whether all waves of candidates were probed for it and none is waited for.
     pub fn asked_all(&self, fleet: &BTreeMap<u32, Backend>) -> bool {
-        self.waves > 3 && self.asked.iter().all(|at| fleet[at].probed.is_none())
+        self.waves >= WAVES && self.asked.iter().all(|at| fleet[at].probed.is_none())
     }
 
     /// Its place among the waiting: the more important before, then the older.
@@ -286,8 +288,7 @@
         self.told.retain(|told| told.until_us > now_us);
         self.used = self.utilisation.unwrap_or(used);
         let (count, learned) = (self.paces.len() as f64, self.learned.unwrap_or(usual_pace));
-        self.pace =
-            if count > 0.0 { (learned * count + usual_pace * sure) / (count + sure) } else { usual_pace };
+        self.pace = (learned * count + usual_pace * sure) / (count + sure);
         self.found = (self.seen.1 - self.pace * now_us.saturating_sub(self.seen.0) as f64).max(0.0);
         // One that has not answered yet holds at least what it could have done meanwhile.
         let silent = self.probed.map(|sent| now_us.saturating_sub(sent.0.saturating_add(quickest_us)));
@@ -356,15 +357,19 @@
     pub(crate) balancers: usize,
     pub(crate) number: usize,
     pub(crate) standing: Standing,
-    /// The quickest probe, which found nothing to wait for, and the queries' mean importance.
+    /// The quickest probe, which found nothing to wait for.
     pub(crate) quickest_us: u64,
+    /// The load, in maxima, that the last probes found, and when.
     pub(crate) strain: (u64, f64),
+    /// When all maxima are set next, and when old paces fade.
     pub(crate) maxima_us: u64,
     pub(crate) fade_us: u64,
+    /// The pace usual for a list weight of 1, and the highest weight.
     pub(crate) weight_pace: f64,
     pub(crate) most_weight: f64,
+    /// The mean of the utilisations reported.
     pub(crate) used: f64,
-    pub(crate) beyond: Vec<u32>,
+    /// The mean importance of a query, by its work.
     pub(crate) usual_importance: f64,
     pub(crate) workloads: Vec<Workload>,
     pub(crate) limits: ExecutionLimits,
@@ -378,6 +383,8 @@
     pub(crate) fleet: BTreeMap<u32, Backend>,
     /// The backends that this proxy uses: all, or where proxies are many its part of the list.
     pub(crate) part: Vec<u32>,
+    /// Those outside its zone that a probing proxy may use.
+    pub(crate) beyond: Vec<u32>,
     pub(crate) groups: [Vec<Member>; 4],
     pub(crate) regroup_us: u64,
     pub(crate) regroup_gap_us: u64,
