Second address with PING, LAMEDUCK and REJOIN; a drained proxy closes as it answers

Cause: nothing listened at the second address (main.rs bound one address only) and /-/ready said yes for good. Ruled out: a late call (the call was refused, not late).

--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -12,6 +12,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use axum::extract::State;
 use axum::http::header::CONNECTION;
 use axum::http::{HeaderValue, StatusCode};
 use axum::routing::any;
@@ -27,8 +28,12 @@
 
 use crate::query::{answer, plain, Proxy};
 
-/// Connections go on coming for up to 0.4 s after the signal to end.
+/// Connections go on coming for up to 0.4 s after the signal to end; idle ones end then too.
 const LATE: Duration = Duration::from_millis(650);
+/// After a drain begins idle connections end: by then most have ended by an answer, and few requests cross.
+const DRAINED: Duration = Duration::from_millis(1_300);
+/// What is opened later still asks at once.
+const OPENED: Duration = Duration::from_millis(250);
 /// Against clients that open a connection or keep one and never say anything, or never end what they say.
 const SILENT: Duration = Duration::from_millis(2_200);
 /// Against clients that don't read their answers.
@@ -40,9 +45,42 @@
 /// Of a connection's buffer: heads are small, and many connections share the memory.
 const MOST_BUFFER: usize = 32 << 10;
 
-pub fn router(proxy: Arc<Proxy>) -> Router {
-    let ready = || async { plain(StatusCode::OK, "ready") };
-    Router::new().route("/-/ready", any(ready)).fallback(answer).with_state(proxy)
+/// What the process is there for, and since when no longer.
+#[derive(Clone, Copy, Debug)]
+pub enum Duty {
+    Serving,
+    Drained(Instant),
+    Ending(Instant),
+}
+
+impl Duty {
+    pub fn ready(&self) -> Result<(), String> {
+        match self {
+            Duty::Serving => Ok(()),
+            Duty::Drained(_) => Err("drained".into()),
+            Duty::Ending(_) => Err("ending".into()),
+        }
+    }
+
+    /// When a client's connection that was opened then is to end, with the code for it.
+    fn leave(&self, opened: Instant) -> Option<(Instant, &'static str)> {
+        match self {
+            Duty::Serving => None,
+            Duty::Drained(since) => Some(((*since + DRAINED).max(opened + OPENED), "drained")),
+            Duty::Ending(since) => Some(((*since + LATE).max(opened + OPENED), "stopping")),
+        }
+    }
+}
+
+pub fn router(proxy: Arc<Proxy>, duty: watch::Receiver<Duty>) -> Router {
+    let ready = |State(duty): State<watch::Receiver<Duty>>| async move {
+        match duty.borrow().ready() {
+            Ok(()) => plain(StatusCode::OK, "ready"),
+            Err(why) => plain(StatusCode::SERVICE_UNAVAILABLE, &why),
+        }
+    };
+    let ready = any(ready).with_state(duty);
+    Router::new().route("/-/ready", ready).fallback(answer).with_state(proxy)
 }
 
 /// What is known of each open connection.
@@ -138,18 +176,18 @@
     }
 }
 
-/// Accepts until `stop` turns true and a little longer, then waits for all connections to end.
+/// Accepts until the process is to end and a little longer, then waits for all connections to end.
 /// Past `easy` open ones idle ones end already: whoever deals out connections may count those that nobody
 /// uses against those that ask.
 pub async fn run(
-    listener: TcpListener, router: Router, budget: usize, easy: usize, stop: watch::Receiver<bool>,
+    listener: TcpListener, router: Router, budget: usize, easy: usize, duty: watch::Receiver<Duty>,
 ) {
     let clients = Arc::new(Clients::default());
     let room = Arc::new(Semaphore::new(budget));
     let mut number = 0;
-    let mut told = stop.clone();
+    let mut told = duty.clone();
     let mut late = Box::pin(async {
-        let _ = told.wait_for(|stop| *stop).await;
+        let _ = told.wait_for(|duty| matches!(duty, Duty::Ending(_))).await;
         sleep(LATE).await;
     });
     loop {
@@ -170,10 +208,10 @@
             end: Notify::new(),
         });
         clients.open.lock().unwrap_or_else(PoisonError::into_inner).insert(number, Arc::clone(&client));
-        let (clients, router, stop) = (Arc::clone(&clients), router.clone(), stop.clone());
+        let (clients, router, duty) = (Arc::clone(&clients), router.clone(), duty.clone());
         tokio::spawn(async move {
             let opened = Instant::now();
-            let code = hold(stream, &client, router, stop).await;
+            let code = hold(stream, &client, router, duty).await;
             clients.open.lock().unwrap_or_else(PoisonError::into_inner).remove(&number);
             let open_ms = opened.elapsed().as_millis() as u64;
             tracing::info!(code, %address, open_ms, "client connection ended");
@@ -221,18 +259,18 @@
 
 /// Serves one connection to its end; returns the reason's code.
 async fn hold(
-    stream: TcpStream, client: &Arc<Client>, router: Router, mut stop: watch::Receiver<bool>,
+    stream: TcpStream, client: &Arc<Client>, router: Router, mut duty: watch::Receiver<Duty>,
 ) -> &'static str {
     let _ = stream.set_nodelay(true);
-    let stopping = stop.clone();
+    let (opened, told) = (Instant::now(), duty.clone());
     let service = service_fn(|request| {
         client.asked.store(true, Ordering::Relaxed);
         client.set_idle(None);
-        let (mut router, stopping) = (router.clone(), stopping.clone());
+        let (mut router, told) = (router.clone(), told.clone());
         async move {
             let mut answer = router.call(request).await?;
             client.set_idle(Some(Instant::now()));
-            if *stopping.borrow() {
+            if told.borrow().ready().is_err() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(answer)
@@ -244,35 +282,31 @@
         .max_buf_size(MOST_BUFFER)
         .serve_connection(TokioIo::new(Patient { stream, stalled: None }), service);
     let mut connection = std::pin::pin!(connection);
-    let (mut code, mut stopped_at, mut patient) = ("closed_by_client", None, true);
+    let (mut code, mut leaving) = (None, false);
     loop {
-        let patience_ends = stopped_at.unwrap_or_else(Instant::now) + 2 * LATE;
+        let leave = duty.borrow_and_update().leave(opened);
+        let (leave_at, why) = leave.unwrap_or((opened, "closed_by_client"));
         tokio::select! {
             ended = connection.as_mut() => {
                 return match ended {
-                    Ok(()) => code,
+                    Ok(()) => code.unwrap_or(why),
                     Err(wrong) if wrong.is_timeout() => "silent",
                     Err(wrong) if wrong.is_parse() => "not_http",
                     Err(wrong) if timed_out(&wrong) => "unread",
                     Err(_) => "client_gone",
                 };
             }
-            _ = stop.wait_for(|stop| *stop), if stopped_at.is_none() => {
-                (code, stopped_at) = ("stopping", Some(Instant::now()));
-                // One that is idle ends now. hyper would end one that has not asked yet as well, and with it
-                // the query that is on its way there: that one ends by its answer's header instead.
-                if client.asked.load(Ordering::Relaxed) {
-                    connection.as_mut().graceful_shutdown();
-                }
-            }
-            () = sleep_until(patience_ends), if stopped_at.is_some() && patient => {
-                patient = false;
-                if client.idle().is_some() {
-                    return code;
+            Ok(()) = duty.changed() => {}
+            () = sleep_until(leave_at), if leave.is_some() && !leaving => {
+                leaving = true;
+                // hyper would not end one by itself that has never asked.
+                if client.idle().is_some() && !client.asked.load(Ordering::Relaxed) {
+                    return why;
                 }
+                connection.as_mut().graceful_shutdown();
             }
             () = client.end.notified() => {
-                code = "over_budget";
+                code = Some("over_budget");
                 connection.as_mut().graceful_shutdown();
             }
         }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -1,6 +1,7 @@
 //! The proxy on sockets: reads what it is told at its start, puts the parts together and runs them
 //! until SIGTERM. Every decision about a query is the module's (`crankpick::balance`).
 
+mod admin;
 mod backends;
 mod connect;
 mod decide;
@@ -18,20 +19,23 @@
 use axum::http::Uri;
 use crankpick_launch::{at, each};
 use serde_json::Value;
-use tokio::net::TcpSocket;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{watch, Notify};
-use tokio::time::sleep;
+use tokio::time::{sleep, Instant};
 use tracing_appender::non_blocking::NonBlockingBuilder;
 
+use crate::admin::Admin;
 use crate::backends::Backends;
 use crate::decide::Decide;
 use crate::discovery::{Discovery, List};
+use crate::front::Duty;
 use crate::peers::Peers;
 use crate::query::Proxy;
 
-/// Descriptors that are neither clients' nor backends': log, runtime, list, peers, listener, and some spare.
-const RESERVED: usize = 48;
+/// Descriptors that are neither clients' nor backends': log, runtime, list, peers, listeners, callers, and some
+/// spare.
+const RESERVED: usize = 32 + admin::CALLERS;
 /// Of the descriptors for clients' connections before idle ones end: clients get a third at most.
 const EASY: usize = 4;
 /// Where the limits name none.
@@ -81,6 +85,27 @@
     u64::from_str_radix(&text, 16).map_err(|_| format!("seed: {text:?} is not hexadecimal"))
 }
 
+fn listener(address: SocketAddr, what: &str) -> Result<TcpListener, String> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+    let listener = socket.and_then(|socket| {
+        // The one before this may have left connections that the kernel still remembers.
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(1024)
+    });
+    listener.map_err(|wrong| format!("{what} on {address}: {wrong}"))
+}
+
+/// Where operators call, if anywhere: a second process of an upgrade has the same file, so its own word leads.
+fn second_address(told: &Value) -> Result<Option<SocketAddr>, String> {
+    let named = std::env::var("EDGE_ADMIN_ADDR").ok().filter(|text| !text.is_empty());
+    let named = match named {
+        Some(text) => Some(text),
+        None => at::<Option<String>>(told, "admin_addr")?,
+    };
+    named.map(|text| parsed("admin_addr", &text)).transpose()
+}
+
 /// Reads the file again at each SIGHUP and follows discovery to where it says; all else holds until the
 /// next start. What would not do for a start changes nothing.
 async fn reload(mut hangup: Signal, moved: watch::Sender<SocketAddr>) {
@@ -150,7 +175,7 @@
     tokio::spawn(reload(hangup, moved));
     tokio::spawn(peers.listen(Arc::clone(&decide)));
 
-    let (stopping, stop) = watch::channel(false);
+    let (duty, on_duty) = watch::channel(Duty::Serving);
     let (ended, ending) = watch::channel(false);
     let statement_timeouts = each(settings, "Workloads", "StatementTimeoutUs")?;
     let proxy = Proxy {
@@ -162,22 +187,23 @@
         tenants: each(settings, "Tenants", "Name")?,
         ending,
     };
-    let socket = if listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
-    let listener = socket.and_then(|socket| {
-        // The one before this may have left connections that the kernel still remembers.
-        socket.set_reuseaddr(true)?;
-        socket.bind(listen)?;
-        socket.listen(1024)
-    });
-    let listener = listener.map_err(|wrong| format!("listen on {listen}: {wrong}"))?;
+    let second_listener =
+        second_address(&told)?.map(|address| listener(address, "admin_addr")).transpose()?;
+    let listener = listener(listen, "listen")?;
     let mut term = signal(SignalKind::terminate()).map_err(|wrong| format!("SIGTERM: {wrong}"))?;
     let bound = listener.local_addr().unwrap_or(listen);
-    tracing::info!(code = "listening", listen = %bound, clients, executions, "ready");
-    let front = front::run(listener, front::router(Arc::new(proxy)), clients, sockets / EASY, stop);
+    let (mut second, admin) = (String::new(), Admin { duty: duty.clone() });
+    if let Some(listener) = second_listener {
+        second = listener.local_addr().map(|address| address.to_string()).unwrap_or_default();
+        tokio::spawn(admin.listen(listener));
+    }
+    tracing::info!(code = "listening", listen = %bound, clients, executions, admin = second, "ready");
+    let router = front::router(Arc::new(proxy), on_duty.clone());
+    let front = front::run(listener, router, clients, sockets / EASY, on_duty);
     let last = async {
         term.recv().await;
         tracing::info!(code = "stopping", "told to end");
-        let _ = stopping.send(true);
+        duty.send_replace(Duty::Ending(Instant::now()));
         sleep(LAST_CALL).await;
         let _ = ended.send(true);
         sleep(LAST_WRITES).await;
--- /dev/null
+++ b/crates/proxy/tests/sockets/daily.rs
@@ -0,0 +1,80 @@
+//! What operators do to the program while it serves.
+
+use crate::stand_ins::*;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+const READY: &[u8] = b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+
+fn operated(discovery: &Discovery, backends: &[SocketAddr]) -> Value {
+    let mut told = configuration(discovery, backends);
+    told["admin_addr"] = json!("127.0.0.1:0");
+    told
+}
+
+#[test]
+fn a_call_is_one_line_and_callers_that_end_none_hold_up_nobody() {
+    let discovery = Discovery::start();
+    let proxy = Proxy::start(&operated(&discovery, &[]));
+    let asked = Instant::now();
+    let mut unended: Vec<Client> = (0..40).map(|_| proxy.caller()).collect();
+    unended[39].say(b"PING");
+    assert_eq!(proxy.call("PING\n"), "YES\n");
+    assert_eq!(proxy.call("  PING \r\n"), "YES\n");
+    let long = "PING ".repeat(400) + "\n";
+    for wrong in
+        ["\n", "ping\n", "PING x\n", "PONG\n", "LAMEDUCK now\n", "\u{e9}\n", "PING\0\n", long.as_str()]
+    {
+        let answer = proxy.call(wrong);
+        assert!(answer.starts_with("NO ") && answer.ends_with('\n'), "{wrong:?}: {answer:?}");
+    }
+    let mut bytes = proxy.caller();
+    bytes.say(b"\xff\xfe PING\n");
+    assert!(bytes.line().starts_with("NO "));
+    assert!(asked.elapsed() < Duration::from_secs(1), "they wait for those that end no call");
+    assert_eq!(
+        unended.iter_mut().map(Client::line).collect::<String>(),
+        "",
+        "each is closed in bounded time"
+    );
+    assert!(asked.elapsed() < Duration::from_secs(5));
+}
+
+#[test]
+fn a_drained_proxy_answers_what_comes_and_closes_until_it_rejoins() {
+    let discovery = Discovery::start();
+    let sound = Backend::answering(|asked| asked.answer(200, "", "ok"));
+    let proxy = Proxy::start(&operated(&discovery, &[sound]));
+    let (mut used, mut idle, mut fresh) = (proxy.client(), proxy.client(), proxy.client());
+    for (turn, client) in [&mut used, &mut idle].into_iter().enumerate() {
+        client.ask("read", &format!("before{turn}"), 2_000);
+        assert_eq!(client.heard().status(), 200);
+    }
+    let drained = Instant::now();
+    assert_eq!((proxy.call("LAMEDUCK\n"), proxy.call("LAMEDUCK\n")), ("YES\n".into(), "YES\n".into()));
+    assert!(proxy.call("PING\n").starts_with("NO "));
+    // What was opened before, or comes in spite of it, is served; each answer closes.
+    let mut late = proxy.client();
+    late.say(READY);
+    assert_eq!(late.heard().status(), 503);
+    for (turn, client) in [&mut used, &mut fresh].into_iter().enumerate() {
+        client.ask("pay", &format!("after{turn}"), 2_000);
+        let heard = client.heard();
+        assert_eq!((heard.status(), heard.header("connection")), (200, Some("close")));
+        assert!(client.hear().is_none());
+    }
+    assert!(idle.hear().is_none());
+    let ended = drained.elapsed();
+    assert!(
+        ended > Duration::from_secs(1) && ended < Duration::from_secs(2),
+        "idle ones end after {ended:?}"
+    );
+    assert_eq!((proxy.call("REJOIN\n"), proxy.call("REJOIN\n")), ("YES\n".into(), "YES\n".into()));
+    assert_eq!(proxy.call("PING\n"), "YES\n");
+    let mut client = proxy.client();
+    for turn in 0..2 {
+        client.say(READY);
+        assert_eq!(client.heard().status(), 200, "turn {turn}");
+    }
+}
