--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -18,6 +18,7 @@
 use hyper_util::client::legacy::connect::{capture_connection, CaptureConnection};
 use hyper_util::client::legacy::{Client, Error as ClientError};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tokio::sync::watch;
 use tokio::time::{timeout, Instant};
 
 use crate::connect::{Connector, Link, OverBudget};
@@ -73,6 +74,10 @@
         }
     }
 
+    pub async fn leave_room(self: Arc<Self>, others: watch::Receiver<usize>, budget: usize) {
+        self.connector.leave_room(others, budget).await;
+    }
+
     pub fn place(&self, backend: u32, address: SocketAddr) {
         self.addresses.lock().unwrap_or_else(PoisonError::into_inner).insert(backend, address);
     }
--- a/crates/proxy/src/connect.rs
+++ b/crates/proxy/src/connect.rs
@@ -18,9 +18,11 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{timeout_at, Instant, Sleep};
 
+use crate::handover::halve;
+
 /// Opens connections, no more at a time than its budget; where it is spent the longest idle one goes.
 #[derive(Clone)]
 pub struct Connector {
@@ -135,6 +137,11 @@
         }
     }
 
+    /// Beside another process each has half of the budget.
+    pub async fn leave_room(&self, others: watch::Receiver<usize>, budget: usize) {
+        halve(others, Arc::clone(&self.budget), budget, || self.end_longest_idle()).await;
+    }
+
     fn end_longest_idle(&self) {
         let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
         let idle = links.values().filter_map(|link| {
--- a/crates/proxy/src/decide.rs
+++ b/crates/proxy/src/decide.rs
@@ -196,9 +196,6 @@
     }
 
     pub fn list(self: &Arc<Self>, whole: bool, items: &[Listed]) {
-        self.news(|inbox| match whole {
-            true => inbox.list_whole(items),
-            false => inbox.list_changes(items),
-        });
+        self.news(|inbox| inbox.list(whole, items));
     }
 }
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -26,6 +26,7 @@
 use tokio::time::{sleep, sleep_until, Instant, Sleep};
 use tower_service::Service;
 
+use crate::handover::halve;
 use crate::query::{answer, plain, Proxy};
 
 /// Connections go on coming for up to 0.4 s after the signal to end; idle ones end then too.
@@ -181,14 +182,23 @@
 /// uses against those that ask.
 pub async fn run(
     listener: TcpListener, router: Router, budget: usize, easy: usize, duty: watch::Receiver<Duty>,
+    others: watch::Receiver<usize>,
 ) {
     let clients = Arc::new(Clients::default());
     let room = Arc::new(Semaphore::new(budget));
+    let leave_room = {
+        let clients = Arc::clone(&clients);
+        halve(others.clone(), Arc::clone(&room), budget, move || clients.end_some_idle())
+    };
+    let leave_room = tokio::spawn(leave_room);
     let mut number = 0;
     let mut told = duty.clone();
     let mut late = Box::pin(async {
         let _ = told.wait_for(|duty| matches!(duty, Duty::Ending(_))).await;
-        sleep(LATE).await;
+        // Where another process accepts from the same socket it takes all that comes from now on.
+        if *others.borrow() == 0 {
+            sleep(LATE).await;
+        }
     });
     loop {
         let accepted = tokio::select! {
@@ -219,6 +229,8 @@
         });
     }
     drop(listener);
+    leave_room.abort();
+    let _ = leave_room.await;
     let _ = room.acquire_many(budget as u32).await;
 }
 
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -7,6 +7,7 @@
 mod decide;
 mod discovery;
 mod front;
+mod handover;
 mod peers;
 mod query;
 
@@ -30,6 +31,7 @@
 use crate::decide::Decide;
 use crate::discovery::{Discovery, List};
 use crate::front::Duty;
+use crate::handover::Handover;
 use crate::peers::Peers;
 use crate::query::Proxy;
 
@@ -126,6 +128,17 @@
     }
 }
 
+/// Keeps the module told of how many processes stand for this proxy.
+async fn share(decide: Arc<Decide>, mut others: watch::Receiver<usize>) {
+    loop {
+        let processes = *others.borrow_and_update() + 1;
+        decide.news(|inbox| inbox.processes(processes));
+        if others.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 async fn run() -> Result<(), String> {
     // Before all else: until it is handled, SIGHUP ends the process.
     let hangup = signal(SignalKind::hangup()).map_err(|wrong| format!("SIGHUP: {wrong}"))?;
@@ -147,6 +160,13 @@
     let peer_listen = told.get("peer_listen").filter(|value| !value.is_null());
     let peer_listen = peer_listen.map(|_| address(&told, "peer_listen")).transpose()?;
     let peers = Arc::new(Peers::new(peer_listen, addresses(&told, "peers")?)?);
+    let inherited = handover::inherited()?;
+    // Only where the platform holds the clients' socket can a second process come to be.
+    let handover = match inherited {
+        Some(_) => Some(Handover::start().await?),
+        None => None,
+    };
+    let others = handover.as_ref().map_or_else(|| watch::Sender::new(0).subscribe(), |one| one.others());
     let backends = Arc::new(Backends::new(
         executions,
         (memory_mb << 20) / ANSWERS,
@@ -174,6 +194,8 @@
     tokio::spawn(discovery.follow(place, list_wanted));
     tokio::spawn(reload(hangup, moved));
     tokio::spawn(peers.listen(Arc::clone(&decide)));
+    tokio::spawn(Arc::clone(&backends).leave_room(others.clone(), executions));
+    tokio::spawn(share(Arc::clone(&decide), others.clone()));
 
     let (duty, on_duty) = watch::channel(Duty::Serving);
     let (ended, ending) = watch::channel(false);
@@ -189,7 +211,10 @@
     };
     let second_listener =
         second_address(&told)?.map(|address| listener(address, "admin_addr")).transpose()?;
-    let listener = listener(listen, "listen")?;
+    let listener = match inherited {
+        Some(listener) => listener,
+        None => listener(listen, "listen")?,
+    };
     let mut term = signal(SignalKind::terminate()).map_err(|wrong| format!("SIGTERM: {wrong}"))?;
     let bound = listener.local_addr().unwrap_or(listen);
     let (mut second, admin) = (String::new(), Admin { duty: duty.clone() });
@@ -199,7 +224,7 @@
     }
     tracing::info!(code = "listening", listen = %bound, clients, executions, admin = second, "ready");
     let router = front::router(Arc::new(proxy), on_duty.clone());
-    let front = front::run(listener, router, clients, sockets / EASY, on_duty);
+    let front = front::run(listener, router, clients, sockets / EASY, on_duty, others);
     let last = async {
         term.recv().await;
         tracing::info!(code = "stopping", "told to end");
@@ -212,6 +237,7 @@
         () = front => {}
         () = last => {}
     }
+    handover.iter().for_each(|handover| handover.end());
     tracing::info!(code = "ended", "all that was taken is answered");
     Ok(())
 }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use socket2::{Domain, Socket, Type};
 use tokio::net::UdpSocket;
 
 use crate::decide::Decide;
@@ -22,9 +23,12 @@
 impl Peers {
     pub fn new(listen: Option<SocketAddr>, addresses: Vec<SocketAddr>) -> Result<Self, String> {
         let open = |address: SocketAddr| {
-            let socket = std::net::UdpSocket::bind(address)?;
+            let socket = Socket::new(Domain::for_address(address), Type::DGRAM, None)?;
+            // A second process of an upgrade binds it while this one is there, and gets what comes from then on.
+            socket.set_reuse_address(true)?;
+            socket.bind(&address.into())?;
             socket.set_nonblocking(true)?;
-            UdpSocket::from_std(socket)
+            UdpSocket::from_std(socket.into())
         };
         let socket = listen.map(open).transpose();
         Ok(Peers { socket: socket.map_err(|wrong| format!("peer_listen: {wrong}"))?, addresses })
--- a/crates/proxy/tests/sockets/daily.rs
+++ b/crates/proxy/tests/sockets/daily.rs
@@ -2,7 +2,7 @@
 
 use crate::stand_ins::*;
 use serde_json::{json, Value};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::time::{Duration, Instant};
 
 const READY: &[u8] = b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
@@ -78,3 +78,55 @@
         assert_eq!(client.heard().status(), 200, "turn {turn}");
     }
 }
+
+#[test]
+fn a_second_process_takes_over_and_no_client_is_turned_back() {
+    let (discovery, backend) = (Discovery::start(), Backend::start());
+    let platform = Platform::new("upgrade");
+    let notes = UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).expect("a free port");
+    let mut told = operated(&discovery, &[backend.address]);
+    told["peer_listen"] = json!(notes.to_string());
+    let mut old = platform.start(&told);
+    let (mut busy, mut kept) = (old.client(), old.client());
+    kept.ask("read", "before", 3_000);
+    backend.next().answer(200, "", "ok");
+    assert_eq!(kept.heard().status(), 200);
+    busy.ask("pay", "taken", 3_000);
+    let mut taken = backend.next();
+    let new = platform.start(&told);
+    assert_eq!(new.call("PING\n"), "YES\n");
+    old.logged("code=\"processes\" others=1");
+    old.terminate();
+    old.logged("code=\"stopping\"");
+    for turn in 0..20 {
+        let mut client = new.client();
+        client.ask("pay", &format!("late{turn}"), 3_000);
+        backend.next().answer(200, "", "late");
+        assert_eq!(client.heard().status(), 200, "turn {turn}");
+    }
+    kept.ask("read", "kept", 3_000);
+    backend.next().answer(200, "", "ok");
+    let heard = kept.heard();
+    assert_eq!((heard.status(), heard.header("connection")), (200, Some("close")));
+    taken.answer(200, "", "taken");
+    assert_eq!(busy.heard().body, b"taken");
+    assert!(old.ended().success());
+    new.logged("code=\"processes\" others=0");
+}
+
+#[test]
+fn a_descriptor_that_is_no_listening_socket_is_bad_configuration() {
+    let discovery = Discovery::start();
+    for (first, number) in [("", "7"), ("exec 7</dev/null;", "7"), ("", "seven"), ("", "1"), ("", "-1")] {
+        let mut program = program(first);
+        program.env("EDGE_INHERITED_FD", number);
+        let (mut child, mut log, _) = launch(&configuration(&discovery, &[]), program);
+        let mut said = String::new();
+        std::io::Read::read_to_string(&mut log, &mut said).expect("text");
+        let success = child.wait().expect("it ends").success();
+        assert!(
+            !success && said.lines().count() == 1 && said.contains("EDGE_INHERITED_FD"),
+            "{number}: {said}"
+        );
+    }
+}
--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -560,7 +560,7 @@
 
     // The same without a budget that binds: the kernel says no, and the proxy goes on.
     let sound = Backend::answering(|asked| asked.answer(200, "", "ok"));
-    let proxy = Proxy::limited(&configuration(&discovery, &[sound]), Some(24));
+    let proxy = Proxy::started(&configuration(&discovery, &[sound]), program("ulimit -n 24;"));
     let crowd: Vec<Client> = (0..40).map(|_| proxy.client()).collect();
     proxy.logged("code=\"accept_error\"");
     drop(crowd);
@@ -666,7 +666,7 @@
     told["probe_path"] = json!("alive");
     cases.push((told, "probe_path"));
     for (told, named) in cases {
-        let (mut child, mut log, _) = launch(&told, None);
+        let (mut child, mut log, _) = launch(&told, program(""));
         let mut said = String::new();
         std::io::Read::read_to_string(&mut log, &mut said).expect("text");
         let success = child.wait().expect("it ends").success();
--- a/crates/proxy/tests/sockets/stand_ins.rs
+++ b/crates/proxy/tests/sockets/stand_ins.rs
@@ -250,23 +250,55 @@
     })
 }
 
-/// Starts the program and hands over its log; `limit` bounds its descriptors from outside.
-pub fn launch(configuration: &Value, limit: Option<u32>) -> (Child, BufReader<ChildStderr>, PathBuf) {
+/// The program as the shell starts it, once that has done what `first` says.
+pub fn program(first: &str) -> Command {
+    let mut command = Command::new("/bin/sh");
+    command.args(["-c", &format!("{first} exec {}", env!("CARGO_BIN_EXE_crankpick"))]);
+    command
+}
+
+/// Starts the program and hands over its log.
+pub fn launch(configuration: &Value, mut program: Command) -> (Child, BufReader<ChildStderr>, PathBuf) {
     static NUMBER: AtomicU32 = AtomicU32::new(0);
     let number = NUMBER.fetch_add(1, Ordering::Relaxed);
     let path = std::env::temp_dir().join(format!("crankpick-{}-{number}.json", std::process::id()));
     std::fs::write(&path, configuration.to_string()).expect("a writable temporary folder");
-    let limit = limit.map_or(String::new(), |limit| format!("ulimit -n {limit}; "));
-    let mut child = Command::new("/bin/sh")
-        .args(["-c", &format!("{limit}exec {}", env!("CARGO_BIN_EXE_crankpick"))])
-        .env("EDGE_CONFIG", &path)
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the program starts");
+    let mut child =
+        program.env("EDGE_CONFIG", &path).stderr(Stdio::piped()).spawn().expect("the program starts");
     let log = BufReader::new(child.stderr.take().expect("piped"));
     (child, log, path)
 }
 
+/// Holds the clients' socket and the folder that the processes of an upgrade share.
+pub struct Platform {
+    listener: TcpListener,
+    pub folder: PathBuf,
+}
+
+impl Platform {
+    pub fn new(name: &str) -> Self {
+        // Longer than a socket's name may be.
+        let folder = format!("crankpick-{}-{name}/{}", std::process::id(), "long-".repeat(30));
+        let folder = std::env::temp_dir().join(folder);
+        std::fs::create_dir_all(&folder).expect("a writable temporary folder");
+        Platform { listener: TcpListener::bind("127.0.0.1:0").expect("a free port"), folder }
+    }
+
+    pub fn start(&self, configuration: &Value) -> Proxy {
+        let listener = self.listener.try_clone().expect("a second handle");
+        let mut program = program("exec 7<&0;");
+        program.stdin(Stdio::from(std::os::fd::OwnedFd::from(listener)));
+        program.env("EDGE_INHERITED_FD", "7").env("TMPDIR", &self.folder);
+        Proxy::started(configuration, program)
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(self.folder.parent().expect("two folders"));
+    }
+}
+
 fn told(line: &str, name: &str) -> SocketAddr {
     let address = line.split(&format!("{name}=")).nth(1).and_then(|rest| rest.split(' ').next());
     address.expect("the address is logged").trim_matches('"').parse().expect("an address")
@@ -274,11 +306,11 @@
 
 impl Proxy {
     pub fn start(configuration: &Value) -> Self {
-        Proxy::limited(configuration, None)
+        Proxy::started(configuration, program(""))
     }
 
-    pub fn limited(configuration: &Value, limit: Option<u32>) -> Self {
-        let (child, reader, configured) = launch(configuration, limit);
+    pub fn started(configuration: &Value, program: Command) -> Self {
+        let (child, reader, configured) = launch(configuration, program);
         let (lines, log) = channel();
         std::thread::spawn(move || {
             reader.lines().map_while(Result::ok).try_for_each(|line| lines.send(line))
@@ -294,7 +326,7 @@
 
     /// One whose log is read up to the address and no further: the pipe fills up, or is closed.
     pub fn unread(configuration: &Value, closed: bool) -> Self {
-        let (child, mut reader, configured) = launch(configuration, None);
+        let (child, mut reader, configured) = launch(configuration, program(""));
         let ((_, log), mut line) = (channel(), String::new());
         reader.read_line(&mut line).expect("the log opens with the address");
         if !closed {
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -162,8 +162,8 @@
         "Endpoints" => {
             match (line.kind.as_deref(), &line.listed) {
                 (Some("lost"), _) => inbox.list_lost(),
-                (Some("incr"), Some(items)) => inbox.list_changes(items),
-                (Some("total" | "warm_copy"), Some(items)) => inbox.list_whole(items),
+                (Some("incr"), Some(items)) => inbox.list(false, items),
+                (Some("total" | "warm_copy"), Some(items)) => inbox.list(true, items),
                 (kind, _) => return Err(format!("Endpoints: unknown Kind {kind:?}")),
             }
             Ok(())
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -204,7 +204,7 @@
         let recent = backend.cold_sent.iter().filter(|sent| sent.0 + window_us >= now_us);
         let sent: f64 = recent.map(|sent| sent.1).sum();
         let users = if backend.sharers.is_empty() { self.balancers } else { backend.sharers.len() + 1 };
-        warmth >= 1.0 || sent + work <= bears / users as f64
+        warmth >= 1.0 || sent + work <= bears / (users * self.processes) as f64
     }
 
     /// Whether rules, health and room for its kind let this query go to this backend at all.
@@ -666,17 +666,17 @@
         self.out.wake(b.rng.u64(most / 2..most), "ask");
     }
 
-    pub fn list_changes(&mut self, items: &[Listed]) {
+    pub fn list(&mut self, whole: bool, items: &[Listed]) {
         // Parts are cut from the whole list: where they are, one that leaves moves them all.
         let b = &mut *self.balancer;
-        let (came, left) = b.listed(items);
+        let (came, left) = b.listed(whole, items);
         if came || left && b.balancers > SHARED_BY || b.groups.iter().any(Vec::is_empty) {
             b.regroup_us = self.now_us;
         }
     }
 
-    pub fn list_whole(&mut self, items: &[Listed]) {
-        let items = self.balancer.with_those_gone(items);
-        self.list_changes(&items);
+    /// How many processes stand for this proxy: during an upgrade each keeps a part of its share.
+    pub fn processes(&mut self, count: usize) {
+        self.balancer.processes = count;
     }
 }
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -356,6 +356,8 @@
     pub(crate) lot: u64,
     pub(crate) balancers: usize,
     pub(crate) number: usize,
+    /// That stand for this proxy.
+    pub(crate) processes: usize,
     pub(crate) standing: Standing,
     /// The quickest probe, which found nothing to wait for.
     pub(crate) quickest_us: u64,
@@ -414,6 +416,7 @@
             lot: seed,
             balancers: balancers.max(1) as usize,
             number: number as usize,
+            processes: 1,
             standing,
             quickest_us: u64::MAX,
             tenants: tenants.iter().map(allowance).collect(),
@@ -450,11 +453,15 @@
         }
     }
 
-    /// Takes in entries of the list; tells whether a ready backend came, and whether one left.
-    pub(crate) fn listed(&mut self, items: &[Listed]) -> (bool, bool) {
+    /// Takes in entries of the list; tells whether a ready backend came, and whether one left. Those that a
+    /// whole list no longer names are gone.
+    pub(crate) fn listed(&mut self, whole: bool, items: &[Listed]) -> (bool, bool) {
         self.asks_lost = 0;
         let (mut came, mut left) = (false, false);
-        for item in items {
+        let named: BTreeSet<u32> = items.iter().map(|item| item.backend).collect();
+        let missing = self.fleet.values().filter(|backend| whole && !named.contains(&backend.listed.backend));
+        let gone = missing.map(|backend| Listed { phase: Phase::Gone, ..backend.listed });
+        for item in gone.collect::<Vec<_>>().iter().chain(items) {
             let backend = self.fleet.entry(item.backend).or_default();
             // What started anew is judged and learned anew; what is still out there counts on.
             if backend.listed.since_us != item.since_us {
@@ -468,14 +475,6 @@
         (came, left)
     }
 
-    /// A whole list, with those that it no longer names as gone before it.
-    pub(crate) fn with_those_gone(&self, items: &[Listed]) -> Vec<Listed> {
-        let named: BTreeSet<u32> = items.iter().map(|item| item.backend).collect();
-        let missing = self.fleet.values().filter(|backend| !named.contains(&backend.listed.backend));
-        let gone = missing.map(|backend| Listed { phase: Phase::Gone, ..backend.listed });
-        gone.chain(items.iter().copied()).collect()
-    }
-
     pub(crate) fn told(&mut self, peer: u32, note: &str, until_us: u64) {
         let Some((short, told)) = read_note(note) else { return };
         let Some(id) = self.part.iter().find(|id| *id & 0xffff == short) else { return };
@@ -547,20 +546,20 @@
         for turn in 0..100 {
             let id = turn.to_string();
             let fed: Result<(), String> = balancer.round(u64::from(turn) * 1_000, &mut Nowhere, |inbox| {
-                inbox.list_changes(&[listed(turn, Phase::Ready), listed(turn + 900, Phase::Gone)]);
+                inbox.list(false, &[listed(turn, Phase::Ready), listed(turn + 900, Phase::Gone)]);
                 inbox.query(&id, 0, 0, 5_000_000, None)
             });
             assert_eq!(fed, Ok(()));
             let fed: Result<(), String> =
                 balancer.round(u64::from(turn) * 1_000 + 500, &mut Nowhere, |inbox| {
-                    inbox.list_changes(&[listed(turn, Phase::Gone)]);
+                    inbox.list(false, &[listed(turn, Phase::Gone)]);
                     Ok(())
                 });
             assert_eq!((fed, balancer.fleet.len()), (Ok(()), 1), "its execution there is out");
             let fed: Result<(), String> =
                 balancer.round(u64::from(turn) * 1_000 + 700, &mut Nowhere, |inbox| {
                     inbox.outcome(&id, 0, Ended::Completed, 200, true, None);
-                    inbox.list_changes(&[]);
+                    inbox.list(false, &[]);
                     Ok(())
                 });
             assert_eq!((fed, balancer.fleet.len()), (Ok(()), 0));
--- a/tests/ledger/mod.rs
+++ b/tests/ledger/mod.rs
@@ -121,7 +121,7 @@
 
     pub fn tell(&mut self, inbox: &mut Inbox, items: &[Listed]) {
         self.told.extend(items.iter().map(|item| (item.backend, (*item, self.now_us))));
-        inbox.list_changes(items);
+        inbox.list(false, items);
     }
 
     /// The executions still out, by query and number.
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -133,7 +133,7 @@
     (items[0].phase, items[1].phase) = (Phase::Terminating, Phase::Gone);
     ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.tell(inbox, &items));
     assert_eq!(spread(&mut ledger, &mut balancer, "q", &[None; 6]), vec![2; 6]);
-    ledger.round(&mut balancer, 5_000, |_, inbox| inbox.list_whole(&[ready(0)]));
+    ledger.round(&mut balancer, 5_000, |_, inbox| inbox.list(true, &[ready(0)]));
     ledger.told.insert(0, (ready(0), ledger.now_us));
     assert_eq!(spread(&mut ledger, &mut balancer, "r", &[None; 6]), vec![0; 6]);
 }
