--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -1,6 +1,7 @@
 //! The second address, for operators: one line to a connection, one line back that begins with YES or NO.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -10,6 +11,7 @@
 use tokio::time::{sleep, timeout, Instant};
 
 use crate::front::Duty;
+use crate::handover::{ByHand, ATTACH, DETACH};
 
 /// Callers in hand: past it the one there longest makes room, so that those who end no call hold up nobody.
 pub const CALLERS: usize = 16;
@@ -22,6 +24,7 @@
 #[derive(Clone)]
 pub struct Admin {
     pub duty: watch::Sender<Duty>,
+    pub by_hand: Arc<ByHand>,
 }
 
 impl Admin {
@@ -59,7 +62,7 @@
         if read.is_err() || line.is_empty() {
             return ("call_unended", call);
         }
-        let (code, answer) = match self.answer(&line) {
+        let (code, answer) = match self.answer(&line).await {
             Ok(()) => ("call_yes", "YES\n".to_owned()),
             Err(why) => ("call_no", format!("NO {why}\n")),
         };
@@ -69,7 +72,7 @@
         }
     }
 
-    fn answer(&self, line: &[u8]) -> Result<(), String> {
+    async fn answer(&self, line: &[u8]) -> Result<(), String> {
         let line = line.strip_suffix(b"\n").ok_or("the line does not end")?;
         let line = std::str::from_utf8(line).map_err(|_| "not text")?;
         let mut words = line.split_ascii_whitespace();
@@ -77,6 +80,7 @@
             (Some("PING"), None, _) => self.duty.borrow().ready(),
             (Some("LAMEDUCK"), None, _) => self.turn(Duty::Drained(Instant::now())),
             (Some("REJOIN"), None, _) => self.turn(Duty::Serving),
+            (Some(call @ (DETACH | ATTACH)), Some(id), None) => self.by_hand.call(id, call == DETACH).await,
             _ => Err("unknown call".into()),
         }
     }
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -38,13 +38,58 @@
     instances: Vec<Value>,
 }
 
+/// The backends' ids and the module's numbers for them. A number is drawn from the text, so that all
+/// proxies have the same.
+#[derive(Default)]
+pub struct Names {
+    /// As last listed.
+    listed: BTreeMap<String, Listed>,
+    /// Out by hand, also those that are on no list.
+    out: BTreeMap<String, u32>,
+}
+
+impl Names {
+    /// What is known of an id.
+    fn last(&self, id: &str) -> Listed {
+        if let Some(last) = self.listed.get(id) {
+            return *last;
+        }
+        let number = self.out.get(id).copied();
+        let taken = |number: u32| {
+            let listed = self.listed.values().any(|listed| listed.backend == number);
+            listed || self.out.values().any(|out| *out == number)
+        };
+        let backend = number.unwrap_or_else(|| {
+            let first = hash(id);
+            (0..).map(|step| first.wrapping_add(step)).find(|number| !taken(*number)).unwrap_or(first)
+        });
+        Listed { backend, ..Listed::default() }
+    }
+
+    pub fn knows(&self, id: &str) -> bool {
+        self.listed.contains_key(id) || self.out.contains_key(id)
+    }
+
+    /// Notes who is out by hand; returns the module's number.
+    pub fn by_hand(&mut self, id: &str, out: bool) -> u32 {
+        let number = self.last(id).backend;
+        match out {
+            true => self.out.insert(id.to_owned(), number),
+            false => self.out.remove(id),
+        };
+        number
+    }
+
+    pub fn all_out(&self) -> Vec<String> {
+        self.out.keys().cloned().collect()
+    }
+}
+
 pub struct Discovery {
     decide: Arc<Decide>,
     backends: Arc<Backends>,
     zones: Vec<String>,
-    /// Each id as last listed, with the module's number for it. That is drawn from the text, so that all
-    /// proxies have the same.
-    listed: BTreeMap<String, Listed>,
+    names: Arc<Mutex<Names>>,
     generation: u64,
     /// Discovery has moved and told nothing yet: its versions may have restarted.
     moved: bool,
@@ -56,37 +101,31 @@
 }
 
 impl Discovery {
-    pub fn new(decide: Arc<Decide>, backends: Arc<Backends>, zones: Vec<String>) -> Self {
-        Discovery { decide, backends, zones, listed: BTreeMap::new(), generation: 0, moved: false }
+    pub fn new(
+        decide: Arc<Decide>, backends: Arc<Backends>, zones: Vec<String>, names: Arc<Mutex<Names>>,
+    ) -> Self {
+        Discovery { decide, backends, zones, names, generation: 0, moved: false }
     }
 
-    /// What is known of an id.
-    fn last(&self, id: &str) -> Listed {
-        if let Some(last) = self.listed.get(id) {
-            return *last;
-        }
-        let mut backend = hash(id);
-        while self.listed.values().any(|taken| taken.backend == backend) {
-            backend = backend.wrapping_add(1);
-        }
-        Listed { backend, ..Listed::default() }
+    fn names(&self) -> MutexGuard<'_, Names> {
+        self.names.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// One entry, with its address in place.
     fn entry(&mut self, entry: &Value) -> Result<Listed, String> {
         let instance = Instance::deserialize(entry).map_err(|wrong| wrong.to_string())?;
-        let last = self.last(&instance.instance_id);
+        let last = self.names().last(&instance.instance_id);
         let listed = instance.listed(last.backend, &self.zones)?;
         if listed.phase == Phase::Gone {
             // It may come with its id alone. Its zone and cell still bind what may have run there.
-            self.listed.remove(&instance.instance_id);
+            self.names().listed.remove(&instance.instance_id);
             self.backends.forget(last.backend);
             return Ok(Listed { phase: Phase::Gone, ..last });
         }
         let address = instance.host_port.parse();
         let address = address.map_err(|_| format!("hostPort {:?}", instance.host_port))?;
         self.backends.place(listed.backend, address);
-        self.listed.insert(instance.instance_id, listed);
+        self.names().listed.insert(instance.instance_id, listed);
         Ok(listed)
     }
 
@@ -106,7 +145,7 @@
         if list.reset {
             let id = |entry| Value::get(entry, "instanceId").and_then(Value::as_str);
             let named: BTreeSet<&str> = list.instances.iter().filter_map(id).collect();
-            self.listed.retain(|id, listed| {
+            self.names().listed.retain(|id, listed| {
                 let stays = named.contains(id.as_str());
                 if !stays {
                     self.backends.forget(listed.backend);
@@ -118,7 +157,7 @@
             items.extend(self.entry(entry).or_else(|wrong| {
                 tracing::warn!(code = "entry_unsound", "{wrong}, in {entry}");
                 let id = entry.get("instanceId").and_then(Value::as_str).ok_or(())?;
-                Ok::<_, ()>(Listed { phase: Phase::Terminating, ..self.last(id) })
+                Ok::<_, ()>(Listed { phase: Phase::Terminating, ..self.names().last(id) })
             }));
         }
         self.generation = list.generation;
--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -1,11 +1,12 @@
 //! What the processes of an upgrade share: the clients' listening socket, and through `$TMPDIR` word of
-//! one another.
+//! one another and the backends that operators have taken out.
 
 use std::collections::BTreeSet;
 use std::fs::File;
+use std::net::SocketAddr;
 use std::os::fd::{AsRawFd, BorrowedFd};
-use std::path::PathBuf;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError, Weak};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use socket2::SockRef;
@@ -14,7 +15,10 @@
 use tokio::sync::{watch, Semaphore};
 use tokio::time::{sleep, timeout};
 
-const ENDING: &str = ".crankpick";
+use crate::decide::Decide;
+use crate::discovery::Names;
+
+const ENDING: &str = ".sock";
 /// A process that is there answers at once; a caller waits 1 s for all of it.
 const ANSWER: Duration = Duration::from_millis(400);
 /// How soon the end of another process is noticed.
@@ -22,6 +26,22 @@
 const PAUSE: Duration = Duration::from_millis(20);
 const MOST_LINE: u64 = 600;
 
+/// The calls as one process passes them to another.
+pub const DETACH: &str = "DETACH";
+pub const ATTACH: &str = "ATTACH";
+
+fn gone(wrong: &std::io::Error) -> bool {
+    use std::io::ErrorKind::{ConnectionRefused, NotFound};
+    matches!(wrong.kind(), ConnectionRefused | NotFound)
+}
+
+/// What this proxy's files in `$TMPDIR` begin with; None where nothing may be left there. Another proxy's,
+/// at another address, are not ours.
+pub fn place(listen: SocketAddr) -> Option<PathBuf> {
+    let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty())?;
+    Some(PathBuf::from(folder).join(format!("crankpick-{listen}")))
+}
+
 /// The listening socket that the platform holds for all processes, where it names one.
 pub fn inherited() -> Result<Option<TcpListener>, String> {
     let name = "EDGE_INHERITED_FD";
@@ -65,25 +85,95 @@
     }
 }
 
+/// Who is out by hand: for the module, in the file that outlives this process, and told to the others.
+pub struct ByHand {
+    decide: Arc<Decide>,
+    names: Arc<Mutex<Names>>,
+    handover: Option<Arc<Handover>>,
+    /// Where there is one.
+    file: Option<PathBuf>,
+}
+
+impl ByHand {
+    /// Takes those out that the file names, before any query comes. A damaged file stops nobody.
+    pub fn start(
+        decide: Arc<Decide>, names: Arc<Mutex<Names>>, handover: Option<Arc<Handover>>, place: Option<&Path>,
+    ) -> Arc<Self> {
+        let file = place.map(|place| place.with_added_extension("out.json"));
+        let by_hand = Arc::new(ByHand { decide, names, handover, file });
+        if let Some(handover) = &by_hand.handover {
+            let _ = handover.by_hand.set(Arc::downgrade(&by_hand));
+        }
+        match by_hand.kept() {
+            Ok(ids) => ids.iter().for_each(|id| by_hand.set(id, true)),
+            Err(wrong) => tracing::error!(code = "out_unsound", "who is out by hand can't be read: {wrong}"),
+        }
+        by_hand
+    }
+
+    fn kept(&self) -> Result<Vec<String>, String> {
+        let Some(file) = &self.file else { return Ok(Vec::new()) };
+        match std::fs::read(file) {
+            Ok(text) => serde_json::from_slice(&text).map_err(|wrong| wrong.to_string()),
+            Err(wrong) if wrong.kind() == std::io::ErrorKind::NotFound => Ok(Vec::new()),
+            Err(wrong) => Err(wrong.to_string()),
+        }
+    }
+
+    fn set(&self, id: &str, out: bool) {
+        let number = self.names.lock().unwrap_or_else(PoisonError::into_inner).by_hand(id, out);
+        tracing::info!(code = if out { "out_by_hand" } else { "back_by_hand" }, id, "told by operators");
+        self.decide.news(|inbox| inbox.by_hand(number, out));
+    }
+
+    /// Replaced whole, so that nobody reads half a file.
+    fn keep(&self) -> Result<(), String> {
+        let Some(file) = &self.file else { return Ok(()) };
+        let ids = self.names.lock().unwrap_or_else(PoisonError::into_inner).all_out();
+        let next = file.with_extension(format!("{}", std::process::id()));
+        let text = serde_json::to_vec(&ids).map_err(|wrong| wrong.to_string())?;
+        let kept = std::fs::write(&next, text).and_then(|()| std::fs::rename(&next, file));
+        kept.map_err(|wrong| format!("{}: {wrong}", file.display()))
+    }
+
+    /// One call of an operator's, in force at all processes once this returns.
+    pub async fn call(&self, id: &str, out: bool) -> Result<(), String> {
+        if !self.names.lock().unwrap_or_else(PoisonError::into_inner).knows(id) {
+            return Err(format!("no backend {id:?} is known"));
+        }
+        self.set(id, out);
+        self.keep()?;
+        match &self.handover {
+            Some(handover) => handover.tell(&format!("{} {id}", if out { DETACH } else { ATTACH })).await,
+            None => Ok(()),
+        }
+    }
+}
+
 /// This process among those that share `$TMPDIR`. Each has a socket there, named for it; a dead one's
 /// refuses and is removed.
 pub struct Handover {
     /// Held open: by its descriptor the sockets' paths stay short, however long the folder's is.
     folder: File,
+    /// What all names of this proxy's sockets begin with.
+    stem: String,
     own: String,
     there: Mutex<BTreeSet<String>>,
     others: watch::Sender<usize>,
+    by_hand: OnceLock<Weak<ByHand>>,
 }
 
 impl Handover {
     /// Takes its place and finds out who else is there.
-    pub async fn start() -> Result<Arc<Self>, String> {
-        let folder = std::env::temp_dir();
-        let open = File::open(&folder).map_err(|wrong| format!("{}: {wrong}", folder.display()))?;
+    pub async fn start(place: &Path) -> Result<Arc<Self>, String> {
+        let name = |part: Option<&std::ffi::OsStr>| part.unwrap_or_default().to_string_lossy().into_owned();
+        let (folder, stem) = (place.parent().unwrap_or(place), name(place.file_name()));
+        let open = File::open(folder).map_err(|wrong| format!("{}: {wrong}", folder.display()))?;
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let own = format!("{}-{:x}{ENDING}", std::process::id(), now.as_nanos());
-        let others = watch::Sender::new(0);
-        let handover = Arc::new(Handover { folder: open, own, there: Mutex::default(), others });
+        let own = format!("{stem}-{}-{:x}{ENDING}", std::process::id(), now.as_nanos());
+        let (others, by_hand) = (watch::Sender::new(0), OnceLock::new());
+        let handover =
+            Arc::new(Handover { folder: open, stem, own, there: Mutex::default(), others, by_hand });
         let listener = UnixListener::bind(handover.path(&handover.own));
         let listener = listener.map_err(|wrong| format!("{}: {wrong}", folder.display()))?;
         tokio::spawn(Arc::clone(&handover).listen(listener));
@@ -114,10 +204,12 @@
     async fn look(&self) {
         let names = std::fs::read_dir(self.path("")).into_iter().flatten().flatten();
         let names = names.filter_map(|entry| entry.file_name().into_string().ok());
-        for name in names.filter(|name| name.ends_with(ENDING) && *name != self.own) {
+        let ours =
+            |name: &String| name.starts_with(&self.stem) && name.ends_with(ENDING) && *name != self.own;
+        for name in names.filter(ours) {
             match self.ask(&name, &format!("HERE {}", self.own)).await {
                 Ok(_) => self.set_there(&name, true),
-                Err(wrong) if wrong.kind() == std::io::ErrorKind::ConnectionRefused => {
+                Err(wrong) if gone(&wrong) => {
                     let _ = std::fs::remove_file(self.path(&name));
                     self.set_there(&name, false);
                 }
@@ -130,6 +222,20 @@
         there.iter().filter(|name| !stand(name)).for_each(|name| self.set_there(name, false));
     }
 
+    /// Passes a call on to each other process; done once all that are there have said so.
+    async fn tell(&self, line: &str) -> Result<(), String> {
+        let there = self.there.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        for name in &there {
+            match self.ask(name, line).await {
+                Ok(answer) if answer.starts_with("YES") => {}
+                Ok(answer) => return Err(format!("another process says {answer:?}")),
+                Err(wrong) if gone(&wrong) => self.set_there(name, false),
+                Err(wrong) => return Err(format!("another process: {wrong}")),
+            }
+        }
+        Ok(())
+    }
+
     async fn follow(self: Arc<Self>) {
         let mut others = self.others();
         loop {
@@ -170,6 +276,15 @@
                 self.set_there(name, true);
                 "YES\n"
             }
+            Some((call @ (DETACH | ATTACH), id)) => match self.by_hand.get().and_then(Weak::upgrade) {
+                Some(by_hand) => {
+                    by_hand.set(id, call == DETACH);
+                    // Two calls at a time may each have written without the other.
+                    by_hand.keep().map_or("NO not kept\n", |()| "YES\n")
+                }
+                // It has yet to read the file, which holds this call already.
+                None => "YES\n",
+            },
             _ => "NO\n",
         };
         stream.get_mut().write_all(answer.as_bytes()).await
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -14,7 +14,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::process::ExitCode;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use axum::http::Uri;
@@ -29,9 +29,9 @@
 use crate::admin::Admin;
 use crate::backends::Backends;
 use crate::decide::Decide;
-use crate::discovery::{Discovery, List};
+use crate::discovery::{Discovery, List, Names};
 use crate::front::Duty;
-use crate::handover::Handover;
+use crate::handover::{ByHand, Handover};
 use crate::peers::Peers;
 use crate::query::Proxy;
 
@@ -162,8 +162,9 @@
     let peers = Arc::new(Peers::new(peer_listen, addresses(&told, "peers")?)?);
     let inherited = handover::inherited()?;
     // Only where the platform holds the clients' socket can a second process come to be.
-    let handover = match inherited {
-        Some(_) => Some(Handover::start().await?),
+    let place = handover::place(listen);
+    let handover = match place.as_deref().filter(|_| inherited.is_some()) {
+        Some(place) => Some(Handover::start(place).await?),
         None => None,
     };
     let others = handover.as_ref().map_or_else(|| watch::Sender::new(0).subscribe(), |one| one.others());
@@ -187,7 +188,10 @@
     if at::<String>(settings, "Discovery")? != "subscribe" {
         list_wanted.notify_one();
     }
-    let mut discovery = Discovery::new(Arc::clone(&decide), Arc::clone(&backends), at(settings, "Zones")?);
+    let names: Arc<Mutex<Names>> = Arc::default();
+    let zones = at(settings, "Zones")?;
+    let mut discovery = Discovery::new(Arc::clone(&decide), Arc::clone(&backends), zones, Arc::clone(&names));
+    let by_hand = ByHand::start(Arc::clone(&decide), names, handover.clone(), place.as_deref());
     let known: List = at(&told, "known")?;
     discovery.known(&known).map_err(|wrong| format!("known: {wrong}"))?;
     let (moved, place) = watch::channel(address(&told, "discovery")?);
@@ -217,7 +221,7 @@
     };
     let mut term = signal(SignalKind::terminate()).map_err(|wrong| format!("SIGTERM: {wrong}"))?;
     let bound = listener.local_addr().unwrap_or(listen);
-    let (mut second, admin) = (String::new(), Admin { duty: duty.clone() });
+    let (mut second, admin) = (String::new(), Admin { duty: duty.clone(), by_hand });
     if let Some(listener) = second_listener {
         second = listener.local_addr().map(|address| address.to_string()).unwrap_or_default();
         tokio::spawn(admin.listen(listener));
--- a/crates/proxy/tests/sockets/daily.rs
+++ b/crates/proxy/tests/sockets/daily.rs
@@ -2,6 +2,7 @@
 
 use crate::stand_ins::*;
 use serde_json::{json, Value};
+use std::io::BufRead;
 use std::net::{SocketAddr, UdpSocket};
 use std::time::{Duration, Instant};
 
@@ -130,3 +131,71 @@
         );
     }
 }
+
+#[test]
+fn a_backend_out_by_hand_gets_nothing_from_either_process_until_it_is_back() {
+    let (discovery, out, stays) = (Discovery::start(), Backend::start(), Backend::start());
+    let platform = Platform::new("by-hand");
+    let told = operated(&discovery, &[out.address, stays.address]);
+    let old = platform.start(&told);
+    let mut watch = discovery.next();
+    for wrong in ["DETACH\n", "DETACH nobody\n", "ATTACH nobody\n", "DETACH s-0 s-1\n", "DETACH s-00\n"] {
+        assert!(old.call(wrong).starts_with("NO "), "{wrong}");
+    }
+    assert_eq!((old.call("DETACH s-0\n"), old.call("DETACH s-0\n")), ("YES\n".into(), "YES\n".into()));
+    let shun = |proxy: &Proxy, after: &str| {
+        for turn in 0..6 {
+            let mut client = proxy.client();
+            client.ask("read", &format!("{after}{turn}"), 2_000);
+            stays.next().answer(200, "", "ok");
+            assert_eq!(client.heard().status(), 200);
+        }
+        assert!(out.is_quiet(), "{after}");
+    };
+    shun(&old, "out");
+    // It leaves the list and comes back started anew: it is out all the same.
+    watch.say(&list(42, false, vec![instance("s-0", out.address, "DELETED")]).to_string());
+    let mut anew = instance("s-0", out.address, "SERVING");
+    anew["startedAtMs"] = json!(1);
+    watch.say(&list(43, false, vec![anew]).to_string());
+    shun(&old, "listed");
+    let new = platform.start(&told);
+    shun(&new, "upgraded");
+    // A call at one binds the other, whichever it is.
+    for (one, other) in [(&old, &new), (&new, &old)] {
+        assert_eq!(one.call("ATTACH s-0\n"), "YES\n");
+        other.logged("code=\"back_by_hand\"");
+        assert_eq!(one.call("DETACH s-0\n"), "YES\n");
+        other.logged("code=\"out_by_hand\"");
+        shun(other, "told by the other");
+    }
+    drop(old);
+    assert_eq!(new.call("ATTACH s-0\n"), "YES\n", "one that was killed is not waited for");
+    let mut client = new.client();
+    for turn in 0..20 {
+        client.ask("read", &format!("back{turn}"), 2_000);
+        let mut asked = first_of(&[&out, &stays]);
+        asked.answer(200, "", "ok");
+        assert_eq!(client.heard().status(), 200);
+        if asked.place() == out.address {
+            return;
+        }
+    }
+    panic!("it is used again");
+}
+
+#[test]
+fn a_damaged_file_of_those_out_by_hand_is_told_and_stops_nobody() {
+    let (discovery, platform) = (Discovery::start(), Platform::new("damaged"));
+    let told = operated(&discovery, &[nowhere()]);
+    std::fs::write(platform.folder.join("crankpick-127.0.0.1:0.out.json"), "[\"s-0\"").expect("writable");
+    let mut program = program("");
+    program.env("TMPDIR", &platform.folder);
+    let (mut child, mut log, _) = launch(&told, program);
+    let mut said = String::new();
+    while !said.contains("code=\"listening\"") {
+        assert!(log.read_line(&mut said).expect("text") > 0, "{said}");
+    }
+    assert!(said.contains("code=\"out_unsound\""), "{said}");
+    let _ = child.kill().and_then(|()| child.wait());
+}
--- a/crates/proxy/tests/sockets/stand_ins.rs
+++ b/crates/proxy/tests/sockets/stand_ins.rs
@@ -254,6 +254,7 @@
 pub fn program(first: &str) -> Command {
     let mut command = Command::new("/bin/sh");
     command.args(["-c", &format!("{first} exec {}", env!("CARGO_BIN_EXE_crankpick"))]);
+    command.env_remove("TMPDIR");
     command
 }
 
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -53,8 +53,7 @@
         // The most important need not wait out a rest, so that it is the cheap ones that are turned away.
         let rested_us = self.rest.0 + (self.rest.1 * (1.0 - importance)) as u64;
         // One that was shut gets one query at a time until one is completed.
-        let open = self.shut_for_us == 0 || self.idle();
-        open && self.ready() && now_us >= self.shut_until_us.max(rested_us)
+        self.ready() && (self.shut_for_us == 0 || self.idle()) && now_us >= self.shut_until_us.max(rested_us)
     }
 
     fn tells(&self, peers: bool, work: f64) -> bool {
@@ -403,10 +402,9 @@
         let workload = &self.workloads[qry.workload];
         let all = workload.repeat == Repeat::Deduplicated && workload.group == DedupGroup::All;
         let harmless = qry.binding().is_none() || workload.repeat == Repeat::Idempotent || all;
-        if harmless {
-            out.reject(&qry.id, wait_us.max(self.target_us as u64).min(self.limits.max_backoff_us));
-        } else {
-            out.abort(&qry.id);
+        match harmless {
+            true => out.reject(&qry.id, wait_us.max(self.target_us as u64).min(self.limits.max_backoff_us)),
+            false => out.abort(&qry.id),
         }
         self.close(id, out);
     }
@@ -642,9 +640,7 @@
 
     /// A stream has started: the answer is the client's now and nothing is left to decide.
     pub fn begun(&mut self, id: &str) {
-        if let Some(qry) = self.balancer.queries.get_mut(id) {
-            qry.over = true;
-        }
+        self.balancer.queries.get_mut(id).into_iter().for_each(|qry| qry.over = true);
     }
 
     pub fn withdrawn(&mut self, id: &str) {
@@ -675,6 +671,11 @@
         }
     }
 
+    /// Operators take a backend out, or back, whatever the list says of it.
+    pub fn by_hand(&mut self, id: u32, out: bool) {
+        self.balancer.by_hand(id, out, self.now_us);
+    }
+
     /// How many processes stand for this proxy: during an upgrade each keeps a part of its share.
     pub fn processes(&mut self, count: usize) {
         self.balancer.processes = count;
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -172,6 +172,10 @@
 #[derive(Default)]
 pub struct Backend {
     pub listed: Listed,
+    /// Taken out by hand, whatever the list says.
+    pub out: bool,
+    /// When it last started, or came back from those out by hand with no start told since; 0 means long ago.
+    pub since_us: u64,
     pub held: BTreeMap<u64, Held>,
     /// The other proxies that use it, and what they have told of.
     pub sharers: Vec<u32>,
@@ -205,8 +209,14 @@
 }
 
 impl Backend {
+    /// What started anew is judged and learned anew; what is still out there counts on.
+    fn start_anew(&mut self, since_us: u64) {
+        let (listed, held) = (self.listed, std::mem::take(&mut self.held));
+        *self = Backend { listed, held, since_us, ..Backend::default() };
+    }
+
     pub fn ready(&self) -> bool {
-        self.listed.phase == Phase::Ready
+        self.listed.phase == Phase::Ready && !self.out
     }
 
     /// Its weight in the list, where that says anything.
@@ -216,8 +226,8 @@
 
     /// The part of its capacity that a started backend surely has; 1 once it is warm.
     pub fn warmth(&self, cold: &ColdRule, now_us: u64) -> f64 {
-        let age_us = now_us.saturating_sub(self.listed.since_us);
-        if self.listed.since_us == 0 || age_us >= cold.cold_us {
+        let age_us = now_us.saturating_sub(self.since_us);
+        if self.since_us == 0 || age_us >= cold.cold_us {
             return 1.0;
         }
         cold.start_capacity + (1.0 - cold.start_capacity) * age_us as f64 / cold.cold_us as f64
@@ -383,6 +393,8 @@
     pub(crate) most_importance: f64,
     pub(crate) slowest_pace: f64,
     pub(crate) fleet: BTreeMap<u32, Backend>,
+    /// Who is out by hand, and since when: also those on no list.
+    pub(crate) out: BTreeMap<u32, u64>,
     /// The backends that this proxy uses: all, or where proxies are many its part of the list.
     pub(crate) part: Vec<u32>,
     /// Those outside its zone that a probing proxy may use.
@@ -463,18 +475,31 @@
         let gone = missing.map(|backend| Listed { phase: Phase::Gone, ..backend.listed });
         for item in gone.collect::<Vec<_>>().iter().chain(items) {
             let backend = self.fleet.entry(item.backend).or_default();
-            // What started anew is judged and learned anew; what is still out there counts on.
+            let was = backend.ready();
             if backend.listed.since_us != item.since_us {
-                *backend = Backend { held: std::mem::take(&mut backend.held), ..Backend::default() };
+                backend.start_anew(item.since_us);
             }
-            let (was, is) = (backend.ready(), item.phase == Phase::Ready);
-            (came, left) = (came || is && !was, left || was && !is);
-            backend.listed = *item;
+            (backend.listed, backend.out) = (*item, self.out.contains_key(&item.backend));
+            (came, left) = (came || backend.ready() && !was, left || was && !backend.ready());
         }
         self.forget_gone();
         (came, left)
     }
 
+    /// Takes a backend out or back; one that comes back may have started anew with nobody told of it yet.
+    pub(crate) fn by_hand(&mut self, id: u32, out: bool, now_us: u64) {
+        let out_us =
+            if out { *self.out.entry(id).or_insert(now_us) } else { self.out.remove(&id).unwrap_or(0) };
+        if let Some(backend) = self.fleet.get_mut(&id) {
+            if !out && backend.listed.since_us < out_us {
+                backend.start_anew(now_us);
+            }
+            backend.out = out;
+        }
+        self.forget_gone();
+        self.regroup_us = now_us;
+    }
+
     pub(crate) fn told(&mut self, peer: u32, note: &str, until_us: u64) {
         let Some((short, told)) = read_note(note) else { return };
         let Some(id) = self.part.iter().find(|id| *id & 0xffff == short) else { return };
--- a/tests/ledger/mod.rs
+++ b/tests/ledger/mod.rs
@@ -2,7 +2,7 @@
 
 use crankpick::balance::{Balancer, Inbox};
 use crankpick::interface::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 pub struct Sent {
     pub backend: u32,
@@ -29,6 +29,8 @@
     pub workloads: Vec<Workload>,
     pub limits: ExecutionLimits,
     pub told: BTreeMap<u32, (Listed, u64)>,
+    /// Out by hand.
+    pub out: BTreeSet<u32>,
     pub queries: BTreeMap<String, Taken>,
     pub wakes: Vec<(u64, String)>,
     pub asked: u32,
@@ -61,6 +63,7 @@
             workloads,
             limits,
             told,
+            out: BTreeSet::new(),
             queries,
             wakes,
             asked: 0,
@@ -124,6 +127,12 @@
         inbox.list(false, items);
     }
 
+    #[allow(dead_code, reason = "each test file takes what it needs of this one")]
+    pub fn by_hand(&mut self, inbox: &mut Inbox, backend: u32, out: bool) {
+        let _ = if out { self.out.insert(backend) } else { self.out.remove(&backend) };
+        inbox.by_hand(backend, out);
+    }
+
     /// The executions still out, by query and number.
     pub fn out(&self) -> Vec<(String, usize)> {
         let all =
@@ -154,6 +163,7 @@
         let breaks = [
             (qry.answer.is_some() || now_us > qry.deadline_us, "is executed after its answer or deadline"),
             (on.phase != Phase::Ready && now_us > told_us + 500_000, "goes to one that drains or is gone"),
+            (self.out.contains(&backend), "goes to one that is out by hand"),
             (out && !limits.may_duplicate, "is out twice at a time"),
             (qry.sent.len() as u32 >= limits.max_executions, "is executed too often"),
             (workload.repeat == Repeat::NonIdempotent && first.is_some(), "may have two effects"),
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -138,6 +138,35 @@
     assert_eq!(spread(&mut ledger, &mut balancer, "r", &[None; 6]), vec![0; 6]);
 }
 
+/// Whatever the list says: that it is there, that it went and came again, that it started anew.
+#[test]
+fn a_backend_out_by_hand_gets_nothing_until_it_is_back_and_is_cold_then() {
+    let (mut ledger, mut balancer) = start(Repeat::Idempotent, 3, 3, 0, false);
+    spread(&mut ledger, &mut balancer, "warm", &[Some(20_000); 40]);
+    ledger.round(&mut balancer, 5_000, |ledger, inbox| {
+        (0..2).for_each(|_| ledger.by_hand(inbox, 0, true));
+        ledger.by_hand(inbox, 1, true);
+    });
+    let gone = Listed { phase: Phase::Gone, ..ready(1) };
+    for (turn, item) in [ready(0), gone, ready(1), ready(2)].into_iter().enumerate() {
+        ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.tell(inbox, &[item]));
+        assert_eq!(spread(&mut ledger, &mut balancer, &format!("out{turn}"), &[None; 6]), vec![2; 6]);
+    }
+    ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.by_hand(inbox, 0, false));
+    let (mut used, mut work_us) = (0, 0);
+    for turn in 0..40 {
+        let id = format!("back{turn}");
+        ask(&mut ledger, &mut balancer, &id, Some(20_000));
+        let there = ledger.queries[&id].sent.iter().filter(|sent| sent.backend == 0).count();
+        (used, work_us) = (used + there, work_us + there as u64 * 20_000);
+        end(&mut ledger, &mut balancer, 20_000, |_| Ended::Completed);
+    }
+    // Nobody has told that it started, but for the call back; within one window it gets a cold one's budget.
+    let bears_us = COLD.multiple * 0.28 * COLD.window_us as f64;
+    assert!(used > 4 && (work_us as f64) < bears_us, "{used}, {work_us} of {bears_us}");
+    assert!(ledger.wrong.is_empty(), "{:?}", ledger.wrong);
+}
+
 #[test]
 fn a_cold_backend_gets_no_more_than_this_proxys_share_of_what_it_bears() {
     let (mut ledger, mut balancer) = start(Repeat::Idempotent, 2, 2, 0, false);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -37,7 +37,12 @@
             if rng.u8(0..10) == 0 {
                 inbox.told(rng.u32(0..12), ["3!$!z", "5\"!!!", "", "3éé", "zz"][rng.usize(0..5)]);
             }
+            if rng.u8(0..20) == 0 {
+                let (backend, out) = (rng.u32(0..backends + 2), rng.bool());
+                ledger.by_hand(inbox, backend, out);
+            }
             if rng.u8(0..40) == 0 {
+                inbox.processes(rng.usize(1..3));
                 inbox.list_lost();
             }
             // Some never return, and some that return were never asked for.
