Long bodies and answers flow through, chunked ones too; heads have 2.5 s from their first byte

Lines at fault: query.rs refused every Transfer-Encoding and gave a body 2 s in all, front.rs counted a client's rest as part of its next head, backends.rs held answers whole up to a 32nd of the memory.

--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -7,25 +7,23 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use axum::body::Body;
 use axum::http::header::CONNECTION;
 use axum::http::request::Parts;
 use axum::http::uri::{Authority, Scheme};
 use axum::http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri};
 use bytes::Bytes;
 use crankpick::interface::{Ended, LoadReport};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper_util::client::legacy::connect::{capture_connection, CaptureConnection};
 use hyper_util::client::legacy::{Client, Error as ClientError};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::sync::watch;
-use tokio::time::{timeout, Instant};
+use tokio::time::{sleep_until, Instant};
 
+use crate::bodies::{Answer, Broken, Payload, Pool, SHORT};
 use crate::connect::{Connector, Link, OverBudget};
 
-/// Of a query's body. Answers have been seen to hold several times as much.
-pub const MOST_BODY: usize = 64 << 10;
-
 /// Longer ones tell no more than that it has not answered.
 const PROBE: Duration = Duration::from_millis(500);
 
@@ -36,9 +34,9 @@
 const OF_THE_MOMENT: [StatusCode; 2] = [StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS];
 
 pub struct Backends {
-    client: Client<Connector, Full<Bytes>>,
+    client: Client<Connector, Body>,
     connector: Connector,
-    most_answer: usize,
+    answers: Arc<Pool>,
     /// The share of kept connections found dead by the last few dozen executions on one.
     stale: Mutex<f64>,
     fresh: AtomicU64,
@@ -50,24 +48,24 @@
     pub ended: Ended,
     pub took_us: u64,
     pub report: Option<LoadReport>,
-    pub answer: Option<Response<Bytes>>,
+    pub answer: Option<Response<Body>>,
 }
 
 impl Backends {
-    pub fn new(budget: usize, most_answer: usize, connect_timeout: Duration, idle_close: Duration) -> Self {
+    pub fn new(budget: usize, answers: Arc<Pool>, connect_timeout: Duration, idle_close: Duration) -> Self {
         // The client lets go of an idle connection before it ends itself, and that before the backend
         // would: so none ends under a request that was just written to it.
-        let connector = Connector::new(budget, 2 * most_answer, connect_timeout, idle_close.mul_f64(0.85));
+        let connector = Connector::new(budget, connect_timeout, idle_close.mul_f64(0.85));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(idle_close.mul_f64(0.8))
             .retry_canceled_requests(false)
-            .http1_max_buf_size(MOST_BODY)
+            .http1_max_buf_size(SHORT)
             .build(connector.clone());
         Backends {
             client,
             connector,
-            most_answer,
+            answers,
             stale: Mutex::default(),
             fresh: AtomicU64::default(),
             addresses: Mutex::default(),
@@ -98,24 +96,27 @@
         *share += (f64::from(u8::from(stale)) - *share) / 64.0;
     }
 
-    /// A connection of its own for a request, where kept ones are often dead.
-    fn fresh(&self) -> Option<u64> {
+    /// A connection of its own for a request, where it must have one or kept ones are often dead.
+    fn fresh(&self, must: bool) -> Option<u64> {
         let often = *self.stale.lock().unwrap_or_else(PoisonError::into_inner) > OFTEN;
-        often.then(|| self.fresh.fetch_add(1, Ordering::Relaxed))
+        (must || often).then(|| self.fresh.fetch_add(1, Ordering::Relaxed))
     }
 
-    /// One execution, to its end. Dropped before, it closes its connection. What has but `one_chance` does
-    /// not take a kept connection while these are often dead.
+    /// One execution, to its end, or past what is kept whole of its answer. Dropped before, it closes its
+    /// connection. What has but one chance does not take a kept connection while these are often dead; what is
+    /// passed on as it comes takes none, since it could not follow on another connection.
     pub async fn execute(
-        self: Arc<Self>, backend: u32, head: Arc<Parts>, body: Bytes, wait: Duration, one_chance: bool,
+        self: Arc<Self>, backend: u32, head: Arc<Parts>, wait: Duration, one_chance: bool, payload: Payload,
+        body: impl Fn() -> Body,
     ) -> Heard {
         let sent = Instant::now();
-        let heard = timeout(wait, async {
+        let heard = async {
             loop {
                 let address = self.address(backend).ok_or(Ended::NotSent)?;
-                let left = wait.saturating_sub(sent.elapsed());
-                let fresh = one_chance.then(|| self.fresh()).flatten();
-                let request = outgoing(backend, fresh, address, &head, body.clone(), left);
+                let left = if payload.passing() { wait } else { wait.saturating_sub(sent.elapsed()) };
+                let fresh =
+                    (one_chance || payload.passing()).then(|| self.fresh(payload.passing())).flatten();
+                let request = outgoing(backend, fresh, address, &head, body(), left);
                 let mut request = request.ok_or(Ended::NotSent)?;
                 let connection = capture_connection(&mut request);
                 let answer = self.client.request(request).await;
@@ -124,19 +125,32 @@
                     self.found(answer.is_err() && link.as_deref().is_some_and(Link::unanswered));
                 }
                 match answer {
-                    Ok(answer) => return read(answer, self.most_answer, link.as_deref(), sent).await,
+                    Ok(answer) => return read(answer, &self.answers, link).await,
                     // Another connection: what the last request left behind is not this one's fault.
                     Err(_) if link.as_deref().is_some_and(Link::spent_unused) => {}
-                    Err(wrong) => return Err(why_no_answer(&wrong, link.as_deref(), body.len())),
+                    Err(wrong) => return Err(why_no_answer(&wrong, link.as_deref(), payload.surely())),
                 }
             }
-        })
-        .await;
-        match heard {
-            Ok(Ok(heard)) => heard,
-            Ok(Err(ended)) => Heard::without_answer(ended, sent),
-            Err(_) => Heard::without_answer(Ended::TimedOut, sent),
-        }
+        };
+        // A long body has no total time: what the client waits counts from its end.
+        let whole = async {
+            match payload.passing() {
+                true => payload.gone().await.unwrap_or(sent),
+                false => sent,
+            }
+        };
+        let late = async { sleep_until(whole.await + wait).await };
+        let heard = tokio::select! {
+            biased;
+            heard = heard => heard,
+            () = late => Err(Ended::TimedOut),
+        };
+        let since = payload.gone_at().unwrap_or(sent);
+        let (ended, report, answer) = match heard {
+            Ok((ended, report, answer)) => (ended, report, answer),
+            Err(ended) => (ended, None, None),
+        };
+        Heard { ended, took_us: since.elapsed().as_micros() as u64, report, answer }
     }
 
     /// Asks a backend for no more than a sign of life and its load report: a request without an id, which
@@ -145,18 +159,13 @@
         let mut request = Request::new(());
         *request.uri_mut() = path;
         let head = Arc::new(request.into_parts().0);
-        let heard = self.execute(backend, head, Bytes::new(), PROBE, false).await;
+        let nothing = Payload::Whole(Bytes::new(), Arc::default());
+        let heard = self.execute(backend, head, PROBE, false, nothing, Body::empty).await;
         let answered = heard.answer.is_some();
         Heard { ended: if answered { Ended::Completed } else { heard.ended }, answer: None, ..heard }
     }
 }
 
-impl Heard {
-    fn without_answer(ended: Ended, sent: Instant) -> Self {
-        Heard { ended, took_us: sent.elapsed().as_micros() as u64, report: None, answer: None }
-    }
-}
-
 /// The connection that a request was given, if it got that far.
 fn link(connection: &CaptureConnection) -> Option<Arc<Link>> {
     let connected = connection.connection_metadata();
@@ -166,26 +175,27 @@
 }
 
 /// No answer came: only what surely never was written whole counts as never run.
-fn why_no_answer(wrong: &ClientError, link: Option<&Link>, body: usize) -> Ended {
+fn why_no_answer(wrong: &ClientError, link: Option<&Link>, surely: usize) -> Ended {
     let mut source = wrong.source();
     while let Some(cause) = source {
-        if cause.is::<OverBudget>() {
+        // No backend's fault: no descriptor here, or no more of the body.
+        if cause.is::<OverBudget>() || cause.is::<Broken>() && surely == usize::MAX {
             return Ended::NotSent;
         }
         source = cause.source();
     }
     match link {
         None => Ended::Unreachable,
-        Some(link) if link.wrote_less_than(body) => Ended::Unreachable,
+        Some(link) if link.wrote_less_than(surely) => Ended::Unreachable,
         Some(link) if link.kept() && link.unanswered() => Ended::Stale,
         Some(_) => Ended::Dropped,
     }
 }
 
-async fn read(
-    answer: Response<Incoming>, most: usize, link: Option<&Link>, sent: Instant,
-) -> Result<Heard, Ended> {
-    let execution = link.map(Link::execution);
+type Read = (Ended, Option<LoadReport>, Option<Response<Body>>);
+
+async fn read(answer: Response<Incoming>, pool: &Pool, link: Option<Arc<Link>>) -> Result<Read, Ended> {
+    let execution = link.as_deref().map(Link::execution);
     let (head, body) = answer.into_parts();
     let never_ran = head.headers.get("x-not-run").is_some_and(|value| value == "1");
     let ended = match head.status {
@@ -197,20 +207,21 @@
     };
     let report = load_report(&head.headers);
     // One that is said to be too long is not worth reading.
-    if body.size_hint().lower() > most as u64 {
-        return Err(Ended::Dropped);
-    }
-    let body = Limited::new(body, most).collect().await.map_err(|_| Ended::Dropped)?.to_bytes();
-    if let Some((link, execution)) = link.zip(execution) {
-        link.rest(execution);
+    let answer = Answer::read(Body::new(body), pool).await.map_err(|_| Ended::Dropped)?;
+    // Past what is kept whole it ends by standing still where more is asked for, not by a pause.
+    match (answer.whole(), link.as_deref().zip(execution)) {
+        (true, Some((link, execution))) => link.rest(execution),
+        (false, Some((link, _))) => link.flow(),
+        (_, None) => {}
     }
+    let rest = move || link.iter().zip(execution).for_each(|(link, execution)| link.rest(execution));
     let answer = matches!(ended, Ended::Completed | Ended::Cancelled).then(|| {
-        let mut whole = Response::new(body);
-        *whole.status_mut() = head.status;
-        *whole.headers_mut() = end_to_end(&head.headers);
-        whole
+        let mut passed = Response::new(answer.body(rest));
+        *passed.status_mut() = head.status;
+        *passed.headers_mut() = end_to_end(&head.headers);
+        passed
     });
-    Ok(Heard { report, answer, ..Heard::without_answer(ended, sent) })
+    Ok((ended, report, answer))
 }
 
 /// `X-Load: inflight=7,queue=2,util=0.61`; fields that no decision needs are skipped.
@@ -230,9 +241,10 @@
 }
 
 /// What belongs to the connection it came on and not to the request.
-const HOP_BY_HOP: [&str; 10] = [
+const HOP_BY_HOP: [&str; 11] = [
     "connection",
     "content-length",
+    "expect",
     "keep-alive",
     "proxy-authenticate",
     "proxy-authorization",
@@ -254,8 +266,8 @@
 
 /// The request as the backend gets it: method, path, query and body as the bytes that came.
 fn outgoing(
-    backend: u32, fresh: Option<u64>, address: SocketAddr, head: &Parts, body: Bytes, wait: Duration,
-) -> Option<Request<Full<Bytes>>> {
+    backend: u32, fresh: Option<u64>, address: SocketAddr, head: &Parts, body: Body, wait: Duration,
+) -> Option<Request<Body>> {
     let mut uri = head.uri.clone().into_parts();
     uri.scheme = Some(Scheme::HTTP);
     // The client keeps connections apart by this: none is handed on to another backend at the same address.
@@ -264,7 +276,7 @@
         None => format!("{backend}@{address}"),
     };
     uri.authority = Some(Authority::try_from(place).ok()?);
-    let mut request = Request::new(Full::new(body));
+    let mut request = Request::new(body);
     *request.method_mut() = head.method.clone();
     *request.uri_mut() = Uri::from_parts(uri).ok()?;
     *request.headers_mut() = end_to_end(&head.headers);
--- a/crates/proxy/src/connect.rs
+++ b/crates/proxy/src/connect.rs
@@ -19,8 +19,9 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{timeout_at, Instant, Sleep};
+use tokio::time::{sleep, timeout_at, Instant, Sleep};
 
+use crate::bodies::MOST;
 use crate::handover::halve;
 
 /// Opens connections, no more at a time than its budget; where it is spent the longest idle one goes.
@@ -28,12 +29,14 @@
 pub struct Connector {
     budget: Arc<Semaphore>,
     links: Arc<Mutex<BTreeMap<u64, Arc<Link>>>>,
-    /// A whole answer holds no more: head, body and what 1xx answers come ahead.
-    most: usize,
     timeout: Duration,
     idle: Duration,
 }
 
+/// Head, body and what 1xx answers come ahead.
+const MOST_ANSWER: usize = MOST as usize + (8 << 20);
+/// How long a backend may take nothing of a request.
+const UNREAD: Duration = Duration::from_secs(4);
 /// ENFILE and EMFILE.
 const NO_DESCRIPTOR: [i32; 2] = [23, 24];
 
@@ -62,6 +65,8 @@
     executions: u64,
     /// When the last of the answer in hand came, and how much of it has come.
     answer: Option<(Instant, usize)>,
+    /// Whether it is passed on as it comes: then who takes it says how long it may stand still.
+    flows: bool,
     why: Option<&'static str>,
     reader: Option<Waker>,
 }
@@ -92,11 +97,15 @@
         if state.executions == execution {
             state.idle_since = Some(Instant::now());
             state.written = 0;
-            state.answer = None;
+            (state.answer, state.flows) = (None, false);
             state.wake();
         }
     }
 
+    pub fn flow(&self) {
+        self.lock().flows = true;
+    }
+
     /// Whether it has carried others before and was found unfit before a byte of this request was written:
     /// then the request is as good as new for another connection.
     pub fn spent_unused(&self) -> bool {
@@ -123,8 +132,8 @@
 }
 
 impl Connector {
-    pub fn new(budget: usize, most: usize, timeout: Duration, idle: Duration) -> Self {
-        Connector { budget: Arc::new(Semaphore::new(budget)), links: Arc::default(), most, timeout, idle }
+    pub fn new(budget: usize, timeout: Duration, idle: Duration) -> Self {
+        Connector { budget: Arc::new(Semaphore::new(budget)), links: Arc::default(), timeout, idle }
     }
 
     /// No connection to this backend is used again.
@@ -183,6 +192,7 @@
             written: 0,
             executions: 0,
             answer: None,
+            flows: false,
             why: None,
             reader: None,
         };
@@ -193,15 +203,15 @@
         drop(links);
         Ok(Wire {
             stream,
+            stall: Stall::new(UNREAD),
             link,
             number,
             links: self.links,
             address,
             opened: Instant::now(),
             idle: self.idle,
-            most: self.most,
             patience: self.timeout,
-            ends: Box::pin(tokio::time::sleep(self.idle)),
+            ends: Box::pin(sleep(self.idle)),
             _permit: permit,
         })
     }
@@ -227,15 +237,36 @@
     }
 }
 
+/// Ends a connection of which the other side takes nothing for too long.
+pub struct Stall {
+    most: Duration,
+    stalled: Option<Pin<Box<Sleep>>>,
+}
+
+impl Stall {
+    pub fn new(most: Duration) -> Self {
+        Stall { most, stalled: None }
+    }
+
+    pub fn wrote<T>(&mut self, cx: &mut Context<'_>, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        if written.is_ready() {
+            self.stalled = None;
+            return written;
+        }
+        let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(self.most)));
+        stalled.as_mut().poll(cx).map(|()| Err(io::ErrorKind::TimedOut.into()))
+    }
+}
+
 pub struct Wire {
     stream: TcpStream,
+    stall: Stall,
     link: Arc<Link>,
     number: u64,
     links: Arc<Mutex<BTreeMap<u64, Arc<Link>>>>,
     address: SocketAddr,
     opened: Instant,
     idle: Duration,
-    most: usize,
     /// What an answer that has begun may pause: a few ways there and back, as opening takes.
     patience: Duration,
     ends: Pin<Box<Sleep>>,
@@ -263,7 +294,7 @@
                 state.answer = Some((Instant::now(), length + came));
                 if state.idle_since.is_some() {
                     state.why.get_or_insert("more_than_asked");
-                } else if length + came > wire.most {
+                } else if length + came > MOST_ANSWER {
                     state.why.get_or_insert("endless");
                     return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
                 }
@@ -280,8 +311,8 @@
                     // An end of input is what makes the client let go of a connection that rests.
                     (Some(_), _) if state.why.is_some() => return Poll::Ready(Ok(())),
                     (Some(since), _) => (since + wire.idle, "idle"),
-                    (None, Some((came, _))) => (came + wire.patience, "endless"),
-                    (None, None) => return read,
+                    (None, Some((came, _))) if !state.flows => (came + wire.patience, "endless"),
+                    (None, _) => return read,
                 };
                 wire.ends.as_mut().reset(until);
                 if wire.ends.as_mut().poll(cx).is_ready() {
@@ -322,11 +353,12 @@
         }
         state.idle_since = None;
         state.executions += 1;
-        state.answer = None;
+        (state.answer, state.flows) = (None, false);
         Ok(())
     }
 
-    fn wrote(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+    fn wrote(&mut self, cx: &mut Context<'_>, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        let written = self.stall.wrote(cx, written);
         let mut state = self.link.lock();
         match &written {
             Poll::Ready(Ok(length)) => state.written += length,
@@ -343,7 +375,7 @@
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.fit()?;
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.wrote(written)
+        self.wrote(cx, written)
     }
 
     fn poll_write_vectored(
@@ -351,7 +383,7 @@
     ) -> Poll<io::Result<usize>> {
         self.fit()?;
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.wrote(written)
+        self.wrote(cx, written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -3,29 +3,34 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::error::Error;
-use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use axum::body::{Body, HttpBody};
 use axum::extract::State;
 use axum::http::header::CONNECTION;
-use axum::http::{HeaderValue, StatusCode};
+use axum::http::{HeaderValue, Request, StatusCode};
 use axum::routing::any;
 use axum::Router;
+use bytes::Bytes;
+use http_body::{Frame, SizeHint};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{sleep, sleep_until, Instant, Sleep};
+use tokio::time::{sleep, sleep_until, Instant};
 use tower_service::Service;
 
+use crate::connect::Stall;
+use crate::framing::Framing;
 use crate::handover::halve;
 use crate::query::{answer, plain, Proxy};
 
@@ -35,10 +40,13 @@
 const DRAINED: Duration = Duration::from_millis(1_300);
 /// What is opened later still asks at once.
 const OPENED: Duration = Duration::from_millis(250);
-/// Against clients that open a connection or keep one and never say anything, or never end what they say.
+/// Against clients that open a connection or keep one and never say anything.
 const SILENT: Duration = Duration::from_millis(2_200);
+/// Against heads that never end; from the opening a little longer.
+const HEAD: Duration = Duration::from_millis(2_500);
+const FIRST: Duration = Duration::from_millis(2_800);
 /// Against clients that don't read their answers.
-const UNREAD: Duration = Duration::from_secs(3);
+const UNREAD: Duration = Duration::from_secs(6);
 /// Who connects asks right away: one that has not by then is the first to make room.
 const YOUNG: Duration = Duration::from_millis(5);
 /// Connections ended together where there is no room.
@@ -90,7 +98,10 @@
     idle_since: Mutex<Option<Instant>>,
     asked: AtomicBool,
     asked_to_end: AtomicBool,
+    /// Whether some of an answer could not be written yet.
+    behind: AtomicBool,
     end: Notify,
+    framing: Mutex<Framing>,
 }
 
 impl Client {
@@ -101,6 +112,49 @@
     fn set_idle(&self, since: Option<Instant>) {
         *self.idle_since.lock().unwrap_or_else(PoisonError::into_inner) = since;
     }
+
+    fn framing(&self) -> MutexGuard<'_, Framing> {
+        self.framing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// When it will have said nothing for too long, or not ended what it says.
+    fn patience(&self, opened: Instant) -> Option<Instant> {
+        let since = self.idle().filter(|_| !self.behind.load(Ordering::Relaxed))?;
+        let head = self.framing().head_since();
+        let until = head.map_or(since + SILENT, |head| head + HEAD);
+        Some(if self.asked.load(Ordering::Relaxed) { until } else { until.min(opened + FIRST) })
+    }
+}
+
+/// An answer's body: its client is idle once it is through.
+struct Tail {
+    body: Body,
+    client: Arc<Client>,
+}
+
+impl HttpBody for Tail {
+    type Data = Bytes;
+    type Error = axum::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, axum::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for Tail {
+    fn drop(&mut self) {
+        self.client.set_idle(Some(Instant::now()));
+    }
 }
 
 #[derive(Default)]
@@ -129,17 +183,19 @@
 /// A client's connection that ends where nothing of an answer can be written for too long.
 struct Patient {
     stream: TcpStream,
-    stalled: Option<Pin<Box<Sleep>>>,
+    stall: Stall,
+    client: Arc<Client>,
 }
 
 impl Patient {
     fn wrote<T>(&mut self, cx: &mut Context<'_>, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
-        if written.is_ready() {
-            self.stalled = None;
-            return written;
+        let written = self.stall.wrote(cx, written);
+        let was_behind = self.client.behind.swap(written.is_pending(), Ordering::Relaxed);
+        if was_behind && written.is_ready() && self.client.idle().is_some() {
+            // Its rest begins once it has caught up.
+            self.client.set_idle(Some(Instant::now()));
         }
-        let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(UNREAD)));
-        stalled.as_mut().poll(cx).map(|()| Err(io::ErrorKind::TimedOut.into()))
+        written
     }
 }
 
@@ -147,7 +203,10 @@
     fn poll_read(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        self.client.framing().feed(&buf.filled()[before..], Instant::now());
+        read
     }
 }
 
@@ -215,7 +274,9 @@
             idle_since: Mutex::new(Some(Instant::now())),
             asked: AtomicBool::new(false),
             asked_to_end: AtomicBool::new(false),
+            behind: AtomicBool::new(false),
             end: Notify::new(),
+            framing: Mutex::new(Framing::new()),
         });
         clients.open.lock().unwrap_or_else(PoisonError::into_inner).insert(number, Arc::clone(&client));
         let (clients, router, duty) = (Arc::clone(&clients), router.clone(), duty.clone());
@@ -275,40 +336,49 @@
 ) -> &'static str {
     let _ = stream.set_nodelay(true);
     let (opened, told) = (Instant::now(), duty.clone());
-    let service = service_fn(|request| {
+    let service = service_fn(|mut request: Request<Incoming>| {
+        if let Some(came) = client.framing().next() {
+            request.extensions_mut().insert(came);
+        }
         client.asked.store(true, Ordering::Relaxed);
         client.set_idle(None);
         let (mut router, told) = (router.clone(), told.clone());
         async move {
-            let mut answer = router.call(request).await?;
-            client.set_idle(Some(Instant::now()));
+            let answer = router.call(request).await?;
+            let mut answer = answer.map(|body| Body::new(Tail { body, client: Arc::clone(client) }));
             if told.borrow().ready().is_err() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(answer)
         }
     });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(SILENT)
-        .max_buf_size(MOST_BUFFER)
-        .serve_connection(TokioIo::new(Patient { stream, stalled: None }), service);
+    let connection =
+        http1::Builder::new().header_read_timeout(None).max_buf_size(MOST_BUFFER).serve_connection(
+            TokioIo::new(Patient { stream, stall: Stall::new(UNREAD), client: Arc::clone(client) }),
+            service,
+        );
     let mut connection = std::pin::pin!(connection);
     let (mut code, mut leaving) = (None, false);
     loop {
         let leave = duty.borrow_and_update().leave(opened);
+        let patience = client.patience(opened).unwrap_or_else(|| Instant::now() + SILENT);
         let (leave_at, why) = leave.unwrap_or((opened, "closed_by_client"));
         tokio::select! {
             ended = connection.as_mut() => {
                 return match ended {
                     Ok(()) => code.unwrap_or(why),
-                    Err(wrong) if wrong.is_timeout() => "silent",
                     Err(wrong) if wrong.is_parse() => "not_http",
+                    Err(wrong) if wrong.is_user() => "cut_off",
                     Err(wrong) if timed_out(&wrong) => "unread",
                     Err(_) => "client_gone",
                 };
             }
             Ok(()) = duty.changed() => {}
+            () = sleep_until(patience) => {
+                if client.patience(opened).is_some_and(|until| until <= Instant::now()) {
+                    return "silent";
+                }
+            }
             () = sleep_until(leave_at), if leave.is_some() && !leaving => {
                 leaving = true;
                 // hyper would not end one by itself that has never asked.
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -3,9 +3,11 @@
 
 mod admin;
 mod backends;
+mod bodies;
 mod connect;
 mod decide;
 mod discovery;
+mod framing;
 mod front;
 mod handover;
 mod peers;
@@ -28,6 +30,7 @@
 
 use crate::admin::Admin;
 use crate::backends::Backends;
+use crate::bodies::Pool;
 use crate::decide::Decide;
 use crate::discovery::{Discovery, List, Names};
 use crate::front::Duty;
@@ -42,8 +45,6 @@
 const EASY: usize = 4;
 /// Where the limits name none.
 const SOCKETS: usize = 1024;
-/// Of the memory for one whole answer: a few dozen are in hand at a time, and few of them are large.
-const ANSWERS: usize = 32;
 /// Where the limits name no memory.
 const MEMORY_MB: usize = 128;
 /// Where the settings name no time to connect, none that idle connections may stand, or none for a query.
@@ -168,9 +169,10 @@
         None => None,
     };
     let others = handover.as_ref().map_or_else(|| watch::Sender::new(0).subscribe(), |one| one.others());
+    let [bodies, answers] = [(); 2].map(|()| Arc::new(Pool::new(memory_mb << 20)));
     let backends = Arc::new(Backends::new(
         executions,
-        (memory_mb << 20) / ANSWERS,
+        Arc::clone(&answers),
         said(at(settings, "Limits.ConnectTimeoutUs")?, CONNECT),
         said(at(settings, "Limits.IdleCloseUs")?, IDLE),
     ));
@@ -199,6 +201,9 @@
     tokio::spawn(reload(hangup, moved));
     tokio::spawn(peers.listen(Arc::clone(&decide)));
     tokio::spawn(Arc::clone(&backends).leave_room(others.clone(), executions));
+    for pool in [&bodies, &answers] {
+        tokio::spawn(Arc::clone(pool).leave_room(others.clone()));
+    }
     tokio::spawn(share(Arc::clone(&decide), others.clone()));
 
     let (duty, on_duty) = watch::channel(Duty::Serving);
@@ -207,6 +212,7 @@
     let proxy = Proxy {
         decide,
         backends,
+        bodies,
         workloads: each(settings, "Workloads", "Name")?,
         repeats: crankpick_launch::repeats(settings)?,
         statement_timeouts: statement_timeouts.into_iter().map(|us| said(us, STATEMENT)).collect(),
--- a/crates/proxy/src/query.rs
+++ b/crates/proxy/src/query.rs
@@ -4,30 +4,29 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::Poll;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use axum::body::{Body, HttpBody};
+use axum::body::Body;
 use axum::extract::{Request, State};
 use axum::http::header::{CONNECTION, TRANSFER_ENCODING};
 use axum::http::request::Parts;
 use axum::http::{HeaderMap, HeaderValue, Method, Response, StatusCode};
 use crankpick::interface::{Ended, Repeat};
-use http_body_util::BodyExt;
 use tokio::sync::{mpsc, watch};
-use tokio::time::timeout;
 
-use crate::backends::{Backends, Heard, MOST_BODY};
+use crate::backends::{Backends, Heard};
+use crate::bodies::{Broken, Payload, Pool};
 use crate::decide::{Decide, Decided, NotTaken};
+use crate::framing::Came;
 
 /// Kept back from what the client waits, for the way there and for writing the answer.
 const ROOM: Duration = Duration::from_millis(10);
-/// A body comes right behind its head.
-const BODY: Duration = Duration::from_secs(2);
 
 /// What every query needs, and the names that requests use, in the order of the settings.
 pub struct Proxy {
     pub decide: Arc<Decide>,
     pub backends: Arc<Backends>,
+    pub bodies: Arc<Pool>,
     pub workloads: Vec<String>,
     pub repeats: Vec<Repeat>,
     pub statement_timeouts: Vec<Duration>,
@@ -37,26 +36,31 @@
 }
 
 pub async fn answer(State(proxy): State<Arc<Proxy>>, request: Request) -> Response<Body> {
-    let came = Instant::now();
-    let (head, body) = request.into_parts();
-    // Beside a Content-Length it may hide a second request in the body, and hyper shows but one of the two.
-    if head.headers.contains_key(TRANSFER_ENCODING) {
-        return last(StatusCode::LENGTH_REQUIRED, "a body needs its Content-Length");
-    }
-    if body.size_hint().lower() > MOST_BODY as u64 {
-        return last(StatusCode::PAYLOAD_TOO_LARGE, "the body holds more than 64 KiB");
+    let (mut head, body) = request.into_parts();
+    // Such a length may hide a second request in the body; a request that was not followed may as well.
+    let came = head.extensions.remove::<Came>();
+    if head.headers.contains_key(TRANSFER_ENCODING) && came.is_none_or(|came| came.two_lengths) {
+        return last(StatusCode::BAD_REQUEST, "a length given in two ways");
     }
     let asked = match Asked::read(&head, &proxy) {
         Ok(asked) => asked,
         Err(wrong) => return plain(StatusCode::BAD_REQUEST, &wrong),
     };
-    let body = match timeout(asked.wait.min(BODY), body.collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(_)) => return last(StatusCode::BAD_REQUEST, "the body broke off"),
-        Err(_) => return last(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
+    let payload = match Payload::read(body, &proxy.bodies).await {
+        Ok(payload) => payload,
+        Err(wrong) => {
+            let status = match wrong {
+                Broken::Still => StatusCode::REQUEST_TIMEOUT,
+                Broken::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+                Broken::Off | Broken::Gone => StatusCode::BAD_REQUEST,
+            };
+            return last(status, &wrong.to_string());
+        }
     };
-    // The client counts from when it sent the request: what the body took on its way is gone.
-    let ttl_us = asked.wait.saturating_sub(came.elapsed() + ROOM).as_micros() as u64;
+    // The client counts from its last byte; what a pipelined request waited here is gone.
+    let waited = came.and_then(|came| came.whole).map_or(Duration::ZERO, |whole| whole.elapsed());
+    let wait = asked.wait.saturating_sub(waited + ROOM);
+    let ttl_us = wait.as_micros() as u64;
     let taken = proxy.decide.query(&asked.id, asked.workload, asked.tenant, ttl_us, asked.hint_us);
     let decided = match taken {
         Ok(decided) => decided,
@@ -77,14 +81,16 @@
                 report(&life.decide, &life.id, execution, &heard);
                 if let Some(answer) = heard.answer {
                     life.answered = true;
-                    return answer.map(Body::from);
+                    return answer;
                 }
             }
             decided = life.decided.recv() => match decided {
                 Some(Decided::Execute { backend, timeout_us }) => {
-                    let wait = Duration::from_micros(timeout_us);
-                    let backends = Arc::clone(&proxy.backends);
-                    let execution = backends.execute(backend, Arc::clone(&head), body.clone(), wait, one_chance);
+                    let wait = if payload.passing() { wait } else { Duration::from_micros(timeout_us) };
+                    let (backends, head) = (Arc::clone(&proxy.backends), Arc::clone(&head));
+                    let (payload, decide, id) = (payload.clone(), Arc::clone(&proxy.decide), life.id.clone());
+                    let body = { let payload = payload.clone(); move || payload.body(&decide, &id) };
+                    let execution = backends.execute(backend, head, wait, one_chance, payload, body);
                     life.out.push((life.executions, Box::pin(execution)));
                     life.executions += 1;
                 }
@@ -284,7 +290,7 @@
         });
         let balancer = crankpick_launch::balancer(7, &settings).expect("sound");
         let peers = Arc::new(Peers::new(None, vec![]).expect("none"));
-        let backends = Arc::new(Backends::new(9, 9, BODY, BODY));
+        let backends = Arc::new(Backends::new(9, Arc::new(Pool::new(0)), ROOM, ROOM));
         let path = axum::http::Uri::from_static("/");
         let decide = Decide::new(balancer, 4, Arc::default(), peers, backends, path);
         decide.list(true, &[Listed { backend: 1, phase: Phase::Ready, weight: 1.0, ..Listed::default() }]);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -403,7 +403,7 @@
         let all = workload.repeat == Repeat::Deduplicated && workload.group == DedupGroup::All;
         let harmless = qry.binding().is_none() || workload.repeat == Repeat::Idempotent || all;
         match harmless {
-            true => out.reject(&qry.id, wait_us.max(self.target_us as u64).min(self.limits.max_backoff_us)),
+            true => out.reject(&qry.id, wait_us.max(self.target_us as u64).min(qry.limits.max_backoff_us)),
             false => out.abort(&qry.id),
         }
         self.close(id, out);
@@ -413,7 +413,7 @@
     fn close(&mut self, id: &str, out: &mut dyn Writer) {
         let Some(qry) = self.queries.get_mut(id) else { return };
         self.waiting.remove(&qry.place());
-        if !qry.over && self.limits.cancel {
+        if !qry.over && qry.limits.cancel {
             let still = qry.executions.iter().enumerate().filter(|(_, exec)| exec.out);
             still.for_each(|(number, _)| out.cancel(&qry.id, number as u32));
         }
@@ -462,19 +462,17 @@
         // a budget that overload spends at once: further executions must not feed it. Where copies may not
         // run side by side what is lost is called off first; an answered probe tells that it was passed.
         let usual = mean_or(self.ours().map(|backend| backend.pace), 0.0);
-        let (two, most) = (self.limits.may_duplicate, self.limits.max_executions as usize);
-        let moves = self.standing.probes && self.limits.cancel;
         let late = |qry: &Query| {
-            let left = qry.executions.len();
+            let (ran, two) = (qry.executions.len(), qry.limits.may_duplicate);
             let exec = qry.executions.last().filter(|exec| exec.out && !exec.called_off)?;
             let once = self.workloads[qry.workload].repeat == Repeat::NonIdempotent;
-            let may = left < most && if two { left == 1 } else { moves && !once };
+            let may = if two { ran == 1 } else { self.standing.probes && qry.limits.cancel && !once };
             // One whose deadline is reached gets none: its time-out is on its way here.
             let late_us = exec.sent_us + (2 * exec.expected_us).max(qry.slo_us / 3);
-            let due = may && !qry.over && now_us < qry.deadline_us && now_us > late_us;
-            due.then(|| (qry.id.clone(), exec.backend, exec.serial))
+            let due = may && !qry.over && qry.may_go_on(now_us) && now_us > late_us;
+            due.then(|| (qry.id.clone(), exec.backend, exec.serial, two))
         };
-        for (id, at, serial) in self.queries.values().filter_map(late).collect::<Vec<_>>() {
+        for (id, at, serial, two) in self.queries.values().filter_map(late).collect::<Vec<_>>() {
             let backend = &self.fleet[&at];
             let lost = backend.held.get(&serial).is_some_and(|held| held.lost);
             if self.further < 1.0 {
@@ -533,6 +531,7 @@
             slo_us,
             deadline_us: self.now_us.saturating_add(ttl_us),
             importance,
+            limits: b.limits,
             ..Query::default()
         };
         b.usual_importance +=
@@ -597,11 +596,9 @@
         } else if !out {
             let qry = &b.queries[id];
             // What reached no backend, or hardly, burdens none, so it takes nothing from the budget.
-            let free = matches!(ended, Ended::Unreachable | Ended::Stale)
-                || b.standing.probes && ended == Ended::TurnedAway;
-            let price = if free { 0.0 } else { 1.0 };
-            let more = (qry.executions.len() as u32) < b.limits.max_executions
-                && qry.deadline_us > now_us
+            let untaken = b.standing.probes && ended == Ended::TurnedAway;
+            let price = if untaken || matches!(ended, Ended::Unreachable | Ended::Stale) { 0.0 } else { 1.0 };
+            let more = qry.may_go_on(now_us)
                 && b.further >= price
                 && b.fleet.values().any(|other| other.ready() && b.allowed(qry, &other.listed, now_us));
             if more {
@@ -619,11 +616,8 @@
         let Some(backend) = b.fleet.get_mut(&id).filter(|backend| backend.probed.is_some()) else { return };
         b.quickest_us = if ended == Ended::Completed { b.quickest_us.min(took_us) } else { b.quickest_us };
         // One that took no more probes is well past its maximum, one that said nothing farther.
-        let silent = match ended {
-            Ended::Completed => None,
-            Ended::TurnedAway => Some(4.0 * backend.max),
-            _ => Some(8.0 * backend.max),
-        };
+        let maxima = if ended == Ended::TurnedAway { 4.0 } else { 8.0 };
+        let silent = (ended != Ended::Completed).then_some(maxima * backend.max);
         let waited_us = took_us.saturating_sub(b.quickest_us);
         backend.see(now_us, waited_us, report.unwrap_or_default(), VALUES[1], silent);
         let errors = report.and_then(|report| report.errors_per_s);
@@ -671,6 +665,11 @@
         }
     }
 
+    /// The latest execution's body has begun to go, so that there is no other, or has gone whole.
+    pub fn sending(&mut self, id: &str, whole: bool) {
+        self.balancer.sending(id, if whole { self.now_us } else { self.now_us + A_LONG_TIME_US });
+    }
+
     /// Operators take a backend out, or back, whatever the list says of it.
     pub fn by_hand(&mut self, id: u32, out: bool) {
         self.balancer.by_hand(id, out, self.now_us);
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -10,6 +10,8 @@
 const SHARE_KEPT: f64 = 4.0;
 /// Waves of candidates that a query has probed for it: rotation's next, its group, the part, those beyond.
 pub const WAVES: u32 = 4;
+/// Longer than any body is on its way: an execution that counts as sent then is late for nobody.
+pub const A_LONG_TIME_US: u64 = 86_400_000_000;
 /// What a backend takes on at the most before any outcome tells.
 pub const DEFAULT_MAX: f64 = 8.0;
 
@@ -101,6 +103,8 @@
     pub importance: f64,
     pub executions: Vec<Execution>,
     pub over: bool,
+    /// Those in force when it came.
+    pub limits: ExecutionLimits,
 }
 
 impl Query {
@@ -113,6 +117,11 @@
         self.executions.iter().any(|exec| exec.out)
     }
 
+    /// Whether its number of executions and its time allow one more.
+    pub fn may_go_on(&self, now_us: u64) -> bool {
+        self.executions.len() < self.limits.max_executions as usize && now_us < self.deadline_us
+    }
+
     /// Whether all waves of candidates were probed for it and none is waited for.
     pub fn asked_all(&self, fleet: &BTreeMap<u32, Backend>) -> bool {
         self.waves >= WAVES && self.asked.iter().all(|at| fleet[at].probed.is_none())
@@ -486,6 +495,16 @@
         (came, left)
     }
 
+    /// The latest execution of a query is the last, and counts as sent then.
+    pub(crate) fn sending(&mut self, id: &str, sent_us: u64) {
+        let Some(qry) = self.queries.get_mut(id) else { return };
+        let Some(exec) = qry.executions.last_mut().filter(|exec| exec.out) else { return };
+        (qry.limits.max_executions, exec.sent_us) = (0, sent_us);
+        if let Some(held) = self.fleet.get_mut(&exec.backend).and_then(|at| at.held.get_mut(&exec.serial)) {
+            held.sent_us = sent_us;
+        }
+    }
+
     /// Takes a backend out or back; one that comes back may have started anew with nobody told of it yet.
     pub(crate) fn by_hand(&mut self, id: u32, out: bool, now_us: u64) {
         let out_us =
