A body on its way is no load of its backend's and counts from its last byte; tests of long bodies

Cause: executions whose body was still coming counted as held, with all their work (kept.rs there()), and their age bounded the pace. Ruled out: slow backends (heads p90 131 ms), memory (11 of 48 MB), descriptors.

--- a/crates/proxy/tests/sockets/daily.rs
+++ b/crates/proxy/tests/sockets/daily.rs
@@ -2,8 +2,8 @@
 
 use crate::stand_ins::*;
 use serde_json::{json, Value};
-use std::io::BufRead;
-use std::net::{SocketAddr, UdpSocket};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::time::{Duration, Instant};
 
 const READY: &[u8] = b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
@@ -199,3 +199,196 @@
     assert!(said.contains("code=\"out_unsound\""), "{said}");
     let _ = child.kill().and_then(|()| child.wait());
 }
+
+/// Far more than is kept, or than buffers hold between a client and a backend.
+const LONG: usize = 24 << 20;
+
+fn head(id: &str, said: &str) -> String {
+    format!("POST /pay/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: {id}\r\nX-Deadline: 2000m\r\n{said}\r\n")
+}
+
+/// A backend that does as it is told with each connection.
+fn by_hand() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    (listener, address)
+}
+
+fn accepted(listener: &TcpListener) -> BufReader<TcpStream> {
+    let stream = listener.accept().expect("the proxy connects").0;
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    BufReader::new(stream)
+}
+
+fn head_of(reader: &mut BufReader<TcpStream>) -> String {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        assert!(reader.read_line(&mut head).expect("a head") > 0, "{head}");
+    }
+    head
+}
+
+#[test]
+fn a_long_body_reaches_the_backend_while_the_client_still_sends_it() {
+    let (discovery, (listener, address)) = (Discovery::start(), by_hand());
+    let proxy = Proxy::start(&operated(&discovery, &[address]));
+    let part = vec![b'x'; LONG / 4];
+    for said in [format!("Content-Length: {LONG}\r\n"), "Transfer-Encoding: chunked\r\n".to_owned()] {
+        let chunked = said.contains("chunked");
+        let mut client = proxy.client();
+        let send = |client: &mut Client| {
+            if chunked {
+                client.say(format!("{:x}\r\n", part.len()).as_bytes());
+            }
+            client.say(&part);
+            if chunked {
+                client.say(b"\r\n");
+            }
+        };
+        client.say(head("long", &said).as_bytes());
+        let all = std::thread::scope(|scope| {
+            scope.spawn(|| send(&mut client));
+            let mut backend = accepted(&listener);
+            let told = head_of(&mut backend).to_lowercase();
+            assert!(told.contains(&said.to_lowercase()), "{told}");
+            // Some of it, before the client has sent the rest.
+            backend.read_exact(&mut vec![0; LONG / 8]).expect("it flows");
+            backend
+        });
+        let mut backend = all;
+        std::thread::scope(|scope| {
+            scope.spawn(|| {
+                (0..3).for_each(|_| send(&mut client));
+                if chunked {
+                    client.say(b"0\r\nTrailer: t\r\n\r\n");
+                }
+            });
+            let mut left = LONG - LONG / 8;
+            while left > 0 {
+                let read = backend.fill_buf().expect("more").len();
+                assert!(read > 0, "cut off with {left} to come");
+                left = left.saturating_sub(read);
+                backend.consume(read);
+            }
+            if chunked {
+                // What frames its chunks is some more.
+                let mut rest = Vec::new();
+                while !rest.ends_with(b"0\r\n\r\n") {
+                    assert!(backend.read_until(b'\n', &mut rest).expect("an end") > 0);
+                }
+            }
+        });
+        backend.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").expect("written");
+        assert_eq!(client.heard().body, b"ok");
+    }
+}
+
+#[test]
+fn what_is_no_longer_kept_goes_to_no_other_backend() {
+    let (discovery, (one, first), (two, second)) = (Discovery::start(), by_hand(), by_hand());
+    let mut told = operated(&discovery, &[first, second]);
+    // Where a broken execution of a short one would go on elsewhere.
+    told["settings"]["Workloads"][1]["Repeat"] = json!("dedup");
+    let proxy = Proxy::start(&told);
+    let mut client = proxy.client();
+    client.say(head("gone", &format!("Idempotency-Key: k\r\nContent-Length: {LONG}\r\n")).as_bytes());
+    client.say(&vec![b'x'; 1 << 20]);
+    [&one, &two].iter().for_each(|listener| listener.set_nonblocking(true).expect("set"));
+    let stream = loop {
+        if let Some((stream, _)) = [&one, &two].iter().find_map(|listener| listener.accept().ok()) {
+            break stream;
+        }
+        std::thread::yield_now();
+    };
+    stream.set_nonblocking(false).expect("set");
+    let mut backend = BufReader::new(stream);
+    backend.read_exact(&mut vec![0; 512 << 10]).expect("more than is kept");
+    drop(backend);
+    assert!(matches!(client.heard().status(), 502 | 503));
+    assert!([&one, &two].iter().all(|listener| listener.accept().is_err()));
+}
+
+#[test]
+fn a_long_answer_flows_and_waits_for_a_client_that_reads_slowly() {
+    let (discovery, (listener, address)) = (Discovery::start(), by_hand());
+    let mut told = operated(&discovery, &[address]);
+    told["limits"]["memory_mb"] = json!(16);
+    let proxy = Proxy::start(&told);
+    for said in [format!("Content-Length: {LONG}\r\n"), "Connection: close\r\n".to_owned()] {
+        let mut client = proxy.client();
+        client.ask("pay", "long", 1_000);
+        let mut backend = accepted(&listener);
+        head_of(&mut backend);
+        backend.consume(2);
+        let sent = Instant::now();
+        let backend = backend.get_mut();
+        backend.write_all(format!("HTTP/1.1 200 OK\r\n{said}\r\n").as_bytes()).expect("written");
+        backend.write_all(&vec![b'x'; 256 << 10]).expect("written");
+        // The first of it is here before the last was made, and a pause past its deadline does not end it.
+        assert_eq!(client.status_line(), 200);
+        std::thread::scope(|scope| {
+            scope.spawn(|| {
+                std::thread::sleep(Duration::from_millis(1_200));
+                backend.write_all(&vec![b'x'; LONG - (256 << 10)]).expect("written");
+                backend.shutdown(std::net::Shutdown::Write).expect("shut");
+            });
+            client.rest(LONG, Duration::from_millis(1_500));
+        });
+        assert!(sent.elapsed() > Duration::from_millis(1_400));
+        assert!(proxy.memory_mb() < 16, "{} MB", proxy.memory_mb());
+    }
+}
+
+#[test]
+fn all_forms_of_a_request_are_served() {
+    let (discovery, backend) = (Discovery::start(), Backend::start());
+    let proxy = Proxy::start(&operated(&discovery, &[backend.address]));
+    let mut client = proxy.client();
+    let serve = |client: &mut Client, said: &[u8], body: &[u8]| {
+        client.say(said);
+        let mut asked = backend.next();
+        assert_eq!((asked.message.body.as_slice(), asked.message.header("expect")), (body, None));
+        asked.answer(200, "", "ok");
+        assert_eq!(client.heard().body, b"ok");
+    };
+    let chunked =
+        head("chunked", "Transfer-Encoding: chunked\r\nTrailer: T\r\n") + "2;x=y\r\nok\r\n0\r\nT: t\r\n\r\n";
+    chunked.as_bytes().iter().take(chunked.len() - 1).for_each(|byte| client.say(&[*byte]));
+    serve(&mut client, b"\n", b"ok");
+    let absolute = head("absolute", "Content-Length: 0\r\n").replace("/pay/x", "http://api.internal/pay/x");
+    serve(&mut client, absolute.as_bytes(), b"");
+    client.say(head("expects", "Content-Length: 2\r\nExpect: 100-continue\r\n").as_bytes());
+    assert_eq!(client.status_line(), 100);
+    serve(&mut client, b"ok", b"ok");
+    // Both are sent before either is answered, and each is answered in turn.
+    let pair = head("one", "Content-Length: 1\r\n") + "1" + &head("two", "Content-Length: 1\r\n") + "2";
+    serve(&mut client, pair.as_bytes(), b"1");
+    serve(&mut client, b"", b"2");
+    let mut old = proxy.client();
+    let said = head("old", "Content-Length: 0\r\n").replace("HTTP/1.1", "HTTP/1.0");
+    serve(&mut old, said.as_bytes(), b"");
+    assert!(old.hear().is_none());
+}
+
+/// A client may take 2 s for a head, after a rest, and longer for a body that keeps coming.
+#[test]
+fn slow_clients_are_served_and_those_that_stand_still_are_not() {
+    let discovery = Discovery::start();
+    let sound = Backend::answering(|asked| asked.answer(200, "", "ok"));
+    let proxy = Proxy::start(&operated(&discovery, &[sound]));
+    let mut client = proxy.client();
+    client.ask("read", "first", 1_000);
+    assert_eq!(client.heard().status(), 200);
+    let said = head("slow", "Content-Length: 20\r\n") + &"x".repeat(20);
+    let (pieces, mut sent) = (said.as_bytes().chunks(said.len() / 8 + 1), 0);
+    for piece in pieces {
+        std::thread::sleep(Duration::from_millis(300));
+        client.say(piece);
+        sent += 1;
+    }
+    assert_eq!((client.heard().status(), sent), (200, 8));
+    let stands = Instant::now();
+    client.say(&said.as_bytes()[..said.len() - 1]);
+    assert_eq!(client.heard().status(), 408);
+    assert!(stands.elapsed() < Duration::from_secs(3));
+}
--- a/crates/proxy/tests/sockets/stand_ins.rs
+++ b/crates/proxy/tests/sockets/stand_ins.rs
@@ -363,6 +363,12 @@
         Client::new(TcpStream::connect(self.address).expect("the proxy accepts"))
     }
 
+    pub fn memory_mb(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
+        let most = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("told");
+        most.trim().trim_end_matches(" kB").parse::<usize>().expect("a number") >> 10
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
@@ -439,6 +445,26 @@
         line
     }
 
+    /// The status of a head that is read to its end, and nothing behind it.
+    pub fn status_line(&mut self) -> u16 {
+        let mut head = String::new();
+        while !head.ends_with("\r\n\r\n") {
+            assert!(self.stream.read_line(&mut head).expect("a head") > 0, "{head}");
+        }
+        Message { head, body: Vec::new() }.status()
+    }
+
+    /// Reads on for so many bytes of a body, after a pause.
+    pub fn rest(&mut self, mut bytes: usize, pause: Duration) {
+        std::thread::sleep(pause);
+        while bytes > 0 {
+            let read = self.stream.fill_buf().expect("more").len();
+            assert!(read > 0, "cut off with {bytes} to come");
+            self.stream.consume(read);
+            bytes = bytes.saturating_sub(read);
+        }
+    }
+
     /// None where the proxy has ended the connection.
     pub fn hear(&mut self) -> Option<Message> {
         Message::read(&mut self.stream)
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -369,8 +369,10 @@
             backend.cold_sent.push_back((now_us, qry.work));
         }
         let (ahead, told) = (backend.work() + qry.work, backend.tells(self.standing.peers, qry.work));
-        let held = Held { sent_us: now_us, load: qry.load, work: qry.work, ahead, told, lost: false };
-        backend.held.insert(self.last_serial, held);
+        let (load, work, lost, coming) = (qry.load, qry.work, false, false);
+        backend
+            .held
+            .insert(self.last_serial, Held { sent_us: now_us, load, work, ahead, told, lost, coming });
         let expected_us = (ahead / backend.pace.max(1e-9)) as u64;
         qry.executions.push(Execution::new(id, self.last_serial, now_us, expected_us));
         out.execute(&qry.id, id, qry.deadline_us - now_us);
@@ -667,7 +669,7 @@
 
     /// The latest execution's body has begun to go, so that there is no other, or has gone whole.
     pub fn sending(&mut self, id: &str, whole: bool) {
-        self.balancer.sending(id, if whole { self.now_us } else { self.now_us + A_LONG_TIME_US });
+        self.balancer.sending(id, whole, self.now_us);
     }
 
     /// Operators take a backend out, or back, whatever the list says of it.
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -145,6 +145,8 @@
     pub told: bool,
     /// Held to hang on a dead connection: no load of the backend's.
     pub lost: bool,
+    /// Its body is still on the way: the backend has not begun.
+    pub coming: bool,
 }
 
 /// What a peer has last told of all its executions on a backend, counted until it is held to be done.
@@ -244,7 +246,7 @@
 
     /// Our executions that the backend is held to have.
     pub fn there(&self) -> impl Iterator<Item = &Held> {
-        self.held.values().filter(|held| !held.lost)
+        self.held.values().filter(|held| !held.lost && !held.coming)
     }
 
     pub fn idle(&self) -> bool {
@@ -495,13 +497,16 @@
         (came, left)
     }
 
-    /// The latest execution of a query is the last, and counts as sent then.
-    pub(crate) fn sending(&mut self, id: &str, sent_us: u64) {
+    /// The latest execution of a query is the last, and counts as sent only once its body has come whole.
+    pub(crate) fn sending(&mut self, id: &str, whole: bool, now_us: u64) {
         let Some(qry) = self.queries.get_mut(id) else { return };
         let Some(exec) = qry.executions.last_mut().filter(|exec| exec.out) else { return };
-        (qry.limits.max_executions, exec.sent_us) = (0, sent_us);
-        if let Some(held) = self.fleet.get_mut(&exec.backend).and_then(|at| at.held.get_mut(&exec.serial)) {
-            held.sent_us = sent_us;
+        qry.limits.max_executions = 0;
+        exec.sent_us = if whole { now_us } else { now_us + A_LONG_TIME_US };
+        let Some(backend) = self.fleet.get_mut(&exec.backend) else { return };
+        let before = backend.work();
+        if let Some(held) = backend.held.get_mut(&exec.serial) {
+            (held.sent_us, held.ahead, held.coming) = (exec.sent_us, before + held.work, !whole);
         }
     }
 
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -167,6 +167,25 @@
     assert!(ledger.wrong.is_empty(), "{:?}", ledger.wrong);
 }
 
+/// A long body takes seconds on its way: meanwhile the backend is as free as before, and then has but begun.
+#[test]
+fn a_body_on_its_way_is_no_load_and_gets_no_further_execution() {
+    let (mut ledger, mut balancer) = start(Repeat::Idempotent, 1, 1, 0, true);
+    spread(&mut ledger, &mut balancer, "warm", &[Some(20_000); 40]);
+    for turn in 0..12 {
+        let id = format!("long{turn}");
+        ask(&mut ledger, &mut balancer, &id, Some(20_000));
+        assert_eq!(ledger.queries[&id].sent.len(), 1, "{id} waits for bodies on their way");
+        ledger.round(&mut balancer, 5_000, |_, inbox| inbox.sending(&id, false));
+    }
+    // Long past the time of any second copy, and of what bounds a pace.
+    (0..40).for_each(|_| ledger.round(&mut balancer, 25_000, |_, _| ()));
+    ask(&mut ledger, &mut balancer, "short", Some(20_000));
+    assert_eq!(ledger.queries["short"].sent.len(), 1);
+    end(&mut ledger, &mut balancer, 20_000, |_| Ended::Errored);
+    assert!(ledger.queries.iter().all(|(id, qry)| !id.starts_with("long") || qry.sent.len() == 1));
+}
+
 #[test]
 fn a_cold_backend_gets_no_more_than_this_proxys_share_of_what_it_bears() {
     let (mut ledger, mut balancer) = start(Repeat::Idempotent, 2, 2, 0, false);
