--- a/crates/launch/src/lib.rs
+++ b/crates/launch/src/lib.rs
@@ -95,40 +95,53 @@
     })
 }
 
-pub fn balancer(salt: u64, conf: &Value) -> Result<Balancer, String> {
-    if !conf.is_object() {
-        return Err("the settings are not an object".into());
-    }
-    let workloads: Vec<Value> = at(conf, "Workloads")?;
-    let tenants: Vec<Value> = at(conf, "Tenants")?;
-    let workloads: Result<Vec<Workload>, String> = workloads.iter().map(workload).collect();
+/// What queries may name, in the order of the settings.
+pub fn workloads(conf: &Value) -> Result<Vec<Workload>, String> {
+    at::<Vec<Value>>(conf, "Workloads")?.iter().map(workload).collect()
+}
+
+pub fn tenants(conf: &Value) -> Result<Vec<Tenant>, String> {
     let beyond: f64 = at(conf, "BeyondShareImportance")?;
-    let tenants: Result<Vec<Tenant>, String> = tenants.iter().map(|one| tenant(one, beyond)).collect();
+    at::<Vec<Value>>(conf, "Tenants")?.iter().map(|one| tenant(one, beyond)).collect()
+}
+
+pub fn limits(conf: &Value) -> Result<ExecutionLimits, String> {
     let advice: bool = at(conf, "Limits.RetryAfter")?;
-    let discovery: String = at(conf, "Discovery")?;
+    Ok(ExecutionLimits {
+        max_executions: at(conf, "Limits.MaxExecutions")?,
+        may_duplicate: at(conf, "Limits.MayDuplicate")?,
+        cancel: at(conf, "Limits.Cancel")?,
+        max_backoff_us: if advice { at(conf, "Limits.MaxRetryAfterUs")? } else { 0 },
+    })
+}
+
+pub fn cold(conf: &Value) -> Result<ColdRule, String> {
     let share: Option<f64> = at(conf, "Safety.ColdShare")?;
     let share = share.unwrap_or(1.0);
     if !(0.0..=1.0).contains(&share) {
         return Err(format!("Safety.ColdShare in the settings: {share} is no share"));
     }
+    Ok(ColdRule {
+        start_capacity: at(conf, "Safety.StartCapacity")?,
+        cold_us: at(conf, "Safety.ColdUs")?,
+        multiple: at::<f64>(conf, "Safety.TipMultiple")? * share,
+        window_us: at(conf, "Safety.OverloadForUs")?,
+    })
+}
+
+pub fn balancer(salt: u64, conf: &Value) -> Result<Balancer, String> {
+    if !conf.is_object() {
+        return Err("the settings are not an object".into());
+    }
+    let discovery: String = at(conf, "Discovery")?;
     Ok(Balancer::new(
         salt,
         at(conf, "Balancers")?,
         at(conf, "MyNumber")?,
-        workloads?,
-        tenants?,
-        ExecutionLimits {
-            max_executions: at(conf, "Limits.MaxExecutions")?,
-            may_duplicate: at(conf, "Limits.MayDuplicate")?,
-            cancel: at(conf, "Limits.Cancel")?,
-            max_backoff_us: if advice { at(conf, "Limits.MaxRetryAfterUs")? } else { 0 },
-        },
-        ColdRule {
-            start_capacity: at(conf, "Safety.StartCapacity")?,
-            cold_us: at(conf, "Safety.ColdUs")?,
-            multiple: at::<f64>(conf, "Safety.TipMultiple")? * share,
-            window_us: at(conf, "Safety.OverloadForUs")?,
-        },
+        workloads(conf)?,
+        tenants(conf)?,
+        limits(conf)?,
+        cold(conf)?,
         discovery == "subscribe",
         standing(conf)?,
     ))
--- a/crates/proxy/src/decide.rs
+++ b/crates/proxy/src/decide.rs
@@ -8,7 +8,7 @@
 
 use axum::http::Uri;
 use crankpick::balance::{Balancer, Inbox};
-use crankpick::interface::{Ended, Listed, LoadReport, Writer};
+use crankpick::interface::{ColdRule, Ended, ExecutionLimits, Listed, LoadReport, Tenant, Workload, Writer};
 use tokio::sync::{mpsc, Notify};
 
 use crate::backends::Backends;
@@ -50,8 +50,6 @@
 pub struct Decide {
     held: Mutex<Held>,
     clock: Clock,
-    /// Decisions that one query can have waiting: its executions, their cancels and its answer.
-    most_decided: usize,
     backends: Arc<Backends>,
     /// What a probe asks for.
     probe_path: Uri,
@@ -60,6 +58,14 @@
 struct Held {
     balancer: Balancer,
     desk: Desk,
+    max_executions: u32,
+}
+
+impl Held {
+    /// Decisions that one query can have waiting: its executions, their cancels and its answer.
+    fn most_decided(&self) -> usize {
+        2 * self.max_executions.max(1) as usize + 2
+    }
 }
 
 /// Where the module's decisions go.
@@ -122,14 +128,13 @@
     ) -> Arc<Self> {
         let (queries, wakes, probes) = (BTreeMap::new(), Vec::new(), Vec::new());
         let desk = Desk { queries, wakes, probes, list_wanted, peers };
-        let most_decided = 2 * max_executions.max(1) as usize + 2;
-        let held = Mutex::new(Held { balancer, desk });
-        Arc::new(Decide { held, clock: Clock::new(), most_decided, backends, probe_path })
+        let held = Mutex::new(Held { balancer, desk, max_executions });
+        Arc::new(Decide { held, clock: Clock::new(), backends, probe_path })
     }
 
     fn round<E>(self: &Arc<Self>, feed: impl FnOnce(&mut Inbox) -> Result<(), E>) -> Result<(), E> {
         let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
-        let Held { balancer, desk } = &mut *held;
+        let Held { balancer, desk, .. } = &mut *held;
         let fed = balancer.round(self.clock.now_us(), desk, feed);
         // The module has one wake-up of a kind out at a time, so these tasks stay few.
         for (in_us, token) in desk.wakes.drain(..) {
@@ -160,18 +165,28 @@
         });
     }
 
+    /// Settings for all queries to come; returns the module's numbers for the workloads.
+    pub fn retune(
+        &self, workloads: Vec<Workload>, tenants: Vec<Tenant>, limits: ExecutionLimits, cold: ColdRule,
+    ) -> Vec<usize> {
+        let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        held.max_executions = limits.max_executions;
+        held.balancer.retune(workloads, tenants, limits, cold)
+    }
+
     /// Takes a query in; its decisions come on the channel, the first perhaps at once.
     pub fn query(
         self: &Arc<Self>, id: &str, workload: usize, tenant: usize, ttl_us: u64, hint_us: Option<u64>,
     ) -> Result<mpsc::Receiver<Decided>, NotTaken> {
-        let (sender, decided) = mpsc::channel(self.most_decided);
-        {
+        let decided = {
             let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
             if held.desk.queries.contains_key(id) {
                 return Err(NotTaken::Known);
             }
+            let (sender, decided) = mpsc::channel(held.most_decided());
             held.desk.queries.insert(id.to_owned(), sender);
-        }
+            decided
+        };
         self.round(|inbox| inbox.query(id, workload, tenant, ttl_us, hint_us)).map_err(|wrong| {
             self.forget(id);
             NotTaken::Unsound(wrong)
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -12,6 +12,7 @@
 mod handover;
 mod peers;
 mod query;
+mod retune;
 
 use std::io::Write;
 use std::net::SocketAddr;
@@ -20,10 +21,10 @@
 use std::time::Duration;
 
 use axum::http::Uri;
-use crankpick_launch::{at, each};
+use crankpick_launch::at;
 use serde_json::Value;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{watch, Notify};
 use tokio::time::{sleep, Instant};
 use tracing_appender::non_blocking::NonBlockingBuilder;
@@ -37,6 +38,7 @@
 use crate::handover::{ByHand, Handover};
 use crate::peers::Peers;
 use crate::query::Proxy;
+use crate::retune::{address, parsed, said, seed, settings, told, Terms};
 
 /// Descriptors that are neither clients' nor backends': log, runtime, list, peers, listeners, callers, and some
 /// spare.
@@ -47,34 +49,17 @@
 const SOCKETS: usize = 1024;
 /// Where the limits name no memory.
 const MEMORY_MB: usize = 128;
-/// Where the settings name no time to connect, none that idle connections may stand, or none for a query.
+/// Where the settings name no time to connect, or none that idle connections may stand.
 const CONNECT: Duration = Duration::from_secs(1);
 const IDLE: Duration = Duration::from_secs(10);
-const STATEMENT: Duration = Duration::from_secs(60);
 /// SIGKILL comes 3.7 s after SIGTERM at the soonest: by then all that was taken must be answered.
 const LAST_CALL: Duration = Duration::from_millis(3_300);
 const LAST_WRITES: Duration = Duration::from_millis(200);
 
-fn parsed(path: &str, text: &str) -> Result<SocketAddr, String> {
-    text.parse().map_err(|_| format!("{path}: no address in {text:?}"))
-}
-
-fn address(told: &Value, path: &str) -> Result<SocketAddr, String> {
-    parsed(path, &at::<String>(told, path)?)
-}
-
 fn addresses(told: &Value, path: &str) -> Result<Vec<SocketAddr>, String> {
     at::<Vec<String>>(told, path)?.iter().map(|text| parsed(path, text)).collect()
 }
 
-/// A time that the settings leave out reads as zero.
-fn said(us: u64, unsaid: Duration) -> Duration {
-    match us {
-        0 => unsaid,
-        us => Duration::from_micros(us),
-    }
-}
-
 /// What a probe asks for: any path will do, as a request without an id is no query.
 fn probe_path(told: &Value) -> Result<Uri, String> {
     let path: Option<String> = at(told, "probe_path")?;
@@ -83,11 +68,6 @@
     sound.ok_or_else(|| format!("probe_path: no path in {path:?}"))
 }
 
-fn seed(told: &Value) -> Result<u64, String> {
-    let text: String = at(told, "seed")?;
-    u64::from_str_radix(&text, 16).map_err(|_| format!("seed: {text:?} is not hexadecimal"))
-}
-
 fn listener(address: SocketAddr, what: &str) -> Result<TcpListener, String> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
     let listener = socket.and_then(|socket| {
@@ -109,26 +89,6 @@
     named.map(|text| parsed("admin_addr", &text)).transpose()
 }
 
-/// Reads the file again at each SIGHUP and follows discovery to where it says; all else holds until the
-/// next start. What would not do for a start changes nothing.
-async fn reload(mut hangup: Signal, moved: watch::Sender<SocketAddr>) {
-    while hangup.recv().await.is_some() {
-        let sound = told().and_then(|told| {
-            crankpick_launch::balancer(seed(&told)?, told.get("settings").ok_or("no settings")?)?;
-            address(&told, "listen")?;
-            probe_path(&told)?;
-            address(&told, "discovery")
-        });
-        match sound {
-            Ok(discovery) => {
-                tracing::info!(code = "reloaded", %discovery, "configuration read again");
-                moved.send_if_modified(|place| std::mem::replace(place, discovery) != discovery);
-            }
-            Err(wrong) => tracing::warn!(code = "reload_unsound", "all stays as it was: {wrong}"),
-        }
-    }
-}
-
 /// Keeps the module told of how many processes stand for this proxy.
 async fn share(decide: Arc<Decide>, mut others: watch::Receiver<usize>) {
     loop {
@@ -144,7 +104,7 @@
     // Before all else: until it is handled, SIGHUP ends the process.
     let hangup = signal(SignalKind::hangup()).map_err(|wrong| format!("SIGHUP: {wrong}"))?;
     let told = told()?;
-    let settings = told.get("settings").ok_or("no settings")?;
+    let settings = settings(&told)?;
     let sockets: usize = match at(&told, "limits.sockets")? {
         0 => SOCKETS,
         sockets => sockets,
@@ -198,7 +158,6 @@
     discovery.known(&known).map_err(|wrong| format!("known: {wrong}"))?;
     let (moved, place) = watch::channel(address(&told, "discovery")?);
     tokio::spawn(discovery.follow(place, list_wanted));
-    tokio::spawn(reload(hangup, moved));
     tokio::spawn(peers.listen(Arc::clone(&decide)));
     tokio::spawn(Arc::clone(&backends).leave_room(others.clone(), executions));
     for pool in [&bodies, &answers] {
@@ -208,17 +167,10 @@
 
     let (duty, on_duty) = watch::channel(Duty::Serving);
     let (ended, ending) = watch::channel(false);
-    let statement_timeouts = each(settings, "Workloads", "StatementTimeoutUs")?;
-    let proxy = Proxy {
-        decide,
-        backends,
-        bodies,
-        workloads: each(settings, "Workloads", "Name")?,
-        repeats: crankpick_launch::repeats(settings)?,
-        statement_timeouts: statement_timeouts.into_iter().map(|us| said(us, STATEMENT)).collect(),
-        tenants: each(settings, "Tenants", "Name")?,
-        ending,
-    };
+    let numbers: Vec<usize> = (0..at::<Vec<Value>>(settings, "Workloads")?.len()).collect();
+    let (terms, on_terms) = watch::channel(Arc::new(Terms::new(settings, &numbers)?));
+    tokio::spawn(retune::follow(hangup, told.clone(), Arc::clone(&decide), terms, moved));
+    let proxy = Proxy { decide, backends, bodies, terms: on_terms, ending };
     let second_listener =
         second_address(&told)?.map(|address| listener(address, "admin_addr")).transpose()?;
     let listener = match inherited {
@@ -252,12 +204,6 @@
     Ok(())
 }
 
-fn told() -> Result<Value, String> {
-    let path = std::env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG names no file")?;
-    let text = std::fs::read_to_string(&path).map_err(|wrong| format!("{path}: {wrong}"))?;
-    serde_json::from_str(&text).map_err(|wrong| format!("{path}: {wrong}"))
-}
-
 fn main() -> ExitCode {
     // A log that nobody reads loses lines; it must not hold up queries, nor end the process.
     let (log, _flush) = NonBlockingBuilder::default().buffered_lines_limit(8_192).finish(std::io::stderr());
--- a/crates/proxy/src/query.rs
+++ b/crates/proxy/src/query.rs
@@ -18,19 +18,18 @@
 use crate::bodies::{Broken, Payload, Pool};
 use crate::decide::{Decide, Decided, NotTaken};
 use crate::framing::Came;
+use crate::retune::{Known, Terms};
 
 /// Kept back from what the client waits, for the way there and for writing the answer.
 const ROOM: Duration = Duration::from_millis(10);
 
-/// What every query needs, and the names that requests use, in the order of the settings.
+/// What every query needs.
 pub struct Proxy {
     pub decide: Arc<Decide>,
     pub backends: Arc<Backends>,
     pub bodies: Arc<Pool>,
-    pub workloads: Vec<String>,
-    pub repeats: Vec<Repeat>,
-    pub statement_timeouts: Vec<Duration>,
-    pub tenants: Vec<String>,
+    /// What requests may name; an open query keeps what it came with.
+    pub terms: watch::Receiver<Arc<Terms>>,
     /// Turns true when the process must end: what is still in hand gets its answer.
     pub ending: watch::Receiver<bool>,
 }
@@ -42,7 +41,8 @@
     if head.headers.contains_key(TRANSFER_ENCODING) && came.is_none_or(|came| came.two_lengths) {
         return last(StatusCode::BAD_REQUEST, "a length given in two ways");
     }
-    let asked = match Asked::read(&head, &proxy) {
+    let terms = Arc::clone(&proxy.terms.borrow());
+    let asked = match Asked::read(&head, &terms) {
         Ok(asked) => asked,
         Err(wrong) => return plain(StatusCode::BAD_REQUEST, &wrong),
     };
@@ -61,7 +61,7 @@
     let waited = came.and_then(|came| came.whole).map_or(Duration::ZERO, |whole| whole.elapsed());
     let wait = asked.wait.saturating_sub(waited + ROOM);
     let ttl_us = wait.as_micros() as u64;
-    let taken = proxy.decide.query(&asked.id, asked.workload, asked.tenant, ttl_us, asked.hint_us);
+    let taken = proxy.decide.query(&asked.id, asked.workload.number, asked.tenant, ttl_us, asked.hint_us);
     let decided = match taken {
         Ok(decided) => decided,
         Err(NotTaken::Known) => {
@@ -69,7 +69,7 @@
         }
         Err(NotTaken::Unsound(wrong)) => return plain(StatusCode::BAD_REQUEST, &wrong),
     };
-    let one_chance = proxy.repeats[asked.workload] == Repeat::NonIdempotent;
+    let one_chance = asked.workload.repeat == Repeat::NonIdempotent;
     let mut life = Life::new(Arc::clone(&proxy.decide), asked.id, decided);
     let head = Arc::new(head);
     let mut ending = proxy.ending.clone();
@@ -190,14 +190,14 @@
 /// What the decisions need of a request; all else goes on as it came.
 struct Asked {
     id: String,
-    workload: usize,
+    workload: Known,
     tenant: usize,
     wait: Duration,
     hint_us: Option<u64>,
 }
 
 impl Asked {
-    fn read(head: &Parts, proxy: &Proxy) -> Result<Self, String> {
+    fn read(head: &Parts, terms: &Terms) -> Result<Self, String> {
         let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
         let twice = |name: &&&str| head.headers.get_all(**name).iter().nth(1).is_some();
         if let Some(name) = ["x-request-id", "idempotency-key", "x-deadline"].iter().find(twice) {
@@ -205,10 +205,10 @@
         }
         let id = text("x-request-id").filter(|id| !id.is_empty()).ok_or("X-Request-Id is missing")?;
         let name = head.uri.path().split('/').nth(1).unwrap_or_default();
-        let workload = proxy.workloads.iter().position(|workload| workload == name);
+        let workload = terms.workloads.iter().find(|workload| workload.name == name);
         let workload = workload.ok_or_else(|| format!("no workload {name:?}"))?;
         let key = head.headers.get("idempotency-key").map(|key| !key.is_empty());
-        let fits = match proxy.repeats[workload] {
+        let fits = match workload.repeat {
             Repeat::Idempotent => head.method == Method::GET && key.is_none(),
             Repeat::Deduplicated => head.method == Method::POST && key == Some(true),
             Repeat::NonIdempotent => head.method == Method::POST && key.is_none(),
@@ -217,16 +217,16 @@
             return Err(format!("{} and Idempotency-Key don't fit workload {name:?}", head.method));
         }
         // No client of this workload waits longer, whatever it says: a place is not held for an hour.
-        let most = proxy.statement_timeouts[workload];
+        let most = workload.statement_timeout;
         let wait = match text("x-deadline") {
             Some(wait) => duration(wait).ok_or_else(|| format!("X-Deadline {wait:?}"))?.min(most),
             None => most,
         };
         // A tenant on no list has no share to be beyond.
-        let tenant = text("x-tenant").and_then(|name| proxy.tenants.iter().position(|tenant| tenant == name));
+        let tenant = text("x-tenant").and_then(|name| terms.tenants.iter().position(|tenant| tenant == name));
         Ok(Asked {
             id: id.to_owned(),
-            workload,
+            workload: workload.clone(),
             tenant: tenant.unwrap_or(usize::MAX),
             wait,
             hint_us: hint(&head.headers),
--- a/crates/proxy/tests/sockets/daily.rs
+++ b/crates/proxy/tests/sockets/daily.rs
@@ -392,3 +392,104 @@
     assert_eq!(client.heard().status(), 408);
     assert!(stands.elapsed() < Duration::from_secs(3));
 }
+
+#[test]
+fn settings_change_for_queries_to_come_and_open_ones_keep_theirs() {
+    let (discovery, one, other) = (Discovery::start(), Backend::start(), Backend::start());
+    let first = operated(&discovery, &[one.address, other.address]);
+    let next = || first_of(&[&one, &other]);
+    let proxy = Proxy::start(&first);
+    let mut open = proxy.client();
+    open.ask("read", "open", 2_000);
+    let mut held = next();
+    // What may be repeated is no longer, a workload comes and one goes, and there is one execution to each.
+    let mut second = first.clone();
+    second["settings"]["Workloads"] = json!([workload("new", "fragile"), workload("read", "fragile")]);
+    second["settings"]["Limits"]["MaxExecutions"] = json!(1);
+    proxy.reconfigure(&second.to_string());
+    proxy.logged("code=\"reloaded\"");
+    let mut client = proxy.client();
+    for (ask, id, status) in [("pay", "dropped", 400), ("read", "a get", 400)] {
+        client.ask(ask, id, 2_000);
+        assert_eq!(client.heard().status(), status, "{id}");
+    }
+    for name in ["new", "read"] {
+        client.say(head(name, "Content-Length: 0\r\n").replace("/pay/", &format!("/{name}/")).as_bytes());
+        let mut asked = next();
+        assert_eq!(asked.message.header("x-request-id"), Some(name));
+        asked.answer(500, "", "");
+        assert_eq!(client.heard().status(), 502, "one chance, and one execution");
+    }
+    // The open one may still be repeated, with as many executions as it came with.
+    held.answer(500, "", "");
+    let mut again = next();
+    assert_eq!(again.message.header("x-request-id"), Some("open"));
+    again.answer(200, "", "ok");
+    assert_eq!(open.heard().status(), 200);
+    proxy.reconfigure(&first.to_string());
+    proxy.logged("code=\"reloaded\"");
+    client.ask("pay", "back", 2_000);
+    next().answer(200, "", "ok");
+    assert_eq!(client.heard().status(), 200);
+}
+
+#[test]
+fn of_a_broken_file_nothing_is_taken() {
+    let (discovery, backend) = (Discovery::start(), Backend::start());
+    let sound = operated(&discovery, &[backend.address]);
+    let proxy = Proxy::start(&sound);
+    let mut changed = sound.clone();
+    changed["settings"]["Workloads"][0]["Name"] = json!("renamed");
+    let whole = changed.to_string();
+    let mut broken =
+        vec![String::new(), whole[..whole.len() / 2].to_owned(), "{}".to_owned(), "[]".to_owned()];
+    for path in [
+        "/seed",
+        "/discovery",
+        "/settings",
+        "/settings/Limits/MaxExecutions",
+        "/settings/Limits/Cancel",
+        "/settings/Workloads",
+        "/settings/Workloads/0/Name",
+        "/settings/Workloads/1/StatementTimeoutUs",
+        "/settings/Workloads/2/Repeat",
+        "/settings/Tenants/0/QuotaRps",
+        "/settings/Safety",
+        "/limits/sockets",
+    ] {
+        let mut told = changed.clone();
+        let (holder, key) = path.rsplit_once('/').expect("a path");
+        let holder = told.pointer_mut(holder).and_then(Value::as_object_mut).expect("there");
+        holder.remove(key).expect("there before");
+        broken.push(told.to_string());
+    }
+    for (path, value) in [
+        ("Limits/MaxExecutions", json!(0)),
+        ("Limits/MaxExecutions", json!(-2)),
+        ("Limits/MaxExecutions", json!("4")),
+        ("Limits/MaxExecutions", json!(null)),
+        ("Limits", json!([])),
+        ("Workloads/1/StatementTimeoutUs", json!(0)),
+        ("Workloads/1/StatementTimeoutUs", json!(-1)),
+        ("Workloads/1/StatementTimeoutUs", json!(1.5)),
+        ("Workloads/0/SloTimeUs", json!(0)),
+        ("Workloads", json!([])),
+        ("Workloads/1/Name", json!("move")),
+        ("Workloads/0/Repeat", json!("often")),
+    ] {
+        let mut told = changed.clone();
+        *told["settings"].pointer_mut(&format!("/{path}")).expect("there") = value;
+        broken.push(told.to_string());
+    }
+    for text in broken {
+        proxy.reconfigure(&text);
+        proxy.logged("code=\"reload_unsound\"");
+        let mut client = proxy.client();
+        client.ask("read", "same", 2_000);
+        let mut asked = backend.next();
+        asked.answer(200, "", "ok");
+        assert_eq!(client.heard().status(), 200, "{text}");
+    }
+    proxy.reconfigure(&whole);
+    proxy.logged("code=\"reloaded\"");
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -16,7 +16,7 @@
     Cell,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Workload {
     pub repeat: Repeat,
     pub group: DedupGroup,
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -431,10 +431,7 @@
         seed: u64, balancers: u32, number: u32, workloads: Vec<Workload>, tenants: Vec<Tenant>,
         limits: ExecutionLimits, cold: ColdRule, must_ask: bool, standing: Standing,
     ) -> Self {
-        let slo_us = workloads.iter().map(|workload| workload.slo_us).min().unwrap_or(0);
-        let share = |tenant: &Tenant| tenant.quota_per_s / f64::from(balancers.max(1));
-        let allowance = |tenant: &Tenant| Allowance::new(share(tenant), tenant.beyond_importance);
-        Balancer {
+        let mut balancer = Balancer {
             rng: Rng::with_seed(seed),
             lot: seed,
             balancers: balancers.max(1) as usize,
@@ -442,17 +439,37 @@
             processes: 1,
             standing,
             quickest_us: u64::MAX,
-            tenants: tenants.iter().map(allowance).collect(),
-            most_importance: workloads.iter().map(|workload| workload.importance).fold(1e-9, f64::max),
-            target_us: (slo_us as f64 / 8.0).max(1.0),
-            workloads,
-            limits,
-            cold,
             must_ask,
             regroup_gap_us: 1_000_000,
             further: 10.0,
             ..Balancer::default()
+        };
+        balancer.retune(workloads, tenants, limits, cold);
+        balancer
+    }
+
+    /// Settings for all queries to come; returns the numbers of their workloads. One that is as it was keeps its
+    /// number, and none is given twice, since open queries and some about to come still go by the old ones.
+    pub fn retune(
+        &mut self, workloads: Vec<Workload>, tenants: Vec<Tenant>, limits: ExecutionLimits, cold: ColdRule,
+    ) -> Vec<usize> {
+        let slo_us = workloads.iter().map(|workload| workload.slo_us).min().unwrap_or(0);
+        self.target_us = (slo_us as f64 / 8.0).max(1.0);
+        self.most_importance = workloads.iter().map(|workload| workload.importance).fold(1e-9, f64::max);
+        let share = |tenant: &Tenant| tenant.quota_per_s / self.balancers as f64;
+        let allowance = |tenant: &Tenant| Allowance::new(share(tenant), tenant.beyond_importance);
+        self.tenants = tenants.iter().map(allowance).collect();
+        (self.limits, self.cold) = (limits, cold);
+        let mut numbers = Vec::new();
+        for workload in workloads {
+            let free = |(number, known): (usize, &Workload)| *known == workload && !numbers.contains(&number);
+            let number = self.workloads.iter().enumerate().position(free).unwrap_or_else(|| {
+                self.workloads.push(workload);
+                self.workloads.len() - 1
+            });
+            numbers.push(number);
         }
+        numbers
     }
 
     pub(crate) fn ours(&self) -> impl Iterator<Item = &Backend> {
--- a/tests/ledger/mod.rs
+++ b/tests/ledger/mod.rs
@@ -18,7 +18,9 @@
 }
 
 pub struct Taken {
-    pub workload: usize,
+    /// The workload and the limits that it came with.
+    pub workload: Workload,
+    pub limits: ExecutionLimits,
     pub deadline_us: u64,
     pub sent: Vec<Sent>,
     pub answer: Option<&'static str>,
@@ -28,6 +30,8 @@
     pub now_us: u64,
     pub workloads: Vec<Workload>,
     pub limits: ExecutionLimits,
+    /// The module's numbers for the workloads, once they have changed.
+    pub numbers: Vec<usize>,
     pub told: BTreeMap<u32, (Listed, u64)>,
     /// Out by hand.
     pub out: BTreeSet<u32>,
@@ -60,6 +64,7 @@
         let (told, queries, wakes, wrong) = (BTreeMap::new(), BTreeMap::new(), Vec::new(), Vec::new());
         Ledger {
             now_us: 7_000_000,
+            numbers: Vec::new(),
             workloads,
             limits,
             told,
@@ -107,9 +112,12 @@
 
     pub fn take(&mut self, inbox: &mut Inbox, id: &str, workload: usize, ttl_us: u64, hint_us: Option<u64>) {
         let deadline_us = self.now_us + ttl_us;
-        let taken = Taken { workload, deadline_us, sent: Vec::new(), answer: None };
+        let (about, limits) = (self.workloads[workload].clone(), self.limits);
+        let taken = Taken { workload: about, limits, deadline_us, sent: Vec::new(), answer: None };
         self.queries.insert(id.into(), taken);
-        inbox.query(id, workload, 0, ttl_us, hint_us).expect("a known workload");
+        inbox
+            .query(id, self.numbers.get(workload).copied().unwrap_or(workload), 0, ttl_us, hint_us)
+            .expect("a known workload");
     }
 
     pub fn end(&mut self, inbox: &mut Inbox, id: &str, number: usize, ended: Ended) {
@@ -127,6 +135,13 @@
         inbox.list(false, items);
     }
 
+    /// Other limits and repeats for all queries to come.
+    #[allow(dead_code, reason = "each test file takes what it needs of this one")]
+    pub fn retune(&mut self, balancer: &mut Balancer, workloads: Vec<Workload>, limits: ExecutionLimits) {
+        (self.workloads, self.limits) = (workloads.clone(), limits);
+        self.numbers = balancer.retune(workloads, vec![], limits, self.cold);
+    }
+
     #[allow(dead_code, reason = "each test file takes what it needs of this one")]
     pub fn by_hand(&mut self, inbox: &mut Inbox, backend: u32, out: bool) {
         let _ = if out { self.out.insert(backend) } else { self.out.remove(&backend) };
@@ -143,12 +158,12 @@
     }
 
     fn sent(&mut self, id: &str, backend: u32, timeout_us: u64) {
-        let (now_us, limits) = (self.now_us, self.limits);
+        let now_us = self.now_us;
         let Some((on, told_us)) = self.told.get(&backend).copied() else {
             return self.wrong.push(format!("{id} went to {backend}, which no list has named"));
         };
         let qry = self.queries.get_mut(id).expect("only taken queries are executed");
-        let workload = &self.workloads[qry.workload];
+        let (workload, limits) = (&qry.workload, qry.limits);
         let group = |listed: Listed| match workload.group {
             DedupGroup::All => 0,
             DedupGroup::Zone => listed.zone,
@@ -176,7 +191,7 @@
 
     fn answered(&mut self, id: &str, answer: &'static str) {
         let qry = self.queries.get_mut(id).expect("only taken queries are answered");
-        let workload = &self.workloads[qry.workload];
+        let workload = &qry.workload;
         let harmless = workload.repeat == Repeat::Idempotent
             || workload.repeat == Repeat::Deduplicated && workload.group == DedupGroup::All;
         if answer == "rejected" && !harmless && qry.sent.iter().any(Sent::may_have_run) {
@@ -210,7 +225,7 @@
     fn cancel(&mut self, qry: &str, execution: u32) {
         let qry = qry.to_owned();
         self.put(move |ledger| {
-            if !ledger.limits.cancel || ledger.queries[&qry].sent.len() <= execution as usize {
+            if !ledger.queries[&qry].limits.cancel || ledger.queries[&qry].sent.len() <= execution as usize {
                 ledger.wrong.push(format!("{qry} is cancelled where it may not be or never went"));
             }
         });
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -24,6 +24,12 @@
     let (failing, steps) = (rng.f64() * 0.5, 250);
     for step in 0..steps + 150 {
         let pause_us = rng.u64(1_000..15_000);
+        if rng.u8(0..60) == 0 {
+            let workloads =
+                (0..3).map(|_| workload(kinds[rng.usize(0..3)], group, 1.0 + rng.f64())).collect();
+            let limits = ExecutionLimits { max_executions: rng.u32(1..6), cancel: rng.bool(), ..limits };
+            ledger.retune(&mut balancer, workloads, limits);
+        }
         ledger.round(&mut balancer, pause_us, |ledger, inbox| {
             if step == 0 {
                 let listed: Vec<Listed> = (0..backends).map(ready).collect();
