--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint format run
+.PHONY: build test lint format run regression
 
 build:
 	cargo build --release
@@ -16,3 +16,7 @@
 # EDGE_CONFIG names the configuration, as in the README.
 run: build
 	exec target/release/crankpick
+
+# Needs the kit beside the repository; no part of .ci/run. Stops at a broken rule, a crash or a failed gate.
+regression:
+	deploy/regression
