An answer that is said to be long flows with its first bytes

Cause: the first 64 KiB were collected before any went on (bodies.rs Source::read); a backend that writes 64 kB a second takes one for that, and of such answers the first bytes are timed.

--- a/crates/proxy/src/bodies.rs
+++ b/crates/proxy/src/bodies.rs
@@ -127,13 +127,13 @@
         std::future::poll_fn(|cx| self.poll(cx)).await
     }
 
-    /// Reads on until the end or past what is kept whole; tells whether it is the end. Its place in the pool is
-    /// taken at once for all that may come: those that wait for more would hold up one another.
-    async fn read(&mut self, pool: &Pool) -> Result<(Bytes, bool, Permit), Broken> {
+    /// Reads on until the end or past `kept`; tells whether it is the end. Its place in the pool is taken at once
+    /// for all that may come: those that wait for more would hold up one another.
+    async fn read(&mut self, pool: &Pool, kept: usize) -> Result<(Bytes, bool, Permit), Broken> {
         let short = self.body.size_hint().upper().is_some_and(|most| most <= SHORT as u64);
         let (mut read, mut permit) = (BytesMut::new(), None);
-        while read.len() <= SHORT {
-            if read.len() > SMALL && permit.is_none() {
+        while read.len() <= kept {
+            if (read.len() > SMALL || kept == 0) && permit.is_none() {
                 permit = pool.take(if short { KEPT } else { FLOWING }).await;
             }
             match self.next().await {
@@ -178,7 +178,7 @@
     pub async fn read(body: Body, pool: &Pool) -> Result<Payload, Broken> {
         let length = length(&body)?;
         let mut source = Source::new(body, CLIENT_STILL, LEAST_PER_S);
-        let (first, whole, permit) = source.read(pool).await?;
+        let (first, whole, permit) = source.read(pool, SHORT).await?;
         if whole {
             return Ok(Payload::Whole(first, Arc::new(permit)));
         }
@@ -288,7 +288,10 @@
     pub async fn read(body: Body, pool: &Pool) -> Result<Answer, Broken> {
         let said = length(&body)?;
         let mut source = Source::new(body, BACKEND_STILL, f64::MIN_POSITIVE);
-        let (first, whole, permit) = source.read(pool).await?;
+        // Of one that is said to be long the first bytes count: a slow backend takes a second for the rest of
+        // what would be kept.
+        let kept = if said.lower() > SHORT as u64 { 0 } else { SHORT };
+        let (first, whole, permit) = source.read(pool, kept).await?;
         let length = if whole { SizeHint::with_exact(first.len() as u64) } else { said };
         let (first, rest) = (Some(first), (!whole).then_some(source));
         Ok(Answer { first, rest, length, read: None, _permit: permit })
