Connections at rest end only with nothing in their sockets: a stalled proxy loses no request

Cause: front.rs ended the longest idle ones by hyper's graceful shutdown with requests unread in their sockets, since accepting ran before reading. Ruled out: the drain (the other proxy), the list, backends. Now such a connection is looked into, and leaves by an end of input once nothing lies there; the same for silence, draining and the end. Test: the program is stopped for 2.4 s by a signal; without the change it fails.

--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::error::Error;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -23,6 +24,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
@@ -47,6 +49,8 @@
 const FIRST: Duration = Duration::from_millis(2_800);
 /// Against clients that don't read their answers.
 const UNREAD: Duration = Duration::from_secs(6);
+/// How often one that leaves is looked at again while something lies in its socket.
+const LOOK: Duration = Duration::from_millis(20);
 /// Who connects asks right away: one that has not by then is the first to make room.
 const YOUNG: Duration = Duration::from_millis(5);
 /// Connections ended together where there is no room.
@@ -94,12 +98,15 @@
 
 /// What is known of each open connection.
 struct Client {
+    opened: Instant,
     /// None while a request is in hand.
     idle_since: Mutex<Option<Instant>>,
     asked: AtomicBool,
     asked_to_end: AtomicBool,
     /// Whether some of an answer could not be written yet.
     behind: AtomicBool,
+    /// Whether it is to end as soon as nothing is in hand, and nothing more lies in its socket.
+    leaving: AtomicBool,
     end: Notify,
     framing: Mutex<Framing>,
 }
@@ -117,12 +124,12 @@
         self.framing.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// When it will have said nothing for too long, or not ended what it says.
-    fn patience(&self, opened: Instant) -> Option<Instant> {
+    /// When it will have said nothing for too long, or not ended what it says; none while a query is in hand.
+    fn patience(&self) -> Option<Instant> {
         let since = self.idle().filter(|_| !self.behind.load(Ordering::Relaxed))?;
         let head = self.framing().head_since();
         let until = head.map_or(since + SILENT, |head| head + HEAD);
-        Some(if self.asked.load(Ordering::Relaxed) { until } else { until.min(opened + FIRST) })
+        Some(if self.asked.load(Ordering::Relaxed) { until } else { until.min(self.opened + FIRST) })
     }
 }
 
@@ -188,6 +195,19 @@
 }
 
 impl Patient {
+    /// Whether it leaves, at rest. A request may lie in the socket that nobody was told of, above all where this
+    /// process stood still for a while: such a one is taken, and ending the connection would lose it.
+    fn over(&self) -> bool {
+        let overdue = || self.client.patience().is_some_and(|until| until <= Instant::now());
+        let rests =
+            || self.client.idle().is_some() && (self.client.framing().head_since().is_none() || overdue());
+        let empty = || {
+            let looked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+            !matches!(looked, Ok(1..))
+        };
+        self.client.leaving.load(Ordering::Relaxed) && rests() && empty()
+    }
+
     fn wrote<T>(&mut self, cx: &mut Context<'_>, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
         let written = self.stall.wrote(cx, written);
         let was_behind = self.client.behind.swap(written.is_pending(), Ordering::Relaxed);
@@ -205,6 +225,10 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if read.is_pending() && self.over() {
+            // An end of input is what makes hyper let go of a connection at rest.
+            return Poll::Ready(Ok(()));
+        }
         self.client.framing().feed(&buf.filled()[before..], Instant::now());
         read
     }
@@ -271,10 +295,12 @@
         }
         number += 1;
         let client = Arc::new(Client {
+            opened: Instant::now(),
             idle_since: Mutex::new(Some(Instant::now())),
             asked: AtomicBool::new(false),
             asked_to_end: AtomicBool::new(false),
             behind: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
             end: Notify::new(),
             framing: Mutex::new(Framing::new()),
         });
@@ -335,7 +361,7 @@
     stream: TcpStream, client: &Arc<Client>, router: Router, mut duty: watch::Receiver<Duty>,
 ) -> &'static str {
     let _ = stream.set_nodelay(true);
-    let (opened, told) = (Instant::now(), duty.clone());
+    let told = duty.clone();
     let service = service_fn(|mut request: Request<Incoming>| {
         if let Some(came) = client.framing().next() {
             request.extensions_mut().insert(came);
@@ -346,7 +372,7 @@
         async move {
             let answer = router.call(request).await?;
             let mut answer = answer.map(|body| Body::new(Tail { body, client: Arc::clone(client) }));
-            if told.borrow().ready().is_err() {
+            if told.borrow().ready().is_err() || client.leaving.load(Ordering::Relaxed) {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(answer)
@@ -360,9 +386,12 @@
     let mut connection = std::pin::pin!(connection);
     let (mut code, mut leaving) = (None, false);
     loop {
-        let leave = duty.borrow_and_update().leave(opened);
-        let patience = client.patience(opened).unwrap_or_else(|| Instant::now() + SILENT);
-        let (leave_at, why) = leave.unwrap_or((opened, "closed_by_client"));
+        let leave = duty.borrow_and_update().leave(client.opened);
+        // Once it leaves it ends by itself, but for what still lies in its socket.
+        let soon =
+            Instant::now() + if client.leaving.load(Ordering::Relaxed) { LOOK } else { Duration::ZERO };
+        let patience = client.patience().unwrap_or_else(|| Instant::now() + SILENT).max(soon);
+        let (leave_at, why) = leave.unwrap_or((client.opened, "closed_by_client"));
         tokio::select! {
             ended = connection.as_mut() => {
                 return match ended {
@@ -370,26 +399,23 @@
                     Err(wrong) if wrong.is_parse() => "not_http",
                     Err(wrong) if wrong.is_user() => "cut_off",
                     Err(wrong) if timed_out(&wrong) => "unread",
-                    Err(_) => "client_gone",
+                    Err(_) => code.unwrap_or("client_gone"),
                 };
             }
             Ok(()) = duty.changed() => {}
             () = sleep_until(patience) => {
-                if client.patience(opened).is_some_and(|until| until <= Instant::now()) {
-                    return "silent";
+                if client.patience().is_some_and(|until| until <= Instant::now()) {
+                    code.get_or_insert("silent");
+                    client.leaving.store(true, Ordering::Relaxed);
                 }
             }
             () = sleep_until(leave_at), if leave.is_some() && !leaving => {
                 leaving = true;
-                // hyper would not end one by itself that has never asked.
-                if client.idle().is_some() && !client.asked.load(Ordering::Relaxed) {
-                    return why;
-                }
-                connection.as_mut().graceful_shutdown();
+                client.leaving.store(true, Ordering::Relaxed);
             }
             () = client.end.notified() => {
                 code = Some("over_budget");
-                connection.as_mut().graceful_shutdown();
+                client.leaving.store(true, Ordering::Relaxed);
             }
         }
     }
--- a/crates/proxy/tests/sockets/daily.rs
+++ b/crates/proxy/tests/sockets/daily.rs
@@ -493,3 +493,29 @@
     proxy.reconfigure(&whole);
     proxy.logged("code=\"reloaded\"");
 }
+
+/// Idle connections make room, or are told to end, while requests lie in their sockets that it has not seen.
+#[test]
+fn what_came_while_it_stood_still_is_answered() {
+    let discovery = Discovery::start();
+    let sound = Backend::answering(|asked| asked.answer(200, "", "ok"));
+    let mut told = operated(&discovery, &[sound]);
+    told["limits"]["sockets"] = json!(96);
+    let proxy = Proxy::start(&told);
+    let mut clients: Vec<Client> = (0..20).map(|_| proxy.client()).collect();
+    for (turn, client) in clients.iter_mut().enumerate() {
+        client.ask("read", &format!("before{turn}"), 3_000);
+        assert_eq!(client.heard().status(), 200);
+    }
+    proxy.stopped(|| {
+        // Longer than idle connections have, and more new ones than it has room for beside the idle.
+        std::thread::sleep(Duration::from_millis(2_400));
+        clients.extend((0..30).map(|_| proxy.client()));
+        for (turn, client) in clients.iter_mut().enumerate() {
+            client.ask("read", &format!("meanwhile{turn}"), 3_000);
+        }
+    });
+    for (turn, client) in clients.iter_mut().enumerate() {
+        assert!(client.hear().is_some(), "{turn} was lost");
+    }
+}
--- a/crates/proxy/tests/sockets/stand_ins.rs
+++ b/crates/proxy/tests/sockets/stand_ins.rs
@@ -381,6 +381,13 @@
         self.signal("-HUP");
     }
 
+    /// Stands still while `meanwhile` runs, as on a machine that gives it no time.
+    pub fn stopped(&self, meanwhile: impl FnOnce()) {
+        self.signal("-STOP");
+        meanwhile();
+        self.signal("-CONT");
+    }
+
     fn signal(&self, signal: &str) {
         let told = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
         assert!(told.expect("kill runs").success());
