A long answer that flows when the process ends flows on until it is through or killed

Cause: main.rs ended the process 3.5 s after SIGTERM whatever flowed. Ruled out: backends or clients standing still (no cut_off, unread or endless in the log), the memory (11 of 48 MB). Queries in hand are still answered 3.3 s after the signal.

--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -54,7 +54,8 @@
 const IDLE: Duration = Duration::from_secs(10);
 /// SIGKILL comes 3.7 s after SIGTERM at the soonest: by then all that was taken must be answered.
 const LAST_CALL: Duration = Duration::from_millis(3_300);
-const LAST_WRITES: Duration = Duration::from_millis(200);
+/// What flows by then goes on until it is through, or the kill comes: cut off by us it would be lost.
+const LAST_WRITES: Duration = Duration::from_secs(60);
 
 fn addresses(told: &Value, path: &str) -> Result<Vec<SocketAddr>, String> {
     at::<Vec<String>>(told, path)?.iter().map(|text| parsed(path, text)).collect()
--- a/crates/proxy/tests/sockets/daily.rs
+++ b/crates/proxy/tests/sockets/daily.rs
@@ -339,6 +339,34 @@
     }
 }
 
+#[test]
+fn an_answer_that_flows_as_the_process_ends_flows_to_its_end() {
+    let (discovery, (listener, address)) = (Discovery::start(), by_hand());
+    let mut proxy = Proxy::start(&operated(&discovery, &[address]));
+    let mut client = proxy.client();
+    client.ask("pay", "long", 1_000);
+    let mut backend = accepted(&listener);
+    head_of(&mut backend);
+    let part = vec![b'x'; LONG / 8];
+    backend
+        .get_mut()
+        .write_all(format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG}\r\n\r\n").as_bytes())
+        .expect("written");
+    let told = Instant::now();
+    proxy.terminate();
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            for _ in 0..8 {
+                backend.get_mut().write_all(&part).expect("written");
+                std::thread::sleep(Duration::from_millis(600));
+            }
+        });
+        assert_eq!(client.status_line(), 200);
+        client.rest(LONG, Duration::ZERO);
+    });
+    assert!(told.elapsed() > Duration::from_secs(4) && proxy.ended().success());
+}
+
 #[test]
 fn all_forms_of_a_request_are_served() {
     let (discovery, backend) = (Discovery::start(), Backend::start());
