A long body of a told length has gone whole with its last byte, and may have run from there

Cause: bodies.rs took a body for gone whole when it was asked for more and there was none; with a told length hyper does not ask again, so a broken execution counted as never run, and its time never began. Ruled out: framing and chunked bodies, where hyper asks on. Without the change the new test sees 503 for 502.

--- a/crates/proxy/src/bodies.rs
+++ b/crates/proxy/src/bodies.rs
@@ -262,7 +262,8 @@
         }
         let Some(rest) = &mut sending.rest else { return Poll::Ready(Some(Err(Broken::Gone))) };
         let data = std::task::ready!(rest.poll(cx));
-        if data.is_none() {
+        // Nobody asks again behind the last byte of a length that was told.
+        if data.is_none() || rest.body.is_end_stream() {
             sending.decide.news(|inbox| inbox.sending(&sending.id, true));
             sending.passage.ended.send_replace(Some(Instant::now()));
         }
@@ -321,7 +322,7 @@
         }
         let Some(rest) = &mut answer.rest else { return Poll::Ready(None) };
         let data = std::task::ready!(rest.poll(cx));
-        if data.is_none() {
+        if data.is_none() || rest.body.is_end_stream() {
             answer.read.take().into_iter().for_each(|read| read());
         }
         Poll::Ready(data.map(|data| data.map(Frame::data)))
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -199,8 +199,10 @@
     /// process stood still for a while: such a one is taken, and ending the connection would lose it.
     fn over(&self) -> bool {
         let overdue = || self.client.patience().is_some_and(|until| until <= Instant::now());
-        let rests =
-            || self.client.idle().is_some() && (self.client.framing().head_since().is_none() || overdue());
+        let rests = || {
+            let idle = self.client.idle().is_some() && !self.client.behind.load(Ordering::Relaxed);
+            idle && (self.client.framing().head_since().is_none() || overdue())
+        };
         let empty = || {
             let looked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
             !matches!(looked, Ok(1..))
--- a/crates/proxy/tests/sockets/daily.rs
+++ b/crates/proxy/tests/sockets/daily.rs
@@ -308,6 +308,29 @@
     assert!([&one, &two].iter().all(|listener| listener.accept().is_err()));
 }
 
+/// It may have run: no rejection, and no answer before its time is up, which counts from there.
+#[test]
+fn a_long_body_that_has_gone_whole_may_have_run() {
+    let (discovery, (listener, address)) = (Discovery::start(), by_hand());
+    let proxy = Proxy::start(&operated(&discovery, &[address]));
+    for breaks in [true, false] {
+        let mut client = proxy.client();
+        client.say(
+            head("whole", &format!("Content-Length: {}\r\n", 1 << 20)).replace("2000m", "700m").as_bytes(),
+        );
+        client.say(&vec![b'x'; 1 << 20]);
+        let mut backend = accepted(&listener);
+        head_of(&mut backend);
+        backend.read_exact(&mut vec![0; 1 << 20]).expect("all of it");
+        let gone = Instant::now();
+        if breaks {
+            backend.get_mut().shutdown(std::net::Shutdown::Both).expect("shut");
+        }
+        assert_eq!(client.heard().status(), 502, "{breaks}");
+        assert!(gone.elapsed() < Duration::from_millis(1_000), "{breaks}: {:?}", gone.elapsed());
+    }
+}
+
 #[test]
 fn a_long_answer_flows_and_waits_for_a_client_that_reads_slowly() {
     let (discovery, (listener, address)) = (Discovery::start(), by_hand());
