A body that is not whole 0.65 s after SIGTERM is turned back: its answer would meet the kill

Cause: a long body that came whole only after the signal was taken, and its answer due after the kill.

--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::error::Error;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -107,7 +108,7 @@
     /// passed on as it comes takes none, since it could not follow on another connection.
     pub async fn execute(
         self: Arc<Self>, backend: u32, head: Arc<Parts>, wait: Duration, one_chance: bool, payload: Payload,
-        body: impl Fn() -> Body,
+        body: impl Fn() -> Body, too_late: impl Future<Output = ()>,
     ) -> Heard {
         let sent = Instant::now();
         let heard = async {
@@ -140,10 +141,18 @@
             }
         };
         let late = async { sleep_until(whole.await + wait).await };
+        let unfinished = async {
+            too_late.await;
+            if !payload.passing() || payload.gone_at().is_some() {
+                std::future::pending::<()>().await;
+            }
+        };
         let heard = tokio::select! {
             biased;
             heard = heard => heard,
             () = late => Err(Ended::TimedOut),
+            // It has not gone whole, so it never ran.
+            () = unfinished => Err(Ended::NotSent),
         };
         let since = payload.gone_at().unwrap_or(sent);
         let (ended, report, answer) = match heard {
@@ -160,7 +169,8 @@
         *request.uri_mut() = path;
         let head = Arc::new(request.into_parts().0);
         let nothing = Payload::Whole(Bytes::new(), Arc::default());
-        let heard = self.execute(backend, head, PROBE, false, nothing, Body::empty).await;
+        let heard =
+            self.execute(backend, head, PROBE, false, nothing, Body::empty, std::future::pending()).await;
         let answered = heard.answer.is_some();
         Heard { ended: if answered { Ended::Completed } else { heard.ended }, answer: None, ..heard }
     }
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -75,6 +75,15 @@
         }
     }
 
+    /// Comes once the process is ending and nothing more may come whole: the kill may follow before its answer.
+    pub async fn too_late(mut duty: watch::Receiver<Duty>) {
+        let ending = duty.wait_for(|duty| matches!(duty, Duty::Ending(_))).await.map(|duty| *duty);
+        match ending {
+            Ok(Duty::Ending(since)) => sleep_until(since + LATE).await,
+            _ => std::future::pending().await,
+        }
+    }
+
     /// When a client's connection that was opened then is to end, with the code for it.
     fn leave(&self, opened: Instant) -> Option<(Instant, &'static str)> {
         match self {
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -171,7 +171,7 @@
     let numbers: Vec<usize> = (0..at::<Vec<Value>>(settings, "Workloads")?.len()).collect();
     let (terms, on_terms) = watch::channel(Arc::new(Terms::new(settings, &numbers)?));
     tokio::spawn(retune::follow(hangup, told.clone(), Arc::clone(&decide), terms, moved));
-    let proxy = Proxy { decide, backends, bodies, terms: on_terms, ending };
+    let proxy = Proxy { decide, backends, bodies, terms: on_terms, duty: on_duty.clone(), ending };
     let second_listener =
         second_address(&told)?.map(|address| listener(address, "admin_addr")).transpose()?;
     let listener = match inherited {
--- a/crates/proxy/src/query.rs
+++ b/crates/proxy/src/query.rs
@@ -18,6 +18,7 @@
 use crate::bodies::{Broken, Payload, Pool};
 use crate::decide::{Decide, Decided, NotTaken};
 use crate::framing::Came;
+use crate::front::Duty;
 use crate::retune::{Known, Terms};
 
 /// Kept back from what the client waits, for the way there and for writing the answer.
@@ -30,6 +31,7 @@
     pub bodies: Arc<Pool>,
     /// What requests may name; an open query keeps what it came with.
     pub terms: watch::Receiver<Arc<Terms>>,
+    pub duty: watch::Receiver<Duty>,
     /// Turns true when the process must end: what is still in hand gets its answer.
     pub ending: watch::Receiver<bool>,
 }
@@ -46,7 +48,11 @@
         Ok(asked) => asked,
         Err(wrong) => return plain(StatusCode::BAD_REQUEST, &wrong),
     };
-    let payload = match Payload::read(body, &proxy.bodies).await {
+    let read = tokio::select! {
+        read = Payload::read(body, &proxy.bodies) => read,
+        () = Duty::too_late(proxy.duty.clone()) => Err(Broken::Still),
+    };
+    let payload = match read {
         Ok(payload) => payload,
         Err(wrong) => {
             let status = match wrong {
@@ -90,7 +96,8 @@
                     let (backends, head) = (Arc::clone(&proxy.backends), Arc::clone(&head));
                     let (payload, decide, id) = (payload.clone(), Arc::clone(&proxy.decide), life.id.clone());
                     let body = { let payload = payload.clone(); move || payload.body(&decide, &id) };
-                    let execution = backends.execute(backend, head, wait, one_chance, payload, body);
+                    let too_late = Duty::too_late(proxy.duty.clone());
+                    let execution = backends.execute(backend, head, wait, one_chance, payload, body, too_late);
                     life.out.push((life.executions, Box::pin(execution)));
                     life.executions += 1;
                 }
--- a/crates/proxy/tests/sockets/daily.rs
+++ b/crates/proxy/tests/sockets/daily.rs
@@ -331,6 +331,23 @@
     }
 }
 
+/// The kill may come before its answer would: what has not come whole soon after the signal is turned back.
+#[test]
+fn a_body_that_is_not_whole_soon_after_the_end_was_told_is_turned_back() {
+    let (discovery, (listener, address)) = (Discovery::start(), by_hand());
+    let proxy = Proxy::start(&operated(&discovery, &[address]));
+    let (mut short, mut long) = (proxy.client(), proxy.client());
+    short.say((head("short", "Content-Length: 9\r\n") + "some").as_bytes());
+    long.say(head("long", "Content-Length: 3000000\r\n").as_bytes());
+    long.say(&vec![b'x'; 1 << 20]);
+    let mut backend = accepted(&listener);
+    backend.read_exact(&mut vec![0; 512 << 10]).expect("more than is kept");
+    let told = Instant::now();
+    proxy.terminate();
+    assert_eq!((long.heard().status(), short.heard().status()), (503, 408), "neither has run");
+    assert!(told.elapsed() < Duration::from_millis(1_500), "{:?}", told.elapsed());
+}
+
 #[test]
 fn a_long_answer_flows_and_waits_for_a_client_that_reads_slowly() {
     let (discovery, (listener, address)) = (Discovery::start(), by_hand());
