--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -75,6 +75,15 @@
         }
     }
 
+    /// Comes once the process is ending and nothing more may come whole: the kill may follow before its answer.
+    pub async fn too_late(mut duty: watch::Receiver<Duty>) {
+        let ending = duty.wait_for(|duty| matches!(duty, Duty::Ending(_))).await.map(|duty| *duty);
+        match ending {
+            Ok(Duty::Ending(since)) => sleep_until(since + LATE).await,
+            _ => std::future::pending().await,
+        }
+    }
+
     /// When a client's connection that was opened then is to end, with the code for it.
     fn leave(&self, opened: Instant) -> Option<(Instant, &'static str)> {
         match self {
@@ -199,8 +208,10 @@
     /// process stood still for a while: such a one is taken, and ending the connection would lose it.
     fn over(&self) -> bool {
         let overdue = || self.client.patience().is_some_and(|until| until <= Instant::now());
-        let rests =
-            || self.client.idle().is_some() && (self.client.framing().head_since().is_none() || overdue());
+        let rests = || {
+            let idle = self.client.idle().is_some() && !self.client.behind.load(Ordering::Relaxed);
+            idle && (self.client.framing().head_since().is_none() || overdue())
+        };
         let empty = || {
             let looked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
             !matches!(looked, Ok(1..))
--- a/crates/proxy/tests/sockets/daily.rs
+++ b/crates/proxy/tests/sockets/daily.rs
@@ -308,6 +308,46 @@
     assert!([&one, &two].iter().all(|listener| listener.accept().is_err()));
 }
 
+/// It may have run: no rejection, and no answer before its time is up, which counts from there.
+#[test]
+fn a_long_body_that_has_gone_whole_may_have_run() {
+    let (discovery, (listener, address)) = (Discovery::start(), by_hand());
+    let proxy = Proxy::start(&operated(&discovery, &[address]));
+    for breaks in [true, false] {
+        let mut client = proxy.client();
+        client.say(
+            head("whole", &format!("Content-Length: {}\r\n", 1 << 20)).replace("2000m", "700m").as_bytes(),
+        );
+        client.say(&vec![b'x'; 1 << 20]);
+        let mut backend = accepted(&listener);
+        head_of(&mut backend);
+        backend.read_exact(&mut vec![0; 1 << 20]).expect("all of it");
+        let gone = Instant::now();
+        if breaks {
+            backend.get_mut().shutdown(std::net::Shutdown::Both).expect("shut");
+        }
+        assert_eq!(client.heard().status(), 502, "{breaks}");
+        assert!(gone.elapsed() < Duration::from_millis(1_000), "{breaks}: {:?}", gone.elapsed());
+    }
+}
+
+/// The kill may come before its answer would: what has not come whole soon after the signal is turned back.
+#[test]
+fn a_body_that_is_not_whole_soon_after_the_end_was_told_is_turned_back() {
+    let (discovery, (listener, address)) = (Discovery::start(), by_hand());
+    let proxy = Proxy::start(&operated(&discovery, &[address]));
+    let (mut short, mut long) = (proxy.client(), proxy.client());
+    short.say((head("short", "Content-Length: 9\r\n") + "some").as_bytes());
+    long.say(head("long", "Content-Length: 3000000\r\n").as_bytes());
+    long.say(&vec![b'x'; 1 << 20]);
+    let mut backend = accepted(&listener);
+    backend.read_exact(&mut vec![0; 512 << 10]).expect("more than is kept");
+    let told = Instant::now();
+    proxy.terminate();
+    assert_eq!((long.heard().status(), short.heard().status()), (503, 408), "neither has run");
+    assert!(told.elapsed() < Duration::from_millis(1_500), "{:?}", told.elapsed());
+}
+
 #[test]
 fn a_long_answer_flows_and_waits_for_a_client_that_reads_slowly() {
     let (discovery, (listener, address)) = (Discovery::start(), by_hand());
@@ -339,6 +379,34 @@
     }
 }
 
+#[test]
+fn an_answer_that_flows_as_the_process_ends_flows_to_its_end() {
+    let (discovery, (listener, address)) = (Discovery::start(), by_hand());
+    let mut proxy = Proxy::start(&operated(&discovery, &[address]));
+    let mut client = proxy.client();
+    client.ask("pay", "long", 1_000);
+    let mut backend = accepted(&listener);
+    head_of(&mut backend);
+    let part = vec![b'x'; LONG / 8];
+    backend
+        .get_mut()
+        .write_all(format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG}\r\n\r\n").as_bytes())
+        .expect("written");
+    let told = Instant::now();
+    proxy.terminate();
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            for _ in 0..8 {
+                backend.get_mut().write_all(&part).expect("written");
+                std::thread::sleep(Duration::from_millis(600));
+            }
+        });
+        assert_eq!(client.status_line(), 200);
+        client.rest(LONG, Duration::ZERO);
+    });
+    assert!(told.elapsed() > Duration::from_secs(4) && proxy.ended().success());
+}
+
 #[test]
 fn all_forms_of_a_request_are_served() {
     let (discovery, backend) = (Discovery::start(), Backend::start());
