Clients' connections rest 6 s where connections are few: fewer ends cross a request

Each proxy there gets few queries, so most of its connections ended for 2.2 s of rest; they now rest 6 s.

--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -42,8 +42,11 @@
 const DRAINED: Duration = Duration::from_millis(1_300);
 /// What is opened later still asks at once.
 const OPENED: Duration = Duration::from_millis(250);
-/// Against clients that open a connection or keep one and never say anything.
+/// Against clients that open a connection and never say anything.
 const SILENT: Duration = Duration::from_millis(2_200);
+/// Against those that keep one for good. Each end may cross a request, so it is not sooner: where connections
+/// are many they end for room.
+const RESTED: Duration = Duration::from_secs(6);
 /// Against heads that never end; from the opening a little longer.
 const HEAD: Duration = Duration::from_millis(2_500);
 const FIRST: Duration = Duration::from_millis(2_800);
@@ -137,8 +140,12 @@
     fn patience(&self) -> Option<Instant> {
         let since = self.idle().filter(|_| !self.behind.load(Ordering::Relaxed))?;
         let head = self.framing().head_since();
-        let until = head.map_or(since + SILENT, |head| head + HEAD);
-        Some(if self.asked.load(Ordering::Relaxed) { until } else { until.min(self.opened + FIRST) })
+        let (rest, most) = match self.asked.load(Ordering::Relaxed) {
+            true => (RESTED, None),
+            false => (SILENT, Some(self.opened + FIRST)),
+        };
+        let until = head.map_or(since + rest, |head| head + HEAD);
+        Some(most.map_or(until, |most| until.min(most)))
     }
 }
 
