Without a folder to share a proxy still serves; sockets of a longer address are not ours

Seen in reading: a start with an inherited socket failed where TMPDIR can't be used, and 127.0.0.1:70 took the sockets of 127.0.0.1:7070 for its own. Test: a folder that is not there.

--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -170,7 +170,9 @@
         let (folder, stem) = (place.parent().unwrap_or(place), name(place.file_name()));
         let open = File::open(folder).map_err(|wrong| format!("{}: {wrong}", folder.display()))?;
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let own = format!("{stem}-{}-{:x}{ENDING}", std::process::id(), now.as_nanos());
+        // Another address may begin with the whole of this one.
+        let stem = stem + "-";
+        let own = format!("{stem}{}-{:x}{ENDING}", std::process::id(), now.as_nanos());
         let (others, by_hand) = (watch::Sender::new(0), OnceLock::new());
         let handover =
             Arc::new(Handover { folder: open, stem, own, there: Mutex::default(), others, by_hand });
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -126,7 +126,11 @@
     // Only where the platform holds the clients' socket can a second process come to be.
     let place = handover::place(listen);
     let handover = match place.as_deref().filter(|_| inherited.is_some()) {
-        Some(place) => Some(Handover::start(place).await?),
+        // Without word of the others it still serves.
+        Some(place) => Handover::start(place)
+            .await
+            .map_err(|wrong| tracing::error!(code = "no_handover", "other processes can't be told: {wrong}"))
+            .ok(),
         None => None,
     };
     let others = handover.as_ref().map_or_else(|| watch::Sender::new(0).subscribe(), |one| one.others());
--- a/crates/proxy/tests/sockets/daily.rs
+++ b/crates/proxy/tests/sockets/daily.rs
@@ -115,6 +115,19 @@
     new.logged("code=\"processes\" others=0");
 }
 
+#[test]
+fn without_a_folder_to_share_it_serves_all_the_same() {
+    let discovery = Discovery::start();
+    let sound = Backend::answering(|asked| asked.answer(200, "", "ok"));
+    let mut platform = Platform::new("gone");
+    platform.folder.push("not-there");
+    let proxy = platform.start(&operated(&discovery, &[sound]));
+    assert_eq!(proxy.call("PING\n"), "YES\n");
+    assert!(proxy.call("DETACH s-0\n").starts_with("NO "), "what can't be kept is not promised");
+    assert_eq!(proxy.call("DETACH nobody\n"), "NO no backend \"nobody\" is known\n");
+    platform.folder.pop();
+}
+
 #[test]
 fn a_descriptor_that_is_no_listening_socket_is_bad_configuration() {
     let discovery = Discovery::start();
