An answer of no told length flows on at its deadline and is not cut off

Checked: at that moment the log has two executions given up on fresh connections to one backend, 3.4 s after these were opened, and no client connection ended. Ruled out: the end of the old process (4 s away), standing still (no cut_off, no endless). Cause: the first 64 KiB of an answer with no Content-Length were collected until the deadline (bodies.rs Source::read), and what had come was dropped. Test: chunks that come past the deadline.

--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -28,6 +28,9 @@
 /// Longer ones tell no more than that it has not answered.
 const PROBE: Duration = Duration::from_millis(500);
 
+/// Before its time is up an answer that may be long goes on as far as it is there.
+const CLOSE: Duration = Duration::from_millis(30);
+
 /// The share of dead ones among kept connections from which a new one is worth its price to a request that
 /// can't be sent again.
 const OFTEN: f64 = 0.01;
@@ -126,7 +129,10 @@
                     self.found(answer.is_err() && link.as_deref().is_some_and(Link::unanswered));
                 }
                 match answer {
-                    Ok(answer) => return read(answer, &self.answers, link).await,
+                    Ok(answer) => {
+                        let until = payload.gone_at().unwrap_or(sent) + wait.saturating_sub(CLOSE);
+                        return read(answer, &self.answers, link, until).await;
+                    }
                     // Another connection: what the last request left behind is not this one's fault.
                     Err(_) if link.as_deref().is_some_and(Link::spent_unused) => {}
                     Err(wrong) => return Err(why_no_answer(&wrong, link.as_deref(), payload.surely())),
@@ -204,7 +210,9 @@
 
 type Read = (Ended, Option<LoadReport>, Option<Response<Body>>);
 
-async fn read(answer: Response<Incoming>, pool: &Pool, link: Option<Arc<Link>>) -> Result<Read, Ended> {
+async fn read(
+    answer: Response<Incoming>, pool: &Pool, link: Option<Arc<Link>>, until: Instant,
+) -> Result<Read, Ended> {
     let execution = link.as_deref().map(Link::execution);
     let (head, body) = answer.into_parts();
     let never_ran = head.headers.get("x-not-run").is_some_and(|value| value == "1");
@@ -217,7 +225,7 @@
     };
     let report = load_report(&head.headers);
     // One that is said to be too long is not worth reading.
-    let answer = Answer::read(Body::new(body), pool).await.map_err(|_| Ended::Dropped)?;
+    let answer = Answer::read(Body::new(body), pool, until).await.map_err(|_| Ended::Dropped)?;
     // Past what is kept whole it ends by standing still where more is asked for, not by a pause.
     match (answer.whole(), link.as_deref().zip(execution)) {
         (true, Some((link, execution))) => link.rest(execution),
--- a/crates/proxy/src/bodies.rs
+++ b/crates/proxy/src/bodies.rs
@@ -11,7 +11,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body::{Frame, SizeHint};
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{sleep, Instant, Sleep};
+use tokio::time::{sleep, timeout_at, Instant, Sleep};
 
 use crate::decide::Decide;
 use crate::handover::halve;
@@ -129,14 +129,25 @@
 
     /// Reads on until the end or past `kept`; tells whether it is the end. Its place in the pool is taken at once
     /// for all that may come: those that wait for more would hold up one another.
-    async fn read(&mut self, pool: &Pool, kept: usize) -> Result<(Bytes, bool, Permit), Broken> {
+    /// What is of no told length is not kept past `until`: it may be long, and is not to be cut off.
+    async fn read(
+        &mut self, pool: &Pool, kept: usize, until: Option<Instant>,
+    ) -> Result<(Bytes, bool, Permit), Broken> {
+        let until = until.filter(|_| self.body.size_hint().upper().is_none());
         let short = self.body.size_hint().upper().is_some_and(|most| most <= SHORT as u64);
         let (mut read, mut permit) = (BytesMut::new(), None);
         while read.len() <= kept {
             if (read.len() > SMALL || kept == 0) && permit.is_none() {
                 permit = pool.take(if short { KEPT } else { FLOWING }).await;
             }
-            match self.next().await {
+            let next = match until.filter(|_| !read.is_empty()) {
+                None => self.next().await,
+                Some(until) => match timeout_at(until, self.next()).await {
+                    Ok(next) => next,
+                    Err(_) => break,
+                },
+            };
+            match next {
                 None => return Ok((read.freeze(), true, permit)),
                 Some(data) => read.extend_from_slice(&data?),
             }
@@ -178,7 +189,7 @@
     pub async fn read(body: Body, pool: &Pool) -> Result<Payload, Broken> {
         let length = length(&body)?;
         let mut source = Source::new(body, CLIENT_STILL, LEAST_PER_S);
-        let (first, whole, permit) = source.read(pool, SHORT).await?;
+        let (first, whole, permit) = source.read(pool, SHORT, None).await?;
         if whole {
             return Ok(Payload::Whole(first, Arc::new(permit)));
         }
@@ -286,13 +297,13 @@
 }
 
 impl Answer {
-    pub async fn read(body: Body, pool: &Pool) -> Result<Answer, Broken> {
+    pub async fn read(body: Body, pool: &Pool, until: Instant) -> Result<Answer, Broken> {
         let said = length(&body)?;
         let mut source = Source::new(body, BACKEND_STILL, f64::MIN_POSITIVE);
         // Of one that is said to be long the first bytes count: a slow backend takes a second for the rest of
         // what would be kept.
         let kept = if said.lower() > SHORT as u64 { 0 } else { SHORT };
-        let (first, whole, permit) = source.read(pool, kept).await?;
+        let (first, whole, permit) = source.read(pool, kept, Some(until)).await?;
         let length = if whole { SizeHint::with_exact(first.len() as u64) } else { said };
         let (first, rest) = (Some(first), (!whole).then_some(source));
         Ok(Answer { first, rest, length, read: None, _permit: permit })
--- a/crates/proxy/tests/sockets/daily.rs
+++ b/crates/proxy/tests/sockets/daily.rs
@@ -392,6 +392,31 @@
     }
 }
 
+/// Of no told length, it may be long: at its deadline it goes on as far as it is there, and is not cut off.
+#[test]
+fn an_answer_that_comes_slowly_past_its_deadline_is_not_cut_off() {
+    let (discovery, (listener, address)) = (Discovery::start(), by_hand());
+    let proxy = Proxy::start(&operated(&discovery, &[address]));
+    let mut client = proxy.client();
+    client.ask("pay", "slow", 600);
+    let mut backend = accepted(&listener);
+    head_of(&mut backend);
+    backend.get_mut().write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").expect("written");
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            for _ in 0..12 {
+                backend.get_mut().write_all(b"3e8\r\n").expect("not cut off");
+                backend.get_mut().write_all(&[b'x'; 1_000]).expect("not cut off");
+                backend.get_mut().write_all(b"\r\n").expect("not cut off");
+                std::thread::sleep(Duration::from_millis(100));
+            }
+            backend.get_mut().write_all(b"0\r\n\r\n").expect("not cut off");
+        });
+        assert_eq!(client.status_line(), 200);
+        client.rest(12_000, Duration::ZERO);
+    });
+}
+
 #[test]
 fn an_answer_that_flows_as_the_process_ends_flows_to_its_end() {
     let (discovery, (listener, address)) = (Discovery::start(), by_hand());
