One wait for a body that goes, where two told whole ones apart; behaviour as before

backends.rs asked whether a body is passed on before asking when it had gone, which already says none for a whole one.

--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -140,13 +140,7 @@
             }
         };
         // A long body has no total time: what the client waits counts from its end.
-        let whole = async {
-            match payload.passing() {
-                true => payload.gone().await.unwrap_or(sent),
-                false => sent,
-            }
-        };
-        let late = async { sleep_until(whole.await + wait).await };
+        let late = async { sleep_until(payload.gone().await.unwrap_or(sent) + wait).await };
         let unfinished = async {
             too_late.await;
             if !payload.passing() || payload.gone_at().is_some() {
@@ -161,10 +155,7 @@
             () = unfinished => Err(Ended::NotSent),
         };
         let since = payload.gone_at().unwrap_or(sent);
-        let (ended, report, answer) = match heard {
-            Ok((ended, report, answer)) => (ended, report, answer),
-            Err(ended) => (ended, None, None),
-        };
+        let (ended, report, answer) = heard.unwrap_or_else(|ended| (ended, None, None));
         Heard { ended, took_us: since.elapsed().as_micros() as u64, report, answer }
     }
 
--- a/crates/proxy/src/bodies.rs
+++ b/crates/proxy/src/bodies.rs
@@ -223,7 +223,7 @@
         }
     }
 
-    /// The same, waited for.
+    /// The same, waited for; at once for what is kept whole.
     pub async fn gone(&self) -> Option<Instant> {
         match self {
             Payload::Whole(..) => None,
