--- /dev/null
+++ b/crates/fleet/src/kept.rs
@@ -0,0 +1,141 @@
+//! What a process keeps on disk, as values: the engine's log and votes, the voter's seat, the version last
+//! taken. `agree` and `node` say what to write; the carrier's store writes and reads it.
+
+use raft::eraftpb::{Entry, HardState, Snapshot};
+use raft::{GetEntriesContext, RaftState, Storage, StorageError};
+
+use crate::words::{Publication, Roster};
+
+/// Written whole or not at all, and for good before the write returns.
+#[derive(Default, Clone, Debug)]
+pub struct Batch {
+    /// The log from the first of these on is replaced by them.
+    pub entries: Vec<Entry>,
+    pub hard: Option<HardState>,
+    /// Entries up to its index are dropped.
+    pub snapshot: Option<Snapshot>,
+    pub roster: Option<Roster>,
+    pub taken: Option<Publication>,
+}
+
+impl Batch {
+    pub fn is_empty(&self) -> bool {
+        let Batch { entries, hard, snapshot, roster, taken } = self;
+        entries.is_empty() && hard.is_none() && snapshot.is_none() && roster.is_none() && taken.is_none()
+    }
+}
+
+pub trait Disk {
+    fn write(&mut self, batch: &Batch) -> Result<(), String>;
+}
+
+/// All of it, as read at a start.
+#[derive(Default, Clone, Debug)]
+pub struct Kept {
+    /// The number that this disk was given when it was new: a voter under it never comes back with less than it
+    /// has promised, since a new disk gets another.
+    pub seat: u64,
+    pub roster: Option<Roster>,
+    pub log: Log,
+    pub taken: Option<Publication>,
+}
+
+impl Kept {
+    pub fn new(seat: u64) -> Self {
+        Kept { seat, ..Kept::default() }
+    }
+
+    pub fn absorb(&mut self, batch: &Batch) {
+        self.log.absorb(batch);
+        if batch.roster.is_some() {
+            self.roster.clone_from(&batch.roster);
+        }
+        if batch.taken.is_some() {
+            self.taken.clone_from(&batch.taken);
+        }
+    }
+}
+
+/// The engine's view of the disk, held in memory beside it.
+#[derive(Default, Clone, Debug)]
+pub struct Log {
+    pub hard: HardState,
+    pub snapshot: Snapshot,
+    /// From the snapshot's index on, without a gap.
+    pub entries: Vec<Entry>,
+}
+
+impl Log {
+    pub fn absorb(&mut self, batch: &Batch) {
+        if let Some(snapshot) = &batch.snapshot {
+            let index = snapshot.get_metadata().index;
+            self.snapshot = snapshot.clone();
+            self.entries.retain(|entry| entry.index > index);
+            self.hard.commit = self.hard.commit.max(index);
+        }
+        if let Some(first) = batch.entries.first() {
+            self.entries.retain(|entry| entry.index < first.index);
+            self.entries.extend(batch.entries.iter().cloned());
+        }
+        if let Some(hard) = &batch.hard {
+            self.hard = hard.clone();
+            self.hard.commit = self.hard.commit.max(self.before());
+        }
+    }
+
+    /// The index of the snapshot: 0 before the founding.
+    pub fn before(&self) -> u64 {
+        self.snapshot.get_metadata().index
+    }
+
+    fn last(&self) -> u64 {
+        self.entries.last().map_or(self.before(), |entry| entry.index)
+    }
+}
+
+impl Storage for Log {
+    fn initial_state(&self) -> raft::Result<RaftState> {
+        let conf_state = self.snapshot.get_metadata().get_conf_state().clone();
+        Ok(RaftState { hard_state: self.hard.clone(), conf_state })
+    }
+
+    fn entries(
+        &self, low: u64, high: u64, max_size: impl Into<Option<u64>>, _: GetEntriesContext,
+    ) -> raft::Result<Vec<Entry>> {
+        if low <= self.before() {
+            return Err(StorageError::Compacted.into());
+        }
+        let from = (low - self.before() - 1) as usize;
+        let until = (high - self.before() - 1) as usize;
+        let Some(part) = self.entries.get(from..until) else { return Err(StorageError::Unavailable.into()) };
+        let mut part = part.to_vec();
+        raft::util::limit_size(&mut part, max_size.into());
+        Ok(part)
+    }
+
+    fn term(&self, index: u64) -> raft::Result<u64> {
+        if index == self.before() {
+            return Ok(self.snapshot.get_metadata().term);
+        }
+        if index < self.before() {
+            return Err(StorageError::Compacted.into());
+        }
+        let entry = self.entries.get((index - self.before() - 1) as usize);
+        entry.map(|entry| entry.term).ok_or_else(|| StorageError::Unavailable.into())
+    }
+
+    fn first_index(&self) -> raft::Result<u64> {
+        Ok(self.before() + 1)
+    }
+
+    fn last_index(&self) -> raft::Result<u64> {
+        Ok(self.last())
+    }
+
+    fn snapshot(&self, request_index: u64, _to: u64) -> raft::Result<Snapshot> {
+        match self.before() >= request_index {
+            true => Ok(self.snapshot.clone()),
+            false => Err(StorageError::SnapshotTemporarilyUnavailable.into()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/node.rs
@@ -0,0 +1,868 @@
+//! One process's whole part in the fleet: words in, words out, with what must be on disk before they go.
+//! Called by the carrier with what its sockets and its clock say, and by tests in virtual time.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::agree::{founding, Agree};
+use crate::found::{Founding, Next};
+use crate::kept::{Batch, Disk, Kept};
+use crate::lead::Lead;
+use crate::lease::Times;
+use crate::session::Session;
+use crate::state::{Command, Outcome, MOST_ID};
+use crate::words::{Ask, Publication, Renewal, Renewed, Seat, Status, Told, Who, Word, OUTS};
+
+/// How often an unstarted voter says where it stands.
+const FOUNDING_US: u64 = 200_000;
+/// How often a call that is not answered is made again.
+const AGAIN_US: u64 = 300_000;
+/// Calls in hand, this process's own and others' that the leader has yet to answer.
+const MOST_CALLS: usize = 1_024;
+/// Ids in one call.
+const MOST_IDS: usize = 1_000;
+
+/// A way to another process: a connection that this one opened to a voter, or one that it accepted.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Link {
+    Voter(String),
+    Conn(u64),
+}
+
+/// Where an answer goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Route {
+    Own,
+    Link(Link),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    Held { duty: String, token: u64, from_us: u64, until_us: u64 },
+    Lapsed { duty: String, token: u64 },
+    LetGo { duty: String, token: u64 },
+    Effect { duty: String, token: u64, version: u64, owner: String },
+    StaleRefused { duty: String, token: u64, version: u64, owner: String, seen: u64 },
+    Leads { term: u64 },
+    LeadLost { term: u64 },
+    Founded { voters: usize },
+    Listening,
+    Replaced { name: String },
+    Superseded,
+    Stranger { fleet: String, from: String },
+    DiskLost { why: String },
+    DiskBack,
+    Granted { duty: String, token: u64, to: String },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Out {
+    Say(Link, Word),
+    /// Nothing more is to be heard from there.
+    Close(Link),
+    /// For the proxy: these are out for the whole fleet.
+    Take(Publication),
+    Told(u64, Told),
+    Event(Event),
+}
+
+/// What a process is by its file.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub fleet: String,
+    pub name: String,
+    /// The voters' names, this process's own among them if it is one.
+    pub voters: Vec<String>,
+    pub times: Times,
+}
+
+struct Peer {
+    who: Who,
+    voter: bool,
+}
+
+struct Call {
+    ask: Ask,
+    until_us: u64,
+    again_us: u64,
+}
+
+/// A command that this process proposed as leader, for the one who asked.
+struct Asked {
+    route: Route,
+    who: Who,
+    call: u64,
+}
+
+/// The part of a process that votes: none on other proxies, nor while the disk takes no writes.
+struct Voter {
+    founding: Founding,
+    agree: Option<Agree>,
+    founding_us: u64,
+    tick_us: u64,
+}
+
+pub struct Node {
+    plan: Plan,
+    who: Who,
+    seed: u64,
+    kept: Kept,
+    pub session: Session,
+    voter: Option<Voter>,
+    lead: Option<Lead<Route>>,
+    /// Why the disk takes no writes, where it doesn't.
+    disk: Option<String>,
+    /// The voter that the session is with, in the plan's order.
+    at: usize,
+    peers: BTreeMap<u64, Peer>,
+    calls: BTreeMap<u64, Call>,
+    next_call: u64,
+    asked: BTreeMap<u64, Asked>,
+    out: VecDeque<Out>,
+    /// Written with the next pump.
+    keep: Option<Publication>,
+    ending: bool,
+}
+
+impl Node {
+    pub fn new(now_us: u64, plan: Plan, incarnation: u64, kept: Kept, seed: u64) -> Self {
+        let who = Who { name: plan.name.clone(), incarnation };
+        let mut session = Session::new(who.clone(), plan.times, kept.taken.clone());
+        session.hurry(now_us);
+        // Spread over the voters by name, so that a restart finds the same one.
+        let spread = who.name.bytes().fold(0_usize, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte as usize));
+        let mut node = Node {
+            at: spread % plan.voters.len().max(1),
+            plan,
+            who,
+            seed,
+            kept: Kept::default(),
+            session,
+            voter: None,
+            lead: None,
+            disk: None,
+            peers: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            next_call: 0,
+            asked: BTreeMap::new(),
+            out: VecDeque::new(),
+            keep: None,
+            ending: false,
+        };
+        if let Some(taken) = &kept.taken {
+            node.out.push_back(Out::Take(taken.clone()));
+        }
+        node.begin(now_us, kept);
+        node
+    }
+
+    fn begin(&mut self, now_us: u64, kept: Kept) {
+        self.kept = kept;
+        if !self.plan.voters.contains(&self.who.name) || self.kept.seat == 0 {
+            return;
+        }
+        let started = self.kept.log.before() > 0;
+        let seat = Seat { id: self.kept.seat, roster: self.kept.roster.clone(), started };
+        let founding = Founding::new(seat, self.who.name.clone(), self.plan.voters.clone());
+        self.voter = Some(Voter { founding, agree: None, founding_us: now_us, tick_us: now_us });
+        if started {
+            self.start(now_us);
+        }
+    }
+
+    fn start(&mut self, now_us: u64) {
+        let seed = self.seed ^ self.who.incarnation ^ now_us;
+        match Agree::new(&self.kept, self.who.incarnation, &self.plan.times, seed) {
+            Ok(agree) => {
+                if let Some(voter) = &mut self.voter {
+                    voter.agree = Some(agree);
+                    voter.founding.own.started = self.kept.log.before() > 0;
+                    voter.tick_us = now_us;
+                }
+            }
+            Err(why) => self.disk_lost(why),
+        }
+    }
+
+    /// The disk takes writes again; this is what it holds, read anew.
+    pub fn revive(&mut self, now_us: u64, kept: Kept) {
+        if self.disk.take().is_some() {
+            self.event(Event::DiskBack);
+            // What was taken meanwhile is not there yet.
+            self.keep = self.session.taken.clone().filter(|taken| kept.taken.as_ref() != Some(taken));
+            self.begin(now_us, kept);
+            self.session.hurry(now_us);
+        }
+    }
+
+    fn disk_lost(&mut self, why: String) {
+        if self.disk.is_none() {
+            self.event(Event::DiskLost { why: why.clone() });
+        }
+        self.disk = Some(why);
+        self.lost_lead();
+        self.voter = None;
+        for conn in self.peers.keys() {
+            self.out.push_back(Out::Say(Link::Conn(*conn), Word::Away));
+        }
+    }
+
+    pub fn disk_trouble(&self) -> Option<&str> {
+        self.disk.as_deref()
+    }
+
+    fn event(&mut self, event: Event) {
+        self.out.push_back(Out::Event(event));
+    }
+
+    fn say(&mut self, link: Link, word: Word) {
+        self.out.push_back(Out::Say(link, word));
+    }
+
+    pub fn hello(&self) -> Word {
+        let voter = self.plan.voters.contains(&self.who.name);
+        Word::Hello { fleet: self.plan.fleet.clone(), who: self.who.clone(), voter }
+    }
+
+    fn agree(&mut self) -> Option<&mut Agree> {
+        self.voter.as_mut()?.agree.as_mut()
+    }
+
+    fn agreed(&self) -> Option<&Agree> {
+        self.voter.as_ref()?.agree.as_ref()
+    }
+
+    pub fn leads(&self) -> bool {
+        self.lead.is_some()
+    }
+
+    fn other_voters(&self) -> Vec<String> {
+        self.plan.voters.iter().filter(|name| **name != self.who.name).cloned().collect()
+    }
+
+    /// Whoever can bring a word to the leader: the own voter, or the one that the session is with.
+    fn upward(&self) -> Option<Link> {
+        match self.agreed().filter(|agree| agree.started()) {
+            Some(agree) if agree.leads() => None,
+            Some(agree) => agree.leader().map(|leader| Link::Voter(leader.to_owned())),
+            None => self.with().map(|voter| Link::Voter(voter.to_owned())),
+        }
+    }
+
+    /// The other voter that the session is with, where this process is none or its own part is down.
+    fn with(&self) -> Option<&str> {
+        let voters = self.plan.voters.iter().cycle().skip(self.at).take(self.plan.voters.len());
+        voters.map(String::as_str).find(|name| *name != self.who.name)
+    }
+
+    // Calls of the process itself.
+
+    /// Asks the fleet; the answer comes as `Out::Told` under the number returned, within the time given.
+    pub fn ask(&mut self, now_us: u64, ask: Ask, patience_us: u64) -> Result<u64, String> {
+        if let Ask::Command(Command::Outs { ids, .. }) = &ask {
+            if ids.is_empty() || ids.len() > MOST_IDS {
+                return Err(format!("1 to {MOST_IDS} ids in a call"));
+            }
+            if ids.iter().any(|id| id.is_empty() || id.len() > MOST_ID) {
+                return Err(format!("an id is 1 to {MOST_ID} bytes"));
+            }
+        }
+        if self.calls.len() >= MOST_CALLS {
+            return Err("too many calls in hand".into());
+        }
+        self.next_call += 1;
+        self.calls.insert(self.next_call, Call { ask, until_us: now_us + patience_us, again_us: now_us });
+        self.calls_again(now_us);
+        Ok(self.next_call)
+    }
+
+    /// The proxy has told its module of this version.
+    pub fn acted(&mut self, now_us: u64, version: u64) {
+        self.session.acted = self.session.acted.max(version);
+        self.session.hurry(now_us);
+    }
+
+    /// Whether this process would own duties: not while it is drained or ends.
+    pub fn willing(&mut self, now_us: u64, willing: bool) {
+        self.session.willing = willing && !self.ending;
+        if !self.session.willing {
+            let gone = self.session.let_go_all(now_us);
+            self.gave_up(gone);
+        }
+        self.session.hurry(now_us);
+    }
+
+    /// The process is about to end: duties and the lead go to others at once.
+    pub fn end(&mut self, now_us: u64) {
+        self.ending = true;
+        self.willing(now_us, false);
+        if let Some(agree) = self.agree().filter(|agree| agree.leads()) {
+            agree.hand_on();
+        }
+    }
+
+    fn gave_up(&mut self, gone: Vec<(String, u64)>) {
+        for (duty, token) in gone {
+            self.event(Event::LetGo { duty: duty.clone(), token });
+            self.release(Word::Release { duty, token, who: self.who.clone() });
+        }
+    }
+
+    // What comes in.
+
+    pub fn hear(&mut self, now_us: u64, link: Link, word: Word) {
+        if let (Link::Conn(conn), Word::Hello { fleet, who, voter }) = (&link, &word) {
+            if *fleet != self.plan.fleet {
+                self.event(Event::Stranger { fleet: fleet.clone(), from: who.name.clone() });
+                self.out.push_back(Out::Close(link));
+                return;
+            }
+            let voter = *voter && self.plan.voters.contains(&who.name);
+            self.peers.insert(*conn, Peer { who: who.clone(), voter });
+            return;
+        }
+        let from = match &link {
+            Link::Voter(name) => Some((name.clone(), true)),
+            Link::Conn(conn) => self.peers.get(conn).map(|peer| (peer.who.name.clone(), peer.voter)),
+        };
+        let Some((from, voter)) = from else { return };
+        match word {
+            Word::Hello { .. } | Word::Beat => {}
+            Word::Seat(seat) if voter => self.seat(&from, seat),
+            Word::Agree(message) if voter => {
+                if let Some(agree) = self.agree() {
+                    agree.step(&message);
+                }
+            }
+            Word::Seat(_) | Word::Agree(_) => {}
+            Word::Renew(renewal) => self.renew(now_us, &from, voter, link, renewal),
+            Word::Renewed(answer) if answer.who == self.who => self.renewed(now_us, answer),
+            Word::Renewed(answer) => self.pass_on(answer.who.clone(), Word::Renewed(answer)),
+            Word::Nudge(who) if who == self.who => self.session.hurry(now_us),
+            Word::Nudge(who) => self.pass_on(who.clone(), Word::Nudge(who)),
+            Word::Release { duty, token, who } => {
+                let from_session = !voter || who.name == from;
+                if self.lead.is_some() || from_session {
+                    self.release(Word::Release { duty, token, who });
+                }
+            }
+            Word::Ask { who, call, ask } => self.asked(now_us, &from, voter, link, who, call, ask),
+            Word::Told { who, call, told } if who == self.who => {
+                // What only says "not now" is asked again until the call's time is over.
+                if !matches!(told, Told::NotNow(_)) && self.calls.remove(&call).is_some() {
+                    self.out.push_back(Out::Told(call, told));
+                }
+            }
+            Word::Told { who, call, told } => self.pass_on(who.clone(), Word::Told { who, call, told }),
+            Word::Publish(publication) => self.published(link, voter, publication),
+            Word::Stale { duty, token, .. } => {
+                // Told by a receiver that it is one no longer: that stands, whatever the clock says.
+                if self.session.holding.let_go(&duty, token) {
+                    self.gave_up(vec![(duty, token)]);
+                }
+            }
+            Word::Away => self.elsewhere(now_us),
+        }
+    }
+
+    /// A connection is gone.
+    pub fn closed(&mut self, now_us: u64, link: &Link) {
+        match link {
+            Link::Conn(conn) => {
+                self.peers.remove(conn);
+            }
+            Link::Voter(name) => {
+                if self.with() == Some(name.as_str()) && self.voter.is_none() {
+                    self.elsewhere(now_us);
+                }
+            }
+        }
+    }
+
+    fn elsewhere(&mut self, now_us: u64) {
+        let place = |name: &str| self.plan.voters.iter().position(|voter| voter == name);
+        let at = self.with().and_then(place).unwrap_or(self.at);
+        self.at = (at + 1) % self.plan.voters.len().max(1);
+        self.session.hurry(now_us);
+    }
+
+    /// The fleet's answer to this process's own renewal.
+    fn renewed(&mut self, now_us: u64, answer: Renewed) {
+        let was = self.session.superseded;
+        let changes = self.session.renewed(now_us, answer);
+        if self.session.superseded && !was {
+            self.event(Event::Superseded);
+        }
+        for (duty, held) in changes.held {
+            let (from_us, until_us) = (held.from_us, held.until_us);
+            self.event(Event::Held { duty, token: held.token, from_us, until_us });
+        }
+        for (duty, token) in changes.let_go {
+            self.session.holding.let_go(&duty, token);
+            self.gave_up(vec![(duty, token)]);
+        }
+        self.publish(now_us);
+    }
+
+    /// To the process that this one has a connection from.
+    fn pass_on(&mut self, who: Who, word: Word) {
+        let conn = self.peers.iter().rev().find(|(_, peer)| peer.who == who && !peer.voter);
+        let conn = conn.or_else(|| self.peers.iter().rev().find(|(_, peer)| peer.who == who));
+        if let Some((conn, _)) = conn {
+            self.say(Link::Conn(*conn), word);
+        }
+    }
+
+    /// The way back to whoever a word came from: to a voter over our own connection.
+    fn back(&self, from: &str, voter: bool, link: Link) -> Link {
+        match voter && from != self.who.name {
+            true => Link::Voter(from.to_owned()),
+            false => link,
+        }
+    }
+
+    fn seat(&mut self, from: &str, seat: Seat) {
+        let Some(voter) = &mut self.voter else { return };
+        let started = voter.agree.as_ref().is_some_and(Agree::started);
+        if !started {
+            voter.founding.hear(from, seat);
+            return;
+        }
+        voter.founding.own.started = true;
+        let answer = voter.founding.own.clone();
+        if let Some(agree) = &mut voter.agree {
+            agree.replace(from, seat.id);
+        }
+        if !seat.started {
+            self.say(Link::Voter(from.to_owned()), Word::Seat(answer));
+        }
+    }
+
+    fn renew(&mut self, now_us: u64, from: &str, voter: bool, link: Link, renewal: Renewal) {
+        let own_session = !voter || renewal.who.name == from;
+        if own_session {
+            if let Some(missed) = self.session.missed_by(&renewal).cloned() {
+                let back = self.back(from, voter, link.clone());
+                self.say(back, Word::Publish(missed));
+            }
+        }
+        let route = Route::Link(self.back(from, voter, link.clone()));
+        if let Some(lead) = &mut self.lead {
+            lead.hear(now_us, renewal, route);
+            return;
+        }
+        if !own_session {
+            return;
+        }
+        match self.agreed().and_then(Agree::leader).map(str::to_owned) {
+            // One hop: the leader, or whoever was it a moment ago.
+            Some(leader) if leader != self.who.name => self.say(Link::Voter(leader), Word::Renew(renewal)),
+            _ if self.voter.is_none() => self.say(link, Word::Away),
+            _ => {}
+        }
+    }
+
+    fn release(&mut self, word: Word) {
+        let Word::Release { duty, token, .. } = &word else { return };
+        if self.lead.is_some() {
+            let command = Command::Release { duty: duty.clone(), token: *token };
+            self.propose(0, &command);
+        } else if let Some(link) = self.upward() {
+            self.say(link, word);
+        }
+    }
+
+    /// Own calls have numbers from 1 on; 0 is nobody's.
+    fn propose(&mut self, call: u64, command: &Command) -> bool {
+        let proposed = self.agree().map(|agree| agree.propose(call, command));
+        let sound = matches!(proposed, Some(Ok(())));
+        if !sound {
+            if let Some(lead) = &mut self.lead {
+                lead.dropped(command);
+            }
+        }
+        sound
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn asked(
+        &mut self, now_us: u64, from: &str, voter: bool, link: Link, who: Who, call: u64, ask: Ask,
+    ) {
+        let route = Route::Link(self.back(from, voter, link.clone()));
+        if self.lead.is_some() {
+            self.answer(now_us, route, who, call, ask);
+            return;
+        }
+        let leader = self.agreed().and_then(Agree::leader).map(str::to_owned);
+        match leader.filter(|leader| *leader != self.who.name && (!voter || who.name == from)) {
+            Some(leader) => self.say(Link::Voter(leader), Word::Ask { who, call, ask }),
+            None => self.tell(route, who, call, Told::NotNow("nobody leads".into())),
+        }
+    }
+
+    /// As leader.
+    fn answer(&mut self, now_us: u64, route: Route, who: Who, call: u64, ask: Ask) {
+        match ask {
+            Ask::Status => {
+                let status = self.status(now_us);
+                self.tell(route, who, call, status);
+            }
+            Ask::Command(command) => {
+                if self.asked.len() >= MOST_CALLS {
+                    self.tell(route, who, call, Told::NotNow("too much in hand".into()));
+                    return;
+                }
+                self.next_call += 1;
+                let number = self.next_call;
+                if self.propose(number, &command) {
+                    self.asked.insert(number, Asked { route, who, call });
+                } else {
+                    self.tell(route, who, call, Told::NotNow("the log takes nothing now".into()));
+                }
+            }
+        }
+    }
+
+    fn tell(&mut self, route: Route, who: Who, call: u64, told: Told) {
+        match route {
+            Route::Link(link) => self.say(link, Word::Told { who, call, told }),
+            Route::Own => {
+                if !matches!(told, Told::NotNow(_)) && self.calls.remove(&call).is_some() {
+                    self.out.push_back(Out::Told(call, told));
+                }
+            }
+        }
+    }
+
+    fn status(&self, now_us: u64) -> Told {
+        let (Some(agree), Some(lead)) = (self.agreed(), &self.lead) else {
+            return Told::NotNow("nobody leads".into());
+        };
+        let fleet = &agree.fleet;
+        let owner = |owner: &Option<Who>| owner.as_ref().map(|who| who.name.clone());
+        let duties = fleet.duties.iter();
+        Told::Status(Box::new(Status {
+            leader: self.who.name.clone(),
+            term: agree.term(),
+            version: fleet.version,
+            outs: fleet.outs.clone(),
+            duties: duties.map(|(name, duty)| (name.clone(), (owner(&duty.owner), duty.token))).collect(),
+            members: lead.members(now_us),
+            unheard: fleet.sessions.keys().filter(|name| !lead.heard.contains_key(*name)).cloned().collect(),
+        }))
+    }
+
+    /// An owner's word, from wherever it comes: it is for this process and for all whose way it is on.
+    fn published(&mut self, link: Link, voter: bool, publication: Publication) {
+        let from_session = matches!(link, Link::Conn(_)) && !voter;
+        let serves = self.plan.voters.contains(&self.who.name);
+        self.take(Some(link), &publication);
+        if serves {
+            if from_session {
+                for name in self.other_voters() {
+                    self.say(Link::Voter(name), Word::Publish(publication.clone()));
+                }
+            }
+            self.to_sessions(&publication);
+        }
+    }
+
+    fn to_sessions(&mut self, publication: &Publication) {
+        let conns = self.peers.iter().filter(|(_, peer)| !peer.voter).map(|(conn, _)| *conn);
+        let conns: Vec<u64> = conns.collect();
+        for conn in conns {
+            self.say(Link::Conn(conn), Word::Publish(publication.clone()));
+        }
+    }
+
+    /// Through the fence, or back to where it came from with a reason.
+    fn take(&mut self, from: Option<Link>, publication: &Publication) {
+        let Publication { token, version, owner, .. } = publication.clone();
+        let duty = OUTS.to_owned();
+        match self.session.take(publication) {
+            Ok(false) => {}
+            Ok(true) => {
+                self.event(Event::Effect { duty, token, version, owner });
+                self.keep = Some(publication.clone());
+                self.out.push_back(Out::Take(publication.clone()));
+            }
+            Err(seen) => {
+                self.event(Event::StaleRefused { duty: duty.clone(), token, version, owner, seen });
+                if let Some(link) = from {
+                    self.say(link, Word::Stale { duty, token, seen });
+                }
+            }
+        }
+    }
+
+    fn publish(&mut self, now_us: u64) {
+        let Some(publication) = self.session.publish(now_us) else { return };
+        self.take(None, &publication);
+        if self.plan.voters.contains(&self.who.name) {
+            for name in self.other_voters() {
+                self.say(Link::Voter(name), Word::Publish(publication.clone()));
+            }
+            self.to_sessions(&publication);
+        } else if let Some(link) = self.upward() {
+            self.say(link, Word::Publish(publication));
+        }
+    }
+
+    // Time.
+
+    /// To be called once each tick of the plan's times, and after what came in.
+    pub fn tick(&mut self, now_us: u64) {
+        for (duty, token) in self.session.holding.lapsed(now_us) {
+            self.event(Event::Lapsed { duty, token });
+        }
+        self.tick_voter(now_us);
+        self.renew_own(now_us);
+        self.publish(now_us);
+        self.calls_again(now_us);
+    }
+
+    fn tick_voter(&mut self, now_us: u64) {
+        let tick_us = self.plan.times.tick_us;
+        let Some(voter) = &mut self.voter else { return };
+        if let Some(agree) = &mut voter.agree {
+            // After a pause one tick stands for all that were missed: what others said meanwhile is yet to be
+            // heard.
+            if now_us >= voter.tick_us {
+                agree.tick();
+                voter.tick_us = if now_us > voter.tick_us + 4 * tick_us { now_us + tick_us } else { voter.tick_us + tick_us };
+            }
+        }
+        let started = voter.agree.as_ref().is_some_and(Agree::started);
+        if !started && now_us >= voter.founding_us {
+            voter.founding_us = now_us + FOUNDING_US;
+            let seat = voter.founding.own.clone();
+            for name in self.other_voters() {
+                self.say(Link::Voter(name), Word::Seat(seat.clone()));
+            }
+        }
+    }
+
+    fn renew_own(&mut self, now_us: u64) {
+        if self.session.forsaken(now_us) && self.agreed().is_none_or(|agree| !agree.started()) {
+            self.elsewhere(now_us);
+        }
+        let voter = self.plan.voters.contains(&self.who.name);
+        let Some(renewal) = self.session.due(now_us, voter, self.disk.is_none()) else { return };
+        if let Some(lead) = &mut self.lead {
+            lead.hear(now_us, renewal, Route::Own);
+        } else if let Some(link) = self.upward() {
+            self.say(link, Word::Renew(renewal));
+        }
+    }
+
+    fn calls_again(&mut self, now_us: u64) {
+        let over: Vec<u64> =
+            self.calls.iter().filter(|(_, call)| now_us >= call.until_us).map(|(number, _)| *number).collect();
+        for number in over {
+            self.calls.remove(&number);
+            let why = "the fleet did not answer in time: it may be agreed all the same";
+            self.out.push_back(Out::Told(number, Told::NotNow(why.into())));
+        }
+        let due = self.calls.iter_mut().filter(|(_, call)| now_us >= call.again_us);
+        let due: Vec<(u64, Ask)> = due
+            .map(|(number, call)| {
+                call.again_us = now_us + AGAIN_US;
+                (*number, call.ask.clone())
+            })
+            .collect();
+        for (call, ask) in due {
+            let who = self.who.clone();
+            match self.upward() {
+                _ if self.lead.is_some() => self.answer(now_us, Route::Own, who, call, ask),
+                Some(link) => self.say(link, Word::Ask { who, call, ask }),
+                None => {}
+            }
+        }
+    }
+
+    // The disk, and what may be said once it has written.
+
+    /// Carries everything as far as it goes now; what is to be done then comes from `take_out`.
+    pub fn pump(&mut self, now_us: u64, disk: &mut dyn Disk) {
+        if self.disk.is_some() {
+            return;
+        }
+        if let Err(why) = self.pumped(now_us, disk) {
+            self.disk_lost(why);
+        }
+    }
+
+    fn pumped(&mut self, now_us: u64, disk: &mut dyn Disk) -> Result<(), String> {
+        if let Some(taken) = self.keep.take() {
+            let batch = Batch { taken: Some(taken.clone()), ..Batch::default() };
+            if let Err(why) = disk.write(&batch) {
+                self.keep = Some(taken);
+                return Err(why);
+            }
+        }
+        self.found(now_us, disk)?;
+        // Rounds, proposals and their fruits bring one another on.
+        for _ in 0..8 {
+            let Some(agree) = self.agree() else { return Ok(()) };
+            let progress = agree.pump(disk)?;
+            let names: Vec<(Option<String>, Vec<u8>)> = progress
+                .messages
+                .into_iter()
+                .map(|(to, message)| (self.agreed().and_then(|agree| agree.name(to)).map(str::to_owned), message))
+                .collect();
+            for (name, message) in names {
+                if let Some(name) = name {
+                    self.say(Link::Voter(name), Word::Agree(message));
+                }
+            }
+            for name in progress.replaced {
+                self.event(Event::Replaced { name });
+            }
+            self.led(now_us);
+            let mut moved = !progress.applied.is_empty();
+            for (call, command, outcome) in progress.applied {
+                self.applied(now_us, call, command, outcome);
+            }
+            for round in progress.confirmed {
+                moved = true;
+                self.confirmed(now_us, round);
+            }
+            if let Some(lead) = &mut self.lead {
+                let round = lead.round(now_us, &self.plan.times);
+                let Some(agree) = self.voter.as_mut().and_then(|voter| voter.agree.as_mut()) else { return Ok(()) };
+                if let Some(round) = round {
+                    agree.confirm(round);
+                    moved = true;
+                }
+                let commands = lead.propose(now_us, &agree.fleet, &self.plan.times);
+                for command in commands {
+                    moved |= self.propose(0, &command);
+                }
+            }
+            if !moved {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    fn found(&mut self, now_us: u64, disk: &mut dyn Disk) -> Result<(), String> {
+        let Some(voter) = self.voter.as_mut().filter(|voter| voter.agree.is_none()) else { return Ok(()) };
+        match voter.founding.next() {
+            Next::Wait => {}
+            Next::Seal(roster) => {
+                let batch = Batch { roster: Some(roster.clone()), ..Batch::default() };
+                disk.write(&batch)?;
+                self.kept.absorb(&batch);
+                voter.founding.own.roster = Some(roster);
+                voter.founding_us = now_us;
+            }
+            Next::Start(roster) => {
+                let batch = founding(&roster);
+                disk.write(&batch)?;
+                self.kept.absorb(&batch);
+                let voters = roster.len();
+                self.start(now_us);
+                // The others must hear it even if they were bound first.
+                let seat = self.voter.as_ref().map(|voter| voter.founding.own.clone());
+                for name in self.other_voters() {
+                    if let Some(seat) = &seat {
+                        self.say(Link::Voter(name), Word::Seat(seat.clone()));
+                    }
+                }
+                self.event(Event::Founded { voters });
+            }
+            Next::Listen => {
+                self.start(now_us);
+                self.event(Event::Listening);
+            }
+        }
+        Ok(())
+    }
+
+    /// Notes whether this voter leads now.
+    fn led(&mut self, now_us: u64) {
+        let Some(agree) = self.agreed() else { return };
+        let (leads, term) = (agree.leads(), agree.term());
+        if self.lead.as_ref().is_some_and(|lead| !leads || lead.term != term) {
+            self.lost_lead();
+        }
+        if leads && self.lead.is_none() {
+            self.lead = Some(Lead::new(&self.who.name, term, now_us));
+            self.event(Event::Leads { term });
+            self.session.hurry(now_us);
+            if self.ending {
+                if let Some(agree) = self.agree() {
+                    agree.hand_on();
+                }
+            }
+        }
+    }
+
+    fn lost_lead(&mut self) {
+        if let Some(lead) = self.lead.take() {
+            self.event(Event::LeadLost { term: lead.term });
+        }
+        let why = "the lead was lost: it may be agreed all the same";
+        for (_, asked) in std::mem::take(&mut self.asked) {
+            self.tell(asked.route, asked.who, asked.call, Told::NotNow(why.into()));
+        }
+    }
+
+    fn applied(&mut self, now_us: u64, call: Option<u64>, command: Command, outcome: Outcome) {
+        let Some(lead) = &mut self.lead else { return };
+        lead.applied(now_us, &command);
+        // Whoever it concerns hears of it at once, not with its next renewal.
+        let mut concerned: Vec<Who> = Vec::new();
+        match &command {
+            Command::Grant { duty, token, to } if outcome == Outcome::Granted => {
+                let (duty, token) = (duty.clone(), *token);
+                concerned.push(to.clone());
+                self.event(Event::Granted { duty, token, to: to.to_string() });
+            }
+            Command::Join(all) => concerned.extend(all.iter().cloned()),
+            Command::Outs { .. } => {
+                let owner = self.agreed().and_then(|agree| agree.fleet.duties.get(OUTS)?.owner.clone());
+                concerned.extend(owner);
+            }
+            _ => {}
+        }
+        for who in concerned {
+            self.nudge(now_us, who);
+        }
+        if let Some(asked) = call.and_then(|call| self.asked.remove(&call)) {
+            self.tell(asked.route, asked.who, asked.call, Told::Done(outcome));
+        }
+    }
+
+    fn nudge(&mut self, now_us: u64, who: Who) {
+        match self.lead.as_ref().and_then(|lead| lead.route(&who)).cloned() {
+            Some(Route::Own) => {
+                self.session.hurry(now_us);
+                self.renew_own(now_us);
+            }
+            Some(Route::Link(link)) => self.say(link, Word::Nudge(who)),
+            None => {}
+        }
+    }
+
+    fn confirmed(&mut self, now_us: u64, round: u64) {
+        let Some(fleet) = self.voter.as_ref().and_then(|voter| voter.agree.as_ref()).map(|agree| &agree.fleet) else {
+            return;
+        };
+        let Some(lead) = &mut self.lead else { return };
+        for (route, answer) in lead.confirmed(round, fleet) {
+            let link = match route {
+                Route::Link(link) => link,
+                Route::Own => {
+                    self.renewed(now_us, answer);
+                    continue;
+                }
+            };
+            self.say(link, Word::Renewed(answer));
+        }
+    }
+
+    pub fn take_out(&mut self) -> impl Iterator<Item = Out> + '_ {
+        self.out.drain(..)
+    }
+}
