--- /dev/null
+++ b/crates/carry/src/file.rs
@@ -0,0 +1,150 @@
+//! The operators' own file for the fleet: read whole, checked whole, refused with file, line and reason.
+//! Called by the proxy at its start and by `crankpick check`.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use crankpick_fleet::lease::Times;
+use crankpick_fleet::node::Plan;
+use serde::Deserialize;
+use toml::Spanned;
+
+const LEASE_US: u64 = 3_000_000;
+const WAIT_US: u64 = 1_000_000;
+/// Below, a lease would run out over an ordinary pause of a busy machine; above, nobody would wait for it.
+const LEASES: std::ops::RangeInclusive<u64> = 200_000..=600_000_000;
+const MOST_WAIT_US: u64 = 60_000_000;
+/// Voters: more make each word dearer and survive little more.
+const MOST_VOTERS: usize = 7;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Voter {
+    name: Spanned<String>,
+    address: Spanned<SocketAddr>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Text {
+    fleet: Spanned<String>,
+    name: Option<Spanned<String>>,
+    listen: Option<Spanned<SocketAddr>>,
+    state: Option<Spanned<PathBuf>>,
+    lease_us: Option<Spanned<u64>>,
+    renew_us: Option<Spanned<u64>>,
+    wait_us: Option<Spanned<u64>>,
+    owns: Option<bool>,
+    history: Option<bool>,
+    #[serde(default)]
+    voters: Vec<Voter>,
+}
+
+/// A sound file.
+#[derive(Clone, Debug)]
+pub struct FleetFile {
+    pub plan: Plan,
+    /// Where this process listens for others, if it is a voter.
+    pub listen: Option<SocketAddr>,
+    /// The voters' addresses, in the plan's order.
+    pub voters: Vec<SocketAddr>,
+    pub state: Option<PathBuf>,
+    /// How long a start waits for the version in force.
+    pub wait_us: u64,
+    pub owns: bool,
+    /// Whether each renewal of an owner is logged.
+    pub history: bool,
+}
+
+fn sound_name(name: &str) -> bool {
+    let fit = |byte: u8| byte.is_ascii_alphanumeric() || b"-_".contains(&byte);
+    (1..=64).contains(&name.len()) && name.bytes().all(fit)
+}
+
+/// `own` is the name that the process goes by elsewhere, for a file that all proxies share.
+pub fn read(path: &Path, own: Option<&str>) -> Result<FleetFile, String> {
+    let text = std::fs::read_to_string(path).map_err(|wrong| format!("{}: {wrong}", path.display()))?;
+    let line = |at: usize| text[..at.min(text.len())].matches('\n').count() + 1;
+    let read = toml::from_str::<Text>(&text).map_err(|wrong| {
+        let at = wrong.span().map_or(1, |span| line(span.start));
+        (at, wrong.message().replace('\n', ", "))
+    });
+    let checked = read.and_then(|file| checked(file, own).map_err(|(at, why)| (line(at), why)));
+    checked.map_err(|(line, why)| format!("{}:{line}: {why}", path.display()))
+}
+
+fn checked(text: Text, own: Option<&str>) -> Result<FleetFile, (usize, String)> {
+    let at = |place: std::ops::Range<usize>, why: String| Err((place.start, why));
+    if !sound_name(text.fleet.get_ref()) {
+        return at(text.fleet.span(), "fleet: 1 to 64 of letters, digits, - and _".into());
+    }
+    let (name, named) = match (&text.name, own) {
+        (Some(name), _) => (name.get_ref().clone(), name.span()),
+        (None, Some(own)) => (own.to_owned(), 0..0),
+        (None, None) => return at(0..0, "no name: give one here, or in the configuration".into()),
+    };
+    if !sound_name(&name) {
+        return at(named, format!("name {name:?}: 1 to 64 of letters, digits, - and _"));
+    }
+    if text.voters.is_empty() {
+        return at(0..0, "no voters: name 3 or 5 as [[voters]]".into());
+    }
+    let (mut names, mut addresses) = (BTreeSet::new(), BTreeSet::new());
+    for voter in &text.voters {
+        if !sound_name(voter.name.get_ref()) {
+            return at(voter.name.span(), "a voter's name: 1 to 64 of letters, digits, - and _".into());
+        }
+        if !names.insert(voter.name.get_ref()) {
+            return at(voter.name.span(), format!("two voters named {:?}", voter.name.get_ref()));
+        }
+        if !addresses.insert(*voter.address.get_ref()) {
+            return at(voter.address.span(), format!("address {} twice", voter.address.get_ref()));
+        }
+    }
+    let last = text.voters.last().map_or(0..0, |voter| voter.name.span());
+    if text.voters.len() % 2 == 0 {
+        return at(last, format!("{} voters: an even number survives no more than one less", text.voters.len()));
+    }
+    if text.voters.len() > MOST_VOTERS {
+        return at(last, format!("{} voters: {MOST_VOTERS} at most", text.voters.len()));
+    }
+    let seat = text.voters.iter().find(|voter| *voter.name.get_ref() == name);
+    if let (Some(listen), None) = (&text.listen, seat) {
+        return at(listen.span(), format!("listens, but {name:?} is not among the voters"));
+    }
+    if seat.is_some() && text.state.is_none() {
+        return at(named, format!("{name:?} is a voter and has no folder: give state"));
+    }
+    let lease_us = text.lease_us.as_ref().map_or(LEASE_US, |lease| *lease.get_ref());
+    let lease_at = text.lease_us.as_ref().map_or(0..0, Spanned::span);
+    if !LEASES.contains(&lease_us) {
+        return at(lease_at, format!("lease_us {lease_us}: from {} to {}", LEASES.start(), LEASES.end()));
+    }
+    let mut times = Times::new(lease_us);
+    if let Some(renew) = &text.renew_us {
+        times.renew_us = *renew.get_ref();
+        if times.renew_us == 0 || times.renew_us.saturating_mul(3) > lease_us {
+            let why = format!("renew_us {}: a lease of {lease_us} is shorter than three", times.renew_us);
+            return at(renew.span(), why);
+        }
+    }
+    let wait_us = text.wait_us.as_ref().map_or(WAIT_US, |wait| *wait.get_ref());
+    if wait_us > MOST_WAIT_US {
+        return at(text.wait_us.map_or(0..0, |wait| wait.span()), format!("wait_us: {MOST_WAIT_US} at most"));
+    }
+    Ok(FleetFile {
+        listen: text.listen.map(Spanned::into_inner).or_else(|| seat.map(|voter| *voter.address.get_ref())),
+        voters: text.voters.iter().map(|voter| *voter.address.get_ref()).collect(),
+        plan: Plan {
+            fleet: text.fleet.into_inner(),
+            voters: text.voters.iter().map(|voter| voter.name.get_ref().clone()).collect(),
+            name,
+            times,
+        },
+        state: text.state.map(Spanned::into_inner),
+        wait_us,
+        owns: text.owns.unwrap_or(true),
+        history: text.history.unwrap_or(false),
+    })
+}
--- a/crates/fleet/src/lead.rs
+++ b/crates/fleet/src/lead.rs
@@ -24,7 +24,8 @@
     pub term: u64,
     /// When this voter learned that it leads: whatever its forerunners answered was heard before.
     since_us: u64,
-    pub heard: BTreeMap<String, Heard<R>>,
+    /// Each process by itself: the two of an upgrade both count until one is gone.
+    pub heard: BTreeMap<Who, Heard<R>>,
     /// Renewals that wait for a majority to confirm the lead, with the round that will.
     waiting: Vec<(u64, Heard<R>)>,
     round: u64,
@@ -57,12 +58,8 @@
     }
 
     pub fn hear(&mut self, now_us: u64, renewal: Renewal, route: R) {
-        let newer =
-            self.heard.get(&renewal.who.name).is_none_or(|was| was.renewal.who.incarnation <= renewal.who.incarnation);
-        if newer {
-            let heard = Heard { renewal: renewal.clone(), at_us: now_us, route: route.clone() };
-            self.heard.insert(renewal.who.name.clone(), heard);
-        }
+        let heard = Heard { renewal: renewal.clone(), at_us: now_us, route: route.clone() };
+        self.heard.insert(renewal.who.clone(), heard);
         self.waiting.retain(|(_, one)| one.renewal.who != renewal.who);
         self.waiting.push((self.round + 1, Heard { renewal, at_us: now_us, route }));
     }
@@ -112,6 +109,7 @@
                 sent_us: heard.renewal.sent_us,
                 superseded,
                 version: fleet.version,
+                tokens: fleet.duties.iter().map(|(name, duty)| (name.clone(), duty.token)).collect(),
                 outs: wants.then(|| fleet.outs.clone()),
                 duties,
                 leader: self.name.clone(),
@@ -138,16 +136,20 @@
         }
     }
 
+    pub fn heard_of(&self, name: &str) -> bool {
+        self.heard.keys().any(|who| who.name == name)
+    }
+
     /// What to propose now; `dropped` must be told of each that could not be.
     pub fn propose(&mut self, now_us: u64, fleet: &Fleet, times: &Times) -> Vec<Command> {
         let mut commands = Vec::new();
         let new = |who: &Who| fleet.sessions.get(&who.name).is_none_or(|current| *current < who.incarnation);
+        self.heard.retain(|_, heard| now_us <= heard.at_us + LAPSE * times.lease_us);
         let silent = |name: &String| {
-            let last = self.heard.get(name).map_or(0, |heard| heard.at_us).max(self.since_us);
-            now_us > last + LAPSE * times.lease_us
+            let begun = now_us <= self.since_us + LAPSE * times.lease_us;
+            !begun && !self.heard.keys().any(|who| who.name == *name)
         };
-        let joins = self.heard.values().filter(|heard| now_us <= heard.at_us + LAPSE * times.lease_us);
-        let joins = joins.map(|heard| &heard.renewal.who);
+        let joins = self.heard.keys();
         let joins: Vec<Who> =
             joins.filter(|who| new(who) && !self.joining.contains(who)).take(MOST_JOINS).cloned().collect();
         if !joins.is_empty() {
@@ -223,7 +225,7 @@
 
     /// Whoever is to hear of a change at once.
     pub fn route(&self, who: &Who) -> Option<&R> {
-        self.heard.get(&who.name).filter(|heard| heard.renewal.who == *who).map(|heard| &heard.route)
+        self.heard.get(who).map(|heard| &heard.route)
     }
 
     pub fn members(&self, now_us: u64) -> Vec<MemberStatus> {
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -206,6 +206,15 @@
         }
     }
 
+    /// At a start on a disk that can't be had: as if it had been lost later.
+    pub fn without_disk(&mut self, why: String) {
+        self.disk_lost(why);
+    }
+
+    pub fn hello_name(&self) -> String {
+        self.who.to_string()
+    }
+
     pub fn disk_trouble(&self) -> Option<&str> {
         self.disk.as_deref()
     }
@@ -547,7 +556,7 @@
             outs: fleet.outs.clone(),
             duties: duties.map(|(name, duty)| (name.clone(), (owner(&duty.owner), duty.token))).collect(),
             members: lead.members(now_us),
-            unheard: fleet.sessions.keys().filter(|name| !lead.heard.contains_key(*name)).cloned().collect(),
+            unheard: fleet.sessions.keys().filter(|name| !lead.heard_of(name)).cloned().collect(),
         }))
     }
 
--- a/crates/fleet/src/session.rs
+++ b/crates/fleet/src/session.rs
@@ -16,6 +16,9 @@
     pub superseded: bool,
     pub holding: Holding,
     fence: Fence,
+    /// The version agreed when this process was first answered. Until then it takes nothing: what it had taken
+    /// before a restart may not have reached its disk, and an old word would take it back.
+    floor: Option<u64>,
     pub taken: Option<Publication>,
     pub acted: u64,
     /// As an owner has it from the leader: the version and what it holds.
@@ -45,6 +48,7 @@
             superseded: false,
             holding: Holding::default(),
             fence,
+            floor: None,
             taken,
             acted: 0,
             agreed: None,
@@ -98,8 +102,13 @@
         let mut changes = Changes::default();
         self.unanswered_us = None;
         self.leader = answer.leader;
-        if answer.superseded != self.superseded {
-            self.superseded = answer.superseded;
+        self.superseded = answer.superseded;
+        self.floor.get_or_insert(answer.version);
+        for (duty, token) in &answer.tokens {
+            if duty == OUTS {
+                // A lower one stands against nothing.
+                let _ = self.fence.pass(*token);
+            }
         }
         if let Some(outs) = answer.outs {
             if self.agreed.as_ref().is_none_or(|agreed| agreed.0 < answer.version) {
@@ -137,6 +146,11 @@
         all
     }
 
+    /// Has heard of the version in force, and taken it if there is one.
+    pub fn answered(&self) -> bool {
+        self.floor.is_some_and(|floor| self.taken.as_ref().map_or(0, |taken| taken.version) >= floor)
+    }
+
     /// What to publish as an owner, if anything is due: news at once, all again from time to time, since words
     /// get lost. The lease is looked at here, at the moment of use.
     pub fn publish(&mut self, now_us: u64) -> Option<Publication> {
@@ -155,6 +169,9 @@
     /// Takes an owner's word: the backends that are out now where that is news. An old owner's is refused with
     /// the token that stands against it.
     pub fn take(&mut self, word: &Publication) -> Result<bool, u64> {
+        if word.token >= self.fence.seen && self.floor.is_none_or(|floor| word.version < floor) {
+            return Ok(false);
+        }
         self.fence.pass(word.token)?;
         let version = self.taken.as_ref().map_or(0, |taken| taken.version);
         let token = self.taken.as_ref().map_or(0, |taken| taken.token);
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -65,7 +65,11 @@
     pub fn apply(&mut self, command: Command) -> Outcome {
         match command {
             Command::Join(all) => {
-                self.sessions.extend(all.into_iter().map(|who| (who.name, who.incarnation)));
+                for who in all {
+                    // Of two processes of one proxy the newer has the session.
+                    let current = self.sessions.entry(who.name).or_default();
+                    *current = who.incarnation.max(*current);
+                }
                 Outcome::Nothing
             }
             Command::Leave(all) => {
--- a/crates/fleet/src/words.rs
+++ b/crates/fleet/src/words.rs
@@ -64,6 +64,8 @@
     /// What it owns, and the tokens.
     pub duties: Vec<(String, u64)>,
     pub version: u64,
+    /// The tokens last given: what a receiver that has restarted must not fall behind.
+    pub tokens: Vec<(String, u64)>,
     /// To an owner that has not heard of `version` yet.
     pub outs: Option<BTreeSet<String>>,
     pub leader: String,
