Proxy's files no longer import one another in circles; behaviour unchanged

Need: the fleet's part has to reach names, duty and settings without front, query or handover. Duty, names and halving stand in files of their own; bodies and peers are told by functions.

--- a/crates/carry/src/file.rs
+++ b/crates/carry/src/file.rs
@@ -104,7 +104,10 @@
     }
     let last = text.voters.last().map_or(0..0, |voter| voter.name.span());
     if text.voters.len() % 2 == 0 {
-        return at(last, format!("{} voters: an even number survives no more than one less", text.voters.len()));
+        return at(
+            last,
+            format!("{} voters: an even number survives no more than one less", text.voters.len()),
+        );
     }
     if text.voters.len() > MOST_VOTERS {
         return at(last, format!("{} voters: {MOST_VOTERS} at most", text.voters.len()));
--- a/crates/carry/src/links.rs
+++ b/crates/carry/src/links.rs
@@ -51,7 +51,9 @@
 }
 
 impl Links {
-    pub fn new(voters: BTreeMap<String, SocketAddr>, hello: &Word, lease_us: u64, heard: Sender<Heard>) -> Self {
+    pub fn new(
+        voters: BTreeMap<String, SocketAddr>, hello: &Word, lease_us: u64, heard: Sender<Heard>,
+    ) -> Self {
         Links {
             voters,
             heard,
--- a/crates/carry/src/run.rs
+++ b/crates/carry/src/run.rs
@@ -31,7 +31,11 @@
 const SIGXFSZ: i32 = 25;
 
 pub enum Call {
-    Ask { ask: Ask, patience_us: u64, told: oneshot::Sender<Told> },
+    Ask {
+        ask: Ask,
+        patience_us: u64,
+        told: oneshot::Sender<Told>,
+    },
     /// The module has been told of this version.
     Acted(u64),
     Willing(bool),
@@ -233,34 +237,94 @@
             }
         }
         Event::Lapsed { duty, token } => {
-            tracing::warn!(code = "fleet_lapsed", t_us, duty, token, process, "the lease ran out: nothing more is done for this duty");
+            tracing::warn!(
+                code = "fleet_lapsed",
+                t_us,
+                duty,
+                token,
+                process,
+                "the lease ran out: nothing more is done for this duty"
+            );
         }
         Event::LetGo { duty, token } => {
             tracing::info!(code = "fleet_let_go", t_us, duty, token, process, "given up");
         }
         Event::Effect { duty, token, version, owner } => {
-            tracing::info!(code = "fleet_taken", t_us, duty, token, version, owner, process, "published by its owner");
+            tracing::info!(
+                code = "fleet_taken",
+                t_us,
+                duty,
+                token,
+                version,
+                owner,
+                process,
+                "published by its owner"
+            );
         }
         Event::StaleRefused { duty, token, version, owner, seen } => {
-            tracing::warn!(code = "fleet_stale", t_us, duty, token, version, owner, process, seen, "an old owner's word, refused");
+            tracing::warn!(
+                code = "fleet_stale",
+                t_us,
+                duty,
+                token,
+                version,
+                owner,
+                process,
+                seen,
+                "an old owner's word, refused"
+            );
+        }
+        Event::Leads { term } => {
+            tracing::info!(code = "fleet_leads", t_us, term, process, "leads the voters")
+        }
+        Event::LeadLost { term } => {
+            tracing::info!(code = "fleet_lead_lost", t_us, term, process, "leads no more")
+        }
+        Event::Founded { voters } => {
+            tracing::info!(code = "fleet_founded", t_us, voters, process, "the log begins")
         }
-        Event::Leads { term } => tracing::info!(code = "fleet_leads", t_us, term, process, "leads the voters"),
-        Event::LeadLost { term } => tracing::info!(code = "fleet_lead_lost", t_us, term, process, "leads no more"),
-        Event::Founded { voters } => tracing::info!(code = "fleet_founded", t_us, voters, process, "the log begins"),
         Event::Listening => {
-            tracing::warn!(code = "fleet_new_disk", t_us, process, "the log began without this disk: waits to be taken in");
+            tracing::warn!(
+                code = "fleet_new_disk",
+                t_us,
+                process,
+                "the log began without this disk: waits to be taken in"
+            );
         }
         Event::Replaced { name } => {
-            tracing::warn!(code = "fleet_voter_replaced", t_us, voter = name, process, "a voter's new disk has taken the old one's place");
+            tracing::warn!(
+                code = "fleet_voter_replaced",
+                t_us,
+                voter = name,
+                process,
+                "a voter's new disk has taken the old one's place"
+            );
         }
         Event::Superseded => {
-            tracing::info!(code = "fleet_superseded", t_us, process, "a newer process of this proxy has the session");
+            tracing::info!(
+                code = "fleet_superseded",
+                t_us,
+                process,
+                "a newer process of this proxy has the session"
+            );
         }
         Event::Stranger { fleet, from } => {
-            tracing::warn!(code = "fleet_stranger", t_us, fleet, from, process, "a proxy of another fleet, turned away");
+            tracing::warn!(
+                code = "fleet_stranger",
+                t_us,
+                fleet,
+                from,
+                process,
+                "a proxy of another fleet, turned away"
+            );
         }
         Event::DiskLost { why } => {
-            tracing::error!(code = "fleet_disk_lost", t_us, process, "neither votes nor owns until it can write: {why}");
+            tracing::error!(
+                code = "fleet_disk_lost",
+                t_us,
+                process,
+                "neither votes nor owns until it can write: {why}"
+            );
         }
         Event::DiskBack => tracing::info!(code = "fleet_disk_back", t_us, process, "it can write again"),
         Event::Granted { duty, token, to } => {
--- a/crates/fleet/src/agree.rs
+++ b/crates/fleet/src/agree.rs
@@ -3,8 +3,7 @@
 
 use protobuf::Message as _;
 use raft::eraftpb::{
-    ConfChangeSingle, ConfChangeType, ConfChangeV2, ConfState, Entry, EntryType, HardState,
-    Message, Snapshot,
+    ConfChangeSingle, ConfChangeType, ConfChangeV2, ConfState, Entry, EntryType, HardState, Message, Snapshot,
 };
 use raft::{RawNode, StateRole, Storage as _};
 use serde::{Deserialize, Serialize};
--- a/crates/fleet/src/found.rs
+++ b/crates/fleet/src/found.rs
@@ -63,8 +63,9 @@
                 }
             }
             Some(own) => {
-                let bound =
-                    |(name, seat): &(&String, &Seat)| seat.roster.as_ref() == Some(own) && own.get(*name) == Some(&seat.id);
+                let bound = |(name, seat): &(&String, &Seat)| {
+                    seat.roster.as_ref() == Some(own) && own.get(*name) == Some(&seat.id)
+                };
                 match seats.iter().all(bound) {
                     true => Next::Start(own.clone()),
                     false => Next::Wait,
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -129,7 +129,8 @@
         let mut session = Session::new(who.clone(), plan.times, kept.taken.clone());
         session.hurry(now_us);
         // Spread over the voters by name, so that a restart finds the same one.
-        let spread = who.name.bytes().fold(0_usize, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte as usize));
+        let spread =
+            who.name.bytes().fold(0_usize, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte as usize));
         let mut node = Node {
             at: spread % plan.voters.len().max(1),
             plan,
@@ -493,9 +494,7 @@
     }
 
     #[allow(clippy::too_many_arguments)]
-    fn asked(
-        &mut self, now_us: u64, from: &str, voter: bool, link: Link, who: Who, call: u64, ask: Ask,
-    ) {
+    fn asked(&mut self, now_us: u64, from: &str, voter: bool, link: Link, who: Who, call: u64, ask: Ask) {
         let route = Route::Link(self.back(from, voter, link.clone()));
         if self.lead.is_some() {
             self.answer(now_us, route, who, call, ask);
@@ -571,11 +570,11 @@
                     self.say(Link::Voter(name), Word::Publish(publication.clone()));
                 }
             }
-            self.to_sessions(&publication);
+            self.tell_sessions(&publication);
         }
     }
 
-    fn to_sessions(&mut self, publication: &Publication) {
+    fn tell_sessions(&mut self, publication: &Publication) {
         let conns = self.peers.iter().filter(|(_, peer)| !peer.voter).map(|(conn, _)| *conn);
         let conns: Vec<u64> = conns.collect();
         for conn in conns {
@@ -610,7 +609,7 @@
             for name in self.other_voters() {
                 self.say(Link::Voter(name), Word::Publish(publication.clone()));
             }
-            self.to_sessions(&publication);
+            self.tell_sessions(&publication);
         } else if let Some(link) = self.upward() {
             self.say(link, Word::Publish(publication));
         }
@@ -637,7 +636,11 @@
             // heard.
             if now_us >= voter.tick_us {
                 agree.tick();
-                voter.tick_us = if now_us > voter.tick_us + 4 * tick_us { now_us + tick_us } else { voter.tick_us + tick_us };
+                voter.tick_us = if now_us > voter.tick_us + 4 * tick_us {
+                    now_us + tick_us
+                } else {
+                    voter.tick_us + tick_us
+                };
             }
         }
         let started = voter.agree.as_ref().is_some_and(Agree::started);
@@ -664,8 +667,12 @@
     }
 
     fn calls_again(&mut self, now_us: u64) {
-        let over: Vec<u64> =
-            self.calls.iter().filter(|(_, call)| now_us >= call.until_us).map(|(number, _)| *number).collect();
+        let over: Vec<u64> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| now_us >= call.until_us)
+            .map(|(number, _)| *number)
+            .collect();
         for number in over {
             self.calls.remove(&number);
             let why = "the fleet did not answer in time: it may be agreed all the same";
@@ -716,7 +723,9 @@
             let names: Vec<(Option<String>, Vec<u8>)> = progress
                 .messages
                 .into_iter()
-                .map(|(to, message)| (self.agreed().and_then(|agree| agree.name(to)).map(str::to_owned), message))
+                .map(|(to, message)| {
+                    (self.agreed().and_then(|agree| agree.name(to)).map(str::to_owned), message)
+                })
                 .collect();
             for (name, message) in names {
                 if let Some(name) = name {
@@ -737,7 +746,9 @@
             }
             if let Some(lead) = &mut self.lead {
                 let round = lead.round(now_us, &self.plan.times);
-                let Some(agree) = self.voter.as_mut().and_then(|voter| voter.agree.as_mut()) else { return Ok(()) };
+                let Some(agree) = self.voter.as_mut().and_then(|voter| voter.agree.as_mut()) else {
+                    return Ok(());
+                };
                 if let Some(round) = round {
                     agree.confirm(round);
                     moved = true;
@@ -855,7 +866,9 @@
     }
 
     fn confirmed(&mut self, now_us: u64, round: u64) {
-        let Some(fleet) = self.voter.as_ref().and_then(|voter| voter.agree.as_ref()).map(|agree| &agree.fleet) else {
+        let Some(fleet) =
+            self.voter.as_ref().and_then(|voter| voter.agree.as_ref()).map(|agree| &agree.fleet)
+        else {
             return;
         };
         let Some(lead) = &mut self.lead else { return };
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -21,10 +21,21 @@
     /// Sessions that have ended.
     Leave(Vec<Who>),
     /// Good only for the token that follows the last one given, so that two grants never both hold.
-    Grant { duty: String, token: u64, to: Who },
-    Release { duty: String, token: u64 },
+    Grant {
+        duty: String,
+        token: u64,
+        to: Who,
+    },
+    Release {
+        duty: String,
+        token: u64,
+    },
     /// Backends out for all, or back. `id` tells a repeated call from a second one.
-    Outs { id: u128, out: bool, ids: Vec<String> },
+    Outs {
+        id: u128,
+        out: bool,
+        ids: Vec<String>,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/fleet/src/words.rs
+++ b/crates/fleet/src/words.rs
@@ -128,7 +128,11 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Word {
     /// First on each connection.
-    Hello { fleet: String, who: Who, voter: bool },
+    Hello {
+        fleet: String,
+        who: Who,
+        voter: bool,
+    },
     /// Says that the connection lives.
     Beat,
     Seat(Seat),
@@ -139,12 +143,28 @@
     /// Something has changed for you: renew at once.
     Nudge(Who),
     /// An owner has let go.
-    Release { duty: String, token: u64, who: Who },
-    Ask { who: Who, call: u64, ask: Ask },
-    Told { who: Who, call: u64, told: Told },
+    Release {
+        duty: String,
+        token: u64,
+        who: Who,
+    },
+    Ask {
+        who: Who,
+        call: u64,
+        ask: Ask,
+    },
+    Told {
+        who: Who,
+        call: u64,
+        told: Told,
+    },
     Publish(Publication),
     /// The fence has seen a higher token.
-    Stale { duty: String, token: u64, seen: u64 },
+    Stale {
+        duty: String,
+        token: u64,
+        seen: u64,
+    },
     /// This voter can't serve sessions for now.
     Away,
 }
--- a/crates/lab/src/history.rs
+++ b/crates/lab/src/history.rs
@@ -17,25 +17,70 @@
 #[serde(tag = "kind", rename_all = "snake_case")]
 pub enum Kind {
     /// What an owner itself believes; one line a renewal.
-    Held { duty: String, token: u64, process: String, from_us: u64, until_us: u64 },
+    Held {
+        duty: String,
+        token: u64,
+        process: String,
+        from_us: u64,
+        until_us: u64,
+    },
     /// It gave the duty up before its lease ran out.
-    LetGo { duty: String, token: u64, process: String },
+    LetGo {
+        duty: String,
+        token: u64,
+        process: String,
+    },
     /// Taken by a receiver.
-    Effect { duty: String, token: u64, version: u64, owner: String, receiver: String },
+    Effect {
+        duty: String,
+        token: u64,
+        version: u64,
+        owner: String,
+        receiver: String,
+    },
     /// Refused by a receiver's fence.
-    StaleRefused { duty: String, token: u64, version: u64, owner: String, receiver: String },
-    Fault { what: String },
-    Heal { what: String },
+    StaleRefused {
+        duty: String,
+        token: u64,
+        version: u64,
+        owner: String,
+        receiver: String,
+    },
+    Fault {
+        what: String,
+    },
+    Heal {
+        what: String,
+    },
     /// An operator was told yes.
-    Acked { command: String, version: u64, out: bool, ids: Vec<String> },
+    Acked {
+        command: String,
+        version: u64,
+        out: bool,
+        ids: Vec<String>,
+    },
     /// An operator was told neither yes nor no.
-    Unsure { command: String, ids: Vec<String> },
+    Unsure {
+        command: String,
+        ids: Vec<String>,
+    },
     /// A process is gone for good: whatever it believed, it acts no more. A disk that is lost takes the fence
     /// with it.
-    Died { process: String, disk: bool },
-    Granted { duty: String, token: u64, to: String },
+    Died {
+        process: String,
+        disk: bool,
+    },
+    Granted {
+        duty: String,
+        token: u64,
+        to: String,
+    },
     /// At the end, after all is healed.
-    Final { process: String, version: u64, outs: BTreeSet<String> },
+    Final {
+        process: String,
+        version: u64,
+        outs: BTreeSet<String>,
+    },
 }
 
 /// What the checks found.
@@ -71,7 +116,9 @@
                 let same = all.iter_mut().rev().find(|one| one.token == *token && one.process == process);
                 match same.filter(|one| one.from_us == *from_us || *from_us <= one.until_us) {
                     Some(one) => one.until_us = one.until_us.max(*until_us),
-                    None => all.push(Belief { token: *token, process, from_us: *from_us, until_us: *until_us }),
+                    None => {
+                        all.push(Belief { token: *token, process, from_us: *from_us, until_us: *until_us })
+                    }
                 }
             }
             Kind::LetGo { duty: of, token, process } if of == duty => {
@@ -169,7 +216,9 @@
                     ));
                 }
                 if *version < seen.1 {
-                    found.breaches.push(format!("{receiver} went back to {duty} version {version} from {}", seen.1));
+                    found
+                        .breaches
+                        .push(format!("{receiver} went back to {duty} version {version} from {}", seen.1));
                 }
                 *seen = (seen.0.max(*token), seen.1.max(*version));
             }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -303,7 +303,9 @@
                     }
                 }
                 Out::Say(Link::Conn(conn), word) => {
-                    if let Some((dialled, _)) = self.ends.get(&conn).copied().filter(|(_, voter)| *voter == at) {
+                    if let Some((dialled, _)) =
+                        self.ends.get(&conn).copied().filter(|(_, voter)| *voter == at)
+                    {
                         let name = self.hosts[at].name.clone();
                         self.send(at, dialled, Link::Voter(name), word, false);
                     }
@@ -377,7 +379,9 @@
         let at = if self.rng.u32(0..4) == 0 { self.rng.usize(0..all) } else { self.rng.usize(0..voters) };
         // The owner or the leader more often than chance has it.
         let owner = self.hosts.iter().position(|host| {
-            host.node.as_ref().is_some_and(|node| node.session.holding.all(host.clock(self.t)).next().is_some())
+            host.node
+                .as_ref()
+                .is_some_and(|node| node.session.holding.all(host.clock(self.t)).next().is_some())
         });
         let leader = self.hosts.iter().position(|host| host.node.as_ref().is_some_and(Node::leads));
         let at = match self.rng.u32(0..4) {
@@ -526,7 +530,8 @@
         }
         self.next_command += 1;
         let (id, out) = (self.next_command, self.rng.u32(0..3) > 0);
-        let ids: Vec<String> = (0..self.rng.usize(1..3)).map(|_| format!("b{}", self.rng.u32(0..12))).collect();
+        let ids: Vec<String> =
+            (0..self.rng.usize(1..3)).map(|_| format!("b{}", self.rng.u32(0..12))).collect();
         let ask = Ask::Command(Command::Outs { id, out, ids: ids.clone() });
         let twice = self.rng.u32(0..8) == 0;
         let other = self.rng.usize(0..self.hosts.len());
@@ -592,7 +597,11 @@
         self.heal();
         // The longest way back: old leases, an election, a disk taken in, a snapshot, and a call besides.
         self.run_until(end + 10 * self.setup.lease_us);
-        let (version, outs) = self.contents.last_key_value().map(|(version, outs)| (*version, outs.clone())).unwrap_or_default();
+        let (version, outs) = self
+            .contents
+            .last_key_value()
+            .map(|(version, outs)| (*version, outs.clone()))
+            .unwrap_or_default();
         let mut finals = Vec::new();
         for host in &self.hosts {
             let taken = host.node.as_ref().and_then(|node| node.session.taken.clone());
@@ -606,7 +615,9 @@
         }
         finals.into_iter().for_each(|kind| self.line(kind));
         let owned = self.hosts.iter().any(|host| {
-            host.node.as_ref().is_some_and(|node| node.session.holding.all(host.clock(self.t)).next().is_some())
+            host.node
+                .as_ref()
+                .is_some_and(|node| node.session.holding.all(host.clock(self.t)).next().is_some())
         });
         if !owned {
             self.line(Kind::Fault { what: "BREACH nobody owns the duty at the end".into() });
--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -10,7 +10,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout, Instant};
 
-use crate::front::Duty;
+use crate::duty::Duty;
 use crate::handover::{ByHand, ATTACH, DETACH};
 
 /// Callers in hand: past it the one there longest makes room, so that those who end no call hold up nobody.
--- a/crates/proxy/src/bodies.rs
+++ b/crates/proxy/src/bodies.rs
@@ -13,8 +13,7 @@
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, timeout_at, Instant, Sleep};
 
-use crate::decide::Decide;
-use crate::handover::halve;
+use crate::share::halve;
 
 /// What is kept whole, of a query's body and of an answer.
 pub const SHORT: usize = 64 << 10;
@@ -198,15 +197,15 @@
     }
 
     /// The body for one execution of this query.
-    pub fn body(&self, decide: &Arc<Decide>, id: &str) -> Body {
+    /// `told` hears whether a long one has gone whole: no as it goes on behind what is kept, then yes.
+    pub fn body(&self, told: impl Fn(bool) + Send + Sync + Unpin + 'static) -> Body {
         match self {
             Payload::Whole(bytes, _) => Body::from(bytes.clone()),
             Payload::Passing(passage) => Body::new(Sending {
                 first: Some(passage.first.clone()),
                 passage: Arc::clone(passage),
                 rest: None,
-                decide: Arc::clone(decide),
-                id: id.to_owned(),
+                told,
             }),
         }
     }
@@ -246,15 +245,14 @@
 }
 
 /// A long body on its way to one backend.
-struct Sending {
+struct Sending<T> {
     first: Option<Bytes>,
     passage: Arc<Passage>,
     rest: Option<Source>,
-    decide: Arc<Decide>,
-    id: String,
+    told: T,
 }
 
-impl HttpBody for Sending {
+impl<T: Fn(bool) + Unpin> HttpBody for Sending<T> {
     type Data = Bytes;
     type Error = Broken;
 
@@ -268,14 +266,14 @@
         if sending.rest.is_none() {
             sending.rest = sending.passage.rest.lock().unwrap_or_else(PoisonError::into_inner).take();
             if sending.rest.is_some() {
-                sending.decide.news(|inbox| inbox.sending(&sending.id, false));
+                (sending.told)(false);
             }
         }
         let Some(rest) = &mut sending.rest else { return Poll::Ready(Some(Err(Broken::Gone))) };
         let data = std::task::ready!(rest.poll(cx));
         // Nobody asks again behind the last byte of a length that was told.
         if data.is_none() || rest.body.is_end_stream() {
-            sending.decide.news(|inbox| inbox.sending(&sending.id, true));
+            (sending.told)(true);
             sending.passage.ended.send_replace(Some(Instant::now()));
         }
         Poll::Ready(data.map(|data| data.map(Frame::data)))
--- a/crates/proxy/src/connect.rs
+++ b/crates/proxy/src/connect.rs
@@ -22,7 +22,7 @@
 use tokio::time::{sleep, timeout_at, Instant, Sleep};
 
 use crate::bodies::MOST;
-use crate::handover::halve;
+use crate::share::halve;
 
 /// Opens connections, no more at a time than its budget; where it is spent the longest idle one goes.
 #[derive(Clone)]
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -1,6 +1,6 @@
 //! Follows the list of backends: a watch whenever the module wants one, its lines fed as they come.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -22,6 +22,7 @@
 
 use crate::backends::Backends;
 use crate::decide::Decide;
+use crate::names::Names;
 
 /// Lines come every 2 s at the least: a watch without one is dead, though its connection may not know.
 const SILENT: Duration = Duration::from_millis(2_700);
@@ -38,53 +39,6 @@
     instances: Vec<Value>,
 }
 
-/// The backends' ids and the module's numbers for them. A number is drawn from the text, so that all
-/// proxies have the same.
-#[derive(Default)]
-pub struct Names {
-    /// As last listed.
-    listed: BTreeMap<String, Listed>,
-    /// Out by hand, also those that are on no list.
-    out: BTreeMap<String, u32>,
-}
-
-impl Names {
-    /// What is known of an id.
-    fn last(&self, id: &str) -> Listed {
-        if let Some(last) = self.listed.get(id) {
-            return *last;
-        }
-        let number = self.out.get(id).copied();
-        let taken = |number: u32| {
-            let listed = self.listed.values().any(|listed| listed.backend == number);
-            listed || self.out.values().any(|out| *out == number)
-        };
-        let backend = number.unwrap_or_else(|| {
-            let first = hash(id);
-            (0..).map(|step| first.wrapping_add(step)).find(|number| !taken(*number)).unwrap_or(first)
-        });
-        Listed { backend, ..Listed::default() }
-    }
-
-    pub fn knows(&self, id: &str) -> bool {
-        self.listed.contains_key(id) || self.out.contains_key(id)
-    }
-
-    /// Notes who is out by hand; returns the module's number.
-    pub fn by_hand(&mut self, id: &str, out: bool) -> u32 {
-        let number = self.last(id).backend;
-        match out {
-            true => self.out.insert(id.to_owned(), number),
-            false => self.out.remove(id),
-        };
-        number
-    }
-
-    pub fn all_out(&self) -> Vec<String> {
-        self.out.keys().cloned().collect()
-    }
-}
-
 pub struct Discovery {
     decide: Arc<Decide>,
     backends: Arc<Backends>,
@@ -95,11 +49,6 @@
     moved: bool,
 }
 
-/// FNV-1a.
-fn hash(id: &str) -> u32 {
-    id.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
-}
-
 impl Discovery {
     pub fn new(
         decide: Arc<Decide>, backends: Arc<Backends>, zones: Vec<String>, names: Arc<Mutex<Names>>,
@@ -118,14 +67,14 @@
         let listed = instance.listed(last.backend, &self.zones)?;
         if listed.phase == Phase::Gone {
             // It may come with its id alone. Its zone and cell still bind what may have run there.
-            self.names().listed.remove(&instance.instance_id);
+            self.names().gone(&instance.instance_id);
             self.backends.forget(last.backend);
             return Ok(Listed { phase: Phase::Gone, ..last });
         }
         let address = instance.host_port.parse();
         let address = address.map_err(|_| format!("hostPort {:?}", instance.host_port))?;
         self.backends.place(listed.backend, address);
-        self.names().listed.insert(instance.instance_id, listed);
+        self.names().listed(instance.instance_id, listed);
         Ok(listed)
     }
 
@@ -145,13 +94,9 @@
         if list.reset {
             let id = |entry| Value::get(entry, "instanceId").and_then(Value::as_str);
             let named: BTreeSet<&str> = list.instances.iter().filter_map(id).collect();
-            self.names().listed.retain(|id, listed| {
-                let stays = named.contains(id.as_str());
-                if !stays {
-                    self.backends.forget(listed.backend);
-                }
-                stays
-            });
+            for backend in self.names().only(&named) {
+                self.backends.forget(backend);
+            }
         }
         for entry in &list.instances {
             items.extend(self.entry(entry).or_else(|wrong| {
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -32,16 +32,11 @@
 use tower_service::Service;
 
 use crate::connect::Stall;
+use crate::duty::{Duty, LATE};
 use crate::framing::Framing;
-use crate::handover::halve;
 use crate::query::{answer, plain, Proxy};
+use crate::share::halve;
 
-/// Connections go on coming for up to 0.4 s after the signal to end; idle ones end then too.
-const LATE: Duration = Duration::from_millis(650);
-/// After a drain begins idle connections end: by then most have ended by an answer, and few requests cross.
-const DRAINED: Duration = Duration::from_millis(1_300);
-/// What is opened later still asks at once.
-const OPENED: Duration = Duration::from_millis(250);
 /// Against clients that open a connection and never say anything.
 const SILENT: Duration = Duration::from_millis(2_200);
 /// Against those that keep one for good. Each end may cross a request, so it is not sooner: where connections
@@ -61,42 +56,6 @@
 /// Of a connection's buffer: heads are small, and many connections share the memory.
 const MOST_BUFFER: usize = 32 << 10;
 
-/// What the process is there for, and since when no longer.
-#[derive(Clone, Copy, Debug)]
-pub enum Duty {
-    Serving,
-    Drained(Instant),
-    Ending(Instant),
-}
-
-impl Duty {
-    pub fn ready(&self) -> Result<(), String> {
-        match self {
-            Duty::Serving => Ok(()),
-            Duty::Drained(_) => Err("drained".into()),
-            Duty::Ending(_) => Err("ending".into()),
-        }
-    }
-
-    /// Comes once the process is ending and nothing more may come whole: the kill may follow before its answer.
-    pub async fn too_late(mut duty: watch::Receiver<Duty>) {
-        let ending = duty.wait_for(|duty| matches!(duty, Duty::Ending(_))).await.map(|duty| *duty);
-        match ending {
-            Ok(Duty::Ending(since)) => sleep_until(since + LATE).await,
-            _ => std::future::pending().await,
-        }
-    }
-
-    /// When a client's connection that was opened then is to end, with the code for it.
-    fn leave(&self, opened: Instant) -> Option<(Instant, &'static str)> {
-        match self {
-            Duty::Serving => None,
-            Duty::Drained(since) => Some(((*since + DRAINED).max(opened + OPENED), "drained")),
-            Duty::Ending(since) => Some(((*since + LATE).max(opened + OPENED), "stopping")),
-        }
-    }
-}
-
 pub fn router(proxy: Arc<Proxy>, duty: watch::Receiver<Duty>) -> Router {
     let ready = |State(duty): State<watch::Receiver<Duty>>| async move {
         match duty.borrow().ready() {
--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -12,11 +12,11 @@
 use socket2::SockRef;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, UnixListener, UnixStream};
-use tokio::sync::{watch, Semaphore};
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 use crate::decide::Decide;
-use crate::discovery::Names;
+use crate::names::Names;
 
 const ENDING: &str = ".sock";
 /// A process that is there answers at once; a caller waits 1 s for all of it.
@@ -61,30 +61,6 @@
     own().map(Some).map_err(|wrong| format!("{name}: descriptor {number}: {wrong}"))
 }
 
-/// Of a pool of permits, half is left to another process for as long as one is there.
-pub async fn halve(
-    mut others: watch::Receiver<usize>, room: Arc<Semaphore>, whole: usize, make_room: impl Fn(),
-) {
-    let mut left = Vec::new();
-    loop {
-        if *others.borrow_and_update() == 0 {
-            left.clear();
-        } else if left.len() < whole / 2 {
-            match Arc::clone(&room).try_acquire_owned() {
-                Ok(permit) => left.push(permit),
-                Err(_) => {
-                    make_room();
-                    sleep(PAUSE).await;
-                }
-            }
-            continue;
-        }
-        if others.changed().await.is_err() {
-            return;
-        }
-    }
-}
-
 /// Who is out by hand: for the module, in the file that outlives this process, and told to the others.
 pub struct ByHand {
     decide: Arc<Decide>,
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -7,12 +7,15 @@
 mod connect;
 mod decide;
 mod discovery;
+mod duty;
 mod framing;
 mod front;
 mod handover;
+mod names;
 mod peers;
 mod query;
 mod retune;
+mod share;
 
 use std::io::Write;
 use std::net::SocketAddr;
@@ -20,7 +23,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use axum::http::Uri;
 use crankpick_launch::at;
 use serde_json::Value;
 use tokio::net::{TcpListener, TcpSocket};
@@ -33,12 +35,13 @@
 use crate::backends::Backends;
 use crate::bodies::Pool;
 use crate::decide::Decide;
-use crate::discovery::{Discovery, List, Names};
-use crate::front::Duty;
+use crate::discovery::{Discovery, List};
+use crate::duty::Duty;
 use crate::handover::{ByHand, Handover};
+use crate::names::Names;
 use crate::peers::Peers;
 use crate::query::Proxy;
-use crate::retune::{address, parsed, said, seed, settings, told, Terms};
+use crate::retune::{address, parsed, probe_path, said, seed, settings, told, Terms};
 
 /// Descriptors that are neither clients' nor backends': log, runtime, list, peers, listeners, callers, and some
 /// spare.
@@ -61,14 +64,6 @@
     at::<Vec<String>>(told, path)?.iter().map(|text| parsed(path, text)).collect()
 }
 
-/// What a probe asks for: any path will do, as a request without an id is no query.
-fn probe_path(told: &Value) -> Result<Uri, String> {
-    let path: Option<String> = at(told, "probe_path")?;
-    let path = path.unwrap_or_else(|| "/".into());
-    let sound = path.parse().ok().filter(|uri: &Uri| path.starts_with('/') && uri.authority().is_none());
-    sound.ok_or_else(|| format!("probe_path: no path in {path:?}"))
-}
-
 fn listener(address: SocketAddr, what: &str) -> Result<TcpListener, String> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
     let listener = socket.and_then(|socket| {
@@ -163,7 +158,8 @@
     discovery.known(&known).map_err(|wrong| format!("known: {wrong}"))?;
     let (moved, place) = watch::channel(address(&told, "discovery")?);
     tokio::spawn(discovery.follow(place, list_wanted));
-    tokio::spawn(peers.listen(Arc::clone(&decide)));
+    let heard = Arc::clone(&decide);
+    tokio::spawn(peers.listen(move |peer, note| heard.news(|inbox| inbox.told(peer, note))));
     tokio::spawn(Arc::clone(&backends).leave_room(others.clone(), executions));
     for pool in [&bodies, &answers] {
         tokio::spawn(Arc::clone(pool).leave_room(others.clone()));
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -7,8 +7,6 @@
 use socket2::{Domain, Socket, Type};
 use tokio::net::UdpSocket;
 
-use crate::decide::Decide;
-
 /// Longer ones are not for the network between proxies.
 const MOST_BYTES: usize = 256;
 const PAUSE: Duration = Duration::from_millis(100);
@@ -43,7 +41,7 @@
         }
     }
 
-    pub async fn listen(self: Arc<Self>, decide: Arc<Decide>) {
+    pub async fn listen(self: Arc<Self>, told: impl Fn(u32, &str)) {
         let Some(socket) = &self.socket else { return };
         let mut bytes = [0; MOST_BYTES];
         loop {
@@ -58,7 +56,7 @@
             };
             let peer = self.addresses.iter().position(|address| *address == from);
             if let (Some(peer), Ok(note)) = (peer, std::str::from_utf8(&bytes[..length])) {
-                decide.news(|inbox| inbox.told(peer as u32, note));
+                told(peer as u32, note);
             }
         }
     }
--- a/crates/proxy/src/query.rs
+++ b/crates/proxy/src/query.rs
@@ -17,8 +17,8 @@
 use crate::backends::{Backends, Heard};
 use crate::bodies::{Broken, Payload, Pool};
 use crate::decide::{Decide, Decided, NotTaken};
+use crate::duty::Duty;
 use crate::framing::Came;
-use crate::front::Duty;
 use crate::retune::{Known, Terms};
 
 /// Kept back from what the client waits, for the way there and for writing the answer.
@@ -95,7 +95,13 @@
                     let wait = if payload.passing() { wait } else { Duration::from_micros(timeout_us) };
                     let (backends, head) = (Arc::clone(&proxy.backends), Arc::clone(&head));
                     let (payload, decide, id) = (payload.clone(), Arc::clone(&proxy.decide), life.id.clone());
-                    let body = { let payload = payload.clone(); move || payload.body(&decide, &id) };
+                    let body = {
+                        let payload = payload.clone();
+                        move || {
+                            let (decide, id) = (Arc::clone(&decide), id.clone());
+                            payload.body(move |whole| decide.news(|inbox| inbox.sending(&id, whole)))
+                        }
+                    };
                     let too_late = Duty::too_late(proxy.duty.clone());
                     let execution = backends.execute(backend, head, wait, one_chance, payload, body, too_late);
                     life.out.push((life.executions, Box::pin(execution)));
--- a/crates/proxy/src/retune.rs
+++ b/crates/proxy/src/retune.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use axum::http::Uri;
 use crankpick::interface::Repeat;
 use crankpick_launch::{at, each};
 use serde_json::Value;
@@ -61,6 +62,14 @@
     parsed(path, &at::<String>(told, path)?)
 }
 
+/// What a probe asks for: any path will do, as a request without an id is no query.
+pub fn probe_path(told: &Value) -> Result<Uri, String> {
+    let path: Option<String> = at(told, "probe_path")?;
+    let path = path.unwrap_or_else(|| "/".into());
+    let sound = path.parse().ok().filter(|uri: &Uri| path.starts_with('/') && uri.authority().is_none());
+    sound.ok_or_else(|| format!("probe_path: no path in {path:?}"))
+}
+
 pub fn seed(told: &Value) -> Result<u64, String> {
     let text: String = at(told, "seed")?;
     u64::from_str_radix(&text, 16).map_err(|_| format!("seed: {text:?} is not hexadecimal"))
@@ -80,7 +89,7 @@
     Terms::new(conf, &[])?;
     address(&told, "listen")?;
     address(&told, "discovery")?;
-    crate::probe_path(&told)?;
+    probe_path(&told)?;
     let none = |place: &Value, name: &str| place.get(name).is_some_and(|value| value.as_u64() == Some(0));
     if none(&conf["Limits"], "MaxExecutions") {
         return Err("Limits.MaxExecutions in the settings: 0 lets nothing be executed".into());
