Proxy in a fleet: serve, check and fleet commands, outs published for all proxies

Need: DETACH binds one proxy; an operator had to call each of hundreds. A fleet file joins a proxy: versions are taken before it serves, told to the module as calls by hand are, and acted on is told back. Without the file nothing of it starts. Out by hand and out for the fleet are two sets.

--- a/crates/carry/src/file.rs
+++ b/crates/carry/src/file.rs
@@ -103,7 +103,7 @@
         }
     }
     let last = text.voters.last().map_or(0..0, |voter| voter.name.span());
-    if text.voters.len() % 2 == 0 {
+    if text.voters.len().is_multiple_of(2) {
         return at(
             last,
             format!("{} voters: an even number survives no more than one less", text.voters.len()),
--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -11,20 +11,26 @@
 use tokio::time::{sleep, timeout, Instant};
 
 use crate::duty::Duty;
+use crate::fleet::{Fleet, FLEET};
 use crate::handover::{ByHand, ATTACH, DETACH};
 
 /// Callers in hand: past it the one there longest makes room, so that those who end no call hold up nobody.
 pub const CALLERS: usize = 16;
-/// Of a line, its end included.
+/// Of a line, its end included; calls to the fleet name many backends at a time.
 const MOST_LINE: u64 = 512;
+const MOST_FLEET_LINE: u64 = 64 << 10;
 /// Against callers that never end their line, or don't take their answer.
 const UNENDED: Duration = Duration::from_secs(2);
+/// A call to the fleet waits for a majority of its voters.
+const AGREED: Duration = Duration::from_secs(6);
 const PAUSE: Duration = Duration::from_millis(20);
 
 #[derive(Clone)]
 pub struct Admin {
     pub duty: watch::Sender<Duty>,
     pub by_hand: Arc<ByHand>,
+    /// Where the operators' file joins this proxy to one.
+    pub fleet: Option<Fleet>,
 }
 
 impl Admin {
@@ -45,8 +51,7 @@
             }
             let admin = self.clone();
             let task = tokio::spawn(async move {
-                let unended = ("call_unended", String::new());
-                let (code, call) = timeout(UNENDED, admin.call(stream)).await.unwrap_or(unended);
+                let (code, call) = admin.call(stream).await;
                 tracing::info!(code, call, %from, "call ended");
             });
             callers.push_back(task.abort_handle());
@@ -57,32 +62,42 @@
     async fn call(&self, stream: TcpStream) -> (&'static str, String) {
         let mut stream = BufReader::new(stream);
         let mut line = Vec::new();
-        let read = (&mut stream).take(MOST_LINE).read_until(b'\n', &mut line).await;
+        let most = if self.fleet.is_some() { MOST_FLEET_LINE } else { MOST_LINE };
+        let read = timeout(UNENDED, (&mut stream).take(most).read_until(b'\n', &mut line)).await;
         let call = line.trim_ascii().escape_ascii().to_string();
-        if read.is_err() || line.is_empty() {
+        if !matches!(read, Ok(Ok(_))) || line.is_empty() {
             return ("call_unended", call);
         }
-        let (code, answer) = match self.answer(&line).await {
-            Ok(()) => ("call_yes", "YES\n".to_owned()),
+        let answered = timeout(UNENDED + AGREED, self.answer(&line)).await;
+        let (code, answer) = match answered.unwrap_or_else(|_| Err("no answer in time".into())) {
+            Ok(said) if said.is_empty() => ("call_yes", "YES\n".to_owned()),
+            Ok(said) => ("call_yes", format!("YES {said}\n")),
             Err(why) => ("call_no", format!("NO {why}\n")),
         };
-        match stream.get_mut().write_all(answer.as_bytes()).await {
-            Ok(()) => (code, call),
-            Err(_) => ("caller_gone", call),
+        match timeout(UNENDED, stream.get_mut().write_all(answer.as_bytes())).await {
+            Ok(Ok(())) => (code, call),
+            _ => ("caller_gone", call),
         }
     }
 
-    async fn answer(&self, line: &[u8]) -> Result<(), String> {
+    /// What stands behind YES, or behind NO.
+    async fn answer(&self, line: &[u8]) -> Result<String, String> {
         let line = line.strip_suffix(b"\n").ok_or("the line does not end")?;
         let line = std::str::from_utf8(line).map_err(|_| "not text")?;
         let mut words = line.split_ascii_whitespace();
-        match (words.next(), words.next(), words.next()) {
+        if let (Some(FLEET), Some(fleet)) = (words.next(), &self.fleet) {
+            return fleet.call(words.collect(), AGREED).await;
+        }
+        let mut words = line.split_ascii_whitespace();
+        let done = match (words.next(), words.next(), words.next()) {
             (Some("PING"), None, _) => self.duty.borrow().ready(),
             (Some("LAMEDUCK"), None, _) => self.turn(Duty::Drained(Instant::now())),
             (Some("REJOIN"), None, _) => self.turn(Duty::Serving),
             (Some(call @ (DETACH | ATTACH)), Some(id), None) => self.by_hand.call(id, call == DETACH).await,
+            (Some(FLEET), ..) => Err("this proxy is in no fleet: it was started without a fleet file".into()),
             _ => Err("unknown call".into()),
-        }
+        };
+        done.map(|()| String::new())
     }
 
     /// Repeated it changes nothing: a drain runs from the first call.
--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -16,7 +16,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::decide::Decide;
-use crate::names::Names;
+use crate::names::{By, Names};
 
 const ENDING: &str = ".sock";
 /// A process that is there answers at once; a caller waits 1 s for all of it.
@@ -97,15 +97,17 @@
     }
 
     fn set(&self, id: &str, out: bool) {
-        let number = self.names.lock().unwrap_or_else(PoisonError::into_inner).by_hand(id, out);
+        let changed = self.names.lock().unwrap_or_else(PoisonError::into_inner).set(id, By::Hand, out);
         tracing::info!(code = if out { "out_by_hand" } else { "back_by_hand" }, id, "told by operators");
-        self.decide.news(|inbox| inbox.by_hand(number, out));
+        if let Some(number) = changed {
+            self.decide.news(|inbox| inbox.by_hand(number, out));
+        }
     }
 
     /// Replaced whole, so that nobody reads half a file.
     fn keep(&self) -> Result<(), String> {
         let Some(file) = &self.file else { return Ok(()) };
-        let ids = self.names.lock().unwrap_or_else(PoisonError::into_inner).all_out();
+        let ids = self.names.lock().unwrap_or_else(PoisonError::into_inner).all_out(By::Hand);
         let next = file.with_extension(format!("{}", std::process::id()));
         let text = serde_json::to_vec(&ids).map_err(|wrong| wrong.to_string())?;
         let kept = std::fs::write(&next, text).and_then(|()| std::fs::rename(&next, file));
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -1,220 +1,83 @@
-//! The proxy on sockets: reads what it is told at its start, puts the parts together and runs them
-//! until SIGTERM. Every decision about a query is the module's (`crankpick::balance`).
+//! The program: its command line, its log, and which of its jobs it was started for.
 
 mod admin;
 mod backends;
 mod bodies;
+mod cli;
 mod connect;
 mod decide;
 mod discovery;
 mod duty;
+mod fleet;
 mod framing;
 mod front;
 mod handover;
 mod names;
+mod operate;
 mod peers;
 mod query;
 mod retune;
+mod serve;
 mod share;
 
 use std::io::Write;
-use std::net::SocketAddr;
+use std::path::Path;
 use std::process::ExitCode;
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
-use crankpick_launch::at;
-use serde_json::Value;
-use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{watch, Notify};
-use tokio::time::{sleep, Instant};
-use tracing_appender::non_blocking::NonBlockingBuilder;
+use clap::Parser;
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 
-use crate::admin::Admin;
-use crate::backends::Backends;
-use crate::bodies::Pool;
-use crate::decide::Decide;
-use crate::discovery::{Discovery, List};
-use crate::duty::Duty;
-use crate::handover::{ByHand, Handover};
-use crate::names::Names;
-use crate::peers::Peers;
-use crate::query::Proxy;
-use crate::retune::{address, parsed, probe_path, said, seed, settings, told, Terms};
+use crate::cli::{Cli, Log, Serve, What};
 
-/// Descriptors that are neither clients' nor backends': log, runtime, list, peers, listeners, callers, and some
-/// spare.
-const RESERVED: usize = 32 + admin::CALLERS;
-/// Of the descriptors for clients' connections before idle ones end: clients get a third at most.
-const EASY: usize = 4;
-/// Where the limits name none.
-const SOCKETS: usize = 1024;
-/// Where the limits name no memory.
-const MEMORY_MB: usize = 128;
-/// Where the settings name no time to connect, or none that idle connections may stand.
-const CONNECT: Duration = Duration::from_secs(1);
-const IDLE: Duration = Duration::from_secs(10);
-/// SIGKILL comes 3.7 s after SIGTERM at the soonest: by then all that was taken must be answered.
-const LAST_CALL: Duration = Duration::from_millis(3_300);
-/// What flows by then goes on until it is through, or the kill comes: cut off by us it would be lost.
-const LAST_WRITES: Duration = Duration::from_secs(60);
-
-fn addresses(told: &Value, path: &str) -> Result<Vec<SocketAddr>, String> {
-    at::<Vec<String>>(told, path)?.iter().map(|text| parsed(path, text)).collect()
-}
-
-fn listener(address: SocketAddr, what: &str) -> Result<TcpListener, String> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
-    let listener = socket.and_then(|socket| {
-        // The one before this may have left connections that the kernel still remembers.
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        socket.listen(1024)
-    });
-    listener.map_err(|wrong| format!("{what} on {address}: {wrong}"))
-}
-
-/// Where operators call, if anywhere: a second process of an upgrade has the same file, so its own word leads.
-fn second_address(told: &Value) -> Result<Option<SocketAddr>, String> {
-    let named = std::env::var("EDGE_ADMIN_ADDR").ok().filter(|text| !text.is_empty());
-    let named = match named {
-        Some(text) => Some(text),
-        None => at::<Option<String>>(told, "admin_addr")?,
-    };
-    named.map(|text| parsed("admin_addr", &text)).transpose()
-}
-
-/// Keeps the module told of how many processes stand for this proxy.
-async fn share(decide: Arc<Decide>, mut others: watch::Receiver<usize>) {
-    loop {
-        let processes = *others.borrow_and_update() + 1;
-        decide.news(|inbox| inbox.processes(processes));
-        if others.changed().await.is_err() {
-            return;
-        }
+/// A log that nobody reads loses lines; it must not hold up queries, nor end the process.
+fn log(kind: Log) -> WorkerGuard {
+    let (log, flush) = NonBlockingBuilder::default().buffered_lines_limit(8_192).finish(std::io::stderr());
+    let format = tracing_subscriber::fmt().with_ansi(false).with_target(false).log_internal_errors(false);
+    match kind {
+        Log::Text => format.with_writer(log).init(),
+        Log::Json => format.json().flatten_event(true).with_writer(log).init(),
     }
+    flush
 }
 
-async fn run() -> Result<(), String> {
-    // Before all else: until it is handled, SIGHUP ends the process.
-    let hangup = signal(SignalKind::hangup()).map_err(|wrong| format!("SIGHUP: {wrong}"))?;
-    let told = told()?;
-    let settings = settings(&told)?;
-    let sockets: usize = match at(&told, "limits.sockets")? {
-        0 => SOCKETS,
-        sockets => sockets,
-    };
-    let memory_mb = match at(&told, "limits.memory_mb")? {
-        0 => MEMORY_MB,
-        memory_mb => memory_mb,
-    };
-    // Two thirds for clients: each query in hand holds one there, but one that waits holds no backend's.
-    let budget = sockets.saturating_sub(RESERVED).max(3);
-    let (clients, executions) = (budget - budget / 3, budget / 3);
-
-    let listen = address(&told, "listen")?;
-    let peer_listen = told.get("peer_listen").filter(|value| !value.is_null());
-    let peer_listen = peer_listen.map(|_| address(&told, "peer_listen")).transpose()?;
-    let peers = Arc::new(Peers::new(peer_listen, addresses(&told, "peers")?)?);
-    let inherited = handover::inherited()?;
-    // Only where the platform holds the clients' socket can a second process come to be.
-    let place = handover::place(listen);
-    let handover = match place.as_deref().filter(|_| inherited.is_some()) {
-        // Without word of the others it still serves.
-        Some(place) => Handover::start(place)
-            .await
-            .map_err(|wrong| tracing::error!(code = "no_handover", "other processes can't be told: {wrong}"))
-            .ok(),
-        None => None,
-    };
-    let others = handover.as_ref().map_or_else(|| watch::Sender::new(0).subscribe(), |one| one.others());
-    let [bodies, answers] = [(); 2].map(|()| Arc::new(Pool::new(memory_mb << 20)));
-    let backends = Arc::new(Backends::new(
-        executions,
-        Arc::clone(&answers),
-        said(at(settings, "Limits.ConnectTimeoutUs")?, CONNECT),
-        said(at(settings, "Limits.IdleCloseUs")?, IDLE),
-    ));
-    let balancer = crankpick_launch::balancer(seed(&told)?, settings)?;
-    let list_wanted = Arc::new(Notify::new());
-    let decide = Decide::new(
-        balancer,
-        at(settings, "Limits.MaxExecutions")?,
-        Arc::clone(&list_wanted),
-        Arc::clone(&peers),
-        Arc::clone(&backends),
-        probe_path(&told)?,
-    );
-    // Where the list comes unasked the module never asks: the first watch is ours to open.
-    if at::<String>(settings, "Discovery")? != "subscribe" {
-        list_wanted.notify_one();
-    }
-    let names: Arc<Mutex<Names>> = Arc::default();
-    let zones = at(settings, "Zones")?;
-    let mut discovery = Discovery::new(Arc::clone(&decide), Arc::clone(&backends), zones, Arc::clone(&names));
-    let by_hand = ByHand::start(Arc::clone(&decide), names, handover.clone(), place.as_deref());
-    let known: List = at(&told, "known")?;
-    discovery.known(&known).map_err(|wrong| format!("known: {wrong}"))?;
-    let (moved, place) = watch::channel(address(&told, "discovery")?);
-    tokio::spawn(discovery.follow(place, list_wanted));
-    let heard = Arc::clone(&decide);
-    tokio::spawn(peers.listen(move |peer, note| heard.news(|inbox| inbox.told(peer, note))));
-    tokio::spawn(Arc::clone(&backends).leave_room(others.clone(), executions));
-    for pool in [&bodies, &answers] {
-        tokio::spawn(Arc::clone(pool).leave_room(others.clone()));
-    }
-    tokio::spawn(share(Arc::clone(&decide), others.clone()));
+fn serve(kind: Log, with: &Serve) -> Result<(), String> {
+    let _flush = log(kind);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.map_err(|wrong| format!("runtime: {wrong}"))?.block_on(serve::run(with))
+}
 
-    let (duty, on_duty) = watch::channel(Duty::Serving);
-    let (ended, ending) = watch::channel(false);
-    let numbers: Vec<usize> = (0..at::<Vec<Value>>(settings, "Workloads")?.len()).collect();
-    let (terms, on_terms) = watch::channel(Arc::new(Terms::new(settings, &numbers)?));
-    tokio::spawn(retune::follow(hangup, told.clone(), Arc::clone(&decide), terms, moved));
-    let proxy = Proxy { decide, backends, bodies, terms: on_terms, duty: on_duty.clone(), ending };
-    let second_listener =
-        second_address(&told)?.map(|address| listener(address, "admin_addr")).transpose()?;
-    let listener = match inherited {
-        Some(listener) => listener,
-        None => listener(listen, "listen")?,
-    };
-    let mut term = signal(SignalKind::terminate()).map_err(|wrong| format!("SIGTERM: {wrong}"))?;
-    let bound = listener.local_addr().unwrap_or(listen);
-    let (mut second, admin) = (String::new(), Admin { duty: duty.clone(), by_hand });
-    if let Some(listener) = second_listener {
-        second = listener.local_addr().map(|address| address.to_string()).unwrap_or_default();
-        tokio::spawn(admin.listen(listener));
+fn check(file: &Path, name: Option<&str>) -> Result<String, String> {
+    let text = file.display();
+    if file.extension().is_some_and(|kind| kind == "toml") {
+        let file = crankpick_carry::file::read(file, name)?;
+        let voter = if file.listen.is_some() { "a voter" } else { "no voter" };
+        let voters = file.voters.len();
+        return Ok(format!(
+            "{text}: sound; fleet {:?}, {voters} voters, {:?} is {voter}",
+            file.plan.fleet, file.plan.name
+        ));
     }
-    tracing::info!(code = "listening", listen = %bound, clients, executions, admin = second, "ready");
-    let router = front::router(Arc::new(proxy), on_duty.clone());
-    let front = front::run(listener, router, clients, sockets / EASY, on_duty, others);
-    let last = async {
-        term.recv().await;
-        tracing::info!(code = "stopping", "told to end");
-        duty.send_replace(Duty::Ending(Instant::now()));
-        sleep(LAST_CALL).await;
-        let _ = ended.send(true);
-        sleep(LAST_WRITES).await;
-    };
-    tokio::select! {
-        () = front => {}
-        () = last => {}
-    }
-    handover.iter().for_each(|handover| handover.end());
-    tracing::info!(code = "ended", "all that was taken is answered");
-    Ok(())
+    retune::told_by(&text.to_string())?;
+    Ok(format!("{text}: sound"))
 }
 
 fn main() -> ExitCode {
-    // A log that nobody reads loses lines; it must not hold up queries, nor end the process.
-    let (log, _flush) = NonBlockingBuilder::default().buffered_lines_limit(8_192).finish(std::io::stderr());
-    let format = tracing_subscriber::fmt().with_ansi(false).with_target(false).log_internal_errors(false);
-    format.with_writer(log).init();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|wrong| format!("runtime: {wrong}"));
-    let ended = runtime.and_then(|runtime| runtime.block_on(run()));
-    match ended {
-        Ok(()) => ExitCode::SUCCESS,
+    let cli = Cli::parse();
+    let done = match &cli.what {
+        None => serve(cli.log, &cli.serve).map(|()| None),
+        Some(What::Serve(with)) => {
+            let fleet = with.fleet.clone().or(cli.serve.fleet.clone());
+            serve(cli.log, &Serve { fleet }).map(|()| None)
+        }
+        Some(What::Check { file, name }) => check(file, name.as_deref()).map(Some),
+        Some(What::Fleet(what)) => operate::operate(what).map(Some),
+    };
+    match done {
+        Ok(said) => {
+            // Whoever reads it may have gone.
+            let _ = said.map(|said| writeln!(std::io::stdout(), "{said}"));
+            ExitCode::SUCCESS
+        }
         Err(wrong) => {
             let _ = writeln!(std::io::stderr(), "crankpick: {}", wrong.replace('\n', " "));
             ExitCode::FAILURE
--- a/crates/proxy/src/names.rs
+++ b/crates/proxy/src/names.rs
@@ -11,8 +11,24 @@
 pub struct Names {
     /// As last listed.
     listed: BTreeMap<String, Listed>,
-    /// Out by hand, also those that are on no list.
-    out: BTreeMap<String, u32>,
+    /// Out, also those that are on no list.
+    out: BTreeMap<String, Out>,
+}
+
+/// Who takes a backend out: either does, and it is back once neither does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum By {
+    /// Operators, at this proxy.
+    Hand,
+    /// The fleet, at all of them.
+    Fleet,
+}
+
+#[derive(Clone, Copy)]
+struct Out {
+    number: u32,
+    hand: bool,
+    fleet: bool,
 }
 
 impl Names {
@@ -21,10 +37,10 @@
         if let Some(last) = self.listed.get(id) {
             return *last;
         }
-        let number = self.out.get(id).copied();
+        let number = self.out.get(id).map(|out| out.number);
         let taken = |number: u32| {
             let listed = self.listed.values().any(|listed| listed.backend == number);
-            listed || self.out.values().any(|out| *out == number)
+            listed || self.out.values().any(|out| out.number == number)
         };
         let backend = number.unwrap_or_else(|| {
             let first = hash(id);
@@ -37,18 +53,28 @@
         self.listed.contains_key(id) || self.out.contains_key(id)
     }
 
-    /// Notes who is out by hand; returns the module's number.
-    pub fn by_hand(&mut self, id: &str, out: bool) -> u32 {
+    /// Notes who takes it out or back; returns the module's number where it is out now and was not, or is back.
+    pub fn set(&mut self, id: &str, by: By, is_out: bool) -> Option<u32> {
         let number = self.last(id).backend;
-        match out {
-            true => self.out.insert(id.to_owned(), number),
+        let was = self.out.get(id).copied();
+        let mut out = was.unwrap_or(Out { number, hand: false, fleet: false });
+        match by {
+            By::Hand => out.hand = is_out,
+            By::Fleet => out.fleet = is_out,
+        }
+        match out.hand || out.fleet {
+            true => self.out.insert(id.to_owned(), out),
             false => self.out.remove(id),
         };
-        number
+        (was.is_some() != (out.hand || out.fleet)).then_some(number)
     }
 
-    pub fn all_out(&self) -> Vec<String> {
-        self.out.keys().cloned().collect()
+    pub fn all_out(&self, by: By) -> Vec<String> {
+        let of = |out: &Out| match by {
+            By::Hand => out.hand,
+            By::Fleet => out.fleet,
+        };
+        self.out.iter().filter(|(_, out)| of(out)).map(|(id, _)| id.clone()).collect()
     }
 
     pub fn listed(&mut self, id: String, listed: Listed) {
--- a/crates/proxy/src/retune.rs
+++ b/crates/proxy/src/retune.rs
@@ -82,7 +82,11 @@
 /// The file as it is now, where it would do for a start.
 pub fn told() -> Result<Value, String> {
     let path = std::env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG names no file")?;
-    let text = std::fs::read_to_string(&path).map_err(|wrong| format!("{path}: {wrong}"))?;
+    told_by(&path)
+}
+
+pub fn told_by(path: &str) -> Result<Value, String> {
+    let text = std::fs::read_to_string(path).map_err(|wrong| format!("{path}: {wrong}"))?;
     let told: Value = serde_json::from_str(&text).map_err(|wrong| format!("{path}: {wrong}"))?;
     let conf = settings(&told)?;
     crankpick_launch::balancer(seed(&told)?, conf)?;
