Lab: real processes, emulated neighbours, relays on links, faults drawn from a seed

Need: the fleet's promises had been played in virtual time only. crankpick-lab owner starts proxies, backends, discovery, clients and operators, breaks them by plan, checks the history.

--- a/crates/lab/src/history.rs
+++ b/crates/lab/src/history.rs
@@ -96,8 +96,10 @@
     pub acked: u64,
     pub lost: u64,
     pub owners: u64,
-    /// Times from an owner's end to the next one's beginning.
+    /// Times from an owner's end to the next one's beginning, where it fell silent.
     pub ownerless_us: Vec<u64>,
+    /// The same, where it gave the duty up.
+    pub handed_us: Vec<u64>,
 }
 
 struct Belief<'a> {
@@ -105,6 +107,7 @@
     process: &'a str,
     from_us: u64,
     until_us: u64,
+    gave: bool,
 }
 
 /// Each owner's spans of belief, cut where it let go or died.
@@ -116,14 +119,19 @@
                 let same = all.iter_mut().rev().find(|one| one.token == *token && one.process == process);
                 match same.filter(|one| one.from_us == *from_us || *from_us <= one.until_us) {
                     Some(one) => one.until_us = one.until_us.max(*until_us),
-                    None => {
-                        all.push(Belief { token: *token, process, from_us: *from_us, until_us: *until_us })
-                    }
+                    None => all.push(Belief {
+                        token: *token,
+                        process,
+                        from_us: *from_us,
+                        until_us: *until_us,
+                        gave: false,
+                    }),
                 }
             }
             Kind::LetGo { duty: of, token, process } if of == duty => {
                 let given = all.iter_mut().filter(|one| one.process == process && one.token <= *token);
-                given.for_each(|one| one.until_us = one.until_us.min(line.t_us));
+                let given = given.filter(|one| line.t_us < one.until_us);
+                given.for_each(|one| (one.until_us, one.gave) = (line.t_us, true));
             }
             Kind::Died { process, .. } => {
                 let dead = all.iter_mut().filter(|one| one.process == process);
@@ -180,7 +188,8 @@
                 ));
             }
             if one.from_us > end_us {
-                found.ownerless_us.push(one.from_us - end_us);
+                let times = if last.gave { &mut found.handed_us } else { &mut found.ownerless_us };
+                times.push(one.from_us - end_us);
             }
         }
         if one.until_us >= end_us {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,5 +1,10 @@
 //! The rig: a fleet under load and faults, and the checks of what it did. Called by the binary
 //! `crankpick-lab` and by the tests.
 
+pub mod emulate;
 pub mod history;
+pub mod load;
+pub mod owner;
+pub mod relay;
+pub mod rig;
 pub mod world;
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,117 @@
+//! `crankpick-lab`: plays fleets under load and faults and says what came of it.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+
+use clap::{Parser, Subcommand};
+use crankpick_lab::owner::{self, Order};
+use crankpick_lab::world::{Setup, World};
+
+#[derive(Parser)]
+#[command(
+    name = "crankpick-lab",
+    version,
+    about = "Fleets of proxies under load and faults, on this machine alone"
+)]
+struct Cli {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Real processes, one duty, faults: is there ever more than one owner?
+    Owner {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 5)]
+        processes: usize,
+        #[arg(long, default_value_t = 3)]
+        voters: usize,
+        #[arg(long, default_value_t = 30)]
+        seconds: u64,
+        /// Where history.jsonl and summary.json go, and what the processes keep
+        #[arg(long)]
+        out: PathBuf,
+        /// In microseconds
+        #[arg(long, default_value_t = 1_000_000)]
+        lease_us: u64,
+        /// Queries a second at each proxy
+        #[arg(long, default_value_t = 40.0)]
+        rate: f64,
+    },
+    /// Whole nodes in virtual time, one schedule of faults a seed
+    Virtual {
+        #[arg(long, default_value_t = 0)]
+        first: u64,
+        #[arg(long, default_value_t = 10_000)]
+        schedules: u64,
+    },
+}
+
+fn played(first: u64, schedules: u64) -> Result<(), String> {
+    let next = AtomicU64::new(first);
+    let sums = Mutex::new([0_u64; 5]);
+    let broken = Mutex::new(Vec::new());
+    let threads = std::thread::available_parallelism().map_or(1, usize::from);
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed >= first + schedules {
+                    return;
+                }
+                let voters = if seed % 5 == 0 { 5 } else { 3 };
+                let mut world = World::new(seed, Setup { voters, ..Setup::default() });
+                world.play();
+                let found = world.found();
+                if let (Ok(mut sums), Ok(mut broken)) = (sums.lock(), broken.lock()) {
+                    let one = [found.owners, found.effects, found.stale_tried, found.acked, found.overlap_us];
+                    sums.iter_mut().zip(one).for_each(|(sum, one)| *sum += one);
+                    broken.extend(found.breaches.into_iter().map(|breach| format!("seed {seed}: {breach}")));
+                }
+            });
+        }
+    });
+    let [owners, effects, stale, acked, overlap] = sums.into_inner().unwrap_or_default();
+    println!("{schedules} schedules: {owners} owners, {effects} effects, {stale} stale words tried, {acked} calls acknowledged, {overlap} us of overlap");
+    let broken = broken.into_inner().unwrap_or_default();
+    broken.iter().take(20).for_each(|breach| println!("{breach}"));
+    match broken.len() {
+        0 => Ok(()),
+        count => Err(format!("{count} promises broken")),
+    }
+}
+
+fn owner(order: &Order, out: &std::path::Path) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    let runtime = runtime.map_err(|wrong| wrong.to_string())?;
+    let summary = runtime.block_on(owner::run(order, out))?;
+    println!("{}", serde_json::to_string(&summary).map_err(|wrong| wrong.to_string())?);
+    match summary.breaches.len() {
+        0 => Ok(()),
+        count => Err(format!("{count} promises broken")),
+    }
+}
+
+fn main() -> ExitCode {
+    let done = match Cli::parse().what {
+        What::Owner { seed, processes, voters, seconds, out, lease_us, rate } => {
+            if processes < voters || voters % 2 == 0 {
+                eprintln!("crankpick-lab: an odd number of voters, and no more than processes");
+                return ExitCode::from(2);
+            }
+            owner(&Order { seed, processes, voters, seconds, lease_us, rate, quiet: false }, &out)
+        }
+        What::Virtual { first, schedules } => played(first, schedules),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("crankpick-lab: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
