A voter that was away, or has a new disk, answers voters the log does not tell it of yet

Also: a call at the leader itself was told under another call's number; a duty stayed with a process whose disk was full.

--- a/crates/fleet/src/agree.rs
+++ b/crates/fleet/src/agree.rs
@@ -1,6 +1,8 @@
 //! Agreement among the voters by an existing engine (`raft`), with what it decides applied to the fleet's
 //! state. Called by `node`; the disk is an argument, and a write that fails ends this part as a crash would.
 
+use std::collections::BTreeMap;
+
 use protobuf::Message as _;
 use raft::eraftpb::{
     ConfChangeSingle, ConfChangeType, ConfChangeV2, ConfState, Entry, EntryType, HardState, Message, Snapshot,
@@ -56,6 +58,10 @@
     election_ticks: usize,
     /// The term and role that the time to an election was drawn for.
     drawn: Option<(u64, StateRole)>,
+    /// A voter has come that the snapshot does not know: it could not take it.
+    outdated: bool,
+    /// Names behind numbers that the agreed state does not tell yet.
+    met: BTreeMap<u64, String>,
     /// Confirmed rounds that wait for the state to reach their index.
     reads: Vec<(u64, u64)>,
 }
@@ -109,6 +115,8 @@
             rng,
             election_ticks,
             drawn: None,
+            outdated: false,
+            met: BTreeMap::new(),
             reads: Vec::new(),
         };
         agree.draw();
@@ -139,13 +147,18 @@
         self.raw.store().before() > 0
     }
 
+    pub fn votes(&self) -> bool {
+        self.conf.voters.contains(&self.seat)
+    }
+
     pub fn leader(&self) -> Option<&str> {
         let id = self.raw.raft.leader_id;
         self.name(id).filter(|_| id != raft::INVALID_ID)
     }
 
     pub fn name(&self, id: u64) -> Option<&str> {
-        self.fleet.seats.iter().find(|(_, seat)| **seat == id).map(|(name, _)| name.as_str())
+        let seat = self.fleet.seats.iter().find(|(_, seat)| **seat == id).map(|(name, _)| name);
+        seat.or_else(|| self.met.get(&id)).map(String::as_str)
     }
 
     pub fn tick(&mut self) {
@@ -153,10 +166,16 @@
         self.draw();
     }
 
-    pub fn step(&mut self, message: &[u8]) {
+    /// Takes a message in that a voter of this name has sent.
+    pub fn step(&mut self, name: &str, message: &[u8]) {
         let Ok(message) = Message::parse_from_bytes(message) else { return };
         // One for the disk that was here before this one.
         if message.to == self.seat {
+            if self.fleet.seats.get(name) != Some(&message.from) {
+                // It must be answered before the log can tell whose number that is: a new disk knows nobody, and
+                // one that was away knows an old disk's.
+                self.met.insert(message.from, name.to_owned());
+            }
             // The engine refuses what only its own clock may say.
             let _ = self.raw.step(message);
             self.draw();
@@ -288,13 +307,15 @@
         }
         if let Ok(replaced) = postcard::from_bytes::<Replaced>(context) {
             self.fleet.seats.insert(replaced.name.clone(), replaced.seat);
+            self.outdated = true;
             progress.replaced.push(replaced.name);
         }
     }
 
     fn compact(&mut self, disk: &mut dyn Disk) -> Result<(), String> {
         let log = self.raw.store();
-        if log.entries.len() <= MOST_ENTRIES || self.applied <= log.before() {
+        let due = self.outdated || log.entries.len() > MOST_ENTRIES;
+        if !due || self.applied <= log.before() {
             return Ok(());
         }
         let mut snapshot = Snapshot::default();
@@ -305,6 +326,7 @@
         let batch = Batch { snapshot: Some(snapshot), ..Batch::default() };
         disk.write(&batch)?;
         self.raw.mut_store().absorb(&batch);
+        self.outdated = false;
         Ok(())
     }
 }
--- a/crates/fleet/src/lead.rs
+++ b/crates/fleet/src/lead.rs
@@ -136,6 +136,13 @@
         }
     }
 
+    /// It gave a duty up: until it says otherwise it wants none.
+    pub fn released(&mut self, who: &Who) {
+        if let Some(heard) = self.heard.get_mut(who) {
+            heard.renewal.willing = false;
+        }
+    }
+
     pub fn heard_of(&self, name: &str) -> bool {
         self.heard.keys().any(|who| who.name == name)
     }
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -187,6 +187,7 @@
     /// The disk takes writes again; this is what it holds, read anew.
     pub fn revive(&mut self, now_us: u64, kept: Kept) {
         if self.disk.take().is_some() {
+            self.session.writable = true;
             self.event(Event::DiskBack);
             // What was taken meanwhile is not there yet.
             self.keep = self.session.taken.clone().filter(|taken| kept.taken.as_ref() != Some(taken));
@@ -200,8 +201,13 @@
             self.event(Event::DiskLost { why: why.clone() });
         }
         self.disk = Some(why);
+        self.session.writable = false;
         self.lost_lead();
         self.voter = None;
+        // Another that can write is to go on at once.
+        let gone = self.session.let_go_all(u64::MIN);
+        self.gave_up(gone);
+        self.session.hurry(0);
         for conn in self.peers.keys() {
             self.out.push_back(Out::Say(Link::Conn(*conn), Word::Away));
         }
@@ -216,6 +222,21 @@
         self.who.to_string()
     }
 
+    /// Has the log, and is one of those who vote on it.
+    pub fn votes(&self) -> bool {
+        self.agreed().is_some_and(|agree| agree.started() && agree.votes())
+    }
+
+    /// Where this process stands, in a line for whoever looks for a fault.
+    pub fn stands(&self) -> String {
+        let agree = self.agreed().map(|agree| {
+            let (term, leader) = (agree.term(), agree.leader().unwrap_or("nobody"));
+            format!("term {term}, leader {leader}, voters {:?}", agree.fleet.seats)
+        });
+        let taken = self.session.taken.as_ref().map_or(0, |taken| taken.version);
+        format!("seat {}, {agree:?}, version {taken}, led by {:?}", self.kept.seat, self.session.leader)
+    }
+
     pub fn disk_trouble(&self) -> Option<&str> {
         self.disk.as_deref()
     }
@@ -280,9 +301,10 @@
             return Err("too many calls in hand".into());
         }
         self.next_call += 1;
-        self.calls.insert(self.next_call, Call { ask, until_us: now_us + patience_us, again_us: now_us });
+        let number = self.next_call;
+        self.calls.insert(number, Call { ask, until_us: now_us + patience_us, again_us: now_us });
         self.calls_again(now_us);
-        Ok(self.next_call)
+        Ok(number)
     }
 
     /// The proxy has told its module of this version.
@@ -340,7 +362,7 @@
             Word::Seat(seat) if voter => self.seat(&from, seat),
             Word::Agree(message) if voter => {
                 if let Some(agree) = self.agree() {
-                    agree.step(&message);
+                    agree.step(&from, &message);
                 }
             }
             Word::Seat(_) | Word::Agree(_) => {}
@@ -472,9 +494,12 @@
     }
 
     fn release(&mut self, word: Word) {
-        let Word::Release { duty, token, .. } = &word else { return };
+        let Word::Release { duty, token, who } = &word else { return };
         if self.lead.is_some() {
             let command = Command::Release { duty: duty.clone(), token: *token };
+            if let Some(lead) = &mut self.lead {
+                lead.released(who);
+            }
             self.propose(0, &command);
         } else if let Some(link) = self.upward() {
             self.say(link, word);
@@ -658,7 +683,7 @@
             self.elsewhere(now_us);
         }
         let voter = self.plan.voters.contains(&self.who.name);
-        let Some(renewal) = self.session.due(now_us, voter, self.disk.is_none()) else { return };
+        let Some(renewal) = self.session.due(now_us, voter) else { return };
         if let Some(lead) = &mut self.lead {
             lead.hear(now_us, renewal, Route::Own);
         } else if let Some(link) = self.upward() {
--- a/crates/fleet/src/session.rs
+++ b/crates/fleet/src/session.rs
@@ -13,6 +13,8 @@
     pub who: Who,
     times: Times,
     pub willing: bool,
+    /// The disk takes writes: one that can't keep what it is told owns nothing.
+    pub writable: bool,
     pub superseded: bool,
     pub holding: Holding,
     fence: Fence,
@@ -45,6 +47,7 @@
             who,
             times,
             willing: true,
+            writable: true,
             superseded: false,
             holding: Holding::default(),
             fence,
@@ -75,7 +78,7 @@
     }
 
     /// The next sign of life, when it is due.
-    pub fn due(&mut self, now_us: u64, voter: bool, writable: bool) -> Option<Renewal> {
+    pub fn due(&mut self, now_us: u64, voter: bool) -> Option<Renewal> {
         if now_us < self.next_us {
             return None;
         }
@@ -89,7 +92,7 @@
             who: self.who.clone(),
             sent_us: now_us,
             willing: self.willing && !self.superseded,
-            writable,
+            writable: self.writable,
             voter,
             taken_token: self.fence.seen,
             taken: self.taken.as_ref().map_or(0, |taken| taken.version),
@@ -117,7 +120,7 @@
         }
         for (duty, token) in &answer.duties {
             // What it no longer wants it gives back.
-            if !self.willing || self.superseded {
+            if !self.willing || self.superseded || !self.writable {
                 changes.let_go.push((duty.clone(), *token));
                 continue;
             }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -577,6 +577,146 @@
         self.t = end_us;
     }
 
+    // For scripted schedules: faults one by one, and what can be asked of the fleet between them.
+
+    pub fn run_for(&mut self, us: u64) {
+        self.run_until(self.t + us);
+    }
+
+    pub fn now_us(&self) -> u64 {
+        self.t
+    }
+
+    /// Who believes to be the owner now: those that are stopped believe nothing until they wake.
+    pub fn owners(&self) -> Vec<usize> {
+        let owns = |host: &Host| {
+            let own = host.clock(self.t);
+            host.node.as_ref().is_some_and(|node| node.session.holding.all(own).next().is_some())
+        };
+        (0..self.hosts.len()).filter(|at| !self.hosts[*at].paused && owns(&self.hosts[*at])).collect()
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        self.hosts.iter().position(|host| !host.paused && host.node.as_ref().is_some_and(Node::leads))
+    }
+
+    pub fn taken(&self, at: usize) -> Option<Publication> {
+        self.hosts[at].node.as_ref().and_then(|node| node.session.taken.clone())
+    }
+
+    pub fn pause(&mut self, at: usize) {
+        self.hosts[at].paused = true;
+    }
+
+    pub fn resume(&mut self, at: usize) {
+        self.wake(at);
+    }
+
+    pub fn kill(&mut self, at: usize) {
+        self.end(at, true);
+    }
+
+    /// The disk goes with it: it starts again with a new one.
+    pub fn kill_with_disk(&mut self, at: usize) {
+        self.end(at, false);
+        self.hosts[at].disk.kept = Kept::new(self.rng.u64(1..));
+    }
+
+    pub fn restart(&mut self, at: usize) {
+        self.begin(at);
+    }
+
+    pub fn full(&mut self, at: usize, full: bool) {
+        self.hosts[at].disk.full = full;
+    }
+
+    /// Words from any of `from` to any of `to` are lost from now on.
+    pub fn cut(&mut self, from: &[usize], to: &[usize]) {
+        for (from, to) in from.iter().flat_map(|from| to.iter().map(move |to| (*from, *to))) {
+            self.ways.entry((from, to)).or_default().cut = true;
+        }
+    }
+
+    pub fn late(&mut self, from: usize, late_us: u64) {
+        for to in 0..self.hosts.len() {
+            self.ways.entry((from, to)).or_default().late_us = late_us;
+        }
+    }
+
+    pub fn mend(&mut self) {
+        self.ways.clear();
+    }
+
+    pub fn told_to_end(&mut self, at: usize) {
+        let (t, host) = (self.t, &mut self.hosts[at]);
+        let own = host.clock(t);
+        if let Some(node) = &mut host.node {
+            node.end(own);
+        }
+        self.settle(at);
+    }
+
+    /// A second process of a proxy on a machine of its own, as in an upgrade; returns its place.
+    pub fn second_process(&mut self, of: usize) -> usize {
+        let (name, offset, pace) = (self.hosts[of].name.clone(), self.hosts[of].offset, self.hosts[of].pace);
+        let incarnation = self.hosts[of].incarnation + 1_000_000;
+        self.hosts.push(Host {
+            name,
+            node: None,
+            disk: MemDisk::default(),
+            incarnation,
+            paused: false,
+            waiting: Vec::new(),
+            offset,
+            pace,
+            revive_us: u64::MAX,
+            conns: BTreeMap::new(),
+        });
+        let at = self.hosts.len() - 1;
+        // The first one has the disk: without it this one neither votes nor owns.
+        self.begin(at);
+        let first = self.t + TICK_US;
+        self.plan(first, Due::Tick(at));
+        at
+    }
+
+    /// A call at one process, under an id of its own or a repeated one.
+    pub fn ask(&mut self, at: usize, id: u128, out: bool, ids: &[&str]) {
+        let t = self.t;
+        let ids: Vec<String> = ids.iter().map(|id| (*id).to_owned()).collect();
+        let host = &mut self.hosts[at];
+        let own = host.clock(t);
+        let Some(node) = &mut host.node else { return };
+        let ask = Ask::Command(Command::Outs { id, out, ids: ids.clone() });
+        if let Ok(call) = node.ask(own, ask, 3_000_000) {
+            self.calls.insert((at, call), (id, out, ids));
+        }
+        self.settle(at);
+    }
+
+    /// The versions that were acknowledged, by call.
+    pub fn acked(&self) -> Vec<(String, u64)> {
+        let acked = self.lines.iter().filter_map(|line| match &line.kind {
+            Kind::Acked { command, version, .. } => Some((command.clone(), *version)),
+            _ => None,
+        });
+        acked.collect()
+    }
+
+    /// What each process is, for a test that fails.
+    pub fn told_of(&self) -> String {
+        let one = |host: &Host| {
+            let trouble = host.node.as_ref().and_then(|node| node.disk_trouble().map(str::to_owned));
+            let stands = host.node.as_ref().map(Node::stands);
+            format!("{} paused={} disk={trouble:?} {stands:?}", host.process(), host.paused)
+        };
+        self.hosts.iter().map(one).collect::<Vec<_>>().join("\n")
+    }
+
+    pub fn count(&self, is: impl Fn(&Kind) -> bool) -> usize {
+        self.lines.iter().filter(|line| is(&line.kind)).count()
+    }
+
     /// Plays the schedule whole: a founding, faults and calls, the end of all faults, and the state then.
     pub fn play(&mut self) {
         let start = self.t;
@@ -614,6 +754,12 @@
             }
         }
         finals.into_iter().for_each(|kind| self.line(kind));
+        for at in 0..self.setup.voters {
+            if !self.hosts[at].node.as_ref().is_some_and(Node::votes) {
+                let what = format!("BREACH {} does not vote at the end", self.hosts[at].name);
+                self.line(Kind::Fault { what });
+            }
+        }
         let owned = self.hosts.iter().any(|host| {
             host.node
                 .as_ref()
