--- a/crates/carry/src/store.rs
+++ b/crates/carry/src/store.rs
@@ -47,11 +47,16 @@
     pub fn open(folder: &Path) -> Result<(Self, Kept), Wrong> {
         std::fs::create_dir_all(folder).map_err(|wrong| broken(format!("{}: {wrong}", folder.display())))?;
         let path = folder.join("fleet.redb");
-        let database = Database::create(&path).map_err(|wrong| match wrong {
-            redb::DatabaseError::DatabaseAlreadyOpen => Wrong::Held,
-            wrong => broken(format!("{}: {wrong}", path.display())),
-        })?;
-        Self::read(database)
+        let opened = || {
+            let database = Database::create(&path).map_err(|wrong| match wrong {
+                redb::DatabaseError::DatabaseAlreadyOpen => Wrong::Held,
+                wrong => broken(format!("{}: {wrong}", path.display())),
+            })?;
+            Self::read(database)
+        };
+        // A file that was cut short makes the library stop in places: told as any other damage.
+        let opened = std::panic::catch_unwind(std::panic::AssertUnwindSafe(opened));
+        opened.unwrap_or_else(|_| Err(broken(format!("{}: damaged", path.display()))))
     }
 
     /// On a disk that a test has its hands on.
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -35,7 +35,7 @@
 }
 
 /// A duty that this process holds.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Held {
     pub token: u64,
     pub from_us: u64,
@@ -44,7 +44,7 @@
 }
 
 /// What one process holds, by its own clock, which must run on while the machine sleeps.
-#[derive(Default, Debug)]
+#[derive(Clone, Default, Debug, PartialEq, Eq, Hash)]
 pub struct Holding {
     held: BTreeMap<String, Held>,
     /// Tokens let go of: an answer that was on its way then gives none of them back.
@@ -107,7 +107,7 @@
 }
 
 /// The highest token that a receiver has let through for one duty.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Fence {
     pub seen: u64,
 }
