--- a/crates/lab/src/history.rs
+++ b/crates/lab/src/history.rs
@@ -52,6 +52,10 @@
     Heal {
         what: String,
     },
+    /// Whether a majority of the voters can work: while none can, nobody can be given a duty.
+    Majority {
+        there: bool,
+    },
     /// An operator was told yes.
     Acked {
         command: String,
