--- a/crates/carry/src/run.rs
+++ b/crates/carry/src/run.rs
@@ -200,9 +200,6 @@
             }
         }
         node.pump(now_us(), &mut keeper);
-        if node.session.answered() && !*ends.heard.borrow() {
-            ends.heard.send_replace(true);
-        }
         let outs: Vec<Out> = node.take_out().collect();
         for out in outs {
             match out {
@@ -219,6 +216,10 @@
                 Out::Event(event) => tell(event, file, &node),
             }
         }
+        // Only once what was heard has been passed on: whoever waits for this looks there next.
+        if node.session.answered() && !*ends.heard.borrow() {
+            ends.heard.send_replace(true);
+        }
         // Whoever asked may have gone.
         waiting.retain(|_, asked| !asked.is_closed());
     }
--- /dev/null
+++ b/crates/lab/tests/processes.rs
@@ -0,0 +1,139 @@
+//! Several real processes of the program, faults between them: the cases that virtual time can't show, and a
+//! short run of drawn ones.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use crankpick_lab::emulate::Nature;
+use crankpick_lab::owner::{self, Order};
+use crankpick_lab::rig::{Layout, Rig};
+
+const SOON: Duration = Duration::from_secs(20);
+
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("crankpick-lab-{}-{name}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    folder
+}
+
+fn layout(processes: usize) -> Layout {
+    let nature = Nature::default();
+    Layout { processes, voters: 3, backends: 4, nature, lease_us: 1_000_000, fleet: true, seed: 7 }
+}
+
+async fn fleet(name: &str, processes: usize) -> Rig {
+    let mut rig = Rig::new(layout(processes), &folder(name)).await.expect("a rig");
+    for at in 0..processes {
+        rig.start(at).await.expect("it starts");
+    }
+    rig.settled(SOON).await.expect("a fleet");
+    rig
+}
+
+async fn gone(mut rig: Rig) {
+    rig.close().await;
+    let _ = std::fs::remove_dir_all(&rig.dir);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn out_at_one_proxy_is_out_at_all_and_stays_so_over_restarts() {
+    let mut rig = fleet("out", 4).await;
+    let said = rig.call(3, "FLEET OUT a1 s-1 s-2").await.expect("agreed");
+    assert_eq!(said, "{\"version\":1}");
+    let status = rig.settled(SOON).await.expect("all act");
+    assert_eq!((status.version, status.outs.len()), (1, 2));
+    // The same call once more is the same one.
+    assert_eq!(rig.call(0, "FLEET OUT a1 s-1 s-2").await.expect("agreed"), "{\"version\":1}");
+    assert_eq!(rig.call(2, "FLEET BACK a2 s-2").await.expect("agreed"), "{\"version\":2}");
+    // By hand and for the fleet are two sets: called back by hand it stays out for the fleet.
+    rig.call(3, "ATTACH s-1").await.expect("done");
+    let from = rig.seen();
+    rig.kill(3).await;
+    rig.start(3).await.expect("it starts");
+    let version = rig.wait(from, SOON, |seen| seen.process == 3 && seen.code == "fleet_version").await;
+    assert_eq!(version.expect("it tells").line["version"], 2);
+    let out = rig.wait(from, SOON, |seen| seen.process == 3 && seen.code == "out_by_fleet").await;
+    assert_eq!(out.expect("taken before it serves").line["id"], "s-1");
+    gone(rig).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_proxy_that_nobody_answers_serves_by_its_own_disk_and_says_so() {
+    let mut rig = fleet("alone", 3).await;
+    rig.call(0, "FLEET OUT b1 s-1").await.expect("agreed");
+    rig.settled(SOON).await.expect("all act");
+    for at in 0..3 {
+        rig.kill(at).await;
+    }
+    let from = rig.seen();
+    rig.start(2).await.expect("it serves alone");
+    let told = rig.wait(from, SOON, |seen| seen.code == "fleet_unheard").await.expect("it says so");
+    assert_eq!(told.line["version"], 1);
+    assert!(rig.call(2, "FLEET OUT b2 s-2").await.is_err(), "agreed by one of three");
+    rig.start(0).await.expect("it starts");
+    rig.start(1).await.expect("it starts");
+    rig.settled(SOON).await.expect("a fleet again");
+    gone(rig).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_full_disk_hands_the_duty_on_and_comes_back_by_itself() {
+    let mut rig = fleet("full", 4).await;
+    let owner = rig.last("fleet_granted", "to").expect("one owns");
+    let from = rig.seen();
+    rig.disk(owner, Some(0));
+    let other = (owner + 1) % 3;
+    rig.call(other, "FLEET OUT c1 s-1").await.expect("agreed by the other two");
+    rig.wait(from, SOON, |seen| seen.process == owner && seen.code == "fleet_disk_lost").await.expect("it tells");
+    let granted = rig.wait(from, SOON, |seen| seen.code == "fleet_granted").await.expect("another owns it");
+    assert!(!granted.line["to"].as_str().expect("a name").starts_with(&format!("n{owner}.")));
+    assert!(rig.call(owner, "PING").await.is_ok(), "queries are served as before");
+    rig.disk(owner, None);
+    rig.wait(from, SOON, |seen| seen.process == owner && seen.code == "fleet_disk_back").await.expect("by itself");
+    let until = std::time::Instant::now() + SOON;
+    loop {
+        let status = rig.settled(SOON).await.expect("whole again");
+        if status.members.iter().all(|member| member.writable) {
+            break;
+        }
+        assert!(std::time::Instant::now() < until, "{status:?}");
+    }
+    gone(rig).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stopped_owner_wakes_to_a_fleet_that_has_another_and_a_drained_one_hands_over() {
+    let mut rig = fleet("stop", 4).await;
+    let owner = rig.last("fleet_granted", "to").expect("one owns");
+    let from = rig.seen();
+    rig.stop(owner);
+    let granted = rig.wait(from, SOON, |seen| seen.code == "fleet_granted").await.expect("another owns it");
+    let next = granted.line["to"].as_str().expect("a name").to_owned();
+    assert!(!next.starts_with(&format!("n{owner}.")));
+    let woke = rig.seen();
+    rig.go_on(owner);
+    rig.settled(SOON).await.expect("whole again");
+    let held = rig.wait(woke, Duration::ZERO, |seen| seen.process == owner && seen.code == "fleet_held").await;
+    assert!(held.is_none(), "it believed again: {held:?}");
+    // Drained, the new one gives it up at once.
+    let second = rig.last("fleet_granted", "to").expect("one owns");
+    let from = rig.seen();
+    rig.call(second, "LAMEDUCK").await.expect("drained");
+    let gave = rig.wait(from, SOON, |seen| seen.code == "fleet_let_go").await.expect("given up");
+    let third = rig.wait(from, SOON, |seen| seen.code == "fleet_held" && seen.process != second).await.expect("held");
+    let handed = third.line["from_us"].as_u64().expect("a time") - gave.line["t_us"].as_u64().expect("a time");
+    assert!(handed < 500_000, "{handed} us without an owner");
+    gone(rig).await;
+}
+
+/// A short run of drawn faults; `make fleet-soak` plays long ones.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_drawn_run_keeps_every_promise() {
+    let dir = folder("drawn");
+    let order = Order { seed: 3, processes: 5, voters: 3, seconds: 14, lease_us: 1_000_000, rate: 20.0, quiet: true };
+    let summary = owner::run(&order, &dir).await.expect("it runs");
+    assert!(summary.breaches.is_empty(), "{:?}", summary.breaches);
+    assert!(summary.found.owners > 1 && summary.found.acked > 5, "{:?}", summary.found);
+    assert!(dir.join("history.jsonl").is_file() && dir.join("summary.json").is_file());
+    let _ = std::fs::remove_dir_all(&dir);
+}
