--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint format run regression
+.PHONY: build test lint format run regression demo fleet-soak
 
 build:
 	cargo build --release
@@ -20,3 +20,15 @@
 # Needs the kit beside the repository; no part of .ci/run. Stops at a broken rule, a crash or a failed gate.
 regression:
 	deploy/regression
+
+# Three proxies, emulated backends and some load; ends by itself within half a minute.
+demo: build
+	target/release/crankpick-lab demo
+
+# Twelve minutes: schedules in virtual time, then real processes under drawn faults. SEEDS names the runs.
+SEEDS ?= 1 2 3 4 5 6 7 8 9 10
+fleet-soak: build
+	target/release/crankpick-lab virtual --schedules 20000
+	@for seed in $(SEEDS); do \
+	  target/release/crankpick-lab owner --seed $$seed --seconds 60 --out target/soak/$$seed || exit 1; \
+	done
--- /dev/null
+++ b/crates/lab/src/crowd.rs
@@ -0,0 +1,238 @@
+//! `crankpick-lab sessions`: hundreds of sessions held from this process against real voters, and what they
+//! cost those; `crankpick-lab pace`: what the fleet's part costs queries, with it on and off in turns.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crankpick_carry::clock::now_us;
+use crankpick_carry::frames;
+use crankpick_fleet::lease::Times;
+use crankpick_fleet::words::{Renewal, Who, Word};
+use serde_json::{json, Value};
+use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{sleep, sleep_until, timeout, Instant};
+
+use crate::emulate::Nature;
+use crate::load::Load;
+use crate::rig::{Layout, Rig};
+
+const SOON: Duration = Duration::from_secs(30);
+
+#[derive(Default)]
+struct Counts {
+    bytes_out: AtomicU64,
+    bytes_in: AtomicU64,
+    /// Sessions answered since they last connected.
+    answered: AtomicUsize,
+}
+
+/// One session: its signs of life, and the versions it hears of.
+struct Session {
+    who: Who,
+    voter: SocketAddr,
+    times: Times,
+    counts: Arc<Counts>,
+    version: watch::Sender<u64>,
+}
+
+impl Session {
+    async fn live(self, mut generation: watch::Receiver<u64>) {
+        loop {
+            let _ = generation.borrow_and_update();
+            tokio::select! {
+                () = self.connected() => sleep(Duration::from_millis(100)).await,
+                changed = generation.changed() => if changed.is_err() { return },
+            }
+        }
+    }
+
+    async fn say(&self, stream: &mut (impl AsyncWriteExt + Unpin), word: &Word) -> Option<()> {
+        let frame = frames::framed(word)?;
+        stream.write_all(&frame).await.ok()?;
+        self.counts.bytes_out.fetch_add(frame.len() as u64, Ordering::Relaxed);
+        Some(())
+    }
+
+    async fn connected(&self) {
+        let Ok(stream) = TcpStream::connect(self.voter).await else { return };
+        let _ = stream.set_nodelay(true);
+        let (reader, mut writer) = stream.into_split();
+        let mut reader = BufReader::new(reader);
+        let hello = Word::Hello { fleet: "lab".into(), who: self.who.clone(), voter: false };
+        if self.say(&mut writer, &hello).await.is_none() {
+            return;
+        }
+        let (mut taken, mut token, mut first) = (0, 0, true);
+        let mut next = Instant::now();
+        let mut room = Vec::new();
+        loop {
+            tokio::select! {
+                () = sleep_until(next) => {
+                    let renewal = Renewal {
+                        who: self.who.clone(), sent_us: now_us(), willing: false, writable: true, voter: false,
+                        taken_token: token, taken, acted: taken, heard: 0,
+                    };
+                    // As the real session: again soon while nobody answers.
+                    let pace = if first { 2 * self.times.renew_us } else { self.times.session_us };
+                    next = Instant::now() + Duration::from_micros(pace);
+                    if self.say(&mut writer, &Word::Renew(renewal)).await.is_none() {
+                        return;
+                    }
+                }
+                word = frames::read(&mut reader, &mut room) => {
+                    let Ok(word) = word else { return };
+                    self.counts.bytes_in.fetch_add(room.len() as u64 + 4, Ordering::Relaxed);
+                    match word {
+                        Word::Renewed(_) if first => {
+                            first = false;
+                            self.counts.answered.fetch_add(1, Ordering::Relaxed);
+                        }
+                        Word::Publish(publication) => {
+                            (taken, token) = (publication.version, publication.token);
+                            self.version.send_replace(taken);
+                        }
+                        Word::Nudge(_) => next = Instant::now(),
+                        _ => {}
+                    }
+                }
+            }
+        }
+    }
+}
+
+async fn until(within: Duration, is: impl Fn() -> bool) -> Result<Duration, String> {
+    let start = Instant::now();
+    while !is() {
+        if start.elapsed() > within {
+            return Err("it takes too long".into());
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    Ok(start.elapsed())
+}
+
+/// What each process cost over some time, in CPU seconds a second and bytes.
+async fn costs(rig: &Rig, over: Duration) -> Vec<Value> {
+    let before: Vec<_> = (0..rig.procs.len()).map(|at| rig.cost(at)).collect();
+    sleep(over).await;
+    let after = (0..rig.procs.len()).map(|at| rig.cost(at));
+    let one = |(at, (before, after)): (usize, (Option<(f64, u64)>, Option<(f64, u64)>))| {
+        let ((cpu, _), (later, bytes)) = (before.unwrap_or_default(), after.unwrap_or_default());
+        json!({"process": rig.procs[at].name, "cpu": (later - cpu) / over.as_secs_f64(), "resident_kb": bytes / 1024})
+    };
+    before.into_iter().zip(after).enumerate().map(one).collect()
+}
+
+pub async fn sessions(count: usize, seconds: u64, lease_us: u64, dir: &Path) -> Result<Value, String> {
+    let nature = Nature::default();
+    let layout = Layout { processes: 4, voters: 3, backends: 4, nature, lease_us, fleet: true, seed: 1 };
+    let mut rig = Rig::new(layout, dir).await?;
+    for at in 0..4 {
+        rig.start(at).await?;
+    }
+    rig.settled(SOON).await?;
+    let over = Duration::from_secs(seconds);
+    let alone = costs(&rig, over).await;
+    let counts: Arc<Counts> = Arc::default();
+    let (generation, on_generation) = watch::channel(0);
+    let mut versions = Vec::new();
+    for number in 0..count {
+        let (version, on_version) = watch::channel(0);
+        versions.push(on_version);
+        let session = Session {
+            who: Who { name: format!("c{number}"), incarnation: now_us() },
+            voter: rig.voter(number % 3),
+            times: Times::new(lease_us),
+            counts: Arc::clone(&counts),
+            version,
+        };
+        tokio::spawn(session.live(on_generation.clone()));
+    }
+    let first = until(SOON, || counts.answered.load(Ordering::Relaxed) >= count).await?;
+    sleep(Duration::from_secs(2)).await;
+    let bytes = || (counts.bytes_out.load(Ordering::Relaxed), counts.bytes_in.load(Ordering::Relaxed));
+    let (sent, heard) = bytes();
+    let with = costs(&rig, over).await;
+    let (sent, heard) = (bytes().0 - sent, bytes().1 - heard);
+    let asked = Instant::now();
+    rig.call(3, "FLEET OUT 1 s-1").await?;
+    let agreed = asked.elapsed();
+    until(SOON, || versions.iter().all(|version| *version.borrow() >= 1)).await?;
+    let acted = asked.elapsed();
+    // All at once anew, as after a power cut on their side.
+    counts.answered.store(0, Ordering::Relaxed);
+    let before: Vec<_> = (0..4).map(|at| rig.cost(at).unwrap_or_default().0).collect();
+    generation.send_modify(|generation| *generation += 1);
+    let again = until(SOON, || counts.answered.load(Ordering::Relaxed) >= count).await?;
+    let spent: Vec<f64> = (0..4).map(|at| rig.cost(at).unwrap_or_default().0 - before[at]).collect();
+    let leader = rig.status(3).await?.leader;
+    let per_s = |bytes: u64| bytes as f64 / seconds as f64 / count as f64;
+    let told = json!({
+        "sessions": count, "leader": leader, "alone": alone, "with_sessions": with,
+        "bytes_per_session_s": {"out": per_s(sent), "in": per_s(heard)},
+        "us": {"all_answered": first.as_micros() as u64, "agreed": agreed.as_micros() as u64,
+               "all_acted": acted.as_micros() as u64, "all_again": again.as_micros() as u64},
+        "cpu_s_all_again": spent,
+    });
+    rig.close().await;
+    Ok(told)
+}
+
+/// Latency of queries with the fleet's part on and off, in turns on the same machine.
+pub async fn pace(turns: u64, seconds: u64, rate: f64, dir: &Path) -> Result<Value, String> {
+    let mut told = Vec::new();
+    let mut ratios = Vec::new();
+    for turn in 0..turns {
+        let mut p99 = [0_u64; 2];
+        // Which goes first changes, as the machine's mood does.
+        for step in 0..2 {
+            let fleet = (turn + step) % 2 == 0;
+            let nature = Nature { cost_us: 1_000, ..Nature::default() };
+            let layout = Layout {
+                processes: 3,
+                voters: 3,
+                backends: 6,
+                nature,
+                lease_us: 3_000_000,
+                fleet,
+                seed: turn,
+            };
+            let mut rig = Rig::new(layout, &dir.join(format!("{turn}-{fleet}"))).await?;
+            for at in 0..3 {
+                rig.start(at).await?;
+            }
+            if fleet {
+                rig.settled(SOON).await?;
+            }
+            let load = Arc::new(Load::new());
+            let (over, on_over) = watch::channel(false);
+            let mut clients = tokio::task::JoinSet::new();
+            for (at, proc) in rig.procs.iter().enumerate() {
+                let (load, name, address) = (Arc::clone(&load), proc.name.clone(), proc.address.subscribe());
+                let (disturbed, on_over) = (Arc::clone(&proc.disturbed), on_over.clone());
+                clients.spawn(async move {
+                    load.run(name, address, rate, at as u64 + 1, disturbed, on_over).await
+                });
+            }
+            sleep(Duration::from_secs(seconds)).await;
+            let _ = over.send(true);
+            let _ = timeout(SOON, async { while clients.join_next().await.is_some() {} }).await;
+            let (quantiles, completed) = {
+                let tally = load.tally.lock().map_err(|_| "a broken tally")?;
+                let quantile = |part| tally.latency_us.as_ref().map_or(0, |one| one.value_at_quantile(part));
+                ([quantile(0.5), quantile(0.99)], tally.completed)
+            };
+            p99[usize::from(fleet)] = quantiles[1];
+            told.push(json!({"turn": turn, "fleet": fleet, "completed": completed, "p50_us": quantiles[0], "p99_us": quantiles[1]}));
+            rig.close().await;
+        }
+        ratios.push(p99[1] as f64 / p99[0].max(1) as f64);
+    }
+    ratios.sort_by(f64::total_cmp);
+    Ok(json!({"turns": told, "p99_on_to_off": ratios, "median": ratios.get(ratios.len() / 2)}))
+}
--- /dev/null
+++ b/crates/lab/src/demo.rs
@@ -0,0 +1,113 @@
+//! `crankpick-lab demo`: what a fleet does, shown on three proxies with some load in half a minute. It ends by
+//! itself and leaves nothing running.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::emulate::Nature;
+use crate::load::Load;
+use crate::rig::{Layout, Rig};
+
+const SOON: Duration = Duration::from_secs(20);
+
+/// Executions by backend since they were last counted.
+fn counted(rig: &Rig, from: &mut usize) -> String {
+    let account = rig.account.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let new = &account.executions[*from..];
+    *from = account.executions.len();
+    let of = |number: usize| new.iter().filter(|execution| execution.backend == number).count();
+    let one = |number: usize| format!("{} {}", rig.backends[number].id, of(number));
+    (0..rig.backends.len()).map(one).collect::<Vec<_>>().join(", ")
+}
+
+async fn stands(rig: &Rig) -> Result<String, String> {
+    let status = rig.settled(SOON).await?;
+    let duties = status.duties.iter();
+    let duties: Vec<String> = duties
+        .map(|(duty, (owner, token))| {
+            format!("{duty} is {}'s (token {token})", owner.as_deref().unwrap_or("nobody"))
+        })
+        .collect();
+    Ok(format!(
+        "leader {}, {}, version {}, out {:?}",
+        status.leader,
+        duties.join(", "),
+        status.version,
+        status.outs
+    ))
+}
+
+pub async fn run(dir: &Path) -> Result<(), String> {
+    let nature = Nature::default();
+    let layout =
+        Layout { processes: 3, voters: 3, backends: 4, nature, lease_us: 1_000_000, fleet: true, seed: 1 };
+    println!("three proxies, four emulated backends, 100 queries a second at each proxy");
+    let mut rig = Rig::new(layout, dir).await?;
+    for at in 0..3 {
+        rig.start(at).await?;
+    }
+    for proc in &rig.procs {
+        let place = |address: &watch::Sender<Option<std::net::SocketAddr>>| {
+            address.borrow().map(|address| address.to_string()).unwrap_or_default()
+        };
+        println!(
+            "  {}: clients at {}, second address {}",
+            proc.name,
+            place(&proc.address),
+            place(&proc.admin)
+        );
+    }
+    println!("the fleet: {}", stands(&rig).await?);
+    let load = Arc::new(Load::new());
+    let (over, on_over) = watch::channel(false);
+    let mut clients = tokio::task::JoinSet::new();
+    for (at, proc) in rig.procs.iter().enumerate() {
+        let (load, name, address) = (Arc::clone(&load), proc.name.clone(), proc.address.subscribe());
+        let (disturbed, on_over) = (Arc::clone(&proc.disturbed), on_over.clone());
+        clients.spawn(async move { load.run(name, address, 100.0, at as u64 + 1, disturbed, on_over).await });
+    }
+    let mut from = 0;
+    sleep(Duration::from_secs(2)).await;
+    println!("executions in 2 s: {}", counted(&rig, &mut from));
+    println!("\n$ crankpick fleet out s-1 --at (n2's second address)");
+    println!("agreed: {}", rig.call(2, "FLEET OUT d1 s-1").await?);
+    println!("the fleet: {}", stands(&rig).await?);
+    sleep(Duration::from_millis(300)).await;
+    counted(&rig, &mut from);
+    sleep(Duration::from_secs(2)).await;
+    println!("executions in 2 s: {}", counted(&rig, &mut from));
+    let owner = rig.last("fleet_granted", "to").ok_or("nobody owns the duty")?;
+    println!("\nthe owner, {}, is killed", rig.procs[owner].name);
+    let seen = rig.seen();
+    rig.kill(owner).await;
+    let granted = rig.wait(seen, SOON, |seen| seen.code == "fleet_granted").await.ok_or("no other owner")?;
+    println!("  {} has the duty, token {}", granted.line["to"], granted.line["token"]);
+    let other = (owner + 1) % 3;
+    println!("$ crankpick fleet back s-1 --at ({}'s second address)", rig.procs[other].name);
+    println!("agreed: {}", rig.call(other, "FLEET BACK d2 s-1").await?);
+    println!("{} is started again", rig.procs[owner].name);
+    rig.start(owner).await?;
+    println!("the fleet: {}", stands(&rig).await?);
+    counted(&rig, &mut from);
+    sleep(Duration::from_secs(2)).await;
+    println!("executions in 2 s: {}", counted(&rig, &mut from));
+    let _ = over.send(true);
+    while clients.join_next().await.is_some() {}
+    let tally = load.tally.lock().map_err(|_| "a broken tally")?;
+    println!(
+        "\nqueries: {} sent, {} completed, {} rejected, {} aborted, {} cut off by the kill, {} lost",
+        tally.sent,
+        tally.completed,
+        tally.rejected,
+        tally.aborted,
+        tally.excused,
+        tally.lost.len()
+    );
+    drop(tally);
+    rig.close().await;
+    Ok(())
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,6 +1,8 @@
 //! The rig: a fleet under load and faults, and the checks of what it did. Called by the binary
 //! `crankpick-lab` and by the tests.
 
+pub mod crowd;
+pub mod demo;
 pub mod emulate;
 pub mod history;
 pub mod load;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,5 +1,6 @@
 //! `crankpick-lab`: plays fleets under load and faults and says what came of it.
 
+use std::future::Future;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -8,6 +9,7 @@
 use clap::{Parser, Subcommand};
 use crankpick_lab::owner::{self, Order};
 use crankpick_lab::world::{Setup, World};
+use crankpick_lab::{crowd, demo};
 
 #[derive(Parser)]
 #[command(
@@ -42,6 +44,33 @@
         #[arg(long, default_value_t = 40.0)]
         rate: f64,
     },
+    /// Three proxies, four emulated backends and some load: what a fleet does, in half a minute
+    Demo {
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
+    /// What hundreds of sessions cost the voters
+    Sessions {
+        #[arg(long, default_value_t = 900)]
+        count: usize,
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+        #[arg(long, default_value_t = 3_000_000)]
+        lease_us: u64,
+        #[arg(long)]
+        out: PathBuf,
+    },
+    /// Latency with the fleet's part on and off, in turns
+    Pace {
+        #[arg(long, default_value_t = 5)]
+        turns: u64,
+        #[arg(long, default_value_t = 8)]
+        seconds: u64,
+        #[arg(long, default_value_t = 300.0)]
+        rate: f64,
+        #[arg(long)]
+        out: PathBuf,
+    },
     /// Whole nodes in virtual time, one schedule of faults a seed
     Virtual {
         #[arg(long, default_value_t = 0)]
@@ -85,10 +114,14 @@
     }
 }
 
-fn owner(order: &Order, out: &std::path::Path) -> Result<(), String> {
+/// The rig's own work on two threads, beside the processes under test.
+fn run<T>(what: impl Future<Output = Result<T, String>>) -> Result<T, String> {
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
-    let runtime = runtime.map_err(|wrong| wrong.to_string())?;
-    let summary = runtime.block_on(owner::run(order, out))?;
+    runtime.map_err(|wrong| wrong.to_string())?.block_on(what)
+}
+
+fn owner(order: &Order, out: &std::path::Path) -> Result<(), String> {
+    let summary = run(owner::run(order, out))?;
     println!("{}", serde_json::to_string(&summary).map_err(|wrong| wrong.to_string())?);
     match summary.breaches.len() {
         0 => Ok(()),
@@ -105,6 +138,22 @@
             }
             owner(&Order { seed, processes, voters, seconds, lease_us, rate, quiet: false }, &out)
         }
+        What::Demo { out } => {
+            let kept = out.is_some();
+            let own = std::env::temp_dir().join(format!("crankpick-demo-{}", std::process::id()));
+            let out = out.unwrap_or(own);
+            let done = run(demo::run(&out));
+            if !kept {
+                let _ = std::fs::remove_dir_all(&out);
+            }
+            done
+        }
+        What::Sessions { count, seconds, lease_us, out } => {
+            run(crowd::sessions(count, seconds, lease_us, &out)).map(|told| println!("{told}"))
+        }
+        What::Pace { turns, seconds, rate, out } => {
+            run(crowd::pace(turns, seconds, rate, &out)).map(|told| println!("{told}"))
+        }
         What::Virtual { first, schedules } => played(first, schedules),
     };
     match done {
--- a/crates/lab/src/owner.rs
+++ b/crates/lab/src/owner.rs
@@ -400,7 +400,14 @@
 
 /// What each process acts on at the end.
 async fn finals(rig: &Rig, status: &crankpick_fleet::words::Status) {
+    // Of a proxy that has started anew its last process counts.
     for member in &status.members {
+        let newer = |other: &crankpick_fleet::words::MemberStatus| {
+            other.name == member.name && other.silent_us < member.silent_us
+        };
+        if status.members.iter().any(newer) {
+            continue;
+        }
         let outs = status.outs.clone();
         rig.line(Kind::Final { process: member.name.clone(), version: member.acted, outs });
     }
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -102,9 +102,12 @@
         .ok_or_else(|| "no crankpick beside this program: build it, or name it in CRANKPICK".into())
 }
 
-/// A port that is free now. It may be taken before it is used; a start that fails for it is tried again.
-async fn free_address() -> Result<SocketAddr, String> {
-    let listener = TcpListener::bind("127.0.0.1:0").await.map_err(told)?;
+/// An address that nobody else uses while this run lasts: one of loopback's own for each process, drawn from
+/// this program's id, so that neither another run nor the near end of a connection takes its port.
+async fn own_address(run: u8, number: usize) -> Result<SocketAddr, String> {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let ip = std::net::Ipv4Addr::new(127, 1 + high % 120 + 120 * (run % 2), low, 2 + number as u8);
+    let listener = TcpListener::bind((ip, 0)).await.map_err(told)?;
     listener.local_addr().map_err(told)
 }
 
@@ -118,6 +121,8 @@
         }
         let entries = backends.iter().map(|backend| entry(backend, "SERVING", 0)).collect();
         let discovery = Discovery::start(entries).await.map_err(told)?;
+        static RUNS: AtomicU8 = AtomicU8::new(0);
+        let run = RUNS.fetch_add(1, Ordering::SeqCst);
         let mut procs = Vec::new();
         for number in 0..layout.processes {
             procs.push(Proc {
@@ -127,7 +132,7 @@
                 address: watch::Sender::new(None),
                 admin: watch::Sender::new(None),
                 disturbed: Arc::default(),
-                listen: free_address().await?,
+                listen: own_address(run, number).await?,
                 stopped: false,
                 full: false,
             });
@@ -152,6 +157,11 @@
         })
     }
 
+    /// Where a voter listens, past all relays.
+    pub fn voter(&self, at: usize) -> SocketAddr {
+        self.procs[at].listen
+    }
+
     pub fn line(&self, kind: Kind) {
         lock(&self.record).lines.push(Line { t_us: now_us(), kind });
     }
--- a/crates/lab/tests/processes.rs
+++ b/crates/lab/tests/processes.rs
@@ -6,7 +6,7 @@
 
 use crankpick_lab::emulate::Nature;
 use crankpick_lab::owner::{self, Order};
-use crankpick_lab::rig::{Layout, Rig};
+use crankpick_lab::rig::{program, Layout, Rig};
 
 const SOON: Duration = Duration::from_secs(20);
 
@@ -57,6 +57,44 @@
     gone(rig).await;
 }
 
+/// The command line as an operator types it; each wrong word is told and ends with 2.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_command_line_reaches_the_fleet_through_any_proxy() {
+    let rig = fleet("shell", 3).await;
+    let admin = rig.procs[1].admin.borrow().expect("listening").to_string();
+    let ask = |words: &[&str]| {
+        let mut command = std::process::Command::new(program().expect("built"));
+        let done = command.args(words).env("CRANKPICK_AT", &admin).output().expect("it runs");
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        (done.status.code(), text(&done.stdout), text(&done.stderr))
+    };
+    let (code, said, _) = ask(&["fleet", "out", "s-1", "s-3", "--call", "c0ffee"]);
+    assert_eq!((code, said.as_str()), (Some(0), "agreed: version 1\nacted: n0 n1 n2\n"));
+    let (_, said, _) = ask(&["fleet", "out", "s-1", "s-3", "--call", "c0ffee", "--json"]);
+    assert!(said.contains("\"version\":1"), "{said}");
+    let (code, said, _) = ask(&["fleet", "status"]);
+    assert!(
+        code == Some(0) && said.contains("version 1, 2 backends out") && said.contains("out s-3"),
+        "{said}"
+    );
+    let (_, said, _) = ask(&["fleet", "owner"]);
+    assert!(said.starts_with("outs: n") && said.contains("(token 1)"), "{said}");
+    let (code, said, _) = ask(&["fleet", "back", "s-1"]);
+    assert!(code == Some(0) && said.starts_with("agreed: version 2"), "{said}");
+    for wrong in [
+        &["fleet", "outt", "s-1"][..],
+        &["fleet", "out"],
+        &["serv"],
+        &["fleet", "out", "s-1", "--call", "xyz"],
+    ] {
+        let (code, _, why) = ask(wrong);
+        assert!(code == Some(2) && why.starts_with("error: "), "{wrong:?}: {code:?} {why}");
+    }
+    let (code, _, why) = ask(&["fleet", "status", "--at", "127.0.0.1:1"]);
+    assert!(code == Some(1) && why.starts_with("crankpick: 127.0.0.1:1: "), "{why}");
+    gone(rig).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_proxy_that_nobody_answers_serves_by_its_own_disk_and_says_so() {
     let mut rig = fleet("alone", 3).await;
@@ -84,12 +122,16 @@
     rig.disk(owner, Some(0));
     let other = (owner + 1) % 3;
     rig.call(other, "FLEET OUT c1 s-1").await.expect("agreed by the other two");
-    rig.wait(from, SOON, |seen| seen.process == owner && seen.code == "fleet_disk_lost").await.expect("it tells");
+    rig.wait(from, SOON, |seen| seen.process == owner && seen.code == "fleet_disk_lost")
+        .await
+        .expect("it tells");
     let granted = rig.wait(from, SOON, |seen| seen.code == "fleet_granted").await.expect("another owns it");
     assert!(!granted.line["to"].as_str().expect("a name").starts_with(&format!("n{owner}.")));
     assert!(rig.call(owner, "PING").await.is_ok(), "queries are served as before");
     rig.disk(owner, None);
-    rig.wait(from, SOON, |seen| seen.process == owner && seen.code == "fleet_disk_back").await.expect("by itself");
+    rig.wait(from, SOON, |seen| seen.process == owner && seen.code == "fleet_disk_back")
+        .await
+        .expect("by itself");
     let until = std::time::Instant::now() + SOON;
     loop {
         let status = rig.settled(SOON).await.expect("whole again");
@@ -113,15 +155,18 @@
     let woke = rig.seen();
     rig.go_on(owner);
     rig.settled(SOON).await.expect("whole again");
-    let held = rig.wait(woke, Duration::ZERO, |seen| seen.process == owner && seen.code == "fleet_held").await;
+    let held =
+        rig.wait(woke, Duration::ZERO, |seen| seen.process == owner && seen.code == "fleet_held").await;
     assert!(held.is_none(), "it believed again: {held:?}");
     // Drained, the new one gives it up at once.
     let second = rig.last("fleet_granted", "to").expect("one owns");
     let from = rig.seen();
     rig.call(second, "LAMEDUCK").await.expect("drained");
     let gave = rig.wait(from, SOON, |seen| seen.code == "fleet_let_go").await.expect("given up");
-    let third = rig.wait(from, SOON, |seen| seen.code == "fleet_held" && seen.process != second).await.expect("held");
-    let handed = third.line["from_us"].as_u64().expect("a time") - gave.line["t_us"].as_u64().expect("a time");
+    let third =
+        rig.wait(from, SOON, |seen| seen.code == "fleet_held" && seen.process != second).await.expect("held");
+    let handed =
+        third.line["from_us"].as_u64().expect("a time") - gave.line["t_us"].as_u64().expect("a time");
     assert!(handed < 500_000, "{handed} us without an owner");
     gone(rig).await;
 }
@@ -130,7 +175,8 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_drawn_run_keeps_every_promise() {
     let dir = folder("drawn");
-    let order = Order { seed: 3, processes: 5, voters: 3, seconds: 14, lease_us: 1_000_000, rate: 20.0, quiet: true };
+    let order =
+        Order { seed: 3, processes: 5, voters: 3, seconds: 14, lease_us: 1_000_000, rate: 20.0, quiet: true };
     let summary = owner::run(&order, &dir).await.expect("it runs");
     assert!(summary.breaches.is_empty(), "{:?}", summary.breaches);
     assert!(summary.found.owners > 1 && summary.found.acked > 5, "{:?}", summary.found);
