--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -5,7 +5,7 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 
-#[derive(Parser)]
+#[derive(Default, Parser)]
 #[command(name = "crankpick", version, about = "A load-balancing proxy for fleets of HTTP servers")]
 pub struct Cli {
     #[command(flatten)]
@@ -17,8 +17,9 @@
     pub what: Option<What>,
 }
 
-#[derive(Clone, Copy, ValueEnum, PartialEq)]
+#[derive(Clone, Copy, Default, ValueEnum, PartialEq)]
 pub enum Log {
+    #[default]
     Text,
     Json,
 }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -62,7 +62,9 @@
 }
 
 fn main() -> ExitCode {
-    let cli = Cli::parse();
+    // Alone, as the platform starts it, it needs no command line: reading one would cost memory for good.
+    let alone = std::env::args_os().len() == 1 && std::env::var_os("CRANKPICK_FLEET").is_none();
+    let cli = if alone { Cli::default() } else { Cli::parse() };
     let done = match &cli.what {
         None => serve(cli.log, &cli.serve).map(|()| None),
         Some(What::Serve(with)) => {
