A duty given up while nobody could hear it is given up again; worlds that heal without a start anew

Cause: the owner passed over answers under a token it had let go of, and told nobody. Measured: scripted case fails without the mend (seen), holds with it.

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -58,7 +58,7 @@
         &mut self, now_us: u64, duty: &str, token: u64, sent_us: u64, times: &Times,
     ) -> Option<Held> {
         let until_us = (sent_us + times.lease_us).saturating_sub(times.margin_us);
-        if until_us <= now_us || self.let_go.get(duty).is_some_and(|gone| *gone >= token) {
+        if until_us <= now_us || self.has_let_go(duty, token) {
             return None;
         }
         let held = self.held.entry(duty.to_owned()).or_insert(Held { token, from_us: now_us, until_us });
@@ -72,6 +72,11 @@
         Some(*held)
     }
 
+    /// Whether this process has given the duty up under this token.
+    pub fn has_let_go(&self, duty: &str, token: u64) -> bool {
+        self.let_go.get(duty).is_some_and(|gone| *gone >= token)
+    }
+
     /// The token, while the lease lasts: to be asked at the moment of use, not before.
     pub fn token(&self, now_us: u64, duty: &str) -> Option<u64> {
         self.held.get(duty).filter(|held| now_us < held.until_us).map(|held| held.token)
--- a/crates/fleet/src/session.rs
+++ b/crates/fleet/src/session.rs
@@ -119,8 +119,10 @@
             }
         }
         for (duty, token) in &answer.duties {
-            // What it no longer wants it gives back.
-            if !self.willing || self.superseded || !self.writable {
+            // What it no longer wants it gives back; and again what it gave back when nobody heard it, or the fleet
+            // would take it for the owner for good.
+            let gone = self.holding.has_let_go(duty, *token);
+            if gone || !self.willing || self.superseded || !self.writable {
                 changes.let_go.push((duty.clone(), *token));
                 continue;
             }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -77,6 +77,8 @@
     disk: MemDisk,
     incarnation: u64,
     paused: bool,
+    /// Told to end: it owns nothing until it is started again.
+    ending: bool,
     /// What came while it was paused.
     waiting: Vec<(Link, Word)>,
     /// Own time is `offset + pace * t`.
@@ -164,6 +166,7 @@
                 disk: MemDisk { kept: Kept::new(rng.u64(1..)), ..MemDisk::default() },
                 incarnation: 0,
                 paused: false,
+                ending: false,
                 waiting: Vec::new(),
                 offset: rng.u64(0..1_000_000_000),
                 pace: 1.0 + setup.drift * (2.0 * rng.f64() - 1.0),
@@ -227,7 +230,7 @@
         };
         let node = Node::new(host.clock(t), plan, host.incarnation, kept, self.rng.u64(..));
         host.node = Some(node);
-        (host.paused, host.waiting) = (false, Vec::new());
+        (host.paused, host.ending, host.waiting) = (false, false, Vec::new());
         host.disk.torn = false;
         for voter in (0..self.setup.voters).filter(|voter| *voter != at) {
             self.connect(at, voter);
@@ -447,6 +450,7 @@
                 let own = host.clock(t);
                 if let Some(node) = host.node.as_mut().filter(|_| !host.paused) {
                     node.end(own);
+                    host.ending = true;
                 }
                 self.settle(at);
                 format!("{name} told to end")
@@ -491,7 +495,12 @@
             self.hosts[at].disk.full = false;
             self.hosts[at].disk.tears = None;
             self.wake(at);
-            // One told to end has ended by now; a superseded one too.
+            // One told to end has ended by now. Of the others some go on as they are: a start anew would hide what
+            // they can't get out of.
+            let goes_on = self.hosts[at].node.is_some() && !self.hosts[at].ending && self.rng.bool();
+            if goes_on {
+                continue;
+            }
             if self.hosts[at].node.is_some() {
                 self.end(at, true);
             }
@@ -666,6 +675,7 @@
             disk: MemDisk::default(),
             incarnation,
             paused: false,
+            ending: false,
             waiting: Vec::new(),
             offset,
             pace,
--- a/crates/lab/tests/hard_cases.rs
+++ b/crates/lab/tests/hard_cases.rs
@@ -180,6 +180,26 @@
     }
 }
 
+/// The owner gives the duty up, and with no majority nobody hears it: it must say so again, or it would be taken
+/// for the owner for good.
+#[test]
+fn a_duty_given_up_while_nobody_could_hear_it_finds_an_owner_again() {
+    for seed in 0..20 {
+        let (mut world, owner) = fleet(seed, 2);
+        (0..3).for_each(|at| world.full(at, true));
+        world.ask(3, 2, true, &["s-2"]);
+        world.run_for(LEASE * (1 + seed % 3));
+        (0..3).for_each(|at| world.full(at, false));
+        world.run_for(5 * LEASE);
+        world.ask(4, 3, true, &["s-3"]);
+        world.run_for(2 * LEASE);
+        only(&world);
+        sound(&world);
+        let version = world.taken(owner).map_or(0, |taken| taken.version);
+        assert!(version >= 2 && all(&world, 5, version), "seed {seed}\n{}", world.told_of());
+    }
+}
+
 #[test]
 fn all_voters_down_and_up_again_keep_what_was_acknowledged() {
     let (mut world, _) = fleet(3, 2);
