--- a/crates/fleet/src/agree.rs
+++ b/crates/fleet/src/agree.rs
@@ -7,7 +7,7 @@
 use raft::eraftpb::{
     ConfChangeSingle, ConfChangeType, ConfChangeV2, ConfState, Entry, EntryType, HardState, Message, Snapshot,
 };
-use raft::{RawNode, StateRole, Storage as _};
+use raft::{ProgressState, RawNode, SnapshotStatus, StateRole, Storage as _};
 use serde::{Deserialize, Serialize};
 
 use crate::kept::{Batch, Disk, Kept, Log};
@@ -17,6 +17,8 @@
 
 /// Entries kept beside the snapshot; past it a new snapshot takes their place.
 const MOST_ENTRIES: usize = 1_024;
+/// How long a snapshot may be on its way, in times to an election.
+const SNAPSHOT_ELECTIONS: usize = 2;
 const MOST_MESSAGE: u64 = 256 << 10;
 const MOST_UNCOMMITTED: u64 = 4 << 20;
 
@@ -60,6 +62,8 @@
     drawn: Option<(u64, StateRole)>,
     /// A voter has come that the snapshot does not know: it could not take it.
     outdated: bool,
+    /// Snapshots on their way, and for how many ticks.
+    sent: BTreeMap<u64, usize>,
     /// Names behind numbers that the agreed state does not tell yet.
     met: BTreeMap<u64, String>,
     /// Confirmed rounds that wait for the state to reach their index.
@@ -117,6 +121,7 @@
             drawn: None,
             outdated: false,
             met: BTreeMap::new(),
+            sent: BTreeMap::new(),
             reads: Vec::new(),
         };
         agree.draw();
@@ -164,6 +169,23 @@
     pub fn tick(&mut self) {
         self.raw.tick();
         self.draw();
+        self.snapshots_again();
+    }
+
+    /// The engine sends a snapshot once and then waits for word of it: one that got lost would be waited for for
+    /// good.
+    fn snapshots_again(&mut self) {
+        let sent = self.raw.raft.prs().iter().filter(|(_, one)| one.state == ProgressState::Snapshot);
+        let sent: Vec<u64> = sent.map(|(id, _)| *id).collect();
+        self.sent.retain(|id, _| sent.contains(id));
+        for id in sent {
+            let ticks = self.sent.entry(id).or_default();
+            *ticks += 1;
+            if *ticks > SNAPSHOT_ELECTIONS * self.election_ticks {
+                self.sent.remove(&id);
+                self.raw.report_snapshot(id, SnapshotStatus::Failure);
+            }
+        }
     }
 
     /// Takes a message in that a voter of this name has sent.
