--- a/crates/lab/tests/processes.rs
+++ b/crates/lab/tests/processes.rs
@@ -4,10 +4,15 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use crankpick_carry::frames;
+use crankpick_fleet::words::{Who, Word};
 use crankpick_lab::emulate::Nature;
 use crankpick_lab::owner::{self, Order};
 use crankpick_lab::rig::{program, Layout, Rig};
 
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
 const SOON: Duration = Duration::from_secs(20);
 
 fn folder(name: &str) -> PathBuf {
@@ -171,6 +176,47 @@
     gone(rig).await;
 }
 
+/// Neither a proxy of another fleet nor one that talks nonsense gets in the way of those that belong.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn strangers_and_nonsense_at_a_voters_address_are_turned_away() {
+    let rig = fleet("strangers", 3).await;
+    let from = rig.seen();
+    let who = Who { name: "n1".into(), incarnation: u64::MAX };
+    let hello = Word::Hello { fleet: "other".into(), who: who.clone(), voter: true };
+    let mut stranger = TcpStream::connect(rig.voter(0)).await.expect("it listens");
+    stranger.write_all(&frames::framed(&hello).expect("short")).await.expect("open");
+    let release = Word::Release { duty: "outs".into(), token: 1, who };
+    let _ = stranger.write_all(&frames::framed(&release).expect("short")).await;
+    let told = rig.wait(from, SOON, |seen| seen.code == "fleet_stranger").await.expect("it tells");
+    assert_eq!((told.line["fleet"].as_str(), told.line["from"].as_str()), (Some("other"), Some("n1")));
+    let mut end = Vec::new();
+    let _ = stranger.read_to_end(&mut end).await;
+    let mut rng = fastrand::Rng::with_seed(5);
+    for turn in 0..200 {
+        let mut nonsense = TcpStream::connect(rig.voter(turn % 3)).await.expect("it listens");
+        let mut bytes: Vec<u8> = (0..rng.usize(1..300)).map(|_| rng.u8(..)).collect();
+        match turn % 4 {
+            // A frame longer than any, one of sound length, a hello cut short, and whatever it is.
+            0 => bytes.splice(0..0, [0xff; 4]).for_each(drop),
+            1 => {
+                let length = (bytes.len() as u32).to_be_bytes();
+                bytes.splice(0..0, length).for_each(drop);
+            }
+            2 => bytes = frames::framed(&hello).expect("short")[..7].to_vec(),
+            _ => {}
+        }
+        let _ = nonsense.write_all(&bytes).await;
+    }
+    let status = rig.settled(SOON).await.expect("as before");
+    assert_eq!(status.duties["outs"].1, 1, "the duty was never given up");
+    for at in 0..3 {
+        let broken =
+            rig.wait(from, Duration::ZERO, |seen| seen.process == at && seen.code == "fleet_broken").await;
+        assert!(broken.is_none(), "{broken:?}");
+    }
+    gone(rig).await;
+}
+
 /// A short run of drawn faults; `make fleet-soak` plays long ones.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_drawn_run_keeps_every_promise() {
