--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -584,17 +584,18 @@
         }))
     }
 
-    /// An owner's word, from wherever it comes: it is for this process and for all whose way it is on.
+    /// An owner's word, from wherever it comes: it is for this process and for all whose way it is on. Sessions
+    /// hear what is news here; what one has missed it is told with its next renewal.
     fn published(&mut self, link: Link, voter: bool, publication: Publication) {
         let from_session = matches!(link, Link::Conn(_)) && !voter;
         let serves = self.plan.voters.contains(&self.who.name);
-        self.take(Some(link), &publication);
-        if serves {
-            if from_session {
-                for name in self.other_voters() {
-                    self.say(Link::Voter(name), Word::Publish(publication.clone()));
-                }
+        let news = self.take(Some(link), &publication);
+        if serves && from_session {
+            for name in self.other_voters() {
+                self.say(Link::Voter(name), Word::Publish(publication.clone()));
             }
+        }
+        if serves && news {
             self.tell_sessions(&publication);
         }
     }
@@ -607,34 +608,38 @@
         }
     }
 
-    /// Through the fence, or back to where it came from with a reason.
-    fn take(&mut self, from: Option<Link>, publication: &Publication) {
+    /// Through the fence, or back to where it came from with a reason. Whether it is news.
+    fn take(&mut self, from: Option<Link>, publication: &Publication) -> bool {
         let Publication { token, version, owner, .. } = publication.clone();
         let duty = OUTS.to_owned();
         match self.session.take(publication) {
-            Ok(false) => {}
+            Ok(false) => false,
             Ok(true) => {
                 self.event(Event::Effect { duty, token, version, owner });
                 self.keep = Some(publication.clone());
                 self.out.push_back(Out::Take(publication.clone()));
+                true
             }
             Err(seen) => {
                 self.event(Event::StaleRefused { duty: duty.clone(), token, version, owner, seen });
                 if let Some(link) = from {
                     self.say(link, Word::Stale { duty, token, seen });
                 }
+                false
             }
         }
     }
 
     fn publish(&mut self, now_us: u64) {
         let Some(publication) = self.session.publish(now_us) else { return };
-        self.take(None, &publication);
+        let news = self.take(None, &publication);
         if self.plan.voters.contains(&self.who.name) {
             for name in self.other_voters() {
                 self.say(Link::Voter(name), Word::Publish(publication.clone()));
             }
-            self.tell_sessions(&publication);
+            if news {
+                self.tell_sessions(&publication);
+            }
         } else if let Some(link) = self.upward() {
             self.say(link, Word::Publish(publication));
         }
--- a/crates/lab/src/crowd.rs
+++ b/crates/lab/src/crowd.rs
@@ -14,7 +14,7 @@
 use serde_json::{json, Value};
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use crate::emulate::Nature;
@@ -69,7 +69,18 @@
         }
         let (mut taken, mut token, mut first) = (0, 0, true);
         let mut next = Instant::now();
-        let mut room = Vec::new();
+        // Apart from what is sent: a word that is read half must not be given up for a timer.
+        let (send, mut heard) = mpsc::channel(64);
+        let counts = Arc::clone(&self.counts);
+        let _reading = Ends(tokio::spawn(async move {
+            let mut room = Vec::new();
+            while let Ok(word) = frames::read(&mut reader, &mut room).await {
+                counts.bytes_in.fetch_add(room.len() as u64 + 4, Ordering::Relaxed);
+                if send.send(word).await.is_err() {
+                    return;
+                }
+            }
+        }));
         loop {
             tokio::select! {
                 () = sleep_until(next) => {
@@ -84,9 +95,8 @@
                         return;
                     }
                 }
-                word = frames::read(&mut reader, &mut room) => {
-                    let Ok(word) = word else { return };
-                    self.counts.bytes_in.fetch_add(room.len() as u64 + 4, Ordering::Relaxed);
+                word = heard.recv() => {
+                    let Some(word) = word else { return };
                     match word {
                         Word::Renewed(_) if first => {
                             first = false;
@@ -105,6 +115,15 @@
     }
 }
 
+/// A task that ends with whoever holds this.
+struct Ends(tokio::task::JoinHandle<()>);
+
+impl Drop for Ends {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 async fn until(within: Duration, is: impl Fn() -> bool) -> Result<Duration, String> {
     let start = Instant::now();
     while !is() {
