The newer process of an upgrade is told what is out while the older one votes

Need: it went by a voter's name, so answers and versions went to the older process and it sent to backends that were out. A voter is who has that part running; said with each connection and again every lease.

--- a/crates/carry/src/links.rs
+++ b/crates/carry/src/links.rs
@@ -12,6 +12,7 @@
 use tokio::io::{AsyncWriteExt, BufReader, BufWriter};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{self, Receiver, Sender};
+use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -43,7 +44,7 @@
     heard: Sender<Heard>,
     open: BTreeMap<Link, Open>,
     /// Said first on each connection that is opened from here.
-    hello: Vec<u8>,
+    hello: watch::Sender<Vec<u8>>,
     /// A connection on which nothing has been heard for so long is asked for a beat, and dead after twice that.
     beat: Duration,
     pub bytes_out: u64,
@@ -58,13 +59,24 @@
             voters,
             heard,
             open: BTreeMap::new(),
-            hello: frames::framed(hello).unwrap_or_default(),
+            hello: watch::Sender::new(frames::framed(hello).unwrap_or_default()),
             beat: Duration::from_micros(lease_us / 2),
             bytes_out: 0,
             bytes_in: Arc::default(),
         }
     }
 
+    /// From now on connections begin with this; the ones opened from here are told too.
+    pub fn hello(&mut self, hello: &Word) {
+        let frame = frames::framed(hello).unwrap_or_default();
+        self.hello.send_replace(frame.clone());
+        for (link, open) in &self.open {
+            if matches!(link, Link::Voter(_)) {
+                let _ = open.frames.try_send(frame.clone());
+            }
+        }
+    }
+
     pub fn say(&mut self, link: &Link, word: &Word) {
         if !self.open.contains_key(link) {
             let Link::Voter(name) = link else { return };
@@ -73,7 +85,7 @@
             let dialled = Dialled {
                 link: link.clone(),
                 address,
-                hello: self.hello.clone(),
+                hello: self.hello.subscribe(),
                 beat: self.beat,
                 heard: self.heard.clone(),
                 bytes_in: Arc::clone(&self.bytes_in),
@@ -122,7 +134,7 @@
 struct Dialled {
     link: Link,
     address: SocketAddr,
-    hello: Vec<u8>,
+    hello: watch::Receiver<Vec<u8>>,
     beat: Duration,
     heard: Sender<Heard>,
     bytes_in: Arc<AtomicU64>,
@@ -153,7 +165,8 @@
 
     async fn opened(&self, first: &[u8]) -> std::io::Result<TcpStream> {
         let mut stream = TcpStream::connect(self.address).await?;
-        stream.write_all(&self.hello).await?;
+        let hello = self.hello.borrow().clone();
+        stream.write_all(&hello).await?;
         stream.write_all(first).await?;
         Ok(stream)
     }
--- a/crates/carry/src/run.rs
+++ b/crates/carry/src/run.rs
@@ -205,6 +205,7 @@
             match out {
                 Out::Say(link, word) => links.say(&link, &word),
                 Out::Close(link) => links.close(&link),
+                Out::Hello(hello) => links.hello(&hello),
                 Out::Take(publication) => {
                     ends.taken.send_replace(Some(publication));
                 }
--- a/crates/fleet/src/agree.rs
+++ b/crates/fleet/src/agree.rs
@@ -212,6 +212,12 @@
         self.raw.propose(origin, command).map_err(|wrong| wrong.to_string())
     }
 
+    /// Whether the lead can be confirmed yet: not before an entry of its own term is agreed, and what is asked
+    /// sooner is never answered.
+    pub fn confirms(&self) -> bool {
+        self.leads() && self.raw.raft.commit_to_current_term()
+    }
+
     /// Asks a majority whether this voter still leads; the answer comes as a confirmed round.
     pub fn confirm(&mut self, round: u64) {
         self.raw.read_index(round.to_be_bytes().to_vec());
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -63,6 +63,8 @@
     Take(Publication),
     Told(u64, Told),
     Event(Event),
+    /// From now on each connection begins with this; those that are open hear it too.
+    Hello(Word),
 }
 
 /// What a process is by its file.
@@ -121,6 +123,7 @@
     /// Written with the next pump.
     keep: Option<Publication>,
     ending: bool,
+    hello_us: u64,
 }
 
 impl Node {
@@ -131,6 +134,7 @@
         // Spread over the voters by name, so that a restart finds the same one.
         let spread =
             who.name.bytes().fold(0_usize, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte as usize));
+        let plan_lease = plan.times.lease_us;
         let mut node = Node {
             at: spread % plan.voters.len().max(1),
             plan,
@@ -148,6 +152,7 @@
             out: VecDeque::new(),
             keep: None,
             ending: false,
+            hello_us: now_us + plan_lease,
         };
         if let Some(taken) = &kept.taken {
             node.out.push_back(Out::Take(taken.clone()));
@@ -165,6 +170,8 @@
         let seat = Seat { id: self.kept.seat, roster: self.kept.roster.clone(), started };
         let founding = Founding::new(seat, self.who.name.clone(), self.plan.voters.clone());
         self.voter = Some(Voter { founding, agree: None, founding_us: now_us, tick_us: now_us });
+        let hello = self.hello();
+        self.out.push_back(Out::Hello(hello));
         if started {
             self.start(now_us);
         }
@@ -204,6 +211,8 @@
         self.session.writable = false;
         self.lost_lead();
         self.voter = None;
+        let hello = self.hello();
+        self.out.push_back(Out::Hello(hello));
         // Another that can write is to go on at once.
         let gone = self.session.let_go_all(u64::MIN);
         self.gave_up(gone);
@@ -249,8 +258,9 @@
         self.out.push_back(Out::Say(link, word));
     }
 
+    /// A voter is who has that part running: the newer process of an upgrade goes by the same name and has not.
     pub fn hello(&self) -> Word {
-        let voter = self.plan.voters.contains(&self.who.name);
+        let voter = self.voter.is_some();
         Word::Hello { fleet: self.plan.fleet.clone(), who: self.who.clone(), voter }
     }
 
@@ -359,8 +369,9 @@
         let Some((from, voter)) = from else { return };
         match word {
             Word::Hello { .. } | Word::Beat => {}
-            Word::Seat(seat) if voter => self.seat(&from, seat),
-            Word::Agree(message) if voter => {
+            // Only a voter says these, whatever was last heard of its standing.
+            Word::Seat(seat) if self.plan.voters.contains(&from) => self.seat(&from, seat),
+            Word::Agree(message) if self.plan.voters.contains(&from) => {
                 if let Some(agree) = self.agree() {
                     agree.step(&from, &message);
                 }
@@ -588,7 +599,7 @@
     /// hear what is news here; what one has missed it is told with its next renewal.
     fn published(&mut self, link: Link, voter: bool, publication: Publication) {
         let from_session = matches!(link, Link::Conn(_)) && !voter;
-        let serves = self.plan.voters.contains(&self.who.name);
+        let serves = self.voter.is_some();
         let news = self.take(Some(link), &publication);
         if serves && from_session {
             for name in self.other_voters() {
@@ -633,7 +644,7 @@
     fn publish(&mut self, now_us: u64) {
         let Some(publication) = self.session.publish(now_us) else { return };
         let news = self.take(None, &publication);
-        if self.plan.voters.contains(&self.who.name) {
+        if self.voter.is_some() {
             for name in self.other_voters() {
                 self.say(Link::Voter(name), Word::Publish(publication.clone()));
             }
@@ -652,6 +663,12 @@
         for (duty, token) in self.session.holding.lapsed(now_us) {
             self.event(Event::Lapsed { duty, token });
         }
+        if now_us >= self.hello_us {
+            // Said again from time to time: one that was lost would leave a voter taken for none, or the reverse.
+            self.hello_us = now_us + self.plan.times.lease_us;
+            let hello = self.hello();
+            self.out.push_back(Out::Hello(hello));
+        }
         self.tick_voter(now_us);
         self.renew_own(now_us);
         self.publish(now_us);
@@ -687,7 +704,7 @@
         if self.session.forsaken(now_us) && self.agreed().is_none_or(|agree| !agree.started()) {
             self.elsewhere(now_us);
         }
-        let voter = self.plan.voters.contains(&self.who.name);
+        let voter = self.voter.is_some();
         let Some(renewal) = self.session.due(now_us, voter) else { return };
         if let Some(lead) = &mut self.lead {
             lead.hear(now_us, renewal, Route::Own);
@@ -775,10 +792,10 @@
                 self.confirmed(now_us, round);
             }
             if let Some(lead) = &mut self.lead {
-                let round = lead.round(now_us, &self.plan.times);
                 let Some(agree) = self.voter.as_mut().and_then(|voter| voter.agree.as_mut()) else {
                     return Ok(());
                 };
+                let round = if agree.confirms() { lead.round(now_us, &self.plan.times) } else { None };
                 if let Some(round) = round {
                     agree.confirm(round);
                     moved = true;
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -314,6 +314,13 @@
                     }
                 }
                 Out::Close(_) => {}
+                Out::Hello(hello) => {
+                    let conns: Vec<(usize, u64)> =
+                        self.hosts[at].conns.iter().map(|(voter, conn)| (*voter, *conn)).collect();
+                    for (voter, conn) in conns {
+                        self.send(at, voter, Link::Conn(conn), hello.clone(), false);
+                    }
+                }
                 Out::Take(publication) => self.take(at, publication),
                 Out::Told(call, told) => self.told(at, call, told),
                 Out::Event(event) => self.event(at, event),
--- a/crates/lab/tests/hard_cases.rs
+++ b/crates/lab/tests/hard_cases.rs
@@ -155,24 +155,20 @@
     for seed in 0..20 {
         let (mut world, owner) = fleet(seed, 2);
         let leader = world.leader().expect("one leads");
-        world.full(owner, true);
+        let second = if owner < 3 && owner != leader { owner } else { (leader + 1) % 3 };
         world.full(leader, true);
-        // Noticed with the first write.
+        world.full(second, true);
+        // A majority is full: nothing is agreed, and nothing unwritten is acknowledged.
         world.ask(4, 2, true, &["s-2"]);
-        if owner != leader {
-            // A majority is full: nothing is agreed, and nothing unwritten is acknowledged.
-            world.run_for(4 * LEASE);
-            assert_eq!(world.acked().len(), 1, "seed {seed}: agreed by one voter alone");
-            world.full(leader, false);
-            world.run_for(4 * LEASE);
-        } else {
-            world.run_for(4 * LEASE);
-        }
-        assert_ne!(only(&world), owner, "seed {seed}: with one that can't write\n{}", world.told_of());
+        world.run_for(4 * LEASE);
+        assert_eq!(world.acked().len(), 1, "seed {seed}: agreed by one voter alone");
+        world.full(leader, false);
+        world.run_for(4 * LEASE);
+        assert_ne!(only(&world), second, "seed {seed}: with one that can't write\n{}", world.told_of());
         world.ask(3, 3, true, &["s-3"]);
         world.run_for(LEASE);
         assert!(world.acked().iter().any(|(call, _)| call == "3"), "seed {seed}: {:?}", world.acked());
-        world.full(owner, false);
+        world.full(second, false);
         world.run_for(4 * LEASE);
         sound(&world);
         let version = world.taken(0).map_or(0, |taken| taken.version);
@@ -269,6 +265,17 @@
         world.run_for(3 * LEASE);
         assert!(!world.owners().contains(&second) || !world.owners().contains(&owner), "seed {seed}");
         only(&world);
+        // Both serve, so both must know what is out, whoever votes.
+        world.ask((owner + 1) % 3, 2, true, &["s-2"]);
+        world.run_for(LEASE);
+        for at in [owner, second] {
+            assert_eq!(
+                world.taken(at).map(|taken| taken.version),
+                Some(2),
+                "seed {seed}\n{}",
+                world.told_of()
+            );
+        }
         // The older ends, as upgrades do.
         world.told_to_end(owner);
         world.run_for(LEASE / 2);
--- a/crates/lab/tests/processes.rs
+++ b/crates/lab/tests/processes.rs
@@ -10,7 +10,7 @@
 use crankpick_lab::owner::{self, Order};
 use crankpick_lab::rig::{program, Layout, Rig};
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 
 const SOON: Duration = Duration::from_secs(20);
@@ -176,6 +176,43 @@
     gone(rig).await;
 }
 
+/// The newer process of a voter has neither the folder nor the address yet: it takes each version all the same,
+/// owns nothing, and votes once the older one has ended.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_newer_process_of_an_upgrade_knows_what_is_out_and_takes_the_folder_over() {
+    let mut rig = fleet("upgrade", 3).await;
+    rig.call(1, "FLEET OUT e1 s-1").await.expect("agreed");
+    let place = rig.dir.join("n0");
+    let mut newer = tokio::process::Command::new(program().expect("built"))
+        .args(["serve", "--log", "json", "--fleet"])
+        .arg(place.join("fleet.toml"))
+        .env("EDGE_CONFIG", place.join("config.json"))
+        .stderr(std::process::Stdio::piped())
+        .kill_on_drop(true)
+        .spawn()
+        .expect("it starts");
+    let mut log = BufReader::new(newer.stderr.take().expect("piped")).lines();
+    let mut until = async |code: &str| loop {
+        let line = tokio::time::timeout(SOON, log.next_line()).await.expect("in time").expect("read");
+        let line: serde_json::Value = serde_json::from_str(&line.expect("it runs")).expect("JSON");
+        if line["code"] == code {
+            return line;
+        }
+    };
+    assert_eq!(until("out_by_fleet").await["id"], "s-1", "before it serves");
+    until("listening").await;
+    rig.call(2, "FLEET OUT e2 s-2").await.expect("agreed");
+    assert_eq!(until("out_by_fleet").await["id"], "s-2", "while both are there");
+    rig.end(0).await;
+    until("fleet_disk_back").await;
+    rig.call(1, "FLEET BACK e3 s-1").await.expect("agreed");
+    assert_eq!(until("back_by_fleet").await["id"], "s-1");
+    // With the newer one voting the fleet bears the loss of another.
+    rig.kill(2).await;
+    rig.call(1, "FLEET BACK e4 s-2").await.expect("agreed by two");
+    gone(rig).await;
+}
+
 /// Neither a proxy of another fleet nor one that talks nonsense gets in the way of those that belong.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn strangers_and_nonsense_at_a_voters_address_are_turned_away() {
