--- a/crates/fleet/src/lead.rs
+++ b/crates/fleet/src/lead.rs
@@ -27,8 +27,10 @@
     /// Each process by itself: the two of an upgrade both count until one is gone.
     pub heard: BTreeMap<Who, Heard<R>>,
     /// Renewals that wait for a majority to confirm the lead, with the round that will.
-    waiting: Vec<(u64, Heard<R>)>,
+    waiting: BTreeMap<Who, (u64, Heard<R>)>,
     round: u64,
+    /// When all sessions were last gone through.
+    looked_us: u64,
     /// When the round that is out was asked for.
     asked_us: Option<u64>,
     /// When the owner's last confirmed renewal came, or its grant.
@@ -47,7 +49,8 @@
             term,
             since_us: now_us,
             heard: BTreeMap::new(),
-            waiting: Vec::new(),
+            waiting: BTreeMap::new(),
+            looked_us: 0,
             round: 0,
             asked_us: None,
             renewed_us: BTreeMap::new(),
@@ -60,8 +63,8 @@
     pub fn hear(&mut self, now_us: u64, renewal: Renewal, route: R) {
         let heard = Heard { renewal: renewal.clone(), at_us: now_us, route: route.clone() };
         self.heard.insert(renewal.who.clone(), heard);
-        self.waiting.retain(|(_, one)| one.renewal.who != renewal.who);
-        self.waiting.push((self.round + 1, Heard { renewal, at_us: now_us, route }));
+        let who = renewal.who.clone();
+        self.waiting.insert(who, (self.round + 1, Heard { renewal, at_us: now_us, route }));
     }
 
     /// The next round to ask a majority for, if any renewal waits for one.
@@ -83,9 +86,9 @@
         }
         let mut answers = Vec::new();
         let waiting = std::mem::take(&mut self.waiting);
-        for (needs, heard) in waiting {
+        for (who, (needs, heard)) in waiting {
             if needs > round {
-                self.waiting.push((needs, heard));
+                self.waiting.insert(who, (needs, heard));
                 continue;
             }
             let who = &heard.renewal.who;
@@ -144,38 +147,50 @@
     }
 
     pub fn heard_of(&self, name: &str) -> bool {
-        self.heard.keys().any(|who| who.name == name)
+        self.last_of(name).is_some()
+    }
+
+    /// The newest process of a proxy.
+    fn last_of(&self, name: &str) -> Option<&Heard<R>> {
+        let who = |incarnation| Who { name: name.to_owned(), incarnation };
+        self.heard.range(who(0)..=who(u64::MAX)).next_back().map(|(_, heard)| heard)
     }
 
     /// What to propose now; `dropped` must be told of each that could not be.
     pub fn propose(&mut self, now_us: u64, fleet: &Fleet, times: &Times) -> Vec<Command> {
         let mut commands = Vec::new();
-        let new = |who: &Who| fleet.sessions.get(&who.name).is_none_or(|current| *current < who.incarnation);
+        // Hundreds of sessions are gone through now and then, not with each word.
+        if now_us >= self.looked_us + times.tick_us / 2 {
+            self.looked_us = now_us;
+            commands.extend(self.sessions(now_us, fleet, times));
+        }
+        for duty in DUTIES {
+            commands.extend(self.grant(now_us, duty, fleet, times));
+        }
+        commands
+    }
+
+    /// Sessions that have begun, and those that have ended.
+    fn sessions(&mut self, now_us: u64, fleet: &Fleet, times: &Times) -> Vec<Command> {
+        let mut commands = Vec::new();
         self.heard.retain(|_, heard| now_us <= heard.at_us + LAPSE * times.lease_us);
-        let silent = |name: &String| {
-            let begun = now_us <= self.since_us + LAPSE * times.lease_us;
-            !begun && !self.heard.keys().any(|who| who.name == *name)
-        };
-        let joins = self.heard.keys();
-        let joins: Vec<Who> =
-            joins.filter(|who| new(who) && !self.joining.contains(who)).take(MOST_JOINS).cloned().collect();
+        let new = |who: &Who| fleet.sessions.get(&who.name).is_none_or(|current| *current < who.incarnation);
+        let joins = self.heard.keys().filter(|who| new(who) && !self.joining.contains(who));
+        let joins: Vec<Who> = joins.take(MOST_JOINS).cloned().collect();
         if !joins.is_empty() {
             self.joining.extend(joins.iter().cloned());
             commands.push(Command::Join(joins));
         }
-        let sessions = fleet.sessions.iter();
-        let sessions = sessions.map(|(name, one)| Who { name: name.clone(), incarnation: *one });
-        let leaves: Vec<Who> = sessions
-            .filter(|who| silent(&who.name) && !self.leaving.contains(who))
-            .take(MOST_JOINS)
-            .collect();
+        if now_us <= self.since_us + LAPSE * times.lease_us {
+            return commands;
+        }
+        let silent = fleet.sessions.iter().filter(|(name, _)| !self.heard_of(name));
+        let silent = silent.map(|(name, one)| Who { name: name.clone(), incarnation: *one });
+        let leaves: Vec<Who> = silent.filter(|who| !self.leaving.contains(who)).take(MOST_JOINS).collect();
         if !leaves.is_empty() {
             self.leaving.extend(leaves.iter().cloned());
             commands.push(Command::Leave(leaves));
         }
-        for duty in DUTIES {
-            commands.extend(self.grant(now_us, duty, fleet, times));
-        }
         commands
     }
 
