Words are passed on once, by whoever hears them from their own process

Seen: a schedule that never ended: two voters that each took the other for a session passed a publication on for ever. Cause: whether to pass on was asked of what was last heard of the other's standing. Now the word says so itself.

--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -383,8 +383,9 @@
             Word::Nudge(who) if who == self.who => self.session.hurry(now_us),
             Word::Nudge(who) => self.pass_on(who.clone(), Word::Nudge(who)),
             Word::Release { duty, token, who } => {
-                let from_session = !voter || who.name == from;
-                if self.lead.is_some() || from_session {
+                // One hop: only what comes from the process itself is passed on, or two voters that each take the
+                // other for the leader would do so for ever.
+                if self.lead.is_some() || who.name == from {
                     self.release(Word::Release { duty, token, who });
                 }
             }
@@ -396,7 +397,7 @@
                 }
             }
             Word::Told { who, call, told } => self.pass_on(who.clone(), Word::Told { who, call, told }),
-            Word::Publish(publication) => self.published(link, voter, publication),
+            Word::Publish { publication, passed } => self.published(link, publication, passed),
             Word::Stale { duty, token, .. } => {
                 // Told by a receiver that it is one no longer: that stands, whatever the clock says.
                 if self.session.holding.let_go(&duty, token) {
@@ -481,11 +482,11 @@
     }
 
     fn renew(&mut self, now_us: u64, from: &str, voter: bool, link: Link, renewal: Renewal) {
-        let own_session = !voter || renewal.who.name == from;
+        let own_session = renewal.who.name == from;
         if own_session {
             if let Some(missed) = self.session.missed_by(&renewal).cloned() {
                 let back = self.back(from, voter, link.clone());
-                self.say(back, Word::Publish(missed));
+                self.say(back, Word::Publish { publication: missed, passed: true });
             }
         }
         let route = Route::Link(self.back(from, voter, link.clone()));
@@ -537,7 +538,7 @@
             return;
         }
         let leader = self.agreed().and_then(Agree::leader).map(str::to_owned);
-        match leader.filter(|leader| *leader != self.who.name && (!voter || who.name == from)) {
+        match leader.filter(|leader| *leader != self.who.name && who.name == from) {
             Some(leader) => self.say(Link::Voter(leader), Word::Ask { who, call, ask }),
             None => self.tell(route, who, call, Told::NotNow("nobody leads".into())),
         }
@@ -597,25 +598,30 @@
 
     /// An owner's word, from wherever it comes: it is for this process and for all whose way it is on. Sessions
     /// hear what is news here; what one has missed it is told with its next renewal.
-    fn published(&mut self, link: Link, voter: bool, publication: Publication) {
-        let from_session = matches!(link, Link::Conn(_)) && !voter;
+    fn published(&mut self, link: Link, publication: Publication, passed: bool) {
         let serves = self.voter.is_some();
         let news = self.take(Some(link), &publication);
-        if serves && from_session {
-            for name in self.other_voters() {
-                self.say(Link::Voter(name), Word::Publish(publication.clone()));
-            }
+        if serves && !passed {
+            self.tell_voters(&publication);
         }
         if serves && news {
             self.tell_sessions(&publication);
         }
     }
 
+    fn tell_voters(&mut self, publication: &Publication) {
+        for name in self.other_voters() {
+            let publication = publication.clone();
+            self.say(Link::Voter(name), Word::Publish { publication, passed: true });
+        }
+    }
+
     fn tell_sessions(&mut self, publication: &Publication) {
         let conns = self.peers.iter().filter(|(_, peer)| !peer.voter).map(|(conn, _)| *conn);
         let conns: Vec<u64> = conns.collect();
         for conn in conns {
-            self.say(Link::Conn(conn), Word::Publish(publication.clone()));
+            let publication = publication.clone();
+            self.say(Link::Conn(conn), Word::Publish { publication, passed: true });
         }
     }
 
@@ -645,14 +651,12 @@
         let Some(publication) = self.session.publish(now_us) else { return };
         let news = self.take(None, &publication);
         if self.voter.is_some() {
-            for name in self.other_voters() {
-                self.say(Link::Voter(name), Word::Publish(publication.clone()));
-            }
+            self.tell_voters(&publication);
             if news {
                 self.tell_sessions(&publication);
             }
         } else if let Some(link) = self.upward() {
-            self.say(link, Word::Publish(publication));
+            self.say(link, Word::Publish { publication, passed: false });
         }
     }
 
--- a/crates/fleet/src/words.rs
+++ b/crates/fleet/src/words.rs
@@ -158,7 +158,11 @@
         call: u64,
         told: Told,
     },
-    Publish(Publication),
+    /// Passed on by a voter at most once: never by one that was passed it.
+    Publish {
+        publication: Publication,
+        passed: bool,
+    },
     /// The fence has seen a higher token.
     Stale {
         duty: String,
--- a/crates/lab/src/crowd.rs
+++ b/crates/lab/src/crowd.rs
@@ -102,7 +102,7 @@
                             first = false;
                             self.counts.answered.fetch_add(1, Ordering::Relaxed);
                         }
-                        Word::Publish(publication) => {
+                        Word::Publish { publication, .. } => {
                             (taken, token) = (publication.version, publication.token);
                             self.version.send_replace(taken);
                         }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -147,6 +147,8 @@
 }
 
 const TICK_US: u64 = 25_000;
+/// Words in one schedule, many times what any should need.
+const STORM: u64 = 1_000_000;
 
 impl World {
     pub fn new(seed: u64, setup: Setup) -> Self {
@@ -274,6 +276,10 @@
             return;
         }
         self.words_sent += 1;
+        if self.words_sent > STORM {
+            // Words that beget words: the run would never end.
+            return;
+        }
         let slow = if self.rng.u32(0..50) == 0 { 20_000 } else { 1_500 };
         let at_us = self.t + 100 + self.rng.u64(0..slow) + if sure { 0 } else { way.late_us };
         self.order += 1;
@@ -771,6 +777,9 @@
             }
         }
         finals.into_iter().for_each(|kind| self.line(kind));
+        if self.words_sent > STORM {
+            self.line(Kind::Fault { what: format!("BREACH a storm of more than {STORM} words") });
+        }
         for at in 0..self.setup.voters {
             if !self.hosts[at].node.as_ref().is_some_and(Node::votes) {
                 let what = format!("BREACH {} does not vote at the end", self.hosts[at].name);
