--- a/crates/fleet/src/lead.rs
+++ b/crates/fleet/src/lead.rs
@@ -124,18 +124,9 @@
 
     /// What has come into force.
     pub fn applied(&mut self, now_us: u64, command: &Command) {
-        match command {
-            Command::Join(all) => all.iter().for_each(|who| {
-                self.joining.remove(who);
-            }),
-            Command::Leave(all) => all.iter().for_each(|who| {
-                self.leaving.remove(who);
-            }),
-            Command::Grant { duty, .. } => {
-                self.granting.remove(duty);
-                self.renewed_us.insert(duty.clone(), now_us);
-            }
-            Command::Release { .. } | Command::Outs { .. } => {}
+        self.dropped(command);
+        if let Command::Grant { duty, .. } = command {
+            self.renewed_us.insert(duty.clone(), now_us);
         }
     }
 
@@ -194,7 +185,7 @@
         commands
     }
 
-    /// Not proposed after all: to be tried again.
+    /// No longer on its way: in force, or not proposed after all and to be tried again.
     pub fn dropped(&mut self, command: &Command) {
         match command {
             Command::Join(all) => all.iter().for_each(|who| {
--- a/crates/lab/src/crowd.rs
+++ b/crates/lab/src/crowd.rs
@@ -137,14 +137,12 @@
 
 /// What each process cost over some time, in CPU seconds a second and bytes.
 async fn costs(rig: &Rig, over: Duration) -> Vec<Value> {
-    let before: Vec<_> = (0..rig.procs.len()).map(|at| rig.cost(at)).collect();
+    let all = || (0..rig.procs.len()).map(|at| rig.cost(at).unwrap_or_default());
+    let before: Vec<(f64, u64)> = all().collect();
     sleep(over).await;
-    let after = (0..rig.procs.len()).map(|at| rig.cost(at));
-    let one = |(at, (before, after)): (usize, (Option<(f64, u64)>, Option<(f64, u64)>))| {
-        let ((cpu, _), (later, bytes)) = (before.unwrap_or_default(), after.unwrap_or_default());
-        json!({"process": rig.procs[at].name, "cpu": (later - cpu) / over.as_secs_f64(), "resident_kb": bytes / 1024})
-    };
-    before.into_iter().zip(after).enumerate().map(one).collect()
+    let pairs = before.iter().zip(all()).enumerate();
+    let one = |at: usize, cpu: f64, bytes: u64| json!({"process": rig.procs[at].name, "cpu": cpu / over.as_secs_f64(), "resident_kb": bytes / 1024});
+    pairs.map(|(at, (before, (cpu, bytes)))| one(at, cpu - before.0, bytes)).collect()
 }
 
 pub async fn sessions(count: usize, seconds: u64, lease_us: u64, dir: &Path) -> Result<Value, String> {
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -97,6 +97,7 @@
     println!("executions in 2 s: {}", counted(&rig, &mut from));
     let _ = over.send(true);
     while clients.join_next().await.is_some() {}
+    rig.close().await;
     let tally = load.tally.lock().map_err(|_| "a broken tally")?;
     println!(
         "\nqueries: {} sent, {} completed, {} rejected, {} aborted, {} cut off by the kill, {} lost",
@@ -107,7 +108,5 @@
         tally.excused,
         tally.lost.len()
     );
-    drop(tally);
-    rig.close().await;
     Ok(())
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -92,7 +92,7 @@
                 if seed >= first + schedules {
                     return;
                 }
-                let voters = if seed % 5 == 0 { 5 } else { 3 };
+                let voters = if seed.is_multiple_of(5) { 5 } else { 3 };
                 let mut world = World::new(seed, Setup { voters, ..Setup::default() });
                 world.play();
                 let found = world.found();
--- a/crates/lab/src/owner.rs
+++ b/crates/lab/src/owner.rs
@@ -108,7 +108,7 @@
         let whom = if matches!(what, What::Late { .. }) { Whom::Owner } else { whom };
         faults.push(Fault { at_us, whom, what, lasts_us });
         // One after another, or now and then a second before the first is over; of every third seed most are.
-        let together = if order.seed % 3 == 0 { 3 } else { 1 };
+        let together = if order.seed.is_multiple_of(3) { 3 } else { 1 };
         let gap = if rng.u32(0..5) < together { lease / 4 } else { lasts_us + 2 * lease + rng.u64(0..lease) };
         at_us += gap;
     }
--- a/crates/lab/tests/virtual_time.rs
+++ b/crates/lab/tests/virtual_time.rs
@@ -9,7 +9,7 @@
     let first: u64 = std::env::var("FIRST").ok().and_then(|text| text.parse().ok()).unwrap_or(0);
     let mut bad = 0;
     for seed in first..first + schedules {
-        let setup = Setup { voters: if seed % 5 == 0 { 5 } else { 3 }, ..Setup::default() };
+        let setup = Setup { voters: if seed.is_multiple_of(5) { 5 } else { 3 }, ..Setup::default() };
         let mut world = World::new(seed, setup);
         world.play();
         let found = world.found();
