--- a/crates/fleet/src/lead.rs
+++ b/crates/fleet/src/lead.rs
@@ -51,7 +51,8 @@
             heard: BTreeMap::new(),
             waiting: BTreeMap::new(),
             looked_us: 0,
-            round: 0,
+            // No round of an earlier lead may answer for one of this.
+            round: term << 24,
             asked_us: None,
             renewed_us: BTreeMap::new(),
             granting: BTreeSet::new(),
