Lab: clients are started in one place; a lint's exception that nothing needed goes

Read once more: crowd, demo and owner each started clients by the same lines, and node.rs silenced a lint under its bound. Behaviour as before.

--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -530,7 +530,6 @@
         sound
     }
 
-    #[allow(clippy::too_many_arguments)]
     fn asked(&mut self, now_us: u64, from: &str, voter: bool, link: Link, who: Who, call: u64, ask: Ask) {
         let route = Route::Link(self.back(from, voter, link.clone()));
         if self.lead.is_some() {
--- a/crates/lab/src/crowd.rs
+++ b/crates/lab/src/crowd.rs
@@ -228,14 +228,7 @@
             }
             let load = Arc::new(Load::new());
             let (over, on_over) = watch::channel(false);
-            let mut clients = tokio::task::JoinSet::new();
-            for (at, proc) in rig.procs.iter().enumerate() {
-                let (load, name, address) = (Arc::clone(&load), proc.name.clone(), proc.address.subscribe());
-                let (disturbed, on_over) = (Arc::clone(&proc.disturbed), on_over.clone());
-                clients.spawn(async move {
-                    load.run(name, address, rate, at as u64 + 1, disturbed, on_over).await
-                });
-            }
+            let mut clients = rig.clients(&load, rate, 1, &on_over);
             sleep(Duration::from_secs(seconds)).await;
             let _ = over.send(true);
             let _ = timeout(SOON, async { while clients.join_next().await.is_some() {} }).await;
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -64,12 +64,7 @@
     println!("the fleet: {}", stands(&rig).await?);
     let load = Arc::new(Load::new());
     let (over, on_over) = watch::channel(false);
-    let mut clients = tokio::task::JoinSet::new();
-    for (at, proc) in rig.procs.iter().enumerate() {
-        let (load, name, address) = (Arc::clone(&load), proc.name.clone(), proc.address.subscribe());
-        let (disturbed, on_over) = (Arc::clone(&proc.disturbed), on_over.clone());
-        clients.spawn(async move { load.run(name, address, 100.0, at as u64 + 1, disturbed, on_over).await });
-    }
+    let mut clients = rig.clients(&load, 100.0, 1, &on_over);
     let mut from = 0;
     sleep(Duration::from_secs(2)).await;
     println!("executions in 2 s: {}", counted(&rig, &mut from));
--- a/crates/lab/src/owner.rs
+++ b/crates/lab/src/owner.rs
@@ -355,13 +355,7 @@
     rig.settled(SETTLED).await.map_err(|why| format!("no fleet comes to be: {why}"))?;
     let (over, on_over) = watch::channel(false);
     let load = Arc::new(Load::new());
-    let mut clients = tokio::task::JoinSet::new();
-    for (at, proc) in rig.procs.iter().enumerate() {
-        let (load, name, address) = (Arc::clone(&load), proc.name.clone(), proc.address.subscribe());
-        let (seed, rate, disturbed) = (order.seed + at as u64, order.rate, Arc::clone(&proc.disturbed));
-        let on_over = on_over.clone();
-        clients.spawn(async move { load.run(name, address, rate, seed, disturbed, on_over).await });
-    }
+    let mut clients = rig.clients(&load, order.rate, order.seed, &on_over);
     let admins = rig.procs.iter().map(|proc| proc.admin.subscribe()).collect();
     let (record, backends) = (Arc::clone(&rig.record), rig.backends.len());
     let operators = tokio::spawn(operators(admins, order.seed, backends, record, on_over.clone()));
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -21,7 +21,7 @@
 
 use crate::emulate::{entry, Account, Backend, Discovery, Nature};
 use crate::history::{Kind, Line};
-use crate::load::Disturbed;
+use crate::load::{Disturbed, Load};
 use crate::relay::Relay;
 
 /// Far longer than a sound process takes to start.
@@ -157,6 +157,19 @@
         })
     }
 
+    /// Clients of each process, `rate` queries a second, until told to end; `seed` is the first one's.
+    pub fn clients(
+        &self, load: &Arc<Load>, rate: f64, seed: u64, over: &watch::Receiver<bool>,
+    ) -> tokio::task::JoinSet<()> {
+        let mut clients = tokio::task::JoinSet::new();
+        for (at, proc) in self.procs.iter().enumerate() {
+            let (load, name, address) = (Arc::clone(load), proc.name.clone(), proc.address.subscribe());
+            let (seed, disturbed, over) = (seed + at as u64, Arc::clone(&proc.disturbed), over.clone());
+            clients.spawn(async move { load.run(name, address, rate, seed, disturbed, over).await });
+        }
+        clients
+    }
+
     /// Where a voter listens, past all relays.
     pub fn voter(&self, at: usize) -> SocketAddr {
         self.procs[at].listen
