--- a/crates/carry/src/file.rs
+++ b/crates/carry/src/file.rs
@@ -7,6 +7,7 @@
 
 use crankpick_fleet::lease::Times;
 use crankpick_fleet::node::Plan;
+use crankpick_fleet::work::Terms;
 use serde::Deserialize;
 use toml::Spanned;
 
@@ -25,6 +26,14 @@
     address: Spanned<SocketAddr>,
 }
 
+/// What a proxy does that has heard nobody for a lease.
+#[derive(Clone, Copy, PartialEq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum CutOff {
+    Serve,
+    Drain,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Text {
@@ -36,6 +45,8 @@
     renew_us: Option<Spanned<u64>>,
     wait_us: Option<Spanned<u64>>,
     owns: Option<bool>,
+    when_cut_off: Option<CutOff>,
+    serve_unheard: Option<Spanned<bool>>,
     history: Option<bool>,
     #[serde(default)]
     voters: Vec<Voter>,
@@ -136,6 +147,12 @@
     if wait_us > MOST_WAIT_US {
         return at(text.wait_us.map_or(0..0, |wait| wait.span()), format!("wait_us: {MOST_WAIT_US} at most"));
     }
+    let drains = text.when_cut_off == Some(CutOff::Drain);
+    let unheard = text.serve_unheard.as_ref().map_or(!drains, |unheard| *unheard.get_ref());
+    if drains && unheard {
+        let why = "serve_unheard: one that turns unready when it is cut off can't serve before it is heard";
+        return at(text.serve_unheard.map_or(0..0, |unheard| unheard.span()), why.into());
+    }
     Ok(FleetFile {
         listen: text.listen.map(Spanned::into_inner).or_else(|| seat.map(|voter| *voter.address.get_ref())),
         voters: text.voters.iter().map(|voter| *voter.address.get_ref()).collect(),
@@ -144,6 +161,7 @@
             voters: text.voters.iter().map(|voter| voter.name.get_ref().clone()).collect(),
             name,
             times,
+            terms: Terms { drains, waits: !unheard, longest_us: 0 },
         },
         state: text.state.map(Spanned::into_inner),
         wait_us,
--- a/crates/carry/src/lib.rs
+++ b/crates/carry/src/lib.rs
@@ -5,5 +5,7 @@
 pub mod file;
 pub mod frames;
 mod links;
+pub mod plan_file;
 pub mod run;
 pub mod store;
+mod upkeep;
--- a/crates/carry/src/links.rs
+++ b/crates/carry/src/links.rs
@@ -29,7 +29,7 @@
 const PAUSE: Duration = Duration::from_millis(20);
 
 pub enum Heard {
-    Word(Link, Word),
+    Word(Link, Box<Word>),
     Closed(Link),
 }
 
@@ -199,7 +199,7 @@
                 }
                 continue;
             }
-            if heard.send(Heard::Word(link.clone(), word)).await.is_err() {
+            if heard.send(Heard::Word(link.clone(), Box::new(word))).await.is_err() {
                 return "the fleet's part has ended".to_owned();
             }
         }
--- a/crates/carry/src/run.rs
+++ b/crates/carry/src/run.rs
@@ -1,13 +1,15 @@
 //! The thread of the fleet's part: one loop that brings words, calls and time to the node, writes what it must
 //! and says what came of it. Called by the proxy, which holds the `Handle`, where a fleet file is named.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::panic::AssertUnwindSafe;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use crankpick_fleet::kept::{Batch, Disk, Kept};
 use crankpick_fleet::node::{Event, Link, Node, Out};
+use crankpick_fleet::sight::View;
 use crankpick_fleet::words::{Ask, Publication, Told};
 use tokio::net::TcpStream;
 use tokio::signal::unix::{signal, SignalKind};
@@ -18,9 +20,16 @@
 use crate::file::FleetFile;
 use crate::links::{listen, Heard, Links};
 use crate::store::Store;
+use crate::upkeep;
 
 const MOST_HEARD: usize = 4_096;
 const MOST_CALLS: usize = 256;
+/// Answers of maintenance systems; one call for a machine is out at a time.
+const MOST_BEGUN: usize = 64;
+/// The longest execution, until the proxy says.
+const LONGEST_US: u64 = 60_000_000;
+/// How long the last word is given to go.
+const PART_US: u64 = 50_000;
 /// Words taken in before what they ask for is written and said, all at once.
 const MOST_AT_ONCE: usize = 512;
 /// How often a disk that takes no writes is tried again.
@@ -36,8 +45,16 @@
         patience_us: u64,
         told: oneshot::Sender<Told>,
     },
-    /// The module has been told of this version.
-    Acted(u64),
+    /// The module has been told of this version, and at these of the backends out something is still in hand.
+    Acted {
+        version: u64,
+        busy: BTreeSet<String>,
+    },
+    Sees(View),
+    /// Whether nothing at all is in hand.
+    Empty(bool),
+    /// The process ends, with all answered; said once this is.
+    Part(oneshot::Sender<()>),
     Willing(bool),
     /// Duties and the lead are to go to others at once.
     End,
@@ -51,6 +68,23 @@
     pub taken: watch::Receiver<Option<Publication>>,
     /// Whether the version in force has been heard of.
     pub heard: watch::Receiver<bool>,
+    /// Whether the fleet wants this proxy drained, for work on it.
+    pub drain: watch::Receiver<bool>,
+    pub right: Right,
+    /// The longest that an execution of this proxy may take.
+    pub longest_us: Arc<AtomicU64>,
+}
+
+/// Until when this process may send anything to a backend. Asked at the moment of sending: whoever has slept in
+/// between must find it over.
+#[derive(Clone, Default)]
+pub struct Right(Arc<AtomicU64>);
+
+impl Right {
+    pub fn lasts(&self) -> bool {
+        let until = self.0.load(Ordering::SeqCst);
+        until == u64::MAX || now_us() < until
+    }
 }
 
 impl Handle {
@@ -91,6 +125,9 @@
 struct Ends {
     taken: watch::Sender<Option<Publication>>,
     heard: watch::Sender<bool>,
+    drain: watch::Sender<bool>,
+    right: Right,
+    longest_us: Arc<AtomicU64>,
 }
 
 /// Starts the thread; what is unsound in the folder is told here, what goes wrong later in the log.
@@ -98,11 +135,14 @@
     let (calls, inbox) = mpsc::channel(MOST_CALLS);
     let (taken, on_taken) = watch::channel(None);
     let (heard, on_heard) = watch::channel(false);
+    let (drain, on_drain) = watch::channel(false);
+    let (right, longest_us) = (Right::default(), Arc::new(AtomicU64::new(LONGEST_US)));
+    let (on_right, on_longest) = (right.clone(), Arc::clone(&longest_us));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|wrong| format!("fleet: {wrong}"))?;
     let thread = std::thread::Builder::new().name("fleet".into());
     let started = thread.spawn(move || {
-        let (mut inbox, ends) = (inbox, Ends { taken, heard });
+        let (mut inbox, ends) = (inbox, Ends { taken, heard, drain, right, longest_us });
         loop {
             // A part that breaks takes nothing else with it, and its beliefs end with it: it begins anew from its
             // disk, as after a crash.
@@ -115,7 +155,8 @@
         }
     });
     started.map_err(|wrong| format!("fleet: {wrong}"))?;
-    Ok(Handle { calls, taken: on_taken, heard: on_heard })
+    let (right, longest_us) = (on_right, on_longest);
+    Ok(Handle { calls, taken: on_taken, heard: on_heard, drain: on_drain, right, longest_us })
 }
 
 fn opened(file: &FleetFile) -> (Keeper, Kept, Option<String>) {
@@ -126,8 +167,12 @@
     }
 }
 
+fn wall_us() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
+}
+
 async fn live(file: &FleetFile, calls: &mut mpsc::Receiver<Call>, ends: &Ends) {
-    let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+    let incarnation = wall_us();
     let (mut keeper, kept, down) = opened(file);
     let mut node = Node::new(now_us(), file.plan.clone(), incarnation, kept, fastrand::u64(..));
     if let Some(why) = down {
@@ -141,6 +186,9 @@
     let mut links = Links::new(others, &node.hello(), file.plan.times.lease_us, to_heard);
     let (to_accepted, mut accepted) = mpsc::channel::<TcpStream>(64);
     let listening = file.listen.map(|address| tokio::spawn(listen(address, to_accepted)));
+    let (to_begun, mut begun) = mpsc::channel(MOST_BEGUN);
+    let mut parting: Option<(u64, oneshot::Sender<()>)> = None;
+    node.wall_us = wall_us();
     let mut ticks = interval(Duration::from_micros(file.plan.times.tick_us / 2));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut waiting: BTreeMap<u64, oneshot::Sender<Told>> = BTreeMap::new();
@@ -155,7 +203,7 @@
                 let mut word = Some(word);
                 for _ in 0..MOST_AT_ONCE {
                     match word {
-                        Some(Heard::Word(link, word)) => node.hear(now_us(), link, word),
+                        Some(Heard::Word(link, word)) => node.hear(now_us(), link, *word),
                         Some(Heard::Closed(link)) => {
                             node.closed(now_us(), &link);
                             if matches!(link, Link::Conn(_)) {
@@ -178,7 +226,13 @@
                         let _ = told.send(Told::NotNow(why));
                     }
                 },
-                Some(Call::Acted(version)) => node.acted(now_us(), version),
+                Some(Call::Acted { version, busy }) => node.acted(now_us(), version, busy),
+                Some(Call::Sees(view)) => node.sees(view),
+                Some(Call::Empty(empty)) => node.empty(now_us(), empty),
+                Some(Call::Part(done)) => {
+                    node.part(now_us());
+                    parting = Some((now_us() + PART_US, done));
+                }
                 Some(Call::Willing(is)) => {
                     if is != willing {
                         willing = is;
@@ -187,7 +241,19 @@
                 }
                 Some(Call::End) => node.end(now_us()),
             },
-            _ = ticks.tick() => node.tick(now_us()),
+            Some((call, answer)) = begun.recv() => node.begun(now_us(), &call, answer),
+            _ = ticks.tick() => {
+                node.wall_us = wall_us();
+                let longest_us = ends.longest_us.load(Ordering::Relaxed);
+                if node.session.terms.longest_us != longest_us {
+                    node.longest(now_us(), longest_us);
+                }
+                node.tick(now_us());
+            }
+        }
+        if parting.as_ref().is_some_and(|(until, _)| now_us() >= *until) {
+            // Written by now, as far as it can be.
+            parting.take().map(|(_, done)| done.send(()));
         }
         if node.disk_trouble().is_some() && now_us() >= disk_us {
             disk_us = now_us() + DISK_AGAIN_US;
@@ -214,6 +280,17 @@
                         let _ = asked.send(told);
                     }
                 }
+                Out::Right(until) => ends.right.0.store(until, Ordering::SeqCst),
+                Out::Drain(drained) => {
+                    ends.drain.send_replace(drained);
+                }
+                Out::Begin(call) => {
+                    let told = to_begun.clone();
+                    tokio::spawn(async move {
+                        let answer = upkeep::begin(&call).await;
+                        let _ = told.send((call, answer)).await;
+                    });
+                }
                 Out::Event(event) => tell(event, file, &node),
             }
         }
@@ -332,5 +409,23 @@
         Event::Granted { duty, token, to } => {
             tracing::info!(code = "fleet_granted", t_us, duty, token, to, process, "has an owner");
         }
+        Event::Stepped { step } => {
+            let (from, to) = (step.from.name(), step.to.name());
+            tracing::info!(
+                code = "fleet_work",
+                t_us,
+                plan = step.plan,
+                machine = step.machine,
+                token = step.token,
+                from,
+                to,
+                process,
+                "{}",
+                step.why
+            );
+        }
+        Event::NotBegun { machine, why } => {
+            tracing::warn!(code = "fleet_not_begun", t_us, machine, process, "{why}");
+        }
     }
 }
--- a/crates/fleet/src/lead.rs
+++ b/crates/fleet/src/lead.rs
@@ -4,8 +4,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::lease::Times;
+use crate::sight::{summed, Sight, View, Words};
 use crate::state::{Command, Fleet};
-use crate::words::{MemberStatus, Renewal, Renewed, Who, DUTIES};
+use crate::words::{Desk, MemberStatus, Renewal, Renewed, Who, DUTIES, WORK};
+use crate::work::{Is, Machine, Stage, Terms};
 
 /// A session that has been silent for so many leases has ended.
 const LAPSE: u64 = 3;
@@ -17,6 +19,8 @@
     pub at_us: u64,
     /// Where answers to it go.
     pub route: R,
+    /// What it said last that it sees.
+    pub view: Option<View>,
 }
 
 pub struct Lead<R> {
@@ -40,8 +44,15 @@
     granting: BTreeSet<String>,
     joining: BTreeSet<Who>,
     leaving: BTreeSet<Who>,
+    /// Processes that have said that they end, with all answered.
+    parted: BTreeSet<Who>,
+    /// Since when this leader knows that a machine is leaving, by its revision: what a forerunner knew was earlier.
+    leaving_us: BTreeMap<String, (u64, u64)>,
 }
 
+/// Of what one machine waits for, so many are told.
+const MOST_WAITS: usize = 6;
+
 impl<R: Clone> Lead<R> {
     pub fn new(name: &str, term: u64, now_us: u64) -> Self {
         Lead {
@@ -58,14 +69,18 @@
             granting: BTreeSet::new(),
             joining: BTreeSet::new(),
             leaving: BTreeSet::new(),
+            parted: BTreeSet::new(),
+            leaving_us: BTreeMap::new(),
         }
     }
 
     pub fn hear(&mut self, now_us: u64, renewal: Renewal, route: R) {
-        let heard = Heard { renewal: renewal.clone(), at_us: now_us, route: route.clone() };
-        self.heard.insert(renewal.who.clone(), heard);
         let who = renewal.who.clone();
-        self.waiting.insert(who, (self.round + 1, Heard { renewal, at_us: now_us, route }));
+        let view = renewal.seen.view.clone();
+        let view = view.or_else(|| self.heard.get(&who).and_then(|heard| heard.view.clone()));
+        let heard = Heard { renewal: renewal.clone(), at_us: now_us, route: route.clone(), view };
+        self.heard.insert(who.clone(), heard);
+        self.waiting.insert(who, (self.round + 1, Heard { renewal, at_us: now_us, route, view: None }));
     }
 
     /// The next round to ask a majority for, if any renewal waits for one.
@@ -81,7 +96,7 @@
     }
 
     /// A majority has confirmed the lead after the round was asked for: what was heard before it is answered.
-    pub fn confirmed(&mut self, round: u64, fleet: &Fleet) -> Vec<(R, Renewed)> {
+    pub fn confirmed(&mut self, now_us: u64, round: u64, fleet: &Fleet, times: &Times) -> Vec<(R, Renewed)> {
         if round == self.round {
             self.asked_us = None;
         }
@@ -94,7 +109,7 @@
             }
             let who = &heard.renewal.who;
             let current = fleet.sessions.get(&who.name);
-            let superseded = current.is_some_and(|current| *current > who.incarnation);
+            let superseded = current.is_some_and(|current| current.incarnation > who.incarnation);
             if !fleet.is_current(who) && !superseded {
                 // Its session has yet to begin: the next renewal finds it there.
                 continue;
@@ -108,15 +123,26 @@
                 }
             }
             let wants = !duties.is_empty() && heard.renewal.heard != fleet.version;
+            let owns = duties.iter().any(|(duty, _)| duty == WORK);
+            let open = fleet.work.open().next().is_some();
+            let (revision, known) = (fleet.work.revision, heard.renewal.work);
+            let desk = (owns && open).then(|| Desk {
+                revision,
+                work: (known != Some(revision)).then(|| fleet.work.clone()),
+                sight: self.sight(now_us, fleet, times),
+            });
             let answer = Renewed {
                 who: who.clone(),
                 sent_us: heard.renewal.sent_us,
                 superseded,
                 version: fleet.version,
                 tokens: fleet.duties.iter().map(|(name, duty)| (name.clone(), duty.token)).collect(),
-                outs: wants.then(|| fleet.outs.clone()),
+                outs: wants.then(|| fleet.published()),
                 duties,
                 leader: self.name.clone(),
+                next: open.then(|| (revision, fleet.work.agreed())),
+                drained: fleet.work.drained(&who.name),
+                work: desk.map(Box::new),
             };
             answers.push((heard.route, answer));
         }
@@ -166,39 +192,186 @@
     fn sessions(&mut self, now_us: u64, fleet: &Fleet, times: &Times) -> Vec<Command> {
         let mut commands = Vec::new();
         self.heard.retain(|_, heard| now_us <= heard.at_us + LAPSE * times.lease_us);
-        let new = |who: &Who| fleet.sessions.get(&who.name).is_none_or(|current| *current < who.incarnation);
-        let joins = self.heard.keys().filter(|who| new(who) && !self.joining.contains(who));
-        let joins: Vec<Who> = joins.take(MOST_JOINS).cloned().collect();
+        let parted = &mut self.parted;
+        self.heard.retain(|who, _| !parted.contains(who));
+        let new = |who: &Who, terms: &Terms| {
+            let current = fleet.sessions.get(&who.name);
+            current.is_none_or(|current| {
+                current.incarnation < who.incarnation
+                    || current.incarnation == who.incarnation && current.terms != *terms
+            })
+        };
+        let joins = self.heard.iter().map(|(who, heard)| (who, heard.renewal.terms));
+        let joins = joins.filter(|(who, terms)| new(who, terms) && !self.joining.contains(who));
+        let joins = joins.take(MOST_JOINS).map(|(who, terms)| (who.clone(), terms));
+        let joins: Vec<(Who, Terms)> = joins.collect();
         if !joins.is_empty() {
-            self.joining.extend(joins.iter().cloned());
+            self.joining.extend(joins.iter().map(|(who, _)| who.clone()));
             commands.push(Command::Join(joins));
         }
-        if now_us <= self.since_us + LAPSE * times.lease_us {
-            return commands;
-        }
+        let long = now_us > self.since_us + LAPSE * times.lease_us;
         let silent = fleet.sessions.iter().filter(|(name, _)| !self.heard_of(name));
-        let silent = silent.map(|(name, one)| Who { name: name.clone(), incarnation: *one });
-        let leaves: Vec<Who> = silent.filter(|who| !self.leaving.contains(who)).take(MOST_JOINS).collect();
+        let silent = silent.map(|(name, one)| Who { name: name.clone(), incarnation: one.incarnation });
+        let leaves = silent.map(|who| (self.parted.contains(&who), who));
+        let leaves = leaves.filter(|(parted, who)| (*parted || long) && !self.leaving.contains(who));
+        let leaves: Vec<(Who, bool)> = leaves.take(MOST_JOINS).map(|(parted, who)| (who, parted)).collect();
+        self.parted.retain(|who| fleet.is_current(who));
         if !leaves.is_empty() {
-            self.leaving.extend(leaves.iter().cloned());
+            self.leaving.extend(leaves.iter().map(|(who, _)| who.clone()));
             commands.push(Command::Leave(leaves));
         }
         commands
     }
 
+    /// A process has ended, and said so.
+    pub fn parted(&mut self, who: Who) {
+        self.heard.remove(&who);
+        self.waiting.remove(&who);
+        self.parted.insert(who);
+        self.looked_us = 0;
+    }
+
+    /// Notes since when each machine is known to leave.
+    fn leavers(&mut self, now_us: u64, fleet: &Fleet) {
+        let all = fleet.work.open().flat_map(|(_, plan)| &plan.machines);
+        let all: BTreeMap<&String, u64> = all
+            .filter(|(_, machine)| machine.stage == Stage::Leaving)
+            .map(|(id, machine)| (id, machine.revision))
+            .collect();
+        self.leaving_us.retain(|id, since| all.get(id) == Some(&since.0));
+        for (id, revision) in all {
+            self.leaving_us.entry(id.clone()).or_insert((revision, now_us));
+        }
+    }
+
+    /// What a machine that leaves still waits for: nothing once no proxy can send there any more.
+    pub fn waits(
+        &self, now_us: u64, id: &str, machine: &Machine, fleet: &Fleet, times: &Times,
+    ) -> Vec<String> {
+        let since = self.leaving_us.get(id).filter(|since| since.0 == machine.revision);
+        let Some((_, since_us)) = since.copied() else {
+            return vec!["the leader has just heard of it".into()];
+        };
+        if machine.is == Is::Proxy {
+            return self.proxy_waits(id, fleet).into_iter().collect();
+        }
+        let shut = |terms: &Terms| terms.drains && now_us >= since_us + times.lease_us + terms.longest_us;
+        let version = machine.version;
+        // It acts on it, has nothing in hand there, and can't forget it over a restart that nobody answers.
+        let clear = |renewal: &Renewal| {
+            let kept = renewal.terms.waits || renewal.kept >= version;
+            renewal.acted >= version && kept && !renewal.seen.busy.contains(id)
+        };
+        let why = |renewal: &Renewal| {
+            let name = &renewal.who.name;
+            if renewal.acted < version {
+                format!("{name} has yet to act on version {version}")
+            } else if renewal.seen.busy.contains(id) {
+                format!("{name} has something in hand there")
+            } else {
+                format!("{name} has yet to write version {version} to its disk")
+            }
+        };
+        let mut waits = Vec::new();
+        for (name, current) in &fleet.sessions {
+            let who = Who { name: name.clone(), incarnation: current.incarnation };
+            let heard = self.heard.get(&who).map(|heard| &heard.renewal);
+            let busy =
+                heard.is_some_and(|renewal| renewal.acted >= version && renewal.seen.busy.contains(id));
+            if heard.is_some_and(clear) || !busy && shut(&current.terms) {
+                continue;
+            }
+            waits.push(heard.map_or_else(|| format!("{name} was not heard of"), why));
+        }
+        // Older processes of an upgrade, and those whose session has yet to begin.
+        for (who, heard) in self.heard.iter().filter(|(who, _)| !fleet.is_current(who)) {
+            if !clear(&heard.renewal) && !shut(&heard.renewal.terms) {
+                waits.push(format!("{} ({who})", why(&heard.renewal)));
+            }
+        }
+        for (name, absent) in fleet.absent.iter().filter(|(_, absent)| !shut(&absent.terms)) {
+            waits.push(match absent.parted {
+                true => format!("{name} has ended, and may start and serve unheard"),
+                false => format!("{name} left without a word"),
+            });
+        }
+        waits.truncate(MOST_WAITS);
+        waits
+    }
+
+    fn in_office(&self, fleet: &Fleet) -> BTreeSet<String> {
+        let owners = fleet.duties.values().filter_map(|duty| duty.owner.as_ref());
+        owners.map(|who| who.name.clone()).chain([self.name.clone()]).collect()
+    }
+
+    fn proxy_waits(&self, name: &str, fleet: &Fleet) -> Option<String> {
+        if self.in_office(fleet).contains(name) {
+            return Some(format!("{name} has yet to hand over what it owns or leads"));
+        }
+        if !fleet.sessions.contains_key(name) {
+            let silent = fleet.absent.get(name).is_some_and(|absent| !absent.parted);
+            return silent.then(|| format!("{name} left without a word"));
+        }
+        let drained = |heard: &Heard<R>| heard.renewal.seen.drained;
+        match self.last_of(name) {
+            Some(heard) if drained(heard) => None,
+            Some(_) => Some(format!("{name} has yet to answer what it has in hand")),
+            None => Some(format!("{name} was not heard of")),
+        }
+    }
+
+    /// What all proxies see, and how far each machine is.
+    pub fn sight(&mut self, now_us: u64, fleet: &Fleet, times: &Times) -> Sight {
+        self.leavers(now_us, fleet);
+        let fresh = times.lease_us + times.session_us;
+        let words = fleet.sessions.iter().map(|(name, current)| {
+            let who = Who { name: name.clone(), incarnation: current.incarnation };
+            let heard = self.heard.get(&who);
+            let age_us = heard.map_or(u64::MAX, |heard| now_us.saturating_sub(heard.at_us));
+            let seen = heard.map(|heard| &heard.renewal.seen);
+            Words {
+                name,
+                view: heard.and_then(|heard| heard.view.as_ref()),
+                objections: seen.map_or(&[], |seen| &seen.objections),
+                revision: seen.map_or(0, |seen| seen.revision),
+                age_us,
+                in_touch: age_us <= fresh,
+            }
+        });
+        let mut sight = summed(words);
+        let silent = fleet.absent.iter().filter(|(_, absent)| !absent.parted).map(|(name, _)| name);
+        for name in silent {
+            sight.proxies += 1;
+            sight.silent.push(name.clone());
+        }
+        sight.in_office = self.in_office(fleet);
+        for (id, machine) in fleet.work.open().flat_map(|(_, plan)| &plan.machines) {
+            if machine.stage == Stage::Leaving {
+                sight.waits.insert(id.clone(), self.waits(now_us, id, machine, fleet, times));
+            }
+            if machine.stage == Stage::Back {
+                let behind = |heard: &&Heard<R>| heard.renewal.acted < machine.version;
+                let there =
+                    self.heard.iter().filter(|(who, _)| fleet.is_current(who)).map(|(_, heard)| heard);
+                sight.behind.insert(id.clone(), there.filter(behind).count() as u32);
+            }
+        }
+        sight
+    }
+
     /// No longer on its way: in force, or not proposed after all and to be tried again.
     pub fn dropped(&mut self, command: &Command) {
         match command {
-            Command::Join(all) => all.iter().for_each(|who| {
+            Command::Join(all) => all.iter().for_each(|(who, _)| {
                 self.joining.remove(who);
             }),
-            Command::Leave(all) => all.iter().for_each(|who| {
+            Command::Leave(all) => all.iter().for_each(|(who, _)| {
                 self.leaving.remove(who);
             }),
             Command::Grant { duty, .. } => {
                 self.granting.remove(duty);
             }
-            Command::Release { .. } | Command::Outs { .. } => {}
+            _ => {}
         }
     }
 
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -1,16 +1,19 @@
 //! One process's whole part in the fleet: words in, words out, with what must be on disk before they go.
 //! Called by the carrier with what its sockets and its clock say, and by tests in virtual time.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::agree::{founding, Agree};
 use crate::found::{Founding, Next};
 use crate::kept::{Batch, Disk, Kept};
 use crate::lead::Lead;
 use crate::lease::Times;
+use crate::order::{Before, Begin, Do, Owner};
 use crate::session::Session;
-use crate::state::{Command, Outcome, MOST_ID};
-use crate::words::{Ask, Publication, Renewal, Renewed, Seat, Status, Told, Who, Word, OUTS};
+use crate::sight::View;
+use crate::state::{Command, Fleet, Outcome, MOST_ID};
+use crate::words::{Ask, Publication, Renewal, Renewed, Seat, Status, Told, Who, Word, OUTS, WORK};
+use crate::work::{Stage, Step, Terms};
 
 /// How often an unstarted voter says where it stands.
 const FOUNDING_US: u64 = 200_000;
@@ -18,6 +21,8 @@
 const AGAIN_US: u64 = 300_000;
 /// Calls in hand, this process's own and others' that the leader has yet to answer.
 const MOST_CALLS: usize = 1_024;
+/// How often an owner of the work looks at it though nothing was heard.
+const WORK_US: u64 = 100_000;
 /// Ids in one call.
 const MOST_IDS: usize = 1_000;
 
@@ -37,21 +42,78 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
-    Held { duty: String, token: u64, from_us: u64, until_us: u64 },
-    Lapsed { duty: String, token: u64 },
-    LetGo { duty: String, token: u64 },
-    Effect { duty: String, token: u64, version: u64, owner: String },
-    StaleRefused { duty: String, token: u64, version: u64, owner: String, seen: u64 },
-    Leads { term: u64 },
-    LeadLost { term: u64 },
-    Founded { voters: usize },
+    Held {
+        duty: String,
+        token: u64,
+        from_us: u64,
+        until_us: u64,
+    },
+    Lapsed {
+        duty: String,
+        token: u64,
+    },
+    LetGo {
+        duty: String,
+        token: u64,
+    },
+    Effect {
+        duty: String,
+        token: u64,
+        version: u64,
+        owner: String,
+    },
+    StaleRefused {
+        duty: String,
+        token: u64,
+        version: u64,
+        owner: String,
+        seen: u64,
+    },
+    Leads {
+        term: u64,
+    },
+    LeadLost {
+        term: u64,
+    },
+    Founded {
+        voters: usize,
+    },
     Listening,
-    Replaced { name: String },
+    Replaced {
+        name: String,
+    },
     Superseded,
-    Stranger { fleet: String, from: String },
-    DiskLost { why: String },
+    Stranger {
+        fleet: String,
+        from: String,
+    },
+    DiskLost {
+        why: String,
+    },
     DiskBack,
-    Granted { duty: String, token: u64, to: String },
+    Granted {
+        duty: String,
+        token: u64,
+        to: String,
+    },
+    /// A machine of a plan has come to another stage: told by the leader.
+    Stepped {
+        step: Step,
+    },
+    /// The maintenance system has not said yes.
+    NotBegun {
+        machine: String,
+        why: String,
+    },
+}
+
+/// What a maintenance system answered.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Begun {
+    Yes,
+    /// It has heard from an owner with a higher token.
+    Stale(u64),
+    No(String),
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -65,6 +127,12 @@
     Event(Event),
     /// From now on each connection begins with this; those that are open hear it too.
     Hello(Word),
+    /// Until when the proxy may send anything to a backend, by its own clock.
+    Right(u64),
+    /// Whether the proxy itself is to be drained for work.
+    Drain(bool),
+    /// For the maintenance system.
+    Begin(Begin),
 }
 
 /// What a process is by its file.
@@ -75,6 +143,7 @@
     /// The voters' names, this process's own among them if it is one.
     pub voters: Vec<String>,
     pub times: Times,
+    pub terms: Terms,
 }
 
 struct Peer {
@@ -124,12 +193,21 @@
     keep: Option<Publication>,
     ending: bool,
     hello_us: u64,
+    /// While this process owns the work.
+    owner: Option<Owner>,
+    worked_us: u64,
+    /// Unix time, as last told: for hours in which nothing goes, and for the record.
+    pub wall_us: u64,
+    /// As the proxy was last told.
+    right_us: u64,
+    drained: bool,
 }
 
 impl Node {
     pub fn new(now_us: u64, plan: Plan, incarnation: u64, kept: Kept, seed: u64) -> Self {
         let who = Who { name: plan.name.clone(), incarnation };
         let mut session = Session::new(who.clone(), plan.times, kept.taken.clone());
+        session.terms = plan.terms;
         session.hurry(now_us);
         // Spread over the voters by name, so that a restart finds the same one.
         let spread =
@@ -153,7 +231,13 @@
             keep: None,
             ending: false,
             hello_us: now_us + plan_lease,
+            owner: None,
+            worked_us: 0,
+            wall_us: 0,
+            right_us: 0,
+            drained: false,
         };
+        node.tell_right();
         if let Some(taken) = &kept.taken {
             node.out.push_back(Out::Take(taken.clone()));
         }
@@ -163,6 +247,7 @@
 
     fn begin(&mut self, now_us: u64, kept: Kept) {
         self.kept = kept;
+        self.session.kept = self.kept.taken.as_ref().map_or(0, |taken| taken.version);
         if !self.plan.voters.contains(&self.who.name) || self.kept.seat == 0 {
             return;
         }
@@ -209,6 +294,7 @@
         }
         self.disk = Some(why);
         self.session.writable = false;
+        self.session.kept = 0;
         self.lost_lead();
         self.voter = None;
         let hello = self.hello();
@@ -272,6 +358,11 @@
         self.voter.as_ref()?.agree.as_ref()
     }
 
+    /// The agreed state, where this process votes.
+    pub fn fleet(&self) -> Option<&Fleet> {
+        self.agreed().filter(|agree| agree.started()).map(|agree| &agree.fleet)
+    }
+
     pub fn leads(&self) -> bool {
         self.lead.is_some()
     }
@@ -307,6 +398,13 @@
                 return Err(format!("an id is 1 to {MOST_ID} bytes"));
             }
         }
+        if matches!(&ask, Ask::Command(command) if !from_outside(command)) {
+            return Err("no call for an operator".into());
+        }
+        self.call(now_us, ask, patience_us)
+    }
+
+    fn call(&mut self, now_us: u64, ask: Ask, patience_us: u64) -> Result<u64, String> {
         if self.calls.len() >= MOST_CALLS {
             return Err("too many calls in hand".into());
         }
@@ -317,12 +415,54 @@
         Ok(number)
     }
 
-    /// The proxy has told its module of this version.
-    pub fn acted(&mut self, now_us: u64, version: u64) {
-        self.session.acted = self.session.acted.max(version);
+    /// The proxy has told its module of this version; at these of the backends out it still has something in hand.
+    pub fn acted(&mut self, now_us: u64, version: u64, busy: BTreeSet<String>) {
+        self.session.acts(now_us, version, busy);
+        self.tell_right();
+    }
+
+    /// What the proxy sees of its backends.
+    pub fn sees(&mut self, view: View) {
+        self.session.sees(view);
+    }
+
+    /// Whether the proxy has nothing in hand.
+    pub fn empty(&mut self, now_us: u64, empty: bool) {
+        if self.session.empty != empty {
+            self.session.empty = empty;
+            self.session.hurry(now_us);
+        }
+    }
+
+    /// The longest that an execution of the proxy may take.
+    pub fn longest(&mut self, now_us: u64, longest_us: u64) {
+        self.session.terms.longest_us = longest_us;
         self.session.hurry(now_us);
     }
 
+    fn tell_right(&mut self) {
+        let right_us = self.session.right_until();
+        if right_us != self.right_us {
+            self.right_us = right_us;
+            self.out.push_back(Out::Right(right_us));
+        }
+    }
+
+    /// The process ends now, and has answered all that it took.
+    pub fn part(&mut self, now_us: u64) {
+        let who = self.who.clone();
+        self.heard_part(now_us, who);
+    }
+
+    fn heard_part(&mut self, now_us: u64, who: Who) {
+        if let Some(lead) = &mut self.lead {
+            lead.parted(who);
+            self.tick(now_us);
+        } else if let Some(link) = self.upward() {
+            self.say(link, Word::Part(who));
+        }
+    }
+
     /// Whether this process would own duties: not while it is drained or ends.
     pub fn willing(&mut self, now_us: u64, willing: bool) {
         self.session.willing = willing && !self.ending;
@@ -405,6 +545,12 @@
                 }
             }
             Word::Away => self.elsewhere(now_us),
+            Word::Part(who) => {
+                // One hop, as above; and nobody parts for another.
+                if who.name == from || voter && self.lead.is_some() {
+                    self.heard_part(now_us, who);
+                }
+            }
         }
     }
 
@@ -444,7 +590,77 @@
             self.session.holding.let_go(&duty, token);
             self.gave_up(vec![(duty, token)]);
         }
+        self.tell_right();
+        if self.session.drained != self.drained {
+            self.drained = self.session.drained;
+            self.out.push_back(Out::Drain(self.drained));
+            if self.drained {
+                // Who is to go leads no more, as one that ends.
+                if let Some(agree) = self.agree().filter(|agree| agree.leads()) {
+                    agree.hand_on();
+                }
+            }
+        }
         self.publish(now_us);
+        self.work(now_us);
+    }
+
+    // The work, while this process owns it.
+
+    fn work(&mut self, now_us: u64) {
+        self.worked_us = now_us;
+        let Some(token) = self.session.holding.token(now_us, WORK) else {
+            (self.owner, self.session.desk) = (None, None);
+            return;
+        };
+        let Some((desk, work)) =
+            self.session.desk.as_ref().and_then(|desk| Some((desk, desk.work.as_ref()?)))
+        else {
+            return;
+        };
+        let outs = self.session.taken.as_ref().map(|taken| taken.outs.clone()).unwrap_or_default();
+        let outs = &outs | &work.outs();
+        let before = before(now_us, self.wall_us, work, &desk.sight, &outs, &self.plan, token);
+        let all = self.owner.get_or_insert_default().next(&before);
+        for one in all {
+            match one {
+                Do::Steps(steps) => self.steps(now_us, steps),
+                Do::Waits { plan, why } => {
+                    let _ = self.call(now_us, Ask::Command(Command::Waits { token, plan, why }), AGAIN_US);
+                }
+                Do::Begin(call) => self.out.push_back(Out::Begin(call)),
+            }
+        }
+    }
+
+    fn steps(&mut self, now_us: u64, steps: Vec<Step>) {
+        // Refused or lost, they are settled anew from what is agreed by then.
+        let _ = self.call(now_us, Ask::Command(Command::Steps(steps)), 2 * AGAIN_US);
+    }
+
+    /// What the maintenance system answered.
+    pub fn begun(&mut self, now_us: u64, call: &Begin, begun: Begun) {
+        match begun {
+            Begun::Yes => {
+                let token = self.session.holding.token(now_us, WORK);
+                let desk = self.session.desk.as_ref();
+                let known = token.zip(desk.and_then(|desk| Some((desk, desk.work.as_ref()?))));
+                let step = known.and_then(|(token, (desk, work))| {
+                    let outs = BTreeSet::new();
+                    let before = before(now_us, self.wall_us, work, &desk.sight, &outs, &self.plan, token);
+                    Owner::begun(&before, call)
+                });
+                self.steps(now_us, step.into_iter().collect());
+            }
+            Begun::Stale(seen) => {
+                let why = format!("the maintenance system has heard of token {seen}");
+                self.event(Event::NotBegun { machine: call.machine.clone(), why });
+                if self.session.holding.let_go(WORK, call.token) {
+                    self.gave_up(vec![(WORK.to_owned(), call.token)]);
+                }
+            }
+            Begun::No(why) => self.event(Event::NotBegun { machine: call.machine.clone(), why }),
+        }
     }
 
     /// To the process that this one has a connection from.
@@ -550,7 +766,22 @@
                 let status = self.status(now_us);
                 self.tell(route, who, call, status);
             }
+            Ask::Work => {
+                let told = match (self.voter.as_ref().and_then(|voter| voter.agree.as_ref()), &mut self.lead)
+                {
+                    (Some(agree), Some(lead)) => {
+                        let sight = lead.sight(now_us, &agree.fleet, &self.plan.times);
+                        Told::Work(Box::new((agree.fleet.work.clone(), sight)))
+                    }
+                    _ => Told::NotNow("nobody leads".into()),
+                };
+                self.tell(route, who, call, told);
+            }
             Ask::Command(command) => {
+                if let Some(why) = self.unproved(now_us, &command) {
+                    self.tell(route, who, call, Told::Done(Outcome::Refused(why)));
+                    return;
+                }
                 if self.asked.len() >= MOST_CALLS {
                     self.tell(route, who, call, Told::NotNow("too much in hand".into()));
                     return;
@@ -566,6 +797,18 @@
         }
     }
 
+    /// Whatever its owner believes: no machine is said to be out while the leader knows of one that may send there.
+    fn unproved(&mut self, now_us: u64, command: &Command) -> Option<String> {
+        let Command::Steps(steps) = command else { return None };
+        let fleet = &self.voter.as_ref()?.agree.as_ref()?.fleet;
+        let lead = self.lead.as_ref()?;
+        steps.iter().filter(|step| step.to == Stage::Out).find_map(|step| {
+            let machine = fleet.work.plans.get(&step.plan)?.machines.get(&step.machine)?;
+            let waits = lead.waits(now_us, &step.machine, machine, fleet, &self.plan.times);
+            (!waits.is_empty()).then(|| format!("{}: {}", step.machine, waits.join(", ")))
+        })
+    }
+
     fn tell(&mut self, route: Route, who: Who, call: u64, told: Told) {
         match route {
             Route::Link(link) => self.say(link, Word::Told { who, call, told }),
@@ -588,10 +831,11 @@
             leader: self.who.name.clone(),
             term: agree.term(),
             version: fleet.version,
-            outs: fleet.outs.clone(),
+            outs: fleet.published(),
             duties: duties.map(|(name, duty)| (name.clone(), (owner(&duty.owner), duty.token))).collect(),
             members: lead.members(now_us),
             unheard: fleet.sessions.keys().filter(|name| !lead.heard_of(name)).cloned().collect(),
+            absent: fleet.absent.values().cloned().collect(),
         }))
     }
 
@@ -675,6 +919,9 @@
         self.tick_voter(now_us);
         self.renew_own(now_us);
         self.publish(now_us);
+        if now_us >= self.worked_us + WORK_US {
+            self.work(now_us);
+        }
         self.calls_again(now_us);
     }
 
@@ -764,6 +1011,9 @@
                 self.keep = Some(taken);
                 return Err(why);
             }
+            if self.kept.seat != 0 {
+                self.session.kept = taken.version;
+            }
         }
         self.found(now_us, disk)?;
         // Rounds, proposals and their fruits bring one another on.
@@ -889,10 +1139,20 @@
                 concerned.push(to.clone());
                 self.event(Event::Granted { duty, token, to: to.to_string() });
             }
-            Command::Join(all) => concerned.extend(all.iter().cloned()),
-            Command::Outs { .. } => {
-                let owner = self.agreed().and_then(|agree| agree.fleet.duties.get(OUTS)?.owner.clone());
-                concerned.extend(owner);
+            Command::Join(all) => concerned.extend(all.iter().map(|(who, _)| who.clone())),
+            Command::Outs { .. } => concerned.extend(self.owner_of(OUTS)),
+            Command::Work { .. } => {
+                concerned.extend([OUTS, WORK].iter().filter_map(|duty| self.owner_of(duty)))
+            }
+            Command::Steps(steps) => {
+                concerned.extend([OUTS, WORK].iter().filter_map(|duty| self.owner_of(duty)));
+                if let Outcome::Stepped(all) = &outcome {
+                    let done = steps.iter().zip(all).filter(|(_, refused)| refused.is_none());
+                    for (step, _) in done {
+                        concerned.extend(self.proxy(&step.machine));
+                        self.event(Event::Stepped { step: step.clone() });
+                    }
+                }
             }
             _ => {}
         }
@@ -904,6 +1164,16 @@
         }
     }
 
+    fn owner_of(&self, duty: &str) -> Option<Who> {
+        self.agreed()?.fleet.duties.get(duty)?.owner.clone()
+    }
+
+    /// The process that has a proxy's session.
+    fn proxy(&self, name: &str) -> Option<Who> {
+        let incarnation = self.agreed()?.fleet.sessions.get(name)?.incarnation;
+        Some(Who { name: name.to_owned(), incarnation })
+    }
+
     fn nudge(&mut self, now_us: u64, who: Who) {
         match self.lead.as_ref().and_then(|lead| lead.route(&who)).cloned() {
             Some(Route::Own) => {
@@ -922,7 +1192,7 @@
             return;
         };
         let Some(lead) = &mut self.lead else { return };
-        for (route, answer) in lead.confirmed(round, fleet) {
+        for (route, answer) in lead.confirmed(now_us, round, fleet, &self.plan.times) {
             let link = match route {
                 Route::Link(link) => link,
                 Route::Own => {
@@ -938,3 +1208,16 @@
         self.out.drain(..)
     }
 }
+
+/// Commands that operators may give; all others are the leader's and owners'.
+fn from_outside(command: &Command) -> bool {
+    matches!(command, Command::Outs { .. } | Command::Work { .. })
+}
+
+fn before<'a>(
+    now_us: u64, wall_us: u64, work: &'a crate::work::Work, sight: &'a crate::sight::Sight,
+    outs: &'a BTreeSet<String>, plan: &'a Plan, token: u64,
+) -> Before<'a> {
+    let patience_us = plan.times.lease_us + plan.times.session_us;
+    Before { now_us, wall_us, work, sight, outs, voters: &plan.voters, token, patience_us }
+}
--- /dev/null
+++ b/crates/fleet/src/order.rs
@@ -0,0 +1,471 @@
+//! Who goes out for work next, and what each machine's next step is: decided by the duty's owner from the agreed
+//! plans and from the sum of what all proxies see. No I/O, no clock of its own; the same from the same words.
+//! Called by `node` where it owns the duty, and by the lab at full size in virtual time.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::sight::{Sight, Summed};
+use crate::work::{cut, Bounds, Is, Machine, Plan, Stage, Step, Work};
+
+/// A step that was asked for and not heard of is asked for again.
+const AGAIN_US: u64 = 1_000_000;
+/// A call to a maintenance system likewise.
+const BEGIN_AGAIN_US: u64 = 2_000_000;
+/// How often what a plan waits for is written to the log, at most.
+const SAY_US: u64 = 2_000_000;
+/// Steps in one entry of the log.
+const MOST_STEPS: usize = 64;
+/// Fewer queries a second turned away are chance.
+const FEW: f64 = 0.5;
+const MINUTE_US: u64 = 60_000_000;
+
+/// All that is decided from.
+pub struct Before<'a> {
+    pub now_us: u64,
+    pub wall_us: u64,
+    pub work: &'a Work,
+    pub sight: &'a Sight,
+    /// Out for whatever reason, as published.
+    pub outs: &'a BTreeSet<String>,
+    pub voters: &'a [String],
+    pub token: u64,
+    /// How long proxies have to look at what is next to go.
+    pub patience_us: u64,
+}
+
+/// The call that begins work on a machine. The same `id` stands for the same beginning, whoever calls.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Begin {
+    pub id: String,
+    pub plan: String,
+    pub machine: String,
+    pub token: u64,
+    pub at: String,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Do {
+    Steps(Vec<Step>),
+    Waits { plan: String, why: String },
+    Begin(Begin),
+}
+
+/// What an owner remembers beside the agreed state. It dies with the ownership: the next one begins with none of
+/// it, and only waits a little longer.
+#[derive(Default)]
+pub struct Owner {
+    /// When each machine was first seen at its revision.
+    since: BTreeMap<String, (u64, u64)>,
+    asked: BTreeMap<String, (u64, u64)>,
+    begun: BTreeMap<String, u64>,
+    said: BTreeMap<String, u64>,
+    /// Since when nothing is wrong.
+    well_us: Option<u64>,
+}
+
+/// What the backends in service can carry and what is needed, in load units.
+#[derive(Clone, Debug, Default)]
+pub struct Room {
+    all: (f64, f64),
+    zones: BTreeMap<String, (f64, f64)>,
+    cells: BTreeMap<(String, u32), (f64, f64, u32)>,
+    /// Dead without being out.
+    pub dead: u32,
+}
+
+fn over((max, load): (f64, f64)) -> f64 {
+    if load <= 0.0 {
+        return f64::INFINITY;
+    }
+    max / load
+}
+
+impl Room {
+    pub fn of(sight: &Sight, outs: &BTreeSet<String>) -> Self {
+        let mut room = Room::default();
+        for (id, one) in &sight.backends {
+            let out = outs.contains(id);
+            room.dead += u32::from(one.lost() && !out);
+            let max = if out || one.lost() { 0.0 } else { one.max };
+            room.add(one, max, one.load, u32::from(!out && !one.lost()));
+        }
+        room
+    }
+
+    fn add(&mut self, one: &Summed, max: f64, load: f64, there: u32) {
+        let zone = self.zones.entry(one.zone.clone()).or_default();
+        let cell = self.cells.entry((one.zone.clone(), one.cell)).or_default();
+        for sum in [&mut self.all, zone] {
+            *sum = (sum.0 + max, sum.1 + load);
+        }
+        *cell = (cell.0 + max, cell.1 + load, cell.2 + there);
+    }
+
+    fn take(&mut self, one: &Summed) {
+        if let Some(zone) = self.zones.get_mut(&one.zone) {
+            zone.0 -= one.max;
+        }
+        if let Some(cell) = self.cells.get_mut(&(one.zone.clone(), one.cell)) {
+            (cell.0, cell.2) = (cell.0 - one.max, cell.2.saturating_sub(1));
+        }
+        self.all.0 -= one.max;
+    }
+
+    /// The least that is left over what is needed, in all and by zone.
+    pub fn spare(&self) -> f64 {
+        self.zones.values().chain([&self.all]).map(|one| over(*one)).fold(f64::INFINITY, f64::min)
+    }
+
+    /// The same for a machine's own zone and cell, once it has gone.
+    fn left(&self, one: &Summed) -> f64 {
+        let zone = self.zones.get(&one.zone).map_or(f64::INFINITY, |sum| over((sum.0 - one.max, sum.1)));
+        let cell = self.cells.get(&(one.zone.clone(), one.cell));
+        zone.min(cell.map_or(f64::INFINITY, |sum| over((sum.0 - one.max, sum.1))))
+    }
+
+    fn last_of_cell(&self, one: &Summed) -> bool {
+        self.cells.get(&(one.zone.clone(), one.cell)).is_some_and(|cell| cell.2 <= 1)
+    }
+}
+
+fn quiet(bounds: &Bounds, wall_us: u64) -> bool {
+    let minute = (wall_us / MINUTE_US % 1_440) as u32;
+    let within = |(from, until): &(u32, u32)| match from <= until {
+        true => (*from..*until).contains(&minute),
+        false => minute >= *from || minute < *until,
+    };
+    bounds.quiet.iter().any(within)
+}
+
+/// Why nothing more is to go out, and whether what can is to be called back.
+fn trouble(bounds: &Bounds, sight: &Sight, room: &Room, out: u32) -> Option<(String, bool)> {
+    if sight.in_touch == 0 || 2 * sight.told < sight.in_touch {
+        let (told, all) = (sight.told, sight.in_touch);
+        return Some((format!("{told} of {all} proxies have told what they see"), false));
+    }
+    let silent = sight.proxies - sight.in_touch;
+    if f64::from(silent) > bounds.most_silent * f64::from(sight.proxies) {
+        return Some((format!("{silent} of {} proxies are silent", sight.proxies), true));
+    }
+    if sight.rejected > FEW.max(bounds.most_rejected * sight.queries) {
+        let (rejected, queries) = (sight.rejected, sight.queries);
+        return Some((format!("{rejected:.1} of {queries:.1} queries a second are turned away"), true));
+    }
+    if room.dead > 0 && out + room.dead > bounds.most_out {
+        return Some((format!("{} backends died beside {out} that are out", room.dead), true));
+    }
+    let spare = room.spare();
+    if spare < bounds.least_spare {
+        return Some((format!("room for {spare:.2} of the need, {} is wanted", bounds.least_spare), true));
+    }
+    None
+}
+
+impl Owner {
+    fn since(&mut self, now_us: u64, name: &str, machine: &Machine) -> u64 {
+        let since = self.since.entry(name.to_owned()).or_insert((machine.revision, now_us));
+        if since.0 != machine.revision {
+            *since = (machine.revision, now_us);
+        }
+        now_us.saturating_sub(since.1)
+    }
+
+    /// What to do now. Called again as soon as anything has changed, and from time to time.
+    pub fn next(&mut self, before: &Before) -> Vec<Do> {
+        let Before { now_us, work, sight, .. } = *before;
+        let mut room = Room::of(sight, before.outs);
+        let mut left = work.clone();
+        let (mut steps, mut calls, mut says) = (Vec::new(), Vec::new(), Vec::new());
+        let mut open: Vec<(&String, &Plan)> = work.open().collect();
+        open.sort_by_key(|(_, plan)| plan.number);
+        self.since.retain(|name, _| open.iter().any(|(_, plan)| plan.machines.contains_key(name)));
+        let wrong = open.iter().find_map(|(_, plan)| {
+            trouble(&plan.bounds, sight, &room, work.count().all)
+                .map(|(why, back)| (why, back, plan.bounds.calm_us))
+        });
+        match &wrong {
+            Some(_) => self.well_us = None,
+            None => {
+                self.well_us.get_or_insert(now_us);
+            }
+        }
+        for (name, plan) in open {
+            let mut waits: BTreeMap<String, u32> = BTreeMap::new();
+            let mut wait = |why: String| *waits.entry(why).or_default() += 1;
+            for (id, machine) in &plan.machines {
+                if machine.stage.is_over() || machine.stage == Stage::Proposed && !plan.cancelled {
+                    continue;
+                }
+                let for_us = self.since(now_us, id, machine);
+                match self.one(before, plan, name, (id, machine), for_us, wrong.as_ref(), &left) {
+                    Next::Step(to, why) => {
+                        let step = step(before, name, id, machine, to, &why);
+                        // Asked for, it counts as taken in what else is settled now.
+                        let _ = left.step(&step, before.token, before.voters.len());
+                        if self.asks(now_us, id, machine) && steps.len() < MOST_STEPS {
+                            steps.push(step);
+                        }
+                    }
+                    Next::Begin(call) => {
+                        wait(format!("{id}: its work has yet to be begun at {}", call.at));
+                        let due = self.begun.get(&call.id).is_none_or(|at| now_us >= at + BEGIN_AGAIN_US);
+                        if due {
+                            self.begun.insert(call.id.clone(), now_us);
+                            calls.push(Do::Begin(call));
+                        }
+                    }
+                    Next::Wait(why) => wait(why),
+                }
+            }
+            if plan.cancelled {
+                // What is under work is waited for; nothing else is begun.
+            } else if plan.paused {
+                wait("paused".into());
+            } else if let Some((why, ..)) = &wrong {
+                wait(why.clone());
+            } else if quiet(&plan.bounds, before.wall_us) {
+                wait("hours in which none goes".into());
+            } else if self.well_us.is_some_and(|since| now_us < since + plan.bounds.calm_us) {
+                wait("all has been well for too short a time".into());
+            } else {
+                for (id, why) in self.go(before, plan, name, &mut left, &mut room, &mut wait) {
+                    let machine = &plan.machines[&id];
+                    if self.asks(now_us, &id, machine) && steps.len() < MOST_STEPS {
+                        steps.push(step(before, name, &id, machine, Stage::Agreed, &why));
+                    }
+                }
+            }
+            says.extend(self.say(now_us, name, plan, &waits));
+        }
+        let steps = (!steps.is_empty()).then_some(Do::Steps(steps));
+        steps.into_iter().chain(calls).chain(says).collect()
+    }
+
+    fn asks(&mut self, now_us: u64, id: &str, machine: &Machine) -> bool {
+        let last = self.asked.get(id).copied();
+        let again = last.is_none_or(|(revision, at)| revision != machine.revision || now_us >= at + AGAIN_US);
+        if again {
+            self.asked.insert(id.to_owned(), (machine.revision, now_us));
+        }
+        again
+    }
+
+    /// A machine that is on its way.
+    #[allow(clippy::too_many_arguments)]
+    fn one(
+        &mut self, before: &Before, plan: &Plan, name: &str, (id, machine): (&String, &Machine), for_us: u64,
+        wrong: Option<&(String, bool, u64)>, left: &Work,
+    ) -> Next {
+        let (bounds, sight, stage) = (&plan.bounds, before.sight, machine.stage);
+        let hangs = for_us > bounds.hang_us;
+        if plan.cancelled && (stage == Stage::Proposed || stage.may_return()) {
+            return Next::Step(Stage::Cancelled, "the plan is cancelled".into());
+        }
+        if stage.may_return() {
+            if plan.paused {
+                return Next::Step(Stage::Proposed, "the plan is paused".into());
+            }
+            if let Some((why, true, _)) = wrong {
+                return Next::Step(Stage::Proposed, format!("called back: {why}"));
+            }
+        }
+        match stage {
+            Stage::Agreed => {
+                let objection = sight.objections.iter().find(|(_, of, _)| of == id);
+                let looked = sight.considered >= machine.revision || for_us > before.patience_us;
+                match objection {
+                    Some((proxy, _, why)) if hangs => {
+                        Next::Step(Stage::Proposed, format!("put back: {proxy} objects, {why}"))
+                    }
+                    Some((proxy, _, why)) => Next::Wait(format!("{id}: {proxy} objects, {why}")),
+                    None if machine.is == Is::Backend && !looked => {
+                        Next::Wait(format!("{id}: not every proxy has looked at it yet"))
+                    }
+                    None => Next::Step(Stage::Leaving, "nobody objects".into()),
+                }
+            }
+            Stage::Leaving => match sight.waits.get(id) {
+                Some(none) if none.is_empty() => {
+                    Next::Step(Stage::Out, "nothing new and nothing in hand at any proxy".into())
+                }
+                Some(all) if hangs => Next::Step(Stage::Proposed, format!("put back: {}", all.join(", "))),
+                Some(all) => Next::Wait(format!("{id}: {}", all.join(", "))),
+                None => Next::Wait(format!("{id}: the leader has yet to hear of it")),
+            },
+            Stage::Out => Next::Step(Stage::Beginning, "about to be begun".into()),
+            Stage::Beginning => match &plan.maintenance {
+                None => Next::Step(Stage::Working, "begun: no maintenance system is named".into()),
+                Some(at) => Next::Begin(Begin {
+                    id: beginning(name, plan, id, machine),
+                    plan: name.to_owned(),
+                    machine: id.clone(),
+                    token: before.token,
+                    at: at.clone(),
+                }),
+            },
+            Stage::Working if for_us > bounds.work_us => {
+                Next::Wait(format!("{id}: under work for longer than the plan says, not done"))
+            }
+            Stage::Working => Next::Wait(format!("{id}: under work")),
+            Stage::Failed => Next::Wait(format!("{id}: its work failed; it stays out until done")),
+            Stage::Mended if left.count().cold >= bounds.most_cold => {
+                Next::Wait(format!("{id}: as many are cold as may be"))
+            }
+            Stage::Mended => Next::Step(Stage::Back, "its turn to come back".into()),
+            Stage::Back => {
+                let behind = sight.behind.get(id).copied().unwrap_or(0);
+                if behind > 0 {
+                    return Next::Wait(format!("{id}: not every proxy uses it again yet"));
+                }
+                if sight.backends.get(id).is_some_and(Summed::lost) {
+                    return Next::Wait(format!("{id}: it is back and not reached"));
+                }
+                match for_us >= bounds.warm_us {
+                    true => Next::Step(Stage::Warm, "its time to warm up is over".into()),
+                    false => Next::Wait(format!("{id}: cold")),
+                }
+            }
+            Stage::Warm => Next::Step(Stage::Done, "as before its work".into()),
+            Stage::Proposed | Stage::Done | Stage::Cancelled => Next::Wait(String::new()),
+        }
+    }
+
+    /// Those that may go now, the one that leaves most room first; each settled with those before it gone.
+    fn go(
+        &mut self, before: &Before, plan: &Plan, name: &str, left: &mut Work, room: &mut Room,
+        wait: &mut impl FnMut(String),
+    ) -> Vec<(String, String)> {
+        let none = Summed::default();
+        let sight = before.sight;
+        let mut go = Vec::new();
+        let proposed = plan.machines.iter().filter(|(_, machine)| machine.stage == Stage::Proposed);
+        let mut proposed: Vec<_> = proposed.collect();
+        // Against what is there now, not against each that goes: who comes first must not depend on how many go.
+        let key = |(id, machine): &(&String, &Machine)| {
+            let one = sight.backends.get(*id).unwrap_or(&none);
+            let room = if machine.is == Is::Backend { room.left(one) } else { f64::INFINITY };
+            (machine.put_back, room, one.load)
+        };
+        proposed.sort_by(|a, b| {
+            let ((back_a, room_a, load_a), (back_b, room_b, load_b)) = (key(a), key(b));
+            let back = back_a.cmp(&back_b);
+            back.then(room_b.total_cmp(&room_a)).then(load_a.total_cmp(&load_b)).then(a.0.cmp(b.0))
+        });
+        for (id, machine) in proposed {
+            // The rest of a long plan waits for the same.
+            let (all, most) = (left.count().all, plan.bounds.most_out);
+            if all >= most {
+                wait(format!("{all} out of {most} that may be"));
+                break;
+            }
+            let one = sight.backends.get(id);
+            match self.may(before, plan, (id, machine), one, left, room) {
+                Ok(why) => {
+                    let step = step(before, name, id, machine, Stage::Agreed, &why);
+                    let _ = left.step(&step, before.token, before.voters.len());
+                    if let Some(one) = one.filter(|one| !one.lost() && !before.outs.contains(id)) {
+                        room.take(one);
+                    }
+                    go.push((id.clone(), why));
+                }
+                Err(why) => wait(why),
+            }
+        }
+        go
+    }
+
+    fn may(
+        &self, before: &Before, plan: &Plan, (id, machine): (&String, &Machine), one: Option<&Summed>,
+        left: &Work, room: &Room,
+    ) -> Result<String, String> {
+        if let Some(why) = left.over(plan, machine, before.voters.len()) {
+            return Err(why);
+        }
+        let out = left.count().all;
+        if room.dead > 0 && out + room.dead + 1 > plan.bounds.most_out {
+            return Err(format!("{} backends are dead beside those out", room.dead));
+        }
+        if machine.votes {
+            let silent =
+                before.sight.silent.iter().filter(|name| before.voters.contains(name)).count() as u32;
+            let bears = before.voters.len().saturating_sub(1) as u32 / 2;
+            if silent + left.count().voters + 1 > bears {
+                return Err(format!("{id}: {silent} voters are silent, and {bears} may be away"));
+            }
+        }
+        // Out, dead or unknown to all: its going takes nothing away.
+        let Some(one) = one.filter(|one| !one.lost() && !before.outs.contains(id)) else {
+            return Ok("nothing is sent there".into());
+        };
+        if room.last_of_cell(one) && !plan.bounds.last_of_cell {
+            return Err(format!("{id}: the last ready backend of cell {} in zone {}", one.cell, one.zone));
+        }
+        let mut after = room.clone();
+        after.take(one);
+        let spare = after.spare();
+        if spare < plan.bounds.least_spare {
+            return Err(format!("room for {} of the need must be left", plan.bounds.least_spare));
+        }
+        Ok(format!("{:.1} times the need left near it, {spare:.1} in all", room.left(one)))
+    }
+
+    /// What a plan waits for, where that is news.
+    fn say(&mut self, now_us: u64, name: &str, plan: &Plan, waits: &BTreeMap<String, u32>) -> Option<Do> {
+        let line = |(why, count): (&String, &u32)| match count {
+            1 => why.clone(),
+            count => format!("{why} ({count})"),
+        };
+        // What an operator can do something about comes first: it is said of one machine.
+        let mut lines: Vec<(&String, &u32)> = waits.iter().collect();
+        lines.sort_by_key(|(why, count)| (!why.contains(": "), **count, (*why).clone()));
+        let why = lines.into_iter().take(3).map(line).collect::<Vec<_>>().join("; ");
+        let due = self.said.get(name).is_none_or(|at| now_us >= at + SAY_US);
+        if cut(&why) == plan.waits || !due {
+            return None;
+        }
+        self.said.insert(name.to_owned(), now_us);
+        Some(Do::Waits { plan: name.to_owned(), why })
+    }
+
+    /// The maintenance system has said yes.
+    pub fn begun(before: &Before, call: &Begin) -> Option<Step> {
+        let machine = before.work.plans.get(&call.plan)?.machines.get(&call.machine)?;
+        let plan = before.work.plans.get(&call.plan)?;
+        let same = machine.stage == Stage::Beginning
+            && call.id == beginning(&call.plan, plan, &call.machine, machine);
+        same.then(|| {
+            step(
+                before,
+                &call.plan,
+                &call.machine,
+                machine,
+                Stage::Working,
+                "the maintenance system has begun",
+            )
+        })
+    }
+}
+
+/// The same for every owner that finds the machine at this stage, and for no other beginning.
+fn beginning(name: &str, plan: &Plan, id: &str, machine: &Machine) -> String {
+    format!("{name}/{}/{id}/{}", plan.number, machine.put_back)
+}
+
+enum Next {
+    Step(Stage, String),
+    Begin(Begin),
+    Wait(String),
+}
+
+fn step(before: &Before, plan: &str, id: &str, machine: &Machine, to: Stage, why: &str) -> Step {
+    Step {
+        token: before.token,
+        plan: plan.to_owned(),
+        machine: id.to_owned(),
+        from: machine.stage,
+        to,
+        revision: machine.revision,
+        why: why.to_owned(),
+        wall_us: before.wall_us,
+    }
+}
--- a/crates/fleet/src/session.rs
+++ b/crates/fleet/src/session.rs
@@ -4,7 +4,9 @@
 use std::collections::BTreeSet;
 
 use crate::lease::{Fence, Held, Holding, Times};
-use crate::words::{Publication, Renewal, Renewed, Who, OUTS};
+use crate::sight::{objections, Seen, View};
+use crate::words::{Desk, Publication, Renewal, Renewed, Who, OUTS};
+use crate::work::Terms;
 
 /// How long an answer may take before another voter is asked, in renewals of an owner.
 const PATIENCE: u64 = 2;
@@ -31,8 +33,32 @@
     /// When the first renewal since the last answer was sent.
     unanswered_us: Option<u64>,
     pub leader: String,
+    pub terms: Terms,
+    /// The version that the disk holds.
+    pub kept: u64,
+    /// Until when this process may send, where it must hear the fleet to go on.
+    right_us: u64,
+    /// An answer that told of a version not yet acted on: it counts once it is.
+    unacted: Option<(u64, u64)>,
+    /// Has acted on what was in force when the fleet first answered.
+    caught_up: bool,
+    pub busy: BTreeSet<String>,
+    /// Nothing in hand while drained for work.
+    pub empty: bool,
+    view: View,
+    /// The leader that the view was last told to, and how many renewals ago.
+    told_to: Option<(String, u32)>,
+    /// The work's revision, and who is next to go by it.
+    next: Option<(u64, Vec<String>)>,
+    /// Whether this proxy is to be drained for work.
+    pub drained: bool,
+    /// As the owner of the work.
+    pub desk: Option<Desk>,
 }
 
+/// Renewals after which what is seen is told again though nothing has changed.
+const TOLD_AGAIN: u32 = 8;
+
 /// What an answer changed.
 #[derive(Default, Debug, PartialEq)]
 pub struct Changes {
@@ -59,9 +85,67 @@
             next_us: 0,
             unanswered_us: None,
             leader: String::new(),
+            terms: Terms::default(),
+            kept: 0,
+            right_us: 0,
+            unacted: None,
+            caught_up: false,
+            busy: BTreeSet::new(),
+            empty: false,
+            view: View::default(),
+            told_to: None,
+            next: None,
+            drained: false,
+            desk: None,
+        }
+    }
+
+    /// Until when this process may send anything to a backend, by its own clock.
+    pub fn right_until(&self) -> u64 {
+        match self.terms {
+            Terms { drains: true, .. } => self.right_us,
+            Terms { waits: true, .. } if !self.caught_up => 0,
+            _ => u64::MAX,
+        }
+    }
+
+    /// The proxy's module has been told of this version, and these of those out have something in hand.
+    pub fn acts(&mut self, now_us: u64, version: u64, busy: BTreeSet<String>) {
+        self.acted = self.acted.max(version);
+        self.busy = busy;
+        self.catch_up();
+        self.hurry(now_us);
+    }
+
+    /// The right to send counts from a renewal whose answer told of no version that is not acted on: once the
+    /// fleet has waited for a lease, who lacks a version has ended its right.
+    fn catch_up(&mut self) {
+        if let Some((version, sent_us)) = self.unacted.filter(|(version, _)| *version <= self.acted) {
+            let until = (sent_us + self.times.lease_us).saturating_sub(self.times.margin_us);
+            self.right_us = self.right_us.max(until);
+            self.caught_up |= version <= self.acted;
+            self.unacted = None;
         }
     }
 
+    pub fn sees(&mut self, view: View) {
+        if view != self.view {
+            self.view = view.cut();
+            self.told_to = None;
+        }
+    }
+
+    /// What it says on work, if there is any.
+    fn seen(&mut self) -> Seen {
+        let (busy, drained) = (self.busy.clone(), self.drained && self.empty);
+        let Some((revision, next)) = &self.next else { return Seen { busy, drained, ..Seen::default() } };
+        let fresh = self.told_to.as_ref().is_some_and(|(to, ago)| *to == self.leader && *ago < TOLD_AGAIN);
+        let told = if fresh { self.told_to.take().map_or(0, |told| told.1) + 1 } else { 0 };
+        self.told_to = Some((self.leader.clone(), told));
+        let objections = objections(&self.view, next);
+        Seen { revision: *revision, objections, busy, drained, view: (!fresh).then(|| self.view.clone()) }
+    }
+
     pub fn hurry(&mut self, now_us: u64) {
         self.next_us = self.next_us.min(now_us);
     }
@@ -88,6 +172,7 @@
         self.unanswered_us.get_or_insert(now_us);
         // An answer is expected within a renewal, whatever the pace.
         self.next_us = self.next_us.min(now_us + self.times.session_us);
+        let seen = self.seen();
         Some(Renewal {
             who: self.who.clone(),
             sent_us: now_us,
@@ -98,15 +183,38 @@
             taken: self.taken.as_ref().map_or(0, |taken| taken.version),
             acted: self.acted,
             heard: self.agreed.as_ref().map_or(0, |agreed| agreed.0),
+            kept: self.kept,
+            terms: self.terms,
+            seen,
+            work: self.desk.as_ref().and_then(|desk| desk.work.as_ref().map(|_| desk.revision)),
         })
     }
 
+    /// As the owner of the work: what it had of the plans stands where the answer has nothing newer.
+    fn desk(&mut self, desk: Option<Box<Desk>>) {
+        let Some(mut new) = desk.map(|desk| *desk) else { return };
+        if new.work.is_none() {
+            let old = self.desk.take().filter(|old| old.revision == new.revision);
+            new.work = old.and_then(|old| old.work);
+        }
+        self.desk = Some(new);
+    }
+
     pub fn renewed(&mut self, now_us: u64, answer: Renewed) -> Changes {
         let mut changes = Changes::default();
         self.unanswered_us = None;
         self.leader = answer.leader;
         self.superseded = answer.superseded;
         self.floor.get_or_insert(answer.version);
+        self.unacted = Some((answer.version, answer.sent_us));
+        self.catch_up();
+        let news = answer.next.as_ref().map(|next| next.0) != self.next.as_ref().map(|next| next.0);
+        if news && answer.next.as_ref().is_some_and(|(_, next)| !next.is_empty()) {
+            // What is next to go waits for everybody to have looked at it.
+            self.hurry(now_us);
+        }
+        (self.next, self.drained) = (answer.next, answer.drained);
+        self.desk(answer.work);
         for (duty, token) in &answer.tokens {
             if duty == OUTS {
                 // A lower one stands against nothing.
--- a/crates/fleet/src/words.rs
+++ b/crates/fleet/src/words.rs
@@ -5,12 +5,16 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::sight::{Seen, Sight};
 use crate::state::{Command, Outcome};
+use crate::work::{Absent, Terms, Work};
 
 /// The duty of publishing which backends are out for the whole fleet.
 pub const OUTS: &str = "outs";
+/// The duty of settling which machines go out for work, and when.
+pub const WORK: &str = "work";
 /// Pieces of fleet work that have one owner at a time.
-pub const DUTIES: &[&str] = &[OUTS];
+pub const DUTIES: &[&str] = &[OUTS, WORK];
 
 /// One process of one proxy. The name outlives restarts, the incarnation is new with each.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -52,6 +56,12 @@
     pub acted: u64,
     /// The version that it has heard to be agreed.
     pub heard: u64,
+    /// The version that its disk holds, where it has one that takes writes.
+    pub kept: u64,
+    pub terms: Terms,
+    pub seen: Seen,
+    /// The revision of the work that it has, as the duty's owner.
+    pub work: Option<u64>,
 }
 
 /// The leader's answer, given only once a majority has confirmed that it still leads.
@@ -69,6 +79,21 @@
     /// To an owner that has not heard of `version` yet.
     pub outs: Option<BTreeSet<String>>,
     pub leader: String,
+    /// While there is a plan: its revision, and the backends that are next to go.
+    pub next: Option<(u64, Vec<String>)>,
+    /// This proxy is itself to be drained for work.
+    pub drained: bool,
+    /// To the owner of the work, and what all proxies see.
+    pub work: Option<Box<Desk>>,
+}
+
+/// What the owner of the work has before it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Desk {
+    pub revision: u64,
+    /// Where it has another revision.
+    pub work: Option<Work>,
+    pub sight: Sight,
 }
 
 /// What is told of one proxy.
@@ -97,6 +122,8 @@
     pub members: Vec<MemberStatus>,
     /// Proxies that have a session by the agreed record and were not heard of by this leader.
     pub unheard: Vec<String>,
+    /// Proxies that left and may send all the same.
+    pub absent: Vec<Absent>,
 }
 
 /// What an operator asks of the fleet.
@@ -104,12 +131,15 @@
 pub enum Ask {
     Command(Command),
     Status,
+    /// The plans, and what the leader has been told of all proxies.
+    Work,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Told {
     Done(Outcome),
     Status(Box<Status>),
+    Work(Box<(Work, Sight)>),
     /// For now: nobody leads, or too much is in hand.
     NotNow(String),
 }
@@ -171,4 +201,6 @@
     },
     /// This voter can't serve sessions for now.
     Away,
+    /// This process ends, and has answered all that it took.
+    Part(Who),
 }
--- a/crates/lab/src/crowd.rs
+++ b/crates/lab/src/crowd.rs
@@ -10,7 +10,9 @@
 use crankpick_carry::clock::now_us;
 use crankpick_carry::frames;
 use crankpick_fleet::lease::Times;
+use crankpick_fleet::sight::{Coarse, Seen, Sees, View};
 use crankpick_fleet::words::{Renewal, Who, Word};
+use crankpick_fleet::work::Terms;
 use serde_json::{json, Value};
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
@@ -51,6 +53,24 @@
         }
     }
 
+    /// As one of many proxies sees its few backends.
+    fn view(&self) -> View {
+        let mut rng = fastrand::Rng::with_seed(self.who.incarnation);
+        let mut view = View { queries: Coarse::of(10.0), ..View::default() };
+        for _ in 0..8 {
+            let number = rng.u32(0..190);
+            let sees = Sees {
+                zone: format!("z{}", number % 3),
+                cell: number % 12,
+                load: Coarse::of(0.1 + 0.2 * rng.f64()),
+                max: Coarse::of(30.0),
+                lost: false,
+            };
+            view.backends.insert(format!("s-{number}"), sees);
+        }
+        view
+    }
+
     async fn say(&self, stream: &mut (impl AsyncWriteExt + Unpin), word: &Word) -> Option<()> {
         let frame = frames::framed(word)?;
         stream.write_all(&frame).await.ok()?;
@@ -68,7 +88,9 @@
             return;
         }
         let (mut taken, mut token, mut first) = (0, 0, true);
-        let mut next = Instant::now();
+        // While there is a plan: the revision looked at, and what is seen, told once to each leader.
+        let (mut revision, mut view, mut leader) = (0, None, String::new());
+        let mut next_at = Instant::now();
         // Apart from what is sent: a word that is read half must not be given up for a timer.
         let (send, mut heard) = mpsc::channel(64);
         let counts = Arc::clone(&self.counts);
@@ -83,14 +105,16 @@
         }));
         loop {
             tokio::select! {
-                () = sleep_until(next) => {
+                () = sleep_until(next_at) => {
                     let renewal = Renewal {
                         who: self.who.clone(), sent_us: now_us(), willing: false, writable: true, voter: false,
-                        taken_token: token, taken, acted: taken, heard: 0,
+                        taken_token: token, taken, acted: taken, heard: 0, kept: taken,
+                        terms: Terms { drains: false, waits: true, longest_us: 2_000_000 },
+                        seen: Seen { revision, view: view.take(), ..Seen::default() }, work: None,
                     };
                     // As the real session: again soon while nobody answers.
                     let pace = if first { 2 * self.times.renew_us } else { self.times.session_us };
-                    next = Instant::now() + Duration::from_micros(pace);
+                    next_at = Instant::now() + Duration::from_micros(pace);
                     if self.say(&mut writer, &Word::Renew(renewal)).await.is_none() {
                         return;
                     }
@@ -98,15 +122,24 @@
                 word = heard.recv() => {
                     let Some(word) = word else { return };
                     match word {
-                        Word::Renewed(_) if first => {
-                            first = false;
-                            self.counts.answered.fetch_add(1, Ordering::Relaxed);
+                        Word::Renewed(answer) => {
+                            if std::mem::take(&mut first) {
+                                self.counts.answered.fetch_add(1, Ordering::Relaxed);
+                            }
+                            let Some((news, next)) = answer.next else { continue };
+                            if leader != answer.leader {
+                                (leader, view) = (answer.leader, Some(self.view()));
+                                next_soon(&mut next_at);
+                            }
+                            if news != std::mem::replace(&mut revision, news) && !next.is_empty() {
+                                next_soon(&mut next_at);
+                            }
                         }
                         Word::Publish { publication, .. } => {
                             (taken, token) = (publication.version, publication.token);
                             self.version.send_replace(taken);
                         }
-                        Word::Nudge(_) => next = Instant::now(),
+                        Word::Nudge(_) => next_soon(&mut next_at),
                         _ => {}
                     }
                 }
@@ -115,6 +148,10 @@
     }
 }
 
+fn next_soon(at: &mut Instant) {
+    *at = Instant::now();
+}
+
 /// A task that ends with whoever holds this.
 struct Ends(tokio::task::JoinHandle<()>);
 
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -2,16 +2,22 @@
 //! a seed. The same seed plays the same run. Called by `crankpick-lab virtual` and the tests.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 use crankpick_fleet::kept::{Batch, Disk, Kept};
 use crankpick_fleet::lease::Times;
 use crankpick_fleet::node::{Event, Link, Node, Out, Plan};
 use crankpick_fleet::state::{Command, Outcome};
-use crankpick_fleet::words::{Ask, Publication, Told, Word};
+use crankpick_fleet::words::{Ask, Publication, Told, Word, OUTS};
+use crankpick_fleet::work::Terms;
 
 use crate::history::{Kind, Line};
 
+mod upkeep;
+
+pub use upkeep::Plans;
+use upkeep::Upkeep;
+
 /// What a schedule may hold, and what is broken on purpose.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -25,6 +31,8 @@
     /// A disk forgets votes and terms over a restart: what must never happen.
     pub forgetful: bool,
     pub margin: Option<u64>,
+    /// Machines out for work, if any.
+    pub plans: Option<Plans>,
 }
 
 impl Default for Setup {
@@ -37,6 +45,7 @@
             drift: 0.01,
             forgetful: false,
             margin: None,
+            plans: None,
         }
     }
 }
@@ -87,6 +96,11 @@
     revive_us: u64,
     /// The connection it has to each voter, by that voter's place.
     conns: BTreeMap<usize, u64>,
+    /// Until when it may send, by its own clock.
+    right_us: u64,
+    /// What it sends nothing to, and until when it has something in hand at each.
+    outs: BTreeSet<String>,
+    busy: BTreeMap<String, u64>,
 }
 
 impl Host {
@@ -110,6 +124,8 @@
     Word(usize, u64),
     Fault(u32),
     Call(u32),
+    /// What a maintenance system, its staff and the proxies' executions do.
+    Upkeep,
 }
 
 /// One way from a process to another.
@@ -144,6 +160,8 @@
     lost_a_disk: bool,
     started: bool,
     pub words_sent: u64,
+    terms: Terms,
+    upkeep: Upkeep,
 }
 
 const TICK_US: u64 = 25_000;
@@ -157,6 +175,7 @@
             times.margin_us = margin;
         }
         let mut rng = fastrand::Rng::with_seed(seed);
+        let terms = setup.plans.as_ref().map(|plans| plans.terms).unwrap_or_default();
         let plan_voters: Vec<String> = (0..setup.voters).map(|number| format!("v{number}")).collect();
         let names = (0..setup.voters).map(|number| format!("v{number}"));
         let names: Vec<String> = names.chain((0..setup.others).map(|number| format!("p{number}"))).collect();
@@ -174,6 +193,9 @@
                 pace: 1.0 + setup.drift * (2.0 * rng.f64() - 1.0),
                 revive_us: 0,
                 conns: BTreeMap::new(),
+                right_us: 0,
+                outs: BTreeSet::new(),
+                busy: BTreeMap::new(),
             })
             .collect();
         let mut world = World {
@@ -196,6 +218,8 @@
             lost_a_disk: false,
             started: false,
             words_sent: 0,
+            terms,
+            upkeep: Upkeep::default(),
         };
         for at in 0..world.hosts.len() {
             world.begin(at);
@@ -229,10 +253,12 @@
             name: host.name.clone(),
             voters: self.plan_voters.clone(),
             times: self.times,
+            terms: self.terms,
         };
         let node = Node::new(host.clock(t), plan, host.incarnation, kept, self.rng.u64(..));
         host.node = Some(node);
         (host.paused, host.ending, host.waiting) = (false, false, Vec::new());
+        (host.right_us, host.outs, host.busy) = (0, BTreeSet::new(), BTreeMap::new());
         host.disk.torn = false;
         for voter in (0..self.setup.voters).filter(|voter| *voter != at) {
             self.connect(at, voter);
@@ -330,6 +356,9 @@
                 Out::Take(publication) => self.take(at, publication),
                 Out::Told(call, told) => self.told(at, call, told),
                 Out::Event(event) => self.event(at, event),
+                Out::Right(until) => self.hosts[at].right_us = until,
+                Out::Drain(drained) => self.drained(at, drained),
+                Out::Begin(call) => self.begin_work(at, call),
             }
         }
     }
@@ -337,6 +366,7 @@
     fn take(&mut self, at: usize, publication: Publication) {
         let t = self.t;
         let Publication { version, outs, .. } = publication;
+        let busy = self.acts(at, &outs);
         let before = self.contents.entry(version).or_insert_with(|| outs.clone());
         if *before != outs {
             let what = format!("BREACH version {version} is {before:?} and {outs:?}");
@@ -345,7 +375,7 @@
         let host = &mut self.hosts[at];
         let own = host.clock(t);
         if let Some(node) = &mut host.node {
-            node.acted(own, version);
+            node.acted(own, version, busy);
         }
     }
 
@@ -594,6 +624,7 @@
                 }
                 Due::Fault(number) => self.fault(number),
                 Due::Call(_) => self.call(),
+                Due::Upkeep => self.keep_up(),
             }
         }
         self.t = end_us;
@@ -609,11 +640,11 @@
         self.t
     }
 
-    /// Who believes to be the owner now: those that are stopped believe nothing until they wake.
+    /// Who believes to be the owner of the backends out now: those that are stopped believe nothing until they wake.
     pub fn owners(&self) -> Vec<usize> {
         let owns = |host: &Host| {
             let own = host.clock(self.t);
-            host.node.as_ref().is_some_and(|node| node.session.holding.all(own).next().is_some())
+            host.node.as_ref().is_some_and(|node| node.session.holding.token(own, OUTS).is_some())
         };
         (0..self.hosts.len()).filter(|at| !self.hosts[*at].paused && owns(&self.hosts[*at])).collect()
     }
@@ -694,6 +725,9 @@
             pace,
             revive_us: u64::MAX,
             conns: BTreeMap::new(),
+            right_us: 0,
+            outs: BTreeSet::new(),
+            busy: BTreeMap::new(),
         });
         let at = self.hosts.len() - 1;
         // The first one has the disk: without it this one neither votes nor owns.
--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -6,11 +6,10 @@
 
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 use tokio::task::AbortHandle;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, timeout};
 
-use crate::duty::Duty;
+use crate::duty::Stand;
 use crate::fleet::{Fleet, FLEET};
 use crate::handover::{ByHand, ATTACH, DETACH};
 
@@ -27,7 +26,7 @@
 
 #[derive(Clone)]
 pub struct Admin {
-    pub duty: watch::Sender<Duty>,
+    pub stand: Stand,
     pub by_hand: Arc<ByHand>,
     /// Where the operators' file joins this proxy to one.
     pub fleet: Option<Fleet>,
@@ -90,29 +89,13 @@
         }
         let mut words = line.split_ascii_whitespace();
         let done = match (words.next(), words.next(), words.next()) {
-            (Some("PING"), None, _) => self.duty.borrow().ready(),
-            (Some("LAMEDUCK"), None, _) => self.turn(Duty::Drained(Instant::now())),
-            (Some("REJOIN"), None, _) => self.turn(Duty::Serving),
+            (Some("PING"), None, _) => self.stand.ready(),
+            (Some("LAMEDUCK"), None, _) => self.stand.by_hand(true),
+            (Some("REJOIN"), None, _) => self.stand.by_hand(false),
             (Some(call @ (DETACH | ATTACH)), Some(id), None) => self.by_hand.call(id, call == DETACH).await,
             (Some(FLEET), ..) => Err("this proxy is in no fleet: it was started without a fleet file".into()),
             _ => Err("unknown call".into()),
         };
         done.map(|()| String::new())
     }
-
-    /// Repeated it changes nothing: a drain runs from the first call.
-    fn turn(&self, to: Duty) -> Result<(), String> {
-        let ending = |duty: &Duty| matches!(duty, Duty::Ending(_));
-        self.duty.send_if_modified(|duty| {
-            let turns = !ending(duty) && duty.ready().is_ok() != to.ready().is_ok();
-            if turns {
-                *duty = to;
-            }
-            turns
-        });
-        match ending(&self.duty.borrow()) {
-            true => Err("the process is ending".into()),
-            false => Ok(()),
-        }
-    }
 }
--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -15,6 +15,7 @@
 use axum::http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri};
 use bytes::Bytes;
 use crankpick::interface::{Ended, LoadReport};
+use crankpick_carry::run::Right;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::connect::{capture_connection, CaptureConnection};
 use hyper_util::client::legacy::{Client, Error as ClientError};
@@ -56,10 +57,13 @@
 }
 
 impl Backends {
-    pub fn new(budget: usize, answers: Arc<Pool>, connect_timeout: Duration, idle_close: Duration) -> Self {
+    pub fn new(
+        budget: usize, answers: Arc<Pool>, connect_timeout: Duration, idle_close: Duration,
+        right: Option<Right>,
+    ) -> Self {
         // The client lets go of an idle connection before it ends itself, and that before the backend
         // would: so none ends under a request that was just written to it.
-        let connector = Connector::new(budget, connect_timeout, idle_close.mul_f64(0.85));
+        let connector = Connector::new(budget, connect_timeout, idle_close.mul_f64(0.85), right);
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(idle_close.mul_f64(0.8))
@@ -117,6 +121,9 @@
         let heard = async {
             loop {
                 let address = self.address(backend).ok_or(Ended::NotSent)?;
+                if !self.connector.may_send() {
+                    return Err(Ended::NotSent);
+                }
                 let left = if payload.passing() { wait } else { wait.saturating_sub(sent.elapsed()) };
                 let fresh =
                     (one_chance || payload.passing()).then(|| self.fresh(payload.passing())).flatten();
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -82,6 +82,68 @@
     Out(Backends),
     /// Let them be used again
     Back(Backends),
+    /// Vouch that a proxy which left is down and will send nothing: work no longer waits for it
+    Forget(Named),
+    /// Machines out for work, in an order that the proxies settle among themselves
+    #[command(subcommand)]
+    Work(Work),
+}
+
+#[derive(clap::Args)]
+pub struct Named {
+    /// A plan, a machine or a proxy
+    #[arg(value_parser = one_word)]
+    pub name: String,
+    #[command(flatten)]
+    pub at: At,
+    /// The call's own id, in hexadecimal: repeated with the same one it is carried out once
+    #[arg(long, value_parser = call_id)]
+    pub call: Option<u128>,
+}
+
+#[derive(clap::Args)]
+pub struct Add {
+    /// The plan, as TOML
+    pub plan: PathBuf,
+    #[command(flatten)]
+    pub at: At,
+    /// The call's own id, in hexadecimal: repeated with the same one it is carried out once
+    #[arg(long, value_parser = call_id)]
+    pub call: Option<u128>,
+}
+
+#[derive(clap::Args)]
+pub struct Show {
+    pub plan: String,
+    #[command(flatten)]
+    pub at: At,
+}
+
+#[derive(Subcommand)]
+pub enum Work {
+    /// Give the fleet a plan
+    Add(Add),
+    /// All plans, a line each
+    List(At),
+    /// One plan: each machine's stage, and what is waited for
+    Show(Show),
+    /// Nothing more goes out
+    Pause(Named),
+    /// Go on
+    Resume(Named),
+    /// Nothing more goes out; what is under work comes back when it is done
+    Cancel(Named),
+    /// Work on this machine is over
+    Done(Named),
+    /// Work on this machine failed: it stays out until it is done
+    Failed(Named),
+}
+
+fn one_word(text: &str) -> Result<String, String> {
+    match text.is_empty() || text.contains(char::is_whitespace) {
+        true => Err("one word".into()),
+        false => Ok(text.to_owned()),
+    }
 }
 
 fn call_id(text: &str) -> Result<u128, String> {
--- a/crates/proxy/src/connect.rs
+++ b/crates/proxy/src/connect.rs
@@ -12,6 +12,7 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
+use crankpick_carry::run::Right;
 use hyper::Uri;
 use hyper_util::client::legacy::connect::{Connected, Connection};
 use hyper_util::rt::TokioIo;
@@ -31,6 +32,8 @@
     links: Arc<Mutex<BTreeMap<u64, Arc<Link>>>>,
     timeout: Duration,
     idle: Duration,
+    /// In a fleet, how long anything may be sent.
+    right: Option<Right>,
 }
 
 /// Head, body and what 1xx answers come ahead.
@@ -132,8 +135,12 @@
 }
 
 impl Connector {
-    pub fn new(budget: usize, timeout: Duration, idle: Duration) -> Self {
-        Connector { budget: Arc::new(Semaphore::new(budget)), links: Arc::default(), timeout, idle }
+    pub fn new(budget: usize, timeout: Duration, idle: Duration, right: Option<Right>) -> Self {
+        Connector { budget: Arc::new(Semaphore::new(budget)), links: Arc::default(), timeout, idle, right }
+    }
+
+    pub fn may_send(&self) -> bool {
+        self.right.as_ref().is_none_or(Right::lasts)
     }
 
     /// No connection to this backend is used again.
@@ -212,6 +219,7 @@
             idle: self.idle,
             patience: self.timeout,
             ends: Box::pin(sleep(self.idle)),
+            right: self.right,
             _permit: permit,
         })
     }
@@ -270,6 +278,7 @@
     /// What an answer that has begun may pause: a few ways there and back, as opening takes.
     patience: Duration,
     ends: Pin<Box<Sleep>>,
+    right: Option<Right>,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -344,6 +353,11 @@
             Ok(_) => Some("more_than_asked"),
             Err(_) => Some("reset_by_backend"),
         };
+        // Looked at last thing before the first byte: the process may have slept since the query was taken.
+        let found = found.or_else(|| {
+            let may = self.right.as_ref().is_none_or(Right::lasts);
+            (!may).then_some("cut_off")
+        });
         if let Some(found) = found {
             state.why.get_or_insert(found);
         }
--- a/crates/proxy/src/decide.rs
+++ b/crates/proxy/src/decide.rs
@@ -8,18 +8,30 @@
 
 use axum::http::Uri;
 use crankpick::balance::{Balancer, Inbox};
-use crankpick::interface::{ColdRule, Ended, ExecutionLimits, Listed, LoadReport, Tenant, Workload, Writer};
+use crankpick::interface::{
+    ColdRule, Ended, ExecutionLimits, Listed, LoadReport, Room, Tenant, Workload, Writer,
+};
 use tokio::sync::{mpsc, Notify};
 
 use crate::backends::Backends;
+use crate::hand::{Hold, InHand};
 use crate::peers::Peers;
 
 /// What the module decided about one query; executions are numbered from 0 in this order.
 #[derive(Debug, PartialEq)]
 pub enum Decided {
-    Execute { backend: u32, timeout_us: u64 },
-    Cancel { execution: u32 },
-    Reject { backoff_us: u64 },
+    Execute {
+        backend: u32,
+        timeout_us: u64,
+        /// Where what is in hand is counted: dropped once the execution has ended.
+        hold: Option<Hold>,
+    },
+    Cancel {
+        execution: u32,
+    },
+    Reject {
+        backoff_us: u64,
+    },
     Abort,
 }
 
@@ -75,6 +87,11 @@
     probes: Vec<u32>,
     list_wanted: Arc<Notify>,
     peers: Arc<Peers>,
+    /// In a fleet alone.
+    hand: Option<Arc<InHand>>,
+    /// Queries taken, and those turned away or given up, since they were last asked for.
+    taken: u64,
+    turned: u64,
 }
 
 impl Desk {
@@ -89,7 +106,8 @@
 
 impl Writer for Desk {
     fn execute(&mut self, qry: &str, backend: u32, timeout_us: u64) {
-        self.pass(qry, Decided::Execute { backend, timeout_us });
+        let hold = self.hand.as_ref().map(|hand| hand.execution(backend));
+        self.pass(qry, Decided::Execute { backend, timeout_us, hold });
     }
 
     fn cancel(&mut self, qry: &str, execution: u32) {
@@ -97,10 +115,12 @@
     }
 
     fn reject(&mut self, qry: &str, backoff_us: u64) {
+        self.turned += 1;
         self.pass(qry, Decided::Reject { backoff_us });
     }
 
     fn abort(&mut self, qry: &str) {
+        self.turned += 1;
         self.pass(qry, Decided::Abort);
     }
 
@@ -124,10 +144,10 @@
 impl Decide {
     pub fn new(
         balancer: Balancer, max_executions: u32, list_wanted: Arc<Notify>, peers: Arc<Peers>,
-        backends: Arc<Backends>, probe_path: Uri,
+        backends: Arc<Backends>, probe_path: Uri, hand: Option<Arc<InHand>>,
     ) -> Arc<Self> {
         let (queries, wakes, probes) = (BTreeMap::new(), Vec::new(), Vec::new());
-        let desk = Desk { queries, wakes, probes, list_wanted, peers };
+        let desk = Desk { queries, wakes, probes, list_wanted, peers, hand, taken: 0, turned: 0 };
         let held = Mutex::new(Held { balancer, desk, max_executions });
         Arc::new(Decide { held, clock: Clock::new(), backends, probe_path })
     }
@@ -142,7 +162,8 @@
         }
         // One probe of a backend is out at a time.
         for backend in desk.probes.drain(..) {
-            tokio::spawn(Arc::clone(self).probe(backend));
+            let hold = desk.hand.as_ref().map(|hand| hand.execution(backend));
+            tokio::spawn(Arc::clone(self).probe(backend, hold));
         }
         fed
     }
@@ -152,8 +173,9 @@
         self.news(|inbox| inbox.woken(&token));
     }
 
-    async fn probe(self: Arc<Self>, backend: u32) {
+    async fn probe(self: Arc<Self>, backend: u32, hold: Option<Hold>) {
         let heard = Arc::clone(&self.backends).probe(backend, self.probe_path.clone()).await;
+        drop(hold);
         self.news(|inbox| inbox.probed(backend, heard.ended, heard.took_us, heard.report));
     }
 
@@ -174,6 +196,19 @@
         held.balancer.retune(workloads, tenants, limits, cold)
     }
 
+    /// What is in hand, in a fleet.
+    pub fn hand(&self) -> Option<Arc<InHand>> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner).desk.hand.clone()
+    }
+
+    /// Each backend's load and maximum as the module has them; queries taken and turned away since the last look.
+    pub fn look(&self) -> (Vec<Room>, u64, u64) {
+        let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        let rooms = held.balancer.rooms().collect();
+        let (taken, turned) = (std::mem::take(&mut held.desk.taken), std::mem::take(&mut held.desk.turned));
+        (rooms, taken, turned)
+    }
+
     /// Takes a query in; its decisions come on the channel, the first perhaps at once.
     pub fn query(
         self: &Arc<Self>, id: &str, workload: usize, tenant: usize, ttl_us: u64, hint_us: Option<u64>,
@@ -185,6 +220,7 @@
             }
             let (sender, decided) = mpsc::channel(held.most_decided());
             held.desk.queries.insert(id.to_owned(), sender);
+            held.desk.taken += 1;
             decided
         };
         self.round(|inbox| inbox.query(id, workload, tenant, ttl_us, hint_us)).map_err(|wrong| {
--- a/crates/proxy/src/duty.rs
+++ b/crates/proxy/src/duty.rs
@@ -1,8 +1,11 @@
-//! What a process is there for: serving, drained or ending. Turned by `admin` and `main`; `front`, `query` and
-//! the fleet's part follow it.
+//! What a process is there for: serving, drained or ending. Turned by `admin`, `serve` and the fleet's part;
+//! `front` and `query` follow it.
 
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use crankpick_carry::run::Right;
+
 use tokio::sync::watch;
 use tokio::time::{sleep_until, Instant};
 
@@ -48,3 +51,67 @@
         }
     }
 }
+
+/// Who wants this process drained: operators here, or the fleet for work on it. Either is enough.
+#[derive(Default)]
+struct Wants {
+    hand: bool,
+    fleet: bool,
+}
+
+/// The one place where the duty turns.
+#[derive(Clone)]
+pub struct Stand {
+    duty: watch::Sender<Duty>,
+    wants: Arc<Mutex<Wants>>,
+    right: Option<Right>,
+}
+
+impl Stand {
+    pub fn new(right: Option<Right>) -> Self {
+        Stand { duty: watch::Sender::new(Duty::Serving), wants: Arc::default(), right }
+    }
+
+    pub fn follow(&self) -> watch::Receiver<Duty> {
+        self.duty.subscribe()
+    }
+
+    /// Whether queries are to come here: not where nothing may be sent on.
+    pub fn ready(&self) -> Result<(), String> {
+        self.duty.borrow().ready()?;
+        match self.right.as_ref().is_none_or(Right::lasts) {
+            true => Ok(()),
+            false => Err("cut off from the fleet".into()),
+        }
+    }
+
+    /// Repeated it changes nothing: a drain runs from the first call.
+    fn turn(&self, want: impl FnOnce(&mut Wants)) -> Result<(), String> {
+        let mut wants = self.wants.lock().unwrap_or_else(PoisonError::into_inner);
+        want(&mut wants);
+        let drained = wants.hand || wants.fleet;
+        self.duty.send_if_modified(|duty| {
+            let turns = !matches!(duty, Duty::Ending(_)) && duty.ready().is_ok() == drained;
+            if turns {
+                *duty = if drained { Duty::Drained(Instant::now()) } else { Duty::Serving };
+            }
+            turns
+        });
+        match *self.duty.borrow() {
+            Duty::Ending(_) => Err("the process is ending".into()),
+            _ => Ok(()),
+        }
+    }
+
+    pub fn by_hand(&self, drained: bool) -> Result<(), String> {
+        self.turn(|wants| wants.hand = drained)
+    }
+
+    pub fn by_fleet(&self, drained: bool) {
+        let _ = self.turn(|wants| wants.fleet = drained);
+    }
+
+    pub fn end(&self) {
+        self.duty.send_replace(Duty::Ending(Instant::now()));
+    }
+}
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -32,7 +32,7 @@
 use tower_service::Service;
 
 use crate::connect::Stall;
-use crate::duty::{Duty, LATE};
+use crate::duty::{Duty, Stand, LATE};
 use crate::framing::Framing;
 use crate::query::{answer, plain, Proxy};
 use crate::share::halve;
@@ -56,14 +56,14 @@
 /// Of a connection's buffer: heads are small, and many connections share the memory.
 const MOST_BUFFER: usize = 32 << 10;
 
-pub fn router(proxy: Arc<Proxy>, duty: watch::Receiver<Duty>) -> Router {
-    let ready = |State(duty): State<watch::Receiver<Duty>>| async move {
-        match duty.borrow().ready() {
+pub fn router(proxy: Arc<Proxy>, stand: Stand) -> Router {
+    let ready = |State(stand): State<Stand>| async move {
+        match stand.ready() {
             Ok(()) => plain(StatusCode::OK, "ready"),
             Err(why) => plain(StatusCode::SERVICE_UNAVAILABLE, &why),
         }
     };
-    let ready = any(ready).with_state(duty);
+    let ready = any(ready).with_state(stand);
     Router::new().route("/-/ready", ready).fallback(answer).with_state(proxy)
 }
 
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod framing;
 mod front;
+mod hand;
 mod handover;
 mod names;
 mod operate;
--- a/crates/proxy/src/names.rs
+++ b/crates/proxy/src/names.rs
@@ -77,6 +77,10 @@
         self.out.iter().filter(|(_, out)| of(out)).map(|(id, _)| id.clone()).collect()
     }
 
+    pub fn all(&self) -> impl Iterator<Item = (&String, &Listed)> {
+        self.listed.iter()
+    }
+
     pub fn listed(&mut self, id: String, listed: Listed) {
         self.listed.insert(id, listed);
     }
--- a/crates/proxy/src/query.rs
+++ b/crates/proxy/src/query.rs
@@ -12,6 +12,7 @@
 use axum::http::request::Parts;
 use axum::http::{HeaderMap, HeaderValue, Method, Response, StatusCode};
 use crankpick::interface::{Ended, Repeat};
+use crankpick_carry::run::Right;
 use tokio::sync::{mpsc, watch};
 
 use crate::backends::{Backends, Heard};
@@ -34,9 +35,18 @@
     pub duty: watch::Receiver<Duty>,
     /// Turns true when the process must end: what is still in hand gets its answer.
     pub ending: watch::Receiver<bool>,
+    /// Whether this proxy may send anything to a backend, in a fleet.
+    pub right: Option<Right>,
+    /// What a client is told that is turned away for want of it; 0 where the settings allow no such word.
+    pub come_back_us: u64,
 }
 
 pub async fn answer(State(proxy): State<Arc<Proxy>>, request: Request) -> Response<Body> {
+    // Cut off from the fleet it may send nothing: said at once, before anything is taken.
+    if proxy.right.as_ref().is_some_and(|right| !right.lasts()) {
+        return rejected(proxy.come_back_us);
+    }
+    let _hold = proxy.decide.hand().map(|hand| hand.query());
     let (mut head, body) = request.into_parts();
     // Such a length may hide a second request in the body; a request that was not followed may as well.
     let came = head.extensions.remove::<Came>();
@@ -91,7 +101,7 @@
                 }
             }
             decided = life.decided.recv() => match decided {
-                Some(Decided::Execute { backend, timeout_us }) => {
+                Some(Decided::Execute { backend, timeout_us, hold }) => {
                     let wait = if payload.passing() { wait } else { Duration::from_micros(timeout_us) };
                     let (backends, head) = (Arc::clone(&proxy.backends), Arc::clone(&head));
                     let (payload, decide, id) = (payload.clone(), Arc::clone(&proxy.decide), life.id.clone());
@@ -104,6 +114,11 @@
                     };
                     let too_late = Duty::too_late(proxy.duty.clone());
                     let execution = backends.execute(backend, head, wait, one_chance, payload, body, too_late);
+                    let execution = async move {
+                        let heard = execution.await;
+                        drop(hold);
+                        heard
+                    };
                     life.out.push((life.executions, Box::pin(execution)));
                     life.executions += 1;
                 }
@@ -303,9 +318,9 @@
         });
         let balancer = crankpick_launch::balancer(7, &settings).expect("sound");
         let peers = Arc::new(Peers::new(None, vec![]).expect("none"));
-        let backends = Arc::new(Backends::new(9, Arc::new(Pool::new(0)), ROOM, ROOM));
+        let backends = Arc::new(Backends::new(9, Arc::new(Pool::new(0)), ROOM, ROOM, None));
         let path = axum::http::Uri::from_static("/");
-        let decide = Decide::new(balancer, 4, Arc::default(), peers, backends, path);
+        let decide = Decide::new(balancer, 4, Arc::default(), peers, backends, path, None);
         decide.list(true, &[Listed { backend: 1, phase: Phase::Ready, weight: 1.0, ..Listed::default() }]);
         for turn in 0..50 {
             let id = turn.to_string();
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -10,7 +10,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{watch, Notify};
-use tokio::time::{sleep, Instant};
+use tokio::time::sleep;
 
 use crate::admin::{self, Admin};
 use crate::backends::Backends;
@@ -18,7 +18,7 @@
 use crate::cli::Serve;
 use crate::decide::Decide;
 use crate::discovery::{Discovery, List};
-use crate::duty::Duty;
+use crate::duty::Stand;
 use crate::fleet::Fleet;
 use crate::front;
 use crate::handover::{self, ByHand, Handover};
@@ -41,6 +41,8 @@
 const IDLE: Duration = Duration::from_secs(10);
 /// SIGKILL comes 3.7 s after SIGTERM at the soonest: by then all that was taken must be answered.
 const LAST_CALL: Duration = Duration::from_millis(3_300);
+/// What a client is told that comes to a proxy which may send nothing on: others may have it by then.
+const COME_BACK_US: u64 = 500_000;
 /// What flows by then goes on until it is through, or the kill comes: cut off by us it would be lost.
 const LAST_WRITES: Duration = Duration::from_secs(60);
 
@@ -102,7 +104,11 @@
     let peer_listen = peer_listen.map(|_| address(&told, "peer_listen")).transpose()?;
     let peers = Arc::new(Peers::new(peer_listen, addresses(&told, "peers")?)?);
     let name: Option<String> = at(&told, "name")?;
-    let fleet = with.fleet.as_deref().map(|path| Fleet::start(path, name.as_deref())).transpose()?;
+    let (names, zones): (Arc<Mutex<Names>>, Vec<String>) = (Arc::default(), at(settings, "Zones")?);
+    let fleet = with.fleet.as_deref();
+    let fleet = fleet
+        .map(|path| Fleet::start(path, name.as_deref(), Arc::clone(&names), zones.clone()))
+        .transpose()?;
     let inherited = handover::inherited()?;
     // Only where the platform holds the clients' socket can a second process come to be.
     let place = handover::place(listen);
@@ -121,6 +127,7 @@
         Arc::clone(&answers),
         said(at(settings, "Limits.ConnectTimeoutUs")?, CONNECT),
         said(at(settings, "Limits.IdleCloseUs")?, IDLE),
+        fleet.as_ref().map(Fleet::right),
     ));
     let balancer = crankpick_launch::balancer(seed(&told)?, settings)?;
     let list_wanted = Arc::new(Notify::new());
@@ -131,13 +138,12 @@
         Arc::clone(&peers),
         Arc::clone(&backends),
         probe_path(&told)?,
+        fleet.is_some().then(Arc::default),
     );
     // Where the list comes unasked the module never asks: the first watch is ours to open.
     if at::<String>(settings, "Discovery")? != "subscribe" {
         list_wanted.notify_one();
     }
-    let names: Arc<Mutex<Names>> = Arc::default();
-    let zones = at(settings, "Zones")?;
     let mut discovery = Discovery::new(Arc::clone(&decide), Arc::clone(&backends), zones, Arc::clone(&names));
     let by_hand = ByHand::start(Arc::clone(&decide), Arc::clone(&names), handover.clone(), place.as_deref());
     let known: List = at(&told, "known")?;
@@ -152,12 +158,15 @@
     }
     tokio::spawn(share(Arc::clone(&decide), others.clone()));
 
-    let (duty, on_duty) = watch::channel(Duty::Serving);
+    let stand = Stand::new(fleet.as_ref().map(Fleet::right));
+    let on_duty = stand.follow();
     let (ended, ending) = watch::channel(false);
     let numbers: Vec<usize> = (0..at::<Vec<Value>>(settings, "Workloads")?.len()).collect();
     let (terms, on_terms) = watch::channel(Arc::new(Terms::new(settings, &numbers)?));
     tokio::spawn(retune::follow(hangup, told.clone(), Arc::clone(&decide), terms, moved));
-    let proxy = Proxy { decide, backends, bodies, terms: on_terms, duty: on_duty.clone(), ending };
+    let come_back_us = if at::<bool>(settings, "Limits.RetryAfter")? { COME_BACK_US } else { 0 };
+    let (terms, duty, right) = (on_terms.clone(), on_duty.clone(), fleet.as_ref().map(Fleet::right));
+    let proxy = Proxy { decide, backends, bodies, terms, duty, ending, right, come_back_us };
     let second_listener =
         second_address(&told)?.map(|address| listener(address, "admin_addr")).transpose()?;
     let listener = match inherited {
@@ -166,22 +175,24 @@
     };
     let mut term = signal(SignalKind::terminate()).map_err(|wrong| format!("SIGTERM: {wrong}"))?;
     if let Some(fleet) = &fleet {
-        fleet.follow(Arc::clone(&proxy.decide), names).await;
+        fleet.terms(on_terms);
+        fleet.follow(Arc::clone(&proxy.decide)).await;
         tokio::spawn(fleet.clone().turns(on_duty.clone()));
+        tokio::spawn(fleet.clone().drains(stand.clone(), Arc::clone(&proxy.decide)));
     }
     let bound = listener.local_addr().unwrap_or(listen);
-    let (mut second, admin) = (String::new(), Admin { duty: duty.clone(), by_hand, fleet });
+    let (mut second, admin) = (String::new(), Admin { stand: stand.clone(), by_hand, fleet: fleet.clone() });
     if let Some(listener) = second_listener {
         second = listener.local_addr().map(|address| address.to_string()).unwrap_or_default();
         tokio::spawn(admin.listen(listener));
     }
     tracing::info!(code = "listening", listen = %bound, clients, executions, admin = second, "ready");
-    let router = front::router(Arc::new(proxy), on_duty.clone());
+    let router = front::router(Arc::new(proxy), stand.clone());
     let front = front::run(listener, router, clients, sockets / EASY, on_duty, others);
     let last = async {
         term.recv().await;
         tracing::info!(code = "stopping", "told to end");
-        duty.send_replace(Duty::Ending(Instant::now()));
+        stand.end();
         sleep(LAST_CALL).await;
         let _ = ended.send(true);
         sleep(LAST_WRITES).await;
@@ -190,6 +201,9 @@
         () = front => {}
         () = last => {}
     }
+    if let Some(fleet) = &fleet {
+        fleet.part().await;
+    }
     handover.iter().for_each(|handover| handover.end());
     tracing::info!(code = "ended", "all that was taken is answered");
     Ok(())
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -96,6 +96,20 @@
     pub errors_per_s: Option<f64>,
 }
 
+/// One backend as the mechanism sees it, for whoever plans beside it; in load units.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Room {
+    pub backend: u32,
+    pub zone: u32,
+    pub cell: u32,
+    pub ready: bool,
+    /// What this proxy has there.
+    pub load: f64,
+    pub max: f64,
+    /// The last outcomes there were all failures, or it is shut.
+    pub lost: bool,
+}
+
 /// Where a proxy stands, and whether it asks backends for what their answers don't tell.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Standing {
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -472,6 +472,20 @@
         numbers
     }
 
+    /// What this proxy's backends hold and can hold: nothing is decided by it here.
+    pub fn rooms(&self) -> impl Iterator<Item = Room> + '_ {
+        let used = |id: &u32| self.part.is_empty() || self.part.contains(id) || self.beyond.contains(id);
+        self.fleet.iter().filter(move |(id, _)| used(id)).map(|(id, backend)| Room {
+            backend: *id,
+            zone: backend.listed.zone,
+            cell: backend.listed.cell,
+            ready: backend.ready(),
+            load: backend.there().map(|held| held.load).sum(),
+            max: backend.max,
+            lost: backend.shut_for_us > 0 || backend.failures & 0b111 == 0b111,
+        })
+    }
+
     pub(crate) fn ours(&self) -> impl Iterator<Item = &Backend> {
         self.part.iter().map(|id| &self.fleet[id])
     }
