--- a/crates/lab/src/crowd.rs
+++ b/crates/lab/src/crowd.rs
@@ -184,7 +184,7 @@
 
 pub async fn sessions(count: usize, seconds: u64, lease_us: u64, dir: &Path) -> Result<Value, String> {
     let nature = Nature::default();
-    let layout = Layout { processes: 4, voters: 3, backends: 4, nature, lease_us, fleet: true, seed: 1 };
+    let layout = Layout { processes: 4, nature, lease_us, seed: 1, ..Layout::default() };
     let mut rig = Rig::new(layout, dir).await?;
     for at in 0..4 {
         rig.start(at).await?;
@@ -255,6 +255,7 @@
                 lease_us: 3_000_000,
                 fleet,
                 seed: turn,
+                ..Layout::default()
             };
             let mut rig = Rig::new(layout, &dir.join(format!("{turn}-{fleet}"))).await?;
             for at in 0..3 {
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -43,8 +43,7 @@
 
 pub async fn run(dir: &Path) -> Result<(), String> {
     let nature = Nature::default();
-    let layout =
-        Layout { processes: 3, voters: 3, backends: 4, nature, lease_us: 1_000_000, fleet: true, seed: 1 };
+    let layout = Layout { nature, seed: 1, ..Layout::default() };
     println!("three proxies, four emulated backends, 100 queries a second at each proxy");
     let mut rig = Rig::new(layout, dir).await?;
     for at in 0..3 {
@@ -75,7 +74,7 @@
     counted(&rig, &mut from);
     sleep(Duration::from_secs(2)).await;
     println!("executions in 2 s: {}", counted(&rig, &mut from));
-    let owner = rig.last("fleet_granted", "to").ok_or("nobody owns the duty")?;
+    let owner = rig.owner("outs").ok_or("nobody owns the duty")?;
     println!("\nthe owner, {}, is killed", rig.procs[owner].name);
     let seen = rig.seen();
     rig.kill(owner).await;
--- a/crates/lab/src/emulate.rs
+++ b/crates/lab/src/emulate.rs
@@ -93,12 +93,15 @@
     started_us: Mutex<u64>,
     account: Arc<Mutex<Account>>,
     slow: std::sync::atomic::AtomicU32,
+    down: std::sync::atomic::AtomicBool,
 }
 
 #[derive(Clone)]
 pub struct Backend {
     pub id: String,
     pub address: SocketAddr,
+    pub zone: String,
+    pub cell: u32,
     shared: Arc<Shared>,
 }
 
@@ -107,9 +110,10 @@
 }
 
 impl Backend {
-    pub async fn start(number: usize, nature: Nature, account: Arc<Mutex<Account>>) -> std::io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
+    /// `zone` and `cell` are where the list says that it is.
+    pub async fn start(
+        number: usize, (zone, cell): (String, u32), nature: Nature, account: Arc<Mutex<Account>>,
+    ) -> std::io::Result<Self> {
         let shared = Arc::new(Shared {
             number,
             nature,
@@ -118,12 +122,23 @@
             started_us: Mutex::new(0),
             account,
             slow: std::sync::atomic::AtomicU32::new(1),
+            down: Default::default(),
         });
-        let serving = Arc::clone(&shared);
+        let address = Backend::listen(&shared).await?;
+        Ok(Backend { id: format!("s-{number}"), address, zone, cell, shared })
+    }
+
+    async fn listen(shared: &Arc<Shared>) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let serving = Arc::clone(shared);
         tokio::spawn(async move {
             loop {
                 let Ok((stream, _)) = listener.accept().await else { continue };
                 let shared = Arc::clone(&serving);
+                if shared.down.load(std::sync::atomic::Ordering::Relaxed) {
+                    continue;
+                }
                 tokio::spawn(async move {
                     let _ = stream.set_nodelay(true);
                     let answer = service_fn(move |request| answered(Arc::clone(&shared), request));
@@ -133,7 +148,18 @@
                 });
             }
         });
-        Ok(Backend { id: format!("s-{number}"), address, shared })
+        Ok(address)
+    }
+
+    /// The same machine at another address; the old one still answers.
+    pub async fn move_on(&mut self) -> std::io::Result<()> {
+        self.address = Backend::listen(&self.shared).await?;
+        Ok(())
+    }
+
+    /// While it is down it ends each connection, and answers nothing.
+    pub fn down(&self, down: bool) {
+        self.shared.down.store(down, std::sync::atomic::Ordering::Relaxed);
     }
 
     /// From now on it is so many times slower.
@@ -161,6 +187,11 @@
         *none.status_mut() = StatusCode::NOT_FOUND;
         return Ok(none);
     };
+    if shared.down.load(Relaxed) {
+        let mut broken = Response::new(Full::default());
+        *broken.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        return Ok(broken);
+    }
     lock(&shared.account).enter(now_us(), &class, &query, key.as_deref(), shared.number);
     let held = shared.held.fetch_add(1, Relaxed) + 1;
     let Nature { cost_us, start_speed, cold_us, .. } = shared.nature;
@@ -180,6 +211,35 @@
     Ok(answer)
 }
 
+/// The list as a fleet's own inventory would have it: changed one machine at a time, told whole.
+pub struct Inventory {
+    entries: Mutex<Vec<(Backend, &'static str, u64, bool)>>,
+    list: watch::Sender<(u64, Vec<Value>)>,
+}
+
+impl Inventory {
+    pub fn of(backends: &[Backend], discovery: &Discovery) -> Self {
+        let entries = backends.iter().map(|backend| (backend.clone(), "SERVING", 0, true)).collect();
+        Inventory { entries: Mutex::new(entries), list: discovery.list.clone() }
+    }
+
+    /// Lifecycle, start, and whether it is listed at all.
+    pub fn change(&self, number: usize, change: impl FnOnce(&mut Backend, &mut u64, &mut bool)) {
+        let mut entries = lock(&self.entries);
+        if let Some((backend, _, started_ms, listed)) = entries.get_mut(number) {
+            change(backend, started_ms, listed);
+        }
+        let there = entries.iter().filter(|(.., listed)| *listed);
+        let told =
+            there.map(|(backend, lifecycle, started, _)| entry(backend, lifecycle, *started)).collect();
+        self.list.send_modify(|list| *list = (list.0 + 1, told));
+    }
+
+    pub fn backend(&self, number: usize) -> Backend {
+        lock(&self.entries)[number].0.clone()
+    }
+}
+
 /// Discovery: the list of backends, and watches that follow it.
 pub struct Discovery {
     pub address: SocketAddr,
@@ -187,7 +247,7 @@
 }
 
 pub fn entry(backend: &Backend, lifecycle: &str, started_ms: u64) -> Value {
-    json!({"instanceId": backend.id, "hostPort": backend.address.to_string(), "zone": "a", "cell": 0,
+    json!({"instanceId": backend.id, "hostPort": backend.address.to_string(), "zone": backend.zone, "cell": backend.cell,
            "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": started_ms})
 }
 
--- a/crates/lab/src/history.rs
+++ b/crates/lab/src/history.rs
@@ -79,6 +79,45 @@
         token: u64,
         to: String,
     },
+    /// A work plan that the fleet has said yes to.
+    Plan {
+        name: String,
+        most_out: u32,
+        most_out_zone: u32,
+        most_out_cell: u32,
+    },
+    /// A machine of a plan has come to another stage, as the leader says.
+    Stepped {
+        plan: String,
+        machine: String,
+        from: String,
+        to: String,
+        token: u64,
+        why: String,
+    },
+    /// The maintenance system has begun work, and staff have ended it.
+    WorkBegins {
+        machine: String,
+        token: u64,
+        id: String,
+    },
+    WorkEnds {
+        machine: String,
+    },
+    /// The maintenance system has refused an old owner.
+    StaleBegin {
+        machine: String,
+        token: u64,
+        seen: u64,
+    },
+    /// A query reached a machine of a plan.
+    Execution {
+        machine: String,
+        query: String,
+    },
+    PlanDone {
+        name: String,
+    },
     /// At the end, after all is healed.
     Final {
         process: String,
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,7 +9,7 @@
 use clap::{Parser, Subcommand};
 use crankpick_lab::owner::{self, Order};
 use crankpick_lab::world::{Setup, World};
-use crankpick_lab::{crowd, demo};
+use crankpick_lab::{crowd, demo, work};
 
 #[derive(Parser)]
 #[command(
@@ -44,6 +44,33 @@
         #[arg(long, default_value_t = 40.0)]
         rate: f64,
     },
+    /// Real processes and a plan over all backends: is anything sent to a machine under work?
+    Work {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 5)]
+        processes: usize,
+        #[arg(long, default_value_t = 3)]
+        voters: usize,
+        #[arg(long, default_value_t = 12)]
+        backends: usize,
+        #[arg(long, default_value_t = 20)]
+        seconds: u64,
+        /// Where history.jsonl and summary.json go, and what the processes keep
+        #[arg(long)]
+        out: PathBuf,
+        /// In microseconds
+        #[arg(long, default_value_t = 1_000_000)]
+        lease_us: u64,
+        /// Queries a second at each proxy
+        #[arg(long, default_value_t = 40.0)]
+        rate: f64,
+        /// The same run with nothing worked on: what the plan costs is the difference
+        #[arg(long)]
+        without_plan: bool,
+        #[arg(long)]
+        without_faults: bool,
+    },
     /// Three proxies, four emulated backends and some load: what a fleet does, in half a minute
     Demo {
         #[arg(long)]
@@ -129,8 +156,48 @@
     }
 }
 
+fn worked(order: &work::Order, out: &std::path::Path) -> Result<(), String> {
+    let summary = run(work::run(order, out))?;
+    println!("{}", serde_json::to_string(&summary).map_err(|wrong| wrong.to_string())?);
+    match summary.breaches.len() {
+        0 => Ok(()),
+        count => Err(format!("{count} promises broken")),
+    }
+}
+
 fn main() -> ExitCode {
     let done = match Cli::parse().what {
+        What::Work {
+            seed,
+            processes,
+            voters,
+            backends,
+            seconds,
+            out,
+            lease_us,
+            rate,
+            without_plan,
+            without_faults,
+        } => {
+            if processes < voters || voters % 2 == 0 || backends < 3 {
+                eprintln!("crankpick-lab: an odd number of voters, no more than processes; three backends");
+                return ExitCode::from(2);
+            }
+            let quiet = false;
+            let order = work::Order {
+                seed,
+                processes,
+                voters,
+                backends,
+                seconds,
+                lease_us,
+                rate,
+                without_plan,
+                without_faults,
+                quiet,
+            };
+            worked(&order, &out)
+        }
         What::Owner { seed, processes, voters, seconds, out, lease_us, rate } => {
             if processes < voters || voters % 2 == 0 {
                 eprintln!("crankpick-lab: an odd number of voters, and no more than processes");
--- a/crates/lab/src/owner.rs
+++ b/crates/lab/src/owner.rs
@@ -12,6 +12,8 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until, Instant};
 
+use crankpick_fleet::words::OUTS;
+
 use crate::emulate::Nature;
 use crate::history::{check, Found, Kind, Line};
 use crate::load::{Load, Tally};
@@ -145,14 +147,41 @@
 }
 
 /// The faults of a plan on a rig, each begun and ended at its time.
-struct Faults {
+pub struct Faults {
     rng: fastrand::Rng,
+    /// Whose owner is meant.
+    duty: &'static str,
 }
 
 impl Faults {
+    pub fn new(seed: u64, duty: &'static str) -> Self {
+        Faults { rng: fastrand::Rng::with_seed(seed ^ 0xfa), duty }
+    }
+
+    /// Plays a plan from now on, each fault begun and ended at its time.
+    pub async fn play(&mut self, rig: &mut Rig, faults: &[Fault]) -> Result<(), String> {
+        let start = Instant::now();
+        // Beginnings and ends in the order of their times.
+        let mut due: Vec<(u64, usize, bool)> = Vec::new();
+        for (number, fault) in faults.iter().enumerate() {
+            due.push((fault.at_us, number, true));
+            due.push((fault.at_us + fault.lasts_us, number, false));
+        }
+        due.sort();
+        let mut at = vec![0; faults.len()];
+        for (at_us, number, begins) in due {
+            sleep_until(start + Duration::from_micros(at_us)).await;
+            match begins {
+                true => at[number] = self.begin(rig, &faults[number]).await,
+                false => self.end(rig, &faults[number], at[number]).await?,
+            }
+        }
+        Ok(())
+    }
+
     fn target(&self, rig: &Rig, whom: Whom) -> usize {
         match whom {
-            Whom::Owner => rig.last("fleet_granted", "to").unwrap_or(0),
+            Whom::Owner => rig.owner(self.duty).unwrap_or(0),
             Whom::Leader => rig.last("fleet_leads", "process").unwrap_or(0),
             Whom::Process(at) => at % rig.procs.len(),
         }
@@ -280,7 +309,7 @@
 }
 
 /// Executions at a backend that the proxy which sent them had said to be out.
-fn at_backends_out(seen: &[Seen], rig: &Rig) -> Vec<String> {
+pub fn at_backends_out(seen: &[Seen], rig: &Rig) -> Vec<String> {
     let account = lock(&rig.account);
     let mut breaches = Vec::new();
     for (at, proc) in rig.procs.iter().enumerate() {
@@ -315,7 +344,7 @@
     breaches
 }
 
-fn queries(tally: &Tally, rig: &Rig) -> Queries {
+pub fn queries(tally: &Tally, rig: &Rig) -> Queries {
     let account = lock(&rig.account);
     let quantile = |part| tally.latency_us.as_ref().map_or(0, |latency| latency.value_at_quantile(part));
     Queries {
@@ -343,6 +372,7 @@
         lease_us: order.lease_us,
         fleet: true,
         seed: order.seed,
+        ..Layout::default()
     };
     let faults = plan(order);
     if !order.quiet {
@@ -360,22 +390,7 @@
     let (record, backends) = (Arc::clone(&rig.record), rig.backends.len());
     let operators = tokio::spawn(operators(admins, order.seed, backends, record, on_over.clone()));
     let start = Instant::now();
-    let mut run = Faults { rng: fastrand::Rng::with_seed(order.seed ^ 0xfa) };
-    // Beginnings and ends in the order of their times.
-    let mut due: Vec<(u64, usize, bool)> = Vec::new();
-    for (number, fault) in faults.iter().enumerate() {
-        due.push((fault.at_us, number, true));
-        due.push((fault.at_us + fault.lasts_us, number, false));
-    }
-    due.sort();
-    let mut at = vec![0; faults.len()];
-    for (at_us, number, begins) in due {
-        sleep_until(start + Duration::from_micros(at_us)).await;
-        match begins {
-            true => at[number] = run.begin(&mut rig, &faults[number]).await,
-            false => run.end(&mut rig, &faults[number], at[number]).await?,
-        }
-    }
+    Faults::new(order.seed, OUTS).play(&mut rig, &faults).await?;
     sleep_until(start + Duration::from_secs(order.seconds)).await;
     rig.heal().await?;
     let _ = over.send(true);
@@ -443,7 +458,7 @@
     Summary { seed: order.seed, faults, found, queries, breaches }
 }
 
-fn write(dir: &Path, rig: &Rig, summary: &Summary) -> Result<(), String> {
+pub fn write(dir: &Path, rig: &Rig, summary: &impl Serialize) -> Result<(), String> {
     let mut lines = lock(&rig.record).lines.clone();
     lines.sort_by_key(|line| line.t_us);
     let text: Result<Vec<String>, _> = lines.iter().map(serde_json::to_string).collect();
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -39,6 +39,36 @@
     /// Whether the processes are a fleet at all.
     pub fleet: bool,
     pub seed: u64,
+    pub zones: usize,
+    /// Of each zone.
+    pub cells: usize,
+    /// Further lines of the fleet's file.
+    pub terms: &'static str,
+}
+
+impl Default for Layout {
+    fn default() -> Self {
+        Layout {
+            processes: 3,
+            voters: 3,
+            backends: 4,
+            nature: Nature::default(),
+            lease_us: 1_000_000,
+            fleet: true,
+            seed: 7,
+            zones: 1,
+            cells: 1,
+            terms: "",
+        }
+    }
+}
+
+impl Layout {
+    /// Where a backend is.
+    pub fn place(&self, number: usize) -> (String, u32) {
+        let zone = (b'a' + (number % self.zones) as u8) as char;
+        (zone.to_string(), (number / self.zones % self.cells) as u32)
+    }
 }
 
 /// What one process was seen to do: told of by its log.
@@ -117,7 +147,10 @@
         let account: Arc<Mutex<Account>> = Arc::default();
         let mut backends = Vec::new();
         for number in 0..layout.backends {
-            backends.push(Backend::start(number, layout.nature, Arc::clone(&account)).await.map_err(told)?);
+            backends.push({
+                let place = layout.place(number);
+                Backend::start(number, place, layout.nature, Arc::clone(&account)).await.map_err(told)?
+            });
         }
         let entries = backends.iter().map(|backend| entry(backend, "SERVING", 0)).collect();
         let discovery = Discovery::start(entries).await.map_err(told)?;
@@ -193,7 +226,8 @@
             "discovery": self.discovery.address.to_string(), "seed": format!("{:x}", self.layout.seed + at as u64),
             "limits": {"sockets": 512, "memory_mb": 64}, "peers": [], "known": self.discovery.known(),
             "settings": {
-                "Balancers": self.layout.processes, "MyNumber": at, "Discovery": "subscribe", "Zones": ["a"],
+                "Balancers": self.layout.processes, "MyNumber": at, "Discovery": "subscribe",
+                "Zones": (0..self.layout.zones).map(|zone| self.layout.place(zone).0).collect::<Vec<_>>(),
                 "Limits": {"MaxExecutions": 4, "MayDuplicate": true, "Cancel": true, "RetryAfter": true,
                            "MaxRetryAfterUs": 2_000_000, "ConnectTimeoutUs": 250_000, "IdleCloseUs": 30_000_000},
                 "Safety": {"StartCapacity": self.layout.nature.start_speed, "ColdUs": self.layout.nature.cold_us,
@@ -212,6 +246,7 @@
             self.folder(at).join("state"),
             self.layout.lease_us
         );
+        text += self.layout.terms;
         for to in 0..self.layout.voters {
             let address = self.relays.get(&(at, to)).map_or(self.procs[to].listen, |relay| relay.address);
             text += &format!("[[voters]]\nname = \"{}\"\naddress = \"{address}\"\n", self.procs[to].name);
@@ -380,6 +415,14 @@
         self.procs.iter().position(|proc| proc.name == name)
     }
 
+    /// Who was last given a duty, as the logs have it.
+    pub fn owner(&self, duty: &str) -> Option<usize> {
+        let record = lock(&self.record);
+        let granted = |seen: &&Seen| seen.code == "fleet_granted" && seen.line["duty"] == duty;
+        let name = record.seen.iter().rev().find(granted)?.line["to"].as_str()?.split('.').next()?.to_owned();
+        self.procs.iter().position(|proc| proc.name == name)
+    }
+
     /// Until what is asked for has been seen since `from`, in the order in which it was read.
     pub async fn wait(&self, from: usize, within: Duration, is: impl Fn(&Seen) -> bool) -> Option<Seen> {
         let until = Instant::now() + within;
@@ -517,6 +560,10 @@
         "fleet_taken" => Some(Kind::Effect { duty, token, version, owner, receiver: own }),
         "fleet_stale" => Some(Kind::StaleRefused { duty, token, version, owner, receiver: own }),
         "fleet_granted" => Some(Kind::Granted { duty, token, to: text("to") }),
+        "fleet_work" => {
+            let (machine, from, to) = (text("machine"), text("from"), text("to"));
+            Some(Kind::Stepped { plan: text("plan"), machine, from, to, token, why: text("message") })
+        }
         _ => None,
     };
     let mut record = lock(record);
--- a/crates/lab/tests/processes.rs
+++ b/crates/lab/tests/processes.rs
@@ -23,7 +23,7 @@
 
 fn layout(processes: usize) -> Layout {
     let nature = Nature::default();
-    Layout { processes, voters: 3, backends: 4, nature, lease_us: 1_000_000, fleet: true, seed: 7 }
+    Layout { processes, nature, ..Layout::default() }
 }
 
 async fn fleet(name: &str, processes: usize) -> Rig {
@@ -122,7 +122,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_full_disk_hands_the_duty_on_and_comes_back_by_itself() {
     let mut rig = fleet("full", 4).await;
-    let owner = rig.last("fleet_granted", "to").expect("one owns");
+    let owner = rig.owner("outs").expect("one owns");
     let from = rig.seen();
     rig.disk(owner, Some(0));
     let other = (owner + 1) % 3;
@@ -151,7 +151,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stopped_owner_wakes_to_a_fleet_that_has_another_and_a_drained_one_hands_over() {
     let mut rig = fleet("stop", 4).await;
-    let owner = rig.last("fleet_granted", "to").expect("one owns");
+    let owner = rig.owner("outs").expect("one owns");
     let from = rig.seen();
     rig.stop(owner);
     let granted = rig.wait(from, SOON, |seen| seen.code == "fleet_granted").await.expect("another owns it");
@@ -164,7 +164,7 @@
         rig.wait(woke, Duration::ZERO, |seen| seen.process == owner && seen.code == "fleet_held").await;
     assert!(held.is_none(), "it believed again: {held:?}");
     // Drained, the new one gives it up at once.
-    let second = rig.last("fleet_granted", "to").expect("one owns");
+    let second = rig.owner("outs").expect("one owns");
     let from = rig.seen();
     rig.call(second, "LAMEDUCK").await.expect("drained");
     let gave = rig.wait(from, SOON, |seen| seen.code == "fleet_let_go").await.expect("given up");
