--- a/crates/lab/src/world/upkeep.rs
+++ b/crates/lab/src/world/upkeep.rs
@@ -7,8 +7,8 @@
 use crankpick_fleet::order::Begin;
 use crankpick_fleet::sight::{Coarse, Sees, View};
 use crankpick_fleet::state::{Command, Fleet};
-use crankpick_fleet::words::Ask;
-use crankpick_fleet::work::{Bounds, Is, Machine, Order, Plan, Say, Stage, Terms};
+use crankpick_fleet::words::{Ask, WORK};
+use crankpick_fleet::work::{Bounds, Is, Machine, Order, Plan, Say, Stage, Terms, Work};
 
 use super::{Due, World};
 use crate::history::Kind;
@@ -64,6 +64,10 @@
     /// What staff have yet to be heard with, and when it is said again.
     says: Vec<(u64, u128, Order)>,
     sees_us: u64,
+    /// For scripts: each call comes so late; nobody says that work is over; this proxy reports so much load.
+    late_us: Option<u64>,
+    no_staff: bool,
+    liar: Option<(usize, f64)>,
     /// Breaches told once.
     told: BTreeSet<String>,
     pub(super) most_out: u32,
@@ -114,7 +118,8 @@
     pub(super) fn begin_work(&mut self, at: usize, call: Begin) {
         // Now and then it comes late, perhaps after another owner's.
         let late = if self.rng.u32(0..5) == 0 { self.rng.u64(0..3 * self.setup.lease_us) } else { 2_000 };
-        if self.rng.u32(0..10) > 0 {
+        let late = self.upkeep.late_us.unwrap_or(late);
+        if self.rng.u32(0..10) > 0 || self.upkeep.late_us.is_some() {
             self.upkeep.calls.push((self.t + late, at, call));
         }
     }
@@ -155,8 +160,8 @@
     /// Work that is over is said to be; a machine is taken for whole again from the first word on.
     fn staff(&mut self) {
         let t = self.t;
-        let over: Vec<String> =
-            self.upkeep.under.iter().filter(|(_, until)| **until <= t).map(|(id, _)| id.clone()).collect();
+        let over = self.upkeep.under.iter().filter(|(_, until)| **until <= t && !self.upkeep.no_staff);
+        let over: Vec<String> = over.map(|(id, _)| id.clone()).collect();
         for machine in over {
             self.upkeep.under.remove(&machine);
             let well = |well| Order::Ended { machine: machine.clone(), well };
@@ -242,7 +247,8 @@
             for number in 0..plans.backends {
                 let (zone, cell) = place(number, plans.zones);
                 let lost = self.faulty() && self.rng.u32(0..60) == 0;
-                let (load, max) = (Coarse::of(0.2 + self.rng.f64()), Coarse::of(20.0));
+                let liar = self.upkeep.liar.filter(|(liar, _)| *liar == at).map(|(_, load)| load);
+                let (load, max) = (Coarse::of(liar.unwrap_or(0.2 + self.rng.f64())), Coarse::of(20.0));
                 view.backends.insert(format!("s-{number}"), Sees { zone, cell, load, max, lost });
             }
             if let Some(node) = self.hosts[at].node.as_mut().filter(|_| self.rng.u32(0..10) > 0) {
@@ -396,6 +402,71 @@
         }
     }
 
+    // For scripts.
+
+    pub fn calls_late(&mut self, late_us: Option<u64>) {
+        self.upkeep.late_us = late_us;
+    }
+
+    pub fn staff_away(&mut self, away: bool) {
+        self.upkeep.no_staff = away;
+    }
+
+    pub fn lies(&mut self, at: usize, load: f64) {
+        self.upkeep.liar = Some((at, load));
+    }
+
+    /// An operator's order at one process, repeated until it is agreed or refused for good.
+    pub fn say(&mut self, order: Order) {
+        self.next_command += 1;
+        let (t, id) = (self.t, self.next_command);
+        self.upkeep.says.push((t, id, order));
+    }
+
+    pub fn work(&self) -> Work {
+        self.agreed().map(|fleet| fleet.work).unwrap_or_default()
+    }
+
+    pub fn stage(&self, machine: &str) -> Option<Stage> {
+        let work = self.work();
+        let found = work.plans.values().find_map(|plan| plan.machines.get(machine)).map(|one| one.stage);
+        found
+    }
+
+    /// A machine at this stage now.
+    pub fn at_stage(&self, stage: Stage) -> Option<String> {
+        let work = self.work();
+        let mut all = work.plans.values().flat_map(|plan| &plan.machines);
+        all.find(|(_, machine)| machine.stage == stage).map(|(id, _)| id.clone())
+    }
+
+    pub fn work_owner(&self) -> Option<usize> {
+        self.hosts.iter().position(|host| {
+            let own = host.clock(self.t);
+            !host.paused
+                && host.node.as_ref().is_some_and(|node| node.session.holding.token(own, WORK).is_some())
+        })
+    }
+
+    /// Runs until this holds, looking often; whether it came to that.
+    pub fn until(&mut self, most_us: u64, holds: impl Fn(&World) -> bool) -> bool {
+        let end = self.t + most_us;
+        while !holds(self) && self.t < end {
+            let next = self.t + 10_000;
+            self.run_until(next);
+        }
+        holds(self)
+    }
+
+    pub fn plan_over(&self, name: &str) -> bool {
+        self.work().plans.get(name).is_some_and(Plan::is_over)
+    }
+
+    /// How often work on each machine was begun.
+    pub fn begun(&self) -> &BTreeMap<String, u32> {
+        &self.upkeep.begun_machines
+    }
+
     /// Machines worked on, begun anew under the same id, stale calls refused, and the most that were out.
     pub fn worked(&self) -> (usize, u64, u64, u32) {
         let upkeep = &self.upkeep;
