--- a/crates/fleet/tests/order.rs
+++ b/crates/fleet/tests/order.rs
@@ -273,14 +273,15 @@
             let settled = next(&mut owner, now_us, &work, &words);
             assert_eq!(settled, next(&mut twin, now_us, &work, &words), "seed {seed}");
             for step in steps(settled) {
+                // A late owner's is refused by the log, though nothing has changed since.
+                assert!(work.clone().step(&Step { token: TOKEN - 1, ..step.clone() }, TOKEN, 3).is_err());
                 work.step(&step, TOKEN, 3).unwrap_or_else(|why| panic!("seed {seed}: {step:?}: {why}"));
                 let count = work.count();
                 assert!(
                     count.all <= most_out && count.zones.values().all(|out| *out <= bounds.most_out_zone)
                 );
-                // A late owner's, or one that is meant for an earlier time out, is refused by the log.
+                // So is one that is meant for an earlier time out.
                 assert!(work.clone().step(&step, TOKEN, 3).is_err());
-                assert!(work.clone().step(&Step { token: TOKEN - 1, ..step }, TOKEN, 3).is_err());
             }
             let working = work.open().flat_map(|(_, plan)| &plan.machines);
             let working: Vec<String> = working
@@ -293,3 +294,45 @@
         }
     }
 }
+
+/// What the log itself refuses, whatever an owner believes.
+#[test]
+fn the_log_refuses_old_tokens_old_times_out_cold_crowds_and_steps_of_no_owner() {
+    let bounds = Bounds { most_out: 3, most_out_zone: 2, most_cold: 1, ..Bounds::default() };
+    let mut work = work(plan(bounds, &[("a", "z", 0), ("b", "z", 0), ("c", "z", 0)]));
+    let step = |work: &Work, id: &str, to: Stage| {
+        let one = &work.plans["p"].machines[id];
+        let (plan, machine, why) = ("p".to_owned(), id.to_owned(), String::new());
+        Step { token: TOKEN, plan, machine, from: one.stage, to, revision: one.revision, why, wall_us: 0 }
+    };
+    let first = step(&work, "a", Stage::Agreed);
+    assert!(work.step(&Step { token: TOKEN - 1, ..first.clone() }, TOKEN, 3).unwrap_err().contains("token"));
+    work.step(&first, TOKEN, 3).expect("sound");
+    let back = step(&work, "a", Stage::Proposed);
+    work.step(&back, TOKEN, 3).expect("nobody works there");
+    // Proposed again: a step that was meant for the first time is none for the second.
+    assert!(work.step(&first, TOKEN, 3).unwrap_err().contains("by now"));
+    for to in [Stage::Leaving, Stage::Out, Stage::Working, Stage::Done, Stage::Cancelled] {
+        let skipped = step(&work, "a", to);
+        assert!(work.step(&skipped, TOKEN, 3).is_err(), "{}", to.name());
+    }
+    for id in ["a", "b", "c"] {
+        let agreed = step(&work, id, Stage::Agreed);
+        assert_eq!(work.step(&agreed, TOKEN, 3).is_err(), id == "c", "two of a zone");
+    }
+    for id in ["a", "b"] {
+        for to in [Stage::Leaving, Stage::Out, Stage::Beginning, Stage::Working] {
+            let on = step(&work, id, to);
+            work.step(&on, TOKEN, 3).expect("in order");
+        }
+        // Begun, it is called back by nobody; and only an operator ends it.
+        for to in [Stage::Proposed, Stage::Mended, Stage::Back, Stage::Cancelled] {
+            let wrong = step(&work, id, to);
+            assert!(work.step(&wrong, TOKEN, 3).is_err(), "{}", to.name());
+        }
+        work.order(&Order::Ended { machine: id.into(), well: true }).expect("under work");
+    }
+    let (a, b) = (step(&work, "a", Stage::Back), step(&work, "b", Stage::Back));
+    work.step(&a, TOKEN, 3).expect("the first");
+    assert!(work.step(&b, TOKEN, 3).unwrap_err().contains("cold"));
+}
--- a/crates/lab/src/crowd.rs
+++ b/crates/lab/src/crowd.rs
@@ -12,7 +12,7 @@
 use crankpick_fleet::lease::Times;
 use crankpick_fleet::sight::{Coarse, Seen, Sees, View};
 use crankpick_fleet::words::{Renewal, Who, Word};
-use crankpick_fleet::work::Terms;
+use crankpick_fleet::work::{Stage, Terms};
 use serde_json::{json, Value};
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
@@ -22,9 +22,17 @@
 use crate::emulate::Nature;
 use crate::load::Load;
 use crate::rig::{Layout, Rig};
+use crate::work;
 
+/// Of the plan that is carried out before the sessions' eyes.
+const BACKENDS: usize = 24;
+const MACHINES_OUT: u32 = 6;
 const SOON: Duration = Duration::from_secs(30);
 
+fn place(number: usize) -> (String, u32) {
+    Layout { zones: 3, cells: 2, ..Layout::default() }.place(number)
+}
+
 #[derive(Default)]
 struct Counts {
     bytes_out: AtomicU64,
@@ -58,11 +66,12 @@
         let mut rng = fastrand::Rng::with_seed(self.who.incarnation);
         let mut view = View { queries: Coarse::of(10.0), ..View::default() };
         for _ in 0..8 {
-            let number = rng.u32(0..190);
+            let number = rng.usize(0..BACKENDS);
+            let (zone, cell) = place(number);
             let sees = Sees {
-                zone: format!("z{}", number % 3),
-                cell: number % 12,
-                load: Coarse::of(0.1 + 0.2 * rng.f64()),
+                zone,
+                cell,
+                load: Coarse::of(0.02 + 0.02 * rng.f64()),
                 max: Coarse::of(30.0),
                 lost: false,
             };
@@ -137,6 +146,8 @@
                         }
                         Word::Publish { publication, .. } => {
                             (taken, token) = (publication.version, publication.token);
+                            // As a proxy that has acted on it says so at once.
+                            next_soon(&mut next_at);
                             self.version.send_replace(taken);
                         }
                         Word::Nudge(_) => next_soon(&mut next_at),
@@ -184,7 +195,16 @@
 
 pub async fn sessions(count: usize, seconds: u64, lease_us: u64, dir: &Path) -> Result<Value, String> {
     let nature = Nature::default();
-    let layout = Layout { processes: 4, nature, lease_us, seed: 1, ..Layout::default() };
+    let layout = Layout {
+        processes: 4,
+        backends: BACKENDS,
+        nature,
+        lease_us,
+        seed: 1,
+        zones: 3,
+        cells: 2,
+        ..Layout::default()
+    };
     let mut rig = Rig::new(layout, dir).await?;
     for at in 0..4 {
         rig.start(at).await?;
@@ -224,6 +244,9 @@
     generation.send_modify(|generation| *generation += 1);
     let again = until(SOON, || counts.answered.load(Ordering::Relaxed) >= count).await?;
     let spent: Vec<f64> = (0..4).map(|at| rig.cost(at).unwrap_or_default().0 - before[at]).collect();
+    rig.call(3, "FLEET BACK 2 s-1").await?;
+    sleep(Duration::from_secs(3)).await;
+    let plan = plan(&rig, &bytes).await?;
     let leader = rig.status(3).await?.leader;
     let per_s = |bytes: u64| bytes as f64 / seconds as f64 / count as f64;
     let told = json!({
@@ -231,12 +254,59 @@
         "bytes_per_session_s": {"out": per_s(sent), "in": per_s(heard)},
         "us": {"all_answered": first.as_micros() as u64, "agreed": agreed.as_micros() as u64,
                "all_acted": acted.as_micros() as u64, "all_again": again.as_micros() as u64},
-        "cpu_s_all_again": spent,
+        "cpu_s_all_again": spent, "plan": plan,
     });
     rig.close().await;
     Ok(told)
 }
 
+/// A plan over all backends, nothing in the way: what a machine costs, beside the sessions' own signs of life.
+async fn plan(rig: &Rig, bytes: &impl Fn() -> (u64, u64)) -> Result<Value, String> {
+    let text = format!(
+        "name = \"week\"\nwhy = \"patches\"\n[bounds]\nmost_out = {MACHINES_OUT}\nleast_spare = 1.2\n\
+         warm_us = 0\ncalm_us = 0\nlast_of_cell = true\n[[machines]]\nzone = \"a\"\n[[machines]]\nzone = \"b\"\n\
+         [[machines]]\nzone = \"c\"\n"
+    );
+    let cpu = || (0..4).map(|at| rig.cost(at).unwrap_or_default().0).collect::<Vec<_>>();
+    let (at_rest, rest) = (cpu(), bytes());
+    let quiet = Instant::now();
+    sleep(Duration::from_secs(5)).await;
+    let (idle, still) = (cpu(), bytes());
+    let idle_s = quiet.elapsed().as_secs_f64();
+    work::add(rig, &text, &rig.dir).await?;
+    let begun = Instant::now();
+    loop {
+        let plan = work::plan(rig, "week").await?;
+        if plan.is_over() {
+            break;
+        }
+        if begun.elapsed() > 4 * SOON {
+            return Err(format!("the plan is not over: {}", plan.waits));
+        }
+        let under = plan.machines.iter().filter(|(_, machine)| machine.stage == Stage::Working);
+        for (machine, _) in under {
+            let call = format!("FLEET WORK DONE {:x} {machine}", fastrand::u128(1..));
+            // One that has been done meanwhile says so.
+            let _ = rig.call(3, &call).await;
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    let (took, after, moved) = (begun.elapsed(), cpu(), bytes());
+    let machines = BACKENDS as f64;
+    let over = |at: usize| {
+        let usual = (idle[at] - at_rest[at]) / idle_s * took.as_secs_f64();
+        (after[at] - idle[at] - usual) / machines
+    };
+    let usual = |before: u64, now: u64| (now - before) as f64 / idle_s * took.as_secs_f64();
+    let out = (moved.0 - still.0) as f64 - usual(rest.0, still.0);
+    let back = (moved.1 - still.1) as f64 - usual(rest.1, still.1);
+    Ok(json!({
+        "machines": BACKENDS, "took_us": took.as_micros() as u64,
+        "cpu_s_a_machine": (0..4).map(over).collect::<Vec<_>>(),
+        "bytes_a_machine": {"from_sessions": out / machines, "to_sessions": back / machines},
+    }))
+}
+
 /// Latency of queries with the fleet's part on and off, in turns on the same machine.
 pub async fn pace(turns: u64, seconds: u64, rate: f64, dir: &Path) -> Result<Value, String> {
     let mut told = Vec::new();
--- a/crates/lab/src/work.rs
+++ b/crates/lab/src/work.rs
@@ -220,12 +220,13 @@
     Ok(summary)
 }
 
-async fn add(rig: &Rig, text: &str, dir: &Path) -> Result<(), String> {
+/// Gives the fleet a plan through its first process.
+pub async fn add(rig: &Rig, text: &str, dir: &Path) -> Result<(), String> {
     let path = dir.join("plan.toml");
     std::fs::write(&path, text).map_err(|wrong| wrong.to_string())?;
     let draft = crankpick_carry::plan_file::read(&path)?;
     let draft = serde_json::to_string(&draft).map_err(|wrong| wrong.to_string())?;
-    rig.call(0, &format!("FLEET WORK ADD 1 {draft}")).await.map(|_| ())
+    rig.call(0, &format!("FLEET WORK ADD {:x} {draft}", fastrand::u128(1..))).await.map(|_| ())
 }
 
 async fn ended(rig: &Rig) -> Result<(), String> {
