--- a/crates/fleet/tests/order.rs
+++ b/crates/fleet/tests/order.rs
@@ -335,4 +335,11 @@
     let (a, b) = (step(&work, "a", Stage::Back), step(&work, "b", Stage::Back));
     work.step(&a, TOKEN, 3).expect("the first");
     assert!(work.step(&b, TOKEN, 3).unwrap_err().contains("cold"));
+    // Of three voters one may be away.
+    let mut both = plan(Bounds { most_out: 3, ..Bounds::default() }, &[("v1", "v1", 0), ("v2", "v2", 0)]);
+    both.machines.values_mut().for_each(|one| (one.is, one.votes) = (Is::Proxy, true));
+    let mut work = self::work(both);
+    let (one, two) = (step(&work, "v1", Stage::Agreed), step(&work, "v2", Stage::Agreed));
+    work.step(&one, TOKEN, 3).expect("one of three");
+    assert!(work.step(&two, TOKEN, 3).unwrap_err().contains("bear the loss of 1"));
 }
--- /dev/null
+++ b/crates/fleet/tests/proof.rs
@@ -0,0 +1,201 @@
+//! When a machine counts as out, from the leader's side and from the proxy's: words and clocks alone.
+
+use std::collections::BTreeSet;
+
+use crankpick_fleet::lead::Lead;
+use crankpick_fleet::lease::Times;
+use crankpick_fleet::session::Session;
+use crankpick_fleet::sight::Seen;
+use crankpick_fleet::state::{Command, Fleet, Outcome};
+use crankpick_fleet::words::{Renewal, Renewed, Who, WORK};
+use crankpick_fleet::work::{Bounds, Is, Machine, Order, Plan, Stage, Step, Terms};
+
+const LEASE: u64 = 1_000_000;
+const LONGEST: u64 = 2_000_000;
+const WAITS: Terms = Terms { drains: false, waits: true, longest_us: LONGEST };
+const DRAINS: Terms = Terms { drains: true, ..WAITS };
+const SERVES: Terms = Terms { waits: false, ..WAITS };
+
+fn who(name: &str) -> Who {
+    Who { name: name.into(), incarnation: 1 }
+}
+
+/// Machine "m", or proxy "n1", leaves under version 1, with these in the record; the first owns the work.
+fn leaving(is: Is, proxies: &[(&str, Terms)]) -> Fleet {
+    let mut fleet = Fleet::default();
+    let name = if is == Is::Backend { "m" } else { "n1" };
+    let joins = proxies.iter().map(|(name, terms)| (who(name), *terms)).collect();
+    fleet.apply(Command::Join(joins));
+    fleet.apply(Command::Grant { duty: WORK.into(), token: 1, to: who(proxies[0].0) });
+    let plan = Plan {
+        why: "x".into(),
+        bounds: Bounds::default(),
+        maintenance: None,
+        paused: false,
+        cancelled: false,
+        waits: String::new(),
+        number: 0,
+        machines: [(name.to_owned(), Machine::new(is, "z", 0, false))].into(),
+    };
+    let order = Order::Add { name: "p".into(), plan: Box::new(plan) };
+    fleet.apply(Command::Work { id: 1, order });
+    for (from, to) in [(Stage::Proposed, Stage::Agreed), (Stage::Agreed, Stage::Leaving)] {
+        let revision = fleet.work.plans["p"].machines[name].revision;
+        let (plan, machine, why) = ("p".into(), name.into(), String::new());
+        let step = Step { token: 1, plan, machine, from, to, revision, why, wall_us: 0 };
+        assert_eq!(fleet.apply(Command::Steps(vec![step])), Outcome::Stepped(vec![None]));
+    }
+    fleet
+}
+
+fn renewal(name: &str, terms: Terms, acted: u64, kept: u64, busy: &[&str]) -> Renewal {
+    let busy = busy.iter().map(|id| (*id).to_owned()).collect();
+    Renewal {
+        who: who(name),
+        sent_us: 0,
+        willing: true,
+        writable: true,
+        voter: false,
+        taken_token: 0,
+        taken: acted,
+        acted,
+        heard: 0,
+        kept,
+        terms,
+        seen: Seen { busy, ..Seen::default() },
+        work: None,
+    }
+}
+
+struct Waiting {
+    lead: Lead<()>,
+    fleet: Fleet,
+    times: Times,
+}
+
+impl Waiting {
+    fn new(fleet: Fleet) -> Self {
+        let mut waiting = Waiting { lead: Lead::new("v0", 1, 0), fleet, times: Times::new(LEASE) };
+        // The leader learns of it at time 0.
+        waiting.lead.sight(0, &waiting.fleet, &waiting.times);
+        waiting
+    }
+
+    fn hear(&mut self, at_us: u64, renewal: Renewal) {
+        self.lead.hear(at_us, renewal, ());
+    }
+
+    fn for_what(&self, now_us: u64) -> Vec<String> {
+        let (id, machine) = self.fleet.work.plans["p"].machines.first_key_value().expect("one");
+        self.lead.waits(now_us, id, machine, &self.fleet, &self.times)
+    }
+}
+
+#[test]
+fn each_proxy_must_act_have_nothing_in_hand_and_be_unable_to_forget() {
+    let mut one = Waiting::new(leaving(Is::Backend, &[("a", WAITS), ("b", SERVES)]));
+    assert_eq!(one.for_what(60 * LEASE), ["a was not heard of", "b was not heard of"]);
+    one.hear(1, renewal("a", WAITS, 0, 0, &[]));
+    one.hear(1, renewal("b", SERVES, 1, 0, &["m"]));
+    assert_eq!(one.for_what(2), ["a has yet to act on version 1", "b has something in hand there"]);
+    one.hear(3, renewal("a", WAITS, 1, 0, &["other"]));
+    one.hear(3, renewal("b", SERVES, 1, 0, &[]));
+    // It would start by its own disk without asking: what is not written there does not count.
+    assert_eq!(one.for_what(4), ["b has yet to write version 1 to its disk"]);
+    one.hear(5, renewal("b", SERVES, 1, 1, &[]));
+    assert!(one.for_what(6).is_empty());
+    // Silent from now on: it can't send there any more, whatever becomes of it.
+    assert!(one.for_what(90 * LEASE).is_empty());
+    // An older process of an upgrade counts as long as it is heard.
+    let mut older = renewal("a", WAITS, 0, 0, &[]);
+    older.who.incarnation = 0;
+    one.hear(7, older);
+    assert_eq!(one.for_what(8), ["a has yet to act on version 1 (a.0)"]);
+}
+
+#[test]
+fn who_drains_itself_is_shut_out_after_a_lease_and_its_longest_execution() {
+    let mut one = Waiting::new(leaving(Is::Backend, &[("a", DRAINS)]));
+    one.hear(1, renewal("a", DRAINS, 0, 0, &[]));
+    assert_eq!(one.for_what(LEASE + LONGEST - 1).len(), 1);
+    assert!(one.for_what(LEASE + LONGEST).is_empty());
+    // In touch and busy there, it is waited for all the same.
+    one.hear(2, renewal("a", DRAINS, 1, 1, &["m"]));
+    assert_eq!(one.for_what(9 * LEASE), ["a has something in hand there"]);
+}
+
+#[test]
+fn who_left_is_reckoned_with_unless_it_can_not_send() {
+    for (terms, parted, waits) in [
+        (WAITS, true, ""),
+        (WAITS, false, "a left without a word"),
+        (SERVES, true, "a has ended, and may start and serve unheard"),
+        (SERVES, false, "a left without a word"),
+        (DRAINS, false, ""),
+    ] {
+        let mut fleet = leaving(Is::Backend, &[("a", terms)]);
+        fleet.apply(Command::Leave(vec![(who("a"), parted)]));
+        let mut one = Waiting::new(fleet);
+        let told = one.for_what(LEASE + LONGEST);
+        assert_eq!(told.join(""), waits, "{terms:?} {parted}");
+        one.fleet.apply(Command::Work { id: 2, order: Order::Forget { name: "a".into() } });
+        assert!(one.for_what(LEASE + LONGEST).is_empty());
+    }
+}
+
+#[test]
+fn a_proxy_has_gone_once_it_owns_nothing_and_has_nothing_in_hand() {
+    let mut one = Waiting::new(leaving(Is::Proxy, &[("n1", WAITS)]));
+    let mut word = renewal("n1", WAITS, 1, 1, &[]);
+    word.seen.drained = true;
+    one.hear(1, word);
+    assert_eq!(one.for_what(2), ["n1 has yet to hand over what it owns or leads"]);
+    one.fleet.apply(Command::Release { duty: WORK.into(), token: 1 });
+    assert!(one.for_what(3).is_empty());
+    one.hear(4, renewal("n1", WAITS, 1, 1, &[]));
+    assert_eq!(one.for_what(5), ["n1 has yet to answer what it has in hand"]);
+}
+
+fn answer(sent_us: u64, version: u64) -> Renewed {
+    Renewed {
+        who: who("a"),
+        sent_us,
+        superseded: false,
+        duties: Vec::new(),
+        version,
+        tokens: Vec::new(),
+        outs: None,
+        leader: "v0".into(),
+        next: None,
+        drained: false,
+        work: None,
+    }
+}
+
+/// Counted from the sending, less the margin, and only by answers that tell of nothing it has yet to act on.
+#[test]
+fn the_right_to_send_ends_before_the_fleet_counts_on_it() {
+    let times = Times::new(LEASE);
+    let mut session = Session::new(who("a"), times, None);
+    session.terms = DRAINS;
+    assert_eq!(session.right_until(), 0);
+    session.renewed(900, answer(100, 0));
+    assert_eq!(session.right_until(), 100 + LEASE - times.margin_us);
+    session.renewed(2_000, answer(1_500, 1));
+    assert_eq!(session.right_until(), 100 + LEASE - times.margin_us, "version 1 is not acted on");
+    session.acts(2_100, 1, BTreeSet::new());
+    assert_eq!(session.right_until(), 1_500 + LEASE - times.margin_us);
+    // An older answer shortens nothing.
+    session.renewed(2_200, answer(1_000, 1));
+    assert_eq!(session.right_until(), 1_500 + LEASE - times.margin_us);
+    let mut waits = Session::new(who("a"), times, None);
+    waits.terms = WAITS;
+    assert_eq!(waits.right_until(), 0, "unheard it sends nothing");
+    waits.renewed(900, answer(100, 1));
+    assert_eq!(waits.right_until(), 0, "version 1 is not acted on");
+    waits.acts(1_000, 1, BTreeSet::new());
+    assert_eq!(waits.right_until(), u64::MAX);
+    let mut serves = Session::new(who("a"), times, None);
+    serves.terms = SERVES;
+    assert_eq!(serves.right_until(), u64::MAX);
+}
--- a/crates/lab/src/size.rs
+++ b/crates/lab/src/size.rs
@@ -340,7 +340,7 @@
         most_out = most_out.max(out);
         done =
             model.backends.iter().filter(|one| one.back_us.is_some_and(|back| now >= back + COLD_US)).count();
-        if now % (20 * S) == 0 {
+        if now.is_multiple_of(20 * S) {
             let hours = now as f64 / (3_600.0 * S as f64);
             course.0.push((hours, done as f64));
             course.1.push((hours, lost_all - lost_without));
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -32,7 +32,7 @@
 
 /// A log that nobody reads loses lines; it must not hold up queries, nor end the process.
 fn log(kind: Log) -> WorkerGuard {
-    let (log, flush) = NonBlockingBuilder::default().buffered_lines_limit(8_192).finish(std::io::stderr());
+    let (log, flush) = NonBlockingBuilder::default().buffered_lines_limit(4_096).finish(std::io::stderr());
     let format = tracing_subscriber::fmt().with_ansi(false).with_target(false).log_internal_errors(false);
     match kind {
         Log::Text => format.with_writer(log).init(),
