--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint format run regression demo fleet-soak
+.PHONY: build test lint format run regression demo fleet-soak work-soak
 
 build:
 	cargo build --release
@@ -32,3 +32,11 @@
 	@for seed in $(SEEDS); do \
 	  target/release/crankpick-lab owner --seed $$seed --seconds 60 --out target/soak/$$seed || exit 1; \
 	done
+
+# Plans under drawn faults: schedules in virtual time, the order at full size, then real processes, half a minute each.
+work-soak: build
+	target/release/crankpick-lab virtual --work --schedules 10000
+	target/release/crankpick-lab order --out target/soak
+	@for seed in $(SEEDS); do \
+	  target/release/crankpick-lab work --seed $$seed --out target/soak/work-$$seed || exit 1; \
+	done
--- a/crates/carry/src/run.rs
+++ b/crates/carry/src/run.rs
@@ -26,8 +26,6 @@
 const MOST_CALLS: usize = 256;
 /// Answers of maintenance systems; one call for a machine is out at a time.
 const MOST_BEGUN: usize = 64;
-/// The longest execution, until the proxy says.
-const LONGEST_US: u64 = 60_000_000;
 /// How long the last word is given to go.
 const PART_US: u64 = 50_000;
 /// Words taken in before what they ask for is written and said, all at once.
@@ -136,7 +134,8 @@
     let (taken, on_taken) = watch::channel(None);
     let (heard, on_heard) = watch::channel(false);
     let (drain, on_drain) = watch::channel(false);
-    let (right, longest_us) = (Right::default(), Arc::new(AtomicU64::new(LONGEST_US)));
+    let longest_us = Arc::new(AtomicU64::new(file.plan.terms.longest_us));
+    let right = Right::default();
     let (on_right, on_longest) = (right.clone(), Arc::clone(&longest_us));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|wrong| format!("fleet: {wrong}"))?;
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -65,6 +65,13 @@
     Stepped(Vec<Option<String>>),
 }
 
+/// A call by its id. The same number on another kind of call is another call: its answer must not pass for this one's.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+enum Call {
+    Outs(u128),
+    Work(u128),
+}
+
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Duty {
     pub owner: Option<Who>,
@@ -90,7 +97,7 @@
     pub outs: BTreeSet<String>,
     pub work: Work,
     pub version: u64,
-    done: VecDeque<(u128, Outcome)>,
+    done: VecDeque<(Call, Outcome)>,
 }
 
 impl Fleet {
@@ -112,12 +119,12 @@
     }
 
     /// Carried out once, whatever comes again under its id.
-    fn once(&mut self, id: u128, done: impl FnOnce(&mut Self) -> Outcome) -> Outcome {
-        if let Some((_, before)) = self.done.iter().find(|(done, _)| *done == id) {
+    fn once(&mut self, call: Call, done: impl FnOnce(&mut Self) -> Outcome) -> Outcome {
+        if let Some((_, before)) = self.done.iter().find(|(done, _)| *done == call) {
             return before.clone();
         }
         let outcome = done(self);
-        self.done.push_back((id, outcome.clone()));
+        self.done.push_back((call, outcome.clone()));
         if self.done.len() > MOST_DONE {
             self.done.pop_front();
         }
@@ -175,8 +182,8 @@
                 }
                 Outcome::Nothing
             }
-            Command::Outs { id, out, ids } => self.once(id, |fleet| fleet.outs(out, ids)),
-            Command::Work { id, order } => self.once(id, |fleet| fleet.order(&order)),
+            Command::Outs { id, out, ids } => self.once(Call::Outs(id), |fleet| fleet.outs(out, ids)),
+            Command::Work { id, order } => self.once(Call::Work(id), |fleet| fleet.order(&order)),
             Command::Steps(steps) => {
                 let stepped = steps.iter().map(|step| self.step(step).err());
                 Outcome::Stepped(stepped.collect())
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -17,7 +17,7 @@
 use crankpick_fleet::work::{Order, Say};
 use serde_json::json;
 use tokio::sync::{oneshot, watch};
-use tokio::time::{interval, sleep, timeout, MissedTickBehavior};
+use tokio::time::{interval, sleep, timeout, Instant, MissedTickBehavior};
 
 use crate::decide::Decide;
 use crate::duty::{Duty, Stand};
@@ -28,6 +28,9 @@
 /// How often the proxy's own load is looked at, and how many looks make a word on it.
 const LOOK: Duration = Duration::from_millis(100);
 const LOOKS: u32 = 10;
+/// How long a start waits at most until it may send, having acted on what is in force.
+const ACTED: Duration = Duration::from_millis(300);
+const SOON: Duration = Duration::from_millis(2);
 /// For the last word to go.
 const PART: Duration = Duration::from_millis(300);
 /// What calls to the fleet begin with.
@@ -43,10 +46,12 @@
 
 impl Fleet {
     /// `own` is this proxy's name by its configuration, for a file that all share.
+    /// `longest` is the longest that an execution may take.
     pub fn start(
-        path: &Path, own: Option<&str>, names: Arc<Mutex<Names>>, zones: Vec<String>,
+        path: &Path, own: Option<&str>, longest: Duration, names: Arc<Mutex<Names>>, zones: Vec<String>,
     ) -> Result<Self, String> {
-        let file = file::read(path, own)?;
+        let mut file = file::read(path, own)?;
+        file.plan.terms.longest_us = longest.as_micros() as u64;
         Ok(Fleet { handle: run::start(file.clone())?, file, names, zones })
     }
 
@@ -59,9 +64,8 @@
         let longest_us = Arc::clone(&self.handle.longest_us);
         tokio::spawn(async move {
             loop {
-                let longest =
-                    terms.borrow_and_update().workloads.iter().map(|one| one.statement_timeout).max();
-                longest_us.store(longest.unwrap_or_default().as_micros() as u64, Ordering::Relaxed);
+                let longest = terms.borrow_and_update().longest();
+                longest_us.store(longest.as_micros() as u64, Ordering::Relaxed);
                 if terms.changed().await.is_err() {
                     return;
                 }
@@ -100,6 +104,11 @@
         let (zones, handle) = (self.zones.clone(), self.handle.clone());
         let mut outs = Outs { decide, names, hand, zones, handle, told: Default::default() };
         let version = taken.borrow_and_update().clone().map(|publication| outs.apply(&publication));
+        // It may send once the fleet's part has heard that the version is acted on.
+        let soon = Instant::now() + ACTED;
+        while heard && !self.handle.right.lasts() && Instant::now() < soon {
+            sleep(SOON).await;
+        }
         match (heard, version) {
             (true, version) => {
                 tracing::info!(
--- a/crates/proxy/src/hand.rs
+++ b/crates/proxy/src/hand.rs
@@ -3,8 +3,14 @@
 //! executions end; read by `fleet`. Only where a fleet file is named.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
 
+use axum::body::Body;
+use axum::http::Response;
+use bytes::Bytes;
+use http_body::{Frame, SizeHint};
 use tokio::sync::Notify;
 
 #[derive(Default)]
@@ -89,3 +95,61 @@
         }
     }
 }
+
+/// An answer's body, in hand for as long as it flows.
+struct Flowing {
+    body: Body,
+    _hold: Hold,
+}
+
+impl http_body::Body for Flowing {
+    type Data = Bytes;
+    type Error = axum::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, axum::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// A long answer is on its way when its first bytes are: what it came from is in use until its last.
+pub fn flowing(answer: Response<Body>, hold: Option<Hold>) -> Response<Body> {
+    match hold {
+        Some(hold) => answer.map(|body| Body::new(Flowing { body, _hold: hold })),
+        None => answer,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use http_body_util::BodyExt;
+
+    #[tokio::test]
+    async fn a_backend_is_in_hand_until_the_last_byte_of_its_answer() {
+        let hand: Arc<InHand> = Arc::default();
+        let of = || [("a".to_owned(), 1), ("b".to_owned(), 2)].into_iter();
+        let (one, other) = (hand.execution(1), hand.execution(1));
+        let query = hand.query();
+        assert_eq!(hand.busy(of()), BTreeSet::from(["a".to_owned()]));
+        drop(other);
+        let answer = flowing(Response::new(Body::from("long")), Some(one));
+        drop(query);
+        assert!(!hand.empty() && hand.busy(of()).contains("a"), "it has not flowed yet");
+        let whole = answer.into_body().collect().await.expect("whole").to_bytes();
+        assert_eq!(whole, "long");
+        assert!(hand.empty() && hand.busy(of()).is_empty());
+        // A client that goes leaves nothing in hand either.
+        drop(flowing(Response::new(Body::from("long")), Some(hand.execution(2))));
+        assert!(hand.empty());
+    }
+}
--- a/crates/proxy/src/query.rs
+++ b/crates/proxy/src/query.rs
@@ -20,6 +20,7 @@
 use crate::decide::{Decide, Decided, NotTaken};
 use crate::duty::Duty;
 use crate::framing::Came;
+use crate::hand::flowing;
 use crate::retune::{Known, Terms};
 
 /// Kept back from what the client waits, for the way there and for writing the answer.
@@ -46,7 +47,11 @@
     if proxy.right.as_ref().is_some_and(|right| !right.lasts()) {
         return rejected(proxy.come_back_us);
     }
-    let _hold = proxy.decide.hand().map(|hand| hand.query());
+    let hold = proxy.decide.hand().map(|hand| hand.query());
+    flowing(answered(proxy, request).await, hold)
+}
+
+async fn answered(proxy: Arc<Proxy>, request: Request) -> Response<Body> {
     let (mut head, body) = request.into_parts();
     // Such a length may hide a second request in the body; a request that was not followed may as well.
     let came = head.extensions.remove::<Came>();
@@ -115,8 +120,8 @@
                     let too_late = Duty::too_late(proxy.duty.clone());
                     let execution = backends.execute(backend, head, wait, one_chance, payload, body, too_late);
                     let execution = async move {
-                        let heard = execution.await;
-                        drop(hold);
+                        let mut heard = execution.await;
+                        heard.answer = heard.answer.map(|answer| flowing(answer, hold));
                         heard
                     };
                     life.out.push((life.executions, Box::pin(execution)));
--- a/crates/proxy/src/retune.rs
+++ b/crates/proxy/src/retune.rs
@@ -33,6 +33,11 @@
 }
 
 impl Terms {
+    /// The longest that an execution may take.
+    pub fn longest(&self) -> Duration {
+        self.workloads.iter().map(|workload| workload.statement_timeout).max().unwrap_or(STATEMENT)
+    }
+
     pub fn new(settings: &Value, numbers: &[usize]) -> Result<Self, String> {
         let names: Vec<String> = each(settings, "Workloads", "Name")?;
         let timeouts: Vec<u64> = each(settings, "Workloads", "StatementTimeoutUs")?;
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -106,9 +106,12 @@
     let name: Option<String> = at(&told, "name")?;
     let (names, zones): (Arc<Mutex<Names>>, Vec<String>) = (Arc::default(), at(settings, "Zones")?);
     let fleet = with.fleet.as_deref();
-    let fleet = fleet
-        .map(|path| Fleet::start(path, name.as_deref(), Arc::clone(&names), zones.clone()))
-        .transpose()?;
+    let numbers: Vec<usize> = (0..at::<Vec<Value>>(settings, "Workloads")?.len()).collect();
+    let first_terms = Terms::new(settings, &numbers)?;
+    let longest = first_terms.longest();
+    let fleet =
+        fleet.map(|path| Fleet::start(path, name.as_deref(), longest, Arc::clone(&names), zones.clone()));
+    let fleet = fleet.transpose()?;
     let inherited = handover::inherited()?;
     // Only where the platform holds the clients' socket can a second process come to be.
     let place = handover::place(listen);
@@ -161,8 +164,7 @@
     let stand = Stand::new(fleet.as_ref().map(Fleet::right));
     let on_duty = stand.follow();
     let (ended, ending) = watch::channel(false);
-    let numbers: Vec<usize> = (0..at::<Vec<Value>>(settings, "Workloads")?.len()).collect();
-    let (terms, on_terms) = watch::channel(Arc::new(Terms::new(settings, &numbers)?));
+    let (terms, on_terms) = watch::channel(Arc::new(first_terms));
     tokio::spawn(retune::follow(hangup, told.clone(), Arc::clone(&decide), terms, moved));
     let come_back_us = if at::<bool>(settings, "Limits.RetryAfter")? { COME_BACK_US } else { 0 };
     let (terms, duty, right) = (on_terms.clone(), on_duty.clone(), fleet.as_ref().map(Fleet::right));
