--- a/crates/carry/src/plan_file.rs
+++ b/crates/carry/src/plan_file.rs
@@ -46,9 +46,13 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Chosen {
+    #[serde(skip_serializing_if = "Option::is_none")]
     backend: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     proxy: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     zone: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     cell: Option<u32>,
 }
 
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -251,7 +251,6 @@
     }
 
     /// A machine that is on its way.
-    #[allow(clippy::too_many_arguments)]
     fn one(
         &mut self, before: &Before, plan: &Plan, name: &str, (id, machine): (&String, &Machine), for_us: u64,
         wrong: Option<&(String, bool, u64)>, left: &Work,
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -124,10 +124,12 @@
     },
 }
 
-fn played(first: u64, schedules: u64) -> Result<(), String> {
+/// One schedule a seed, on all cores: what was counted, summed, and the promises broken, by their seeds.
+fn each_seed<const N: usize>(
+    first: u64, schedules: u64, one: impl Fn(u64) -> ([u64; N], Vec<String>) + Sync,
+) -> Result<[u64; N], String> {
     let next = AtomicU64::new(first);
-    let sums = Mutex::new([0_u64; 5]);
-    let broken = Mutex::new(Vec::new());
+    let (sums, broken) = (Mutex::new([0_u64; N]), Mutex::new(Vec::new()));
     let threads = std::thread::available_parallelism().map_or(1, usize::from);
     std::thread::scope(|scope| {
         for _ in 0..threads {
@@ -136,61 +138,43 @@
                 if seed >= first + schedules {
                     return;
                 }
-                let voters = if seed.is_multiple_of(5) { 5 } else { 3 };
-                let mut world = World::new(seed, Setup { voters, ..Setup::default() });
-                world.play();
-                let found = world.found();
+                let (counts, breaches) = one(seed);
                 if let (Ok(mut sums), Ok(mut broken)) = (sums.lock(), broken.lock()) {
-                    let one = [found.owners, found.effects, found.stale_tried, found.acked, found.overlap_us];
-                    sums.iter_mut().zip(one).for_each(|(sum, one)| *sum += one);
-                    broken.extend(found.breaches.into_iter().map(|breach| format!("seed {seed}: {breach}")));
+                    sums.iter_mut().zip(counts).for_each(|(sum, count)| *sum += count);
+                    broken.extend(breaches.into_iter().map(|breach| format!("seed {seed}: {breach}")));
                 }
             });
         }
     });
-    let [owners, effects, stale, acked, overlap] = sums.into_inner().unwrap_or_default();
-    println!("{schedules} schedules: {owners} owners, {effects} effects, {stale} stale words tried, {acked} calls acknowledged, {overlap} us of overlap");
     let broken = broken.into_inner().unwrap_or_default();
     broken.iter().take(20).for_each(|breach| println!("{breach}"));
     match broken.len() {
-        0 => Ok(()),
-        count => Err(format!("{count} promises broken")),
+        0 => Ok(sums.into_inner().unwrap_or([0; N])),
+        count => Err(format!("{count} promises broken in {schedules} schedules")),
     }
 }
 
+fn played(first: u64, schedules: u64) -> Result<(), String> {
+    let [owners, effects, stale, acked, overlap] = each_seed(first, schedules, |seed| {
+        let voters = if seed.is_multiple_of(5) { 5 } else { 3 };
+        let mut world = World::new(seed, Setup { voters, ..Setup::default() });
+        world.play();
+        let found = world.found();
+        ([found.owners, found.effects, found.stale_tried, found.acked, found.overlap_us], found.breaches)
+    })?;
+    println!("{schedules} schedules: {owners} owners, {effects} effects, {stale} stale words tried, {acked} calls acknowledged, {overlap} us of overlap");
+    Ok(())
+}
+
 fn worked_in_virtual_time(first: u64, schedules: u64) -> Result<(), String> {
-    let next = AtomicU64::new(first);
-    let (sums, broken) = (Mutex::new([0_u64; 4]), Mutex::new(Vec::new()));
-    let threads = std::thread::available_parallelism().map_or(1, usize::from);
-    std::thread::scope(|scope| {
-        for _ in 0..threads {
-            scope.spawn(|| loop {
-                let seed = next.fetch_add(1, Ordering::Relaxed);
-                if seed >= first + schedules {
-                    return;
-                }
-                let mut world =
-                    World::new(seed, Setup { plans: Some(Plans::drawn(seed)), ..Setup::default() });
-                world.play_work();
-                let (machines, again, stale, _) = world.worked();
-                if let (Ok(mut sums), Ok(mut broken)) = (sums.lock(), broken.lock()) {
-                    sums.iter_mut()
-                        .zip([machines as u64, again, stale, world.put_back()])
-                        .for_each(|(a, b)| *a += b);
-                    let found = world.found().breaches;
-                    broken.extend(found.into_iter().map(|breach| format!("seed {seed}: {breach}")));
-                }
-            });
-        }
-    });
-    let [machines, again, stale, back] = sums.into_inner().unwrap_or_default();
+    let [machines, again, stale, back] = each_seed(first, schedules, |seed| {
+        let mut world = World::new(seed, Setup { plans: Some(Plans::drawn(seed)), ..Setup::default() });
+        world.play_work();
+        let (machines, again, stale, _) = world.worked();
+        ([machines as u64, again, stale, world.put_back()], world.found().breaches)
+    })?;
     println!("{schedules} schedules: {machines} machines worked on, {again} beginnings repeated, {stale} old owners' calls refused, {back} put or called back");
-    let broken = broken.into_inner().unwrap_or_default();
-    broken.iter().take(20).for_each(|breach| println!("{breach}"));
-    match broken.len() {
-        0 => Ok(()),
-        count => Err(format!("{count} promises broken")),
-    }
+    Ok(())
 }
 
 /// The rig's own work on two threads, beside the processes under test.
--- a/crates/lab/src/owner.rs
+++ b/crates/lab/src/owner.rs
@@ -309,7 +309,7 @@
 }
 
 /// Executions at a backend that the proxy which sent them had said to be out.
-pub fn at_backends_out(seen: &[Seen], rig: &Rig) -> Vec<String> {
+fn at_backends_out(seen: &[Seen], rig: &Rig) -> Vec<String> {
     let account = lock(&rig.account);
     let mut breaches = Vec::new();
     for (at, proc) in rig.procs.iter().enumerate() {
@@ -344,7 +344,7 @@
     breaches
 }
 
-pub fn queries(tally: &Tally, rig: &Rig) -> Queries {
+fn queries(tally: &Tally, rig: &Rig) -> Queries {
     let account = lock(&rig.account);
     let quantile = |part| tally.latency_us.as_ref().map_or(0, |latency| latency.value_at_quantile(part));
     Queries {
@@ -440,22 +440,30 @@
     lines.retain(|line| !matches!(&line.kind, Kind::Unsure { command, .. } if acked.contains(command)));
     let found = check(&lines);
     breaches.extend(found.breaches.iter().cloned());
+    let (queries, broken) = rules(load, rig, &seen);
+    breaches.extend(broken);
+    Summary { seed: order.seed, faults, found, queries, breaches }
+}
+
+/// The rules on queries, as clients and emulated backends saw them, whatever the run was about.
+pub fn rules(load: &Load, rig: &Rig, seen: &[Seen]) -> (Queries, Vec<String>) {
     let tally = lock(&load.tally);
     let mut queries = queries(&tally, rig);
-    breaches.extend(tally.lost.iter().take(20).map(|lost| format!("query lost: {lost}")));
+    let mut breaches: Vec<String> =
+        tally.lost.iter().take(20).map(|lost| format!("query lost: {lost}")).collect();
     // Those whose class may not be repeated: by their keys, or ids of that class.
     let bound = |name: &str| name.starts_with("k-") || tally.fates.contains_key(name);
     let twice = lock(&rig.account).twice(bound);
     queries.twice = twice.len();
     breaches.extend(twice.into_iter().take(20));
-    let out = at_backends_out(&seen, rig);
+    let out = at_backends_out(seen, rig);
     queries.at_backends_out = out.len();
     breaches.extend(out.into_iter().take(20));
     let lost_decisions = seen.iter().filter(|seen| seen.code == "fleet_broken").count();
     if lost_decisions > 0 {
         breaches.push(format!("the fleet's part broke {lost_decisions} times"));
     }
-    Summary { seed: order.seed, faults, found, queries, breaches }
+    (queries, breaches)
 }
 
 pub fn write(dir: &Path, rig: &Rig, summary: &impl Serialize) -> Result<(), String> {
--- a/crates/lab/src/work.rs
+++ b/crates/lab/src/work.rs
@@ -17,7 +17,7 @@
 use crate::history::{Kind, Line};
 use crate::load::Load;
 use crate::maintain::Maintenance;
-use crate::owner::{self, at_backends_out, Faults, Queries};
+use crate::owner::{self, Faults, Queries};
 use crate::rig::{Layout, Rig};
 
 const SETTLED: Duration = Duration::from_secs(20);
@@ -324,16 +324,8 @@
     let found = crate::history::check(&lines);
     breaches.extend(found.breaches.iter().cloned());
     let most_out_seen = most_out(&lines, &rig.layout, bounds, &mut breaches);
-    let tally = lock(&load.tally);
-    let mut queries = owner::queries(&tally, rig);
-    breaches.extend(tally.lost.iter().take(20).map(|lost| format!("query lost: {lost}")));
-    let bound = |name: &str| name.starts_with("k-") || tally.fates.contains_key(name);
-    let twice = lock(&rig.account).twice(bound);
-    queries.twice = twice.len();
-    breaches.extend(twice.into_iter().take(20));
-    let out = at_backends_out(&seen, rig);
-    queries.at_backends_out = out.len();
-    breaches.extend(out.into_iter().take(20));
+    let (queries, broken) = owner::rules(load, rig, &seen);
+    breaches.extend(broken);
     let spans = spans(&lines);
     let account = lock(&rig.account);
     let under = account.executions.iter().filter(|one| {
@@ -344,7 +336,7 @@
         under.map(|one| format!("{} reached s-{} under work", one.query, one.backend)).collect();
     breaches.extend(under.iter().take(20).cloned());
     let count = |is: fn(&Kind) -> bool| lines.iter().filter(|line| is(&line.kind)).count();
-    let counted = tally.sent - tally.excused;
+    let served = queries.completed as f64 / (queries.sent - queries.excused).max(1) as f64;
     Summary {
         seed: order.seed,
         faults,
@@ -356,7 +348,7 @@
         stale_refused: count(|kind| matches!(kind, Kind::StaleBegin { .. })),
         put_back: count(|kind| matches!(kind, Kind::Stepped { to, .. } if to == "proposed")),
         plan_us: 0,
-        served: tally.completed as f64 / counted.max(1) as f64,
+        served,
         queries,
         breaches,
     }
