--- a/crates/lab/src/size.rs
+++ b/crates/lab/src/size.rs
@@ -196,6 +196,8 @@
 struct Proxies {
     sees: Vec<Vec<usize>>,
     views: Vec<View>,
+    /// Of its own: what is drawn here must not change the day's troubles.
+    rng: fastrand::Rng,
 }
 
 impl Proxies {
@@ -209,15 +211,15 @@
             sees.sort_unstable();
             sees.dedup();
         }
-        Proxies { views: vec![View::default(); size.proxies], sees }
+        Proxies { views: vec![View::default(); size.proxies], sees, rng: rng.fork() }
     }
 
-    fn look(&mut self, model: &mut Model, asked: f64, lost: f64, load: &[f64]) {
+    fn look(&mut self, model: &Model, asked: f64, lost: f64, load: &[f64]) {
         let mut users = vec![0_u32; model.backends.len()];
         self.sees.iter().flatten().for_each(|backend| users[*backend] += 1);
         let count = self.views.len().max(1) as f64;
         for (at, view) in self.views.iter_mut().enumerate() {
-            if model.rng.u32(0..10) == 0 {
+            if self.rng.u32(0..10) == 0 {
                 continue;
             }
             *view = View {
@@ -238,7 +240,7 @@
                     cell: one.cell,
                     load: Coarse::of(told),
                     // Learned a little wrong.
-                    max: Coarse::of(able * (0.85 + 0.3 * model.rng.f64())),
+                    max: Coarse::of(able * (0.85 + 0.3 * self.rng.f64())),
                     lost: one.dead_until > model.t,
                 };
                 view.backends.insert(one.id.clone(), sees);
@@ -250,11 +252,11 @@
 fn bounds(size: &Size) -> Bounds {
     let all = size.backends as u32;
     Bounds {
-        most_out: (all / 6).max(1),
-        most_out_zone: (all / 12).max(1),
-        most_out_cell: (all / 36).max(1),
+        most_out: (all / 8).max(1),
+        most_out_zone: (all / 16).max(1),
+        most_out_cell: (all / 60).max(1),
         most_cold: (all / 20).max(1),
-        least_spare: 1.2,
+        least_spare: 1.35,
         most_rejected: 0.02,
         warm_us: COLD_US,
         calm_us: 30 * S,
@@ -303,7 +305,7 @@
         lost_without += twin.flow().1;
         match way {
             Way::Settled => {
-                proxies.look(&mut model, asked, lost, &load);
+                proxies.look(&model, asked, lost, &load);
                 settle(&mut model, &mut work, &mut owner, &proxies, &names, &voters);
             }
             Way::OneAtATime | Way::Batches(_) | Way::Random(_) => {
--- a/crates/lab/src/world/upkeep.rs
+++ b/crates/lab/src/world/upkeep.rs
@@ -14,6 +14,7 @@
 use crate::history::Kind;
 
 const LOOK_US: u64 = 50_000;
+const UNSURE_US: u64 = 5_000_000;
 const SEES_US: u64 = 500_000;
 const PATIENCE_US: u64 = 2_000_000;
 /// Staff say it again until it is agreed.
@@ -195,7 +196,8 @@
         }
         let pausing = says.iter().any(|(_, _, order)| matches!(order, Order::Say { say: Say::Pause, .. }));
         // Agreed, it need not be said again; `Fleet` knows by the machine's stage.
-        let faulty = self.faulty();
+        // Voters that have just started know less than is agreed: what they show is no proof yet.
+        let faulty = t < self.setup.faulty_us + UNSURE_US;
         if let Some(fleet) = self.agreed() {
             let stage = |machine: &String| {
                 let plans = fleet.work.open().find_map(|(_, plan)| plan.machines.get(machine));
