What the list drops without draining serves on by steps where only draining binds

Safety.RemovalNotBinding reaches the module from both hosts as Standing.only_draining_binds. One that was ready and is dropped keeps four steps of its use: an answer gives one back, a failure takes one, a regroup takes one where this proxy does not use it; at none it is forgotten. One that was listed as draining since its start is bound as before. The test fails with the setting ignored (nothing serves), and with draining forgotten once it is listed as ready again (3 is used).

--- a/crates/launch/src/lib.rs
+++ b/crates/launch/src/lib.rs
@@ -88,6 +88,7 @@
         crossing: amount(conf, "Prices.CrossZone")?,
         probes: at::<bool>(conf, "Limits.Probes")? && untold,
         peers: at(conf, "Limits.Peers")?,
+        only_draining_binds: at(conf, "Safety.RemovalNotBinding")?,
         goal: Goal {
             nines_part: amount(conf, "ScoringMix.NinesPart")?,
             full_at_nines: amount(conf, "ScoringMix.FullAtNines")?,
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -121,7 +121,8 @@
                 let age_us = now_us.saturating_sub(held.sent_us).max(1);
                 backend.pace = backend.pace.min(held.ahead / age_us as f64);
             }
-            backend.max = backend.pace * self.target_us * backend.warmth(&self.cold, now_us);
+            backend.max =
+                backend.pace * self.target_us * backend.warmth(&self.cold, now_us) * backend.trust();
         }
     }
 
@@ -130,6 +131,10 @@
         // A proxy that has just started knows no traffic: its first groups hold all and are soon rebuilt.
         self.regroup_us = now_us + self.regroup_gap_us;
         self.regroup_gap_us = (self.regroup_gap_us * 2).min(REGROUP_US);
+        // Nobody vouches for what the list has dropped and this proxy doesn't use.
+        let unused = |id: &u32| !self.part.contains(id) && !self.beyond.contains(id);
+        let others = self.fleet.iter_mut().filter(|(id, _)| unused(id));
+        others.for_each(|(_, backend)| backend.steps = backend.steps.saturating_sub(1));
         let mut ids: Vec<u32> = self.fleet.values().filter(|b| b.ready()).map(|b| b.listed.backend).collect();
         (self.maxima_us, self.part, self.beyond) = (0, Vec::new(), Vec::new());
         if self.standing.probes {
@@ -230,7 +235,7 @@
     fn rotate(&mut self, kind: usize, may: &[u32]) -> Option<u32> {
         let mut among: Vec<&mut Member> =
             self.groups[kind].iter_mut().filter(|member| may.contains(&member.backend)).collect();
-        let weight = |member: &Member| self.fleet[&member.backend].listed.weight;
+        let weight = |at: &Member| self.fleet[&at.backend].listed.weight * self.fleet[&at.backend].trust();
         let whole: f64 = among.iter().map(|member| weight(member)).sum();
         among.iter_mut().for_each(|member| member.turn += weight(member));
         let next = among.into_iter().max_by(|a, b| a.turn.total_cmp(&b.turn))?;
@@ -430,10 +435,18 @@
     fn judge(&mut self, id: u32, success: bool, now_us: u64) {
         let judged = self.fleet.get_mut(&id).expect("only listed backends are used");
         judged.failures = judged.failures << 1 | u8::from(!success);
+        // Where the list is no proof, answers are: each takes one that was dropped a step up, a failure one down.
+        if judged.steps > 0 {
+            judged.steps = if success { (judged.steps + 1).min(STEPS) } else { judged.steps - 1 };
+        }
+        let forgotten = !judged.ready();
         if success {
             (judged.shut_for_us, judged.shut_until_us) = (0, 0);
             return;
         }
+        if forgotten {
+            self.forget_gone();
+        }
         let recent = |backend: &Backend| backend.failures.count_ones();
         let shut = self.ours().filter(|backend| backend.shut_for_us > 0).count() as u32;
         let (ready, all): (u32, u32) = (self.part.len() as u32, self.ours().map(recent).sum());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -120,6 +120,8 @@
     pub probes: bool,
     /// Whether proxies may tell one another what they send.
     pub peers: bool,
+    /// Whether only what was listed as draining is out of bounds: what the list drops may still be sent to.
+    pub only_draining_binds: bool,
     pub goal: Goal,
 }
 
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -10,6 +10,8 @@
 const SHARE_KEPT: f64 = 4.0;
 /// Waves of candidates that a query has probed for it: rotation's next, its group, the part, those beyond.
 pub const WAVES: u32 = 4;
+/// Of the use of a backend that the list drops.
+pub const STEPS: u8 = 4;
 /// Longer than any body is on its way: an execution that counts as sent then is late for nobody.
 pub const A_LONG_TIME_US: u64 = 86_400_000_000;
 /// What a backend takes on at the most before any outcome tells.
@@ -185,6 +187,10 @@
     pub listed: Listed,
     /// Taken out by hand, whatever the list says.
     pub out: bool,
+    /// Whether it was listed as draining since its start.
+    pub drained: bool,
+    /// Steps of the way to full use that are left to one which the list has dropped without draining.
+    pub steps: u8,
     /// When it last started, or came back from those out by hand with no start told since; 0 means long ago.
     pub since_us: u64,
     pub held: BTreeMap<u64, Held>,
@@ -227,7 +233,16 @@
     }
 
     pub fn ready(&self) -> bool {
-        self.listed.phase == Phase::Ready && !self.out
+        (self.listed.phase == Phase::Ready || self.steps > 0) && !self.out
+    }
+
+    /// The part of its use that is left: all, unless the list has dropped it.
+    pub fn trust(&self) -> f64 {
+        if self.listed.phase == Phase::Ready {
+            1.0
+        } else {
+            f64::from(self.steps) / f64::from(STEPS)
+        }
     }
 
     /// Its weight in the list, where that says anything.
@@ -518,10 +533,17 @@
         for item in gone.collect::<Vec<_>>().iter().chain(items) {
             let backend = self.fleet.entry(item.backend).or_default();
             let was = backend.ready();
+            let loose = self.standing.only_draining_binds && item.phase == Phase::Gone;
+            // That it is gone, where this binds nobody, is no news of its start.
+            let item = if loose { Listed { phase: Phase::Gone, ..backend.listed } } else { *item };
             if backend.listed.since_us != item.since_us {
                 backend.start_anew(item.since_us);
             }
-            (backend.listed, backend.out) = (*item, self.out.contains_key(&item.backend));
+            backend.drained |= item.phase == Phase::Terminating;
+            let may_serve = loose && !backend.drained;
+            let dropped = may_serve && backend.listed.phase == Phase::Ready;
+            backend.steps = if dropped { STEPS } else { backend.steps * u8::from(may_serve) };
+            (backend.listed, backend.out) = (item, self.out.contains_key(&item.backend));
             (came, left) = (came || backend.ready() && !was, left || was && !backend.ready());
         }
         self.forget_gone();
@@ -574,7 +596,8 @@
         let executions = self.queries.values().flat_map(|qry| &qry.executions);
         let asked = self.queries.values().flat_map(|qry| qry.asked.iter().copied());
         let known: BTreeSet<u32> = executions.map(|exec| exec.backend).chain(asked).collect();
-        fleet.retain(|id, backend| backend.listed.phase != Phase::Gone || known.contains(id));
+        let named = |backend: &Backend| backend.listed.phase != Phase::Gone || backend.steps > 0;
+        fleet.retain(|id, backend| named(backend) || known.contains(id));
     }
 }
 
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -405,3 +405,30 @@
     assert_eq!(ledger.queries["dear"].sent.len(), 1);
     assert_eq!(ledger.wrong, Vec::<String>::new());
 }
+
+/// Where the list is no proof of who is up, its word alone takes nobody out, but draining does.
+#[test]
+fn what_the_list_drops_serves_on_by_steps_where_only_draining_binds() {
+    let gone = |backend| Listed { phase: Phase::Gone, ..ready(backend) };
+    let (mut ledger, _) = start(Repeat::Idempotent, 0, 2, 0, false);
+    ledger.standing.only_draining_binds = true;
+    let mut balancer = listed(&mut ledger, 4, 2, 0);
+    spread(&mut ledger, &mut balancer, "before", &[None; 8]);
+    let drains = Listed { phase: Phase::Terminating, ..ready(3) };
+    ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.tell(inbox, &[drains, ready(3)]));
+    ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.tell(inbox, &[0, 1, 2, 3].map(gone)));
+    let to = spread(&mut ledger, &mut balancer, "dropped", &[None; 24]);
+    assert_eq!(BTreeSet::from_iter(to), BTreeSet::from([0, 1, 2]), "all but the one that drained");
+    // One that no longer answers gets less with each failure, then nothing more.
+    let mut failed = 0;
+    for number in 0..200 {
+        ask(&mut ledger, &mut balancer, &format!("failing{number}"), None);
+        let now = ledger.out().iter().filter(|(id, n)| ledger.queries[id].sent[*n].backend == 0).count();
+        failed += now;
+        let ended = |sent: &Sent| if sent.backend == 0 { Ended::Unreachable } else { Ended::Completed };
+        end(&mut ledger, &mut balancer, 100_000, ended);
+        end(&mut ledger, &mut balancer, 5_000, |_| Ended::Completed);
+    }
+    assert_eq!(failed, 4, "as many as there are steps");
+    assert_eq!(ledger.wrong, Vec::<String>::new());
+}
