All that a proxy has out is bounded by its share of what crowded backends hold

Each proxy keeps to six nodes, eight proxies meet on one, and each sends one query to whoever holds none of its own: eight a node. No setting tells when a node is crowded. Where nobody tells or probes, a proxy has no more out than four queries for each of its nodes, divided by those who share it, or its share of the reported load if that is more: in-flight mean over reported mean, so that a busy proxy isn't held to a fair part. An idle one takes only what it would end within the SLO time at its learned pace: what is late there only keeps others from it.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -211,6 +211,18 @@
         warmth >= 1.0 || sent + work <= bears / (users * self.processes) as f64
     }
 
+    /// Whether all that this proxy has out is as much as backends that are crowded everywhere would hold of it.
+    fn crowded(&self) -> bool {
+        if self.standing.probes || self.standing.peers {
+            return false;
+        }
+        let out: usize = self.ours().map(|backend| backend.there().count()).sum();
+        let users = |backend: &Backend| 1.0 / (backend.sharers.len() + 1) as f64;
+        let fair: f64 = self.ours().map(users).sum();
+        let share = if self.reported.count < 16 { 0.0 } else { self.own_out.mean / self.reported.mean.max(1e-9) };
+        out as f64 >= CROWD_TOLD as f64 * fair.max(share)
+    }
+
     /// Whether rules, health and room for its kind let this query go to this backend at all.
     fn usable(&self, qry: &Query, backend: &Backend, now_us: u64) -> bool {
         backend.open(now_us, qry.importance)
@@ -309,6 +321,9 @@
     }
 
     fn choose(&mut self, id: &str, now_us: u64, second: bool, out: &mut dyn Writer) -> Option<u32> {
+        if self.crowded() {
+            return None;
+        }
         let asks = self.standing.probes && !second;
         if asks && !self.ask(id, now_us, out) {
             return None;
@@ -338,7 +353,7 @@
         let (load, work, reach) = (qry.load, qry.work, 1.0 + qry.importance);
         let fits = |backend: &Backend| match tail {
             true => backend.load() < backend.max && backend.work() + work <= backend.pace * left_us,
-            false => backend.idle() && backend.found <= 0.0 || backend.load() + load <= backend.max,
+            false => backend.idle() && backend.found <= 0.0 && work <= backend.pace * left_us || backend.load() + load <= backend.max,
         };
         // Past the maxima the more important go further; the rest waits where it can still be rejected.
         let bears = |backend: &Backend| !second && backend.load() < backend.max * reach;
@@ -534,6 +549,7 @@
             importance *= tardy;
         }
         b.further = (b.further + 0.1).min(20.0);
+        b.own_out.add(b.ours().map(|backend| backend.there().count() as f64).sum());
         b.last_serial += 1;
         let qry = Query {
             id: id.to_owned(),
@@ -582,6 +598,7 @@
         let held = backend.held.remove(&exec.serial);
         backend.tell(held.as_ref().is_some_and(|held| held.told), self.out);
         backend.hear(report.unwrap_or_default());
+        report.and_then(|report| report.held).into_iter().for_each(|held| b.reported.add(held));
         let completed = ended == Ended::Completed;
         if let Some(held) = held.filter(|_| completed || ended == Ended::TimedOut && !b.standing.probes) {
             backend.learn(held.ahead / took_us.max(1) as f64, 16, now_us);
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -361,6 +361,20 @@
     }
 }
 
+/// A mean that goes with the last few dozen values.
+#[derive(Default)]
+pub struct Mean {
+    pub mean: f64,
+    pub count: u32,
+}
+
+impl Mean {
+    pub fn add(&mut self, value: f64) {
+        self.count = (self.count + 1).min(64);
+        self.mean += (value - self.mean) / f64::from(self.count);
+    }
+}
+
 /// What a tenant may still ask for within its share.
 pub struct Allowance {
     pub per_us: f64,
@@ -436,6 +450,9 @@
     pub(crate) waiting: BTreeSet<Place>,
     pub(crate) last_serial: u64,
     pub(crate) further: f64,
+    /// What this proxy had out as queries came, and what the backends' reports said they held.
+    pub(crate) own_out: Mean,
+    pub(crate) reported: Mean,
     pub(crate) sweeping: bool,
     /// Whether the next wake is a late one, as nothing waited.
     pub(crate) calm: bool,
