A workload that fails apart from others is not repeated; the SLO time ends what earns nothing late

By the report failures lay evenly over nodes, kinds and zones and unevenly over workloads (86, 17, 5 % unanswered), so it is no backend's fault; each hung a one-core node until its client gave up, then came again, and our second copies hung another. 1. Where late earns nothing (and nobody probes) the SLO time is the deadline; past it a rejection advises the longest wait that clients heed. 2. A workload failing in more than a tenth and twice as often as another on the same backends: no copies, one further execution for the dearest, none for others, repetitions rejected on arrival.

--- a/crates/proxy/src/decide.rs
+++ b/crates/proxy/src/decide.rs
@@ -212,6 +212,7 @@
     /// Takes a query in; its decisions come on the channel, the first perhaps at once.
     pub fn query(
         self: &Arc<Self>, id: &str, workload: usize, tenant: usize, ttl_us: u64, hint_us: Option<u64>,
+        again: bool,
     ) -> Result<mpsc::Receiver<Decided>, NotTaken> {
         let decided = {
             let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
@@ -223,7 +224,7 @@
             held.desk.taken += 1;
             decided
         };
-        self.round(|inbox| inbox.query(id, workload, tenant, ttl_us, hint_us)).map_err(|wrong| {
+        self.round(|inbox| inbox.query(id, workload, tenant, ttl_us, hint_us, again)).map_err(|wrong| {
             self.forget(id);
             NotTaken::Unsound(wrong)
         })?;
--- a/crates/proxy/src/query.rs
+++ b/crates/proxy/src/query.rs
@@ -82,7 +82,8 @@
     let waited = came.and_then(|came| came.whole).map_or(Duration::ZERO, |whole| whole.elapsed());
     let wait = asked.wait.saturating_sub(waited + ROOM);
     let ttl_us = wait.as_micros() as u64;
-    let taken = proxy.decide.query(&asked.id, asked.workload.number, asked.tenant, ttl_us, asked.hint_us);
+    let (workload, tenant) = (asked.workload.number, asked.tenant);
+    let taken = proxy.decide.query(&asked.id, workload, tenant, ttl_us, asked.hint_us, asked.again);
     let decided = match taken {
         Ok(decided) => decided,
         Err(NotTaken::Known) => {
@@ -227,6 +228,8 @@
     tenant: usize,
     wait: Duration,
     hint_us: Option<u64>,
+    /// Whether the client says that it has tried before.
+    again: bool,
 }
 
 impl Asked {
@@ -263,6 +266,7 @@
             tenant: tenant.unwrap_or(usize::MAX),
             wait,
             hint_us: hint(&head.headers),
+            again: text("x-retry") == Some("1"),
         })
     }
 }
@@ -329,7 +333,7 @@
         decide.list(true, &[Listed { backend: 1, phase: Phase::Ready, weight: 1.0, ..Listed::default() }]);
         for turn in 0..50 {
             let id = turn.to_string();
-            let mut decided = decide.query(&id, 0, 0, 5_000_000, None).ok().expect("taken");
+            let mut decided = decide.query(&id, 0, 0, 5_000_000, None, false).ok().expect("taken");
             let first = decided.try_recv();
             assert!(matches!(first, Ok(Decided::Execute { .. })), "turn {turn}: {first:?}");
             // As if it were still on its way to the query's task.
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -110,12 +110,13 @@
     match message {
         "Accept" => {
             let hinted = line.marks.unwrap_or(0) & 1 != 0;
+            let again = line.marks.unwrap_or(0) & 2 != 0;
             let id = text_reference(line)?;
             let workload = need(line.workload, message, "Type")?;
             let ttl_us = need(line.ttl_us, message, "TtlUs")?;
             let hint_us = line.weight_hint_us.filter(|_| hinted);
             inbox
-                .query(id, workload, line.tenant.unwrap_or(0), ttl_us, hint_us)
+                .query(id, workload, line.tenant.unwrap_or(0), ttl_us, hint_us, again)
                 .map_err(|wrong| format!("{message}: {wrong}"))
         }
         "Answer" => {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -22,6 +22,8 @@
 const CROWD_TOLD: usize = 4;
 /// Queries left with one backend by all, as inferred where nobody tells.
 const CROWD: f64 = 3.0;
+/// Executions of a workload that fail, in part, past which its queries may themselves be the cause.
+const SUSPECT: f64 = 0.1;
 /// Sharers told of an execution for each load unit of its work: as many notes as it has sharers go out.
 const WORTH_TELLING: f64 = 8.0;
 /// Proxies that share one backend, where a part may be that small: one query of each of many is a crowd.
@@ -228,6 +230,14 @@
         self.out() >= CROWD * share.clamp(fair, fair * 2.0)
     }
 
+    /// Whether the executions of this workload fail far more often than another's on the same backends.
+    fn suspect(&self, workload: usize) -> bool {
+        let others = self.failing.iter().enumerate().filter(|(other, _)| *other != workload);
+        let least = others.filter(|(_, of)| of.count >= 8).map(|(_, of)| of.mean).fold(1.0, f64::min);
+        let own = &self.failing[workload];
+        own.count >= 8 && own.mean > (least * 2.0).max(SUSPECT)
+    }
+
     /// Whether rules, health and room for its kind let this query go to this backend at all.
     fn usable(&self, qry: &Query, backend: &Backend, now_us: u64) -> bool {
         backend.open(now_us, qry.importance)
@@ -418,7 +428,7 @@
                 self.waiting.remove(&entry);
                 self.execute(&entry.2, id, now_us, out);
             } else if last_chance || self.queries[&entry.2].asked_all(&self.fleet) {
-                self.give_up(&entry.2, out);
+                self.give_up(&entry.2, now_us, out);
             }
             // What even an unbound query finds full is full for the less important after it.
             full |= place.is_none() && !bound && !self.standing.probes;
@@ -426,10 +436,14 @@
     }
 
     /// The final answer to a query that gets no further execution, at once.
-    fn give_up(&mut self, id: &str, out: &mut dyn Writer) {
+    fn give_up(&mut self, id: &str, now_us: u64, out: &mut dyn Writer) {
         let wait_us = self.expected_wait_us(Reverse(0)) as u64;
         let qry = &self.queries[id];
         let workload = &self.workloads[qry.workload];
+        // Past its SLO time another try would be for nothing.
+        let past =
+            workload.tardy_importance <= 0.0 && now_us + self.target_us as u64 > qry.arrived_us + qry.slo_us;
+        let wait_us = if past { qry.limits.max_backoff_us } else { wait_us };
         let all = workload.repeat == Repeat::Deduplicated && workload.group == DedupGroup::All;
         let harmless = qry.binding().is_none() || workload.repeat == Repeat::Idempotent || all;
         match harmless {
@@ -494,7 +508,7 @@
         let waiting = self.waiting.iter().map(|entry| &self.queries[&entry.2]);
         let stale = waiting.filter(|qry| now_us > qry.arrived_us + qry.slo_us / 2);
         for id in stale.map(|qry| qry.id.clone()).collect::<Vec<String>>() {
-            self.give_up(&id, out);
+            self.give_up(&id, now_us, out);
         }
         // A second copy leaves a backend that is slow against its peers, never one among a slow fleet, within
         // a budget that overload spends at once: further executions must not feed it. Where copies may not
@@ -507,6 +521,7 @@
             let may = if two { ran == 1 } else { self.standing.probes && qry.limits.cancel && !once };
             // One whose deadline is reached gets none: its time-out is on its way here.
             let late_us = exec.sent_us + (2 * exec.expected_us).max(qry.slo_us / 3);
+            let may = may && !self.suspect(qry.workload);
             let due = may && !qry.over && qry.may_go_on(now_us) && now_us > late_us;
             due.then(|| (qry.id.clone(), exec.backend, exec.serial, two))
         };
@@ -534,7 +549,7 @@
 
 impl Inbox<'_> {
     pub fn query(
-        &mut self, id: &str, workload: usize, tenant: usize, ttl_us: u64, hint_us: Option<u64>,
+        &mut self, id: &str, workload: usize, tenant: usize, ttl_us: u64, hint_us: Option<u64>, again: bool,
     ) -> Result<(), String> {
         let b = &mut *self.balancer;
         let about = b.workloads.get(workload).ok_or_else(|| format!("unknown workload {workload}"))?;
@@ -556,8 +571,10 @@
         if takes_us > slo_us as f64 {
             importance *= tardy;
         }
+        // What is late earns nothing: it would only keep its backend from others. Probing proxies move it.
+        let late = tardy <= 0.0 && !b.standing.probes;
         b.further = (b.further + 0.1).min(20.0);
-        b.own_out.add(b.out());
+        b.own_out.add(b.out(), 64);
         b.last_serial += 1;
         let qry = Query {
             id: id.to_owned(),
@@ -568,7 +585,7 @@
             work: units.unwrap_or(load),
             arrived_us: self.now_us,
             slo_us,
-            deadline_us: self.now_us.saturating_add(ttl_us),
+            deadline_us: self.now_us.saturating_add(if late { ttl_us.min(slo_us) } else { ttl_us }),
             importance,
             limits: b.limits,
             ..Query::default()
@@ -585,8 +602,9 @@
         } else {
             (b.expected_wait_us(place.0) / slo_us.max(1) as f64 - 0.02) / 0.1
         };
-        if takes_us > ttl_us as f64 || b.rng.f64() < chance {
-            b.give_up(id, self.out);
+        // What brings down or hangs whoever takes it comes back as any other does: its first try is enough.
+        if takes_us > ttl_us as f64 || again && b.suspect(workload) || b.rng.f64() < chance {
+            b.give_up(id, self.now_us, self.out);
         } else {
             b.waiting.insert(place);
         }
@@ -606,8 +624,11 @@
         let held = backend.held.remove(&exec.serial);
         backend.tell(held.as_ref().is_some_and(|held| held.told), self.out);
         backend.hear(report.unwrap_or_default());
-        report.and_then(|report| report.held).into_iter().for_each(|held| b.reported.add(held));
+        report.and_then(|report| report.held).into_iter().for_each(|held| b.reported.add(held, 64));
         let completed = ended == Ended::Completed;
+        if completed || matches!(ended, Ended::TimedOut | Ended::Dropped | Ended::Errored) {
+            b.failing[qry.workload].add(f64::from(u8::from(!completed)), 24);
+        }
         if let Some(held) = held.filter(|_| completed || ended == Ended::TimedOut && !b.standing.probes) {
             backend.learn(held.ahead / took_us.max(1) as f64, 16, now_us);
             // What passed beyond its own work went to a crowd of others: stay away so that all take turns.
@@ -638,14 +659,16 @@
             // What reached no backend, or hardly, burdens none, so it takes nothing from the budget.
             let untaken = b.standing.probes && ended == Ended::TurnedAway;
             let price = if untaken || matches!(ended, Ended::Unreachable | Ended::Stale) { 0.0 } else { 1.0 };
+            let once = qry.executions.len() < 2 && qry.importance >= 1.0;
             let more = qry.may_go_on(now_us)
+                && (once || !b.suspect(qry.workload))
                 && b.further >= price
                 && b.fleet.values().any(|other| other.ready() && b.allowed(qry, &other.listed, now_us));
             if more {
                 b.further -= price;
                 b.waiting.insert(qry.place());
             } else {
-                b.give_up(id, self.out);
+                b.give_up(id, now_us, self.out);
             }
         }
     }
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -361,7 +361,7 @@
     }
 }
 
-/// A mean that goes with the last few dozen values.
+/// A mean that goes with the newer values.
 #[derive(Default)]
 pub struct Mean {
     pub mean: f64,
@@ -369,8 +369,9 @@
 }
 
 impl Mean {
-    pub fn add(&mut self, value: f64) {
-        self.count = (self.count + 1).min(64);
+    /// Adds one value; the last `most` or so count.
+    pub fn add(&mut self, value: f64, most: u32) {
+        self.count = (self.count + 1).min(most);
         self.mean += (value - self.mean) / f64::from(self.count);
     }
 }
@@ -453,6 +454,8 @@
     /// What this proxy had out as queries came, and what the backends' reports said they held.
     pub(crate) own_out: Mean,
     pub(crate) reported: Mean,
+    /// What part of each workload's executions failed of late.
+    pub(crate) failing: Vec<Mean>,
     pub(crate) sweeping: bool,
     /// Whether the next wake is a late one, as nothing waited.
     pub(crate) calm: bool,
@@ -501,6 +504,7 @@
             });
             numbers.push(number);
         }
+        self.failing.resize_with(self.workloads.len(), Mean::default);
         numbers
     }
 
@@ -672,7 +676,7 @@
             let id = turn.to_string();
             let fed: Result<(), String> = balancer.round(u64::from(turn) * 1_000, &mut Nowhere, |inbox| {
                 inbox.list(false, &[listed(turn, Phase::Ready), listed(turn + 900, Phase::Gone)]);
-                inbox.query(&id, 0, 0, 5_000_000, None)
+                inbox.query(&id, 0, 0, 5_000_000, None, false)
             });
             assert_eq!(fed, Ok(()));
             let fed: Result<(), String> =
--- a/tests/ledger/mod.rs
+++ b/tests/ledger/mod.rs
@@ -41,9 +41,13 @@
     pub wakes: Vec<(u64, String)>,
     pub asked: u32,
     pub peers: bool,
+    /// Whether queries come as a client's repetitions.
+    pub again: bool,
     pub cold: ColdRule,
     pub standing: Standing,
     pub probed: Vec<u32>,
+    /// When the rejected are to come back.
+    pub advised: Vec<u64>,
     pub notes: Vec<(u32, String)>,
     pub wrong: Vec<String>,
 }
@@ -76,9 +80,11 @@
             wakes,
             asked: 0,
             peers: false,
+            again: false,
             cold: COLD,
             standing: Standing::default(),
             probed: Vec::new(),
+            advised: Vec::new(),
             notes: Vec::new(),
             wrong,
         }
@@ -119,7 +125,14 @@
         let taken = Taken { workload: about, limits, deadline_us, sent: Vec::new(), answer: None };
         self.queries.insert(id.into(), taken);
         inbox
-            .query(id, self.numbers.get(workload).copied().unwrap_or(workload), 0, ttl_us, hint_us)
+            .query(
+                id,
+                self.numbers.get(workload).copied().unwrap_or(workload),
+                0,
+                ttl_us,
+                hint_us,
+                self.again,
+            )
             .expect("a known workload");
     }
 
@@ -252,9 +265,12 @@
             }
         });
     }
-    fn reject(&mut self, qry: &str, _backoff_us: u64) {
+    fn reject(&mut self, qry: &str, backoff_us: u64) {
         let qry = qry.to_owned();
-        self.put(move |ledger| ledger.answered(&qry, "rejected"));
+        self.put(move |ledger| {
+            ledger.advised.push(backoff_us);
+            ledger.answered(&qry, "rejected");
+        });
     }
     fn abort(&mut self, qry: &str) {
         let qry = qry.to_owned();
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -458,3 +458,56 @@
         assert!(may.contains(&out), "{out} on three backends that three share, reports {reported:?}");
     }
 }
+
+#[test]
+fn what_earns_nothing_late_ends_with_its_slo_time_and_is_told_to_stay_away() {
+    for (tardy, until_us) in [(0.3, 900_000), (0.0, 400_000)] {
+        let (mut ledger, _) = start(Repeat::Idempotent, 0, 2, 0, false);
+        (ledger.workloads[0].tardy_importance, ledger.workloads[0].slo_us) = (tardy, 400_000);
+        let mut balancer = listed(&mut ledger, 3, 2, 0);
+        ask(&mut ledger, &mut balancer, "q", None);
+        let sent = &ledger.queries["q"].sent[0];
+        assert_eq!(sent.until_us - sent.at_us, until_us);
+        end(&mut ledger, &mut balancer, until_us, |_| Ended::TimedOut);
+        let late = (ledger.queries["q"].answer, ledger.advised.last().copied());
+        assert_eq!(late.0, Some("rejected"), "at once");
+        assert_eq!(late.1 == Some(ledger.limits.max_backoff_us), tardy == 0.0, "{late:?}");
+    }
+}
+
+/// Whatever takes these goes down or hangs: it is not the backends that fail.
+#[test]
+fn a_workload_that_fails_apart_from_others_gets_one_further_execution_and_no_repetitions() {
+    for all in [false, true] {
+        let (mut ledger, _) = start(Repeat::Idempotent, 0, 2, 0, true);
+        ledger.workloads.push(workload(Repeat::Idempotent, DedupGroup::All, 1.0));
+        let mut balancer = listed(&mut ledger, 3, 2, 0);
+        let take = |ledger: &mut Ledger, balancer: &mut Balancer, id: &str, kind: usize, again: bool| {
+            ledger.again = again;
+            ledger.round(balancer, 5_000, |ledger, inbox| ledger.take(inbox, id, kind, 900_000, None));
+        };
+        let fail = |ledger: &mut Ledger, balancer: &mut Balancer| {
+            ledger.round(balancer, 20_000, |ledger, inbox| {
+                for (id, number) in ledger.out() {
+                    let good = id.starts_with("good") && !all;
+                    ledger.end(inbox, &id, number, if good { Ended::Completed } else { Ended::Dropped });
+                }
+            });
+            (0..5).for_each(|_| ledger.round(balancer, 20_000, |_, _| {}));
+        };
+        for number in 0..60 {
+            take(&mut ledger, &mut balancer, &format!("good{number}"), 1, false);
+            fail(&mut ledger, &mut balancer);
+            take(&mut ledger, &mut balancer, &format!("bad{number}"), 0, false);
+            (0..3).for_each(|_| fail(&mut ledger, &mut balancer));
+        }
+        take(&mut ledger, &mut balancer, "bad", 0, true);
+        let again = &ledger.queries["bad"];
+        assert_eq!((again.sent.len(), again.answer), if all { (1, None) } else { (0, Some("rejected")) });
+        if !all {
+            let tries = (40..60).map(|number| ledger.queries[&format!("bad{number}")].sent.len());
+            assert_eq!(tries.max(), Some(2), "a first failure is still followed by another execution");
+        }
+        assert_eq!(ledger.wrong, Vec::<String>::new());
+    }
+}
