--- a/crates/launch/src/lib.rs
+++ b/crates/launch/src/lib.rs
@@ -86,6 +86,7 @@
     Ok(Standing {
         zone,
         crossing: amount(conf, "Prices.CrossZone")?,
+        connection: amount(conf, "Prices.Connection")? + amount(conf, "Prices.Handshake")?,
         probes: at::<bool>(conf, "Limits.Probes")? && untold,
         peers: at(conf, "Limits.Peers")?,
         only_draining_binds: at(conf, "Safety.RemovalNotBinding")?,
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -31,8 +31,8 @@
 /// Backends in an arc at the least, and those of its zone, and of others, that a probing proxy draws.
 const PART_LEAST: usize = 6;
 const PART_PROBED: usize = 8;
-/// Those in an arc at the least where the others' queries are not seen: the fewer share one, the more is known of it.
-const PART_UNTOLD: usize = 3;
+/// Those in an arc at the least where connections have a price: fewer share one, so that more is known of it.
+const PART_PRICED: usize = 3;
 /// Candidates probed at a time.
 const WAVE: usize = 2;
 const PROBE_LOST_US: u64 = 2_000_000;
@@ -153,7 +153,7 @@
         } else {
             // Where proxies are many, each uses its own part of the list, an arc.
             let (count, balancers) = (ids.len(), self.balancers);
-            let least = if self.standing.peers { PART_LEAST } else { PART_UNTOLD };
+            let least = if self.standing.connection > 0.0 { PART_PRICED } else { PART_LEAST };
             let part = (SHARED_BY * count).div_ceil(balancers).max(least).min(count);
             let holds = |of: usize, at: usize| (at + count - of * count / balancers % count) % count < part;
             for (place, id) in ids.iter().enumerate() {
@@ -572,7 +572,7 @@
             importance *= tardy;
         }
         // What is late earns nothing: it would only keep its backend from others. Probing proxies move it.
-        let late = tardy <= 0.0 && !b.standing.probes;
+        let late = tardy <= 0.0 && !b.standing.probes && b.limits.max_backoff_us > 0;
         b.further = (b.further + 0.1).min(20.0);
         b.own_out.add(b.out(), 64);
         b.last_serial += 1;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -117,6 +117,8 @@
     pub zone: Option<u32>,
     /// What an execution in another zone costs, in importance of a mean query.
     pub crossing: f64,
+    /// What new connections and open ones cost, as the settings price them; 0 where they are free.
+    pub connection: f64,
     pub probes: bool,
     /// Whether proxies may tell one another what they send.
     pub peers: bool,
