A failed probe of a backend that is gone from memory no longer ends the program

Cause: the line added with the steps of dropped backends forgot all that are gone at any failure of one that isn't ready, the judged one among them, then looked it up. Only one whose last step is taken is forgotten now, and nothing is judged after.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -473,16 +473,16 @@
         let judged = self.fleet.get_mut(&id).expect("only listed backends are used");
         judged.failures = judged.failures << 1 | u8::from(!success);
         // Where the list is no proof, answers are: each takes one that was dropped a step up, a failure one down.
-        if judged.steps > 0 {
+        let dropped = judged.steps > 0;
+        if dropped {
             judged.steps = if success { (judged.steps + 1).min(STEPS) } else { judged.steps - 1 };
         }
-        let forgotten = !judged.ready();
         if success {
             (judged.shut_for_us, judged.shut_until_us) = (0, 0);
             return;
         }
-        if forgotten {
-            self.forget_gone();
+        if dropped && judged.steps == 0 {
+            return self.forget_gone();
         }
         let recent = |backend: &Backend| backend.failures.count_ones();
         let shut = self.ours().filter(|backend| backend.shut_for_us > 0).count() as u32;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -513,3 +513,25 @@
         assert_eq!(ledger.wrong, Vec::<String>::new());
     }
 }
+
+#[test]
+fn a_probe_may_fail_after_its_backend_is_gone_and_forgotten_by_all_queries() {
+    for only_draining_binds in [false, true] {
+        let (mut ledger, _) = start(Repeat::Idempotent, 0, 2, 0, false);
+        ledger.standing = Standing { probes: true, only_draining_binds, ..Standing::default() };
+        let mut balancer = listed(&mut ledger, 1, 2, 0);
+        ask(&mut ledger, &mut balancer, "first", None);
+        ledger.round(&mut balancer, 5_000, |_, inbox| inbox.probed(0, Ended::Completed, 900, None));
+        ask(&mut ledger, &mut balancer, "second", None);
+        let gone = Listed { phase: Phase::Gone, ..ready(0) };
+        ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.tell(inbox, &[gone]));
+        ledger.round(&mut balancer, 900_000, |_, _| {});
+        end(&mut ledger, &mut balancer, 5_000, |_| Ended::Completed);
+        for _ in 0..6 {
+            ledger.round(&mut balancer, 5_000, |_, inbox| inbox.probed(0, Ended::TimedOut, 90_000, None));
+            ask(&mut ledger, &mut balancer, "third", None);
+        }
+        ledger.wrong.retain(|wrong| !wrong.contains("no answer in time"));
+        assert_eq!(ledger.wrong, Vec::<String>::new());
+    }
+}
