--- a/crates/proxy/src/decide.rs
+++ b/crates/proxy/src/decide.rs
@@ -196,6 +196,11 @@
         held.balancer.retune(workloads, tenants, limits, cold)
     }
 
+    /// Whether the module may still send to a backend that the list has dropped.
+    pub fn uses(&self, backend: u32) -> bool {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner).balancer.uses(backend)
+    }
+
     /// What is in hand, in a fleet.
     pub fn hand(&self) -> Option<Arc<InHand>> {
         self.held.lock().unwrap_or_else(PoisonError::into_inner).desk.hand.clone()
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -1,6 +1,6 @@
 //! Follows the list of backends: a watch whenever the module wants one, its lines fed as they come.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -26,8 +26,8 @@
 
 /// Lines come every 2 s at the least: a watch without one is dead, though its connection may not know.
 const SILENT: Duration = Duration::from_millis(2_700);
-/// Against a list that never ends its line.
-const MOST_LINE: usize = 8 << 20;
+/// Against a list that never ends.
+const MOST_TEXT: usize = 8 << 20;
 
 #[derive(Deserialize, Default)]
 pub struct List {
@@ -45,6 +45,10 @@
     zones: Vec<String>,
     names: Arc<Mutex<Names>>,
     generation: u64,
+    /// Whether what the list drops may still be sent to: the settings' word.
+    only_draining_binds: bool,
+    /// Dropped by the list, but the module may still use them.
+    dropped: BTreeMap<u32, String>,
     /// Discovery has moved and told nothing yet: its versions may have restarted.
     moved: bool,
 }
@@ -52,8 +56,29 @@
 impl Discovery {
     pub fn new(
         decide: Arc<Decide>, backends: Arc<Backends>, zones: Vec<String>, names: Arc<Mutex<Names>>,
+        only_draining_binds: bool,
     ) -> Self {
-        Discovery { decide, backends, zones, names, generation: 0, moved: false }
+        let (generation, dropped, moved) = (0, BTreeMap::new(), false);
+        Discovery { decide, backends, zones, names, generation, only_draining_binds, dropped, moved }
+    }
+
+    /// Forgets who is gone, or once the module uses it no more where its going binds nobody.
+    fn gone(&mut self, id: &str, backend: u32) {
+        if self.only_draining_binds {
+            self.dropped.insert(backend, id.to_owned());
+        } else {
+            self.names().gone(id);
+            self.backends.forget(backend);
+        }
+    }
+
+    fn let_go(&mut self) {
+        let decide = Arc::clone(&self.decide);
+        let unused = self.dropped.extract_if(.., |backend, _| !decide.uses(*backend));
+        for (backend, id) in unused.collect::<Vec<_>>() {
+            self.names().gone(&id);
+            self.backends.forget(backend);
+        }
     }
 
     fn names(&self) -> MutexGuard<'_, Names> {
@@ -67,13 +92,13 @@
         let listed = instance.listed(last.backend, &self.zones)?;
         if listed.phase == Phase::Gone {
             // It may come with its id alone. Its zone and cell still bind what may have run there.
-            self.names().gone(&instance.instance_id);
-            self.backends.forget(last.backend);
+            self.gone(&instance.instance_id, last.backend);
             return Ok(Listed { phase: Phase::Gone, ..last });
         }
         let address = instance.host_port.parse();
         let address = address.map_err(|_| format!("hostPort {:?}", instance.host_port))?;
         self.backends.place(listed.backend, address);
+        self.dropped.remove(&listed.backend);
         self.names().listed(instance.instance_id, listed);
         Ok(listed)
     }
@@ -94,9 +119,8 @@
         if list.reset {
             let id = |entry| Value::get(entry, "instanceId").and_then(Value::as_str);
             let named: BTreeSet<&str> = list.instances.iter().filter_map(id).collect();
-            for backend in self.names().only(&named) {
-                self.backends.forget(backend);
-            }
+            let missing = self.names().missing(&named);
+            missing.iter().for_each(|(id, backend)| self.gone(id, *backend));
         }
         for entry in &list.instances {
             items.extend(self.entry(entry).or_else(|wrong| {
@@ -107,6 +131,7 @@
         }
         self.generation = list.generation;
         self.decide.list(list.reset, &items);
+        self.let_go();
     }
 
     /// Runs for good: the module says when to ask, also how long to wait after a loss. A new address is
@@ -142,7 +167,7 @@
         tokio::spawn(connection);
         if self.moved {
             let whole = asked(&mut sender, address, "/api/targets".to_owned()).await?.into_body();
-            let whole = timeout(SILENT, Limited::new(whole, MOST_LINE).collect()).await;
+            let whole = timeout(SILENT, Limited::new(whole, MOST_TEXT).collect()).await;
             let whole = whole.map_err(|_| "silent")?.map_err(|wrong| wrong.to_string())?.to_bytes();
             let list = understood(&whole)?;
             self.news(&List { reset: true, ..list });
@@ -153,27 +178,55 @@
         let mut body = asked(&mut sender, address, path).await?.into_body();
         // It is there: the next loss is a first one, however long nothing changes until then.
         self.decide.list(false, &[]);
-        let mut line = Vec::new();
+        let mut object = Object::default();
         loop {
             let frame = timeout(SILENT, body.frame()).await.map_err(|_| "silent")?;
             let Some(frame) = frame else { return Ok("closed".to_owned()) };
             let Ok(data) = frame.map_err(|wrong| wrong.to_string())?.into_data() else { continue };
-            for part in data.split_inclusive(|byte| *byte == b'\n') {
-                line.extend_from_slice(part);
-                if line.len() > MOST_LINE {
-                    return Ok("a line past all bounds".to_owned());
-                }
-                if line.ends_with(b"\n") {
-                    if !line.trim_ascii().is_empty() {
-                        self.news(&understood(&line)?);
-                    }
-                    line.clear();
+            for byte in data {
+                if object.ends_with(byte)? {
+                    self.news(&understood(&object.text)?);
+                    object = Object::default();
                 }
             }
         }
     }
 }
 
+/// One object of a watch as it comes in: on a line, or indented over several.
+#[derive(Default)]
+struct Object {
+    text: Vec<u8>,
+    depth: usize,
+    quoted: bool,
+    escaped: bool,
+}
+
+impl Object {
+    /// Takes one byte; whether the object is whole with it. Errors name what can be no part of a list.
+    fn ends_with(&mut self, byte: u8) -> Result<bool, String> {
+        if self.text.is_empty() && byte.is_ascii_whitespace() {
+            return Ok(false);
+        }
+        if self.text.is_empty() && byte != b'{' {
+            return Err(format!("not to be understood: {:?} between objects", char::from(byte)));
+        }
+        if self.text.len() >= MOST_TEXT {
+            return Err("an object past all bounds".to_owned());
+        }
+        self.text.push(byte);
+        match byte {
+            _ if std::mem::take(&mut self.escaped) => {}
+            b'\\' => self.escaped = self.quoted,
+            b'"' => self.quoted = !self.quoted,
+            b'{' | b'[' if !self.quoted => self.depth += 1,
+            b'}' | b']' if !self.quoted => self.depth -= 1,
+            _ => {}
+        }
+        Ok(self.depth == 0)
+    }
+}
+
 async fn asked(
     sender: &mut SendRequest<Empty<Bytes>>, address: SocketAddr, path: String,
 ) -> Result<Response<Incoming>, String> {
@@ -190,3 +243,31 @@
 fn understood(text: &[u8]) -> Result<List, String> {
     serde_json::from_slice(text).map_err(|wrong| format!("not to be understood: {wrong}"))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn objects(text: &str) -> Result<Vec<u64>, String> {
+        let (mut object, mut read) = (Object::default(), Vec::new());
+        for byte in text.bytes() {
+            if object.ends_with(byte)? {
+                read.push(understood(&std::mem::take(&mut object).text)?.generation);
+            }
+        }
+        Ok(read)
+    }
+
+    #[test]
+    fn objects_of_a_watch_are_read_on_one_line_indented_or_without_a_line_between() {
+        let plain = "\n{\"generation\":41,\"reset\":true,\"instances\":[]}\n\n";
+        let indented =
+            "{\n  \"generation\": 42,\n  \"instances\": [\n    {\"instanceId\": \"a}\\\"{\"}\n  ]\n}\n";
+        assert_eq!(objects(&format!("{plain}{indented}{plain}")), Ok(vec![41, 42, 41]));
+        assert_eq!(objects("{\"generation\":1}{\"generation\":2}"), Ok(vec![1, 2]));
+        assert_eq!(objects("{\"generation\":1"), Ok(vec![]), "not whole yet");
+        for wrong in ["x", "}", "[1]", "{\"generation\":]}"] {
+            assert!(objects(wrong).is_err(), "{wrong}");
+        }
+    }
+}
--- a/crates/proxy/src/names.rs
+++ b/crates/proxy/src/names.rs
@@ -89,17 +89,10 @@
         self.listed.remove(id);
     }
 
-    /// Of those listed only these stay; returns the numbers of the others.
-    pub fn only(&mut self, ids: &BTreeSet<&str>) -> Vec<u32> {
-        let mut gone = Vec::new();
-        self.listed.retain(|id, listed| {
-            let stays = ids.contains(id.as_str());
-            if !stays {
-                gone.push(listed.backend);
-            }
-            stays
-        });
-        gone
+    /// Who is listed but not among these, with the module's numbers.
+    pub fn missing(&self, ids: &BTreeSet<&str>) -> Vec<(String, u32)> {
+        let missing = self.listed.iter().filter(|(id, _)| !ids.contains(id.as_str()));
+        missing.map(|(id, listed)| (id.clone(), listed.backend)).collect()
     }
 }
 
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -147,7 +147,14 @@
     if at::<String>(settings, "Discovery")? != "subscribe" {
         list_wanted.notify_one();
     }
-    let mut discovery = Discovery::new(Arc::clone(&decide), Arc::clone(&backends), zones, Arc::clone(&names));
+    let only_draining_binds: bool = at(settings, "Safety.RemovalNotBinding")?;
+    let mut discovery = Discovery::new(
+        Arc::clone(&decide),
+        Arc::clone(&backends),
+        zones,
+        Arc::clone(&names),
+        only_draining_binds,
+    );
     let by_hand = ByHand::start(Arc::clone(&decide), Arc::clone(&names), handover.clone(), place.as_deref());
     let known: List = at(&told, "known")?;
     discovery.known(&known).map_err(|wrong| format!("known: {wrong}"))?;
--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -436,7 +436,8 @@
     assert_eq!(watch.asked, "GET /api/targets?watch=1&after=41 HTTP/1.1");
     let change = vec![instance("s-0", old.address, "DRAINING"), instance("s-1", new.address, "SERVING")];
     watch.say("");
-    watch.say(&list(43, false, change).to_string());
+    // Indented, so over many lines.
+    watch.say(&format!("{:#}", list(43, false, change)));
     // An entry that nobody understands holds up neither the others nor the proxy.
     let odd = json!({"instanceId": "s-2", "hostPort": "nowhere", "lifecycle": "SERVING"});
     watch.say(&list(44, false, vec![odd, instance("s-0", old.address, "ASLEEP")]).to_string());
@@ -466,6 +467,36 @@
     assert!(new.is_quiet(), "what a whole list does not name is gone");
 }
 
+#[test]
+fn what_the_list_drops_without_draining_serves_on_where_the_settings_say_so() {
+    for loose in [true, false] {
+        let (discovery, backend) = (Discovery::start(), Backend::start());
+        let mut configuration = configuration(&discovery, &[backend.address]);
+        configuration["settings"]["Safety"]["RemovalNotBinding"] = loose.into();
+        let proxy = Proxy::start(&configuration);
+        let mut watch = discovery.next();
+        watch.say(&list(50, true, vec![]).to_string());
+        watch.say("no JSON");
+        // The watch after it shows that the list before it was taken in.
+        proxy.logged("code=\"watch_ended\"");
+        let mut client = proxy.client();
+        client.ask("read", "q", 2_000);
+        if loose {
+            backend.next().answer(200, "", "ok");
+        }
+        assert_eq!(client.heard().status(), if loose { 200 } else { 503 });
+        // Once it drains it is out of bounds, also after the list has dropped it.
+        let mut watch = discovery.next();
+        watch.say(&list(51, false, vec![instance("s-0", backend.address, "DRAINING")]).to_string());
+        watch.say(&list(52, true, vec![]).to_string());
+        watch.say("no JSON");
+        proxy.logged("code=\"watch_ended\"");
+        client.ask("read", "r", 2_000);
+        assert_eq!(client.heard().status(), 503);
+        assert!(backend.is_quiet());
+    }
+}
+
 #[test]
 fn follows_discovery_to_where_a_new_configuration_says() {
     let (here, there) = (Discovery::start(), Discovery::start());
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -508,6 +508,11 @@
         numbers
     }
 
+    /// Whether a backend may still be sent to, or is known to a query.
+    pub fn uses(&self, id: u32) -> bool {
+        self.fleet.contains_key(&id)
+    }
+
     /// What this proxy's backends hold and can hold: nothing is decided by it here.
     pub fn rooms(&self) -> impl Iterator<Item = Room> + '_ {
         let used = |id: &u32| self.part.is_empty() || self.part.contains(id) || self.beyond.contains(id);
