Shares of a cold backend's budget below one query are used by lot; one without connection is left for a while

Now one query goes by a chance as large as the share, drawn for each proxy, backend and window, windows staggered. Ways weighed: turns by number (whole queries, but two turns may meet in one window, so half is lost), answers that show others' use (late).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -215,7 +215,13 @@
         let recent = backend.cold_sent.iter().filter(|sent| sent.0 + window_us >= now_us);
         let sent: f64 = recent.map(|sent| sent.1).sum();
         let users = if backend.sharers.is_empty() { self.balancers } else { backend.sharers.len() + 1 };
-        warmth >= 1.0 || sent + work <= bears / (users * self.processes) as f64
+        let part = bears / (users * self.processes) as f64;
+        // A part below one query would never be used: one goes by a chance as large as the part, drawn for each
+        // window anew, and the windows of proxies begin apart, so that all together keep to the budget.
+        let lot = self.lot ^ u64::from(backend.listed.backend);
+        let window = (now_us + lot % window_us.max(1)) / window_us.max(1);
+        let chance = || Rng::with_seed(lot.wrapping_add(window)).f64() * work < part;
+        warmth >= 1.0 || sent + work <= part || sent <= 0.0 && chance()
     }
 
     /// Whether all that this proxy has out is as much as backends that are crowded everywhere would hold of it.
@@ -637,7 +643,7 @@
             let unseen = backend.sharers.len().saturating_sub(SHARED_BY) as f64;
             backend.rest = (now_us, extra_us * unseen / 2.0);
         }
-        if ended == Ended::TurnedAway {
+        if matches!(ended, Ended::TurnedAway | Ended::Unreachable) {
             // It says itself that it is full; as it answers at once it would else look the roomiest.
             backend.shut_until_us = backend.shut_until_us.max(now_us + 2 * b.target_us as u64);
         }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -535,3 +535,45 @@
         assert_eq!(ledger.wrong, Vec::<String>::new());
     }
 }
+
+/// Parts below one query are used by lot, and all proxies together stay within what a cold backend bears.
+#[test]
+fn many_proxies_together_use_the_budget_of_a_cold_backend_and_keep_to_it() {
+    const PROXIES: u32 = 150;
+    let (mut sent_us, mut start_us): (Vec<u64>, u64) = (Vec::new(), 0);
+    for number in 0..PROXIES {
+        let (mut ledger, _) = start(Repeat::Idempotent, 0, PROXIES, number, false);
+        let mut balancer = ledger.balancer(900 + u64::from(number), PROXIES, number);
+        let all: Vec<Listed> = (0..3).map(ready).collect();
+        ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.tell(inbox, &all));
+        spread(&mut ledger, &mut balancer, "learn", &[Some(20_000); 20]);
+        start_us = ledger.now_us;
+        let cold = Listed { since_us: start_us, ..ready(3) };
+        ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.tell(inbox, &[cold]));
+        for step in 0..40 {
+            ask(&mut ledger, &mut balancer, &format!("q{step}"), Some(20_000));
+            end(&mut ledger, &mut balancer, 95_000, |_| Ended::Completed);
+        }
+        assert_eq!(ledger.wrong, Vec::<String>::new());
+        let to_cold = ledger.queries.values().flat_map(|qry| &qry.sent).filter(|sent| sent.backend == 3);
+        sent_us.extend(to_cold.map(|sent| sent.at_us));
+    }
+    sent_us.sort();
+    // A warm backend was seen to do one of these queries in 25 ms at the least, as they were ended.
+    let bears = |from_us: u64| {
+        let age = (from_us + COLD.window_us / 2 - start_us) as f64 / COLD.cold_us as f64;
+        COLD.multiple * (COLD.start_capacity + (1.0 - COLD.start_capacity) * age) * COLD.window_us as f64
+            / 20_000.0
+    };
+    for from_us in &sent_us {
+        let within =
+            sent_us.iter().filter(|at| (*from_us..from_us + COLD.window_us).contains(at)).count() as f64;
+        assert!(
+            within <= bears(*from_us) + 3.0 * bears(*from_us).sqrt() + 3.0,
+            "{within} of {}",
+            bears(*from_us)
+        );
+    }
+    let first = sent_us.iter().filter(|at| **at < start_us + COLD.window_us).count() as f64;
+    assert!(first > bears(start_us) * 0.3, "{first} of {} in the first window", bears(start_us));
+}
