--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,8 +1,8 @@
-//! All decisions of the proxy. A host makes one `Balancer` an instance and calls `round` once for
-//! each batch of news: inside the call it feeds what came in through `Inbox`, then the round places
-//! what waits. Decisions leave through the `Writer` (interface.rs); memory stands in kept.rs, the
-//! mechanism (types, groups, rotation, best fit) and each exception to it in docs/design.md.
+//! All decisions of the proxy. A host calls `round` of its `Balancer` once for each batch of news, fed
+//! through `Inbox`; then the round places what waits and decisions leave through the `Writer`. Memory is in
+//! kept.rs, the mechanism (types, groups, rotation, best fit) and each exception to it in docs/design.md.
 
+pub use crate::inbox::Inbox;
 use crate::interface::*;
 pub use crate::kept::Balancer;
 use crate::kept::*;
@@ -13,8 +13,6 @@
 const VALUES: [f64; 4] = [1.0, 2.0, 2.0, 3.0];
 /// Hints are cut half-way between the values, the two equal ones half-way between their cuts.
 const CUTS: [f64; 3] = [1.5, 2.0, 2.5];
-/// The last note may be lost: what was told counts no longer than this.
-const TOLD_US: u64 = 4_000_000;
 const REGROUP_US: u64 = 30_000_000;
 const MAXIMA_US: u64 = 250_000;
 const SWEEP_US: u64 = 25_000;
@@ -28,11 +26,11 @@
 const WORTH_TELLING: f64 = 8.0;
 /// Proxies that share one backend, where a part may be that small: one query of each of many is a crowd.
 const SHARED_BY: usize = 3;
-/// Backends in an arc at the least, and those of its zone, and of others, that a probing proxy draws.
+/// Backends in an arc at the least, also where connections have a price and the others' queries are not told.
 const PART_LEAST: usize = 6;
-const PART_PROBED: usize = 8;
-/// Those in an arc at the least where connections have a price: fewer share one, so that more is known of it.
 const PART_PRICED: usize = 3;
+/// Those of its zone, and of others, that a probing proxy draws.
+const PART_PROBED: usize = 8;
 /// Candidates probed at a time.
 const WAVE: usize = 2;
 const PROBE_LOST_US: u64 = 2_000_000;
@@ -45,15 +43,9 @@
 const LOSS: f64 = 0.125;
 /// Outcomes that the usual pace for a backend's weight counts as, where few ever come.
 const SURE: f64 = 2.0;
-/// Outcomes from which the fastest pace is known well enough to call a query hopeless.
+/// Outcomes from which the fastest pace is known: one that met a crowd would make all queries hopeless.
 const ENOUGH: u64 = 16;
 
-pub struct Inbox<'a> {
-    balancer: &'a mut Balancer,
-    out: &'a mut dyn Writer,
-    now_us: u64,
-}
-
 impl Backend {
     fn open(&self, now_us: u64, importance: f64) -> bool {
         // The most important need not wait out a rest, so that it is the cheap ones that are turned away.
@@ -153,7 +145,8 @@
         } else {
             // Where proxies are many, each uses its own part of the list, an arc.
             let (count, balancers) = (ids.len(), self.balancers);
-            let least = if self.standing.connection > 0.0 { PART_PRICED } else { PART_LEAST };
+            let few = self.standing.connection > 0.0;
+            let least = if few { PART_PRICED } else { PART_LEAST };
             let part = (SHARED_BY * count).div_ceil(balancers).max(least).min(count);
             let holds = |of: usize, at: usize| (at + count - of * count / balancers % count) % count < part;
             for (place, id) in ids.iter().enumerate() {
@@ -216,24 +209,22 @@
         let sent: f64 = recent.map(|sent| sent.1).sum();
         let users = if backend.sharers.is_empty() { self.balancers } else { backend.sharers.len() + 1 };
         let part = bears / (users * self.processes) as f64;
-        // A part below one query would never be used: one goes by a chance as large as the part, drawn for each
-        // window anew, and the windows of proxies begin apart, so that all together keep to the budget.
+        // A part below one query is used by lot: one goes by a chance as large as the part, drawn for each
+        // window anew; windows of proxies begin apart, so that all together keep to the budget.
         let lot = self.lot ^ u64::from(backend.listed.backend);
         let window = (now_us + lot % window_us.max(1)) / window_us.max(1);
         let chance = || Rng::with_seed(lot.wrapping_add(window)).f64() * work < part;
         warmth >= 1.0 || sent + work <= part || sent <= 0.0 && chance()
     }
 
-    /// Whether all that this proxy has out is as much as backends that are crowded everywhere would hold of it.
+    /// Whether all that this proxy has out is as much as crowded backends would hold of it.
     fn crowded(&self, now_us: u64) -> bool {
-        if self.standing.probes || self.standing.peers {
-            return false;
-        }
+        let told = self.standing.probes || self.standing.peers;
         let users = |backend: &Backend| 1.0 / (backend.sharers.len() + 1) as f64;
         let fair: f64 = self.ours().filter(|backend| backend.shut_until_us <= now_us).map(users).sum();
         let known = self.reported.count >= 16;
         let share = if known { self.own_out.mean / self.reported.mean.max(1e-9) } else { 0.0 };
-        self.out() >= CROWD * share.clamp(fair, fair * 2.0)
+        !told && self.out() >= CROWD * share.clamp(fair, fair * 2.0)
     }
 
     /// Whether the executions of this workload fail far more often than another's on the same backends.
@@ -291,8 +282,7 @@
             let enough = |best: &Backend| best.load() <= light.max(best.max / 10.0) || fits(best);
             if best.is_some_and(enough) || qry.waves >= WAVES {
                 // What was found, in maxima: the next queries may be turned away for it without a probe.
-                let found =
-                    best.filter(|best| best.probed.is_none()).map(|best| best.load() / best.max.max(1e-9));
+                let found = best.filter(|at| at.probed.is_none()).map(|at| at.load() / at.max.max(1e-9));
                 self.strain = found.map_or(self.strain, |found| (now_us, found.min(BEARS * 2.0)));
                 return found.is_some() || best.is_none();
             }
@@ -372,12 +362,9 @@
         // A long tail is past every maximum: it fits where it would end within its SLO time.
         let left_us = (qry.arrived_us + qry.slo_us).saturating_sub(now_us) as f64;
         let (load, work, reach) = (qry.load, qry.work, 1.0 + qry.importance);
-        let fits = |backend: &Backend| match tail {
-            true => backend.load() < backend.max && backend.work() + work <= backend.pace * left_us,
-            false => {
-                backend.idle() && backend.found <= 0.0 && work <= backend.pace * left_us
-                    || backend.load() + load <= backend.max
-            }
+        let fits = |at: &Backend| match tail {
+            true => at.load() < at.max && at.work() + work <= at.pace * left_us,
+            false => at.idle() && at.found <= 0.0 && work <= at.pace * left_us || at.load() + load <= at.max,
         };
         // Past the maxima the more important go further; the rest waits where it can still be rejected.
         let bears = |backend: &Backend| !second && backend.load() < backend.max * reach;
@@ -413,10 +400,7 @@
             backend.cold_sent.push_back((now_us, qry.work));
         }
         let (ahead, told) = (backend.work() + qry.work, backend.tells(self.standing.peers, qry.work));
-        let (load, work, lost, coming) = (qry.load, qry.work, false, false);
-        backend
-            .held
-            .insert(self.last_serial, Held { sent_us: now_us, load, work, ahead, told, lost, coming });
+        backend.held.insert(self.last_serial, Held::new(qry, now_us, ahead, told));
         let expected_us = (ahead / backend.pace.max(1e-9)) as u64;
         qry.executions.push(Execution::new(id, self.last_serial, now_us, expected_us));
         out.execute(&qry.id, id, qry.deadline_us - now_us);
@@ -447,9 +431,9 @@
         let qry = &self.queries[id];
         let workload = &self.workloads[qry.workload];
         // Past its SLO time another try would be for nothing.
-        let past =
-            workload.tardy_importance <= 0.0 && now_us + self.target_us as u64 > qry.arrived_us + qry.slo_us;
-        let wait_us = if past { qry.limits.max_backoff_us } else { wait_us };
+        let left_us = (qry.arrived_us + qry.slo_us).saturating_sub(now_us);
+        let past = workload.tardy_importance <= 0.0 && left_us < self.target_us as u64;
+        let wait_us = if past { u64::MAX } else { wait_us };
         let all = workload.repeat == Repeat::Deduplicated && workload.group == DedupGroup::All;
         let harmless = qry.binding().is_none() || workload.repeat == Repeat::Idempotent || all;
         match harmless {
@@ -460,7 +444,7 @@
     }
 
     /// Ends a query here; executions still out are called off and count until their outcome.
-    fn close(&mut self, id: &str, out: &mut dyn Writer) {
+    pub(crate) fn close(&mut self, id: &str, out: &mut dyn Writer) {
         let Some(qry) = self.queries.get_mut(id) else { return };
         self.waiting.remove(&qry.place());
         if !qry.over && qry.limits.cancel {
@@ -478,7 +462,7 @@
     fn judge(&mut self, id: u32, success: bool, now_us: u64) {
         let judged = self.fleet.get_mut(&id).expect("only listed backends are used");
         judged.failures = judged.failures << 1 | u8::from(!success);
-        // Where the list is no proof, answers are: each takes one that was dropped a step up, a failure one down.
+        // Where the list is no proof, answers are: each takes one that was dropped a step up, a failure down.
         let dropped = judged.steps > 0;
         if dropped {
             judged.steps = if success { (judged.steps + 1).min(STEPS) } else { judged.steps - 1 };
@@ -534,6 +518,7 @@
         for (id, at, serial, two) in self.queries.values().filter_map(late).collect::<Vec<_>>() {
             let backend = &self.fleet[&at];
             let lost = backend.held.get(&serial).is_some_and(|held| held.lost);
+            let copy = two && (lost || backend.pace * 2.0 < usual);
             if self.further < 1.0 {
                 break;
             } else if !two && lost {
@@ -542,10 +527,7 @@
                 qry.executions.last_mut().expect("one is late").called_off = true;
             } else if !two && backend.passed <= serial {
                 self.probe(at, now_us, out);
-            } else if let Some(to) = (two && (lost || backend.pace * 2.0 < usual))
-                .then(|| self.choose(&id, now_us, true, out))
-                .flatten()
-            {
+            } else if let Some(to) = copy.then(|| self.choose(&id, now_us, true, out)).flatten() {
                 self.further -= 1.0;
                 self.execute(&id, to, now_us, out);
             }
@@ -571,7 +553,6 @@
         let load = units.filter(|_| kind == 3).map_or(VALUES[kind], |units| units.max(VALUES[3]));
         b.traffic[kind] += load;
         // Some cannot end in time even on the fastest backend: they would only keep it from the others.
-        // Few outcomes tell nothing of the fastest: one that met a crowd would make all queries hopeless.
         let fastest = b.speeds.at(0.9).filter(|_| b.speeds.len() >= ENOUGH);
         let takes_us = hint_us.zip(fastest).map_or(0.0, |(hint, fastest)| hint as f64 * 1e3 / fastest);
         if takes_us > slo_us as f64 {
@@ -579,23 +560,12 @@
         }
         // What is late earns nothing: it would only keep its backend from others. Probing proxies move it.
         let late = tardy <= 0.0 && !b.standing.probes && b.limits.max_backoff_us > 0;
-        b.further = (b.further + 0.1).min(20.0);
+        (b.further, b.last_serial) = ((b.further + 0.1).min(20.0), b.last_serial + 1);
         b.own_out.add(b.out(), 64);
-        b.last_serial += 1;
-        let qry = Query {
-            id: id.to_owned(),
-            serial: b.last_serial,
-            workload,
-            kind,
-            load,
-            work: units.unwrap_or(load),
-            arrived_us: self.now_us,
-            slo_us,
-            deadline_us: self.now_us.saturating_add(if late { ttl_us.min(slo_us) } else { ttl_us }),
-            importance,
-            limits: b.limits,
-            ..Query::default()
-        };
+        let mut qry = Query::new(id, b.last_serial, workload, self.now_us, b.limits);
+        (qry.kind, qry.load, qry.work) = (kind, load, units.unwrap_or(load));
+        (qry.slo_us, qry.importance) = (slo_us, importance);
+        qry.deadline_us = self.now_us.saturating_add(if late { ttl_us.min(slo_us) } else { ttl_us });
         b.usual_importance +=
             (importance * qry.work - b.usual_importance) / b.hints.len().clamp(1, 64) as f64;
         let place = qry.place();
@@ -696,27 +666,6 @@
         }
     }
 
-    /// A peer tells of all that it has out on a backend that both use.
-    pub fn told(&mut self, peer: u32, note: &str) {
-        self.balancer.told(peer, note, self.now_us + TOLD_US);
-    }
-
-    /// A stream has started: the answer is the client's now and nothing is left to decide.
-    pub fn begun(&mut self, id: &str) {
-        self.balancer.queries.get_mut(id).into_iter().for_each(|qry| qry.over = true);
-    }
-
-    pub fn withdrawn(&mut self, id: &str) {
-        self.balancer.close(id, self.out);
-    }
-
-    pub fn woken(&mut self, token: &str) {
-        match token {
-            "ask" => self.out.subscribe(),
-            _ => self.balancer.sweeping = false,
-        }
-    }
-
     /// Asks anew after a jittered wait that grows, so that the proxies don't keep the list down.
     pub fn list_lost(&mut self) {
         let b = &mut *self.balancer;
@@ -733,19 +682,4 @@
             b.regroup_us = self.now_us;
         }
     }
-
-    /// The latest execution's body has begun to go, so that there is no other, or has gone whole.
-    pub fn sending(&mut self, id: &str, whole: bool) {
-        self.balancer.sending(id, whole, self.now_us);
-    }
-
-    /// Operators take a backend out, or back, whatever the list says of it.
-    pub fn by_hand(&mut self, id: u32, out: bool) {
-        self.balancer.by_hand(id, out, self.now_us);
-    }
-
-    /// How many processes stand for this proxy: during an upgrade each keeps a part of its share.
-    pub fn processes(&mut self, count: usize) {
-        self.balancer.processes = count;
-    }
 }
--- /dev/null
+++ b/src/judge.rs
@@ -0,0 +1,81 @@
+//! What is judged of a backend, a tenant's share or the wait by what kept.rs remembers: how warm and fast a
+//! backend is held to be, which executions count as lost, when old paces fade. Called by `balance`.
+
+use crate::interface::*;
+use crate::kept::*;
+use std::cmp::Reverse;
+
+impl Backend {
+    /// The part of its capacity that a started backend surely has; 1 once it is warm.
+    pub fn warmth(&self, cold: &ColdRule, now_us: u64) -> f64 {
+        let age_us = now_us.saturating_sub(self.since_us);
+        let warm = self.since_us == 0 || age_us >= cold.cold_us;
+        let age = if warm { 1.0 } else { age_us as f64 / cold.cold_us as f64 };
+        cold.start_capacity + (1.0 - cold.start_capacity) * age
+    }
+
+    /// The part of its use that is left: all, unless the list has dropped it.
+    pub fn trust(&self) -> f64 {
+        let steps = if self.listed.phase == Phase::Ready { STEPS } else { self.steps };
+        f64::from(steps) / f64::from(STEPS)
+    }
+
+    /// Takes in what a probe waited for or was told, less what is ours; `silent` where it was not answered.
+    pub fn see(&mut self, now_us: u64, waited_us: u64, report: LoadReport, each: f64, silent: Option<f64>) {
+        let (own, count) = self.there().fold((0.0, 0.0), |sum, held| (sum.0 + held.work, sum.1 + 1.0));
+        let held = report.held.map(|held| (held - count) * each);
+        let there = held.unwrap_or(waited_us as f64 * self.pace - own).max(0.0);
+        self.seen = (now_us, silent.unwrap_or(there));
+        let passed = self.probed.take().filter(|_| silent.is_none());
+        self.passed = self.passed.max(passed.map_or(0, |(_, serial)| serial));
+        self.hear(report);
+    }
+
+    /// Sets what follows from its outcomes, notes and probes by now. `usual_pace` stands for it without
+    /// outcomes and counts as `sure` of them beside.
+    pub fn recall(
+        &mut self, now_us: u64, used: f64, usual_pace: f64, sure: f64, target_us: f64, quickest_us: u64,
+    ) {
+        self.told.retain(|told| told.until_us > now_us);
+        self.used = self.utilisation.unwrap_or(used);
+        let (count, learned) = (self.paces.len() as f64, self.learned.unwrap_or(usual_pace));
+        self.pace = (learned * count + usual_pace * sure) / (count + sure);
+        self.found = (self.seen.1 - self.pace * now_us.saturating_sub(self.seen.0) as f64).max(0.0);
+        // One that has not answered yet holds at least what it could have done meanwhile.
+        let silent = self.probed.map(|sent| now_us.saturating_sub(sent.0.saturating_add(quickest_us)));
+        self.found = self.found.max(silent.unwrap_or(0) as f64 * self.pace);
+        // What later completions have passed by hangs on a dead connection once it is late as well.
+        let (pace, passed) = (self.pace.max(1e-9), self.passed);
+        let late_us = |held: &Held| held.sent_us + (2.0 * target_us.max(held.work / pace)) as u64;
+        self.held.range_mut(..passed).for_each(|(_, held)| held.lost = now_us > late_us(held));
+    }
+
+    pub fn fade(&mut self, now_us: u64, after_us: u64) {
+        if now_us > self.sampled_us + after_us {
+            self.paces.halve();
+            self.sampled(now_us);
+        }
+    }
+}
+
+impl Allowance {
+    /// Takes one query from what has gathered over a second, or at most `SHARE_KEPT` where that is more.
+    pub fn take(&mut self, now_us: u64) -> bool {
+        let gained = self.per_us * now_us.saturating_sub(self.filled_us) as f64;
+        (self.left, self.filled_us) = ((self.left + gained).min((self.per_us * 1e6).max(SHARE_KEPT)), now_us);
+        let within = self.left >= 1.0;
+        self.left -= f64::from(u8::from(within));
+        within
+    }
+}
+
+impl Balancer {
+    /// How long the work that waits at this rank or above takes the fleet at its learned paces.
+    pub(crate) fn expected_wait_us(&self, rank: Reverse<u64>) -> f64 {
+        let before = self.waiting.iter().take_while(|entry| entry.0 <= rank);
+        let ahead: f64 = before.map(|entry| self.queries[&entry.2].work).sum();
+        let users = |backend: &Backend| if self.standing.peers { backend.sharers.len() + 1 } else { 1 };
+        let pace: f64 = self.ours().map(|backend| backend.pace / users(backend) as f64).sum();
+        ahead / pace.max(1e-9)
+    }
+}
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Queries a tenant may save up at the least: a share of a quota over many proxies holds less than one.
-const SHARE_KEPT: f64 = 4.0;
+pub(crate) const SHARE_KEPT: f64 = 4.0;
 /// Waves of candidates that a query has probed for it: rotation's next, its group, the part, those beyond.
 pub const WAVES: u32 = 4;
 /// Of the use of a backend that the list drops.
@@ -110,6 +110,10 @@
 }
 
 impl Query {
+    pub fn new(id: &str, serial: u64, workload: usize, arrived_us: u64, limits: ExecutionLimits) -> Self {
+        Query { id: id.to_owned(), serial, workload, arrived_us, limits, ..Query::default() }
+    }
+
     /// The execution that binds all further ones: the first that is out or may have run.
     pub fn binding(&self) -> Option<&Execution> {
         self.executions.iter().find(|exec| exec.out || exec.may_have_run)
@@ -151,6 +155,12 @@
     pub coming: bool,
 }
 
+impl Held {
+    pub fn new(qry: &Query, sent_us: u64, ahead: f64, told: bool) -> Self {
+        Held { sent_us, load: qry.load, work: qry.work, ahead, told, lost: false, coming: false }
+    }
+}
+
 /// What a peer has last told of all its executions on a backend, counted until it is held to be done.
 pub struct Told {
     pub peer: u32,
@@ -169,7 +179,7 @@
 }
 
 /// How many values a sign takes: the visible characters.
-const SIGNS: u8 = 94;
+pub(crate) const SIGNS: u8 = 94;
 
 /// A note between proxies: the end of a backend's id, then four signs: the note's turn, how many of its
 /// sender's executions are out there, and two for their work in quarters of a load unit.
@@ -236,29 +246,11 @@
         (self.listed.phase == Phase::Ready || self.steps > 0) && !self.out
     }
 
-    /// The part of its use that is left: all, unless the list has dropped it.
-    pub fn trust(&self) -> f64 {
-        if self.listed.phase == Phase::Ready {
-            1.0
-        } else {
-            f64::from(self.steps) / f64::from(STEPS)
-        }
-    }
-
     /// Its weight in the list, where that says anything.
     pub fn weight(&self) -> f64 {
         self.listed.weight.max(0.01)
     }
 
-    /// The part of its capacity that a started backend surely has; 1 once it is warm.
-    pub fn warmth(&self, cold: &ColdRule, now_us: u64) -> f64 {
-        let age_us = now_us.saturating_sub(self.since_us);
-        if self.since_us == 0 || age_us >= cold.cold_us {
-            return 1.0;
-        }
-        cold.start_capacity + (1.0 - cold.start_capacity) * age_us as f64 / cold.cold_us as f64
-    }
-
     /// Our executions that the backend is held to have.
     pub fn there(&self) -> impl Iterator<Item = &Held> {
         self.held.values().filter(|held| !held.lost && !held.coming)
@@ -305,36 +297,6 @@
         self.told.iter().map(|told| told.work).sum()
     }
 
-    /// Takes in what a probe waited for or was told, less what is ours; `silent` where it was not answered.
-    pub fn see(&mut self, now_us: u64, waited_us: u64, report: LoadReport, each: f64, silent: Option<f64>) {
-        let (own, count) = self.there().fold((0.0, 0.0), |sum, held| (sum.0 + held.work, sum.1 + 1.0));
-        let held = report.held.map(|held| (held - count) * each);
-        let there = held.unwrap_or(waited_us as f64 * self.pace - own).max(0.0);
-        self.seen = (now_us, silent.unwrap_or(there));
-        let passed = self.probed.take().filter(|_| silent.is_none());
-        self.passed = self.passed.max(passed.map_or(0, |(_, serial)| serial));
-        self.hear(report);
-    }
-
-    /// Sets what follows from its outcomes, notes and probes by now. `usual_pace` stands for it without
-    /// outcomes and counts as `sure` of them beside.
-    pub fn recall(
-        &mut self, now_us: u64, used: f64, usual_pace: f64, sure: f64, target_us: f64, quickest_us: u64,
-    ) {
-        self.told.retain(|told| told.until_us > now_us);
-        self.used = self.utilisation.unwrap_or(used);
-        let (count, learned) = (self.paces.len() as f64, self.learned.unwrap_or(usual_pace));
-        self.pace = (learned * count + usual_pace * sure) / (count + sure);
-        self.found = (self.seen.1 - self.pace * now_us.saturating_sub(self.seen.0) as f64).max(0.0);
-        // One that has not answered yet holds at least what it could have done meanwhile.
-        let silent = self.probed.map(|sent| now_us.saturating_sub(sent.0.saturating_add(quickest_us)));
-        self.found = self.found.max(silent.unwrap_or(0) as f64 * self.pace);
-        // What later completions have passed by hangs on a dead connection once it is late as well.
-        let (pace, passed) = (self.pace.max(1e-9), self.passed);
-        let late_us = |held: &Held| held.sent_us + (2.0 * target_us.max(held.work / pace)) as u64;
-        self.held.range_mut(..passed).for_each(|(_, held)| held.lost = now_us > late_us(held));
-    }
-
     pub fn room(&self) -> f64 {
         self.max - self.load()
     }
@@ -344,14 +306,7 @@
         self.sampled(now_us);
     }
 
-    pub fn fade(&mut self, now_us: u64, after_us: u64) {
-        if now_us > self.sampled_us + after_us {
-            self.paces.halve();
-            self.sampled(now_us);
-        }
-    }
-
-    fn sampled(&mut self, now_us: u64) {
+    pub(crate) fn sampled(&mut self, now_us: u64) {
         self.learned = self.paces.at(0.5).map(|pace| pace / 1e9);
         self.sampled_us = now_us;
     }
@@ -389,15 +344,6 @@
     pub fn new(per_s: f64, beyond: f64) -> Self {
         Allowance { per_us: per_s / 1e6, left: per_s.max(SHARE_KEPT), filled_us: 0, beyond }
     }
-
-    /// Takes one query from what has gathered over a second, or at most `SHARE_KEPT` where that is more.
-    pub fn take(&mut self, now_us: u64) -> bool {
-        let gained = self.per_us * now_us.saturating_sub(self.filled_us) as f64;
-        (self.left, self.filled_us) = ((self.left + gained).min((self.per_us * 1e6).max(SHARE_KEPT)), now_us);
-        let within = self.left >= 1.0;
-        self.left -= f64::from(u8::from(within));
-        within
-    }
 }
 
 /// All that an instance remembers.
@@ -536,15 +482,6 @@
         self.ours().map(|backend| backend.there().count() as f64).sum()
     }
 
-    /// How long the work that waits at this rank or above takes the fleet at its learned paces.
-    pub(crate) fn expected_wait_us(&self, rank: Reverse<u64>) -> f64 {
-        let before = self.waiting.iter().take_while(|entry| entry.0 <= rank);
-        let ahead: f64 = before.map(|entry| self.queries[&entry.2].work).sum();
-        let users = |backend: &Backend| if self.standing.peers { backend.sharers.len() + 1 } else { 1 };
-        let pace: f64 = self.ours().map(|backend| backend.pace / users(backend) as f64).sum();
-        ahead / pace.max(1e-9)
-    }
-
     /// A load unit is half the mean hint, so that the values' cuts lie where most hints do.
     pub(crate) fn hinted(&mut self, hint_us: f64) {
         self.hints.record(hint_us, 512);
