--- a/src/balance.rs
+++ b/src/balance.rs
@@ -145,7 +145,7 @@
         } else {
             // Where proxies are many, each uses its own part of the list, an arc.
             let (count, balancers) = (ids.len(), self.balancers);
-            let few = self.standing.connection > 0.0;
+            let few = self.standing.connection > 0.0 && !self.standing.peers;
             let least = if few { PART_PRICED } else { PART_LEAST };
             let part = (SHARED_BY * count).div_ceil(balancers).max(least).min(count);
             let holds = |of: usize, at: usize| (at + count - of * count / balancers % count) % count < part;
