--- a/src/balance.rs
+++ b/src/balance.rs
@@ -217,9 +217,9 @@
         warmth >= 1.0 || sent + work <= part || sent <= 0.0 && chance()
     }
 
-    /// Whether all that this proxy has out is as much as crowded backends would hold of it.
+    /// Whether what this proxy has out is what crowded backends hold of it; none are at 0.9 of their cores.
     fn crowded(&self, now_us: u64) -> bool {
-        let told = self.standing.probes || self.standing.peers;
+        let told = self.standing.probes || self.standing.peers || (1e-9..0.9).contains(&self.used);
         let users = |backend: &Backend| 1.0 / (backend.sharers.len() + 1) as f64;
         let fair: f64 = self.ours().filter(|backend| backend.shut_until_us <= now_us).map(users).sum();
         let known = self.reported.count >= 16;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -439,7 +439,8 @@
 /// Nobody tells from when backends are crowded, and the others' queries are not seen.
 #[test]
 fn where_nobody_tells_a_proxy_has_out_its_part_of_what_crowded_backends_hold() {
-    for (reported, may) in [(None, 3..=3), (Some(1.0), 5..=8)] {
+    // With a mean utilisation below nine tenths nothing is crowded.
+    for (reported, busy, may) in [(None, None, 3..=3), (Some(1.0), None, 5..=8), (None, Some(0.5), 5..=12)] {
         let (mut ledger, _) = start(Repeat::Idempotent, 0, 24, 0, false);
         ledger.standing.connection = 0.1;
         let mut balancer = listed(&mut ledger, 24, 24, 0);
@@ -450,7 +451,7 @@
                 .for_each(|name| ask(&mut ledger, &mut balancer, &format!("{name}{number}"), None));
             ledger.round(&mut balancer, 30_000, |ledger, inbox| {
                 for (id, at) in ledger.out() {
-                    let report = LoadReport { held: reported, ..LoadReport::default() };
+                    let report = LoadReport { held: reported, utilisation: busy, ..LoadReport::default() };
                     ledger.end_with(inbox, &id, at, Ended::Completed, Some(report));
                 }
             });
