What waits to begin ends with its client, its window and its backend's news

Three crossings share one cause: an execution that was decided and waits for a descriptor or a connection (backends.rs `execute`, connect.rs `open`) was held to nothing until it was written. - A repeat decided inside its window was written after it: `allowed` looks at the decision's time alone. - Who drains, is gone, has moved or is out by hand meanwhile got it: `fit` looked at the connection, not at the list. - A client that left, where nothing may be called off, left its execution to connect and be sent (`Life::drop`). Checked: the group of the repeat (cells as listed) and the count of the window (the decision's time is the earlier one, so strict); both sound. Ruled out: a kept connection found dead, since that ends before the next decision.

Now the module says within what time an execution may begin (`begin_within_us`), the proxy takes half a connect timeout off for the way there; the list's word is looked at again right before the first byte (places.rs); what has not begun ends as never sent. What has begun stands under rule 2 as before.

Tests on sockets, connections held back by a full queue: all four fail on the build before ("0 on their way, not 1", "a request reaches the backend: Timeout", an answer after the window). The ledger holds the module to the bound.

--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -1,6 +1,5 @@
 //! Carries executions to backends by hyper-util's client and tells how each ended.
 
-use std::collections::BTreeMap;
 use std::error::Error;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -25,6 +24,7 @@
 
 use crate::bodies::{Answer, Broken, Payload, Pool, SHORT};
 use crate::connect::{Connector, Link, OverBudget};
+use crate::places::Places;
 
 /// Longer ones tell no more than that it has not answered.
 const PROBE: Duration = Duration::from_millis(500);
@@ -45,7 +45,7 @@
     /// The share of kept connections found dead by the last few dozen executions on one.
     stale: Mutex<f64>,
     fresh: AtomicU64,
-    addresses: Mutex<BTreeMap<u32, SocketAddr>>,
+    places: Arc<Places>,
 }
 
 /// What an execution came to. There is an answer where it completed, or where none would.
@@ -64,38 +64,33 @@
         // The client lets go of an idle connection before it ends itself, and that before the backend
         // would: so none ends under a request that was just written to it.
         let connector = Connector::new(budget, connect_timeout, idle_close.mul_f64(0.85), right);
+        let places = Arc::clone(&connector.places);
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(idle_close.mul_f64(0.8))
             .retry_canceled_requests(false)
             .http1_max_buf_size(SHORT)
             .build(connector.clone());
-        Backends {
-            client,
-            connector,
-            answers,
-            stale: Mutex::default(),
-            fresh: AtomicU64::default(),
-            addresses: Mutex::default(),
-        }
+        Backends { client, connector, answers, stale: Mutex::default(), fresh: AtomicU64::default(), places }
     }
 
     pub async fn leave_room(self: Arc<Self>, others: watch::Receiver<usize>, budget: usize) {
         self.connector.leave_room(others, budget).await;
     }
 
-    pub fn place(&self, backend: u32, address: SocketAddr) {
-        self.addresses.lock().unwrap_or_else(PoisonError::into_inner).insert(backend, address);
+    pub fn places(&self) -> &Places {
+        &self.places
     }
 
     /// Nothing of it stays: whoever comes to its address next is a stranger.
     pub fn forget(&self, backend: u32) {
-        self.addresses.lock().unwrap_or_else(PoisonError::into_inner).remove(&backend);
+        self.places.forget(backend);
         self.connector.end_all(backend);
     }
 
-    fn address(&self, backend: u32) -> Option<SocketAddr> {
-        self.addresses.lock().unwrap_or_else(PoisonError::into_inner).get(&backend).copied()
+    /// What a request's way to its backend takes at the most: half of what a connection may, coming up.
+    pub fn way_there(&self) -> Duration {
+        self.connector.timeout() / 2
     }
 
     /// Takes down whether a kept connection was dead.
@@ -113,23 +108,30 @@
     /// One execution, to its end, or past what is kept whole of its answer. Dropped before, it closes its
     /// connection. What has but one chance does not take a kept connection while these are often dead; what is
     /// passed on as it comes takes none, since it could not follow on another connection.
+    /// Until its first byte is written it ends unsent where it is no longer `wanted`, or its backend is out of
+    /// bounds: it may wait for a descriptor or a connection while its client goes or news come.
     pub async fn execute(
         self: Arc<Self>, backend: u32, head: Arc<Parts>, wait: Duration, one_chance: bool, payload: Payload,
-        body: impl Fn() -> Body, too_late: impl Future<Output = ()>,
+        body: impl Fn() -> Body, too_late: impl Future<Output = ()>, unwanted: impl Future<Output = ()>,
     ) -> Heard {
         let sent = Instant::now();
+        let under_way: Mutex<Option<CaptureConnection>> = Mutex::default();
+        let begun = || {
+            let under_way = under_way.lock().unwrap_or_else(PoisonError::into_inner);
+            under_way.as_ref().and_then(link).is_some_and(|link| link.begun())
+        };
+        let place = self.places.open(backend);
         let heard = async {
             loop {
-                let address = self.address(backend).ok_or(Ended::NotSent)?;
-                if !self.connector.may_send() {
-                    return Err(Ended::NotSent);
-                }
+                let open = place.filter(|place| self.places.open(backend) == Some(*place));
+                let address = open.filter(|_| self.connector.may_send()).ok_or(Ended::NotSent)?;
                 let left = if payload.passing() { wait } else { wait.saturating_sub(sent.elapsed()) };
                 let fresh =
                     (one_chance || payload.passing()).then(|| self.fresh(payload.passing())).flatten();
                 let request = outgoing(backend, fresh, address, &head, body(), left);
                 let mut request = request.ok_or(Ended::NotSent)?;
                 let connection = capture_connection(&mut request);
+                under_way.lock().unwrap_or_else(PoisonError::into_inner).replace(connection.clone());
                 let answer = self.client.request(request).await;
                 let link = link(&connection);
                 if link.as_deref().is_some_and(Link::kept) {
@@ -142,6 +144,7 @@
                     }
                     // Another connection: what the last request left behind is not this one's fault.
                     Err(_) if link.as_deref().is_some_and(Link::spent_unused) => {}
+                    Err(_) if !begun() && self.places.open(backend) != place => return Err(Ended::NotSent),
                     Err(wrong) => return Err(why_no_answer(&wrong, link.as_deref(), payload.surely())),
                 }
             }
@@ -154,8 +157,25 @@
                 std::future::pending::<()>().await;
             }
         };
+        let unbegun = async {
+            let shut = async {
+                match place {
+                    Some(place) => self.places.shut(backend, place).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = unwanted => {}
+                () = shut => {}
+            }
+            // What has begun goes on, and stands under the rules on repeats.
+            if begun() {
+                std::future::pending::<()>().await;
+            }
+        };
         let heard = tokio::select! {
             biased;
+            () = unbegun => Err(Ended::NotSent),
             heard = heard => heard,
             () = late => Err(Ended::TimedOut),
             // It has not gone whole, so it never ran.
@@ -173,8 +193,9 @@
         *request.uri_mut() = path;
         let head = Arc::new(request.into_parts().0);
         let nothing = Payload::Whole(Bytes::new(), Arc::default());
+        let pending = std::future::pending::<()>;
         let heard =
-            self.execute(backend, head, PROBE, false, nothing, Body::empty, std::future::pending()).await;
+            self.execute(backend, head, PROBE, false, nothing, Body::empty, pending(), pending()).await;
         let answered = heard.answer.is_some();
         Heard { ended: if answered { Ended::Completed } else { heard.ended }, answer: None, ..heard }
     }
--- a/crates/proxy/src/connect.rs
+++ b/crates/proxy/src/connect.rs
@@ -23,6 +23,7 @@
 use tokio::time::{sleep, timeout_at, Instant, Sleep};
 
 use crate::bodies::MOST;
+use crate::places::Places;
 use crate::share::halve;
 
 /// Opens connections, no more at a time than its budget; where it is spent the longest idle one goes.
@@ -34,6 +35,7 @@
     idle: Duration,
     /// In a fleet, how long anything may be sent.
     right: Option<Right>,
+    pub places: Arc<Places>,
 }
 
 /// Head, body and what 1xx answers come ahead.
@@ -116,6 +118,11 @@
         state.idle_since.is_some() && state.executions > 0
     }
 
+    /// Whether a byte of the request in hand was written.
+    pub fn begun(&self) -> bool {
+        self.lock().idle_since.is_none()
+    }
+
     /// Whether it has carried others before this one.
     pub fn kept(&self) -> bool {
         self.lock().executions > 1
@@ -136,7 +143,12 @@
 
 impl Connector {
     pub fn new(budget: usize, timeout: Duration, idle: Duration, right: Option<Right>) -> Self {
-        Connector { budget: Arc::new(Semaphore::new(budget)), links: Arc::default(), timeout, idle, right }
+        let (budget, links, places) = (Arc::new(Semaphore::new(budget)), Arc::default(), Arc::default());
+        Connector { budget, links, timeout, idle, right, places }
+    }
+
+    pub fn timeout(&self) -> Duration {
+        self.timeout
     }
 
     pub fn may_send(&self) -> bool {
@@ -220,6 +232,7 @@
             patience: self.timeout,
             ends: Box::pin(sleep(self.idle)),
             right: self.right,
+            places: self.places,
             _permit: permit,
         })
     }
@@ -279,6 +292,7 @@
     patience: Duration,
     ends: Pin<Box<Sleep>>,
     right: Option<Right>,
+    places: Arc<Places>,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -358,6 +372,9 @@
             let may = self.right.as_ref().is_none_or(Right::lasts);
             (!may).then_some("cut_off")
         });
+        // News may have come since the query was decided, or since this connection was begun.
+        let open = || self.places.open(self.link.backend) == Some(self.address);
+        let found = found.or_else(|| (!open()).then_some("out_of_bounds"));
         if let Some(found) = found {
             state.why.get_or_insert(found);
         }
--- a/crates/proxy/src/decide.rs
+++ b/crates/proxy/src/decide.rs
@@ -23,6 +23,7 @@
     Execute {
         backend: u32,
         timeout_us: u64,
+        begin_within_us: u64,
         /// Where what is in hand is counted: dropped once the execution has ended.
         hold: Option<Hold>,
     },
@@ -105,9 +106,9 @@
 }
 
 impl Writer for Desk {
-    fn execute(&mut self, qry: &str, backend: u32, timeout_us: u64) {
+    fn execute(&mut self, qry: &str, backend: u32, timeout_us: u64, begin_within_us: u64) {
         let hold = self.hand.as_ref().map(|hand| hand.execution(backend));
-        self.pass(qry, Decided::Execute { backend, timeout_us, hold });
+        self.pass(qry, Decided::Execute { backend, timeout_us, begin_within_us, hold });
     }
 
     fn cancel(&mut self, qry: &str, execution: u32) {
@@ -252,6 +253,12 @@
         self.held.lock().unwrap_or_else(PoisonError::into_inner).desk.queries.remove(id);
     }
 
+    /// Takes a backend out, or back, whatever the list says.
+    pub fn by_hand(self: &Arc<Self>, backend: u32, out: bool) {
+        self.backends.places().out(backend, out);
+        self.news(|inbox| inbox.by_hand(backend, out));
+    }
+
     pub fn list(self: &Arc<Self>, whole: bool, items: &[Listed]) {
         self.news(|inbox| inbox.list(whole, items));
     }
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -97,7 +97,7 @@
         }
         let address = instance.host_port.parse();
         let address = address.map_err(|_| format!("hostPort {:?}", instance.host_port))?;
-        self.backends.place(listed.backend, address);
+        self.backends.places().listed(listed.backend, address);
         self.dropped.remove(&listed.backend);
         self.names().listed(instance.instance_id, listed);
         Ok(listed)
@@ -108,7 +108,9 @@
         let items: Result<Vec<Listed>, String> =
             list.instances.iter().map(|entry| self.entry(entry)).collect();
         self.generation = list.generation;
-        self.decide.list(true, &items?);
+        let items = items?;
+        self.serving(&items);
+        self.decide.list(true, &items);
         Ok(())
     }
 
@@ -130,10 +132,18 @@
             }));
         }
         self.generation = list.generation;
+        self.serving(&items);
         self.decide.list(list.reset, &items);
         self.let_go();
     }
 
+    /// What waits for its connection is held to the news as well. Whose going binds nobody serves on.
+    fn serving(&self, items: &[Listed]) {
+        for item in items.iter().filter(|item| item.phase != Phase::Gone) {
+            self.backends.places().serving(item.backend, item.phase == Phase::Ready);
+        }
+    }
+
     /// Runs for good: the module says when to ask, also how long to wait after a loss. A new address is
     /// asked at once; until it has told of any, the backends known so far stay.
     pub async fn follow(mut self, mut place: watch::Receiver<SocketAddr>, wanted: Arc<Notify>) {
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -310,7 +310,7 @@
                 let code = if out { "out_by_fleet" } else { "back_by_fleet" };
                 tracing::info!(code, id, version = publication.version, "published for the fleet");
                 if let Some(number) = changed {
-                    self.decide.news(|inbox| inbox.by_hand(number, out));
+                    self.decide.by_hand(number, out);
                 }
             }
         }
--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -100,7 +100,7 @@
         let changed = self.names.lock().unwrap_or_else(PoisonError::into_inner).set(id, By::Hand, out);
         tracing::info!(code = if out { "out_by_hand" } else { "back_by_hand" }, id, "told by operators");
         if let Some(number) = changed {
-            self.decide.news(|inbox| inbox.by_hand(number, out));
+            self.decide.by_hand(number, out);
         }
     }
 
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -16,6 +16,7 @@
 mod names;
 mod operate;
 mod peers;
+mod places;
 mod query;
 mod retune;
 mod serve;
--- a/crates/proxy/src/query.rs
+++ b/crates/proxy/src/query.rs
@@ -14,6 +14,7 @@
 use crankpick::interface::{Ended, Repeat};
 use crankpick_carry::run::Right;
 use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
 
 use crate::backends::{Backends, Heard};
 use crate::bodies::{Broken, Payload, Pool};
@@ -107,7 +108,7 @@
                 }
             }
             decided = life.decided.recv() => match decided {
-                Some(Decided::Execute { backend, timeout_us, hold }) => {
+                Some(Decided::Execute { backend, timeout_us, begin_within_us, hold }) => {
                     let wait = if payload.passing() { wait } else { Duration::from_micros(timeout_us) };
                     let (backends, head) = (Arc::clone(&proxy.backends), Arc::clone(&head));
                     let (payload, decide, id) = (payload.clone(), Arc::clone(&proxy.decide), life.id.clone());
@@ -119,7 +120,15 @@
                         }
                     };
                     let too_late = Duty::too_late(proxy.duty.clone());
-                    let execution = backends.execute(backend, head, wait, one_chance, payload, body, too_late);
+                    // What waits to begin ends with its query, or with the time in which repeats are known.
+                    let begin = Duration::from_micros(begin_within_us).saturating_sub(proxy.backends.way_there());
+                    let mut given_up = life.there.subscribe();
+                    let unwanted = async move {
+                        let gone = async { while given_up.changed().await.is_ok() {} };
+                        let _ = timeout(begin, gone).await;
+                    };
+                    let execution =
+                        backends.execute(backend, head, wait, one_chance, payload, body, too_late, unwanted);
                     let execution = async move {
                         let mut heard = execution.await;
                         heard.answer = heard.answer.map(|answer| flowing(answer, hold));
@@ -154,14 +163,17 @@
     id: String,
     decided: mpsc::Receiver<Decided>,
     out: Vec<(u32, Running)>,
-    /// How many were begun: the number of the next.
+    /// How many were decided: the number of the next.
     executions: u32,
     answered: bool,
+    /// Dropped with it, which ends what has not begun.
+    there: watch::Sender<()>,
 }
 
 impl Life {
     fn new(decide: Arc<Decide>, id: String, decided: mpsc::Receiver<Decided>) -> Self {
-        Life { decide, id, decided, out: Vec::new(), executions: 0, answered: false }
+        let there = watch::Sender::new(());
+        Life { decide, id, decided, out: Vec::new(), executions: 0, answered: false, there }
     }
 
     /// Dropping the execution closes its connection: that is how a backend hears of it.
@@ -211,7 +223,7 @@
             }
         }
         self.decide.forget(&self.id);
-        // Where executions may not be called off they go on until their own end.
+        // Where executions may not be called off those that have begun go on until their own end.
         for (execution, running) in self.out.drain(..) {
             let (decide, id) = (Arc::clone(&self.decide), self.id.clone());
             tokio::spawn(async move {
--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! The program as its neighbours meet it: started for each case, spoken to over sockets.
 
 mod daily;
+mod races;
 mod random;
 mod stand_ins;
 
--- a/crates/proxy/tests/sockets/stand_ins.rs
+++ b/crates/proxy/tests/sockets/stand_ins.rs
@@ -106,7 +106,10 @@
 
 impl Backend {
     pub fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        Backend::serving(TcpListener::bind("127.0.0.1:0").expect("a free port"))
+    }
+
+    fn serving(listener: TcpListener) -> Self {
         let address = listener.local_addr().expect("bound");
         let ((asks, asked), (closes, closed)) = (channel(), channel());
         std::thread::spawn(move || {
@@ -481,3 +484,49 @@
         self.hear().expect("an answer")
     }
 }
+
+/// An address at which connections wait to come up until the test lets them: its queue is full.
+pub struct Gate {
+    pub address: SocketAddr,
+    listener: TcpListener,
+    queue: Vec<TcpStream>,
+}
+
+impl Gate {
+    pub fn shut() -> Self {
+        use socket2::{Domain, Socket, Type};
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        socket.bind(&any.into()).and_then(|()| socket.listen(0)).expect("a free port");
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().expect("bound");
+        // One connection is all that the queue holds; the next ones' first packets are dropped.
+        let queue = vec![TcpStream::connect(address).expect("the first is queued")];
+        Gate { address, listener, queue }
+    }
+
+    /// How many connections are on their way here.
+    fn on_their_way(&self) -> usize {
+        let port = format!(":{:04X}", self.address.port());
+        let table = std::fs::read_to_string("/proc/net/tcp").expect("Linux");
+        let lines = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+        // The state of one that has sent its first packet is 02.
+        lines.filter(|line| line.len() > 3 && line[2].ends_with(&port) && line[3] == "02").count()
+    }
+
+    /// Waits until so many are.
+    pub fn wait_for(&self, on_their_way: usize) {
+        let until = Instant::now() + PATIENCE;
+        while self.on_their_way() != on_their_way {
+            assert!(Instant::now() < until, "{on_their_way} on their way, not {}", self.on_their_way());
+            std::thread::yield_now();
+        }
+    }
+
+    /// Lets those that wait come up, as they try again, and serves them from now on.
+    pub fn open(mut self) -> Backend {
+        drop(self.listener.accept().expect("the one in the queue"));
+        self.queue.clear();
+        Backend::serving(self.listener)
+    }
+}
--- a/crates/simhost/src/reply.rs
+++ b/crates/simhost/src/reply.rs
@@ -55,7 +55,7 @@
 }
 
 impl Writer for Reply<'_> {
-    fn execute(&mut self, qry: &str, backend: u32, timeout_us: u64) {
+    fn execute(&mut self, qry: &str, backend: u32, timeout_us: u64, _: u64) {
         self.put(Out {
             message: "HandOff",
             qry: Some(qry),
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -194,9 +194,8 @@
             DedupGroup::Cell => on.cell == first_on.cell,
         };
         match workload.repeat {
-            Repeat::Idempotent => true,
-            Repeat::NonIdempotent => false,
-            Repeat::Deduplicated => together && now_us < first.sent_us + workload.window_us,
+            Repeat::Deduplicated => together && now_us < qry.repeated_until_us(workload),
+            other => other == Repeat::Idempotent,
         }
     }
 
@@ -394,6 +393,7 @@
     fn execute(&mut self, qry: &str, id: u32, now_us: u64, out: &mut dyn Writer) {
         self.last_serial += 1;
         let qry = self.queries.get_mut(qry).expect("placed queries are live");
+        let begin_us = qry.repeated_until_us(&self.workloads[qry.workload]);
         let backend = self.fleet.get_mut(&id).expect("only listed backends are used");
         if backend.warmth(&self.cold, now_us) < 1.0 {
             backend.cold_sent.retain(|sent| sent.0 + self.cold.window_us >= now_us);
@@ -403,7 +403,7 @@
         backend.held.insert(self.last_serial, Held::new(qry, now_us, ahead, told));
         let expected_us = (ahead / backend.pace.max(1e-9)) as u64;
         qry.executions.push(Execution::new(id, self.last_serial, now_us, expected_us));
-        out.execute(&qry.id, id, qry.deadline_us - now_us);
+        out.execute(&qry.id, id, qry.deadline_us - now_us, begin_us.saturating_sub(now_us));
         backend.tell(told, out);
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -136,7 +136,9 @@
 
 /// Takes each decision at the moment it is made.
 pub trait Writer {
-    fn execute(&mut self, qry: &str, backend: u32, timeout_us: u64);
+    /// Past `begin_within_us` a byte of it may no longer be written: those who drop repeats forget by then.
+    /// Far past any time-out where nothing binds.
+    fn execute(&mut self, qry: &str, backend: u32, timeout_us: u64, begin_within_us: u64);
     fn cancel(&mut self, qry: &str, execution: u32);
     fn reject(&mut self, qry: &str, backoff_us: u64);
     fn abort(&mut self, qry: &str);
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -119,6 +119,12 @@
         self.executions.iter().find(|exec| exec.out || exec.may_have_run)
     }
 
+    /// Until when a further execution may begin, for what its repeats' memory allows.
+    pub fn repeated_until_us(&self, workload: &Workload) -> u64 {
+        let binding = self.binding().filter(|_| workload.repeat == Repeat::Deduplicated);
+        binding.map_or(u64::MAX, |first| first.sent_us.saturating_add(workload.window_us))
+    }
+
     pub fn out(&self) -> bool {
         self.executions.iter().any(|exec| exec.out)
     }
@@ -589,7 +595,7 @@
     struct Nowhere;
 
     impl Writer for Nowhere {
-        fn execute(&mut self, _: &str, _: u32, _: u64) {}
+        fn execute(&mut self, _: &str, _: u32, _: u64, _: u64) {}
         fn cancel(&mut self, _: &str, _: u32) {}
         fn reject(&mut self, _: &str, _: u64) {}
         fn abort(&mut self, _: &str) {}
--- a/tests/ledger/mod.rs
+++ b/tests/ledger/mod.rs
@@ -188,7 +188,7 @@
             .collect()
     }
 
-    fn sent(&mut self, id: &str, backend: u32, timeout_us: u64) {
+    fn sent(&mut self, id: &str, backend: u32, timeout_us: u64, begin_within_us: u64) {
         let now_us = self.now_us;
         let Some((on, told_us)) = self.told.get(&backend).copied() else {
             return self.wrong.push(format!("{id} went to {backend}, which no list has named"));
@@ -205,6 +205,8 @@
         let outside = |first: &Sent| {
             group(on) != group(self.told[&first.backend].0) || now_us > first.at_us + workload.window_us
         };
+        // What is still to be written may be written that much later.
+        let begins_late = |first: &Sent| now_us + begin_within_us > first.at_us + workload.window_us;
         let binds = !self.standing.only_draining_binds || self.drained.contains(&backend);
         let deduplicated = workload.repeat == Repeat::Deduplicated;
         let breaks = [
@@ -218,6 +220,7 @@
             (qry.sent.len() as u32 >= limits.max_executions, "is executed too often"),
             (workload.repeat == Repeat::NonIdempotent && first.is_some(), "may have two effects"),
             (deduplicated && first.is_some_and(outside), "is repeated outside its group or window"),
+            (deduplicated && first.is_some_and(begins_late), "may begin after its window"),
         ];
         let broken = breaks.iter().filter(|rule| rule.0).map(|rule| format!("{id} {}", rule.1));
         self.wrong.extend(broken);
@@ -253,9 +256,9 @@
 }
 
 impl Writer for Written {
-    fn execute(&mut self, qry: &str, backend: u32, timeout_us: u64) {
+    fn execute(&mut self, qry: &str, backend: u32, timeout_us: u64, begin_within_us: u64) {
         let qry = qry.to_owned();
-        self.put(move |ledger| ledger.sent(&qry, backend, timeout_us));
+        self.put(move |ledger| ledger.sent(&qry, backend, timeout_us, begin_within_us));
     }
     fn cancel(&mut self, qry: &str, execution: u32) {
         let qry = qry.to_owned();
