A client that left behind pipelined bytes is noticed, and nothing begun for who has gone

Seen by reading, then forced: hyper looks for the end of a client's sending only while its buffer is empty (`mid_message_detect_eof`), so that bytes of a next request hide it for as long as one is in hand; and a request read in one go with the end behind it was decided before the end was looked for. Ruled out: the half-closed client without bytes behind (noticed before and now).

Now the front reads on behind a request in hand, at most 256 KiB a connection and a sixteenth of the memory for all, and gives hyper these bytes first; past that the socket's own hang-up is asked 50 times a second. Before a request is taken the kernel is asked once whether its client is still there.

Tests on sockets: three cases (pipelined 40 bytes, 30 kB, 200 kB, a reset; a query that waits for room; a proxy that stood still); all fail on the build before ("0 on their way, not 1", the left client's query reaches the backend).

--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -1,13 +1,13 @@
 //! Takes clients' connections, within a budget of descriptors, until it is told to stop.
 
 use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::error::Error;
-use std::io;
+use std::future::poll_fn;
+use std::io::{self, Read};
 use std::mem::MaybeUninit;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -18,14 +18,14 @@
 use axum::http::{HeaderValue, Request, StatusCode};
 use axum::routing::any;
 use axum::Router;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body::{Frame, SizeHint};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, sleep_until, Instant};
@@ -55,6 +55,11 @@
 const AT_ONCE: usize = 4;
 /// Of a connection's buffer: heads are small, and many connections share the memory.
 const MOST_BUFFER: usize = 32 << 10;
+/// Of what is read behind a request in hand, only to find out whether its client is still there: by one connection,
+/// and of the memory by all together.
+const MOST_AHEAD: usize = 256 << 10;
+const AHEAD: usize = 16;
+const PART: usize = 4 << 10;
 
 pub fn router(proxy: Arc<Proxy>, stand: Stand) -> Router {
     let ready = |State(stand): State<Stand>| async move {
@@ -80,6 +85,28 @@
     leaving: AtomicBool,
     end: Notify,
     framing: Mutex<Framing>,
+    stream: TcpStream,
+    ahead: Mutex<Ahead>,
+    /// What all connections may still read ahead.
+    room: Arc<AtomicUsize>,
+}
+
+/// What came behind a request in hand. hyper reads no further while it holds bytes of the next one, so that the end
+/// of the client's sending would lie unseen behind them for as long as the request is in hand.
+#[derive(Default)]
+struct Ahead {
+    bytes: BytesMut,
+    /// The client's sending has ended, or broken off: it has gone.
+    ended: bool,
+    /// hyper waits for more, and will see the end itself.
+    awaited: bool,
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        let length = self.ahead().bytes.len();
+        self.room.fetch_add(length, Ordering::Relaxed);
+    }
 }
 
 impl Client {
@@ -95,6 +122,64 @@
         self.framing.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn may_read_ahead(&self, ahead: &Ahead) -> bool {
+        ahead.bytes.len() < MOST_AHEAD && self.room.load(Ordering::Relaxed) >= PART
+    }
+
+    fn ahead(&self) -> MutexGuard<'_, Ahead> {
+        self.ahead.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Reads on behind what hyper has, as far as there is something and room; whether the client has gone.
+    fn read_ahead(&self, mut read: impl FnMut(&mut [u8]) -> io::Result<usize>) -> MutexGuard<'_, Ahead> {
+        let (mut ahead, mut part) = (self.ahead(), [0; PART]);
+        while !ahead.ended && self.may_read_ahead(&ahead) {
+            match read(&mut part) {
+                Ok(0) => ahead.ended = true,
+                Ok(length) => {
+                    self.framing().feed(&part[..length], Instant::now());
+                    ahead.bytes.extend_from_slice(&part[..length]);
+                    self.room.fetch_sub(length, Ordering::Relaxed);
+                }
+                Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock => break,
+                Err(wrong) if wrong.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => ahead.ended = true,
+            }
+        }
+        ahead
+    }
+
+    /// Whether its client has gone, by what the kernel has: the runtime may not have been told yet.
+    fn gone(&self) -> bool {
+        self.read_ahead(|part| (&*SockRef::from(&self.stream)).read(part)).ended
+    }
+
+    /// Comes once its client goes where hyper would not notice. To be polled after hyper, in the same task.
+    fn poll_gone(&self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.idle().is_some() || self.ahead().awaited {
+            return Poll::Pending;
+        }
+        while self.may_read_ahead(&self.ahead()) {
+            let _ = std::task::ready!(self.stream.poll_read_ready(cx));
+            if self.read_ahead(|part| self.stream.try_read(part)).ended {
+                return Poll::Ready(());
+            }
+        }
+        Poll::Pending
+    }
+
+    /// The same past what may be read ahead, where only the socket's own word is left.
+    async fn hangs_up(&self) {
+        loop {
+            sleep(LOOK).await;
+            let ready = self.stream.ready(Interest::READABLE).await;
+            let broken = SockRef::from(&self.stream).take_error();
+            if ready.is_ok_and(|ready| ready.is_read_closed()) || !matches!(broken, Ok(None)) {
+                return;
+            }
+        }
+    }
+
     /// When it will have said nothing for too long, or not ended what it says; none while a query is in hand.
     fn patience(&self) -> Option<Instant> {
         let since = self.idle().filter(|_| !self.behind.load(Ordering::Relaxed))?;
@@ -164,7 +249,6 @@
 
 /// A client's connection that ends where nothing of an answer can be written for too long.
 struct Patient {
-    stream: TcpStream,
     stall: Stall,
     client: Arc<Client>,
 }
@@ -179,8 +263,8 @@
             idle && (self.client.framing().head_since().is_none() || overdue())
         };
         let empty = || {
-            let looked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
-            !matches!(looked, Ok(1..))
+            let looked = SockRef::from(&self.client.stream).peek(&mut [MaybeUninit::uninit()]);
+            self.client.ahead().bytes.is_empty() && !matches!(looked, Ok(1..))
         };
         self.client.leaving.load(Ordering::Relaxed) && rests() && empty()
     }
@@ -197,43 +281,84 @@
 }
 
 impl AsyncRead for Patient {
-    fn poll_read(
-        mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if read.is_pending() && self.over() {
-            // An end of input is what makes hyper let go of a connection at rest.
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let client = &self.client;
+        let mut ahead = client.ahead();
+        ahead.awaited = false;
+        if !ahead.bytes.is_empty() {
+            let length = ahead.bytes.len().min(buf.remaining());
+            buf.put_slice(&ahead.bytes.split_to(length));
+            client.room.fetch_add(length, Ordering::Relaxed);
+            return Poll::Ready(Ok(()));
+        } else if ahead.ended {
             return Poll::Ready(Ok(()));
         }
-        self.client.framing().feed(&buf.filled()[before..], Instant::now());
-        read
+        drop(ahead);
+        loop {
+            let read = match client.stream.poll_read_ready(cx)? {
+                Poll::Ready(()) => client.stream.try_read(buf.initialize_unfilled()),
+                Poll::Pending if self.over() => {
+                    // An end of input is what makes hyper let go of a connection at rest.
+                    return Poll::Ready(Ok(()));
+                }
+                Poll::Pending => {
+                    client.ahead().awaited = true;
+                    return Poll::Pending;
+                }
+            };
+            match read {
+                Ok(length) => {
+                    let came = &buf.initialize_unfilled()[..length];
+                    client.framing().feed(came, Instant::now());
+                    buf.advance(length);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock => {}
+                Err(wrong) => return Poll::Ready(Err(wrong)),
+            }
+        }
+    }
+}
+
+impl Patient {
+    fn write(
+        &mut self, cx: &mut Context<'_>, write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        let written = loop {
+            match self.client.stream.poll_write_ready(cx)? {
+                Poll::Pending => break Poll::Pending,
+                Poll::Ready(()) => match write(&self.client.stream) {
+                    Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock => {}
+                    written => break Poll::Ready(written),
+                },
+            }
+        };
+        self.wrote(cx, written)
     }
 }
 
 impl AsyncWrite for Patient {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.wrote(cx, written)
+        self.write(cx, |stream| stream.try_write(buf))
     }
 
     fn poll_write_vectored(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>, bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.wrote(cx, written)
+        self.write(cx, |stream| stream.try_write_vectored(bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // All that is written is with the kernel, which holds nothing back.
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&self.client.stream).shutdown(Shutdown::Write))
     }
 }
 
@@ -241,9 +366,10 @@
 /// Past `easy` open ones idle ones end already: whoever deals out connections may count those that nobody
 /// uses against those that ask.
 pub async fn run(
-    listener: TcpListener, router: Router, budget: usize, easy: usize, duty: watch::Receiver<Duty>,
-    others: watch::Receiver<usize>,
+    listener: TcpListener, router: Router, budget: usize, easy: usize, memory: usize,
+    duty: watch::Receiver<Duty>, others: watch::Receiver<usize>,
 ) {
+    let ahead = Arc::new(AtomicUsize::new(memory / AHEAD));
     let clients = Arc::new(Clients::default());
     let room = Arc::new(Semaphore::new(budget));
     let leave_room = {
@@ -280,12 +406,15 @@
             leaving: AtomicBool::new(false),
             end: Notify::new(),
             framing: Mutex::new(Framing::new()),
+            stream,
+            ahead: Mutex::default(),
+            room: Arc::clone(&ahead),
         });
         clients.open.lock().unwrap_or_else(PoisonError::into_inner).insert(number, Arc::clone(&client));
         let (clients, router, duty) = (Arc::clone(&clients), router.clone(), duty.clone());
         tokio::spawn(async move {
             let opened = Instant::now();
-            let code = hold(stream, &client, router, duty).await;
+            let code = hold(&client, router, duty).await;
             clients.open.lock().unwrap_or_else(PoisonError::into_inner).remove(&number);
             let open_ms = opened.elapsed().as_millis() as u64;
             tracing::info!(code, %address, open_ms, "client connection ended");
@@ -328,16 +457,26 @@
     }
 }
 
+/// Why a request is not answered.
+#[derive(Debug)]
+struct Gone;
+
+impl std::fmt::Display for Gone {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        f.write_str("the client has gone")
+    }
+}
+
+impl Error for Gone {}
+
 fn timed_out(wrong: &hyper::Error) -> bool {
     let source = wrong.source().and_then(|source| source.downcast_ref::<io::Error>());
     source.is_some_and(|source| source.kind() == io::ErrorKind::TimedOut)
 }
 
 /// Serves one connection to its end; returns the reason's code.
-async fn hold(
-    stream: TcpStream, client: &Arc<Client>, router: Router, mut duty: watch::Receiver<Duty>,
-) -> &'static str {
-    let _ = stream.set_nodelay(true);
+async fn hold(client: &Arc<Client>, router: Router, mut duty: watch::Receiver<Duty>) -> &'static str {
+    let _ = client.stream.set_nodelay(true);
     let told = duty.clone();
     let service = service_fn(|mut request: Request<Incoming>| {
         if let Some(came) = client.framing().next() {
@@ -347,17 +486,25 @@
         client.set_idle(None);
         let (mut router, told) = (router.clone(), told.clone());
         async move {
-            let answer = router.call(request).await?;
+            // Nothing is begun for who left behind it, or while it lay here.
+            if client.gone() {
+                return Err(Gone);
+            }
+            // hyper may have looked for a body just before it came.
+            if !client.ahead().bytes.is_empty() {
+                tokio::task::yield_now().await;
+            }
+            let Ok(answer) = router.call(request).await;
             let mut answer = answer.map(|body| Body::new(Tail { body, client: Arc::clone(client) }));
             if told.borrow().ready().is_err() || client.leaving.load(Ordering::Relaxed) {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok::<_, Infallible>(answer)
+            Ok(answer)
         }
     });
     let connection =
         http1::Builder::new().header_read_timeout(None).max_buf_size(MOST_BUFFER).serve_connection(
-            TokioIo::new(Patient { stream, stall: Stall::new(UNREAD), client: Arc::clone(client) }),
+            TokioIo::new(Patient { stall: Stall::new(UNREAD), client: Arc::clone(client) }),
             service,
         );
     let mut connection = std::pin::pin!(connection);
@@ -369,16 +516,21 @@
             Instant::now() + if client.leaving.load(Ordering::Relaxed) { LOOK } else { Duration::ZERO };
         let patience = client.patience().unwrap_or_else(|| Instant::now() + SILENT).max(soon);
         let (leave_at, why) = leave.unwrap_or((client.opened, "closed_by_client"));
+        let full = !client.may_read_ahead(&client.ahead());
         tokio::select! {
+            biased;
             ended = connection.as_mut() => {
                 return match ended {
                     Ok(()) => code.unwrap_or(why),
+                    Err(_) if client.ahead().ended => "client_gone",
                     Err(wrong) if wrong.is_parse() => "not_http",
                     Err(wrong) if wrong.is_user() => "cut_off",
                     Err(wrong) if timed_out(&wrong) => "unread",
                     Err(_) => code.unwrap_or("client_gone"),
                 };
             }
+            () = poll_fn(|cx| client.poll_gone(cx)) => return "client_gone",
+            () = client.hangs_up(), if full && client.idle().is_none() => return "client_gone",
             Ok(()) = duty.changed() => {}
             () = sleep_until(patience) => {
                 if client.patience().is_some_and(|until| until <= Instant::now()) {
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -197,7 +197,7 @@
     }
     tracing::info!(code = "listening", listen = %bound, clients, executions, admin = second, "ready");
     let router = front::router(Arc::new(proxy), stand.clone());
-    let front = front::run(listener, router, clients, sockets / EASY, on_duty, others);
+    let front = front::run(listener, router, clients, sockets / EASY, memory_mb << 20, on_duty, others);
     let last = async {
         term.recv().await;
         tracing::info!(code = "stopping", "told to end");
--- a/crates/proxy/tests/sockets/races.rs
+++ b/crates/proxy/tests/sockets/races.rs
@@ -107,3 +107,75 @@
     }
     assert!(first.is_quiet());
 }
+
+/// What lies unread behind a request hides the end of its client's sending.
+#[test]
+fn a_client_that_leaves_behind_pipelined_bytes_is_noticed_all_the_same() {
+    for (behind, resets) in [(40, false), (40, true), (30_000, false), (200_000, false)] {
+        let (discovery, gate) = (Discovery::start(), Gate::shut());
+        let proxy = Proxy::start(&slow_to_connect(&discovery, &[gate.address]));
+        let mut client = proxy.client();
+        client.ask("pay", "leaves", 40_000);
+        client.say(&b"GET /read/x HTTP/1.1\r\nX-Request-Id: behind\r\n\r\n".repeat(behind / 40));
+        gate.wait_for(1);
+        client.leave(resets);
+        gate.wait_for(0);
+        let late = gate.open();
+        assert!(late.is_quiet(), "{behind}");
+    }
+}
+
+/// A query of the client's waits for room, its own connection being long gone, when room comes.
+#[test]
+fn nothing_is_begun_for_a_client_that_went_while_its_query_waited() {
+    let (discovery, backend) = (Discovery::start(), Backend::start());
+    let mut configured = configuration(&discovery, &[backend.address]);
+    for workload in 0..3 {
+        configured["settings"]["Workloads"][workload]["SloTimeUs"] = json!(50_000_000);
+        configured["settings"]["Workloads"][workload]["StatementTimeoutUs"] = json!(50_000_000);
+    }
+    let proxy = Proxy::start(&configured);
+    // Three at one backend are its crowd where nobody tells of others.
+    let mut busy: Vec<Client> = (0..3).map(|_| proxy.client()).collect();
+    busy.iter_mut().enumerate().for_each(|(n, client)| client.ask("read", &format!("busy{n}"), 40_000));
+    let mut taken: Vec<Asked> = (0..3).map(|_| backend.next()).collect();
+    let mut leaving = proxy.client();
+    leaving.ask("read", "leaves", 40_000);
+    leaving.ask("read", "behind", 40_000);
+    leaving.leave(false);
+    proxy.logged("code=\"client_gone\"");
+    taken.iter_mut().for_each(|asked| asked.answer(200, "", "ok"));
+    busy.iter_mut().for_each(|client| assert_eq!(client.heard().status(), 200));
+    busy[0].ask("read", "next", 40_000);
+    let mut next = backend.next();
+    assert_eq!(next.message.header("x-request-id"), Some("next"));
+    next.answer(200, "", "ok");
+    assert!(busy[0].heard().status() == 200 && backend.is_quiet());
+}
+
+/// The request and the end of its client's sending are read in one go, as after a stall.
+#[test]
+fn nothing_is_begun_for_a_client_that_went_while_the_proxy_stood_still() {
+    let (discovery, backend) = (Discovery::start(), Backend::start());
+    let proxy = Proxy::start(&configuration(&discovery, &[backend.address]));
+    let mut known = proxy.client();
+    known.ask("read", "before", 3_000);
+    backend.next().answer(200, "", "ok");
+    assert_eq!(known.heard().status(), 200);
+    proxy.stopped(|| {
+        known.ask("pay", "known", 3_000);
+        known.leave(false);
+        let mut fresh = proxy.client();
+        fresh.ask("pay", "fresh", 3_000);
+        fresh.leave(false);
+    });
+    for _ in 0..2 {
+        proxy.logged("code=\"client_gone\"");
+    }
+    let mut client = proxy.client();
+    client.ask("pay", "next", 3_000);
+    let mut next = backend.next();
+    assert_eq!(next.message.header("x-request-id"), Some("next"));
+    next.answer(200, "", "ok");
+    assert_eq!(client.heard().status(), 200);
+}
--- a/crates/proxy/tests/sockets/stand_ins.rs
+++ b/crates/proxy/tests/sockets/stand_ins.rs
@@ -186,6 +186,14 @@
     pub fn say(&mut self, line: &str) {
         let _ = write!(self.stream, "{:x}\r\n{line}\n\r\n", line.len() + 1);
     }
+
+    /// Says part of a line every while, until nobody listens any more.
+    pub fn trickle(mut self, part: &str, every: Duration) {
+        let until = Instant::now() + PATIENCE * 2;
+        while Instant::now() < until && write!(self.stream, "{:x}\r\n{part}\r\n", part.len()).is_ok() {
+            std::thread::sleep(every);
+        }
+    }
 }
 
 impl Discovery {
@@ -429,6 +437,14 @@
         let _ = self.stream.get_mut().write_all(bytes);
     }
 
+    /// Closes its connection, or resets it.
+    pub fn leave(self, resets: bool) {
+        if resets {
+            let now = Some(Duration::ZERO);
+            socket2::SockRef::from(self.stream.get_ref()).set_linger(now).expect("settable");
+        }
+    }
+
     /// Takes no answer, and ends once the proxy does not read either.
     pub fn say_and_never_read(&mut self, bytes: &[u8]) {
         let stream = self.stream.get_mut();
