What discovery has is heard within 6 s, whatever failed; pushed lists from the first moment

Added up, before: silence 2.7 s, wait 0.5 s, silence before a first line 2.7 s, wait 1 s: 6.9 s, past the 6 s after which it counts as told; waits grew to 4 s while discovery was down. Silence was measured in bytes. A delta with an older version was applied. Where lists are pushed a new process served before the agent's first word, and a watch that ended was opened again only after 0.25 to 0.5 s, with drains binding from the moment the agent has them.

Now: silence 2.2 s in objects and empty lines, 0.7 s to connect, 1.1 s to an answer, the module's wait 0.2 to 0.4 s each time; a version that goes back in changes takes nothing and asks for the whole list; a pushed list is asked for again after 30 ms and waited for, 2 s at most, before the process listens.

Tests on sockets: two silences in a row, trickling bytes, a version that goes back, pushed lists at the start; each fails on the build before (third call after 6.9 s; never asked again; the old change applied; it listened at once).

--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -18,14 +18,22 @@
 use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::sync::{watch, Notify};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 use crate::backends::Backends;
 use crate::decide::Decide;
 use crate::names::Names;
 
+/// What discovery has counts as told 6 s later, whatever failed: a silence, two calls that fail by their time, and the
+/// module's wait (0.4 s at most) before each of three come to 5.6 s at the most.
 /// Lines come every 2 s at the least: a watch without one is dead, though its connection may not know.
-const SILENT: Duration = Duration::from_millis(2_700);
+const SILENT: Duration = Duration::from_millis(2_200);
+/// Discovery works through its calls in turn and gives one up that has waited for a second.
+const CALL: Duration = Duration::from_millis(1_100);
+/// For a connection to come up.
+const OPENED: Duration = Duration::from_millis(700);
+/// Between two tries where an agent beside us has the list: it counts as told as soon as the agent has it.
+const PUSHED: Duration = Duration::from_millis(30);
 /// Against a list that never ends.
 const MOST_TEXT: usize = 8 << 20;
 
@@ -49,17 +57,36 @@
     only_draining_binds: bool,
     /// Dropped by the list, but the module may still use them.
     dropped: BTreeMap<u32, String>,
-    /// Discovery has moved and told nothing yet: its versions may have restarted.
-    moved: bool,
+    /// What it told is no base for changes: it has moved and told nothing yet, or its versions went back.
+    whole_wanted: bool,
+    /// Whether an agent beside us has the list pushed to it.
+    pushed: bool,
+    /// Whether anything was heard yet.
+    heard: watch::Sender<bool>,
 }
 
 impl Discovery {
     pub fn new(
         decide: Arc<Decide>, backends: Arc<Backends>, zones: Vec<String>, names: Arc<Mutex<Names>>,
-        only_draining_binds: bool,
+        only_draining_binds: bool, pushed: bool,
     ) -> Self {
-        let (generation, dropped, moved) = (0, BTreeMap::new(), false);
-        Discovery { decide, backends, zones, names, generation, only_draining_binds, dropped, moved }
+        Discovery {
+            decide,
+            backends,
+            zones,
+            names,
+            generation: 0,
+            only_draining_binds,
+            dropped: BTreeMap::new(),
+            whole_wanted: false,
+            pushed,
+            heard: watch::Sender::new(false),
+        }
+    }
+
+    /// Turns true with the first word of discovery's.
+    pub fn heard(&self) -> watch::Receiver<bool> {
+        self.heard.subscribe()
     }
 
     /// Forgets who is gone, or once the module uses it no more where its going binds nobody.
@@ -150,7 +177,7 @@
         loop {
             tokio::select! {
                 () = wanted.notified() => {}
-                Ok(()) = place.changed() => self.moved = true,
+                Ok(()) = place.changed() => self.whole_wanted = true,
             }
             let address = *place.borrow_and_update();
             let why = tokio::select! {
@@ -162,43 +189,58 @@
                 }
             };
             tracing::warn!(code = "watch_ended", %address, generation = self.generation, "{why}");
-            self.decide.news(|inbox| inbox.list_lost());
+            if self.pushed {
+                sleep(PUSHED).await;
+                wanted.notify_one();
+            } else {
+                self.decide.news(|inbox| inbox.list_lost());
+            }
         }
     }
 
     /// One watch, to its end; the reason is for the log alone.
     async fn watch(&mut self, address: SocketAddr) -> Result<String, String> {
-        let stream = timeout(SILENT, TcpStream::connect(address)).await;
+        let stream = timeout(OPENED, TcpStream::connect(address)).await;
         let stream = stream.map_err(|_| "no connection")?.map_err(|wrong| wrong.to_string())?;
         let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|wrong| wrong.to_string())?;
         // Ends by itself once the answer below is dropped.
         tokio::spawn(connection);
-        if self.moved {
+        if self.whole_wanted {
             let whole = asked(&mut sender, address, "/api/targets".to_owned()).await?.into_body();
-            let whole = timeout(SILENT, Limited::new(whole, MOST_TEXT).collect()).await;
+            let whole = timeout(CALL, Limited::new(whole, MOST_TEXT).collect()).await;
             let whole = whole.map_err(|_| "silent")?.map_err(|wrong| wrong.to_string())?.to_bytes();
             let list = understood(&whole)?;
             self.news(&List { reset: true, ..list });
-            self.moved = false;
+            self.whole_wanted = false;
             sender.ready().await.map_err(|wrong| wrong.to_string())?;
         }
         let path = format!("/api/targets?watch=1&after={}", self.generation);
         let mut body = asked(&mut sender, address, path).await?.into_body();
         // It is there: the next loss is a first one, however long nothing changes until then.
         self.decide.list(false, &[]);
-        let mut object = Object::default();
+        let (mut object, mut last) = (Object::default(), Instant::now());
         loop {
-            let frame = timeout(SILENT, body.frame()).await.map_err(|_| "silent")?;
+            // Bytes that trickle are no sign of life: only what ends an object, or an empty line between two.
+            let frame = timeout_at(last + SILENT, body.frame()).await.map_err(|_| "silent")?;
             let Some(frame) = frame else { return Ok("closed".to_owned()) };
             let Ok(data) = frame.map_err(|wrong| wrong.to_string())?.into_data() else { continue };
             for byte in data {
-                if object.ends_with(byte)? {
-                    self.news(&understood(&object.text)?);
+                if object.takes(byte)? {
+                    let list = understood(&object.text)?;
+                    if list.generation < self.generation && !list.reset {
+                        self.whole_wanted = true;
+                        return Err(format!("went back to {}", list.generation));
+                    }
+                    self.news(&list);
                     object = Object::default();
+                    last = Instant::now();
+                } else if byte == b'\n' && object.text.is_empty() {
+                    last = Instant::now();
                 }
             }
+            self.heard.send_if_modified(|heard| !std::mem::replace(heard, true));
         }
     }
 }
@@ -214,7 +256,7 @@
 
 impl Object {
     /// Takes one byte; whether the object is whole with it. Errors name what can be no part of a list.
-    fn ends_with(&mut self, byte: u8) -> Result<bool, String> {
+    fn takes(&mut self, byte: u8) -> Result<bool, String> {
         if self.text.is_empty() && byte.is_ascii_whitespace() {
             return Ok(false);
         }
@@ -242,7 +284,7 @@
 ) -> Result<Response<Incoming>, String> {
     let request = hyper::Request::get(path).header(HOST, address.to_string()).body(Empty::<Bytes>::new());
     let request = request.map_err(|wrong| wrong.to_string())?;
-    let answer = timeout(SILENT, sender.send_request(request)).await;
+    let answer = timeout(CALL, sender.send_request(request)).await;
     let answer = answer.map_err(|_| "no answer")?.map_err(|wrong| wrong.to_string())?;
     match answer.status().is_success() {
         true => Ok(answer),
@@ -261,7 +303,7 @@
     fn objects(text: &str) -> Result<Vec<u64>, String> {
         let (mut object, mut read) = (Object::default(), Vec::new());
         for byte in text.bytes() {
-            if object.ends_with(byte)? {
+            if object.takes(byte)? {
                 read.push(understood(&std::mem::take(&mut object).text)?.generation);
             }
         }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -10,7 +10,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{watch, Notify};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::admin::{self, Admin};
 use crate::backends::Backends;
@@ -41,6 +41,8 @@
 const IDLE: Duration = Duration::from_secs(10);
 /// SIGKILL comes 3.7 s after SIGTERM at the soonest: by then all that was taken must be answered.
 const LAST_CALL: Duration = Duration::from_millis(3_300);
+/// How long a start waits for an agent's first word: well within the time in which it must be ready.
+const FIRST_WORD: Duration = Duration::from_secs(2);
 /// What a client is told that comes to a proxy which may send nothing on: others may have it by then.
 const COME_BACK_US: u64 = 500_000;
 /// What flows by then goes on until it is through, or the kill comes: cut off by us it would be lost.
@@ -144,7 +146,8 @@
         fleet.is_some().then(Arc::default),
     );
     // Where the list comes unasked the module never asks: the first watch is ours to open.
-    if at::<String>(settings, "Discovery")? != "subscribe" {
+    let pushed = at::<String>(settings, "Discovery")? != "subscribe";
+    if pushed {
         list_wanted.notify_one();
     }
     let only_draining_binds: bool = at(settings, "Safety.RemovalNotBinding")?;
@@ -154,14 +157,16 @@
         zones,
         Arc::clone(&names),
         only_draining_binds,
+        pushed,
     );
     let by_hand = ByHand::start(Arc::clone(&decide), Arc::clone(&names), handover.clone(), place.as_deref());
     let known: List = at(&told, "known")?;
     discovery.known(&known).map_err(|wrong| format!("known: {wrong}"))?;
     let (moved, place) = watch::channel(address(&told, "discovery")?);
+    let mut heard = discovery.heard();
     tokio::spawn(discovery.follow(place, list_wanted));
-    let heard = Arc::clone(&decide);
-    tokio::spawn(peers.listen(move |peer, note| heard.news(|inbox| inbox.told(peer, note))));
+    let told_by_peers = Arc::clone(&decide);
+    tokio::spawn(peers.listen(move |peer, note| told_by_peers.news(|inbox| inbox.told(peer, note))));
     tokio::spawn(Arc::clone(&backends).leave_room(others.clone(), executions));
     for pool in [&bodies, &answers] {
         tokio::spawn(Arc::clone(pool).leave_room(others.clone()));
@@ -176,6 +181,10 @@
     let come_back_us = if at::<bool>(settings, "Limits.RetryAfter")? { COME_BACK_US } else { 0 };
     let (terms, duty, right) = (on_terms.clone(), on_duty.clone(), fleet.as_ref().map(Fleet::right));
     let proxy = Proxy { decide, backends, bodies, terms, duty, ending, right, come_back_us };
+    // What an agent beside us has counts as told from our first moment. It is silent while discovery is down.
+    if pushed {
+        let _ = timeout(FIRST_WORD, heard.wait_for(|heard| *heard)).await;
+    }
     let second_listener =
         second_address(&told)?.map(|address| listener(address, "admin_addr")).transpose()?;
     let listener = match inherited {
--- a/crates/proxy/tests/sockets/races.rs
+++ b/crates/proxy/tests/sockets/races.rs
@@ -179,3 +179,98 @@
     next.answer(200, "", "ok");
     assert_eq!(client.heard().status(), 200);
 }
+
+/// What discovery has counts as told 6 s later, however its calls fail meanwhile.
+#[test]
+fn two_silences_in_a_row_leave_time_to_be_told() {
+    let discovery = Discovery::start();
+    let _proxy = Proxy::start(&configuration(&discovery, &[]));
+    let mut first = discovery.next();
+    let silent = Instant::now();
+    first.say("");
+    let _second = discovery.next();
+    let _third = discovery.next();
+    assert!(silent.elapsed() < Duration::from_secs(6), "{:?}", silent.elapsed());
+}
+
+#[test]
+fn bytes_that_trickle_are_no_sign_of_life() {
+    for part in [" ", "{\"generation\":50,"] {
+        let discovery = Discovery::start();
+        let _proxy = Proxy::start(&configuration(&discovery, &[]));
+        let (watch, begun) = (discovery.next(), Instant::now());
+        std::thread::scope(|scope| {
+            scope.spawn(|| watch.trickle(part, Duration::from_millis(100)));
+            let _next = discovery.next();
+            assert!(begun.elapsed() < Duration::from_secs(4), "{part:?}: {:?}", begun.elapsed());
+        });
+    }
+}
+
+#[test]
+fn changes_from_before_what_is_known_change_nothing_and_the_whole_list_is_asked_for() {
+    let (discovery, old, new) = (Discovery::start(), Backend::start(), Backend::start());
+    let proxy = Proxy::start(&configuration(&discovery, &[old.address]));
+    let mut watch = discovery.next();
+    let drains = vec![instance("s-0", old.address, "DRAINING"), instance("s-1", new.address, "SERVING")];
+    watch.say(&list(50, false, drains).to_string());
+    watch.say(&list(49, false, vec![instance("s-0", old.address, "SERVING")]).to_string());
+    let whole = discovery.next();
+    assert_eq!(whole.asked, "GET /api/targets HTTP/1.1");
+    let mut client = proxy.client();
+    for turn in 0..4 {
+        client.ask("read", &format!("q{turn}"), 2_000);
+        new.next().answer(200, "", "ok");
+        assert_eq!(client.heard().status(), 200);
+    }
+    assert!(old.is_quiet());
+    // It may have begun to count anew: its whole list holds.
+    let watch = whole.tell(&list(3, true, vec![instance("s-0", old.address, "SERVING")]).to_string());
+    assert_eq!(watch.asked, "GET /api/targets?watch=1&after=3 HTTP/1.1");
+    client.ask("read", "back", 2_000);
+    old.next().answer(200, "", "ok");
+    assert_eq!(client.heard().status(), 200);
+}
+
+/// What the agent beside it has counts as told from a process's first moment.
+#[test]
+fn where_lists_are_pushed_nothing_is_served_before_the_agents_first_word() {
+    let (discovery, drains, serves) = (Discovery::start(), Backend::start(), Backend::start());
+    let mut configured = configuration(&discovery, &[drains.address, serves.address]);
+    let listen = nowhere();
+    configured["settings"]["Discovery"] = json!("automatic");
+    configured["listen"] = json!(listen.to_string());
+    std::thread::scope(|scope| {
+        let proxy = scope.spawn(|| Proxy::start(&configured));
+        let mut watch = discovery.next();
+        assert!(std::net::TcpStream::connect(listen).is_err(), "it accepts already");
+        watch.say(&list(50, false, vec![instance("s-0", drains.address, "DRAINING")]).to_string());
+        let proxy = proxy.join().expect("it starts");
+        let mut client = proxy.client();
+        for turn in 0..4 {
+            client.ask("read", &format!("q{turn}"), 2_000);
+            serves.next().answer(200, "", "ok");
+            assert_eq!(client.heard().status(), 200);
+        }
+        assert!(drains.is_quiet());
+        // A watch that ends is no excuse either.
+        let ended = Instant::now();
+        watch.say("no JSON");
+        let _next = discovery.next();
+        assert!(ended.elapsed() < Duration::from_millis(240), "{:?}", ended.elapsed());
+    });
+}
+
+#[test]
+fn where_lists_are_pushed_a_silent_agent_does_not_keep_a_process_from_starting() {
+    let (discovery, backend) = (Discovery::start(), Backend::start());
+    let mut configured = configuration(&discovery, &[backend.address]);
+    configured["settings"]["Discovery"] = json!("automatic");
+    let started = Instant::now();
+    let proxy = Proxy::start(&configured);
+    assert!(started.elapsed() < Duration::from_secs(5), "{:?}", started.elapsed());
+    let mut client = proxy.client();
+    client.ask("read", "q", 2_000);
+    backend.next().answer(200, "", "ok");
+    assert_eq!(client.heard().status(), 200);
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -666,12 +666,10 @@
         }
     }
 
-    /// Asks anew after a jittered wait that grows, so that the proxies don't keep the list down.
+    /// Asks anew after a jittered wait: what the list has counts as told soon, whatever failed meanwhile.
     pub fn list_lost(&mut self) {
         let b = &mut *self.balancer;
-        b.asks_lost = (b.asks_lost + 1).min(4);
-        let most = 250_000 << b.asks_lost;
-        self.out.wake(b.rng.u64(most / 2..most), "ask");
+        self.out.wake(b.rng.u64(200_000..400_000), "ask");
     }
 
     pub fn list(&mut self, whole: bool, items: &[Listed]) {
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -381,7 +381,6 @@
     pub(crate) cold: ColdRule,
     pub(crate) tenants: Vec<Allowance>,
     pub(crate) must_ask: bool,
-    pub(crate) asks_lost: u32,
     pub(crate) target_us: f64,
     pub(crate) most_importance: f64,
     pub(crate) slowest_pace: f64,
@@ -499,7 +498,6 @@
     /// Takes in entries of the list; tells whether a ready backend came, and whether one left. Those that a
     /// whole list no longer names are gone.
     pub(crate) fn listed(&mut self, whole: bool, items: &[Listed]) -> (bool, bool) {
-        self.asks_lost = 0;
         let (mut came, mut left) = (false, false);
         let named: BTreeSet<u32> = items.iter().map(|item| item.backend).collect();
         let missing = self.fleet.values().filter(|backend| whole && !named.contains(&backend.listed.backend));
