What comes too late after SIGTERM is rejected at once, and no end is over unread bytes

Seen by reading, then forced on sockets: - A request that came whole more than 0.65 s after the signal was still sent on and could meet the kill (answered 502 at the last call, or not at all). Now it gets a 503 with Retry-After at once; it has gone nowhere. - As the listener closed, what the kernel had taken up for it was reset: a request there was lost. Now the queue is taken up to its end first (where no other process of an upgrade takes it). - A connection was closed over bytes that had not been read, which resets it. Now its writing ends first and it is read on for a quarter of a second, 1 MiB at most; not where it ends for room, whose answer went long ago. - The time to come back was 0.5 s also where the settings let nobody be told so long.

Tests: three, each fails on the build before (502 for 503, a reset in place of an answer, the socket's error set).

--- a/crates/proxy/src/duty.rs
+++ b/crates/proxy/src/duty.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Whether the process is ending and what comes now could meet the kill before its answer.
+    pub fn is_too_late(&self) -> bool {
+        matches!(self, Duty::Ending(since) if since.elapsed() >= LATE)
+    }
+
     /// When a client's connection that was opened then is to end, with the code for it.
     pub fn leave(&self, opened: Instant) -> Option<(Instant, &'static str)> {
         match self {
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -28,7 +28,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{sleep, sleep_until, Instant};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tower_service::Service;
 
 use crate::connect::Stall;
@@ -60,6 +60,10 @@
 const MOST_AHEAD: usize = 256 << 10;
 const AHEAD: usize = 16;
 const PART: usize = 4 << 10;
+/// How long, and for how many bytes, a connection is read on behind its end: closed over unread bytes it would be
+/// reset, and what was last written to it lost.
+const LINGER: Duration = Duration::from_millis(250);
+const MOST_LINGERED: usize = 1 << 20;
 
 pub fn router(proxy: Arc<Proxy>, stand: Stand) -> Router {
     let ready = |State(stand): State<Stand>| async move {
@@ -168,6 +172,23 @@
         Poll::Pending
     }
 
+    /// Says that no more is written, and reads on for a while until the client says the same.
+    async fn linger(&self) {
+        let _ = SockRef::from(&self.stream).shutdown(Shutdown::Write);
+        let reads_on = async {
+            let (mut part, mut read) = ([0; PART], 0);
+            while read < MOST_LINGERED && self.stream.readable().await.is_ok() {
+                match self.stream.try_read(&mut part) {
+                    Ok(0) => return,
+                    Ok(length) => read += length,
+                    Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(_) => return,
+                }
+            }
+        };
+        let _ = timeout(LINGER, reads_on).await;
+    }
+
     /// The same past what may be read ahead, where only the socket's own word is left.
     async fn hangs_up(&self) {
         loop {
@@ -386,13 +407,7 @@
             sleep(LATE).await;
         }
     });
-    loop {
-        let accepted = tokio::select! {
-            biased;
-            () = &mut late => break,
-            accepted = accept(&listener, &room, &clients) => accepted,
-        };
-        let (stream, address, permit) = accepted;
+    let mut take = |stream: TcpStream, address: SocketAddr, permit: OwnedSemaphorePermit| {
         if budget.saturating_sub(room.available_permits()) > easy {
             clients.end_some_idle();
         }
@@ -418,10 +433,33 @@
             clients.open.lock().unwrap_or_else(PoisonError::into_inner).remove(&number);
             let open_ms = opened.elapsed().as_millis() as u64;
             tracing::info!(code, %address, open_ms, "client connection ended");
+            // Where it ended for room its place is wanted now, and its last answer went long ago.
+            if code != "over_budget" {
+                client.linger().await;
+            }
             drop(permit);
         });
+    };
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            () = &mut late => break,
+            accepted = accept(&listener, &room, &clients) => accepted,
+        };
+        let (stream, address, permit) = accepted;
+        take(stream, address, permit);
+    }
+    // What the kernel has taken up for us by now would be reset with the listener. Another process would take it.
+    if let Some(last) = listener.into_std().ok().filter(|_| *others.borrow() == 0) {
+        while let Ok(permit) = Arc::clone(&room).try_acquire_owned() {
+            let accepted = last.accept().and_then(|(stream, address)| {
+                stream.set_nonblocking(true)?;
+                Ok((TcpStream::from_std(stream)?, address))
+            });
+            let Ok((stream, address)) = accepted else { break };
+            take(stream, address, permit);
+        }
     }
-    drop(listener);
     leave_room.abort();
     let _ = leave_room.await;
     let _ = room.acquire_many(budget as u32).await;
--- a/crates/proxy/src/query.rs
+++ b/crates/proxy/src/query.rs
@@ -65,6 +65,7 @@
         Err(wrong) => return plain(StatusCode::BAD_REQUEST, &wrong),
     };
     let read = tokio::select! {
+        biased;
         read = Payload::read(body, &proxy.bodies) => read,
         () = Duty::too_late(proxy.duty.clone()) => Err(Broken::Still),
     };
@@ -79,6 +80,10 @@
             return last(status, &wrong.to_string());
         }
     };
+    // Sent on it could meet the kill before its answer; it has gone nowhere yet, so others may have it.
+    if proxy.duty.borrow().is_too_late() {
+        return rejected(proxy.come_back_us);
+    }
     // The client counts from its last byte; what a pipelined request waited here is gone.
     let waited = came.and_then(|came| came.whole).map_or(Duration::ZERO, |whole| whole.elapsed());
     let wait = asked.wait.saturating_sub(waited + ROOM);
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -39,11 +39,13 @@
 /// Where the settings name no time to connect, or none that idle connections may stand.
 const CONNECT: Duration = Duration::from_secs(1);
 const IDLE: Duration = Duration::from_secs(10);
-/// SIGKILL comes 3.7 s after SIGTERM at the soonest: by then all that was taken must be answered.
+/// SIGKILL comes 3.7 s after SIGTERM at the soonest, or 0.7 s after the longest time that clients wait where that is
+/// less, when all that was taken is answered by then: what waits longer is answered now.
 const LAST_CALL: Duration = Duration::from_millis(3_300);
 /// How long a start waits for an agent's first word: well within the time in which it must be ready.
 const FIRST_WORD: Duration = Duration::from_secs(2);
 /// What a client is told that comes to a proxy which may send nothing on: others may have it by then.
+/// Less where the settings let nobody wait that long.
 const COME_BACK_US: u64 = 500_000;
 /// What flows by then goes on until it is through, or the kill comes: cut off by us it would be lost.
 const LAST_WRITES: Duration = Duration::from_secs(60);
@@ -178,7 +180,7 @@
     let (ended, ending) = watch::channel(false);
     let (terms, on_terms) = watch::channel(Arc::new(first_terms));
     tokio::spawn(retune::follow(hangup, told.clone(), Arc::clone(&decide), terms, moved));
-    let come_back_us = if at::<bool>(settings, "Limits.RetryAfter")? { COME_BACK_US } else { 0 };
+    let come_back_us = crankpick_launch::limits(settings)?.max_backoff_us.min(COME_BACK_US);
     let (terms, duty, right) = (on_terms.clone(), on_duty.clone(), fleet.as_ref().map(Fleet::right));
     let proxy = Proxy { decide, backends, bodies, terms, duty, ending, right, come_back_us };
     // What an agent beside us has counts as told from our first moment. It is silent while discovery is down.
--- a/crates/proxy/tests/sockets/races.rs
+++ b/crates/proxy/tests/sockets/races.rs
@@ -274,3 +274,75 @@
     backend.next().answer(200, "", "ok");
     assert_eq!(client.heard().status(), 200);
 }
+
+/// The moment from which a process that was told to end can no longer be sure of time for an answer.
+const LATE: Duration = Duration::from_millis(650);
+
+#[test]
+fn what_comes_whole_too_late_after_the_signal_to_end_is_rejected_at_once_and_told_when_to_come_back() {
+    let (discovery, backend) = (Discovery::start(), Backend::start());
+    let mut proxy = Proxy::start(&configuration(&discovery, &[backend.address]));
+    let mut clients: Vec<Client> = (0..4).map(|_| proxy.client()).collect();
+    // In hand, so that its connection stays open; behind it another, half a head, and half a body.
+    clients[0].ask("pay", "taken", 3_000);
+    let mut taken = backend.next();
+    clients[0].ask("pay", "behind", 3_000);
+    clients[1].say(b"GET /read/x HTTP/1.1\r\nX-Request-Id: half\r\n");
+    let body = "POST /pay/x HTTP/1.1\r\nX-Request-Id: body\r\nContent-Length: 2\r\n\r\no";
+    clients[2].say(body.as_bytes());
+    proxy.terminate();
+    proxy.logged("code=\"stopping\"");
+    let signalled = Instant::now();
+    // That nothing more is waited for tells that it is late: a half body is answered then.
+    assert_eq!(clients[2].heard().status(), 408);
+    assert!(signalled.elapsed() >= LATE - Duration::from_millis(50));
+    taken.answer(200, "", "ok");
+    assert_eq!(clients[0].heard().status(), 200);
+    clients[1].say(b"\r\n");
+    let heard = clients[1].heard();
+    assert_eq!((heard.status(), heard.header("connection")), (503, Some("close")));
+    assert!(heard.header("retry-after").is_some());
+    assert!(backend.is_quiet() && proxy.ended().success());
+}
+
+/// The process stood still over the signal and the time in which it still takes what comes.
+#[test]
+fn what_waits_in_the_listeners_queue_as_it_closes_is_answered() {
+    let (discovery, backend) = (Discovery::start(), Backend::start());
+    let mut proxy = Proxy::start(&configuration(&discovery, &[backend.address]));
+    proxy.terminate();
+    proxy.logged("code=\"stopping\"");
+    let signalled = Instant::now();
+    let mut clients = Vec::new();
+    proxy.stopped(|| {
+        clients.extend((0..5).map(|_| proxy.client()));
+        clients.iter_mut().enumerate().for_each(|(n, client)| client.ask("pay", &format!("q{n}"), 3_000));
+        // The clock is what has to pass here.
+        std::thread::sleep((LATE + Duration::from_millis(100)).saturating_sub(signalled.elapsed()));
+    });
+    for client in &mut clients {
+        let heard = client.heard();
+        assert!(heard.status() == 503 && heard.header("retry-after").is_some(), "{}", heard.head);
+    }
+    assert!(backend.is_quiet() && proxy.ended().success());
+}
+
+#[test]
+fn an_answer_outlives_the_end_of_its_connection_over_unread_bytes() {
+    let (discovery, backend) = (Discovery::start(), Backend::start());
+    let mut configured = configuration(&discovery, &[backend.address]);
+    configured["admin_addr"] = json!("127.0.0.1:0");
+    let proxy = Proxy::start(&configured);
+    let mut client = proxy.client();
+    client.ask("pay", "last", 3_000);
+    let mut asked = backend.next();
+    client.say(&[b'x'; 600_000]);
+    // Drained, it ends the connection with the answer, over what it has not read.
+    assert_eq!(proxy.call("LAMEDUCK\n"), "YES\n");
+    asked.answer(200, "", "ok");
+    proxy.logged("code=\"drained\"");
+    // By the answer to this the other end has been closed, if it is.
+    assert!(proxy.call("PING\n").starts_with("NO"));
+    assert!(!client.is_reset());
+    assert_eq!((client.heard().body.as_slice(), client.hear().is_none()), (b"ok".as_slice(), true));
+}
--- a/crates/proxy/tests/sockets/stand_ins.rs
+++ b/crates/proxy/tests/sockets/stand_ins.rs
@@ -437,6 +437,10 @@
         let _ = self.stream.get_mut().write_all(bytes);
     }
 
+    pub fn is_reset(&self) -> bool {
+        socket2::SockRef::from(self.stream.get_ref()).take_error().expect("a socket").is_some()
+    }
+
     /// Closes its connection, or resets it.
     pub fn leave(self, resets: bool) {
         if resets {
