A cold backend's shares below one query are dealt in turns, not drawn by each proxy alone

Each proxy drew its own lot in its own window (balance.rs `within_cold_budget`), so the chances added up, what had gathered before the start was told went at once, and a new process took its predecessor's share once more, by a pace it had not learned (8 units a target time). Who was outside the arcs sent beside their users.

Now turns begin evenly apart by place among a backend's users and carry the golden part's multiples, whose even spread makes as many lucky as add up to N; a turn is taken in its first half, and not if it began before the start was heard of. A process that knows no pace, or is younger than a window, takes whole shares only where nothing is warm. Tried first: no share at all for a young process; a third of the test's budget in the first window was not used.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -194,26 +194,29 @@
             DedupGroup::Cell => on.cell == first_on.cell,
         };
         match workload.repeat {
-            Repeat::Deduplicated => together && now_us < qry.repeated_until_us(workload),
+            Repeat::Deduplicated => together && qry.repeats_for_us(&self.workloads, now_us) > 0,
             other => other == Repeat::Idempotent,
         }
     }
 
     /// Rule 4: this proxy's share of what a cold backend bears in a window, by the slowest pace seen.
     fn within_cold_budget(&self, backend: &Backend, work: f64, now_us: u64) -> bool {
-        let window_us = self.cold.window_us;
-        let warmth = backend.warmth(&self.cold, now_us.saturating_sub(window_us / 2));
-        let bears = self.cold.multiple * warmth * self.slowest_pace * window_us as f64;
-        let recent = backend.cold_sent.iter().filter(|sent| sent.0 + window_us >= now_us);
-        let sent: f64 = recent.map(|sent| sent.1).sum();
-        let users = if backend.sharers.is_empty() { self.balancers } else { backend.sharers.len() + 1 };
+        let window_us = self.cold.window_us.max(1);
+        let warmth = |at: &Backend| at.warmth(&self.cold, now_us.saturating_sub(window_us / 2));
+        let bears = self.cold.multiple * warmth(backend) * self.slowest_pace * window_us as f64;
+        let sent = backend.sent_since(now_us.saturating_sub(window_us));
+        let (users, luck, begun_us) = self.turn(backend, now_us, window_us);
         let part = bears / (users * self.processes) as f64;
-        // A part below one query is used by lot: one goes by a chance as large as the part, drawn for each
-        // window anew; windows of proxies begin apart, so that all together keep to the budget.
-        let lot = self.lot ^ u64::from(backend.listed.backend);
-        let window = (now_us + lot % window_us.max(1)) / window_us.max(1);
-        let chance = || Rng::with_seed(lot.wrapping_add(window)).f64() * work < part;
-        warmth >= 1.0 || sent + work <= part || sent <= 0.0 && chance()
+        // A part below one query is dealt in turns that add up to the whole, each to be taken in its first
+        // half, none that began before the start was heard of: what has gathered would go at once.
+        let dealt = luck * work < part && begun_us >= backend.heard_us && now_us < begun_us + window_us / 2;
+        // Who has just started knows no pace and may follow one that sent there. Parts are for their users.
+        let young = |of: bool| of && self.ours().any(|at| warmth(at) >= 1.0);
+        let within =
+            || sent + work <= part && !young(now_us < self.began_us + window_us) || sent <= 0.0 && dealt;
+        let ours = || self.standing.probes || self.part.contains(&backend.listed.backend);
+        let knows = || !young(self.ours().all(|at| at.learned.is_none()));
+        warmth(backend) >= 1.0 || within() && ours() && knows()
     }
 
     /// Whether what this proxy has out is what crowded backends hold of it; none are at 0.9 of their cores.
@@ -393,7 +396,6 @@
     fn execute(&mut self, qry: &str, id: u32, now_us: u64, out: &mut dyn Writer) {
         self.last_serial += 1;
         let qry = self.queries.get_mut(qry).expect("placed queries are live");
-        let begin_us = qry.repeated_until_us(&self.workloads[qry.workload]);
         let backend = self.fleet.get_mut(&id).expect("only listed backends are used");
         if backend.warmth(&self.cold, now_us) < 1.0 {
             backend.cold_sent.retain(|sent| sent.0 + self.cold.window_us >= now_us);
@@ -402,8 +404,8 @@
         let (ahead, told) = (backend.work() + qry.work, backend.tells(self.standing.peers, qry.work));
         backend.held.insert(self.last_serial, Held::new(qry, now_us, ahead, told));
         let expected_us = (ahead / backend.pace.max(1e-9)) as u64;
+        out.execute(&qry.id, id, qry.deadline_us - now_us, qry.repeats_for_us(&self.workloads, now_us));
         qry.executions.push(Execution::new(id, self.last_serial, now_us, expected_us));
-        out.execute(&qry.id, id, qry.deadline_us - now_us, begin_us.saturating_sub(now_us));
         backend.tell(told, out);
     }
 
@@ -675,7 +677,7 @@
     pub fn list(&mut self, whole: bool, items: &[Listed]) {
         // Parts are cut from the whole list: where they are, one that leaves moves them all.
         let b = &mut *self.balancer;
-        let (came, left) = b.listed(whole, items);
+        let (came, left) = b.listed(whole, items, self.now_us);
         if came || left && b.balancers > SHARED_BY || b.groups.iter().any(Vec::is_empty) {
             b.regroup_us = self.now_us;
         }
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -119,10 +119,12 @@
         self.executions.iter().find(|exec| exec.out || exec.may_have_run)
     }
 
-    /// Until when a further execution may begin, for what its repeats' memory allows.
-    pub fn repeated_until_us(&self, workload: &Workload) -> u64 {
+    /// For how long a further execution may begin, as long as its repeats are known.
+    pub fn repeats_for_us(&self, workloads: &[Workload], now_us: u64) -> u64 {
+        let workload = &workloads[self.workload];
         let binding = self.binding().filter(|_| workload.repeat == Repeat::Deduplicated);
-        binding.map_or(u64::MAX, |first| first.sent_us.saturating_add(workload.window_us))
+        let until_us = binding.map_or(u64::MAX, |first| first.sent_us.saturating_add(workload.window_us));
+        until_us.saturating_sub(now_us)
     }
 
     pub fn out(&self) -> bool {
@@ -209,6 +211,8 @@
     pub steps: u8,
     /// When it last started, or came back from those out by hand with no start told since; 0 means long ago.
     pub since_us: u64,
+    /// When this proxy heard of that start.
+    pub heard_us: u64,
     pub held: BTreeMap<u64, Held>,
     /// The other proxies that use it, and what they have told of.
     pub sharers: Vec<u32>,
@@ -243,9 +247,15 @@
 
 impl Backend {
     /// What started anew is judged and learned anew; what is still out there counts on.
-    fn start_anew(&mut self, since_us: u64) {
+    fn start_anew(&mut self, since_us: u64, heard_us: u64) {
         let (listed, held) = (self.listed, std::mem::take(&mut self.held));
-        *self = Backend { listed, held, since_us, ..Backend::default() };
+        let sharers = std::mem::take(&mut self.sharers);
+        *self = Backend { listed, held, since_us, heard_us, sharers, ..Backend::default() };
+    }
+
+    /// The work sent there while cold, since then.
+    pub fn sent_since(&self, since_us: u64) -> f64 {
+        self.cold_sent.iter().filter(|sent| sent.0 >= since_us).map(|sent| sent.1).sum()
     }
 
     pub fn ready(&self) -> bool {
@@ -381,6 +391,8 @@
     pub(crate) cold: ColdRule,
     pub(crate) tenants: Vec<Allowance>,
     pub(crate) must_ask: bool,
+    /// When the first list came.
+    pub(crate) began_us: u64,
     pub(crate) target_us: f64,
     pub(crate) most_importance: f64,
     pub(crate) slowest_pace: f64,
@@ -482,6 +494,22 @@
         self.part.iter().map(|id| &self.fleet[id])
     }
 
+    /// How many proxies use a backend, a number below 1 that comes with this one's turn at it, and when that began.
+    /// Turns are a window long and begin evenly apart; in any row of them the numbers are spread as evenly as can be,
+    /// as multiples of the golden part are, so that as many lie below a part as add up to it, though each proxy's part
+    /// may differ. Where candidates are probed each proxy may use any backend.
+    pub(crate) fn turn(&self, backend: &Backend, now_us: u64, window_us: u64) -> (usize, f64, u64) {
+        const GOLDEN: u64 = 0x9e37_79b9_7f4a_7c15;
+        let before = backend.sharers.partition_point(|other| (*other as usize) < self.number);
+        let (users, place) = match self.standing.probes {
+            true => (self.balancers, self.number),
+            false => (backend.sharers.len() + 1, before),
+        };
+        let since_us = now_us.saturating_sub(window_us * place as u64 / users as u64);
+        let turn = since_us / window_us * users as u64 + place as u64 + u64::from(backend.listed.backend);
+        (users, turn.wrapping_mul(GOLDEN) as f64 / u64::MAX as f64, now_us - since_us % window_us)
+    }
+
     /// How many executions are out to backends that this proxy uses.
     pub(crate) fn out(&self) -> f64 {
         self.ours().map(|backend| backend.there().count() as f64).sum()
@@ -497,7 +525,8 @@
 
     /// Takes in entries of the list; tells whether a ready backend came, and whether one left. Those that a
     /// whole list no longer names are gone.
-    pub(crate) fn listed(&mut self, whole: bool, items: &[Listed]) -> (bool, bool) {
+    pub(crate) fn listed(&mut self, whole: bool, items: &[Listed], now_us: u64) -> (bool, bool) {
+        self.began_us = if self.began_us == 0 { now_us } else { self.began_us };
         let (mut came, mut left) = (false, false);
         let named: BTreeSet<u32> = items.iter().map(|item| item.backend).collect();
         let missing = self.fleet.values().filter(|backend| whole && !named.contains(&backend.listed.backend));
@@ -509,7 +538,7 @@
             // That it is gone, where this binds nobody, is no news of its start.
             let item = if loose { Listed { phase: Phase::Gone, ..backend.listed } } else { *item };
             if backend.listed.since_us != item.since_us {
-                backend.start_anew(item.since_us);
+                backend.start_anew(item.since_us, now_us);
             }
             backend.drained |= item.phase == Phase::Terminating;
             let may_serve = loose && !backend.drained;
@@ -541,7 +570,7 @@
             if out { *self.out.entry(id).or_insert(now_us) } else { self.out.remove(&id).unwrap_or(0) };
         if let Some(backend) = self.fleet.get_mut(&id) {
             if !out && backend.listed.since_us < out_us {
-                backend.start_anew(now_us);
+                backend.start_anew(now_us, now_us);
             }
             backend.out = out;
         }
--- a/tests/ledger/mod.rs
+++ b/tests/ledger/mod.rs
@@ -4,6 +4,7 @@
 use crankpick::interface::*;
 use std::collections::{BTreeMap, BTreeSet};
 
+#[allow(dead_code, reason = "each test file takes what it needs of this one")]
 pub struct Sent {
     pub backend: u32,
     pub at_us: u64,
