--- a/crates/proxy/src/hand.rs
+++ b/crates/proxy/src/hand.rs
@@ -130,26 +130,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use http_body_util::BodyExt;
-
-    #[tokio::test]
-    async fn a_backend_is_in_hand_until_the_last_byte_of_its_answer() {
-        let hand: Arc<InHand> = Arc::default();
-        let of = || [("a".to_owned(), 1), ("b".to_owned(), 2)].into_iter();
-        let (one, other) = (hand.execution(1), hand.execution(1));
-        let query = hand.query();
-        assert_eq!(hand.busy(of()), BTreeSet::from(["a".to_owned()]));
-        drop(other);
-        let answer = flowing(Response::new(Body::from("long")), Some(one));
-        drop(query);
-        assert!(!hand.empty() && hand.busy(of()).contains("a"), "it has not flowed yet");
-        let whole = answer.into_body().collect().await.expect("whole").to_bytes();
-        assert_eq!(whole, "long");
-        assert!(hand.empty() && hand.busy(of()).is_empty());
-        // A client that goes leaves nothing in hand either.
-        drop(flowing(Response::new(Body::from("long")), Some(hand.execution(2))));
-        assert!(hand.empty());
-    }
-}
+#[path = "../tests/unit/hand.rs"]
+mod tests;
--- a/crates/proxy/src/query.rs
+++ b/crates/proxy/src/query.rs
@@ -329,34 +329,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::peers::Peers;
-    use crankpick::interface::{Listed, Phase};
-    use serde_json::json;
-
-    /// Without its outcome each would burden the only backend for good, until nothing goes there.
-    #[tokio::test]
-    async fn an_execution_decided_as_the_client_goes_is_not_left_out_there() {
-        let settings = json!({
-            "Balancers": 1, "Discovery": "subscribe", "Limits": {"MaxExecutions": 4, "Cancel": true},
-            "Workloads": [{"Name": "read", "Repeat": "retryable", "SloTimeUs": 1_000_000, "Importance": 1.0}],
-        });
-        let balancer = crankpick_launch::balancer(7, &settings).expect("sound");
-        let peers = Arc::new(Peers::new(None, vec![]).expect("none"));
-        let backends = Arc::new(Backends::new(9, Arc::new(Pool::new(0)), ROOM, ROOM, None));
-        let path = axum::http::Uri::from_static("/");
-        let decide = Decide::new(balancer, 4, Arc::default(), peers, backends, path, None);
-        decide.list(true, &[Listed { backend: 1, phase: Phase::Ready, weight: 1.0, ..Listed::default() }]);
-        for turn in 0..50 {
-            let id = turn.to_string();
-            let mut decided = decide.query(&id, 0, 0, 5_000_000, None, false).ok().expect("taken");
-            let first = decided.try_recv();
-            assert!(matches!(first, Ok(Decided::Execute { .. })), "turn {turn}: {first:?}");
-            // As if it were still on its way to the query's task.
-            let (late, decided) = mpsc::channel(9);
-            late.try_send(first.expect("there")).expect("room");
-            drop(Life::new(Arc::clone(&decide), id, decided));
-        }
-    }
-}
+#[path = "../tests/unit/query.rs"]
+mod tests;
