--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -9,9 +9,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
-use crate::duty::Stand;
 use crate::fleet::{Fleet, FLEET};
 use crate::handover::{ByHand, ATTACH, DETACH};
+use crate::lifecycle::Stand;
 
 /// Callers in hand: past it the one there longest makes room, so that those who end no call hold up nobody.
 pub const CALLERS: usize = 16;
--- a/crates/proxy/src/decide.rs
+++ b/crates/proxy/src/decide.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{mpsc, Notify};
 
 use crate::backends::Backends;
-use crate::hand::{Hold, InHand};
+use crate::in_flight::{Hold, InFlight};
 use crate::peers::Peers;
 
 /// What the module decided about one query; executions are numbered from 0 in this order.
@@ -89,7 +89,7 @@
     list_wanted: Arc<Notify>,
     peers: Arc<Peers>,
     /// In a fleet alone.
-    hand: Option<Arc<InHand>>,
+    in_flight: Option<Arc<InFlight>>,
     /// Queries taken, and those turned away or given up, since they were last asked for.
     taken: u64,
     turned: u64,
@@ -107,7 +107,7 @@
 
 impl Writer for Desk {
     fn execute(&mut self, qry: &str, backend: u32, timeout_us: u64, begin_within_us: u64) {
-        let hold = self.hand.as_ref().map(|hand| hand.execution(backend));
+        let hold = self.in_flight.as_ref().map(|in_flight| in_flight.execution(backend));
         self.pass(qry, Decided::Execute { backend, timeout_us, begin_within_us, hold });
     }
 
@@ -145,10 +145,10 @@
 impl Decide {
     pub fn new(
         balancer: Balancer, max_executions: u32, list_wanted: Arc<Notify>, peers: Arc<Peers>,
-        backends: Arc<Backends>, probe_path: Uri, hand: Option<Arc<InHand>>,
+        backends: Arc<Backends>, probe_path: Uri, in_flight: Option<Arc<InFlight>>,
     ) -> Arc<Self> {
         let (queries, wakes, probes) = (BTreeMap::new(), Vec::new(), Vec::new());
-        let desk = Desk { queries, wakes, probes, list_wanted, peers, hand, taken: 0, turned: 0 };
+        let desk = Desk { queries, wakes, probes, list_wanted, peers, in_flight, taken: 0, turned: 0 };
         let held = Mutex::new(Held { balancer, desk, max_executions });
         Arc::new(Decide { held, clock: Clock::new(), backends, probe_path })
     }
@@ -163,7 +163,7 @@
         }
         // One probe of a backend is out at a time.
         for backend in desk.probes.drain(..) {
-            let hold = desk.hand.as_ref().map(|hand| hand.execution(backend));
+            let hold = desk.in_flight.as_ref().map(|in_flight| in_flight.execution(backend));
             tokio::spawn(Arc::clone(self).probe(backend, hold));
         }
         fed
@@ -189,12 +189,12 @@
     }
 
     /// Settings for all queries to come; returns the module's numbers for the workloads.
-    pub fn retune(
+    pub fn reload(
         &self, workloads: Vec<Workload>, tenants: Vec<Tenant>, limits: ExecutionLimits, cold: ColdRule,
     ) -> Vec<usize> {
         let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
         held.max_executions = limits.max_executions;
-        held.balancer.retune(workloads, tenants, limits, cold)
+        held.balancer.reload(workloads, tenants, limits, cold)
     }
 
     /// Whether the module may still send to a backend that the list has dropped.
@@ -203,8 +203,8 @@
     }
 
     /// What is in hand, in a fleet.
-    pub fn hand(&self) -> Option<Arc<InHand>> {
-        self.held.lock().unwrap_or_else(PoisonError::into_inner).desk.hand.clone()
+    pub fn in_flight(&self) -> Option<Arc<InFlight>> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner).desk.in_flight.clone()
     }
 
     /// Each backend's load and maximum as the module has them; queries taken and turned away since the last look.
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -99,7 +99,7 @@
         }
     }
 
-    fn let_go(&mut self) {
+    fn release_unused(&mut self) {
         let decide = Arc::clone(&self.decide);
         let unused = self.dropped.extract_if(.., |backend, _| !decide.uses(*backend));
         for (backend, id) in unused.collect::<Vec<_>>() {
@@ -161,7 +161,7 @@
         self.generation = list.generation;
         self.serving(&items);
         self.decide.list(list.reset, &items);
-        self.let_go();
+        self.release_unused();
     }
 
     /// What waits for its connection is held to the news as well. Whose going binds nobody serves on.
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -20,10 +20,10 @@
 use tokio::time::{interval, sleep, timeout, Instant, MissedTickBehavior};
 
 use crate::decide::Decide;
-use crate::duty::{Duty, Stand};
-use crate::hand::InHand;
+use crate::in_flight::InFlight;
+use crate::lifecycle::{Lifecycle, Stand};
 use crate::names::{By, Names};
-use crate::retune::Terms;
+use crate::reload::Terms;
 
 /// How often the proxy's own load is looked at, and how many looks make a word on it.
 const LOOK: Duration = Duration::from_millis(100);
@@ -75,11 +75,11 @@
 
     /// Drained while the fleet wants it, for work on this proxy; tells when nothing is in hand any more.
     pub async fn drains(self, stand: Stand, decide: Arc<Decide>) {
-        let (mut drain, hand) = (self.handle.drain.clone(), decide.hand().unwrap_or_default());
+        let (mut drain, in_flight) = (self.handle.drain.clone(), decide.in_flight().unwrap_or_default());
         loop {
             let wanted = *drain.borrow_and_update();
             stand.by_fleet(wanted);
-            self.handle.tell(Call::Empty(wanted && hand.empty()));
+            self.handle.tell(Call::Empty(wanted && in_flight.empty()));
             tokio::select! {
                 changed = drain.changed() => if changed.is_err() { return },
                 () = sleep(LOOK), if wanted => {}
@@ -100,9 +100,9 @@
         let (mut heard, mut taken) = (self.handle.heard.clone(), self.handle.taken.clone());
         let wait = Duration::from_micros(self.file.wait_us);
         let heard = matches!(timeout(wait, heard.wait_for(|heard| *heard)).await, Ok(Ok(_)));
-        let hand = decide.hand().unwrap_or_default();
+        let in_flight = decide.in_flight().unwrap_or_default();
         let (zones, handle) = (self.zones.clone(), self.handle.clone());
-        let mut outs = Outs { decide, names, hand, zones, handle, told: Default::default() };
+        let mut outs = Outs { decide, names, in_flight, zones, handle, told: Default::default() };
         let version = taken.borrow_and_update().clone().map(|publication| outs.apply(&publication));
         // It may send once the fleet's part has heard that the version is acted on.
         let soon = Instant::now() + ACTED;
@@ -143,7 +143,7 @@
                         }
                     }
                     // Something has come to nothing: perhaps at a machine that is waited for.
-                    () = outs.hand.ended.notified() => outs.tell_busy(false),
+                    () = outs.in_flight.ended.notified() => outs.tell_busy(false),
                     _ = looks.tick() => {
                         if let Some(view) = sight.look(&outs) {
                             outs.handle.tell(Call::Sees(view));
@@ -155,14 +155,14 @@
     }
 
     /// A proxy that is drained or ends owns nothing.
-    pub async fn turns(self, mut duty: watch::Receiver<Duty>) {
+    pub async fn turns(self, mut lifecycle: watch::Receiver<Lifecycle>) {
         loop {
-            let now = *duty.borrow_and_update();
+            let now = *lifecycle.borrow_and_update();
             match now {
-                Duty::Ending(_) => self.handle.tell(Call::End),
+                Lifecycle::Ending(_) => self.handle.tell(Call::End),
                 now => self.handle.tell(Call::Willing(now.ready().is_ok())),
             }
-            if duty.changed().await.is_err() {
+            if lifecycle.changed().await.is_err() {
                 return;
             }
         }
@@ -283,7 +283,7 @@
 struct Outs {
     decide: Arc<Decide>,
     names: Arc<Mutex<Names>>,
-    hand: Arc<InHand>,
+    in_flight: Arc<InFlight>,
     zones: Vec<String>,
     handle: Handle,
     told: (u64, BTreeSet<String>),
@@ -294,7 +294,7 @@
     fn tell_busy(&mut self, news: bool) {
         let names = self.names();
         let out = names.all_out(By::Fleet).into_iter();
-        let busy = self.hand.busy(out.map(|id| (id.clone(), names.last(&id).backend)));
+        let busy = self.in_flight.busy(out.map(|id| (id.clone(), names.last(&id).backend)));
         drop(names);
         if news || busy != self.told.1 {
             self.told.1 = busy.clone();
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -32,8 +32,8 @@
 use tower_service::Service;
 
 use crate::connect::Stall;
-use crate::duty::{Duty, Stand, LATE};
 use crate::framing::Framing;
+use crate::lifecycle::{Lifecycle, Stand, LATE};
 use crate::query::{answer, plain, Proxy};
 use crate::share::halve;
 
@@ -388,7 +388,7 @@
 /// uses against those that ask.
 pub async fn run(
     listener: TcpListener, router: Router, budget: usize, easy: usize, memory: usize,
-    duty: watch::Receiver<Duty>, others: watch::Receiver<usize>,
+    lifecycle: watch::Receiver<Lifecycle>, others: watch::Receiver<usize>,
 ) {
     let ahead = Arc::new(AtomicUsize::new(memory / AHEAD));
     let clients = Arc::new(Clients::default());
@@ -399,9 +399,9 @@
     };
     let leave_room = tokio::spawn(leave_room);
     let mut number = 0;
-    let mut told = duty.clone();
+    let mut told = lifecycle.clone();
     let mut late = Box::pin(async {
-        let _ = told.wait_for(|duty| matches!(duty, Duty::Ending(_))).await;
+        let _ = told.wait_for(|lifecycle| matches!(lifecycle, Lifecycle::Ending(_))).await;
         // Where another process accepts from the same socket it takes all that comes from now on.
         if *others.borrow() == 0 {
             sleep(LATE).await;
@@ -426,10 +426,10 @@
             room: Arc::clone(&ahead),
         });
         clients.open.lock().unwrap_or_else(PoisonError::into_inner).insert(number, Arc::clone(&client));
-        let (clients, router, duty) = (Arc::clone(&clients), router.clone(), duty.clone());
+        let (clients, router, lifecycle) = (Arc::clone(&clients), router.clone(), lifecycle.clone());
         tokio::spawn(async move {
             let opened = Instant::now();
-            let code = hold(&client, router, duty).await;
+            let code = hold(&client, router, lifecycle).await;
             clients.open.lock().unwrap_or_else(PoisonError::into_inner).remove(&number);
             let open_ms = opened.elapsed().as_millis() as u64;
             tracing::info!(code, %address, open_ms, "client connection ended");
@@ -516,9 +516,11 @@
 }
 
 /// Serves one connection to its end; returns the reason's code.
-async fn hold(client: &Arc<Client>, router: Router, mut duty: watch::Receiver<Duty>) -> &'static str {
+async fn hold(
+    client: &Arc<Client>, router: Router, mut lifecycle: watch::Receiver<Lifecycle>,
+) -> &'static str {
     let _ = client.stream.set_nodelay(true);
-    let told = duty.clone();
+    let told = lifecycle.clone();
     let service = service_fn(|mut request: Request<Incoming>| {
         if let Some(came) = client.framing().next() {
             request.extensions_mut().insert(came);
@@ -551,7 +553,7 @@
     let mut connection = std::pin::pin!(connection);
     let (mut code, mut leaving) = (None, false);
     loop {
-        let leave = duty.borrow_and_update().leave(client.opened);
+        let leave = lifecycle.borrow_and_update().leave(client.opened);
         // Once it leaves it ends by itself, but for what still lies in its socket.
         let soon =
             Instant::now() + if client.leaving.load(Ordering::Relaxed) { LOOK } else { Duration::ZERO };
@@ -572,7 +574,7 @@
             }
             () = poll_fn(|cx| client.poll_gone(cx)) => return "client_gone",
             () = client.hangs_up(), if full && client.idle().is_none() => return "client_gone",
-            Ok(()) = duty.changed() => {}
+            Ok(()) = lifecycle.changed() => {}
             () = sleep_until(patience) => {
                 if client.patience().is_some_and(|until| until <= Instant::now()) {
                     code.get_or_insert("silent");
--- a/crates/proxy/src/hand.rs
+++ b/crates/proxy/src/in_flight.rs
@@ -20,7 +20,7 @@
 }
 
 #[derive(Default)]
-pub struct InHand {
+pub struct InFlight {
     counts: Mutex<Counts>,
     /// Something has come to nothing.
     pub ended: Notify,
@@ -29,13 +29,13 @@
 /// Stands for one execution from its decision to its end, or for one query.
 #[derive(Debug)]
 pub struct Hold {
-    hand: Arc<InHand>,
+    in_flight: Arc<InFlight>,
     backend: Option<u32>,
 }
 
-impl std::fmt::Debug for InHand {
+impl std::fmt::Debug for InFlight {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("InHand")
+        f.write_str("InFlight")
     }
 }
 
@@ -45,19 +45,19 @@
     }
 }
 
-impl InHand {
+impl InFlight {
     fn lock(&self) -> MutexGuard<'_, Counts> {
         self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub fn execution(self: &Arc<Self>, backend: u32) -> Hold {
         *self.lock().backends.entry(backend).or_default() += 1;
-        Hold { hand: Arc::clone(self), backend: Some(backend) }
+        Hold { in_flight: Arc::clone(self), backend: Some(backend) }
     }
 
     pub fn query(self: &Arc<Self>) -> Hold {
         self.lock().queries += 1;
-        Hold { hand: Arc::clone(self), backend: None }
+        Hold { in_flight: Arc::clone(self), backend: None }
     }
 
     /// Of these, the backends at which something is left.
@@ -74,7 +74,7 @@
 
 impl Drop for Hold {
     fn drop(&mut self) {
-        let mut counts = self.hand.lock();
+        let mut counts = self.in_flight.lock();
         let none = match self.backend {
             None => {
                 counts.queries = counts.queries.saturating_sub(1);
@@ -91,7 +91,7 @@
         };
         drop(counts);
         if none {
-            self.hand.ended.notify_one();
+            self.in_flight.ended.notify_one();
         }
     }
 }
@@ -130,5 +130,5 @@
 }
 
 #[cfg(test)]
-#[path = "../tests/unit/hand.rs"]
+#[path = "../tests/unit/in_flight.rs"]
 mod tests;
--- a/crates/proxy/src/duty.rs
+++ b/crates/proxy/src/lifecycle.rs
@@ -18,41 +18,44 @@
 
 /// What the process is there for, and since when no longer.
 #[derive(Clone, Copy, Debug)]
-pub enum Duty {
+pub enum Lifecycle {
     Serving,
     Drained(Instant),
     Ending(Instant),
 }
 
-impl Duty {
+impl Lifecycle {
     pub fn ready(&self) -> Result<(), String> {
         match self {
-            Duty::Serving => Ok(()),
-            Duty::Drained(_) => Err("drained".into()),
-            Duty::Ending(_) => Err("ending".into()),
+            Lifecycle::Serving => Ok(()),
+            Lifecycle::Drained(_) => Err("drained".into()),
+            Lifecycle::Ending(_) => Err("ending".into()),
         }
     }
 
     /// Comes once the process is ending and nothing more may come whole: the kill may follow before its answer.
-    pub async fn too_late(mut duty: watch::Receiver<Duty>) {
-        let ending = duty.wait_for(|duty| matches!(duty, Duty::Ending(_))).await.map(|duty| *duty);
+    pub async fn too_late(mut lifecycle: watch::Receiver<Lifecycle>) {
+        let ending = lifecycle
+            .wait_for(|lifecycle| matches!(lifecycle, Lifecycle::Ending(_)))
+            .await
+            .map(|lifecycle| *lifecycle);
         match ending {
-            Ok(Duty::Ending(since)) => sleep_until(since + LATE).await,
+            Ok(Lifecycle::Ending(since)) => sleep_until(since + LATE).await,
             _ => std::future::pending().await,
         }
     }
 
     /// Whether the process is ending and what comes now could meet the kill before its answer.
     pub fn is_too_late(&self) -> bool {
-        matches!(self, Duty::Ending(since) if since.elapsed() >= LATE)
+        matches!(self, Lifecycle::Ending(since) if since.elapsed() >= LATE)
     }
 
     /// When a client's connection that was opened then is to end, with the code for it.
     pub fn leave(&self, opened: Instant) -> Option<(Instant, &'static str)> {
         match self {
-            Duty::Serving => None,
-            Duty::Drained(since) => Some(((*since + DRAINED).max(opened + OPENED), "drained")),
-            Duty::Ending(since) => Some(((*since + LATE).max(opened + OPENED), "stopping")),
+            Lifecycle::Serving => None,
+            Lifecycle::Drained(since) => Some(((*since + DRAINED).max(opened + OPENED), "drained")),
+            Lifecycle::Ending(since) => Some(((*since + LATE).max(opened + OPENED), "stopping")),
         }
     }
 }
@@ -64,26 +67,26 @@
     fleet: bool,
 }
 
-/// The one place where the duty turns.
+/// The one place where the lifecycle turns.
 #[derive(Clone)]
 pub struct Stand {
-    duty: watch::Sender<Duty>,
+    lifecycle: watch::Sender<Lifecycle>,
     wants: Arc<Mutex<Wants>>,
     right: Option<Right>,
 }
 
 impl Stand {
     pub fn new(right: Option<Right>) -> Self {
-        Stand { duty: watch::Sender::new(Duty::Serving), wants: Arc::default(), right }
+        Stand { lifecycle: watch::Sender::new(Lifecycle::Serving), wants: Arc::default(), right }
     }
 
-    pub fn follow(&self) -> watch::Receiver<Duty> {
-        self.duty.subscribe()
+    pub fn follow(&self) -> watch::Receiver<Lifecycle> {
+        self.lifecycle.subscribe()
     }
 
     /// Whether queries are to come here: not where nothing may be sent on.
     pub fn ready(&self) -> Result<(), String> {
-        self.duty.borrow().ready()?;
+        self.lifecycle.borrow().ready()?;
         match self.right.as_ref().is_none_or(Right::lasts) {
             true => Ok(()),
             false => Err("cut off from the fleet".into()),
@@ -95,15 +98,15 @@
         let mut wants = self.wants.lock().unwrap_or_else(PoisonError::into_inner);
         want(&mut wants);
         let drained = wants.hand || wants.fleet;
-        self.duty.send_if_modified(|duty| {
-            let turns = !matches!(duty, Duty::Ending(_)) && duty.ready().is_ok() == drained;
+        self.lifecycle.send_if_modified(|lifecycle| {
+            let turns = !matches!(lifecycle, Lifecycle::Ending(_)) && lifecycle.ready().is_ok() == drained;
             if turns {
-                *duty = if drained { Duty::Drained(Instant::now()) } else { Duty::Serving };
+                *lifecycle = if drained { Lifecycle::Drained(Instant::now()) } else { Lifecycle::Serving };
             }
             turns
         });
-        match *self.duty.borrow() {
-            Duty::Ending(_) => Err("the process is ending".into()),
+        match *self.lifecycle.borrow() {
+            Lifecycle::Ending(_) => Err("the process is ending".into()),
             _ => Ok(()),
         }
     }
@@ -117,6 +120,6 @@
     }
 
     pub fn end(&self) {
-        self.duty.send_replace(Duty::Ending(Instant::now()));
+        self.lifecycle.send_replace(Lifecycle::Ending(Instant::now()));
     }
 }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -7,18 +7,18 @@
 mod connect;
 mod decide;
 mod discovery;
-mod duty;
 mod fleet;
 mod framing;
 mod front;
-mod hand;
 mod handover;
+mod in_flight;
+mod lifecycle;
 mod names;
 mod operate;
 mod peers;
 mod places;
 mod query;
-mod retune;
+mod reload;
 mod serve;
 mod share;
 
@@ -59,7 +59,7 @@
             file.plan.fleet, file.plan.name
         ));
     }
-    retune::told_by(&text.to_string())?;
+    reload::told_by(&text.to_string())?;
     Ok(format!("{text}: sound"))
 }
 
--- a/crates/proxy/src/query.rs
+++ b/crates/proxy/src/query.rs
@@ -19,10 +19,10 @@
 use crate::backends::{Backends, Heard};
 use crate::bodies::{Broken, Payload, Pool};
 use crate::decide::{Decide, Decided, NotTaken};
-use crate::duty::Duty;
 use crate::framing::Came;
-use crate::hand::flowing;
-use crate::retune::{Known, Terms};
+use crate::in_flight::flowing;
+use crate::lifecycle::Lifecycle;
+use crate::reload::{Known, Terms};
 
 /// Kept back from what the client waits, for the way there and for writing the answer.
 const ROOM: Duration = Duration::from_millis(10);
@@ -34,7 +34,7 @@
     pub bodies: Arc<Pool>,
     /// What requests may name; an open query keeps what it came with.
     pub terms: watch::Receiver<Arc<Terms>>,
-    pub duty: watch::Receiver<Duty>,
+    pub lifecycle: watch::Receiver<Lifecycle>,
     /// Turns true when the process must end: what is still in hand gets its answer.
     pub ending: watch::Receiver<bool>,
     /// Whether this proxy may send anything to a backend, in a fleet.
@@ -48,7 +48,7 @@
     if proxy.right.as_ref().is_some_and(|right| !right.lasts()) {
         return rejected(proxy.come_back_us);
     }
-    let hold = proxy.decide.hand().map(|hand| hand.query());
+    let hold = proxy.decide.in_flight().map(|in_flight| in_flight.query());
     flowing(answered(proxy, request).await, hold)
 }
 
@@ -67,7 +67,7 @@
     let read = tokio::select! {
         biased;
         read = Payload::read(body, &proxy.bodies) => read,
-        () = Duty::too_late(proxy.duty.clone()) => Err(Broken::Still),
+        () = Lifecycle::too_late(proxy.lifecycle.clone()) => Err(Broken::Still),
     };
     let payload = match read {
         Ok(payload) => payload,
@@ -81,7 +81,7 @@
         }
     };
     // Sent on it could meet the kill before its answer; it has gone nowhere yet, so others may have it.
-    if proxy.duty.borrow().is_too_late() {
+    if proxy.lifecycle.borrow().is_too_late() {
         return rejected(proxy.come_back_us);
     }
     // The client counts from its last byte; what a pipelined request waited here is gone.
@@ -124,7 +124,7 @@
                             payload.body(move |whole| decide.news(|inbox| inbox.sending(&id, whole)))
                         }
                     };
-                    let too_late = Duty::too_late(proxy.duty.clone());
+                    let too_late = Lifecycle::too_late(proxy.lifecycle.clone());
                     // What waits to begin ends with its query, or with the time in which repeats are known.
                     let begin = Duration::from_micros(begin_within_us).saturating_sub(proxy.backends.way_there());
                     let mut given_up = life.there.subscribe();
--- a/crates/proxy/src/retune.rs
+++ b/crates/proxy/src/reload.rs
@@ -173,6 +173,6 @@
     let (conf, discovery) = (settings(told)?, address(told, "discovery")?);
     let (workloads, tenants) = (crankpick_launch::workloads(conf)?, crankpick_launch::tenants(conf)?);
     let (limits, cold) = (crankpick_launch::limits(conf)?, crankpick_launch::cold(conf)?);
-    let numbers = decide.retune(workloads, tenants, limits, cold);
+    let numbers = decide.reload(workloads, tenants, limits, cold);
     Ok((Terms::new(conf, &numbers)?, discovery))
 }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -18,14 +18,14 @@
 use crate::cli::Serve;
 use crate::decide::Decide;
 use crate::discovery::{Discovery, List};
-use crate::duty::Stand;
 use crate::fleet::Fleet;
 use crate::front;
 use crate::handover::{self, ByHand, Handover};
+use crate::lifecycle::Stand;
 use crate::names::Names;
 use crate::peers::Peers;
 use crate::query::Proxy;
-use crate::retune::{self, address, parsed, probe_path, said, seed, settings, told, Terms};
+use crate::reload::{self, address, parsed, probe_path, said, seed, settings, told, Terms};
 
 /// Descriptors that are neither clients' nor backends': log, runtime, list, peers, listeners, callers, and some
 /// spare.
@@ -176,13 +176,14 @@
     tokio::spawn(share(Arc::clone(&decide), others.clone()));
 
     let stand = Stand::new(fleet.as_ref().map(Fleet::right));
-    let on_duty = stand.follow();
+    let on_lifecycle = stand.follow();
     let (ended, ending) = watch::channel(false);
     let (terms, on_terms) = watch::channel(Arc::new(first_terms));
-    tokio::spawn(retune::follow(hangup, told.clone(), Arc::clone(&decide), terms, moved));
+    tokio::spawn(reload::follow(hangup, told.clone(), Arc::clone(&decide), terms, moved));
     let come_back_us = crankpick_launch::limits(settings)?.max_backoff_us.min(COME_BACK_US);
-    let (terms, duty, right) = (on_terms.clone(), on_duty.clone(), fleet.as_ref().map(Fleet::right));
-    let proxy = Proxy { decide, backends, bodies, terms, duty, ending, right, come_back_us };
+    let (terms, lifecycle, right) =
+        (on_terms.clone(), on_lifecycle.clone(), fleet.as_ref().map(Fleet::right));
+    let proxy = Proxy { decide, backends, bodies, terms, lifecycle, ending, right, come_back_us };
     // What an agent beside us has counts as told from our first moment. It is silent while discovery is down.
     if pushed {
         let _ = timeout(FIRST_WORD, heard.wait_for(|heard| *heard)).await;
@@ -197,7 +198,7 @@
     if let Some(fleet) = &fleet {
         fleet.terms(on_terms);
         fleet.follow(Arc::clone(&proxy.decide)).await;
-        tokio::spawn(fleet.clone().turns(on_duty.clone()));
+        tokio::spawn(fleet.clone().turns(on_lifecycle.clone()));
         tokio::spawn(fleet.clone().drains(stand.clone(), Arc::clone(&proxy.decide)));
     }
     let bound = listener.local_addr().unwrap_or(listen);
@@ -208,7 +209,7 @@
     }
     tracing::info!(code = "listening", listen = %bound, clients, executions, admin = second, "ready");
     let router = front::router(Arc::new(proxy), stand.clone());
-    let front = front::run(listener, router, clients, sockets / EASY, memory_mb << 20, on_duty, others);
+    let front = front::run(listener, router, clients, sockets / EASY, memory_mb << 20, on_lifecycle, others);
     let last = async {
         term.recv().await;
         tracing::info!(code = "stopping", "told to end");
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -442,13 +442,13 @@
             further: 10.0,
             ..Balancer::default()
         };
-        balancer.retune(workloads, tenants, limits, cold);
+        balancer.reload(workloads, tenants, limits, cold);
         balancer
     }
 
     /// Settings for all queries to come; returns the numbers of their workloads. One that is as it was keeps its
     /// number, and none is given twice, since open queries and some about to come still go by the old ones.
-    pub fn retune(
+    pub fn reload(
         &mut self, workloads: Vec<Workload>, tenants: Vec<Tenant>, limits: ExecutionLimits, cold: ColdRule,
     ) -> Vec<usize> {
         let slo_us = workloads.iter().map(|workload| workload.slo_us).min().unwrap_or(0);
--- a/tests/ledger/mod.rs
+++ b/tests/ledger/mod.rs
@@ -169,9 +169,9 @@
 
     /// Other limits and repeats for all queries to come.
     #[allow(dead_code, reason = "each test file takes what it needs of this one")]
-    pub fn retune(&mut self, balancer: &mut Balancer, workloads: Vec<Workload>, limits: ExecutionLimits) {
+    pub fn reload(&mut self, balancer: &mut Balancer, workloads: Vec<Workload>, limits: ExecutionLimits) {
         (self.workloads, self.limits) = (workloads.clone(), limits);
-        self.numbers = balancer.retune(workloads, vec![], limits, self.cold);
+        self.numbers = balancer.reload(workloads, vec![], limits, self.cold);
     }
 
     #[allow(dead_code, reason = "each test file takes what it needs of this one")]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -30,7 +30,7 @@
             let workloads =
                 (0..3).map(|_| workload(kinds[rng.usize(0..3)], group, 1.0 + rng.f64())).collect();
             let limits = ExecutionLimits { max_executions: rng.u32(1..6), cancel: rng.bool(), ..limits };
-            ledger.retune(&mut balancer, workloads, limits);
+            ledger.reload(&mut balancer, workloads, limits);
         }
         ledger.round(&mut balancer, pause_us, |ledger, inbox| {
             if step == 0 {
