--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -32,8 +32,9 @@
 const CALL: Duration = Duration::from_millis(1_100);
 /// For a connection to come up.
 const OPENED: Duration = Duration::from_millis(700);
-/// Between two tries where an agent beside us has the list: it counts as told as soon as the agent has it.
-const PUSHED: Duration = Duration::from_millis(30);
+/// Between two tries where an agent beside us has the list: it counts as told as soon as the agent has it, and the
+/// shortest grace on drains seen is 150 ms. Twice as long after each that failed, up to the second.
+const PUSHED: [Duration; 2] = [Duration::from_millis(30), Duration::from_millis(120)];
 /// Against a list that never ends.
 const MOST_TEXT: usize = 8 << 20;
 
@@ -174,12 +175,14 @@
     /// Runs for good: the module says when to ask, also how long to wait after a loss. A new address is
     /// asked at once; until it has told of any, the backends known so far stay.
     pub async fn follow(mut self, mut place: watch::Receiver<SocketAddr>, wanted: Arc<Notify>) {
+        let mut pause = PUSHED[0];
         loop {
             tokio::select! {
                 () = wanted.notified() => {}
                 Ok(()) = place.changed() => self.whole_wanted = true,
             }
             let address = *place.borrow_and_update();
+            let heard = self.generation;
             let why = tokio::select! {
                 why = self.watch(address) => why.unwrap_or_else(|why| why),
                 Ok(()) = place.changed() => {
@@ -190,7 +193,8 @@
             };
             tracing::warn!(code = "watch_ended", %address, generation = self.generation, "{why}");
             if self.pushed {
-                sleep(PUSHED).await;
+                pause = if heard == self.generation { (pause * 2).min(PUSHED[1]) } else { PUSHED[0] };
+                sleep(pause).await;
                 wanted.notify_one();
             } else {
                 self.decide.news(|inbox| inbox.list_lost());
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -43,7 +43,7 @@
 /// less, when all that was taken is answered by then: what waits longer is answered now.
 const LAST_CALL: Duration = Duration::from_millis(3_300);
 /// How long a start waits for an agent's first word: well within the time in which it must be ready.
-const FIRST_WORD: Duration = Duration::from_secs(2);
+const FIRST_WORD: Duration = Duration::from_secs(1);
 /// What a client is told that comes to a proxy which may send nothing on: others may have it by then.
 /// Less where the settings let nobody wait that long.
 const COME_BACK_US: u64 = 500_000;
