A move of discovery is not missed, and what finds no memory for its body is not held

Read for what may come between two lines, then forced: - Where SIGHUP moves discovery in the moment in which the time to ask again comes, the loop could take the second and mark the first as seen (discovery.rs `follow`): the new place was asked for changes since a version of the old one. Now the address itself is compared.

--- a/crates/proxy/src/bodies.rs
+++ b/crates/proxy/src/bodies.rs
@@ -11,7 +11,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body::{Frame, SizeHint};
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{sleep, timeout_at, Instant, Sleep};
+use tokio::time::{sleep, timeout, timeout_at, Instant, Sleep};
 
 use crate::share::halve;
 
@@ -41,6 +41,8 @@
     TooLong,
     /// An execution before this one had more of it than is kept.
     Gone,
+    /// There is no memory for it.
+    NoRoom,
 }
 
 impl std::fmt::Display for Broken {
@@ -50,6 +52,7 @@
             Broken::Still => "the body did not come in time",
             Broken::TooLong => "the body is too long",
             Broken::Gone => "the body has gone elsewhere",
+            Broken::NoRoom => "no memory for the body",
         })
     }
 }
@@ -72,8 +75,9 @@
         halve(others, Arc::clone(&self.places), self.whole, || ()).await;
     }
 
-    async fn take(&self, places: u32) -> Option<OwnedSemaphorePermit> {
-        Arc::clone(&self.places).acquire_many_owned(places).await.ok()
+    async fn take(&self, places: u32, within: Duration) -> Result<OwnedSemaphorePermit, Broken> {
+        let taken = timeout(within, Arc::clone(&self.places).acquire_many_owned(places)).await;
+        taken.ok().and_then(Result::ok).ok_or(Broken::NoRoom)
     }
 }
 
@@ -84,13 +88,16 @@
     least_per_s: f64,
     came: u64,
     waited: Duration,
+    /// How long it was not read for want of memory.
+    held_up: Duration,
     /// Since when it stands still, and until when it may. Whoever can't take more does not ask.
     stands: Option<(Instant, Pin<Box<Sleep>>)>,
 }
 
 impl Source {
     fn new(body: Body, still: Duration, least_per_s: f64) -> Self {
-        Source { body, still, least_per_s, came: 0, waited: Duration::ZERO, stands: None }
+        let (waited, held_up) = (Duration::ZERO, Duration::ZERO);
+        Source { body, still, least_per_s, came: 0, waited, held_up, stands: None }
     }
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
@@ -130,14 +137,16 @@
     /// for all that may come: those that wait for more would hold up one another.
     /// What is of no told length is not kept past `until`: it may be long, and is not to be cut off.
     async fn read(
-        &mut self, pool: &Pool, kept: usize, until: Option<Instant>,
+        &mut self, pool: &Pool, kept: usize, until: Option<Instant>, within: Duration,
     ) -> Result<(Bytes, bool, Permit), Broken> {
         let until = until.filter(|_| self.body.size_hint().upper().is_none());
         let short = self.body.size_hint().upper().is_some_and(|most| most <= SHORT as u64);
         let (mut read, mut permit) = (BytesMut::new(), None);
         while read.len() <= kept {
             if (read.len() > SMALL || kept == 0) && permit.is_none() {
-                permit = pool.take(if short { KEPT } else { FLOWING }).await;
+                let since = Instant::now();
+                permit = Some(pool.take(if short { KEPT } else { FLOWING }, within).await?);
+                self.held_up += since.elapsed();
             }
             let next = match until.filter(|_| !read.is_empty()) {
                 None => self.next().await,
@@ -185,15 +194,19 @@
 }
 
 impl Payload {
-    pub async fn read(body: Body, pool: &Pool) -> Result<Payload, Broken> {
+    /// Waits for memory no longer than `within`: its client may have sent all of it, and its time runs.
+    /// Tells how long it waited.
+    pub async fn read(body: Body, pool: &Pool, within: Duration) -> Result<(Payload, Duration), Broken> {
         let length = length(&body)?;
         let mut source = Source::new(body, CLIENT_STILL, LEAST_PER_S);
-        let (first, whole, permit) = source.read(pool, SHORT, None).await?;
+        let (first, whole, permit) = source.read(pool, SHORT, None, within).await?;
         if whole {
-            return Ok(Payload::Whole(first, Arc::new(permit)));
+            return Ok((Payload::Whole(first, Arc::new(permit)), source.held_up));
         }
+        let held_up = source.held_up;
         let (rest, ended) = (Mutex::new(Some(source)), watch::Sender::new(None));
-        Ok(Payload::Passing(Arc::new(Passage { first, rest, length, ended, _permit: permit })))
+        let passage = Passage { first, rest, length, ended, _permit: permit };
+        Ok((Payload::Passing(Arc::new(passage)), held_up))
     }
 
     /// The body for one execution of this query.
@@ -301,7 +314,7 @@
         // Of one that is said to be long the first bytes count: a slow backend takes a second for the rest of
         // what would be kept.
         let kept = if said.lower() > SHORT as u64 { 0 } else { SHORT };
-        let (first, whole, permit) = source.read(pool, kept, Some(until)).await?;
+        let (first, whole, permit) = source.read(pool, kept, Some(until), Duration::MAX).await?;
         let length = if whole { SizeHint::with_exact(first.len() as u64) } else { said };
         let (first, rest) = (Some(first), (!whole).then_some(source));
         Ok(Answer { first, rest, length, read: None, _permit: permit })
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -1,6 +1,7 @@
 //! Follows the list of backends: a watch whenever the module wants one, its lines fed as they come.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -174,14 +175,23 @@
 
     /// Runs for good: the module says when to ask, also how long to wait after a loss. A new address is
     /// asked at once; until it has told of any, the backends known so far stay.
-    pub async fn follow(mut self, mut place: watch::Receiver<SocketAddr>, wanted: Arc<Notify>) {
+    pub fn follow(self, place: watch::Receiver<SocketAddr>, wanted: Arc<Notify>) -> impl Future<Output = ()> {
+        let first = *place.borrow();
+        self.follow_from(first, place, wanted)
+    }
+
+    async fn follow_from(
+        mut self, mut last: SocketAddr, mut place: watch::Receiver<SocketAddr>, wanted: Arc<Notify>,
+    ) {
         let mut pause = PUSHED[0];
         loop {
             tokio::select! {
                 () = wanted.notified() => {}
-                Ok(()) = place.changed() => self.whole_wanted = true,
+                Ok(()) = place.changed() => {}
             }
+            // Both may have come at once, so that it is not told by which was taken.
             let address = *place.borrow_and_update();
+            self.whole_wanted |= std::mem::replace(&mut last, address) != address;
             let heard = self.generation;
             let why = tokio::select! {
                 why = self.watch(address) => why.unwrap_or_else(|why| why),
--- a/crates/proxy/src/query.rs
+++ b/crates/proxy/src/query.rs
@@ -66,13 +66,15 @@
     };
     let read = tokio::select! {
         biased;
-        read = Payload::read(body, &proxy.bodies) => read,
+        read = Payload::read(body, &proxy.bodies, asked.wait / 2) => read,
         () = Lifecycle::too_late(proxy.lifecycle.clone()) => Err(Broken::Still),
     };
-    let payload = match read {
-        Ok(payload) => payload,
+    let (payload, held_up) = match read {
+        Ok(read) => read,
         Err(wrong) => {
             let status = match wrong {
+                // It has gone nowhere; half of its time is left to others.
+                Broken::NoRoom => return closing(rejected(proxy.come_back_us)),
                 Broken::Still => StatusCode::REQUEST_TIMEOUT,
                 Broken::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
                 Broken::Off | Broken::Gone => StatusCode::BAD_REQUEST,
@@ -84,9 +86,10 @@
     if proxy.lifecycle.borrow().is_too_late() {
         return rejected(proxy.come_back_us);
     }
-    // The client counts from its last byte; what a pipelined request waited here is gone.
+    // The client counts from its last byte; what a pipelined request, or one for which there was no memory, waited here
+    // is gone.
     let waited = came.and_then(|came| came.whole).map_or(Duration::ZERO, |whole| whole.elapsed());
-    let wait = asked.wait.saturating_sub(waited + ROOM);
+    let wait = asked.wait.saturating_sub(waited.max(held_up) + ROOM);
     let ttl_us = wait.as_micros() as u64;
     let (workload, tenant) = (asked.workload.number, asked.tenant);
     let taken = proxy.decide.query(&asked.id, workload, tenant, ttl_us, asked.hint_us, asked.again);
@@ -312,7 +315,10 @@
 
 /// For a client whose next bytes can't be told apart from what is left of this request.
 fn last(status: StatusCode, text: &str) -> Response<Body> {
-    let mut answer = plain(status, text);
+    closing(plain(status, text))
+}
+
+fn closing(mut answer: Response<Body>) -> Response<Body> {
     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     answer
 }
--- a/crates/proxy/tests/sockets/races.rs
+++ b/crates/proxy/tests/sockets/races.rs
@@ -448,3 +448,53 @@
     other.next().answer(200, "", "ok");
     assert!(client.heard().status() == 200 && backend.is_quiet());
 }
+
+/// All memory for bodies is taken by others, whose backend neither answers nor reads on.
+#[test]
+fn a_body_that_finds_no_memory_is_rejected_while_its_client_still_waits() {
+    let (discovery, backend) = (Discovery::start(), Backend::start());
+    let mut configured = configuration(&discovery, &[backend.address]);
+    configured["limits"]["memory_mb"] = json!(1);
+    configured["settings"]["Limits"]["IdleCloseUs"] = json!(30_000_000);
+    let proxy = Proxy::start(&configured);
+    let head = |id: &str, length: usize, wait_ms: u32| {
+        let head =
+            format!("POST /pay/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: {id}\r\nX-Deadline: {wait_ms}m\r\n");
+        format!("{head}Content-Length: {length}\r\n\r\n").into_bytes()
+    };
+    let mut holding: Vec<Client> = (0..8).map(|_| proxy.client()).collect();
+    for (number, client) in holding.iter_mut().enumerate() {
+        // Half of its last part is still to come, so that its place is taken and nothing is decided yet.
+        client.say(&head(&format!("holds{number}"), 40_000, 3_000));
+        client.say(&[b'x'; 30_000]);
+    }
+    // Their places are taken once this is answered: the proxy reads what came before it first.
+    let mut asks = proxy.client();
+    asks.say(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert_eq!(asks.heard().status(), 200);
+    let mut late = proxy.client();
+    let sent = Instant::now();
+    late.say(&head("late", 20_000, 1_000));
+    late.say(&[b'x'; 20_000]);
+    let heard = late.heard();
+    assert_eq!((heard.status(), heard.header("connection")), (503, Some("close")));
+    assert!(heard.header("retry-after").is_some() && sent.elapsed() < Duration::from_millis(900));
+    assert!(backend.is_quiet());
+    // One for which there is memory in time has that much less of its own.
+    let mut waits = proxy.client();
+    let sent = Instant::now();
+    waits.say(&head("waits", 20_000, 2_000));
+    waits.say(&[b'x'; 20_000]);
+    // The clock is what has to pass here.
+    std::thread::sleep(Duration::from_millis(300));
+    holding[0].say(&[b'x'; 10_000]);
+    backend.next().answer(200, "", "ok");
+    assert_eq!(holding[0].heard().status(), 200);
+    let freed = sent.elapsed();
+    let mut asked = backend.next();
+    let left = asked.message.header("x-deadline").and_then(|left| left.strip_suffix('u')).expect("told");
+    let left = Duration::from_micros(left.parse().expect("a number"));
+    assert!(left <= Duration::from_millis(2_010) - freed.min(Duration::from_millis(300)), "{left:?}");
+    asked.answer(200, "", "ok");
+    assert_eq!(waits.heard().status(), 200);
+}
