Discovery is no longer held over its capacity by the proxies' own retries

Cause: replaced the wait that grew (to 4 s) by 0.2 to 0.4 s each time (balance.rs list_lost), so that three failures fit into 6 s. Discovery gives up at once what would wait longer than a second, and what it gives up costs it work: about 95 calls a second held it over a capacity of 3.3.

Change: src/retry.rs, a pure type, says when to ask again, for both hosts, beside the time limits of a call. First calls and first waits spread by the number of proxies; refusals double the wait to 4 s, after ten in a row to 32 s; silences keep three short waits, then grow to 2.5 s. discovery.rs tells the two apart; only an object or an empty line ends a row of failures, no longer an answer's head. The log says `watch_tells`.

A calm fleet asks once each, as before.

--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -1,6 +1,7 @@
 //! Follows the list of backends: a watch whenever the module wants one, its lines fed as they come.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -8,6 +9,7 @@
 
 use bytes::Bytes;
 use crankpick::interface::{Listed, Phase};
+use crankpick::retry::{Failure, Retry, ANSWER_US, CONNECT_US, SILENT_US};
 use crankpick_launch::Instance;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
@@ -25,14 +27,10 @@
 use crate::decide::Decide;
 use crate::names::Names;
 
-/// What discovery has counts as told 6 s later, whatever failed: a silence, two calls that fail by their time, and the
-/// module's wait (0.4 s at most) before each of three come to 5.6 s at the most.
-/// Lines come every 2 s at the least: a watch without one is dead, though its connection may not know.
-const SILENT: Duration = Duration::from_millis(2_200);
-/// Discovery works through its calls in turn and gives one up that has waited for a second.
-const CALL: Duration = Duration::from_millis(1_100);
-/// For a connection to come up.
-const OPENED: Duration = Duration::from_millis(700);
+/// How long a call may take: worked out in `retry`, together with the waits between calls.
+const SILENT: Duration = Duration::from_micros(SILENT_US);
+const CALL: Duration = Duration::from_micros(ANSWER_US);
+const OPENED: Duration = Duration::from_micros(CONNECT_US);
 /// Between two tries where an agent beside us has the list: it counts as told as soon as the agent has it, and the
 /// shortest grace on drains seen is 150 ms. Twice as long after each that failed, up to the second.
 const PUSHED: [Duration; 2] = [Duration::from_millis(30), Duration::from_millis(120)];
@@ -49,6 +47,30 @@
     pub instances: Vec<Value>,
 }
 
+/// Why a call to discovery or its watch is over; the reason is for the log alone.
+struct Lost {
+    failure: Failure,
+    why: String,
+}
+
+impl Lost {
+    /// Nothing came in time, or no connection.
+    fn silent(why: impl Into<String>) -> Self {
+        Lost { failure: Failure::Silent, why: why.into() }
+    }
+
+    /// It is there, and said no, ended, or can't be understood.
+    fn refused(why: impl Into<String>) -> Self {
+        Lost { failure: Failure::Refused, why: why.into() }
+    }
+}
+
+impl From<hyper::Error> for Lost {
+    fn from(wrong: hyper::Error) -> Self {
+        Lost::refused(wrong.to_string())
+    }
+}
+
 pub struct Discovery {
     decide: Arc<Decide>,
     backends: Arc<Backends>,
@@ -63,6 +85,8 @@
     whole_wanted: bool,
     /// Whether an agent beside us has the list pushed to it.
     pushed: bool,
+    /// How long the first call may wait, so that a fleet that starts together doesn't call at once.
+    start: Duration,
     /// Whether anything was heard yet.
     heard: watch::Sender<bool>,
 }
@@ -70,8 +94,9 @@
 impl Discovery {
     pub fn new(
         decide: Arc<Decide>, backends: Arc<Backends>, zones: Vec<String>, names: Arc<Mutex<Names>>,
-        only_draining_binds: bool, pushed: bool,
+        only_draining_binds: bool, pushed: bool, proxies: usize,
     ) -> Self {
+        let start_us = if pushed { 0 } else { Retry::new(proxies).start_us() };
         Discovery {
             decide,
             backends,
@@ -82,6 +107,7 @@
             dropped: BTreeMap::new(),
             whole_wanted: false,
             pushed,
+            start: Duration::from_micros(start_us),
             heard: watch::Sender::new(false),
         }
     }
@@ -184,6 +210,7 @@
         mut self, mut last: SocketAddr, mut place: watch::Receiver<SocketAddr>, wanted: Arc<Notify>,
     ) {
         let mut pause = PUSHED[0];
+        sleep(self.start.mul_f64(fastrand::f64())).await;
         loop {
             tokio::select! {
                 () = wanted.notified() => {}
@@ -193,8 +220,11 @@
             let address = *place.borrow_and_update();
             self.whole_wanted |= std::mem::replace(&mut last, address) != address;
             let heard = self.generation;
-            let why = tokio::select! {
-                why = self.watch(address) => why.unwrap_or_else(|why| why),
+            let Lost { failure, why } = tokio::select! {
+                ended = self.watch(address) => {
+                    let Err(lost) = ended;
+                    lost
+                }
                 Ok(()) = place.changed() => {
                     tracing::info!(code = "watch_moved", %address, generation = self.generation, "asked elsewhere");
                     place.mark_changed();
@@ -207,51 +237,59 @@
                 sleep(pause).await;
                 wanted.notify_one();
             } else {
-                self.decide.news(|inbox| inbox.list_lost());
+                self.decide.news(|inbox| inbox.list_lost(failure));
             }
         }
     }
 
-    /// One watch, to its end; the reason is for the log alone.
-    async fn watch(&mut self, address: SocketAddr) -> Result<String, String> {
+    /// A watch's first object or empty line: the next loss is a first one, however long nothing changes until then.
+    /// Its answer's head alone says nothing yet, it may still be given up.
+    fn tells(&self, address: SocketAddr) {
+        tracing::info!(code = "watch_tells", %address, generation = self.generation, "the list is followed");
+        self.decide.list(false, &[]);
+    }
+
+    /// One watch, to its end.
+    async fn watch(&mut self, address: SocketAddr) -> Result<Infallible, Lost> {
         let stream = timeout(OPENED, TcpStream::connect(address)).await;
-        let stream = stream.map_err(|_| "no connection")?.map_err(|wrong| wrong.to_string())?;
-        let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|wrong| wrong.to_string())?;
+        let stream = stream.map_err(|_| Lost::silent("no connection"))?;
+        let stream = stream.map_err(|wrong| Lost::silent(wrong.to_string()))?;
+        let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
         // Ends by itself once the answer below is dropped.
         tokio::spawn(connection);
         if self.whole_wanted {
             let whole = asked(&mut sender, address, "/api/targets".to_owned()).await?.into_body();
             let whole = timeout(CALL, Limited::new(whole, MOST_TEXT).collect()).await;
-            let whole = whole.map_err(|_| "silent")?.map_err(|wrong| wrong.to_string())?.to_bytes();
-            let list = understood(&whole)?;
+            let whole = whole.map_err(|_| Lost::silent("silent"))?;
+            let whole = whole.map_err(|wrong| Lost::refused(wrong.to_string()))?.to_bytes();
+            let list = understood(&whole).map_err(Lost::refused)?;
             self.news(&List { reset: true, ..list });
             self.whole_wanted = false;
-            sender.ready().await.map_err(|wrong| wrong.to_string())?;
+            sender.ready().await?;
         }
         let path = format!("/api/targets?watch=1&after={}", self.generation);
         let mut body = asked(&mut sender, address, path).await?.into_body();
-        // It is there: the next loss is a first one, however long nothing changes until then.
-        self.decide.list(false, &[]);
-        let (mut object, mut last) = (Object::default(), Instant::now());
+        let (mut object, mut last, mut told) = (Object::default(), Instant::now(), false);
         loop {
             // Bytes that trickle are no sign of life: only what ends an object, or an empty line between two.
-            let frame = timeout_at(last + SILENT, body.frame()).await.map_err(|_| "silent")?;
-            let Some(frame) = frame else { return Ok("closed".to_owned()) };
-            let Ok(data) = frame.map_err(|wrong| wrong.to_string())?.into_data() else { continue };
+            let frame = timeout_at(last + SILENT, body.frame()).await.map_err(|_| Lost::silent("silent"))?;
+            let Some(frame) = frame else { return Err(Lost::refused("closed")) };
+            let Ok(data) = frame?.into_data() else { continue };
             for byte in data {
-                if object.takes(byte)? {
-                    let list = understood(&object.text)?;
+                if object.takes(byte).map_err(Lost::refused)? {
+                    let list = understood(&object.text).map_err(Lost::refused)?;
                     if list.generation < self.generation && !list.reset {
                         self.whole_wanted = true;
-                        return Err(format!("went back to {}", list.generation));
+                        return Err(Lost::refused(format!("went back to {}", list.generation)));
                     }
                     self.news(&list);
                     object = Object::default();
-                    last = Instant::now();
-                } else if byte == b'\n' && object.text.is_empty() {
-                    last = Instant::now();
+                } else if byte != b'\n' || !object.text.is_empty() {
+                    continue;
+                }
+                last = Instant::now();
+                if !std::mem::replace(&mut told, true) {
+                    self.tells(address);
                 }
             }
             self.heard.send_if_modified(|heard| !std::mem::replace(heard, true));
@@ -295,14 +333,14 @@
 
 async fn asked(
     sender: &mut SendRequest<Empty<Bytes>>, address: SocketAddr, path: String,
-) -> Result<Response<Incoming>, String> {
+) -> Result<Response<Incoming>, Lost> {
     let request = hyper::Request::get(path).header(HOST, address.to_string()).body(Empty::<Bytes>::new());
-    let request = request.map_err(|wrong| wrong.to_string())?;
+    let request = request.map_err(|wrong| Lost::refused(wrong.to_string()))?;
     let answer = timeout(CALL, sender.send_request(request)).await;
-    let answer = answer.map_err(|_| "no answer")?.map_err(|wrong| wrong.to_string())?;
+    let answer = answer.map_err(|_| Lost::silent("no answer"))??;
     match answer.status().is_success() {
         true => Ok(answer),
-        false => Err(format!("answered {}", answer.status())),
+        false => Err(Lost::refused(format!("answered {}", answer.status()))),
     }
 }
 
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -162,6 +162,7 @@
         Arc::clone(&names),
         only_draining_binds,
         pushed,
+        at(settings, "Balancers")?,
     );
     let by_hand = ByHand::start(Arc::clone(&decide), Arc::clone(&names), handover.clone(), place.as_deref());
     let known: List = at(&told, "known")?;
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -10,6 +10,7 @@
 
 use crankpick::balance::{Balancer, Inbox};
 use crankpick::interface::{Ended, Listed, LoadReport};
+use crankpick::retry::Failure;
 use crankpick_launch::Entry;
 use serde::Deserialize;
 use serde_json::Value;
@@ -162,7 +163,7 @@
         }
         "Endpoints" => {
             match (line.kind.as_deref(), &line.listed) {
-                (Some("lost"), _) => inbox.list_lost(),
+                (Some("lost"), _) => inbox.list_lost(Failure::Refused),
                 (Some("incr"), Some(items)) => inbox.list(false, items),
                 (Some("total" | "warm_copy"), Some(items)) => inbox.list(true, items),
                 (kind, _) => return Err(format!("Endpoints: unknown Kind {kind:?}")),
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -6,6 +6,7 @@
 use crate::interface::*;
 pub use crate::kept::Balancer;
 use crate::kept::*;
+use crate::retry::Failure;
 use fastrand::Rng;
 use std::cmp::Reverse;
 
@@ -668,10 +669,10 @@
         }
     }
 
-    /// Asks anew after a jittered wait: what the list has counts as told soon, whatever failed meanwhile.
-    pub fn list_lost(&mut self) {
+    /// Asks anew after a jittered wait, as long as `retry` says.
+    pub fn list_lost(&mut self, failure: Failure) {
         let b = &mut *self.balancer;
-        self.out.wake(b.rng.u64(200_000..400_000), "ask");
+        self.out.wake(b.rng.u64(b.retry.failed(failure)), "ask");
     }
 
     pub fn list(&mut self, whole: bool, items: &[Listed]) {
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -1,6 +1,7 @@
 //! What the decisions in `balance` remember. Nothing is decided here.
 
 use crate::interface::*;
+use crate::retry::Retry;
 use fastrand::Rng;
 use hdrhistogram::Histogram;
 use std::cmp::Reverse;
@@ -391,6 +392,7 @@
     pub(crate) cold: ColdRule,
     pub(crate) tenants: Vec<Allowance>,
     pub(crate) must_ask: bool,
+    pub(crate) retry: Retry,
     /// When the first list came.
     pub(crate) began_us: u64,
     pub(crate) target_us: f64,
@@ -438,6 +440,7 @@
             standing,
             quickest_us: u64::MAX,
             must_ask,
+            retry: Retry::new(balancers as usize),
             regroup_gap_us: 1_000_000,
             further: 10.0,
             ..Balancer::default()
@@ -526,6 +529,7 @@
     /// Takes in entries of the list; tells whether a ready backend came, and whether one left. Those that a
     /// whole list no longer names are gone.
     pub(crate) fn listed(&mut self, whole: bool, items: &[Listed], now_us: u64) -> (bool, bool) {
+        self.retry.heard();
         self.began_us = if self.began_us == 0 { now_us } else { self.began_us };
         let (mut came, mut left) = (false, false);
         let named: BTreeSet<u32> = items.iter().map(|item| item.backend).collect();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod interface;
 mod judge;
 mod kept;
+pub mod retry;
