--- a/crates/launch/src/lib.rs
+++ b/crates/launch/src/lib.rs
@@ -6,7 +6,9 @@
 pub use list::{Entry, Instance};
 
 use crankpick::balance::Balancer;
-use crankpick::interface::{ColdRule, DedupGroup, ExecutionLimits, Goal, Repeat, Standing, Tenant, Workload};
+use crankpick::interface::{
+    ClockError, ColdRule, DedupGroup, ExecutionLimits, Goal, Repeat, Standing, Tenant, Workload,
+};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
@@ -70,7 +72,7 @@
 }
 
 /// Absent settings leave a proxy that stands nowhere and asks nobody.
-fn standing(conf: &Value) -> Result<Standing, String> {
+pub fn standing(conf: &Value) -> Result<Standing, String> {
     let zone: Option<u32> = at(conf, "Zone")?;
     let zones: Vec<String> = at(conf, "Zones")?;
     if zone.is_some_and(|zone| zone as usize >= zones.len()) {
@@ -90,13 +92,52 @@
         probes: at::<bool>(conf, "Limits.Probes")? && untold,
         peers: at(conf, "Limits.Peers")?,
         only_draining_binds: at(conf, "Safety.RemovalNotBinding")?,
-        goal: Goal {
-            nines_part: amount(conf, "ScoringMix.NinesPart")?,
-            full_at_nines: amount(conf, "ScoringMix.FullAtNines")?,
+        response_room: above_zero(conf, "Limits.ResponseRoom")?.map(|room| room as usize),
+        ask_within_us: ask_within(conf)?,
+        clocks: ClockError {
+            deadline_us: at(conf, "Safety.DeadlineErrorUs")?,
+            start_us: at(conf, "Safety.StartDriftUs")?,
         },
+        goal: goal(conf)?,
     })
 }
 
+/// A count or time that means nothing at 0; absent is none.
+fn above_zero(conf: &Value, path: &str) -> Result<Option<u64>, String> {
+    match at::<Option<u64>>(conf, path)? {
+        Some(0) => {
+            Err(format!("{path} in the settings: 0 is too few; leave it out where nothing is bounded"))
+        }
+        other => Ok(other),
+    }
+}
+
+/// Only who must ask for the list can have asked too long ago.
+fn ask_within(conf: &Value) -> Result<Option<u64>, String> {
+    match at::<String>(conf, "Discovery")?.as_str() {
+        "subscribe" => above_zero(conf, "Safety.AskWithinUs"),
+        _ => Ok(None),
+    }
+}
+
+/// A part that counts needs the figure that it is counted by.
+fn goal(conf: &Value) -> Result<Goal, String> {
+    let goal = Goal {
+        nines_part: amount(conf, "ScoringMix.NinesPart")?,
+        full_at_nines: amount(conf, "ScoringMix.FullAtNines")?,
+        slow_end: amount(conf, "ScoringMix.SlowEnd")?,
+        tail_slack: amount(conf, "ScoringMix.TailSlack")?,
+    };
+    if goal.nines_part > 0.0 && goal.full_at_nines <= 0.0 {
+        return Err("ScoringMix.FullAtNines in the settings: NinesPart counts, so it must be above 0".into());
+    }
+    if goal.slow_end > 0.0 && !(goal.tail_slack > 0.0 && goal.tail_slack < 1.0) {
+        let slack = goal.tail_slack;
+        return Err(format!("ScoringMix.TailSlack in the settings: SlowEnd counts, and {slack} is no share"));
+    }
+    Ok(goal)
+}
+
 /// What queries may name, in the order of the settings.
 pub fn workloads(conf: &Value) -> Result<Vec<Workload>, String> {
     at::<Vec<Value>>(conf, "Workloads")?.iter().map(workload).collect()
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -124,14 +124,32 @@
     pub peers: bool,
     /// Whether only what was listed as draining is out of bounds: what the list drops may still be sent to.
     pub only_draining_binds: bool,
+    /// Answers that the proxy can hold while clients read them; none where nothing bounds them.
+    pub response_room: Option<usize>,
+    /// One that neither watches the list nor has asked for so long counts as told of what it missed; none
+    /// where the list comes by itself, or nothing is said.
+    pub ask_within_us: Option<u64>,
+    pub clocks: ClockError,
     pub goal: Goal,
 }
 
-/// How the operators weigh short spans; no decision rests on it so far.
-#[derive(Clone, Copy, Debug, Default)]
+/// By how much what machines tell of time may be wrong, either way; 0 where clocks agree.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClockError {
+    /// Of the time left that a query comes with.
+    pub deadline_us: u64,
+    /// Of the time at which a backend is said to have started.
+    pub start_us: u64,
+}
+
+/// How the operators weigh short spans and slow ends; no decision rests on it so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Goal {
     pub nines_part: f64,
     pub full_at_nines: f64,
+    pub slow_end: f64,
+    /// The share of a workload's queries that may miss their SLO time in a short span.
+    pub tail_slack: f64,
 }
 
 /// Takes each decision at the moment it is made.
