--- a/src/balance.rs
+++ b/src/balance.rs
@@ -677,6 +677,8 @@
     pub fn list(&mut self, whole: bool, items: &[Listed]) {
         // Parts are cut from the whole list: where they are, one that leaves moves them all.
         let b = &mut *self.balancer;
+        // Probes show what many others' queries weigh: who is one of few knows a large part himself.
+        b.standing.probes &= b.began_us > 0 || b.balancers > items.len();
         let (came, left) = b.listed(whole, items, self.now_us);
         if came || left && b.balancers > SHARED_BY || b.groups.iter().any(Vec::is_empty) {
             b.regroup_us = self.now_us;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -586,3 +586,17 @@
     let first = sent_us.iter().filter(|at| **at < start_us + COLD.window_us).count() as f64;
     assert!(first > bears(start_us) * 0.3, "{first} of {} in the first window", bears(start_us));
 }
+
+/// Probes tell what many others send: who is one of few sees a large part of it in his own executions, and what
+/// he sends goes at once.
+#[test]
+fn one_of_few_proxies_does_not_wait_for_probes() {
+    for (balancers, probes) in [(3, false), (30, true)] {
+        let (mut ledger, _) = start(Repeat::Idempotent, 0, 2, 0, false);
+        ledger.standing = Standing { probes: true, ..Standing::default() };
+        let mut balancer = listed(&mut ledger, 10, balancers, 0);
+        ask(&mut ledger, &mut balancer, "q", None);
+        assert_eq!(!ledger.probed.is_empty(), probes, "{balancers} proxies");
+        assert_eq!(ledger.queries["q"].sent.is_empty(), probes, "{balancers} proxies");
+    }
+}
