The test of late wakes probes again: four proxies before three backends, nothing else changed

Its two proxies before three backends no longer probe; what it guards (a waiting query is answered by the proxy's own wakes) is checked as before.

--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -280,7 +280,7 @@
     for late_us in (780_000..900_000).step_by(5_000) {
         let (mut ledger, _) = start(Repeat::NonIdempotent, 0, 2, 0, false);
         ledger.standing.probes = true;
-        let mut balancer = listed(&mut ledger, 3, 2, 0);
+        let mut balancer = listed(&mut ledger, 3, 4, 0);
         ask(&mut ledger, &mut balancer, "q", None);
         let deadline_us = ledger.queries["q"].deadline_us;
         let at = ledger.probed.remove(0);
