--- a/src/balance.rs
+++ b/src/balance.rs
@@ -8,6 +8,7 @@
 use crate::kept::*;
 use fastrand::Rng;
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 
 /// The paper's load values of the four types, from plain to heavy on all counts.
 const VALUES: [f64; 4] = [1.0, 2.0, 2.0, 3.0];
@@ -362,7 +363,7 @@
             return self.rotate(kind, &own);
         }
         // A long tail is past every maximum: it fits where it would end within its SLO time.
-        let left_us = (qry.arrived_us + qry.slo_us).saturating_sub(now_us) as f64;
+        let left_us = qry.on_time_us(now_us) as f64;
         let (load, work, reach) = (qry.load, qry.work, 1.0 + qry.importance);
         let fits = |at: &Backend| match tail {
             true => at.load() < at.max && at.work() + work <= at.pace * left_us,
@@ -404,7 +405,8 @@
         let (ahead, told) = (backend.work() + qry.work, backend.tells(self.standing.peers, qry.work));
         backend.held.insert(self.last_serial, Held::new(qry, now_us, ahead, told));
         let expected_us = (ahead / backend.pace.max(1e-9)) as u64;
-        out.execute(&qry.id, id, qry.deadline_us - now_us, qry.repeats_for_us(&self.workloads, now_us));
+        let timeout_us = qry.timeout_us(now_us, self.standing.clocks.deadline_us);
+        out.execute(&qry.id, id, timeout_us, qry.repeats_for_us(&self.workloads, now_us));
         qry.executions.push(Execution::new(id, self.last_serial, now_us, expected_us));
         backend.tell(told, out);
     }
@@ -413,8 +415,8 @@
         let mut full = false;
         for entry in self.waiting.clone() {
             let qry = &self.queries[&entry.2];
-            let last_chance = self.part.is_empty() || qry.deadline_us <= now_us + 2 * SWEEP_US;
-            let (bound, on_time) = (qry.binding().is_some(), qry.deadline_us > now_us);
+            let last_chance = self.part.is_empty() || qry.left_us(now_us) <= 2 * SWEEP_US;
+            let (bound, on_time) = (qry.binding().is_some(), qry.left_us(now_us) > 0);
             let place = if full || !on_time { None } else { self.choose(&entry.2, now_us, false, out) };
             if let Some(id) = place {
                 self.waiting.remove(&entry);
@@ -433,8 +435,7 @@
         let qry = &self.queries[id];
         let workload = &self.workloads[qry.workload];
         // Past its SLO time another try would be for nothing.
-        let left_us = (qry.arrived_us + qry.slo_us).saturating_sub(now_us);
-        let past = workload.tardy_importance <= 0.0 && left_us < self.target_us as u64;
+        let past = workload.tardy_importance <= 0.0 && qry.on_time_us(now_us) < self.target_us as u64;
         let wait_us = if past { u64::MAX } else { wait_us };
         let all = workload.repeat == Repeat::Deduplicated && workload.group == DedupGroup::All;
         let harmless = qry.binding().is_none() || workload.repeat == Repeat::Idempotent || all;
@@ -499,7 +500,10 @@
         // Half the SLO time in vain here leaves too little for the rest: a prompt answer is better.
         let waiting = self.waiting.iter().map(|entry| &self.queries[&entry.2]);
         let stale = waiting.filter(|qry| now_us > qry.arrived_us + qry.slo_us / 2);
-        for id in stale.map(|qry| qry.id.clone()).collect::<Vec<String>>() {
+        // Where time-outs are longer than what a query is worth, its end is looked for here.
+        let ended = self.queries.values().filter(|qry| !qry.over && qry.out() && qry.left_us(now_us) == 0);
+        let ended = ended.filter(|_| self.standing.clocks.deadline_us > 0);
+        for id in stale.chain(ended).map(|qry| qry.id.clone()).collect::<BTreeSet<String>>() {
             self.give_up(&id, now_us, out);
         }
         // A second copy leaves a backend that is slow against its peers, never one among a slow fleet, within
@@ -567,7 +571,8 @@
         let mut qry = Query::new(id, b.last_serial, workload, self.now_us, b.limits);
         (qry.kind, qry.load, qry.work) = (kind, load, units.unwrap_or(load));
         (qry.slo_us, qry.importance) = (slo_us, importance);
-        qry.deadline_us = self.now_us.saturating_add(if late { ttl_us.min(slo_us) } else { ttl_us });
+        qry.time(ttl_us, b.standing.clocks.deadline_us, late);
+        let left_us = qry.left_us(self.now_us);
         b.usual_importance +=
             (importance * qry.work - b.usual_importance) / b.hints.len().clamp(1, 64) as f64;
         let place = qry.place();
@@ -581,7 +586,7 @@
             (b.expected_wait_us(place.0) / slo_us.max(1) as f64 - 0.02) / 0.1
         };
         // What brings down or hangs whoever takes it comes back as any other does: its first try is enough.
-        if takes_us > ttl_us as f64 || again && b.suspect(workload) || b.rng.f64() < chance {
+        if takes_us > left_us as f64 || again && b.suspect(workload) || b.rng.f64() < chance {
             b.give_up(id, self.now_us, self.out);
         } else {
             b.waiting.insert(place);
@@ -595,8 +600,19 @@
     ) {
         let (b, now_us) = (&mut *self.balancer, self.now_us);
         let Some(qry) = b.queries.get_mut(id) else { return };
+        let spent = qry.left_us(now_us) == 0;
         let Some(exec) = qry.executions.get_mut(execution as usize).filter(|exec| exec.out) else { return };
         let backend = b.fleet.get_mut(&exec.backend).expect("only listed backends are used");
+        // Where clocks differ a client's time may end before ours: that is no backend's fault. What was called
+        // off at the end of its worth stands for the time-out that it did not get.
+        let (skewed, cut) = (b.standing.clocks.deadline_us > 0, now_us + SWEEP_US < qry.longest_us);
+        let cut = skewed && cut && matches!(ended, Ended::TimedOut | Ended::NotSent);
+        let gone = skewed && ended == Ended::Cancelled && spent;
+        let ended = if gone { Ended::TimedOut } else { ended };
+        qry.deadline_us = if cut { qry.deadline_us.min(now_us) } else { qry.deadline_us };
+        // One ahead of ours holds for expired what we hold to be in time: full by its clock, not by its load.
+        let by_clock = qry.longest_us.saturating_sub(now_us) < b.standing.clocks.deadline_us * 2;
+        let by_clock = by_clock && backend.load() < backend.max;
         exec.out = false;
         exec.may_have_run = !matches!(ended, Ended::TurnedAway | Ended::Unreachable | Ended::NotSent);
         let held = backend.held.remove(&exec.serial);
@@ -615,7 +631,9 @@
             let unseen = backend.sharers.len().saturating_sub(SHARED_BY) as f64;
             backend.rest = (now_us, extra_us * unseen / 2.0);
         }
-        if matches!(ended, Ended::TurnedAway | Ended::Unreachable) {
+        if matches!(ended, Ended::TurnedAway | Ended::Unreachable)
+            && !(by_clock && ended == Ended::TurnedAway)
+        {
             // It says itself that it is full; as it answers at once it would else look the roomiest.
             backend.shut_until_us = backend.shut_until_us.max(now_us + 2 * b.target_us as u64);
         }
@@ -627,7 +645,10 @@
         }
         let (judged, closed, out) = (exec.backend, over || qry.over, qry.out());
         (qry.waves, qry.asked) = (0, Vec::new());
-        if !lost && !matches!(ended, Ended::Cancelled | Ended::NotSent | Ended::TurnedAway | Ended::Stale) {
+        if !lost
+            && !cut
+            && !matches!(ended, Ended::Cancelled | Ended::NotSent | Ended::TurnedAway | Ended::Stale)
+        {
             b.judge(judged, completed, now_us);
         }
         if closed {
--- a/src/judge.rs
+++ b/src/judge.rs
@@ -58,6 +58,35 @@
     }
 }
 
+impl Query {
+    /// The one notion of time left, from what its client told, which may be off by `error_us` either way. What
+    /// may be short is taken for the longest that it may be: to give up a query that has time loses it, while
+    /// one whose client has gone ends with him. Where late answers earn nothing the SLO time bounds it.
+    pub fn time(&mut self, ttl_us: u64, error_us: u64, late_for_nothing: bool) {
+        self.longest_us = self.arrived_us.saturating_add(ttl_us).saturating_add(error_us);
+        let worth_us = if late_for_nothing { self.slo_us } else { u64::MAX };
+        self.deadline_us = self.longest_us.min(self.arrived_us.saturating_add(worth_us));
+    }
+
+    pub fn left_us(&self, now_us: u64) -> u64 {
+        self.deadline_us.saturating_sub(now_us)
+    }
+
+    /// What is left of it until its answer is no longer on time.
+    pub fn on_time_us(&self, now_us: u64) -> u64 {
+        self.deadline_us.min(self.arrived_us + self.slo_us).saturating_sub(now_us)
+    }
+
+    /// An execution's time-out. A backend whose clock is ahead holds one that ends soon for expired: where clocks
+    /// differ it is the longest, and this proxy calls off what is no longer worth it.
+    pub fn timeout_us(&self, now_us: u64, error_us: u64) -> u64 {
+        match error_us > 0 && self.limits.cancel {
+            true => self.longest_us.saturating_sub(now_us),
+            false => self.left_us(now_us),
+        }
+    }
+}
+
 impl Allowance {
     /// Takes one query from what has gathered over a second, or at most `SHARE_KEPT` where that is more.
     pub fn take(&mut self, now_us: u64) -> bool {
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -101,7 +101,9 @@
     pub waves: u32,
     pub arrived_us: u64,
     pub slo_us: u64,
+    /// Until when it is worth an answer, and the longest that its client may wait: see `Query::time`.
     pub deadline_us: u64,
+    pub longest_us: u64,
     pub importance: f64,
     pub executions: Vec<Execution>,
     pub over: bool,
