--- a/src/balance.rs
+++ b/src/balance.rs
@@ -24,12 +24,14 @@
 /// Executions of a workload that fail, in part, past which its queries may themselves be the cause.
 const SUSPECT: f64 = 0.1;
 /// Sharers told of an execution for each load unit of its work: as many notes as it has sharers go out.
-const WORTH_TELLING: f64 = 8.0;
+const WORTH_TELLING: f64 = 40.0;
 /// Proxies that share one backend, where a part may be that small: one query of each of many is a crowd.
 const SHARED_BY: usize = 3;
-/// Backends in an arc at the least, also where connections have a price and the others' queries are not told.
+/// Backends in an arc at the least, also where connections have a price and the others' queries are not told;
+/// and where they are told, which costs the less the fewer share one.
 const PART_LEAST: usize = 6;
 const PART_PRICED: usize = 3;
+const PART_TOLD: usize = 3;
 /// Those of its zone, and of others, that a probing proxy draws.
 const PART_PROBED: usize = 8;
 /// Candidates probed at a time.
@@ -148,6 +150,9 @@
             let (count, balancers) = (ids.len(), self.balancers);
             let few = self.standing.connection > 0.0 && !self.standing.peers;
             let least = if few { PART_PRICED } else { PART_LEAST };
+            let least = if self.standing.peers { PART_TOLD } else { least };
+            // So that a zone that is cut off leaves each proxy some of a small arc.
+            let ids = if self.standing.peers { self.zones_in_turns(&ids) } else { ids };
             let part = (SHARED_BY * count).div_ceil(balancers).max(least).min(count);
             let holds = |of: usize, at: usize| (at + count - of * count / balancers % count) % count < part;
             for (place, id) in ids.iter().enumerate() {
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -512,6 +512,19 @@
         (users, turn.wrapping_mul(GOLDEN) as f64 / u64::MAX as f64, now_us - since_us % window_us)
     }
 
+    /// The backends in an order in which each zone's lie evenly apart, the same at every proxy.
+    pub(crate) fn zones_in_turns(&self, ids: &[u32]) -> Vec<u32> {
+        let mut zones: BTreeMap<u32, Vec<u32>> = BTreeMap::new();
+        ids.iter().for_each(|id| zones.entry(self.fleet[id].listed.zone).or_default().push(*id));
+        let evenly = |zone: &Vec<u32>| {
+            let place = |at: usize| (at * 2 + 1) * 1_000_000 / zone.len();
+            zone.iter().enumerate().map(|(at, id)| (place(at), *id)).collect::<Vec<_>>()
+        };
+        let mut order: Vec<(usize, u32)> = zones.values().flat_map(evenly).collect();
+        order.sort_unstable();
+        order.into_iter().map(|(_, id)| id).collect()
+    }
+
     /// How many executions are out to backends that this proxy uses.
     pub(crate) fn out(&self) -> f64 {
         self.ours().map(|backend| backend.there().count() as f64).sum()
