--- a/src/balance.rs
+++ b/src/balance.rs
@@ -18,9 +18,13 @@
 const MAXIMA_US: u64 = 250_000;
 const SWEEP_US: u64 = 25_000;
 /// Queries left with one backend by all, as told: more only wait where none can reject them.
-const CROWD_TOLD: usize = 4;
+const CROWD_TOLD: f64 = 4.0;
 /// Queries left with one backend by all, as inferred where nobody tells.
 const CROWD: f64 = 3.0;
+/// What a restart leaves of the bound on both, how low that goes, and what comes back each quarter second.
+pub(crate) const AFTER_RESTART: f64 = 0.75;
+pub(crate) const CROWD_LEAST: f64 = 1.5;
+const CROWD_BACK: f64 = 1.005;
 /// Executions of a workload that fail, in part, past which its queries may themselves be the cause.
 const SUSPECT: f64 = 0.1;
 /// Sharers told of an execution for each load unit of its work: as many notes as it has sharers go out.
@@ -232,7 +236,7 @@
         let fair: f64 = self.ours().filter(|backend| backend.shut_until_us <= now_us).map(users).sum();
         let known = self.reported.count >= 16;
         let share = if known { self.own_out.mean / self.reported.mean.max(1e-9) } else { 0.0 };
-        !told && self.out() >= CROWD * share.clamp(fair, fair * 2.0)
+        !told && self.out() >= CROWD.min(self.bears) * share.clamp(fair, fair * 2.0)
     }
 
     /// Whether the executions of this workload fail far more often than another's on the same backends.
@@ -246,7 +250,7 @@
     /// Whether rules, health and room for its kind let this query go to this backend at all.
     fn usable(&self, qry: &Query, backend: &Backend, now_us: u64) -> bool {
         backend.open(now_us, qry.importance)
-            && (self.standing.probes || backend.crowd() < CROWD_TOLD)
+            && (self.standing.probes || (backend.crowd() as f64) < self.bears)
             && qry.executions.iter().all(|exec| exec.backend != backend.listed.backend)
             && self.allowed(qry, &backend.listed, now_us)
             && self.within_cold_budget(backend, qry.work, now_us)
@@ -501,6 +505,7 @@
             self.fade_us = now_us + MAXIMA_US;
             // Without new outcomes an old pace fades, or a backend that was slow once would stay unused.
             self.fleet.values_mut().for_each(|backend| backend.fade(now_us, 5_000_000));
+            self.bears = (self.bears * CROWD_BACK).min(CROWD_TOLD);
         }
         // Half the SLO time in vain here leaves too little for the rest: a prompt answer is better.
         let waiting = self.waiting.iter().map(|entry| &self.queries[&entry.2]);
@@ -618,6 +623,12 @@
         // One ahead of ours holds for expired what we hold to be in time: full by its clock, not by its load.
         let by_clock = qry.longest_us.saturating_sub(now_us) < b.standing.clocks.deadline_us * 2;
         let by_clock = by_clock && backend.load() < backend.max;
+        // Who breaks what he has in work has died: he comes back cold, whatever the list says so far.
+        let died = ended == Ended::Dropped && !over && backend.listed.phase == Phase::Ready;
+        let held_there = backend.crowd() as f64;
+        if died && backend.since_us + b.cold.window_us < now_us {
+            backend.start_anew(now_us, now_us);
+        }
         exec.out = false;
         exec.may_have_run = !matches!(ended, Ended::TurnedAway | Ended::Unreachable | Ended::NotSent);
         let held = backend.held.remove(&exec.serial);
@@ -656,6 +667,9 @@
         {
             b.judge(judged, completed, now_us);
         }
+        if died {
+            b.fell(Some(held_there));
+        }
         if closed {
             b.close(id, self.out);
         } else if !out {
@@ -705,7 +719,8 @@
         let b = &mut *self.balancer;
         // Probes show what many others' queries weigh: who is one of few knows a large part himself.
         b.standing.probes &= b.began_us > 0 || b.balancers > items.len();
-        let (came, left) = b.listed(whole, items, self.now_us);
+        let (came, left, held) = b.listed(whole, items, self.now_us);
+        b.fell(held);
         if came || left && b.balancers > SHARED_BY || b.groups.iter().any(Vec::is_empty) {
             b.regroup_us = self.now_us;
         }
--- a/src/judge.rs
+++ b/src/judge.rs
@@ -1,6 +1,7 @@
 //! What is judged of a backend, a tenant's share or the wait by what kept.rs remembers: how warm and fast a
 //! backend is held to be, which executions count as lost, when old paces fade. Called by `balance`.
 
+use crate::balance::{AFTER_RESTART, CROWD_LEAST};
 use crate::interface::*;
 use crate::kept::*;
 use std::cmp::Reverse;
@@ -99,6 +100,13 @@
 }
 
 impl Balancer {
+    /// A backend has died or started anew without draining, with `held` there as far as was known. Whatever did
+    /// that may do it to those that get its load: all are held to less, which comes back with time.
+    pub(crate) fn fell(&mut self, held: Option<f64>) {
+        let Some(held) = held else { return };
+        self.bears = (self.bears.min(held.max(1.0)) * AFTER_RESTART).max(CROWD_LEAST).min(self.bears);
+    }
+
     /// How long the work that waits at this rank or above takes the fleet at its learned paces.
     pub(crate) fn expected_wait_us(&self, rank: Reverse<u64>) -> f64 {
         let before = self.waiting.iter().take_while(|entry| entry.0 <= rank);
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -249,7 +249,7 @@
 
 impl Backend {
     /// What started anew is judged and learned anew; what is still out there counts on.
-    fn start_anew(&mut self, since_us: u64, heard_us: u64) {
+    pub(crate) fn start_anew(&mut self, since_us: u64, heard_us: u64) {
         let (listed, held) = (self.listed, std::mem::take(&mut self.held));
         let sharers = std::mem::take(&mut self.sharers);
         *self = Backend { listed, held, since_us, heard_us, sharers, ..Backend::default() };
@@ -416,6 +416,8 @@
     pub(crate) waiting: BTreeSet<Place>,
     pub(crate) last_serial: u64,
     pub(crate) further: f64,
+    /// Queries that any backend is held to bear, by the restarts seen.
+    pub(crate) bears: f64,
     /// What this proxy had out as queries came, and what the backends' reports said they held.
     pub(crate) own_out: Mean,
     pub(crate) reported: Mean,
@@ -442,6 +444,7 @@
             must_ask,
             regroup_gap_us: 1_000_000,
             further: 10.0,
+            bears: f64::MAX,
             ..Balancer::default()
         };
         balancer.reload(workloads, tenants, limits, cold);
@@ -538,11 +541,11 @@
         }
     }
 
-    /// Takes in entries of the list; tells whether a ready backend came, and whether one left. Those that a
-    /// whole list no longer names are gone.
-    pub(crate) fn listed(&mut self, whole: bool, items: &[Listed], now_us: u64) -> (bool, bool) {
+    /// Takes in entries of the list; tells whether a ready backend came, whether one left, and the most that was
+    /// held by one that ended without draining. Those that a whole list no longer names are gone.
+    pub(crate) fn listed(&mut self, whole: bool, items: &[Listed], now_us: u64) -> (bool, bool, Option<f64>) {
         self.began_us = if self.began_us == 0 { now_us } else { self.began_us };
-        let (mut came, mut left) = (false, false);
+        let (mut came, mut left, mut held) = (false, false, None);
         let named: BTreeSet<u32> = items.iter().map(|item| item.backend).collect();
         let missing = self.fleet.values().filter(|backend| whole && !named.contains(&backend.listed.backend));
         let gone = missing.map(|backend| Listed { phase: Phase::Gone, ..backend.listed });
@@ -552,8 +555,16 @@
             let loose = self.standing.only_draining_binds && item.phase == Phase::Gone;
             // That it is gone, where this binds nobody, is no news of its start.
             let item = if loose { Listed { phase: Phase::Gone, ..backend.listed } } else { *item };
-            if backend.listed.since_us != item.since_us {
-                backend.start_anew(item.since_us, now_us);
+            let starts = backend.listed.since_us != item.since_us;
+            let ended = item.phase == Phase::Gone && !loose || starts;
+            if backend.listed.phase == Phase::Ready && !backend.drained && ended {
+                held = Some(held.map_or(0.0, |held: f64| held).max(backend.crowd() as f64));
+            }
+            if starts {
+                // A stamp may be off, and a later start than it tells may have shown: the later of them counts.
+                let drift_us = self.standing.clocks.start_us.min(now_us.saturating_sub(item.since_us));
+                let stamp_us = item.since_us + if item.since_us > 0 { drift_us } else { 0 };
+                backend.start_anew(stamp_us.max(backend.since_us), now_us);
             }
             backend.drained |= item.phase == Phase::Terminating;
             let may_serve = loose && !backend.drained;
@@ -563,7 +574,7 @@
             (came, left) = (came || backend.ready() && !was, left || was && !backend.ready());
         }
         self.forget_gone();
-        (came, left)
+        (came, left, held)
     }
 
     /// The latest execution of a query is the last, and counts as sent only once its body has come whole.
