--- a/tests/ledger/mod.rs
+++ b/tests/ledger/mod.rs
@@ -182,6 +182,7 @@
     }
 
     /// The executions still out, by query and number.
+    #[allow(dead_code, reason = "each test file takes what it needs of this one")]
     pub fn out(&self) -> Vec<(String, usize)> {
         let all =
             self.queries.iter().flat_map(|(id, qry)| qry.sent.iter().enumerate().map(move |sent| (id, sent)));
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -105,9 +105,9 @@
         let mut balancer = ledger.balancer(5, 1, 0);
         let listed: Vec<Listed> = (0..BACKENDS).map(ready).collect();
         ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.tell(inbox, &listed));
-        for step in 0..400 {
+        for step in 0..800 {
             ledger.round(&mut balancer, 5_000, |ledger, inbox| {
-                if step == 200 {
+                if step == 600 {
                     let since_us = ledger.now_us - stamp_ago_us;
                     ledger.tell(inbox, &[Listed { since_us, ..ready(2) }]);
                 }
@@ -120,11 +120,12 @@
             });
         }
         assert_eq!(ledger.wrong, Vec::<String>::new());
-        ledger.queries.values().flat_map(|qry| &qry.sent).filter(|sent| sent.backend == 2).count()
+        let late = ledger.queries.iter().filter(|(id, _)| id.as_str() >= "q0600");
+        late.flat_map(|(_, qry)| &qry.sent).filter(|sent| sent.backend == 2).count()
     };
-    let (warm, early, fresh) = (sent_to(0, 6_900_000), sent_to(5_000_000, 6_900_000), sent_to(0, 1_900_000));
+    let (told, off, fresh) = (sent_to(0, 7_900_000), sent_to(7_500_000, 7_900_000), sent_to(0, 400_000));
     assert!(
-        early < warm && early <= fresh + 4,
-        "{early} where the stamp may be off, {warm}, {fresh} just started"
+        off < told && off <= fresh + 2,
+        "{off} where the stamp may be off, {told} else, {fresh} just started"
     );
 }
