--- a/src/balance.rs
+++ b/src/balance.rs
@@ -6,7 +6,6 @@
 use crate::interface::*;
 pub use crate::kept::Balancer;
 use crate::kept::*;
-use fastrand::Rng;
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
 
@@ -25,17 +24,17 @@
 pub(crate) const AFTER_RESTART: f64 = 0.75;
 pub(crate) const CROWD_LEAST: f64 = 1.5;
 const CROWD_BACK: f64 = 1.005;
-/// Executions of a workload that fail, in part, past which its queries may themselves be the cause.
+/// Executions of a workload that fail, in part, past which its queries may themselves be the cause; and past
+/// which, where others succeed so many times as often, they hold up whoever takes them.
 const SUSPECT: f64 = 0.1;
-/// Sharers told of an execution for each load unit of its work: as many notes as it has sharers go out.
-const WORTH_TELLING: f64 = 40.0;
+const HOLDS_UP: (f64, f64) = (0.5, 3.0);
 /// Proxies that share one backend, where a part may be that small: one query of each of many is a crowd.
 const SHARED_BY: usize = 3;
-/// Backends in an arc at the least, also where connections have a price and the others' queries are not told;
-/// and where they are told, which costs the less the fewer share one.
+/// Backends in an arc at the least, also where connections have a price or sharers are told, which costs the
+/// less the fewer there are: past so many to a backend.
 const PART_LEAST: usize = 6;
-const PART_PRICED: usize = 3;
-const PART_TOLD: usize = 3;
+const PART_FEW: usize = 3;
+const SHARERS_MANY: usize = 16;
 /// Those of its zone, and of others, that a probing proxy draws.
 const PART_PROBED: usize = 8;
 /// Candidates probed at a time.
@@ -60,11 +59,6 @@
         // One that was shut gets one query at a time until one is completed.
         self.ready() && (self.shut_for_us == 0 || self.idle()) && now_us >= self.shut_until_us.max(rested_us)
     }
-
-    fn tells(&self, peers: bool, work: f64) -> bool {
-        // A note costs as often as there are sharers: for many it is worth that only of much work.
-        peers && work * WORTH_TELLING >= self.sharers.len() as f64
-    }
 }
 
 impl Balancer {
@@ -140,34 +134,20 @@
         let unused = |id: &u32| !self.part.contains(id) && !self.beyond.contains(id);
         let others = self.fleet.iter_mut().filter(|(id, _)| unused(id));
         others.for_each(|(_, backend)| backend.steps = backend.steps.saturating_sub(1));
-        let mut ids: Vec<u32> = self.fleet.values().filter(|b| b.ready()).map(|b| b.listed.backend).collect();
+        let ids: Vec<u32> = self.fleet.values().filter(|b| b.ready()).map(|b| b.listed.backend).collect();
         (self.maxima_us, self.part, self.beyond) = (0, Vec::new(), Vec::new());
         if self.standing.probes {
             // Each connection costs, and a backend holds only so many: a few of the own zone, drawn by lot.
-            ids.sort_by_cached_key(|id| Rng::with_seed(self.lot ^ u64::from(*id)).u64(..));
-            let here = |id: &u32| self.standing.zone.is_none_or(|zone| self.fleet[id].listed.zone == zone);
-            let (mut near, mut far): (Vec<u32>, Vec<u32>) = ids.into_iter().partition(here);
-            [&mut near, &mut far].into_iter().for_each(|part| part.truncate(PART_PROBED));
-            (self.part, self.beyond) = if near.is_empty() { (far, near) } else { (near, far) };
+            self.draw(ids, PART_PROBED);
         } else {
             // Where proxies are many, each uses its own part of the list, an arc.
-            let (count, balancers) = (ids.len(), self.balancers);
-            let few = self.standing.connection > 0.0 && !self.standing.peers;
-            let least = if few { PART_PRICED } else { PART_LEAST };
-            let least = if self.standing.peers { PART_TOLD } else { least };
+            let many = PART_LEAST * self.balancers > SHARERS_MANY * ids.len();
+            let few = if self.standing.peers { many } else { self.standing.connection > 0.0 };
+            let least = if few { PART_FEW } else { PART_LEAST };
+            let part = (SHARED_BY * ids.len()).div_ceil(self.balancers).max(least).min(ids.len());
             // So that a zone that is cut off leaves each proxy some of a small arc.
             let ids = if self.standing.peers { self.zones_in_turns(&ids) } else { ids };
-            let part = (SHARED_BY * count).div_ceil(balancers).max(least).min(count);
-            let holds = |of: usize, at: usize| (at + count - of * count / balancers % count) % count < part;
-            for (place, id) in ids.iter().enumerate() {
-                let backend = self.fleet.get_mut(id).expect("ready ones are listed");
-                backend.sharers.clear();
-                if holds(self.number, place) {
-                    self.part.push(*id);
-                    let others = (0..balancers).filter(|other| *other != self.number && holds(*other, place));
-                    backend.sharers.extend(others.map(|other| other as u32));
-                }
-            }
+            self.deal(&ids, part);
         }
         self.set_maxima(now_us);
         self.most_weight = self.fleet.values().map(|backend| backend.listed.weight).fold(0.0, f64::max);
@@ -239,12 +219,14 @@
         !told && self.out() >= CROWD.min(self.bears) * share.clamp(fair, fair * 2.0)
     }
 
-    /// Whether the executions of this workload fail far more often than another's on the same backends.
-    fn suspect(&self, workload: usize) -> bool {
+    /// Whether the executions of this workload fail far more often than another's on the same backends; and
+    /// whether they hold these up: one goes out at a time then, none for a while after each that fails.
+    fn suspect(&self, workload: usize) -> (bool, bool) {
         let others = self.failing.iter().enumerate().filter(|(other, _)| *other != workload);
         let least = others.filter(|(_, of)| of.count >= 8).map(|(_, of)| of.mean).fold(1.0, f64::min);
-        let own = &self.failing[workload];
-        own.count >= 8 && own.mean > (least * 2.0).max(SUSPECT)
+        let own = if self.failing[workload].count >= 8 { self.failing[workload].mean } else { 0.0 };
+        let holds_up = own > HOLDS_UP.0 && (1.0 - own) * HOLDS_UP.1 < 1.0 - least;
+        (own > (least * 2.0).max(SUSPECT), holds_up)
     }
 
     /// Whether rules, health and room for its kind let this query go to this backend at all.
@@ -411,7 +393,7 @@
             backend.cold_sent.retain(|sent| sent.0 + self.cold.window_us >= now_us);
             backend.cold_sent.push_back((now_us, qry.work));
         }
-        let (ahead, told) = (backend.work() + qry.work, backend.tells(self.standing.peers, qry.work));
+        let (ahead, told) = (backend.work() + qry.work, self.standing.peers);
         backend.held.insert(self.last_serial, Held::new(qry, now_us, ahead, told));
         let expected_us = (ahead / backend.pace.max(1e-9)) as u64;
         let timeout_us = qry.timeout_us(now_us, self.standing.clocks.deadline_us);
@@ -507,13 +489,20 @@
             self.fleet.values_mut().for_each(|backend| backend.fade(now_us, 5_000_000));
             self.bears = (self.bears * CROWD_BACK).min(CROWD_TOLD);
         }
+        self.find_late(now_us);
         // Half the SLO time in vain here leaves too little for the rest: a prompt answer is better.
         let waiting = self.waiting.iter().map(|entry| &self.queries[&entry.2]);
         let stale = waiting.filter(|qry| now_us > qry.arrived_us + qry.slo_us / 2);
         // Where time-outs are longer than what a query is worth, its end is looked for here.
         let ended = self.queries.values().filter(|qry| !qry.over && qry.out() && qry.left_us(now_us) == 0);
         let ended = ended.filter(|_| self.standing.clocks.deadline_us > 0);
-        for id in stale.chain(ended).map(|qry| qry.id.clone()).collect::<BTreeSet<String>>() {
+        // What holds up its backend would be late in any case, and so would what waits behind it.
+        let holds: Vec<bool> = (0..self.failing.len()).map(|of| self.suspect(of).1).collect();
+        let late = |qry: &&Query| {
+            !qry.over && holds[qry.workload] && qry.executions.iter().any(|at| at.out && at.late)
+        };
+        let late = self.queries.values().filter(late);
+        for id in stale.chain(ended).chain(late).map(|qry| qry.id.clone()).collect::<BTreeSet<String>>() {
             self.give_up(&id, now_us, out);
         }
         // A second copy leaves a backend that is slow against its peers, never one among a slow fleet, within
@@ -527,7 +516,7 @@
             let may = if two { ran == 1 } else { self.standing.probes && qry.limits.cancel && !once };
             // One whose deadline is reached gets none: its time-out is on its way here.
             let late_us = exec.sent_us + (2 * exec.expected_us).max(qry.slo_us / 3);
-            let may = may && !self.suspect(qry.workload);
+            let may = may && !self.suspect(qry.workload).0;
             let due = may && !qry.over && qry.may_go_on(now_us) && now_us > late_us;
             due.then(|| (qry.id.clone(), exec.backend, exec.serial, two))
         };
@@ -576,17 +565,13 @@
         }
         // What is late earns nothing: it would only keep its backend from others. Probing proxies move it.
         let late = tardy <= 0.0 && !b.standing.probes && b.limits.max_backoff_us > 0;
-        (b.further, b.last_serial) = ((b.further + 0.1).min(20.0), b.last_serial + 1);
-        b.own_out.add(b.out(), 64);
-        let mut qry = Query::new(id, b.last_serial, workload, self.now_us, b.limits);
+        b.further = (b.further + 0.1).min(20.0);
+        let mut qry = Query::new(id, b.last_serial + 1, workload, self.now_us, b.limits);
         (qry.kind, qry.load, qry.work) = (kind, load, units.unwrap_or(load));
         (qry.slo_us, qry.importance) = (slo_us, importance);
         qry.time(ttl_us, b.standing.clocks.deadline_us, late);
-        let left_us = qry.left_us(self.now_us);
-        b.usual_importance +=
-            (importance * qry.work - b.usual_importance) / b.hints.len().clamp(1, 64) as f64;
-        let place = qry.place();
-        b.queries.insert(id.to_owned(), qry);
+        let (left_us, place) = (qry.left_us(self.now_us), qry.place());
+        b.hold(qry);
         // By chance, from a fiftieth of the SLO time in expected wait to an eighth; the cheap wait longer.
         let chance = if b.standing.probes {
             let age_us = self.now_us.saturating_sub(b.strain.0) as f64;
@@ -595,8 +580,12 @@
         } else {
             (b.expected_wait_us(place.0) / slo_us.max(1) as f64 - 0.02) / 0.1
         };
+        let (suspect, holds_up) = b.suspect(workload);
+        let rests = self.now_us < b.failing[workload].rests_until_us;
+        let held_up =
+            holds_up && (rests || b.queries.values().any(|qry| qry.workload == workload && qry.out()));
         // What brings down or hangs whoever takes it comes back as any other does: its first try is enough.
-        if takes_us > left_us as f64 || again && b.suspect(workload) || b.rng.f64() < chance {
+        if takes_us > left_us as f64 || again && suspect || held_up || b.rng.f64() < chance {
             b.give_up(id, self.now_us, self.out);
         } else {
             b.waiting.insert(place);
@@ -615,19 +604,19 @@
         let backend = b.fleet.get_mut(&exec.backend).expect("only listed backends are used");
         // Where clocks differ a client's time may end before ours: that is no backend's fault. What was called
         // off at the end of its worth stands for the time-out that it did not get.
-        let (skewed, cut) = (b.standing.clocks.deadline_us > 0, now_us + SWEEP_US < qry.longest_us);
-        let cut = skewed && cut && matches!(ended, Ended::TimedOut | Ended::NotSent);
-        let gone = skewed && ended == Ended::Cancelled && spent;
-        let ended = if gone { Ended::TimedOut } else { ended };
+        let error_us = b.standing.clocks.deadline_us;
+        let cut = error_us > 0 && matches!(ended, Ended::TimedOut | Ended::NotSent);
+        let cut = cut && now_us + SWEEP_US < qry.longest_us;
         qry.deadline_us = if cut { qry.deadline_us.min(now_us) } else { qry.deadline_us };
+        let gone = error_us > 0 && ended == Ended::Cancelled && spent;
+        let ended = if gone { Ended::TimedOut } else { ended };
         // One ahead of ours holds for expired what we hold to be in time: full by its clock, not by its load.
-        let by_clock = qry.longest_us.saturating_sub(now_us) < b.standing.clocks.deadline_us * 2;
-        let by_clock = by_clock && backend.load() < backend.max;
+        let by_clock = qry.longest_us.saturating_sub(now_us) < error_us * 2 && backend.load() < backend.max;
         // Who breaks what he has in work has died: he comes back cold, whatever the list says so far.
         let died = ended == Ended::Dropped && !over && backend.listed.phase == Phase::Ready;
         let held_there = backend.crowd() as f64;
         if died && backend.since_us + b.cold.window_us < now_us {
-            backend.start_anew(now_us, now_us);
+            backend.died(now_us);
         }
         exec.out = false;
         exec.may_have_run = !matches!(ended, Ended::TurnedAway | Ended::Unreachable | Ended::NotSent);
@@ -636,8 +625,9 @@
         backend.hear(report.unwrap_or_default());
         report.and_then(|report| report.held).into_iter().for_each(|held| b.reported.add(held, 64));
         let completed = ended == Ended::Completed;
-        if completed || matches!(ended, Ended::TimedOut | Ended::Dropped | Ended::Errored) {
-            b.failing[qry.workload].add(f64::from(u8::from(!completed)), 24);
+        let counts = completed || matches!(ended, Ended::TimedOut | Ended::Dropped | Ended::Errored);
+        if counts && !exec.late {
+            b.failing[qry.workload].ended(completed, now_us + qry.slo_us * 4);
         }
         if let Some(held) = held.filter(|_| completed || ended == Ended::TimedOut && !b.standing.probes) {
             backend.learn(held.ahead / took_us.max(1) as f64, 16, now_us);
@@ -647,9 +637,7 @@
             let unseen = backend.sharers.len().saturating_sub(SHARED_BY) as f64;
             backend.rest = (now_us, extra_us * unseen / 2.0);
         }
-        if matches!(ended, Ended::TurnedAway | Ended::Unreachable)
-            && !(by_clock && ended == Ended::TurnedAway)
-        {
+        if ended == Ended::Unreachable || ended == Ended::TurnedAway && !by_clock {
             // It says itself that it is full; as it answers at once it would else look the roomiest.
             backend.shut_until_us = backend.shut_until_us.max(now_us + 2 * b.target_us as u64);
         }
@@ -661,10 +649,8 @@
         }
         let (judged, closed, out) = (exec.backend, over || qry.over, qry.out());
         (qry.waves, qry.asked) = (0, Vec::new());
-        if !lost
-            && !cut
-            && !matches!(ended, Ended::Cancelled | Ended::NotSent | Ended::TurnedAway | Ended::Stale)
-        {
+        let untold = matches!(ended, Ended::Cancelled | Ended::NotSent | Ended::TurnedAway | Ended::Stale);
+        if !lost && !cut && !untold {
             b.judge(judged, completed, now_us);
         }
         if died {
@@ -679,7 +665,7 @@
             let price = if untaken || matches!(ended, Ended::Unreachable | Ended::Stale) { 0.0 } else { 1.0 };
             let once = qry.executions.len() < 2 && qry.importance >= 1.0;
             let more = qry.may_go_on(now_us)
-                && (once || !b.suspect(qry.workload))
+                && (once || !b.suspect(qry.workload).0)
                 && b.further >= price
                 && b.fleet.values().any(|other| other.ready() && b.allowed(qry, &other.listed, now_us));
             if more {
--- a/src/judge.rs
+++ b/src/judge.rs
@@ -107,6 +107,19 @@
         self.bears = (self.bears.min(held.max(1.0)) * AFTER_RESTART).max(CROWD_LEAST).min(self.bears);
     }
 
+    /// Counts what is out for longer than twice its work and three target times as failed, once: by its time-out
+    /// all that waited behind it has failed too, and nobody could tell which it was.
+    pub(crate) fn find_late(&mut self, now_us: u64) {
+        for qry in self.queries.values_mut().filter(|qry| !qry.over) {
+            let late_us = (qry.work * self.unit_us * 2.0 + self.target_us * 3.0) as u64;
+            let out = qry.executions.iter_mut().filter(|exec| exec.out && !exec.late);
+            for exec in out.filter(|exec| now_us > exec.sent_us + late_us) {
+                exec.late = true;
+                self.failing[qry.workload].ended(false, now_us + qry.slo_us * 4);
+            }
+        }
+    }
+
     /// How long the work that waits at this rank or above takes the fleet at its learned paces.
     pub(crate) fn expected_wait_us(&self, rank: Reverse<u64>) -> f64 {
         let before = self.waiting.iter().take_while(|entry| entry.0 <= rank);
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -78,11 +78,14 @@
     pub out: bool,
     pub called_off: bool,
     pub may_have_run: bool,
+    /// Out for so long that it counts as failed already.
+    pub late: bool,
 }
 
 impl Execution {
     pub fn new(backend: u32, serial: u64, sent_us: u64, expected_us: u64) -> Self {
-        Execution { backend, serial, sent_us, expected_us, out: true, called_off: false, may_have_run: false }
+        let (called_off, may_have_run, late) = (false, false, false);
+        Execution { backend, serial, sent_us, expected_us, out: true, called_off, may_have_run, late }
     }
 }
 
@@ -249,7 +252,15 @@
 
 impl Backend {
     /// What started anew is judged and learned anew; what is still out there counts on.
-    pub(crate) fn start_anew(&mut self, since_us: u64, heard_us: u64) {
+    /// Breaks what it has in work: it will be back as one that has just started, but still as listed and as taken
+    /// out by hand.
+    pub fn died(&mut self, now_us: u64) {
+        let (drained, out, steps) = (self.drained, self.out, self.steps);
+        self.start_anew(now_us, now_us);
+        (self.drained, self.out, self.steps) = (drained, out, steps);
+    }
+
+    fn start_anew(&mut self, since_us: u64, heard_us: u64) {
         let (listed, held) = (self.listed, std::mem::take(&mut self.held));
         let sharers = std::mem::take(&mut self.sharers);
         *self = Backend { listed, held, since_us, heard_us, sharers, ..Backend::default() };
@@ -349,6 +360,25 @@
     }
 }
 
+/// What part of a workload's last executions failed, and how long it rests after the latest where it holds up
+/// its backends.
+#[derive(Default)]
+pub struct Failing {
+    pub mean: f64,
+    pub count: u32,
+    pub rests_until_us: u64,
+}
+
+impl Failing {
+    /// Counts one; where most failed a success counts for more, since few go out.
+    pub fn ended(&mut self, completed: bool, rests_until_us: u64) {
+        let most = if completed && self.mean > 0.5 { 8 } else { 24 };
+        self.count = (self.count + 1).min(24);
+        self.mean += (f64::from(u8::from(!completed)) - self.mean) / f64::from(self.count.min(most));
+        self.rests_until_us = if completed { 0 } else { rests_until_us };
+    }
+}
+
 /// What a tenant may still ask for within its share.
 pub struct Allowance {
     pub per_us: f64,
@@ -422,7 +452,7 @@
     pub(crate) own_out: Mean,
     pub(crate) reported: Mean,
     /// What part of each workload's executions failed of late.
-    pub(crate) failing: Vec<Mean>,
+    pub(crate) failing: Vec<Failing>,
     pub(crate) sweeping: bool,
     /// Whether the next wake is a late one, as nothing waited.
     pub(crate) calm: bool,
@@ -472,7 +502,7 @@
             });
             numbers.push(number);
         }
-        self.failing.resize_with(self.workloads.len(), Mean::default);
+        self.failing.resize_with(self.workloads.len(), Failing::default);
         numbers
     }
 
@@ -515,6 +545,39 @@
         (users, turn.wrapping_mul(GOLDEN) as f64 / u64::MAX as f64, now_us - since_us % window_us)
     }
 
+    /// Takes in a query that has come.
+    pub(crate) fn hold(&mut self, qry: Query) {
+        self.last_serial = qry.serial;
+        self.own_out.add(self.out(), 64);
+        let worth = qry.importance * qry.work;
+        self.usual_importance += (worth - self.usual_importance) / self.hints.len().clamp(1, 64) as f64;
+        self.queries.insert(qry.id.clone(), qry);
+    }
+
+    /// Gives this proxy a few backends of its zone, and as many elsewhere, drawn by lot.
+    pub(crate) fn draw(&mut self, mut ids: Vec<u32>, most: usize) {
+        ids.sort_by_cached_key(|id| Rng::with_seed(self.lot ^ u64::from(*id)).u64(..));
+        let here = |id: &u32| self.standing.zone.is_none_or(|zone| self.fleet[id].listed.zone == zone);
+        let (mut near, mut far): (Vec<u32>, Vec<u32>) = ids.into_iter().partition(here);
+        [&mut near, &mut far].into_iter().for_each(|part| part.truncate(most));
+        (self.part, self.beyond) = if near.is_empty() { (far, near) } else { (near, far) };
+    }
+
+    /// Gives this proxy its arc of the list, and each backend in it those who share it.
+    pub(crate) fn deal(&mut self, ids: &[u32], part: usize) {
+        let (count, balancers) = (ids.len(), self.balancers);
+        let holds = |of: usize, at: usize| (at + count - of * count / balancers % count) % count < part;
+        for (place, id) in ids.iter().enumerate() {
+            let backend = self.fleet.get_mut(id).expect("ready ones are listed");
+            backend.sharers.clear();
+            if holds(self.number, place) {
+                self.part.push(*id);
+                let others = (0..balancers).filter(|other| *other != self.number && holds(*other, place));
+                backend.sharers.extend(others.map(|other| other as u32));
+            }
+        }
+    }
+
     /// The backends in an order in which each zone's lie evenly apart, the same at every proxy.
     pub(crate) fn zones_in_turns(&self, ids: &[u32]) -> Vec<u32> {
         let mut zones: BTreeMap<u32, Vec<u32>> = BTreeMap::new();
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -604,10 +604,10 @@
 /// A small arc must not lie in one zone: one that is cut off would leave its proxy nobody.
 #[test]
 fn where_proxies_tell_each_other_small_arcs_reach_into_several_zones() {
-    for number in 0..40 {
+    for number in 0..80 {
         let (mut ledger, _) = start(Repeat::Idempotent, 0, 2, 0, false);
         ledger.peers = true;
-        let mut balancer = ledger.balancer(5, 40, number);
+        let mut balancer = ledger.balancer(5, 80, number);
         // Zone 0 is a run of ids, as zones may be.
         let all: Vec<Listed> = (0..20).map(|id| Listed { zone: u32::from(id >= 10), ..ready(id) }).collect();
         ledger.round(&mut balancer, 5_000, |ledger, inbox| ledger.tell(inbox, &all));
