Buffers held by slow readers are told from slow backends, and what would only wait is not executed

Not the backends: other proxies are served by them as usual. Lines: late executions lowered paces, shut backends, and blamed workloads. Change: where more executions are late than there are buffers, from several backends, and none has come back since they were due, the buffers are held: time-outs then tell nothing of backends or workloads, and what would end before one is free is rejected on arrival, with a time to come back. Nobody is cut off for a slow answer: each query goes to its own end. It could harm where several backends stall at once before a proxy with little traffic: it goes on sending to them for that while.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -116,7 +116,8 @@
             let usual_pace = self.weight_pace * backend.weight();
             backend.recall(now_us, self.used, usual_pace, SURE, self.target_us, self.quickest_us);
             // One that stands still yields no outcomes: the oldest not passed by bounds its pace.
-            for (_, held) in backend.held.range(backend.passed..).take(usize::from(!self.standing.probes)) {
+            let ends = !self.standing.probes && now_us >= self.unread.until_us;
+            for (_, held) in backend.held.range(backend.passed..).take(usize::from(ends)) {
                 let age_us = now_us.saturating_sub(held.sent_us).max(1);
                 backend.pace = backend.pace.min(held.ahead / age_us as f64);
             }
@@ -437,20 +438,6 @@
         self.close(id, out);
     }
 
-    /// Ends a query here; executions still out are called off and count until their outcome.
-    pub(crate) fn close(&mut self, id: &str, out: &mut dyn Writer) {
-        let Some(qry) = self.queries.get_mut(id) else { return };
-        self.waiting.remove(&qry.place());
-        if !qry.over && qry.limits.cancel {
-            let still = qry.executions.iter().enumerate().filter(|(_, exec)| exec.out);
-            still.for_each(|(number, _)| out.cancel(&qry.id, number as u32));
-        }
-        qry.over = true;
-        if !qry.out() {
-            self.queries.remove(id);
-        }
-    }
-
     /// Shuts a backend whose last few outcomes are bad and twice as bad as its peers': when all fail
     /// alike it is no backend's fault, and about a third of the part is shut at most.
     fn judge(&mut self, id: u32, success: bool, now_us: u64) {
@@ -570,6 +557,8 @@
         (qry.kind, qry.load, qry.work) = (kind, load, units.unwrap_or(load));
         (qry.slo_us, qry.importance) = (slo_us, importance);
         qry.time(ttl_us, b.standing.clocks.deadline_us, late);
+        // What would only wait for a buffer is not executed, and is told when one is free.
+        let unread = b.unread.until_us > qry.deadline_us;
         let (left_us, place) = (qry.left_us(self.now_us), qry.place());
         b.hold(qry);
         // By chance, from a fiftieth of the SLO time in expected wait to an eighth; the cheap wait longer.
@@ -585,7 +574,7 @@
         let held_up =
             holds_up && (rests || b.queries.values().any(|qry| qry.workload == workload && qry.out()));
         // What brings down or hangs whoever takes it comes back as any other does: its first try is enough.
-        if takes_us > left_us as f64 || again && suspect || held_up || b.rng.f64() < chance {
+        if takes_us > left_us as f64 || again && suspect || held_up || unread || b.rng.f64() < chance {
             b.give_up(id, self.now_us, self.out);
         } else {
             b.waiting.insert(place);
@@ -607,6 +596,8 @@
         let error_us = b.standing.clocks.deadline_us;
         let cut = error_us > 0 && matches!(ended, Ended::TimedOut | Ended::NotSent);
         let cut = cut && now_us + SWEEP_US < qry.longest_us;
+        // Nor is it his that the buffers here were taken, and the time taken then is not his pace.
+        let unread = b.unread.seen_us > exec.sent_us;
         qry.deadline_us = if cut { qry.deadline_us.min(now_us) } else { qry.deadline_us };
         let gone = error_us > 0 && ended == Ended::Cancelled && spent;
         let ended = if gone { Ended::TimedOut } else { ended };
@@ -626,10 +617,12 @@
         report.and_then(|report| report.held).into_iter().for_each(|held| b.reported.add(held, 64));
         let completed = ended == Ended::Completed;
         let counts = completed || matches!(ended, Ended::TimedOut | Ended::Dropped | Ended::Errored);
-        if counts && !exec.late {
+        b.unread.back_us = if completed { now_us } else { b.unread.back_us };
+        if counts && !exec.late && !unread {
             b.failing[qry.workload].ended(completed, now_us + qry.slo_us * 4);
         }
-        if let Some(held) = held.filter(|_| completed || ended == Ended::TimedOut && !b.standing.probes) {
+        let teaches = completed || ended == Ended::TimedOut && !b.standing.probes;
+        if let Some(held) = held.filter(|_| teaches && !unread) {
             backend.learn(held.ahead / took_us.max(1) as f64, 16, now_us);
             // What passed beyond its own work went to a crowd of others: stay away so that all take turns.
             let alone_us = b.speeds.at(0.9).map_or(0.0, |fastest| held.work * b.unit_us * 1e3 / fastest);
@@ -650,7 +643,7 @@
         let (judged, closed, out) = (exec.backend, over || qry.over, qry.out());
         (qry.waves, qry.asked) = (0, Vec::new());
         let untold = matches!(ended, Ended::Cancelled | Ended::NotSent | Ended::TurnedAway | Ended::Stale);
-        if !lost && !cut && !untold {
+        if !lost && !cut && !untold && !(unread && ended == Ended::TimedOut) {
             b.judge(judged, completed, now_us);
         }
         if died {
--- a/src/judge.rs
+++ b/src/judge.rs
@@ -108,16 +108,26 @@
     }
 
     /// Counts what is out for longer than twice its work and three target times as failed, once: by its time-out
-    /// all that waited behind it has failed too, and nobody could tell which it was.
+    /// all that waited behind it has failed too, and nobody could tell which it was. Where more are than there are
+    /// buffers for answers, from several backends, and none has come back since, slow readers hold all.
     pub(crate) fn find_late(&mut self, now_us: u64) {
+        let (target_us, unit_us, back_us) = (self.target_us * 3.0, self.unit_us * 2.0, self.unread.back_us);
+        let mut unread = Vec::new();
         for qry in self.queries.values_mut().filter(|qry| !qry.over) {
-            let late_us = (qry.work * self.unit_us * 2.0 + self.target_us * 3.0) as u64;
-            let out = qry.executions.iter_mut().filter(|exec| exec.out && !exec.late);
-            for exec in out.filter(|exec| now_us > exec.sent_us + late_us) {
-                exec.late = true;
-                self.failing[qry.workload].ended(false, now_us + qry.slo_us * 4);
+            let (late_us, deadline_us) = ((qry.work * unit_us + target_us) as u64, qry.deadline_us);
+            let due = |exec: &&mut Execution| exec.out && now_us > exec.sent_us + late_us;
+            for exec in qry.executions.iter_mut().filter(due) {
+                unread.extend((exec.sent_us + late_us > back_us).then_some((deadline_us, exec.backend)));
+                if !std::mem::replace(&mut exec.late, true) {
+                    self.failing[qry.workload].ended(false, now_us + qry.slo_us * 4);
+                }
             }
         }
+        unread.sort_unstable();
+        let room = self.standing.response_room.unwrap_or(usize::MAX);
+        let several = unread.len() > room && unread.iter().any(|late| late.1 != unread[0].1);
+        self.unread.until_us = if several { unread[unread.len() - room].0 } else { 0 };
+        self.unread.seen_us = if several { now_us } else { self.unread.seen_us };
     }
 
     /// How long the work that waits at this rank or above takes the fleet at its learned paces.
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -379,6 +379,15 @@
     }
 }
 
+/// Answers that clients read slowly, as far as it shows: when all buffers were last held by them, until when
+/// the next comes free at the latest, and when an answer last came back.
+#[derive(Default)]
+pub struct Unread {
+    pub seen_us: u64,
+    pub until_us: u64,
+    pub back_us: u64,
+}
+
 /// What a tenant may still ask for within its share.
 pub struct Allowance {
     pub per_us: f64,
@@ -451,6 +460,7 @@
     /// What this proxy had out as queries came, and what the backends' reports said they held.
     pub(crate) own_out: Mean,
     pub(crate) reported: Mean,
+    pub(crate) unread: Unread,
     /// What part of each workload's executions failed of late.
     pub(crate) failing: Vec<Failing>,
     pub(crate) sweeping: bool,
@@ -677,6 +687,20 @@
         }
     }
 
+    /// Ends a query here; executions still out are called off and count until their outcome.
+    pub(crate) fn close(&mut self, id: &str, out: &mut dyn Writer) {
+        let Some(qry) = self.queries.get_mut(id) else { return };
+        self.waiting.remove(&qry.place());
+        if !qry.over && qry.limits.cancel {
+            let still = qry.executions.iter().enumerate().filter(|(_, exec)| exec.out);
+            still.for_each(|(number, _)| out.cancel(&qry.id, number as u32));
+        }
+        qry.over = true;
+        if !qry.out() {
+            self.queries.remove(id);
+        }
+    }
+
     /// Leaves out of parts and groups whoever is not ready, and forgets those gone that no query knows.
     pub(crate) fn forget_gone(&mut self) {
         let fleet = &mut self.fleet;
