--- a/src/balance.rs
+++ b/src/balance.rs
@@ -643,7 +643,7 @@
         let (judged, closed, out) = (exec.backend, over || qry.over, qry.out());
         (qry.waves, qry.asked) = (0, Vec::new());
         let untold = matches!(ended, Ended::Cancelled | Ended::NotSent | Ended::TurnedAway | Ended::Stale);
-        if !lost && !cut && !untold && !(unread && ended == Ended::TimedOut) {
+        if !(lost || cut || untold || unread && ended == Ended::TimedOut) {
             b.judge(judged, completed, now_us);
         }
         if died {
