--- a/src/balance.rs
+++ b/src/balance.rs
@@ -217,7 +217,7 @@
         let fair: f64 = self.ours().filter(|backend| backend.shut_until_us <= now_us).map(users).sum();
         let known = self.reported.count >= 16;
         let share = if known { self.own_out.mean / self.reported.mean.max(1e-9) } else { 0.0 };
-        !told && self.out() >= CROWD.min(self.bears) * share.clamp(fair, fair * 2.0)
+        !told && self.out() >= CROWD * share.clamp(fair, fair * 2.0)
     }
 
     /// Whether the executions of this workload fail far more often than another's on the same backends; and
