--- a/src/balance.rs
+++ b/src/balance.rs
@@ -687,10 +687,12 @@
         }
     }
 
-    /// Asks anew after a jittered wait: what the list has counts as told soon, whatever failed meanwhile.
+    /// Asks anew after a jittered wait: who has not asked for so long counts as told, whatever failed meanwhile.
     pub fn list_lost(&mut self) {
         let b = &mut *self.balancer;
-        self.out.wake(b.rng.u64(200_000..400_000), "ask");
+        let within_us =
+            b.standing.ask_within_us.map_or(400_000, |within_us| (within_us / 8).clamp(2, 400_000));
+        self.out.wake(b.rng.u64(within_us / 2..within_us), "ask");
     }
 
     pub fn list(&mut self, whole: bool, items: &[Listed]) {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -616,3 +616,19 @@
         assert!(met.len() == 3 && (1..3).contains(&far), "proxy {number} uses {met:?}");
     }
 }
+
+/// Who has neither watched nor asked for that long counts as told of what he missed.
+#[test]
+fn a_lost_list_is_asked_for_again_well_within_the_drain_clock() {
+    for (within_us, most_us) in [(None, 400_000), (Some(5_000_000), 400_000), (Some(800_000), 100_000)] {
+        let (mut ledger, _) = start(Repeat::Idempotent, 0, 2, 0, false);
+        ledger.standing.ask_within_us = within_us;
+        let mut balancer = listed(&mut ledger, 2, 2, 0);
+        let (asked, lost_us) = (ledger.asked, ledger.now_us + 5_000);
+        ledger.round(&mut balancer, 5_000, |_, inbox| inbox.list_lost());
+        while ledger.asked == asked && ledger.now_us < lost_us + 1_000_000 {
+            ledger.round(&mut balancer, 5_000, |_, _| {});
+        }
+        assert!(ledger.now_us - lost_us <= most_us + 5_000, "{within_us:?}: {}", ledger.now_us - lost_us);
+    }
+}
