--- a/src/balance.rs
+++ b/src/balance.rs
@@ -591,8 +591,8 @@
         let spent = qry.left_us(now_us) == 0;
         let Some(exec) = qry.executions.get_mut(execution as usize).filter(|exec| exec.out) else { return };
         let backend = b.fleet.get_mut(&exec.backend).expect("only listed backends are used");
-        // Where clocks differ a client's time may end before ours: that is no backend's fault. What was called
-        // off at the end of its worth stands for the time-out that it did not get.
+        // Where clocks differ a client's time may end before ours: that is no backend's fault. What was
+        // called off at the end of its worth stands for the time-out that it did not get.
         let error_us = b.standing.clocks.deadline_us;
         let cut = error_us > 0 && matches!(ended, Ended::TimedOut | Ended::NotSent);
         let cut = cut && now_us + SWEEP_US < qry.longest_us;
@@ -687,7 +687,7 @@
         }
     }
 
-    /// Asks anew after a jittered wait: who has not asked for so long counts as told, whatever failed meanwhile.
+    /// Asks anew after a jittered wait: who has not asked for long counts as told, whatever failed meanwhile.
     pub fn list_lost(&mut self) {
         let b = &mut *self.balancer;
         let within_us =
--- a/src/judge.rs
+++ b/src/judge.rs
@@ -60,9 +60,9 @@
 }
 
 impl Query {
-    /// The one notion of time left, from what its client told, which may be off by `error_us` either way. What
-    /// may be short is taken for the longest that it may be: to give up a query that has time loses it, while
-    /// one whose client has gone ends with him. Where late answers earn nothing the SLO time bounds it.
+    /// The one notion of time left, from what its client told, which may be off by `error_us` either way. It
+    /// is taken for the longest that it may be: to give up a query that has time loses it, while one whose
+    /// client has gone ends with him. Where late answers earn nothing the SLO time bounds it.
     pub fn time(&mut self, ttl_us: u64, error_us: u64, late_for_nothing: bool) {
         self.longest_us = self.arrived_us.saturating_add(ttl_us).saturating_add(error_us);
         let worth_us = if late_for_nothing { self.slo_us } else { u64::MAX };
@@ -78,8 +78,8 @@
         self.deadline_us.min(self.arrived_us + self.slo_us).saturating_sub(now_us)
     }
 
-    /// An execution's time-out. A backend whose clock is ahead holds one that ends soon for expired: where clocks
-    /// differ it is the longest, and this proxy calls off what is no longer worth it.
+    /// An execution's time-out. A backend whose clock is ahead holds one that ends soon for expired: where
+    /// clocks differ it is the longest, and this proxy calls off what is no longer worth it.
     pub fn timeout_us(&self, now_us: u64, error_us: u64) -> u64 {
         match error_us > 0 && self.limits.cancel {
             true => self.longest_us.saturating_sub(now_us),
@@ -100,16 +100,16 @@
 }
 
 impl Balancer {
-    /// A backend has died or started anew without draining, with `held` there as far as was known. Whatever did
-    /// that may do it to those that get its load: all are held to less, which comes back with time.
+    /// A backend has died or started anew without draining, with `held` there as far as was known. Whatever
+    /// did that may do it to those that get its load: all are held to less, which comes back with time.
     pub(crate) fn fell(&mut self, held: Option<f64>) {
         let Some(held) = held else { return };
         self.bears = (self.bears.min(held.max(1.0)) * AFTER_RESTART).max(CROWD_LEAST).min(self.bears);
     }
 
-    /// Counts what is out for longer than twice its work and three target times as failed, once: by its time-out
-    /// all that waited behind it has failed too, and nobody could tell which it was. Where more are than there are
-    /// buffers for answers, from several backends, and none has come back since, slow readers hold all.
+    /// Counts what is out for longer than twice its work and three target times as failed, once: by its
+    /// time-out all behind it has failed too, and nobody could tell which it was. Where more are than there
+    /// are buffers for answers, from several backends, and none has come back since, slow readers hold all.
     pub(crate) fn find_late(&mut self, now_us: u64) {
         let (target_us, unit_us, back_us) = (self.target_us * 3.0, self.unit_us * 2.0, self.unread.back_us);
         let mut unread = Vec::new();
