--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -129,3 +129,30 @@
         "{off} where the stamp may be off, {told} else, {fresh} just started"
     );
 }
+
+/// Half of the backends stand still for 280 ms every two seconds: what they hold comes back late, and they are used on.
+#[test]
+fn a_pause_is_not_a_death() {
+    let (mut ledger, mut balancer) = start(3.0);
+    let mut used = [0; 6];
+    for step in 0..2_000 {
+        ledger.round(&mut balancer, 5_000, |ledger, inbox| {
+            let id = format!("q{step:04}");
+            if step % 3 == 0 {
+                ledger.take(inbox, &id, 0, 900_000, Some(20_000));
+            }
+            for (id, number) in ledger.out() {
+                let sent = &ledger.queries[&id].sent[number];
+                let stands = sent.backend < 3 && step % 400 < 56;
+                if !stands && ledger.now_us >= sent.at_us + 20_000 {
+                    used[sent.backend as usize] += usize::from(step >= 400);
+                    ledger.end(inbox, &id, number, Ended::Completed);
+                }
+            }
+        });
+    }
+    let rejected = ledger.queries.values().filter(|qry| qry.answer != Some("completed")).count();
+    assert!(used[..3].iter().all(|of| *of >= 40), "{used:?}");
+    assert!(rejected <= 12, "{rejected} of 667 were not completed");
+    assert_eq!(ledger.wrong, Vec::<String>::new());
+}
