--- a/src/judge.rs
+++ b/src/judge.rs
@@ -1,6 +1,7 @@
 //! What is judged of a backend, a tenant's share or the wait by what kept.rs remembers: how warm and fast a
 //! backend is held to be, which executions count as lost, when old paces fade. Called by `balance`.
 
+use crate::balance::{AFTER_RESTART, CROWD_LEAST};
 use crate::interface::*;
 use crate::kept::*;
 use std::cmp::Reverse;
@@ -58,6 +59,35 @@
     }
 }
 
+impl Query {
+    /// The one notion of time left, from what its client told, which may be off by `error_us` either way. It
+    /// is taken for the longest that it may be: to give up a query that has time loses it, while one whose
+    /// client has gone ends with him. Where late answers earn nothing the SLO time bounds it.
+    pub fn time(&mut self, ttl_us: u64, error_us: u64, late_for_nothing: bool) {
+        self.longest_us = self.arrived_us.saturating_add(ttl_us).saturating_add(error_us);
+        let worth_us = if late_for_nothing { self.slo_us } else { u64::MAX };
+        self.deadline_us = self.longest_us.min(self.arrived_us.saturating_add(worth_us));
+    }
+
+    pub fn left_us(&self, now_us: u64) -> u64 {
+        self.deadline_us.saturating_sub(now_us)
+    }
+
+    /// What is left of it until its answer is no longer on time.
+    pub fn on_time_us(&self, now_us: u64) -> u64 {
+        self.deadline_us.min(self.arrived_us + self.slo_us).saturating_sub(now_us)
+    }
+
+    /// An execution's time-out. A backend whose clock is ahead holds one that ends soon for expired: where
+    /// clocks differ it is the longest, and this proxy calls off what is no longer worth it.
+    pub fn timeout_us(&self, now_us: u64, error_us: u64) -> u64 {
+        match error_us > 0 && self.limits.cancel {
+            true => self.longest_us.saturating_sub(now_us),
+            false => self.left_us(now_us),
+        }
+    }
+}
+
 impl Allowance {
     /// Takes one query from what has gathered over a second, or at most `SHARE_KEPT` where that is more.
     pub fn take(&mut self, now_us: u64) -> bool {
@@ -70,6 +100,36 @@
 }
 
 impl Balancer {
+    /// A backend has died or started anew without draining, with `held` there as far as was known. Whatever
+    /// did that may do it to those that get its load: all are held to less, which comes back with time.
+    pub(crate) fn fell(&mut self, held: Option<f64>) {
+        let Some(held) = held else { return };
+        self.bears = (self.bears.min(held.max(1.0)) * AFTER_RESTART).max(CROWD_LEAST).min(self.bears);
+    }
+
+    /// Counts what is out for longer than twice its work and three target times as failed, once: by its
+    /// time-out all behind it has failed too, and nobody could tell which it was. Where more are than there
+    /// are buffers for answers, from several backends, and none has come back since, slow readers hold all.
+    pub(crate) fn find_late(&mut self, now_us: u64) {
+        let (target_us, unit_us, back_us) = (self.target_us * 3.0, self.unit_us * 2.0, self.unread.back_us);
+        let mut unread = Vec::new();
+        for qry in self.queries.values_mut().filter(|qry| !qry.over) {
+            let (late_us, deadline_us) = ((qry.work * unit_us + target_us) as u64, qry.deadline_us);
+            let due = |exec: &&mut Execution| exec.out && now_us > exec.sent_us + late_us;
+            for exec in qry.executions.iter_mut().filter(due) {
+                unread.extend((exec.sent_us + late_us > back_us).then_some((deadline_us, exec.backend)));
+                if !std::mem::replace(&mut exec.late, true) {
+                    self.failing[qry.workload].ended(false, now_us + qry.slo_us * 4);
+                }
+            }
+        }
+        unread.sort_unstable();
+        let room = self.standing.response_room.unwrap_or(usize::MAX);
+        let several = unread.len() > room && unread.iter().any(|late| late.1 != unread[0].1);
+        self.unread.until_us = if several { unread[unread.len() - room].0 } else { 0 };
+        self.unread.seen_us = if several { now_us } else { self.unread.seen_us };
+    }
+
     /// How long the work that waits at this rank or above takes the fleet at its learned paces.
     pub(crate) fn expected_wait_us(&self, rank: Reverse<u64>) -> f64 {
         let before = self.waiting.iter().take_while(|entry| entry.0 <= rank);
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -79,11 +79,14 @@
     pub out: bool,
     pub called_off: bool,
     pub may_have_run: bool,
+    /// Out for so long that it counts as failed already.
+    pub late: bool,
 }
 
 impl Execution {
     pub fn new(backend: u32, serial: u64, sent_us: u64, expected_us: u64) -> Self {
-        Execution { backend, serial, sent_us, expected_us, out: true, called_off: false, may_have_run: false }
+        let (called_off, may_have_run, late) = (false, false, false);
+        Execution { backend, serial, sent_us, expected_us, out: true, called_off, may_have_run, late }
     }
 }
 
@@ -102,7 +105,9 @@
     pub waves: u32,
     pub arrived_us: u64,
     pub slo_us: u64,
+    /// Until when it is worth an answer, and the longest that its client may wait: see `Query::time`.
     pub deadline_us: u64,
+    pub longest_us: u64,
     pub importance: f64,
     pub executions: Vec<Execution>,
     pub over: bool,
@@ -248,6 +253,14 @@
 
 impl Backend {
     /// What started anew is judged and learned anew; what is still out there counts on.
+    /// Breaks what it has in work: it will be back as one that has just started, but still as listed and as taken
+    /// out by hand.
+    pub fn died(&mut self, now_us: u64) {
+        let (drained, out, steps) = (self.drained, self.out, self.steps);
+        self.start_anew(now_us, now_us);
+        (self.drained, self.out, self.steps) = (drained, out, steps);
+    }
+
     fn start_anew(&mut self, since_us: u64, heard_us: u64) {
         let (listed, held) = (self.listed, std::mem::take(&mut self.held));
         let sharers = std::mem::take(&mut self.sharers);
@@ -348,6 +361,34 @@
     }
 }
 
+/// What part of a workload's last executions failed, and how long it rests after the latest where it holds up
+/// its backends.
+#[derive(Default)]
+pub struct Failing {
+    pub mean: f64,
+    pub count: u32,
+    pub rests_until_us: u64,
+}
+
+impl Failing {
+    /// Counts one; where most failed a success counts for more, since few go out.
+    pub fn ended(&mut self, completed: bool, rests_until_us: u64) {
+        let most = if completed && self.mean > 0.5 { 8 } else { 24 };
+        self.count = (self.count + 1).min(24);
+        self.mean += (f64::from(u8::from(!completed)) - self.mean) / f64::from(self.count.min(most));
+        self.rests_until_us = if completed { 0 } else { rests_until_us };
+    }
+}
+
+/// Answers that clients read slowly, as far as it shows: when all buffers were last held by them, until when
+/// the next comes free at the latest, and when an answer last came back.
+#[derive(Default)]
+pub struct Unread {
+    pub seen_us: u64,
+    pub until_us: u64,
+    pub back_us: u64,
+}
+
 /// What a tenant may still ask for within its share.
 pub struct Allowance {
     pub per_us: f64,
@@ -416,11 +457,14 @@
     pub(crate) waiting: BTreeSet<Place>,
     pub(crate) last_serial: u64,
     pub(crate) further: f64,
+    /// Queries that any backend is held to bear, by the restarts seen.
+    pub(crate) bears: f64,
     /// What this proxy had out as queries came, and what the backends' reports said they held.
     pub(crate) own_out: Mean,
     pub(crate) reported: Mean,
+    pub(crate) unread: Unread,
     /// What part of each workload's executions failed of late.
-    pub(crate) failing: Vec<Mean>,
+    pub(crate) failing: Vec<Failing>,
     pub(crate) sweeping: bool,
     /// Whether the next wake is a late one, as nothing waited.
     pub(crate) calm: bool,
@@ -440,9 +484,10 @@
             standing,
             quickest_us: u64::MAX,
             must_ask,
-            retry: Retry::new(balancers as usize),
+            retry: Retry::new(balancers as usize).within(standing.ask_within_us),
             regroup_gap_us: 1_000_000,
             further: 10.0,
+            bears: f64::MAX,
             ..Balancer::default()
         };
         balancer.reload(workloads, tenants, limits, cold);
@@ -470,7 +515,7 @@
             });
             numbers.push(number);
         }
-        self.failing.resize_with(self.workloads.len(), Mean::default);
+        self.failing.resize_with(self.workloads.len(), Failing::default);
         numbers
     }
 
@@ -513,6 +558,52 @@
         (users, turn.wrapping_mul(GOLDEN) as f64 / u64::MAX as f64, now_us - since_us % window_us)
     }
 
+    /// Takes in a query that has come.
+    pub(crate) fn hold(&mut self, qry: Query) {
+        self.last_serial = qry.serial;
+        self.own_out.add(self.out(), 64);
+        let worth = qry.importance * qry.work;
+        self.usual_importance += (worth - self.usual_importance) / self.hints.len().clamp(1, 64) as f64;
+        self.queries.insert(qry.id.clone(), qry);
+    }
+
+    /// Gives this proxy a few backends of its zone, and as many elsewhere, drawn by lot.
+    pub(crate) fn draw(&mut self, mut ids: Vec<u32>, most: usize) {
+        ids.sort_by_cached_key(|id| Rng::with_seed(self.lot ^ u64::from(*id)).u64(..));
+        let here = |id: &u32| self.standing.zone.is_none_or(|zone| self.fleet[id].listed.zone == zone);
+        let (mut near, mut far): (Vec<u32>, Vec<u32>) = ids.into_iter().partition(here);
+        [&mut near, &mut far].into_iter().for_each(|part| part.truncate(most));
+        (self.part, self.beyond) = if near.is_empty() { (far, near) } else { (near, far) };
+    }
+
+    /// Gives this proxy its arc of the list, and each backend in it those who share it.
+    pub(crate) fn deal(&mut self, ids: &[u32], part: usize) {
+        let (count, balancers) = (ids.len(), self.balancers);
+        let holds = |of: usize, at: usize| (at + count - of * count / balancers % count) % count < part;
+        for (place, id) in ids.iter().enumerate() {
+            let backend = self.fleet.get_mut(id).expect("ready ones are listed");
+            backend.sharers.clear();
+            if holds(self.number, place) {
+                self.part.push(*id);
+                let others = (0..balancers).filter(|other| *other != self.number && holds(*other, place));
+                backend.sharers.extend(others.map(|other| other as u32));
+            }
+        }
+    }
+
+    /// The backends in an order in which each zone's lie evenly apart, the same at every proxy.
+    pub(crate) fn zones_in_turns(&self, ids: &[u32]) -> Vec<u32> {
+        let mut zones: BTreeMap<u32, Vec<u32>> = BTreeMap::new();
+        ids.iter().for_each(|id| zones.entry(self.fleet[id].listed.zone).or_default().push(*id));
+        let evenly = |zone: &Vec<u32>| {
+            let place = |at: usize| (at * 2 + 1) * 1_000_000 / zone.len();
+            zone.iter().enumerate().map(|(at, id)| (place(at), *id)).collect::<Vec<_>>()
+        };
+        let mut order: Vec<(usize, u32)> = zones.values().flat_map(evenly).collect();
+        order.sort_unstable();
+        order.into_iter().map(|(_, id)| id).collect()
+    }
+
     /// How many executions are out to backends that this proxy uses.
     pub(crate) fn out(&self) -> f64 {
         self.ours().map(|backend| backend.there().count() as f64).sum()
@@ -526,12 +617,12 @@
         }
     }
 
-    /// Takes in entries of the list; tells whether a ready backend came, and whether one left. Those that a
-    /// whole list no longer names are gone.
-    pub(crate) fn listed(&mut self, whole: bool, items: &[Listed], now_us: u64) -> (bool, bool) {
+    /// Takes in entries of the list; tells whether a ready backend came, whether one left, and the most that was
+    /// held by one that ended without draining. Those that a whole list no longer names are gone.
+    pub(crate) fn listed(&mut self, whole: bool, items: &[Listed], now_us: u64) -> (bool, bool, Option<f64>) {
         self.retry.heard();
         self.began_us = if self.began_us == 0 { now_us } else { self.began_us };
-        let (mut came, mut left) = (false, false);
+        let (mut came, mut left, mut held) = (false, false, None);
         let named: BTreeSet<u32> = items.iter().map(|item| item.backend).collect();
         let missing = self.fleet.values().filter(|backend| whole && !named.contains(&backend.listed.backend));
         let gone = missing.map(|backend| Listed { phase: Phase::Gone, ..backend.listed });
@@ -541,8 +632,16 @@
             let loose = self.standing.only_draining_binds && item.phase == Phase::Gone;
             // That it is gone, where this binds nobody, is no news of its start.
             let item = if loose { Listed { phase: Phase::Gone, ..backend.listed } } else { *item };
-            if backend.listed.since_us != item.since_us {
-                backend.start_anew(item.since_us, now_us);
+            let starts = backend.listed.since_us != item.since_us;
+            let ended = item.phase == Phase::Gone && !loose || starts;
+            if backend.listed.phase == Phase::Ready && !backend.drained && ended {
+                held = Some(held.map_or(0.0, |held: f64| held).max(backend.crowd() as f64));
+            }
+            if starts {
+                // A stamp may be off, and a later start than it tells may have shown: the later of them counts.
+                let drift_us = self.standing.clocks.start_us.min(now_us.saturating_sub(item.since_us));
+                let stamp_us = item.since_us + if item.since_us > 0 { drift_us } else { 0 };
+                backend.start_anew(stamp_us.max(backend.since_us), now_us);
             }
             backend.drained |= item.phase == Phase::Terminating;
             let may_serve = loose && !backend.drained;
@@ -552,7 +651,7 @@
             (came, left) = (came || backend.ready() && !was, left || was && !backend.ready());
         }
         self.forget_gone();
-        (came, left)
+        (came, left, held)
     }
 
     /// The latest execution of a query is the last, and counts as sent only once its body has come whole.
@@ -592,6 +691,20 @@
         }
     }
 
+    /// Ends a query here; executions still out are called off and count until their outcome.
+    pub(crate) fn close(&mut self, id: &str, out: &mut dyn Writer) {
+        let Some(qry) = self.queries.get_mut(id) else { return };
+        self.waiting.remove(&qry.place());
+        if !qry.over && qry.limits.cancel {
+            let still = qry.executions.iter().enumerate().filter(|(_, exec)| exec.out);
+            still.for_each(|(number, _)| out.cancel(&qry.id, number as u32));
+        }
+        qry.over = true;
+        if !qry.out() {
+            self.queries.remove(id);
+        }
+    }
+
     /// Leaves out of parts and groups whoever is not ready, and forgets those gone that no query knows.
     pub(crate) fn forget_gone(&mut self) {
         let fleet = &mut self.fleet;
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -13,6 +13,9 @@
 //!   The wait doubles to 4 s, so that one call falls into the 6 s after a return: a fleet of N makes N / 3 calls a
 //!   second at most. Where that goes on for ten failures in a row (20 s), waits double on, to 32 s: a fleet makes
 //!   N / 24 calls a second then, or refusals that cost discovery as much as answers would never end.
+//!
+//! Where the settings say after what time one who hasn't asked counts as told, no wait passes an eighth of it: what is
+//! asked in vain counts as asked, so that the sum is bounded there by the number of proxies alone.
 
 use std::ops::Range;
 
@@ -38,6 +41,9 @@
 /// How often the longest wait doubles then.
 const OVERRUN_DOUBLINGS: u32 = 3;
 
+/// Of the time after which one who hasn't asked counts as told, a wait is one part at the most.
+const ASK_PARTS: u64 = 8;
+
 /// How a call to discovery failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -52,6 +58,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Retry {
     proxies: u64,
+    most_us: u64,
     refusals: u32,
     silences: u32,
 }
@@ -59,7 +66,13 @@
 impl Retry {
     /// `proxies`: how many ask the same discovery.
     pub fn new(proxies: usize) -> Self {
-        Retry { proxies: proxies as u64, refusals: 0, silences: 0 }
+        Retry { proxies: proxies as u64, most_us: u64::MAX, refusals: 0, silences: 0 }
+    }
+
+    /// The same where one who hasn't asked for `ask_within_us` counts as told.
+    pub fn within(self, ask_within_us: Option<u64>) -> Self {
+        let most_us = ask_within_us.map_or(u64::MAX, |within_us| (within_us / ASK_PARTS).max(ASK_PARTS));
+        Retry { most_us, ..self }
     }
 
     /// Discovery has told something.
@@ -78,6 +91,7 @@
             Failure::Refused => (self.first_us(), self.refused_us()),
             Failure::Silent => (self.first_silent_us(), self.silent_us()),
         };
+        let (first_us, most_us) = (first_us.min(self.most_us), most_us.min(self.most_us));
         let count = match failure {
             Failure::Refused => &mut self.refusals,
             Failure::Silent => &mut self.silences,
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -166,3 +166,16 @@
     retry.heard();
     assert_eq!(retry.failed(Failure::Refused), first);
 }
+
+/// Where the settings say after what time one who hasn't asked counts as told, no row of failures makes it wait so long.
+#[test]
+fn no_wait_passes_an_eighth_of_the_time_after_which_silence_counts_as_told() {
+    for failure in [Failure::Refused, Failure::Silent] {
+        let mut bounded = Retry::new(32).within(Some(5_000_000));
+        let longest_us = (0..40).map(|_| bounded.failed(failure).end).max();
+        assert_eq!(longest_us, Some(625_000));
+        let mut free = Retry::new(32).within(None);
+        let mut plain = Retry::new(32);
+        assert!((0..40).all(|_| free.failed(failure) == plain.failed(failure)));
+    }
+}
