--- /dev/null
+++ b/crates/configuration/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator's configuration: prost types read from JSON, checked, and compiled into routing tables.
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,1 @@
+//! The data plane: clients' requests and streams to backends.
--- /dev/null
+++ b/crates/quota/src/lib.rs
@@ -0,0 +1,1 @@
+//! Rates leased from one owner to many holders: tenants' quotas and retry budgets. No I/O.
--- /dev/null
+++ b/crates/storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! An append-only file of checksummed records, rewritten when long.
--- /dev/null
+++ b/crates/system/src/main.rs
@@ -0,0 +1,3 @@
+//! The fleet's programs: one command line for each role.
+
+fn main() {}
