--- /dev/null
+++ b/crates/control-plane/src/api.rs
@@ -0,0 +1,139 @@
+//! The HTTP interface of a process of the control plane: the operator's calls and the backends' heartbeats.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use crankpick_registry::{Heartbeat, HeartbeatError};
+use poem::http::{header, StatusCode};
+use poem::web::{Data, Path};
+use poem::{get, handler, put, Body, EndpointExt, Request, Response, Route};
+use serde_json::json;
+use tokio::sync::mpsc::Sender;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use crate::event::{Call, Event, GetAnswer, HeartbeatAnswer, PutAnswer};
+
+/// The longest configuration taken.
+const LONGEST_CONFIGURATION: usize = 8 << 20;
+/// The longest heartbeat taken.
+const LONGEST_HEARTBEAT: usize = 64 << 10;
+/// Callers go on to another process after a second of silence; an answer just before that spares them the doubt.
+const PATIENCE: Duration = Duration::from_millis(2_900);
+/// A backend's patience.
+const HEARTBEAT_PATIENCE: Duration = Duration::from_millis(900);
+
+/// What the handlers share.
+#[derive(Clone)]
+pub struct Api {
+    /// Where calls go.
+    pub events: Sender<Event>,
+    /// The port on which every process of the control plane answers.
+    pub port: u16,
+}
+
+impl Api {
+    async fn ask<T>(&self, within: Duration, call: impl FnOnce(oneshot::Sender<T>) -> Call) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        self.events.try_send(Event::Call(call(reply))).ok()?;
+        timeout(within, answer).await.ok()?.ok()
+    }
+}
+
+/// All of the interface.
+pub fn routes(api: Api) -> impl poem::Endpoint {
+    Route::new()
+        .at("/v1/config", get(read_configuration).put(take_configuration))
+        .at("/v1/instances/:id", put(heartbeat).delete(leave))
+        .at("/v1/status", get(status))
+        .data(api)
+}
+
+fn problem(status: StatusCode, code: &str, text: &str) -> Response {
+    let body = json!({"code": code, "message": text}).to_string();
+    Response::builder().status(status).content_type("application/json").body(body)
+}
+
+fn later(text: &str) -> Response {
+    let mut response = problem(StatusCode::SERVICE_UNAVAILABLE, "CTL-101", text);
+    response.headers_mut().insert(header::RETRY_AFTER, header::HeaderValue::from_static("0.3"));
+    response
+}
+
+fn json_body(status: StatusCode, body: impl Into<Bytes>) -> Response {
+    Response::builder().status(status).content_type("application/json").body(body.into())
+}
+
+#[handler]
+async fn take_configuration(request: &Request, body: Body, api: Data<&Api>) -> Response {
+    let Some(if_match) = if_match(request) else {
+        return problem(StatusCode::BAD_REQUEST, "CTL-102", "If-Match names no version");
+    };
+    let Ok(body) = body.into_bytes_limit(LONGEST_CONFIGURATION).await else {
+        return problem(StatusCode::PAYLOAD_TOO_LARGE, "CTL-103", "the configuration is too long or was cut short");
+    };
+    match api.ask(PATIENCE, |reply| Call::Put { if_match, body, reply }).await {
+        Some(PutAnswer::Taken) => json_body(StatusCode::OK, "{}"),
+        Some(PutAnswer::Conflict) => {
+            problem(StatusCode::PRECONDITION_FAILED, "CTL-104", "another version is in place")
+        }
+        Some(PutAnswer::Invalid(reason)) => problem(StatusCode::BAD_REQUEST, "CTL-105", &reason),
+        Some(PutAnswer::Unclear) | None => later("the change may be taken or not; send it again"),
+    }
+}
+
+/// The version that a change builds on; some callers put it in quotes.
+fn if_match(request: &Request) -> Option<u64> {
+    let Some(value) = request.header(header::IF_MATCH) else { return Some(0) };
+    value.trim().trim_matches('"').parse().ok()
+}
+
+#[handler]
+async fn read_configuration(api: Data<&Api>) -> Response {
+    match api.ask(PATIENCE, |reply| Call::Get { reply }).await {
+        Some(GetAnswer::Document(document)) => json_body(StatusCode::OK, document),
+        Some(GetAnswer::Nothing) => problem(StatusCode::NOT_FOUND, "CTL-106", "no configuration was taken yet"),
+        Some(GetAnswer::Elsewhere(peer)) => redirect(peer, api.port),
+        Some(GetAnswer::Unclear) | None => later("the newest version is not known here; ask again"),
+    }
+}
+
+fn redirect(peer: SocketAddr, port: u16) -> Response {
+    let place = format!("http://{}:{port}/v1/config", peer.ip());
+    Response::builder().status(StatusCode::TEMPORARY_REDIRECT).header(header::LOCATION, place).finish()
+}
+
+#[handler]
+async fn heartbeat(Path(id): Path<String>, body: Body, api: Data<&Api>) -> Response {
+    let Ok(body) = body.into_bytes_limit(LONGEST_HEARTBEAT).await else {
+        return problem(StatusCode::PAYLOAD_TOO_LARGE, "CTL-107", "the heartbeat is too long or was cut short");
+    };
+    let heartbeat: Heartbeat = match serde_json::from_slice(&body) {
+        Ok(heartbeat) => heartbeat,
+        Err(wrong) => return problem(StatusCode::BAD_REQUEST, "CTL-108", &wrong.to_string()),
+    };
+    acknowledge(api.ask(HEARTBEAT_PATIENCE, |reply| Call::Heartbeat { id, heartbeat, reply }).await)
+}
+
+fn acknowledge(answer: Option<HeartbeatAnswer>) -> Response {
+    match answer {
+        Some(Ok(())) => json_body(StatusCode::OK, "{}"),
+        Some(Err(HeartbeatError::Full)) => later("too many backends"),
+        Some(Err(wrong)) => problem(StatusCode::BAD_REQUEST, "CTL-109", &wrong.to_string()),
+        None => later("not taken"),
+    }
+}
+
+#[handler]
+async fn leave(Path(id): Path<String>, api: Data<&Api>) -> Response {
+    acknowledge(api.ask(HEARTBEAT_PATIENCE, |reply| Call::Leave { id, reply }).await)
+}
+
+#[handler]
+async fn status(api: Data<&Api>) -> Response {
+    match api.ask(HEARTBEAT_PATIENCE, |reply| Call::Status { reply }).await {
+        Some(text) => json_body(StatusCode::OK, text),
+        None => later("too much else to do"),
+    }
+}
--- /dev/null
+++ b/crates/control-plane/src/error.rs
@@ -0,0 +1,56 @@
+//! What may end a process of the control plane.
+
+use std::net::SocketAddr;
+
+use snafu::Snafu;
+
+/// An error that ends the process.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum ControlPlaneError {
+    /// The file on disk can't be read.
+    #[snafu(display("CTL-201: {source}; restore the file from a copy, or empty the folder: the process then joins anew"))]
+    Storage {
+        /// The cause.
+        source: crankpick_storage::StorageError,
+    },
+    /// A record on disk is none of this build's.
+    #[snafu(display("CTL-202: a record on disk can't be read: {source}; start the build that wrote it"))]
+    Record {
+        /// The cause.
+        source: rmp_serde::decode::Error,
+    },
+    /// The disk's thread can't be started.
+    #[snafu(display("CTL-203: the disk's thread can't be started: {source}"))]
+    Thread {
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// An address can't be listened on.
+    #[snafu(display("CTL-204: can't listen on {address}: {source}; is another process there?"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The settings lack what this role needs.
+    #[snafu(display("CTL-205: the settings lack {what}"))]
+    Settings {
+        /// What is missing.
+        what: &'static str,
+    },
+}
+
+impl ControlPlaneError {
+    /// Its number in `docs/codes.md`.
+    pub fn code(&self) -> &'static str {
+        match self {
+            ControlPlaneError::Storage { .. } => "CTL-201",
+            ControlPlaneError::Record { .. } => "CTL-202",
+            ControlPlaneError::Thread { .. } => "CTL-203",
+            ControlPlaneError::Listen { .. } => "CTL-204",
+            ControlPlaneError::Settings { .. } => "CTL-205",
+        }
+    }
+}
--- /dev/null
+++ b/crates/control-plane/src/event.rs
@@ -0,0 +1,168 @@
+//! What happens to a process of the control plane, in the order in which its one owner takes it.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use crankpick_protocol::{GatewayName, Report, TenantDemand, TenantGrant, Update};
+use crankpick_registry::{Announcement, Digest, Heartbeat, HeartbeatError, ProcessId};
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc::Sender;
+use tokio::sync::oneshot;
+
+use crate::disk::Written;
+
+/// A call of the operator or of a backend, answered on its own channel.
+pub enum Call {
+    /// A whole configuration.
+    Put {
+        /// The version that it builds on.
+        if_match: u64,
+        /// As sent.
+        body: Bytes,
+        /// Where the answer goes.
+        reply: oneshot::Sender<PutAnswer>,
+    },
+    /// The newest configuration.
+    Get {
+        /// Where the answer goes.
+        reply: oneshot::Sender<GetAnswer>,
+    },
+    /// A backend's heartbeat.
+    Heartbeat {
+        /// Its id.
+        id: String,
+        /// What it says.
+        heartbeat: Heartbeat,
+        /// Said once the heartbeat may be acknowledged.
+        reply: oneshot::Sender<HeartbeatAnswer>,
+    },
+    /// A backend that is gone.
+    Leave {
+        /// Its id.
+        id: String,
+        /// Said once it may be acknowledged.
+        reply: oneshot::Sender<HeartbeatAnswer>,
+    },
+    /// How things stand, as JSON.
+    Status {
+        /// Where the answer goes.
+        reply: oneshot::Sender<String>,
+    },
+}
+
+/// The answer to a backend: it may be acknowledged, or is refused.
+pub type HeartbeatAnswer = Result<(), HeartbeatError>;
+
+/// The answer to a configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PutAnswer {
+    /// It is taken, and will not be lost.
+    Taken,
+    /// Another version is in place.
+    Conflict,
+    /// It is invalid, for this reason.
+    Invalid(String),
+    /// Nothing is known: to be asked again.
+    Unclear,
+}
+
+/// The answer to a read.
+#[derive(Clone, Debug, PartialEq)]
+pub enum GetAnswer {
+    /// The newest acknowledged configuration.
+    Document(Bytes),
+    /// There is none yet.
+    Nothing,
+    /// Another process knows.
+    Elsewhere(SocketAddr),
+    /// Nothing is known: to be asked again.
+    Unclear,
+}
+
+/// A gateway's connection at this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SessionId(pub u64);
+
+/// What happened.
+pub enum Event {
+    /// A call on the API.
+    Call(Call),
+    /// A message of a peer, which listens at `from`.
+    Peer {
+        /// Where the peer is reached.
+        from: SocketAddr,
+        /// What it said.
+        packet: PeerPacket,
+    },
+    /// A gateway has connected.
+    Joined {
+        /// Its connection.
+        session: SessionId,
+        /// Who it is.
+        gateway: GatewayName,
+        /// Where updates go.
+        updates: Sender<Update>,
+    },
+    /// A gateway's report.
+    Reported {
+        /// Its connection.
+        session: SessionId,
+        /// What it says.
+        report: Report,
+    },
+    /// A gateway's connection has ended.
+    Left {
+        /// The connection.
+        session: SessionId,
+    },
+    /// A write to the disk has ended.
+    Disk(Written),
+    /// SIGTERM.
+    Terminate,
+}
+
+/// What processes of the control plane tell one another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum PeerPacket {
+    /// A message of the replicated state's.
+    Replica(crankpick_control::Message),
+    /// Changes of the registry, to be acknowledged under their number.
+    Announce {
+        /// Names them in the acknowledgement; 0 wants none.
+        number: u64,
+        /// The changes.
+        announcements: Vec<Announcement>,
+    },
+    /// The changes of that number are held in memory.
+    Announced {
+        /// Their number.
+        number: u64,
+    },
+    /// The sender is up.
+    Presence {
+        /// This start of its process.
+        process: ProcessId,
+        /// It has just started, or has just heard of the receiver: it wants all that the receiver knows.
+        recall: bool,
+    },
+    /// Sums over what the sender knows: the receiver tells what differs.
+    Digest(Digest),
+    /// Demands of a home for tenants whose owner the receiver is.
+    Demands {
+        /// Names them in the answer.
+        number: u64,
+        /// This start of the home.
+        home: ProcessId,
+        /// The view's epoch, under which the receiver owns these tenants.
+        epoch: u64,
+        /// By tenant.
+        demands: Vec<TenantDemand>,
+    },
+    /// An owner's answer.
+    Grants {
+        /// The demands that they answer.
+        number: u64,
+        /// By tenant.
+        grants: Vec<TenantGrant>,
+    },
+}
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -1,1 +1,19 @@
-//! The control plane's host: the operator's and the backends' API, the disk, and links to its peers.
+//! The control plane's host: the operator's and the backends' API, the disk, and links to its peers and gateways.
+
+mod api;
+mod disk;
+mod error;
+mod event;
+mod floods;
+mod host;
+mod links;
+mod listener;
+mod operator;
+mod peers;
+mod quotas;
+mod sessions;
+mod start;
+mod status;
+
+pub use error::ControlPlaneError;
+pub use start::run;
--- /dev/null
+++ b/crates/control-plane/src/links.rs
@@ -0,0 +1,97 @@
+//! Connections to the other processes of the control plane: one each way, opened by who sends. Messages may be lost with
+//! a connection; what must arrive is said again by who said it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use crankpick_protocol::{dial, encode, Caller, DialOptions, FrameWriter, Hello, ProtocolError};
+use fastrand::Rng;
+use tokio::sync::mpsc::{channel, Receiver, Sender};
+use tokio::time::{sleep, timeout};
+
+use crate::event::PeerPacket;
+
+/// Frames that wait for a peer; the connection of one that takes none is closed and they go with it.
+const QUEUE: usize = 512;
+const CONNECT: Duration = Duration::from_millis(500);
+const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// For a frame to be taken by the system.
+const WRITE: Duration = Duration::from_millis(1_500);
+/// Before a connection is tried again: each peer has one caller for each other, so the sum is one call in 150 ms from
+/// each of the few other processes of the control plane.
+const AGAIN_MS: std::ops::Range<u64> = 100..200;
+/// After which a link that has nothing to say is closed.
+const IDLE: Duration = Duration::from_secs(20);
+
+/// All links of this process.
+pub struct Links {
+    own: SocketAddr,
+    options: DialOptions,
+    open: BTreeMap<SocketAddr, Sender<Bytes>>,
+}
+
+impl Links {
+    /// `own` is where peers reach this process.
+    pub fn new(own: SocketAddr) -> Self {
+        let from = match own.ip() {
+            std::net::IpAddr::V4(ip) => ip,
+            std::net::IpAddr::V6(_) => std::net::Ipv4Addr::UNSPECIFIED,
+        };
+        let options = DialOptions { from, within: CONNECT, user_timeout: USER_TIMEOUT };
+        Links { own, options, open: BTreeMap::new() }
+    }
+
+    /// Sends a message, or loses it.
+    pub fn send(&mut self, to: SocketAddr, packet: &PeerPacket) {
+        let Ok(frame) = encode(packet) else { return };
+        let link = self.open.entry(to).or_insert_with(|| open_link(self.own, to, self.options));
+        if link.try_send(frame.clone()).is_ok() {
+            return;
+        }
+        // Closed, or full: begun anew, with the newest word first.
+        let link = open_link(self.own, to, self.options);
+        let _lost = link.try_send(frame);
+        self.open.insert(to, link);
+    }
+}
+
+fn open_link(own: SocketAddr, to: SocketAddr, options: DialOptions) -> Sender<Bytes> {
+    let (sender, queue) = channel(QUEUE);
+    tokio::spawn(run_link(own, to, options, queue));
+    sender
+}
+
+async fn run_link(own: SocketAddr, to: SocketAddr, options: DialOptions, mut queue: Receiver<Bytes>) {
+    let mut rng = Rng::new();
+    while let Ok(Some(first)) = timeout(IDLE, queue.recv()).await {
+        let broken = send_all(own, to, options, first, &mut queue).await;
+        if broken.is_ok() {
+            return;
+        }
+        sleep(Duration::from_millis(rng.u64(AGAIN_MS))).await;
+        // What was meant for a connection that is gone is old by now.
+        while queue.try_recv().is_ok() {}
+    }
+}
+
+/// Sends until the connection breaks, or until nothing more is to be sent.
+async fn send_all(
+    own: SocketAddr, to: SocketAddr, options: DialOptions, first: Bytes, queue: &mut Receiver<Bytes>,
+) -> Result<(), ProtocolError> {
+    let stream = dial(to, options).await?;
+    let mut writer = FrameWriter::new(stream);
+    writer.send(&Hello::new(Caller::Peer { address: own })).await?;
+    let mut frame = first;
+    loop {
+        match timeout(WRITE, writer.send_frame(&frame)).await {
+            Ok(sent) => sent?,
+            Err(_) => return Err(ProtocolError::Stalled),
+        }
+        frame = match timeout(IDLE, queue.recv()).await {
+            Ok(Some(frame)) => frame,
+            Ok(None) | Err(_) => return Ok(()),
+        };
+    }
+}
--- /dev/null
+++ b/crates/control-plane/src/start.rs
@@ -0,0 +1,119 @@
+//! Puts a process of the control plane together from its settings.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+use std::time::Instant;
+
+use crankpick_control::{Options, Outputs, Record, Replica, Timing};
+use crankpick_quota::QuotaBounds;
+use crankpick_registry::{GatewayLeases, ProcessId, Registry, RegistrySettings};
+use crankpick_settings::{Bounds, Settings};
+use poem::listener::TcpListener as ApiListener;
+use poem::Server;
+use slog::{error, info, Logger};
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{channel, Sender};
+
+use crate::api::{routes, Api};
+use crate::disk::Disk;
+use crate::error::{ControlPlaneError, ListenSnafu};
+use crate::event::Event;
+use crate::host::{Host, Parts};
+use crate::listener::listen;
+use crate::quotas::Quotas;
+
+/// Events that wait for the host; more hold back who sends them.
+const EVENTS: usize = 8_192;
+
+/// Runs until `terminate` ends.
+pub async fn run(
+    settings: &Settings, terminate: impl std::future::Future<Output = ()>, log: Logger,
+) -> Result<(), ControlPlaneError> {
+    let started = Instant::now();
+    let control = settings.listen.control.ok_or(ControlPlaneError::Settings { what: "listen.control" })?;
+    let own = SocketAddr::new(IpAddr::V4(settings.ip), settings.port_range.first);
+    let (events, queue) = channel(EVENTS);
+    let internal = TcpListener::bind(own).await.context(ListenSnafu { address: own })?;
+    let api = tokio::net::TcpListener::bind(control).await.context(ListenSnafu { address: control })?;
+    drop(api);
+    let (disk, records) = open_disk(settings, &events, &log)?;
+    let parts = parts(settings, own, disk, records, started, &log);
+    tokio::spawn(listen(internal, events.clone(), log.clone()));
+    let endpoint = routes(Api { events: events.clone(), port: control.port() });
+    tokio::spawn(Server::new(ApiListener::bind(control)).run(endpoint));
+    info!(log, "started"; "address" => %own, "control" => %control);
+    let host = tokio::spawn(Host::new(parts, started).run(queue));
+    terminate.await;
+    let _ended = events.send(Event::Terminate).await;
+    let _ended = host.await;
+    Ok(())
+}
+
+fn parts(
+    settings: &Settings, own: SocketAddr, disk: Option<Disk>, records: Vec<Record>, started: Instant, log: &Logger,
+) -> Parts {
+    let process = ProcessId(fastrand::u64(1..));
+    let seeds: Vec<SocketAddr> = internal_addresses(settings);
+    let options = Options {
+        address: own,
+        zone: settings.zone.clone(),
+        seeds: seeds.clone(),
+        bootstrap: settings.bootstrap,
+        votes: disk.is_some() && settings.counts_for_quorum,
+        tolerate_nodes: settings.tolerate.nodes as usize,
+        entropy: fastrand::u64(..),
+        timing: Timing::default(),
+    };
+    let mut outputs = Outputs::new();
+    let now = started.elapsed();
+    let replica = Replica::restore(now, options, records, &mut outputs);
+    Parts {
+        process,
+        address: own,
+        zone: settings.zone.clone(),
+        replica,
+        outputs,
+        disk,
+        registry: Registry::new(now, process, RegistrySettings::new(settings.heartbeat)),
+        gateways: GatewayLeases::new(now, process),
+        quotas: Quotas::new(process, own, quota_bounds(&settings.bounds)),
+        seeds,
+        log: log.clone(),
+    }
+}
+
+/// The seeds as peers and gateways reach them: all machines use the same ports.
+fn internal_addresses(settings: &Settings) -> Vec<SocketAddr> {
+    settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), settings.port_range.first)).collect()
+}
+
+fn quota_bounds(bounds: &Bounds) -> QuotaBounds {
+    QuotaBounds { window: bounds.quota_window, over: bounds.quota_over, slack: bounds.quota_slack }
+}
+
+/// Opens the disk. A file that can't be read whole is put aside, and the process joins as one that remembers nothing.
+fn open_disk(
+    settings: &Settings, events: &Sender<Event>, log: &Logger,
+) -> Result<(Option<Disk>, Vec<Record>), ControlPlaneError> {
+    let Some(folder) = &settings.data_dir else { return Ok((None, Vec::new())) };
+    match Disk::open(folder.clone(), events.clone()) {
+        Ok((disk, records)) => Ok((Some(disk), records)),
+        Err(wrong) => {
+            error!(log, "the disk's file is put aside"; "code" => wrong.code(), "cause" => %wrong);
+            put_aside(folder);
+            let (disk, records) = Disk::open(folder.clone(), events.clone())?;
+            Ok((Some(disk), records))
+        }
+    }
+}
+
+fn put_aside(folder: &Path) {
+    let Ok(entries) = std::fs::read_dir(folder) else { return };
+    for entry in entries.flatten() {
+        let name = entry.path();
+        if name.extension().is_none_or(|extension| extension != "unsound") {
+            let _kept = std::fs::rename(&name, name.with_extension("unsound"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/control-plane/src/status.rs
@@ -0,0 +1,88 @@
+//! How things stand at a process of the control plane, as JSON for an operator.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crankpick_control::{Now, Replica};
+use crankpick_registry::Registry;
+use serde::Serialize;
+
+/// What a status is made of.
+pub struct Facts<'a> {
+    /// Now.
+    pub now: Now,
+    /// Where peers reach it.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub zone: &'a str,
+    /// The replica.
+    pub replica: &'a Replica,
+    /// The backends.
+    pub registry: &'a Registry,
+    /// The newest configuration's version.
+    pub generation: Option<u64>,
+    /// The machines of the gateways that have it for their home.
+    pub gateways: Vec<String>,
+    /// The gateways alive in the fleet.
+    pub fleet_gateways: u32,
+    /// Tenants whose quota it owns.
+    pub tenants_owned: usize,
+    /// Peers within reach.
+    pub peers_up: usize,
+}
+
+#[derive(Serialize)]
+struct Status<'a> {
+    address: SocketAddr,
+    zone: &'a str,
+    up_ms: u128,
+    epoch: u64,
+    in_chain: bool,
+    members: Vec<Position>,
+    freshness_ms: Option<u128>,
+    generation: Option<u64>,
+    backends: usize,
+    backends_settled: bool,
+    gateways_here: Vec<String>,
+    gateways: u32,
+    tenants_owned: usize,
+    peers_up: usize,
+}
+
+#[derive(Serialize)]
+struct Position {
+    address: SocketAddr,
+    zone: String,
+    in_chain: Option<usize>,
+}
+
+/// The status as JSON.
+pub fn describe(facts: &Facts<'_>) -> String {
+    let view = facts.replica.view();
+    let members = view
+        .members
+        .iter()
+        .map(|member| Position {
+            address: member.address,
+            zone: member.zone.clone(),
+            in_chain: view.place(member.id),
+        })
+        .collect();
+    let status = Status {
+        address: facts.address,
+        zone: facts.zone,
+        up_ms: facts.now.as_millis(),
+        epoch: view.epoch,
+        in_chain: facts.replica.in_chain(),
+        members,
+        freshness_ms: facts.replica.freshness(facts.now).map(|age: Duration| age.as_millis()),
+        generation: facts.generation,
+        backends: facts.registry.len(),
+        backends_settled: facts.registry.settled(facts.now),
+        gateways_here: facts.gateways.clone(),
+        gateways: facts.fleet_gateways,
+        tenants_owned: facts.tenants_owned,
+        peers_up: facts.peers_up,
+    };
+    serde_json::to_string(&status).unwrap_or_default()
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,1 +1,50 @@
-//! The protocol between the fleet's own processes: rmp-serde messages, framed and bounded, and their connections.
+//! The protocol between the fleet's own processes: `rmp-serde` messages in bounded frames, and their connections.
+
+mod connection;
+mod error;
+mod frame;
+mod home;
+
+pub use connection::{accept_options, dial, DialOptions};
+pub use error::ProtocolError;
+pub use frame::{encode, FrameReader, FrameWriter, LONGEST_FRAME};
+pub use home::{
+    ConfigurationMark, ConfigurationUpdate, CoreMember, GatewayName, Report, TenantDemand, TenantGrant, Update,
+};
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// The version of the protocol: a process that speaks another one is refused at its greeting.
+pub const VERSION: u16 = 1;
+
+/// The first message on each connection.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Hello {
+    /// The sender's `VERSION`.
+    pub version: u16,
+    /// Who it is.
+    pub caller: Caller,
+}
+
+impl Hello {
+    /// The greeting of this build.
+    pub fn new(caller: Caller) -> Self {
+        Hello { version: VERSION, caller }
+    }
+}
+
+/// Who opens a connection.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Caller {
+    /// Another process of the control plane, which listens at `address`.
+    Peer {
+        /// Where its own peers reach it.
+        address: SocketAddr,
+    },
+    /// A gateway that follows this process.
+    Gateway(GatewayName),
+    /// Someone who asks how things stand.
+    Observer,
+}
