--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,21 @@
-//! Chain replication of the control state, and the agreed view that reconfigures the chain. No I/O.
+//! Chain replication of the control state, and the agreed view that reconfigures the chain.
+//!
+//! Pure: no I/O and no clock. The host feeds [`Input`]s with the time since the process's start, and carries out the
+//! [`Output`]s. `docs/control.md` says why it is safe.
+
+mod message;
+mod options;
+mod record;
+mod replica;
+mod types;
+
+pub use message::{
+    Accept, Append, Body, Commit, Echo, Forward, ForwardAnswer, Heartbeat, Hello, Install, Message, Nack,
+    Prepare, Promise, Sender,
+};
+pub use options::{Options, Timing};
+pub use record::{Record, RecordBody, RecordError, Snapshot};
+pub use replica::{Input, Output, Outputs, Replica, SubmitKey, Ticket};
+pub use types::{
+    Ballot, Change, Entry, EntryId, Member, MemberId, Now, Order, Outcome, Rank, Transfer, View,
+};
--- /dev/null
+++ b/crates/control/src/options.rs
@@ -0,0 +1,92 @@
+//! What a replica is told at its start.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What a replica is told at its start.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Where this process takes internal traffic.
+    pub address: SocketAddr,
+    /// The zone it runs in.
+    pub zone: String,
+    /// Where internal traffic of the seeds goes.
+    pub seeds: Vec<SocketAddr>,
+    /// The whole system starts for the first time.
+    pub bootstrap: bool,
+    /// This process has a disk and counts: it asks to be a member. Otherwise it only follows.
+    pub votes: bool,
+    /// How many members may lose their disks at once.
+    pub tolerate_nodes: usize,
+    /// Drawn by the host from the system's entropy at each start.
+    pub entropy: u64,
+    /// How long things take.
+    pub timing: Timing,
+}
+
+/// How long things take. Only liveness hangs on these figures.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// Between heartbeats to one peer.
+    pub heartbeat: Duration,
+    /// A peer that isn't heard, or doesn't hear us, for so long is suspected.
+    pub suspect: Duration,
+    /// Peers aren't suspected for so long after the start.
+    pub start_grace: Duration,
+    /// A sync under way for so long makes the disk sick.
+    pub disk_sick: Duration,
+    /// A write that was refused is tried again after it.
+    pub disk_retry: Duration,
+    /// A voter outside the chain must be healthy for so long to be taken back.
+    pub take_back: Duration,
+    /// A member silent for so long gives its place to a joiner.
+    pub replace: Duration,
+    /// A joiner must be heard for so long.
+    pub join_heard: Duration,
+    /// Between a joiner's requests, before jitter.
+    pub join_retry: Duration,
+    /// Between words to seeds while no view is known.
+    pub hello: Duration,
+    /// How long a proposer waits for those that are healthy but late, once it has a majority.
+    pub promise_wait: Duration,
+    /// How long a proposer waits for installs, then for votes.
+    pub phase: Duration,
+    /// Between the delays of those that might propose.
+    pub stagger: Duration,
+    /// A replica sealed for so long, with no new view, asks for one itself.
+    pub sealed: Duration,
+    /// A chain that doesn't commit for so long is changed.
+    pub stuck: Duration,
+    /// Bootstrap waits so long for the last seed.
+    pub bootstrap_wait: Duration,
+    /// An order without an answer is forwarded again.
+    pub forward_retry: Duration,
+    /// An order without an answer for so long is unclear.
+    pub submit: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        let ms = Duration::from_millis;
+        Timing {
+            heartbeat: ms(150),
+            suspect: ms(700),
+            start_grace: ms(1000),
+            disk_sick: ms(500),
+            disk_retry: ms(250),
+            take_back: ms(2000),
+            replace: ms(3000),
+            join_heard: ms(300),
+            join_retry: ms(400),
+            hello: ms(200),
+            promise_wait: ms(60),
+            phase: ms(400),
+            stagger: ms(150),
+            sealed: ms(400),
+            stuck: ms(1500),
+            bootstrap_wait: ms(2000),
+            forward_retry: ms(600),
+            submit: ms(3000),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/types.rs
@@ -0,0 +1,213 @@
+//! The words of the protocol: members, views, entries, ballots.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Time since the process's start, by its steady clock.
+pub type Now = Duration;
+
+/// Drawn at random at a member's first start with an empty disk, and persisted: a wiped member has another one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct MemberId(pub u64);
+
+/// A process that votes on views and may hold the state.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Member {
+    /// Who it is.
+    pub id: MemberId,
+    /// Where it takes internal traffic.
+    pub address: SocketAddr,
+    /// The zone it runs in.
+    pub zone: String,
+}
+
+/// Names an entry: the epoch of the head that made it, and its position. The same name is the same entry, and the
+/// same entries before it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct EntryId {
+    /// The epoch of the head that made it.
+    pub epoch: u64,
+    /// Counted from 1; 0 is the empty state.
+    pub position: u64,
+}
+
+/// Who votes, and which of them hold the state, in which order. Agreed by a majority of the view before.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct View {
+    /// Rises by one with each view; 0 is none.
+    pub epoch: u64,
+    /// The voters.
+    pub members: Vec<Member>,
+    /// Those that hold the state, head first, tail last.
+    pub chain: Vec<MemberId>,
+    /// The last entry of the state with which the chain begins.
+    pub start: EntryId,
+}
+
+impl View {
+    /// The votes that decide in this view.
+    pub fn majority(&self) -> usize {
+        self.members.len() / 2 + 1
+    }
+
+    /// The shortest chain that each majority meets and that outlives the loss of `tolerate` members.
+    pub fn least_chain(&self, tolerate: usize) -> usize {
+        let meets = (self.members.len() + 1).saturating_sub(self.majority());
+        meets.max(tolerate + 1).min(self.members.len())
+    }
+
+    /// The member with that id.
+    pub fn member(&self, id: MemberId) -> Option<&Member> {
+        self.members.iter().find(|member| member.id == id)
+    }
+
+    /// Where a replica stands in the chain.
+    pub fn place(&self, id: MemberId) -> Option<usize> {
+        self.chain.iter().position(|replica| *replica == id)
+    }
+
+    /// The replica that takes orders.
+    pub fn head(&self) -> Option<MemberId> {
+        self.chain.first().copied()
+    }
+
+    /// The replica whose sync commits.
+    pub fn tail(&self) -> Option<MemberId> {
+        self.chain.last().copied()
+    }
+
+    /// The replica before one in the chain.
+    pub fn predecessor(&self, id: MemberId) -> Option<MemberId> {
+        let place = self.place(id)?.checked_sub(1)?;
+        self.chain.get(place).copied()
+    }
+
+    /// The replica after one in the chain.
+    pub fn successor(&self, id: MemberId) -> Option<MemberId> {
+        self.chain.get(self.place(id)? + 1).copied()
+    }
+}
+
+/// A proposer's number in one instance. The incarnation keeps a restarted proposer from using a number twice.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Ballot {
+    /// Above every counter its proposer has seen.
+    pub counter: u64,
+    /// The proposer.
+    pub proposer: MemberId,
+    /// Drawn at each start of the proposer.
+    pub incarnation: u64,
+}
+
+/// How much of the state a replica holds: the highest rank among a majority holds all that was acknowledged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Rank {
+    /// The state holds all that was acknowledged in this epoch and before it, while the replica is sealed.
+    pub complete: u64,
+    /// The last entry.
+    pub last: EntryId,
+}
+
+/// What an operator asks for: a whole configuration on top of a version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// The version it builds on; 0 for the first.
+    pub if_match: u64,
+    /// Its own version.
+    pub generation: u64,
+    /// Of the bytes.
+    pub digest: u128,
+    /// The configuration as sent.
+    #[serde(with = "serde_bytes")]
+    pub bytes: Vec<u8>,
+}
+
+impl Order {
+    /// An order with the digest of its bytes.
+    pub fn new(if_match: u64, generation: u64, bytes: Vec<u8>) -> Self {
+        Order { if_match, generation, digest: digest(&bytes), bytes }
+    }
+}
+
+/// FNV-1a of 128 bits: tells apart what operators send, and nobody gains by a collision.
+fn digest(bytes: &[u8]) -> u128 {
+    const OFFSET: u128 = 0x6c62_272e_07bb_0142_62b8_2175_6295_c58d;
+    const PRIME: u128 = 0x0000_0000_0100_0000_0000_0000_0000_013b;
+    bytes.iter().fold(OFFSET, |hash, byte| (hash ^ u128::from(*byte)).wrapping_mul(PRIME))
+}
+
+/// An order that a head has taken.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Its name.
+    pub id: EntryId,
+    /// What was asked for.
+    pub order: Arc<Order>,
+}
+
+impl Entry {
+    /// What the history keeps of it.
+    pub fn change(&self) -> Change {
+        Change {
+            id: self.id,
+            if_match: self.order.if_match,
+            generation: self.order.generation,
+            digest: self.order.digest,
+        }
+    }
+}
+
+/// What is remembered of a taken order, so that the same order again is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// The entry.
+    pub id: EntryId,
+    /// The version it built on.
+    pub if_match: u64,
+    /// Its version.
+    pub generation: u64,
+    /// Of its bytes.
+    pub digest: u128,
+}
+
+impl Change {
+    /// Whether it was made by that order.
+    pub fn is_of(&self, order: &Order) -> bool {
+        self.if_match == order.if_match && self.generation == order.generation && self.digest == order.digest
+    }
+}
+
+/// A state as sent to a replica: what comes after an entry that it has, or the whole.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Transfer {
+    /// What the state is complete for.
+    pub complete: u64,
+    /// The entry that the receiver has; nothing means that the state is whole.
+    pub since: Option<EntryId>,
+    /// The changes after it.
+    pub changes: Vec<Change>,
+    /// The last entry, where the receiver hasn't got it.
+    pub newest: Option<Arc<Entry>>,
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// It is committed.
+    Taken,
+    /// Another version is current, and this order will never be taken.
+    Conflict {
+        /// The current version.
+        current: u64,
+    },
+    /// Its generation isn't above the current one, and this order will never be taken.
+    Invalid {
+        /// The current version.
+        current: u64,
+    },
+    /// It may have been taken, or may yet be.
+    Unclear,
+}
