--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -9,8 +9,10 @@
 mod model;
 mod parse;
 mod properties;
+mod watch;
 
 pub use change::SettingsChange;
 pub use code::{SettingsCode, SettingsError};
 pub use model::{Bounds, Limits, Listen, PortRange, Settings, Tolerate, ROLE_CONTROL, ROLE_EDGE};
 pub use parse::{path_from_environment, SETTINGS_VARIABLE};
+pub use watch::SettingsWatch;
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -1,7 +1,7 @@
 //! From keys and values to typed settings.
 
 use std::fs::File;
-use std::io::Read;
+use std::io::{self, Read};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::str::FromStr;
@@ -36,19 +36,7 @@
     /// Reads a settings file, whole or not at all.
     pub fn read(path: impl AsRef<Path>) -> Result<Settings, SettingsError> {
         let path = path.as_ref();
-        let refused = |code, text: String| SettingsError { code, file: path.to_owned(), line: None, text };
-        let file = File::open(path).map_err(|error| refused(SettingsCode::Unreadable, error.to_string()))?;
-        let mut bytes = Vec::new();
-        file.take(MAX_BYTES + 1)
-            .read_to_end(&mut bytes)
-            .map_err(|error| refused(SettingsCode::Unreadable, error.to_string()))?;
-        if bytes.len() as u64 > MAX_BYTES {
-            return Err(refused(
-                SettingsCode::TooLarge,
-                format!("the file is larger than {MAX_BYTES} bytes"),
-            ));
-        }
-        Settings::parse(path, &bytes)
+        Settings::parse(path, &content(path)?)
     }
 
     /// Reads a settings file's bytes; the path is for messages alone.
@@ -84,6 +72,19 @@
     }
 }
 
+/// The bytes of a settings file.
+pub(crate) fn content(path: &Path) -> Result<Vec<u8>, SettingsError> {
+    let refused = |code, text| SettingsError { code, file: path.to_owned(), line: None, text };
+    let unreadable = |error: io::Error| refused(SettingsCode::Unreadable, error.to_string());
+    let file = File::open(path).map_err(unreadable)?;
+    let mut bytes = Vec::new();
+    file.take(MAX_BYTES + 1).read_to_end(&mut bytes).map_err(unreadable)?;
+    if bytes.len() as u64 > MAX_BYTES {
+        return Err(refused(SettingsCode::TooLarge, format!("the file is larger than {MAX_BYTES} bytes")));
+    }
+    Ok(bytes)
+}
+
 fn listens_for_what_it_serves(properties: &Properties, settings: &Settings) -> Result<(), SettingsError> {
     let missing = |key: &str| properties.error(SettingsCode::Missing, "serves", format!("{key} is missing"));
     if settings.serves_edge() && settings.listen.front.is_none() {
