--- a/crates/control-plane/src/api.rs
+++ b/crates/control-plane/src/api.rs
@@ -46,7 +46,7 @@
     Route::new()
         .at("/v1/config", get(read_configuration).put(take_configuration))
         .at("/v1/instances/:id", put(heartbeat).delete(leave))
-        .at("/v1/status", get(status))
+        .at("/v1/status", get(describe))
         .data(api)
 }
 
@@ -131,7 +131,7 @@
 }
 
 #[handler]
-async fn status(api: Data<&Api>) -> Response {
+async fn describe(api: Data<&Api>) -> Response {
     match api.ask(HEARTBEAT_PATIENCE, |reply| Call::Status { reply }).await {
         Some(text) => json_body(StatusCode::OK, text),
         None => later("too much else to do"),
--- a/crates/control-plane/src/host.rs
+++ b/crates/control-plane/src/host.rs
@@ -337,8 +337,7 @@
         for announcement in announcements {
             let corrections = self.parts.registry.merge(now, announcement);
             self.flood(0, corrections);
-            let corrections = self.parts.gateways.merge(now, announcement);
-            self.flood(0, corrections);
+            self.parts.gateways.merge(now, announcement);
         }
         if number > 0 {
             self.links.send(from, &PeerPacket::Announced { number });
@@ -417,7 +416,7 @@
             current: self.current.as_ref(),
             registry: &self.parts.registry,
             members: &self.members,
-            gateways: self.parts.gateways.total(now).count,
+            gateways: self.parts.gateways.total(now),
         };
         act(&mut self.sessions, &standing);
     }
--- a/crates/control-plane/src/operator.rs
+++ b/crates/control-plane/src/operator.rs
@@ -49,8 +49,8 @@
         let Some(reply) = self.orders.remove(&key) else { return };
         let answer = match outcome {
             Outcome::Taken => PutAnswer::Taken,
-            Outcome::Conflict => PutAnswer::Conflict,
-            Outcome::Invalid => PutAnswer::Invalid("generation is not above the current one".into()),
+            Outcome::Conflict { .. } => PutAnswer::Conflict,
+            Outcome::Invalid { .. } => PutAnswer::Invalid("generation is not above the current one".into()),
             Outcome::Unclear => PutAnswer::Unclear,
         };
         let _gone = reply.send(answer);
--- a/crates/control-plane/src/sessions.rs
+++ b/crates/control-plane/src/sessions.rs
@@ -6,7 +6,7 @@
     ConfigurationMark, ConfigurationUpdate, CoreMember, GatewayName, Report, TenantGrant, Update,
 };
 use crankpick_quota::HolderId;
-use crankpick_registry::{Cursor, GatewayId, Now, Registry};
+use crankpick_registry::{Cursor, GatewayId, GatewayTotal, Now, Registry};
 use tokio::sync::mpsc::Sender;
 
 use crate::event::SessionId;
@@ -33,7 +33,7 @@
     /// The control plane's processes.
     pub members: &'a [CoreMember],
     /// The gateways alive.
-    pub gateways: u32,
+    pub gateways: GatewayTotal,
 }
 
 /// A gateway's connection.
@@ -44,7 +44,6 @@
     configuration: Option<ConfigurationMark>,
     cursor: Option<Cursor>,
     members: Vec<CoreMember>,
-    gateways: u32,
     reported: bool,
 }
 
@@ -83,7 +82,6 @@
         self.configuration = configuration.map(|current| current.mark).max(self.configuration);
         self.cursor = update.changes.as_ref().map(|changes| changes.cursor).or(self.cursor);
         self.members = standing.members.to_vec();
-        self.gateways = standing.gateways;
         self.updates.try_send(update).is_ok()
     }
 }
@@ -104,7 +102,6 @@
             configuration: None,
             cursor: None,
             members: Vec::new(),
-            gateways: 0,
             reported: false,
         };
         self.open.insert(session, fresh);
@@ -148,10 +145,6 @@
         }
     }
 
-    /// The number of gateways.
-    pub fn len(&self) -> usize {
-        self.open.len()
-    }
 
     /// All gateways.
     pub fn gateways(&self) -> impl Iterator<Item = &GatewayName> {
--- a/crates/protocol/src/home.rs
+++ b/crates/protocol/src/home.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use crankpick_quota::{Demand, Grant};
-use crankpick_registry::{Changes, Cursor};
+use crankpick_registry::{Changes, Cursor, GatewayTotal};
 use serde::{Deserialize, Serialize};
 
 /// A gateway in one incarnation of its process.
@@ -83,14 +83,14 @@
     pub answers: Option<u64>,
     /// How long ago the home's configuration was known to be the newest acknowledged one, in ms.
     pub freshness_ms: Option<u32>,
-    /// All processes of the control plane.
+    /// All processes of the control plane; none where they are those told before.
     pub members: Vec<CoreMember>,
     /// A configuration that the gateway hasn't.
     pub configuration: Option<ConfigurationUpdate>,
     /// Changes of the registry that the gateway hasn't.
     pub changes: Option<Changes>,
     /// Gateways alive in the fleet.
-    pub gateways: u32,
+    pub gateways: GatewayTotal,
     /// What the gateway may take of tenants' quotas.
     pub grants: Vec<TenantGrant>,
 }
--- /dev/null
+++ b/crates/system/src/home_link.rs
@@ -0,0 +1,331 @@
+//! The gateway's connections to the control plane: one to its home, for a moment another while it changes homes.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crankpick_configuration::RoutingTable;
+use crankpick_gateway::Shared;
+use crankpick_protocol::{
+    dial, Caller, ConfigurationMark, ConfigurationUpdate, DialOptions, FrameReader, FrameWriter, GatewayName, Hello,
+    ProtocolError, Report, Update,
+};
+use crankpick_registry::{
+    GatewayCount, HomeAction, HomeAnswer, HomeCandidate, HomeChoice, HomeChoiceSettings, Now, TableBuilder,
+};
+use crankpick_settings::Settings;
+use slog::{info, warn, Logger};
+use tokio::sync::mpsc::{channel, Receiver, Sender};
+use tokio::time::{sleep_until, timeout};
+
+/// Between two reports.
+const REPORT: Duration = Duration::from_millis(250);
+const CONNECT: Duration = Duration::from_millis(700);
+const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// A home answers each report: one that is silent for so long is gone.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// Reports that wait for a home.
+const REPORTS: usize = 8;
+const EVENTS: usize = 256;
+/// Updates of a home that isn't followed yet.
+const HELD: usize = 16;
+/// Reports whose answers may still come.
+const SENT: usize = 64;
+/// A configuration this fresh is as good as the newest.
+const FRESH: Duration = Duration::from_millis(600);
+/// A process that has heard of no fresh configuration serves by what there is after this time.
+const FIRST_STALE: Duration = Duration::from_secs(2);
+
+enum Event {
+    Told(SocketAddr, Update),
+    Closed(SocketAddr),
+}
+
+struct Connection {
+    reports: Sender<Report>,
+    sent: VecDeque<(u64, Now)>,
+    held: VecDeque<Update>,
+}
+
+/// All that a gateway hears from the control plane.
+pub struct HomeLink {
+    started: Instant,
+    shared: Arc<Shared>,
+    name: GatewayName,
+    options: DialOptions,
+    choice: HomeChoice,
+    connections: BTreeMap<SocketAddr, Connection>,
+    events: Sender<Event>,
+    queue: Receiver<Event>,
+    last_report: u64,
+    next_report: Now,
+    builder: TableBuilder,
+    count: GatewayCount,
+    configuration: Option<ConfigurationMark>,
+    held_configuration: Option<ConfigurationUpdate>,
+    log: Logger,
+}
+
+impl HomeLink {
+    /// A link that knows the settings alone.
+    pub fn new(settings: &Settings, started: Instant, shared: Arc<Shared>, log: Logger) -> Self {
+        let (events, queue) = channel(EVENTS);
+        let name = GatewayName {
+            node: settings.node.clone(),
+            incarnation: fastrand::u64(1..),
+            zone: settings.zone.clone(),
+        };
+        let seeds = internal_addresses(settings);
+        let choice_settings =
+            HomeChoiceSettings { zone: settings.zone.clone(), regions: settings.zones.clone(), seeds };
+        HomeLink {
+            started,
+            shared,
+            name,
+            options: DialOptions { from: settings.ip, within: CONNECT, user_timeout: USER_TIMEOUT },
+            choice: HomeChoice::new(started.elapsed(), choice_settings, fastrand::u64(..)),
+            connections: BTreeMap::new(),
+            events,
+            queue,
+            last_report: 0,
+            next_report: started.elapsed(),
+            builder: TableBuilder::new(),
+            count: GatewayCount::new(),
+            configuration: None,
+            held_configuration: None,
+            log,
+        }
+    }
+
+    /// Follows the control plane until the process ends.
+    pub async fn run(mut self) {
+        loop {
+            let now = self.now();
+            for action in self.choice.poll(now) {
+                self.act(action);
+            }
+            if now >= self.next_report {
+                self.next_report = now + REPORT;
+                self.report_all();
+                self.publish_stale_configuration();
+            }
+            let wake = self.choice.wake_at(now).min(self.next_report);
+            tokio::select! {
+                event = self.queue.recv() => match event {
+                    Some(Event::Told(home, update)) => self.told(home, update),
+                    Some(Event::Closed(home)) => self.closed(home),
+                    None => return,
+                },
+                _ = sleep_until((self.started + wake).into()) => {}
+                _ = self.shared.quota_urgent() => self.report_all(),
+            }
+        }
+    }
+
+    fn now(&self) -> Now {
+        self.started.elapsed()
+    }
+
+    fn act(&mut self, action: HomeAction) {
+        match action {
+            HomeAction::Dial(home) => self.dial(home),
+            HomeAction::Follow(home) => self.follow(home),
+            HomeAction::Close(home) => {
+                self.connections.remove(&home);
+            }
+        }
+    }
+
+    fn dial(&mut self, home: SocketAddr) {
+        let (reports, queue) = channel(REPORTS);
+        let (name, options, events) = (self.name.clone(), self.options, self.events.clone());
+        tokio::spawn(async move {
+            let _why = talk(home, name, options, queue, &events).await;
+            let _ended = events.send(Event::Closed(home)).await;
+        });
+        self.connections.insert(home, Connection { reports, sent: VecDeque::new(), held: VecDeque::new() });
+        self.report(home, false);
+    }
+
+    fn follow(&mut self, home: SocketAddr) {
+        info!(self.log, "home"; "address" => %home);
+        let Some(connection) = self.connections.get_mut(&home) else { return };
+        for update in std::mem::take(&mut connection.held) {
+            self.apply(home, update);
+        }
+    }
+
+    fn closed(&mut self, home: SocketAddr) {
+        if self.connections.remove(&home).is_some() {
+            self.choice.failed(self.now(), home);
+        }
+    }
+
+    fn report_all(&mut self) {
+        let followed = self.choice.following();
+        let homes: Vec<SocketAddr> = self.connections.keys().copied().collect();
+        for home in homes {
+            self.report(home, Some(home) == followed);
+        }
+    }
+
+    /// Quotas are asked of the home that is followed alone.
+    fn report(&mut self, home: SocketAddr, followed: bool) {
+        let now = self.now();
+        let Some(connection) = self.connections.get_mut(&home) else { return };
+        self.last_report += 1;
+        let demands = if followed { self.shared.quota_demands(now) } else { Vec::new() };
+        let report = Report {
+            number: self.last_report,
+            configuration: self.configuration,
+            cursor: self.builder.cursor(),
+            demands,
+        };
+        if connection.reports.try_send(report).is_ok() {
+            connection.sent.push_back((self.last_report, now));
+            connection.sent.truncate(SENT);
+        }
+    }
+
+    fn told(&mut self, home: SocketAddr, update: Update) {
+        let now = self.now();
+        let Some(connection) = self.connections.get_mut(&home) else { return };
+        let sent_at = update.answers.and_then(|number| connection.answered(number));
+        let followed = self.choice.following() == Some(home);
+        if let Some(sent_at) = sent_at {
+            let freshness = update.freshness_ms.map(|ms| Duration::from_millis(ms.into()));
+            let age = freshness.map(|freshness| freshness + now.saturating_sub(sent_at));
+            self.choice.answered(now, home, HomeAnswer { age });
+        }
+        if followed {
+            self.shared.quota_renewed(now, sent_at.unwrap_or(now), &update.grants);
+            self.apply(home, update);
+        } else if let Some(connection) = self.connections.get_mut(&home) {
+            connection.held.push_back(update);
+            connection.held.truncate(HELD);
+        }
+    }
+
+    fn apply(&mut self, _home: SocketAddr, update: Update) {
+        let now = self.now();
+        if !update.members.is_empty() {
+            let candidates: Vec<HomeCandidate> = update
+                .members
+                .iter()
+                .map(|member| HomeCandidate { address: member.address, zone: member.zone.clone() })
+                .collect();
+            self.choice.learned(now, &candidates);
+        }
+        if let Some(changes) = update.changes {
+            if self.builder.apply(now, changes) {
+                self.shared.publish_backends(now, self.builder.table());
+            }
+        }
+        self.count.told(now, update.gateways);
+        if let Some(count) = self.count.count() {
+            self.shared.set_gateways(now, count);
+        }
+        if let Some(configuration) = update.configuration {
+            self.held_configuration = Some(configuration).max_by_mark(self.held_configuration.take());
+        }
+        let fresh = self.choice.age(now).is_some_and(|age| age <= FRESH);
+        if fresh || self.configuration.is_some() {
+            self.publish_held_configuration();
+        }
+    }
+
+    /// A process that hears of nothing fresh serves by the newest that it has heard of.
+    fn publish_stale_configuration(&mut self) {
+        if self.now() >= FIRST_STALE {
+            self.publish_held_configuration();
+        }
+    }
+
+    /// Configurations are taken upwards only.
+    fn publish_held_configuration(&mut self) {
+        let Some(held) = self.held_configuration.take() else { return };
+        if Some(held.mark) <= self.configuration {
+            return;
+        }
+        match crankpick_configuration::read(&held.document) {
+            Ok(configuration) => {
+                info!(self.log, "configuration in force"; "generation" => held.mark.generation);
+                let table = Arc::new(RoutingTable::compile(&configuration));
+                self.shared.publish_routing(self.now(), table);
+                self.configuration = Some(held.mark);
+            }
+            Err(wrong) => warn!(self.log, "a configuration can't be read"; "cause" => %wrong),
+        }
+    }
+}
+
+impl Connection {
+    /// When the report of that number was sent. Older ones are forgotten.
+    fn answered(&mut self, number: u64) -> Option<Now> {
+        while let Some((sent, at)) = self.sent.front().copied() {
+            if sent > number {
+                return None;
+            }
+            self.sent.pop_front();
+            if sent == number {
+                return Some(at);
+            }
+        }
+        None
+    }
+}
+
+trait MaxByMark {
+    fn max_by_mark(self, other: Self) -> Self;
+}
+
+impl MaxByMark for Option<ConfigurationUpdate> {
+    fn max_by_mark(self, other: Self) -> Self {
+        match (self, other) {
+            (Some(one), Some(other)) if other.mark > one.mark => Some(other),
+            (None, other) => other,
+            (one, _) => one,
+        }
+    }
+}
+
+/// The seeds as gateways reach them: all machines use the same ports.
+fn internal_addresses(settings: &Settings) -> Vec<SocketAddr> {
+    let port = settings.port_range.first;
+    settings.seeds.iter().map(|seed| SocketAddr::new(IpAddr::from(seed.ip()), port)).collect()
+}
+
+async fn talk(
+    home: SocketAddr, name: GatewayName, options: DialOptions, mut reports: Receiver<Report>, events: &Sender<Event>,
+) -> Result<(), ProtocolError> {
+    let (read, write) = dial(home, options).await?.into_split();
+    let mut writer = FrameWriter::new(write);
+    writer.send(&Hello::new(Caller::Gateway(name))).await?;
+    let mut reader = FrameReader::new(read);
+    let hear = async {
+        loop {
+            match timeout(SILENCE, reader.next::<Update>()).await {
+                Ok(Ok(Some(update))) => {
+                    if events.send(Event::Told(home, update)).await.is_err() {
+                        return Ok(());
+                    }
+                }
+                Ok(Ok(None)) => return Ok(()),
+                Ok(Err(wrong)) => return Err(wrong),
+                Err(_) => return Err(ProtocolError::Stalled),
+            }
+        }
+    };
+    let tell = async {
+        while let Some(report) = reports.recv().await {
+            writer.send(&report).await?;
+        }
+        Ok(())
+    };
+    tokio::select! {
+        heard = hear => heard,
+        told = tell => told,
+    }
+}
+
--- a/crates/system/src/main.rs
+++ b/crates/system/src/main.rs
@@ -1,3 +1,36 @@
 //! The fleet's programs: one command line for each role.
 
-fn main() {}
+mod cli;
+mod gate;
+mod home_link;
+mod log;
+mod ready;
+mod signals;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use slog::error;
+
+use crate::cli::{Cli, Command};
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    match run(&cli) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(wrong) => {
+            error!(log::to_stderr(cli.level()), "{}", wrong);
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(cli: &Cli) -> Result<(), String> {
+    let log = log::to_stderr(cli.level());
+    match &cli.command {
+        Command::Gate(role) => gate::run(&role.settings()?, log),
+        Command::ControlPlane(role) => cli::control_plane(&role.settings()?, log),
+        Command::Check(check) => cli::check(check),
+        Command::Status(status) => cli::status(status),
+    }
+}
--- /dev/null
+++ b/crates/system/src/ready.rs
@@ -0,0 +1,25 @@
+//! Readiness, as the platform asks for it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crankpick_gateway::Shared;
+use poem::http::StatusCode;
+use poem::listener::TcpListener;
+use poem::web::Data;
+use poem::{get, handler, EndpointExt, Route, Server};
+
+/// Answers at this address until the process ends.
+pub async fn serve(address: SocketAddr, shared: Arc<Shared>) -> std::io::Result<()> {
+    let routes = Route::new().at("/v1/readyz", get(ready)).data(shared);
+    Server::new(TcpListener::bind(address)).run(routes).await
+}
+
+#[handler]
+fn ready(shared: Data<&Arc<Shared>>) -> StatusCode {
+    if shared.readiness() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    }
+}
