--- a/crates/control-plane/src/api.rs
+++ b/crates/control-plane/src/api.rs
@@ -71,7 +71,11 @@
         return problem(StatusCode::BAD_REQUEST, "CTL-102", "If-Match names no version");
     };
     let Ok(body) = body.into_bytes_limit(LONGEST_CONFIGURATION).await else {
-        return problem(StatusCode::PAYLOAD_TOO_LARGE, "CTL-103", "the configuration is too long or was cut short");
+        return problem(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "CTL-103",
+            "the configuration is too long or was cut short",
+        );
     };
     match api.ask(PATIENCE, |reply| Call::Put { if_match, body, reply }).await {
         Some(PutAnswer::Taken) => json_body(StatusCode::OK, "{}"),
@@ -93,7 +97,9 @@
 async fn read_configuration(api: Data<&Api>) -> Response {
     match api.ask(PATIENCE, |reply| Call::Get { reply }).await {
         Some(GetAnswer::Document(document)) => json_body(StatusCode::OK, document),
-        Some(GetAnswer::Nothing) => problem(StatusCode::NOT_FOUND, "CTL-106", "no configuration was taken yet"),
+        Some(GetAnswer::Nothing) => {
+            problem(StatusCode::NOT_FOUND, "CTL-106", "no configuration was taken yet")
+        }
         Some(GetAnswer::Elsewhere(peer)) => redirect(peer, api.port),
         Some(GetAnswer::Unclear) | None => later("the newest version is not known here; ask again"),
     }
@@ -107,7 +113,11 @@
 #[handler]
 async fn heartbeat(Path(id): Path<String>, body: Body, api: Data<&Api>) -> Response {
     let Ok(body) = body.into_bytes_limit(LONGEST_HEARTBEAT).await else {
-        return problem(StatusCode::PAYLOAD_TOO_LARGE, "CTL-107", "the heartbeat is too long or was cut short");
+        return problem(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "CTL-107",
+            "the heartbeat is too long or was cut short",
+        );
     };
     let heartbeat: Heartbeat = match serde_json::from_slice(&body) {
         Ok(heartbeat) => heartbeat,
--- a/crates/control-plane/src/error.rs
+++ b/crates/control-plane/src/error.rs
@@ -9,7 +9,9 @@
 #[snafu(visibility(pub(crate)))]
 pub enum ControlPlaneError {
     /// The file on disk can't be read.
-    #[snafu(display("CTL-201: {source}; restore the file from a copy, or empty the folder: the process then joins anew"))]
+    #[snafu(display(
+        "CTL-201: {source}; restore the file from a copy, or empty the folder: the process then joins anew"
+    ))]
     Storage {
         /// The cause.
         source: crankpick_storage::StorageError,
--- a/crates/control-plane/src/floods.rs
+++ b/crates/control-plane/src/floods.rs
@@ -30,7 +30,8 @@
 impl Floods {
     /// Names an announcement that these peers are to have before `reply` is said.
     pub fn begin(
-        &mut self, now: Now, peers: impl IntoIterator<Item = SocketAddr>, reply: oneshot::Sender<HeartbeatAnswer>,
+        &mut self, now: Now, peers: impl IntoIterator<Item = SocketAddr>,
+        reply: oneshot::Sender<HeartbeatAnswer>,
     ) -> u64 {
         self.last_number += 1;
         let peers: BTreeSet<SocketAddr> = peers.into_iter().collect();
@@ -53,8 +54,12 @@
 
     /// Ends the wait for peers that are out of reach.
     pub fn tick(&mut self, now: Now) {
-        let late: Vec<u64> =
-            self.waiting.iter().filter(|(_, waiting)| now >= waiting.until).map(|(number, _)| *number).collect();
+        let late: Vec<u64> = self
+            .waiting
+            .iter()
+            .filter(|(_, waiting)| now >= waiting.until)
+            .map(|(number, _)| *number)
+            .collect();
         for number in late {
             self.end(number);
         }
@@ -66,3 +71,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/floods.rs"]
+mod tests;
--- a/crates/control-plane/src/host.rs
+++ b/crates/control-plane/src/host.rs
@@ -277,7 +277,8 @@
 
     /// A draining backend is acknowledged once the peers within reach have the word, any other one at once.
     fn heard(
-        &mut self, heard: Result<Heard, HeartbeatError>, ending: bool, reply: oneshot::Sender<HeartbeatAnswer>,
+        &mut self, heard: Result<Heard, HeartbeatError>, ending: bool,
+        reply: oneshot::Sender<HeartbeatAnswer>,
     ) {
         let now = self.now();
         let heard = match heard {
--- a/crates/control-plane/src/listener.rs
+++ b/crates/control-plane/src/listener.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use crankpick_protocol::{
-    accept_options, Caller, FrameReader, FrameWriter, GatewayName, Hello, ProtocolError, Report, Update, VERSION,
+    accept_options, Caller, FrameReader, FrameWriter, GatewayName, Hello, ProtocolError, Report, Update,
+    VERSION,
 };
 use slog::{debug, Logger};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
--- a/crates/control-plane/src/peers.rs
+++ b/crates/control-plane/src/peers.rs
@@ -71,3 +71,7 @@
         self.known.values().filter(|known| known.up).map(|known| known.process)
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/peers.rs"]
+mod tests;
--- a/crates/control-plane/src/quotas.rs
+++ b/crates/control-plane/src/quotas.rs
@@ -81,7 +81,8 @@
         }
         let contiguous = view.epoch == self.epoch + 1;
         self.epoch = view.epoch;
-        self.owners = view.chain.iter().filter_map(|id| view.member(*id)).map(|member| member.address).collect();
+        self.owners =
+            view.chain.iter().filter_map(|id| view.member(*id)).map(|member| member.address).collect();
         self.owners.sort();
         let (owners, own_address) = (&self.owners, self.own_address);
         self.owned.retain(|tenant, _| contiguous && owner(owners, tenant) == Some(own_address));
@@ -126,8 +127,8 @@
 
     /// A home's demands at this process, as the owner of these tenants. Nothing where it may not be that any more.
     pub fn own(
-        &mut self, now: Now, home: ProcessId, epoch: u64, demands: Vec<TenantDemand>, fresh: Option<Duration>,
-        others: &[ProcessId],
+        &mut self, now: Now, home: ProcessId, epoch: u64, demands: Vec<TenantDemand>,
+        fresh: Option<Duration>, others: &[ProcessId],
     ) -> Vec<TenantGrant> {
         if epoch != self.epoch || fresh.is_none_or(|age| age > OWNER_FRESHNESS) {
             return Vec::new();
@@ -156,7 +157,9 @@
     }
 
     /// An owner's answer. What can be lent on at once to gateways that lack it.
-    pub fn granted(&mut self, now: Now, number: u64, grants: Vec<TenantGrant>) -> Vec<(HolderId, TenantGrant)> {
+    pub fn granted(
+        &mut self, now: Now, number: u64, grants: Vec<TenantGrant>,
+    ) -> Vec<(HolderId, TenantGrant)> {
         let Some(sent_at) = self.sent.iter().find(|(sent, _)| *sent == number).map(|(_, at)| *at) else {
             return Vec::new();
         };
@@ -188,3 +191,7 @@
     let mixed = bytes.fold(HASH_OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(HASH_PRIME));
     mixed ^ (mixed >> 29)
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/quotas.rs"]
+mod tests;
--- a/crates/control-plane/src/sessions.rs
+++ b/crates/control-plane/src/sessions.rs
@@ -145,7 +145,6 @@
         }
     }
 
-
     /// All gateways.
     pub fn gateways(&self) -> impl Iterator<Item = &GatewayName> {
         self.open.values().map(|session| &session.gateway)
--- a/crates/control-plane/src/start.rs
+++ b/crates/control-plane/src/start.rs
@@ -51,7 +51,8 @@
 }
 
 fn parts(
-    settings: &Settings, own: SocketAddr, disk: Option<Disk>, records: Vec<Record>, started: Instant, log: &Logger,
+    settings: &Settings, own: SocketAddr, disk: Option<Disk>, records: Vec<Record>, started: Instant,
+    log: &Logger,
 ) -> Parts {
     let process = ProcessId(fastrand::u64(1..));
     let seeds: Vec<SocketAddr> = internal_addresses(settings);
--- /dev/null
+++ b/crates/control-plane/tests/unit/peers.rs
@@ -0,0 +1,47 @@
+//! Peers come, fall silent, and come back as the same or another process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crankpick_registry::ProcessId;
+
+use super::{PeerChange, Peers};
+
+const ONE: ProcessId = ProcessId(1);
+const OTHER: ProcessId = ProcessId(2);
+
+fn place() -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 7500))
+}
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[test]
+fn a_peer_is_up_once_and_down_once() {
+    let mut peers = Peers::default();
+    assert_eq!(peers.heard(at(0), place(), ONE), [PeerChange::Up(place(), ONE)]);
+    assert_eq!(peers.heard(at(500), place(), ONE), []);
+    assert_eq!(peers.tick(at(1_999)), []);
+    assert_eq!(peers.tick(at(2_000)), [PeerChange::Down(ONE)]);
+    assert_eq!(peers.tick(at(3_000)), []);
+    assert_eq!(peers.up().count(), 0);
+}
+
+#[test]
+fn a_peer_that_comes_back_is_up_again() {
+    let mut peers = Peers::default();
+    peers.heard(at(0), place(), ONE);
+    peers.tick(at(2_000));
+    assert_eq!(peers.heard(at(2_100), place(), ONE), [PeerChange::Up(place(), ONE)]);
+}
+
+#[test]
+fn another_process_at_the_address_takes_its_place() {
+    let mut peers = Peers::default();
+    peers.heard(at(0), place(), ONE);
+    let changes = peers.heard(at(100), place(), OTHER);
+    assert_eq!(changes, [PeerChange::Down(ONE), PeerChange::Up(place(), OTHER)]);
+    assert_eq!(peers.processes().collect::<Vec<_>>(), [OTHER]);
+}
--- /dev/null
+++ b/crates/control-plane/tests/unit/quotas.rs
@@ -0,0 +1,114 @@
+//! Owners and homes of tenants' quotas: who owns what under which epoch, and what the sum may be.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crankpick_configuration::RoutingTable;
+use crankpick_control::{EntryId, Member, MemberId, View};
+use crankpick_protocol::TenantDemand;
+use crankpick_quota::{Demand, HolderId, QuotaBounds};
+use crankpick_registry::ProcessId;
+
+use super::{owner, Quotas};
+
+const FRESH: Option<Duration> = Some(Duration::from_millis(10));
+const CONFIGURATION: &str = r#"{"generation": 1, "routes": [], "services": [],
+    "tenants": [{"name": "large", "api_keys": ["k"], "unit": "token_count", "rate_per_s": 1000, "burst": 1000}]}"#;
+
+fn place(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7500))
+}
+
+fn view(epoch: u64, numbers: &[u8]) -> View {
+    let member =
+        |number: &u8| Member { id: MemberId(u64::from(*number)), address: place(*number), zone: "a".into() };
+    View {
+        epoch,
+        members: numbers.iter().map(member).collect(),
+        chain: numbers.iter().map(|number| MemberId(u64::from(*number))).collect(),
+        start: EntryId::default(),
+    }
+}
+
+fn quotas(number: u8) -> Quotas {
+    let bounds = QuotaBounds { window: Duration::from_secs(8), over: 0.1, slack: 1_000.0 };
+    let mut quotas = Quotas::new(ProcessId(u64::from(number)), place(number), bounds);
+    let configuration = crankpick_configuration::read(CONFIGURATION.as_bytes()).unwrap();
+    quotas.configure(&RoutingTable::compile(&configuration));
+    quotas.view_changed(&view(1, &[1, 2, 3]));
+    quotas
+}
+
+fn asked(rate: f64) -> Vec<TenantDemand> {
+    let demand = Demand { rate, need: 0.0, level: 0.0, claim: None };
+    vec![TenantDemand { tenant: "large".into(), demand }]
+}
+
+fn owner_of_large() -> u8 {
+    let places = [place(1), place(2), place(3)];
+    let owner = owner(&places, "large").unwrap();
+    (1..=3).find(|number| place(*number) == owner).unwrap()
+}
+
+#[test]
+fn only_the_owner_grants_and_only_in_its_epoch() {
+    let now = Duration::from_secs(1);
+    let owner = owner_of_large();
+    for number in 1..=3 {
+        let mut quotas = quotas(number);
+        let grants = quotas.own(now, ProcessId(9), 1, asked(500.0), FRESH, &[]);
+        assert_eq!(grants.len(), usize::from(number == owner));
+        assert!(quotas.own(now, ProcessId(9), 0, asked(500.0), FRESH, &[]).is_empty());
+        assert!(quotas.own(now, ProcessId(9), 2, asked(500.0), FRESH, &[]).is_empty());
+    }
+}
+
+#[test]
+fn an_owner_in_doubt_of_its_view_grants_nothing() {
+    let now = Duration::from_secs(1);
+    let mut quotas = quotas(owner_of_large());
+    assert!(quotas.own(now, ProcessId(9), 1, asked(500.0), None, &[]).is_empty());
+    let stale = Some(Duration::from_millis(1_001));
+    assert!(quotas.own(now, ProcessId(9), 1, asked(500.0), stale, &[]).is_empty());
+}
+
+#[test]
+fn an_owner_forgets_what_it_lent_unless_it_owned_in_the_view_before() {
+    let now = Duration::from_secs(1);
+    let number = owner_of_large();
+    let mut quotas = quotas(number);
+    quotas.own(now, ProcessId(9), 1, asked(500.0), FRESH, &[]);
+    assert_eq!(quotas.owned(), 1);
+    quotas.view_changed(&view(2, &[1, 2, 3]));
+    assert_eq!(quotas.owned(), 1);
+    quotas.view_changed(&view(4, &[1, 2, 3]));
+    assert_eq!(quotas.owned(), 0);
+}
+
+#[test]
+fn a_home_lends_what_its_owner_granted() {
+    let now = Duration::from_secs(1);
+    let number = owner_of_large();
+    let mut quotas = quotas(number);
+    let holder = HolderId(70);
+    let nothing = quotas.report(now, holder, asked(500.0));
+    assert_eq!(nothing[0].grant.rate, 0.0);
+    let sent = quotas.demands(now).remove(0);
+    assert_eq!(sent.to, place(number));
+    let grants = quotas.own(now, ProcessId(u64::from(number)), sent.epoch, sent.demands, FRESH, &[]);
+    let granted = grants[0].grant.rate;
+    quotas.granted(now, sent.number, grants);
+    let lent = quotas.report(now, holder, asked(500.0));
+    assert!(lent[0].grant.rate >= 500.0, "{lent:?}");
+    assert!(lent[0].grant.rate <= granted, "{lent:?} of {granted}");
+}
+
+#[test]
+fn a_tenant_without_a_limit_is_nobodys() {
+    let now = Duration::from_secs(1);
+    let mut quotas = quotas(owner_of_large());
+    let demand = Demand { rate: 1.0, need: 0.0, level: 0.0, claim: None };
+    let unknown = vec![TenantDemand { tenant: "small".into(), demand }];
+    assert!(quotas.report(now, HolderId(1), unknown.clone()).is_empty());
+    assert!(quotas.own(now, ProcessId(9), 1, unknown, FRESH, &[]).is_empty());
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -9,7 +9,8 @@
 pub use error::ProtocolError;
 pub use frame::{encode, FrameReader, FrameWriter, LONGEST_FRAME};
 pub use home::{
-    ConfigurationMark, ConfigurationUpdate, CoreMember, GatewayName, Report, TenantDemand, TenantGrant, Update,
+    ConfigurationMark, ConfigurationUpdate, CoreMember, GatewayName, Report, TenantDemand, TenantGrant,
+    Update,
 };
 
 use std::net::SocketAddr;
--- a/crates/system/src/home_link.rs
+++ b/crates/system/src/home_link.rs
@@ -8,8 +8,8 @@
 use crankpick_configuration::RoutingTable;
 use crankpick_gateway::Shared;
 use crankpick_protocol::{
-    dial, Caller, ConfigurationMark, ConfigurationUpdate, DialOptions, FrameReader, FrameWriter, GatewayName, Hello,
-    ProtocolError, Report, Update,
+    dial, Caller, ConfigurationMark, ConfigurationUpdate, DialOptions, FrameReader, FrameWriter, GatewayName,
+    Hello, ProtocolError, Report, Update,
 };
 use crankpick_registry::{
     GatewayCount, HomeAction, HomeAnswer, HomeCandidate, HomeChoice, HomeChoiceSettings, Now, TableBuilder,
@@ -297,7 +297,8 @@
 }
 
 async fn talk(
-    home: SocketAddr, name: GatewayName, options: DialOptions, mut reports: Receiver<Report>, events: &Sender<Event>,
+    home: SocketAddr, name: GatewayName, options: DialOptions, mut reports: Receiver<Report>,
+    events: &Sender<Event>,
 ) -> Result<(), ProtocolError> {
     let (read, write) = dial(home, options).await?.into_split();
     let mut writer = FrameWriter::new(write);
@@ -328,4 +329,3 @@
         told = tell => told,
     }
 }
-
--- a/crates/system/src/signals.rs
+++ b/crates/system/src/signals.rs
@@ -7,7 +7,10 @@
 
 /// A runtime on this thread.
 pub fn runtime() -> Result<Runtime, String> {
-    Builder::new_current_thread().enable_all().build().map_err(|wrong| format!("SYS-102: no runtime: {wrong}"))
+    Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|wrong| format!("SYS-102: no runtime: {wrong}"))
 }
 
 /// Ends with SIGTERM.
