--- /dev/null
+++ b/crates/control/src/discovery.rs
@@ -0,0 +1,134 @@
+//! Finding the others: words to the seeds, the bootstrap, and asking to be let in.
+//!
+//! A process that knows no view asks the seeds; only the three that start with `bootstrap` and an empty disk, and are
+//! seeds themselves, ever decide a first one. A process with a disk that is no member asks the members to take it in.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::message::{Body, Hello, Sender};
+use crate::replica::Replica;
+use crate::types::{Member, Now};
+
+/// Requests of joiners count for so long.
+const JOINER_KEPT: Duration = Duration::from_secs(2);
+/// Joiners remembered at a time.
+const JOINERS: usize = 16;
+/// While a view is known but nobody of it is heard, the seeds are asked after this.
+const LONELY: Duration = Duration::from_secs(1);
+
+/// What this process knows of those that aren't in the view.
+#[derive(Debug)]
+pub(crate) struct Discovery {
+    /// This process's own identity is synced.
+    pub(crate) identified: bool,
+    started: Now,
+    next_hello: Now,
+    next_join: Now,
+    /// Seeds that take part in the bootstrap, as heard.
+    seeds: Vec<SocketAddr>,
+    joiners: Vec<(Now, Member)>,
+}
+
+impl Discovery {
+    pub(crate) fn new(now: Now) -> Self {
+        Discovery {
+            identified: false,
+            started: now,
+            next_hello: now,
+            next_join: now,
+            seeds: Vec::new(),
+            joiners: Vec::new(),
+        }
+    }
+
+    /// Those that ask to be let in, longest first.
+    pub(crate) fn joiners(&self) -> impl Iterator<Item = &Member> {
+        self.joiners.iter().map(|(_, member)| member)
+    }
+}
+
+impl Replica {
+    fn own_member(&self) -> Member {
+        Member { id: self.id, address: self.options.address, zone: self.options.zone.clone() }
+    }
+
+    /// Says what is due to seeds and members.
+    pub(crate) fn discover(&mut self) {
+        let now = self.now;
+        self.discovery.joiners.retain(|(at, _)| now <= *at + JOINER_KEPT);
+        if now >= self.discovery.next_hello && self.is_lonely() {
+            self.discovery.next_hello = now + self.jittered(self.options.timing.hello);
+            self.hello_seeds();
+        }
+        if now >= self.discovery.next_join && self.wants_in() {
+            self.discovery.next_join = now + self.jittered(self.options.timing.join_retry);
+            self.ask_to_join();
+        }
+    }
+
+    /// Between one and one and a half times an interval; after the first seconds twice that.
+    fn jittered(&mut self, interval: Duration) -> Duration {
+        let early = self.now < self.discovery.started + Duration::from_secs(5);
+        let interval = if early { interval } else { interval * 2 };
+        interval + Duration::from_micros(self.random.u64(0..=interval.as_micros() as u64 / 2))
+    }
+
+    fn is_lonely(&self) -> bool {
+        let mut others = self.peers.voters().iter();
+        let alone = self.view.members.iter().all(|member| member.id == self.id);
+        let heard = others.any(|peer| peer.heard.is_some_and(|at| self.now < at + LONELY));
+        self.view.epoch == 0 || (!alone && !heard)
+    }
+
+    fn hello_seeds(&mut self) {
+        let bootstrap = !self.bootstrap.is_empty() && self.view.epoch == 0;
+        let hello = Hello { member: self.own_member(), bootstrap, epoch: self.view.epoch };
+        for seed in self.options.seeds.clone() {
+            if seed != self.options.address {
+                self.send_to_address(seed, None, Body::Hello(hello.clone()));
+            }
+        }
+    }
+
+    pub(crate) fn on_hello(&mut self, sender: Sender, hello: Hello) {
+        if self.view.epoch > hello.epoch {
+            self.send(sender, Body::Decide(Box::new(self.view.clone())));
+        }
+        let seed = hello.bootstrap && self.bootstrap.contains(&sender.address);
+        if seed && !self.discovery.seeds.contains(&sender.address) {
+            self.discovery.seeds.push(sender.address);
+        }
+    }
+
+    /// Whether the first view may be proposed: all seeds are heard, or enough and the last one is late.
+    pub(crate) fn seeds_are_heard(&self) -> bool {
+        let heard = self.discovery.seeds.len() + 1;
+        let waited = self.now >= self.discovery.started + self.options.timing.bootstrap_wait;
+        heard >= self.bootstrap.len() || (waited && heard > self.bootstrap.len() / 2)
+    }
+
+    fn wants_in(&self) -> bool {
+        let outside = self.view.epoch > 0 && self.view.member(self.id).is_none();
+        outside && self.options.votes && self.discovery.identified && !self.leaving
+    }
+
+    fn ask_to_join(&mut self) {
+        let member = self.own_member();
+        for voter in self.view.members.clone() {
+            let to = Sender { id: voter.id, address: voter.address };
+            self.send(to, Body::Join(member.clone()));
+        }
+    }
+
+    pub(crate) fn on_join(&mut self, member: Member) {
+        let now = self.now;
+        let joiners = &mut self.discovery.joiners;
+        joiners.retain(|(_, known)| known.id == member.id || known.address != member.address);
+        if let Some(known) = joiners.iter_mut().find(|(_, known)| known.id == member.id) {
+            *known = (now, member);
+        } else if joiners.len() < JOINERS {
+            joiners.push((now, member));
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/disk.rs
@@ -0,0 +1,131 @@
+//! Writes to the disk: one at a time, in order, and what may be said only once they are synced.
+
+use crate::message::{Body, Sender};
+use crate::record::{Record, RecordBody};
+use crate::replica::Ticket;
+use crate::types::{EntryId, Now};
+use std::time::Duration;
+
+/// What follows from a sync.
+#[derive(Clone, Debug)]
+pub(crate) enum Effect {
+    /// Something may be said.
+    Send { to: Sender, body: Body },
+    /// An entry of the chain in that view is on this disk.
+    Stored { epoch: u64, id: EntryId },
+    /// That view is entered.
+    Entered { epoch: u64 },
+    /// This process has an identity that lasts.
+    Identified,
+}
+
+/// A write that was handed to the host.
+#[derive(Debug)]
+struct Flight {
+    ticket: Ticket,
+    records: Vec<Record>,
+    effects: Vec<Effect>,
+    since: Now,
+}
+
+/// The queue to the disk.
+#[derive(Debug)]
+pub(crate) struct Disk {
+    /// Without a disk everything counts at once.
+    volatile: bool,
+    /// The number of the last record.
+    pub(crate) number: u64,
+    ticket: u64,
+    records: Vec<Record>,
+    effects: Vec<Effect>,
+    flight: Option<Flight>,
+    ready: Vec<Effect>,
+    refused: Option<Now>,
+}
+
+impl Disk {
+    pub(crate) fn new(volatile: bool, number: u64) -> Self {
+        Disk {
+            volatile,
+            number,
+            ticket: 0,
+            records: Vec::new(),
+            effects: Vec::new(),
+            flight: None,
+            ready: Vec::new(),
+            refused: None,
+        }
+    }
+
+    /// Something to be kept, and what follows from it.
+    pub(crate) fn stage(&mut self, body: RecordBody, effect: Option<Effect>) {
+        self.number += 1;
+        if !self.volatile {
+            self.records.push(Record { number: self.number, body });
+        }
+        if let Some(effect) = effect {
+            self.after(effect);
+        }
+    }
+
+    /// What follows once all that was staged before is synced.
+    pub(crate) fn after(&mut self, effect: Effect) {
+        match &mut self.flight {
+            _ if !self.records.is_empty() => self.effects.push(effect),
+            Some(flight) => flight.effects.push(effect),
+            None => self.ready.push(effect),
+        }
+    }
+
+    /// The next write, if one is due.
+    pub(crate) fn next_write(&mut self, now: Now, retry: Duration) -> Option<(Ticket, Vec<Record>)> {
+        let waits = self.refused.is_some_and(|at| now < at + retry);
+        if self.flight.is_some() || self.records.is_empty() || waits {
+            return None;
+        }
+        self.ticket += 1;
+        let ticket = Ticket(self.ticket);
+        let records = std::mem::take(&mut self.records);
+        let effects = std::mem::take(&mut self.effects);
+        self.flight = Some(Flight { ticket, records: records.clone(), effects, since: now });
+        Some((ticket, records))
+    }
+
+    /// A write is synced.
+    pub(crate) fn persisted(&mut self, ticket: Ticket) {
+        if self.flight.as_ref().is_some_and(|flight| flight.ticket == ticket) {
+            let effects = self.flight.take().map(|flight| flight.effects).unwrap_or_default();
+            self.ready.extend(effects);
+            self.refused = None;
+        }
+    }
+
+    /// A write was refused: its records wait, before all later ones.
+    pub(crate) fn refuse(&mut self, now: Now, ticket: Ticket) {
+        if self.flight.as_ref().is_none_or(|flight| flight.ticket != ticket) {
+            return;
+        }
+        if let Some(mut flight) = self.flight.take() {
+            flight.records.append(&mut self.records);
+            flight.effects.append(&mut self.effects);
+            self.records = flight.records;
+            self.effects = flight.effects;
+            self.refused = Some(now);
+        }
+    }
+
+    /// What may be done now.
+    pub(crate) fn take_ready(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.ready)
+    }
+
+    /// Whether something may be done now.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.ready.is_empty()
+    }
+
+    /// A write was refused or is under way for too long.
+    pub(crate) fn sick(&self, now: Now, limit: Duration) -> bool {
+        self.refused.is_some() || self.flight.as_ref().is_some_and(|flight| now > flight.since + limit)
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,10 +3,22 @@
 //! Pure: no I/O and no clock. The host feeds [`Input`]s with the time since the process's start, and carries out the
 //! [`Output`]s. `docs/control.md` says why it is safe.
 
+mod acceptor;
+mod chain;
+mod discovery;
+mod disk;
+mod freshness;
+mod heartbeat;
 mod message;
 mod options;
+mod orders;
+mod peers;
+mod plan;
+mod proposer;
 mod record;
 mod replica;
+mod restore;
+mod state;
 mod types;
 
 pub use message::{
--- a/crates/control/src/options.rs
+++ b/crates/control/src/options.rs
@@ -41,8 +41,6 @@
     pub take_back: Duration,
     /// A member silent for so long gives its place to a joiner.
     pub replace: Duration,
-    /// A joiner must be heard for so long.
-    pub join_heard: Duration,
     /// Between a joiner's requests, before jitter.
     pub join_retry: Duration,
     /// Between words to seeds while no view is known.
@@ -76,7 +74,6 @@
             disk_retry: ms(250),
             take_back: ms(2000),
             replace: ms(3000),
-            join_heard: ms(300),
             join_retry: ms(400),
             hello: ms(200),
             promise_wait: ms(60),
--- a/crates/control/src/record.rs
+++ b/crates/control/src/record.rs
@@ -76,6 +76,8 @@
     pub promised: Option<Ballot>,
     /// Its vote for the next one.
     pub accepted: Option<(Ballot, View)>,
+    /// It holds the state with which the view begins, and all entries since.
+    pub matched: bool,
     /// What the state is complete for.
     pub complete: u64,
     /// The changes it remembers, oldest first.
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -1,11 +1,22 @@
-//! A replica: what goes in, what comes out.
+//! A replica: what goes in, what comes out, and which part takes it.
 
+use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::message::Message;
+use crate::acceptor::Acceptor;
+use crate::chain::Chain;
+use crate::discovery::Discovery;
+use crate::disk::{Disk, Effect};
+use crate::freshness::Freshness;
+use crate::message::{Body, Message, Sender};
 use crate::options::Options;
-use crate::record::Record;
+use crate::orders::{Submits, Waiting};
+use crate::peers::Peers;
+use crate::proposer::Proposer;
+use crate::record::{Record, RecordBody, Snapshot};
+use crate::state::State;
 use crate::types::{Entry, MemberId, Now, Order, Outcome, View};
 
 /// The host's name for an order it submitted.
@@ -35,7 +46,7 @@
         order: Arc<Order>,
     },
     /// The settings name other seeds.
-    Seeds(Vec<std::net::SocketAddr>),
+    Seeds(Vec<SocketAddr>),
     /// This process shuts down in order.
     Leave,
 }
@@ -46,7 +57,7 @@
     /// Send a message; it may be lost.
     Send {
         /// Where.
-        to: std::net::SocketAddr,
+        to: SocketAddr,
         /// What.
         message: Message,
     },
@@ -76,33 +87,245 @@
 /// A replica, a member outside the chain, or a follower.
 #[derive(Debug)]
 pub struct Replica {
-    options: Options,
-    id: MemberId,
-    view: View,
+    pub(crate) options: Options,
+    pub(crate) now: Now,
+    pub(crate) random: fastrand::Rng,
+    pub(crate) id: MemberId,
+    pub(crate) incarnation: u64,
+    /// The seeds, if this process takes part in the bootstrap.
+    pub(crate) bootstrap: Vec<SocketAddr>,
+    pub(crate) view: View,
+    pub(crate) acceptor: Acceptor,
+    pub(crate) state: State,
+    pub(crate) chain: Chain,
+    pub(crate) committed: Option<Arc<Entry>>,
+    pub(crate) peers: Peers,
+    pub(crate) freshness: Freshness,
+    pub(crate) proposer: Proposer,
+    pub(crate) discovery: Discovery,
+    pub(crate) submits: Submits,
+    pub(crate) waiting: Vec<Waiting>,
+    pub(crate) disk: Disk,
+    pub(crate) leaving: bool,
+    was_sick: bool,
+    /// What this process says to itself.
+    inbox: VecDeque<Body>,
+    outputs: Outputs,
 }
 
 impl Replica {
     /// Starts from the records of the disk; none mean a first start.
-    pub fn restore(_now: Now, options: Options, _records: Vec<Record>, _outputs: &mut Outputs) -> Replica {
-        Replica { id: MemberId(options.entropy), options, view: View::default() }
+    pub fn restore(now: Now, options: Options, records: Vec<Record>, outputs: &mut Outputs) -> Replica {
+        let mut replica = Replica::blank(now, options);
+        let first = records.is_empty();
+        replica.replay(records);
+        if first {
+            replica.draw_identity();
+        }
+        if replica.view.epoch > 0 {
+            replica.peers.enter(now, &replica.view, replica.id);
+            replica.outputs.push(Output::ViewChanged(replica.view.clone()));
+        }
+        replica.chain.resume(now, &replica.view, replica.id, replica.state.last());
+        replica.check_opened();
+        replica.settle();
+        outputs.append(&mut replica.outputs);
+        replica
+    }
+
+    fn blank(now: Now, options: Options) -> Replica {
+        let mut random = fastrand::Rng::with_seed(options.entropy);
+        let id = MemberId(random.u64(1..));
+        let incarnation = random.u64(1..);
+        let first_key = random.u64(..) >> 1;
+        Replica {
+            peers: Peers::new(now, incarnation, &options.timing),
+            disk: Disk::new(!options.votes, 0),
+            submits: Submits::new(first_key),
+            discovery: Discovery::new(now),
+            options,
+            now,
+            random,
+            id,
+            incarnation,
+            bootstrap: Vec::new(),
+            view: View::default(),
+            acceptor: Acceptor::default(),
+            state: State::default(),
+            chain: Chain::default(),
+            committed: None,
+            freshness: Freshness::default(),
+            proposer: Proposer::default(),
+            waiting: Vec::new(),
+            leaving: false,
+            was_sick: false,
+            inbox: VecDeque::new(),
+            outputs: Vec::new(),
+        }
+    }
+
+    fn draw_identity(&mut self) {
+        let takes_part = self.options.bootstrap && self.options.votes;
+        if takes_part && self.options.seeds.contains(&self.options.address) {
+            self.bootstrap = self.options.seeds.clone();
+        }
+        let body = RecordBody::Identity { id: self.id, bootstrap: self.bootstrap.clone() };
+        self.disk.stage(body, Some(Effect::Identified));
     }
 
     /// Takes one input; pushes what is to be done.
-    pub fn handle(&mut self, _now: Now, input: Input, outputs: &mut Outputs) {
-        if let Input::Submit { key, .. } = input {
-            outputs.push(Output::Answer { key, outcome: Outcome::Unclear });
+    pub fn handle(&mut self, now: Now, input: Input, outputs: &mut Outputs) {
+        self.now = self.now.max(now);
+        match input {
+            Input::Tick => self.tick(),
+            Input::Message(message) => self.receive(message),
+            Input::Persisted(ticket) => self.disk.persisted(ticket),
+            Input::DiskRefused(ticket) => self.disk.refuse(self.now, ticket),
+            Input::Submit { key, order } => self.submit(key, order),
+            Input::Seeds(seeds) => self.options.seeds = seeds,
+            Input::Leave => self.leave(),
+        }
+        self.settle();
+        outputs.append(&mut self.outputs);
+    }
+
+    fn tick(&mut self) {
+        self.peers.tick(self.now);
+        self.note_sickness();
+        self.watch_health();
+        self.discover();
+        self.drive_proposal();
+        self.propose_if_needed();
+        self.drive_submits();
+        let due = self.peers.due(self.now, self.options.timing.heartbeat);
+        for peer in due {
+            self.send_heartbeat(peer);
+        }
+        self.note_freshness();
+    }
+
+    fn leave(&mut self) {
+        self.leaving = true;
+        self.heartbeat_all();
+    }
+
+    /// Others are to know at once that the disk fell ill.
+    fn note_sickness(&mut self) {
+        let sick = self.sick();
+        if sick != self.was_sick {
+            self.was_sick = sick;
+            self.heartbeat_all();
+        }
+    }
+
+    pub(crate) fn sick(&self) -> bool {
+        self.disk.sick(self.now, self.options.timing.disk_sick)
+    }
+
+    /// Does what has become due: effects of syncs, words to itself, the next write.
+    fn settle(&mut self) {
+        loop {
+            for effect in self.disk.take_ready() {
+                self.apply(effect);
+            }
+            match self.inbox.pop_front() {
+                Some(body) => self.receive_body(self.sender(), body),
+                None if self.disk.is_ready() => {}
+                None => break,
+            }
+        }
+        if let Some((ticket, records)) = self.disk.next_write(self.now, self.options.timing.disk_retry) {
+            self.outputs.push(Output::Persist { ticket, records });
         }
     }
 
+    fn apply(&mut self, effect: Effect) {
+        match effect {
+            Effect::Send { to, body } => self.send(to, body),
+            Effect::Stored { epoch, id } => self.on_stored(epoch, id),
+            Effect::Entered { epoch } => self.on_entered(epoch),
+            Effect::Identified => self.discovery.identified = true,
+        }
+    }
+
+    fn receive(&mut self, message: Message) {
+        let own = message.sender.id == self.id;
+        let meant = message.target.is_none_or(|target| target == self.id);
+        if meant && !own {
+            self.receive_body(message.sender, message.body);
+        }
+    }
+
+    fn receive_body(&mut self, sender: Sender, body: Body) {
+        match body {
+            Body::Hello(hello) => self.on_hello(sender, hello),
+            Body::Join(member) => self.on_join(member),
+            Body::Heartbeat(heartbeat) => self.on_heartbeat(sender, heartbeat),
+            Body::Prepare(prepare) => self.on_prepare(sender, prepare),
+            Body::Promise(promise) => self.on_promise(sender, *promise),
+            Body::Install(install) => self.on_install(sender, *install),
+            Body::Installed(ballot) => self.on_installed(sender, ballot),
+            Body::Accept(accept) => self.on_accept(sender, *accept),
+            Body::Accepted(ballot) => self.on_accepted(sender, ballot),
+            Body::Nack(nack) => self.on_nack(nack),
+            Body::Decide(view) => self.on_decide(*view),
+            Body::Append(append) => self.on_append(sender, append),
+            Body::Commit(commit) => self.on_commit(commit),
+            Body::Fetch => self.on_fetch(sender),
+            Body::Learn(entry) => self.learn(entry),
+            Body::Forward(forward) => self.on_forward(sender, forward),
+            Body::ForwardAnswer(answer) => self.on_forward_answer(answer),
+        }
+    }
+
+    /// This process, as a sender.
+    pub(crate) fn sender(&self) -> Sender {
+        Sender { id: self.id, address: self.options.address }
+    }
+
+    /// Says something to one peer, or to this process itself.
+    pub(crate) fn send(&mut self, to: Sender, body: Body) {
+        if to.id == self.id {
+            self.inbox.push_back(body);
+        } else {
+            self.send_to_address(to.address, Some(to.id), body);
+        }
+    }
+
+    /// Says something to whoever lives at an address.
+    pub(crate) fn send_to_address(&mut self, to: SocketAddr, target: Option<MemberId>, body: Body) {
+        if to == self.options.address {
+            self.inbox.push_back(body);
+            return;
+        }
+        let message = Message { sender: self.sender(), target, body };
+        self.outputs.push(Output::Send { to, message });
+    }
+
+    pub(crate) fn output(&mut self, output: Output) {
+        self.outputs.push(output);
+    }
+
     /// The records that hold all that counts, to rewrite the file with. Hand them to the disk in order with the
     /// writes asked for before and after.
     pub fn snapshot_records(&self) -> Vec<Record> {
-        Vec::new()
+        let snapshot = Snapshot {
+            id: self.id,
+            bootstrap: self.bootstrap.clone(),
+            view: self.view.clone(),
+            promised: self.acceptor.promised,
+            accepted: self.acceptor.accepted.clone(),
+            matched: self.chain.matched,
+            complete: self.state.complete,
+            changes: self.state.changes(),
+            entries: self.state.entries(),
+        };
+        vec![Record { number: self.disk.number, body: RecordBody::Snapshot(Box::new(snapshot)) }]
     }
 
     /// The age of the newest moment as of which this replica surely knows all that was acknowledged.
-    pub fn freshness(&self, _now: Now) -> Option<Duration> {
-        None
+    pub fn freshness(&self, now: Now) -> Option<Duration> {
+        self.freshness.confirmed().map(|at| now.saturating_sub(at))
     }
 
     /// The view this process is in; epoch 0 while it knows none.
@@ -112,7 +335,7 @@
 
     /// The newest entry that it knows to be committed.
     pub fn newest_committed(&self) -> Option<&Arc<Entry>> {
-        None
+        self.committed.as_ref()
     }
 
     /// Who this is.
@@ -125,6 +348,11 @@
         self.view.place(self.id).is_some()
     }
 
+    /// Whether a peer is heard and hears this process.
+    pub fn reaches(&self, id: MemberId) -> bool {
+        self.peers.get(id).is_some_and(|peer| peer.connected(self.now, &self.options.timing))
+    }
+
     /// What it was told at its start.
     pub fn options(&self) -> &Options {
         &self.options
--- /dev/null
+++ b/crates/control/src/restore.rs
@@ -0,0 +1,67 @@
+//! What the records of the disk say, replayed.
+
+use crate::record::{Record, RecordBody, Snapshot};
+use crate::replica::Replica;
+use crate::state::State;
+use crate::types::View;
+
+impl Replica {
+    /// Replays records in order. A snapshot holds all up to its number: lower ones after it are skipped.
+    pub(crate) fn replay(&mut self, records: Vec<Record>) {
+        for record in records {
+            if record.number <= self.disk.number && !matches!(record.body, RecordBody::Snapshot(_)) {
+                continue;
+            }
+            self.disk.number = self.disk.number.max(record.number);
+            self.replay_one(record.body);
+        }
+        self.discovery.identified = true;
+    }
+
+    fn replay_one(&mut self, body: RecordBody) {
+        match body {
+            RecordBody::Identity { id, bootstrap } => {
+                self.id = id;
+                self.bootstrap = bootstrap;
+            }
+            RecordBody::Promised { epoch, ballot } if epoch == self.view.epoch => {
+                self.acceptor.promise(self.now, ballot);
+            }
+            RecordBody::Accepted { epoch, ballot, next } if epoch == self.view.epoch => {
+                self.acceptor.accept(self.now, ballot, *next);
+            }
+            RecordBody::Entered(view) if view.epoch > self.view.epoch => self.enter(*view),
+            RecordBody::Installed { epoch, ballot, transfer } if epoch == self.view.epoch => {
+                self.acceptor.promise(self.now, ballot);
+                self.state.install(&transfer);
+            }
+            RecordBody::Appended { entry } => self.state.append(entry),
+            RecordBody::Snapshot(snapshot) => self.replay_snapshot(*snapshot),
+            RecordBody::Promised { .. }
+            | RecordBody::Accepted { .. }
+            | RecordBody::Entered(_)
+            | RecordBody::Installed { .. } => {}
+        }
+    }
+
+    fn replay_snapshot(&mut self, snapshot: Snapshot) {
+        self.id = snapshot.id;
+        self.bootstrap = snapshot.bootstrap;
+        self.view = snapshot.view;
+        self.acceptor.promised = snapshot.promised;
+        self.acceptor.accepted = snapshot.accepted;
+        self.chain.matched = snapshot.matched;
+        self.state = State::restored(snapshot.complete, snapshot.changes, snapshot.entries);
+    }
+
+    /// What entering a view changes in what is kept: nothing of the old instance binds any more, and the state counts
+    /// as the chain's if it is the one the chain begins with.
+    pub(crate) fn enter(&mut self, view: View) {
+        self.acceptor.clear();
+        self.chain.matched = view.place(self.id).is_some() && self.state.last() == view.start;
+        if self.chain.matched {
+            self.state.complete = view.epoch;
+        }
+        self.view = view;
+    }
+}
--- /dev/null
+++ b/crates/control/src/state.rs
@@ -0,0 +1,124 @@
+//! The replicated state: which orders were taken, and the newest one whole.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use crate::types::{Change, Entry, EntryId, Order, Rank, Transfer};
+
+/// Changes remembered, so that the same order again is known.
+pub(crate) const HISTORY: usize = 4096;
+
+/// The replicated state of one replica.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct State {
+    /// It holds all that was acknowledged in this epoch and before it, while the replica is sealed.
+    pub(crate) complete: u64,
+    changes: VecDeque<Change>,
+    /// Entries not known to be committed, and always the newest.
+    entries: VecDeque<Arc<Entry>>,
+}
+
+impl State {
+    pub(crate) fn restored(complete: u64, changes: Vec<Change>, entries: Vec<Arc<Entry>>) -> Self {
+        State { complete, changes: changes.into(), entries: entries.into() }
+    }
+
+    /// The last entry.
+    pub(crate) fn last(&self) -> EntryId {
+        self.changes.back().map(|change| change.id).unwrap_or_default()
+    }
+
+    /// The version of the last entry.
+    pub(crate) fn generation(&self) -> u64 {
+        self.changes.back().map(|change| change.generation).unwrap_or_default()
+    }
+
+    pub(crate) fn rank(&self) -> Rank {
+        Rank { complete: self.complete, last: self.last() }
+    }
+
+    pub(crate) fn changes(&self) -> Vec<Change> {
+        self.changes.iter().copied().collect()
+    }
+
+    pub(crate) fn entries(&self) -> Vec<Arc<Entry>> {
+        self.entries.iter().cloned().collect()
+    }
+
+    /// The change that an order made, if it was taken.
+    pub(crate) fn find(&self, order: &Order) -> Option<Change> {
+        self.changes.iter().rev().find(|change| change.is_of(order)).copied()
+    }
+
+    /// Whether the entry is part of this state.
+    pub(crate) fn contains(&self, id: EntryId) -> bool {
+        self.index(id.position)
+            .and_then(|index| self.changes.get(index))
+            .is_some_and(|change| change.id == id)
+    }
+
+    fn index(&self, position: u64) -> Option<usize> {
+        let first = self.changes.front()?.id.position;
+        usize::try_from(position.checked_sub(first)?).ok()
+    }
+
+    /// The entry at a position, if its bytes are still kept.
+    pub(crate) fn entry(&self, position: u64) -> Option<&Arc<Entry>> {
+        self.entries.iter().find(|entry| entry.id.position == position)
+    }
+
+    pub(crate) fn append(&mut self, entry: Arc<Entry>) {
+        self.changes.push_back(entry.change());
+        self.entries.push_back(entry);
+        self.bound();
+    }
+
+    /// Entries up to a position are committed: only the newest is kept whole.
+    pub(crate) fn release(&mut self, committed: u64) {
+        while self.entries.len() > 1
+            && self.entries.front().is_some_and(|entry| entry.id.position <= committed)
+        {
+            self.entries.pop_front();
+        }
+    }
+
+    /// Only the newest entry is kept whole.
+    pub(crate) fn release_all(&mut self) {
+        let spare = self.entries.len().saturating_sub(1);
+        self.entries.drain(..spare);
+    }
+
+    /// What a replica that holds `since` lacks; the whole if that isn't part of this state.
+    pub(crate) fn transfer(&self, since: EntryId, complete: u64) -> Transfer {
+        let known = self.contains(since);
+        let after = if known { since.position } else { 0 };
+        let changes = self.changes.iter().filter(|change| change.id.position > after).copied().collect();
+        let has_newest = known && since == self.last();
+        let newest = if has_newest { None } else { self.entries.back().cloned() };
+        Transfer { complete, since: known.then_some(since), changes, newest }
+    }
+
+    /// Takes a state in place of this one. False, and nothing is changed, if it doesn't follow from this one.
+    pub(crate) fn install(&mut self, transfer: &Transfer) -> bool {
+        match transfer.since {
+            Some(since) if since != self.last() => return false,
+            Some(_) => self.changes.extend(transfer.changes.iter().copied()),
+            None => {
+                self.changes = transfer.changes.iter().copied().collect();
+                self.entries.clear();
+            }
+        }
+        if let Some(newest) = &transfer.newest {
+            self.entries.clear();
+            self.entries.push_back(newest.clone());
+        }
+        self.complete = self.complete.max(transfer.complete);
+        self.bound();
+        true
+    }
+
+    fn bound(&mut self) {
+        let spare = self.changes.len().saturating_sub(HISTORY);
+        self.changes.drain(..spare);
+    }
+}
--- /dev/null
+++ b/crates/control/tests/simulation/checks.rs
@@ -0,0 +1,131 @@
+//! What must hold, as seen from outside.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crankpick_control::{Change, Entry, Order, View};
+
+/// What tells one order from another.
+pub type Identity = (u64, u64, u128);
+
+pub fn identity(order: &Order) -> Identity {
+    (order.if_match, order.generation, order.digest)
+}
+
+/// What was seen, and each breach.
+#[derive(Default)]
+pub struct Checks {
+    pub breaches: Vec<String>,
+    committed: HashMap<u64, Change>,
+    views: HashMap<u64, View>,
+    /// When each version was acknowledged, in order of time; versions never fall.
+    acknowledged: Vec<(Duration, Identity)>,
+    refused: Vec<Identity>,
+    pub reads: u64,
+    pub views_changed: u64,
+    pub refusals: u64,
+}
+
+impl Checks {
+    fn breach(&mut self, text: String) {
+        if self.breaches.len() < 8 {
+            self.breaches.push(text);
+        }
+    }
+
+    /// No two chains: a position holds the same entry wherever it is committed, and each builds on the one before.
+    pub fn committed(&mut self, now: Duration, place: usize, entry: &Arc<Entry>) {
+        let change = entry.change();
+        let position = change.id.position;
+        if let Some(known) = self.committed.get(&position).filter(|known| **known != change) {
+            self.breach(format!("{now:?} node {place}: position {position} is {change:?} and {known:?}"));
+        }
+        for (one, other) in [(position.wrapping_sub(1), position), (position, position + 1)] {
+            let before = if one == position { Some(change) } else { self.committed.get(&one).copied() };
+            let after = if other == position { Some(change) } else { self.committed.get(&other).copied() };
+            if let (Some(before), Some(after)) = (before, after) {
+                if before.generation != after.if_match {
+                    self.breach(format!("{now:?} node {place}: {after:?} isn't on {before:?}"));
+                }
+            }
+        }
+        if self.refused.contains(&identity(&entry.order)) {
+            self.breach(format!("{now:?} node {place}: refused, yet committed: {change:?}"));
+        }
+        self.committed.insert(position, change);
+    }
+
+    /// One view an epoch.
+    pub fn view(&mut self, now: Duration, place: usize, view: &View) {
+        if let Some(known) = self.views.get(&view.epoch).filter(|known| *known != view) {
+            self.breach(format!("{now:?} node {place}: two views: {view:?} and {known:?}"));
+        }
+        if self.views.insert(view.epoch, view.clone()).is_none() {
+            self.views_changed += 1;
+        }
+    }
+
+    pub fn acknowledged(&mut self, now: Duration, order: &Order) {
+        let order = identity(order);
+        if self.refused.contains(&order) {
+            self.breach(format!("{now:?}: refused, yet acknowledged: {order:?}"));
+        }
+        let rival = self
+            .acknowledged
+            .iter()
+            .map(|(_, known)| *known)
+            .find(|known| known.0 == order.0 && *known != order);
+        if let Some(rival) = rival {
+            self.breach(format!("{now:?}: two on one version: {order:?} and {rival:?}"));
+        }
+        if !self.acknowledged.iter().any(|(_, known)| *known == order) {
+            self.acknowledged.push((now, order));
+        }
+    }
+
+    pub fn refused(&mut self, now: Duration, order: &Order) {
+        let order = identity(order);
+        self.refusals += 1;
+        if self.committed.values().any(|change| identity_of(change) == order) {
+            self.breach(format!("{now:?}: committed, yet refused: {order:?}"));
+        }
+        if !self.refused.contains(&order) {
+            self.refused.push(order);
+        }
+    }
+
+    /// A read that counts as fresh as of a moment holds all that was acknowledged before it.
+    pub fn read(&mut self, now: Duration, as_of: Duration, place: usize, generation: u64) {
+        self.reads += 1;
+        let due = self.acknowledged.iter().filter(|(at, _)| *at < as_of).map(|(_, order)| order.1).max();
+        if due.is_some_and(|due| generation < due) {
+            self.breach(format!(
+                "{now:?} node {place}: reads {generation} as of {as_of:?}, {due:?} was acknowledged"
+            ));
+        }
+    }
+
+    /// The newest acknowledged version.
+    pub fn newest_acknowledged(&self) -> u64 {
+        self.acknowledged.iter().map(|(_, order)| order.1).max().unwrap_or(0)
+    }
+
+    pub fn acknowledgements(&self) -> usize {
+        self.acknowledged.len()
+    }
+
+    /// All that was acknowledged is in the state of a replica at the end.
+    pub fn held(&mut self, place: usize, changes: &[Change]) {
+        let lost: Vec<Identity> = self.acknowledged.iter().map(|(_, order)| *order).collect();
+        for order in lost {
+            if !changes.iter().any(|change| identity_of(change) == order) {
+                self.breach(format!("node {place} has lost {order:?}"));
+            }
+        }
+    }
+}
+
+fn identity_of(change: &Change) -> Identity {
+    (change.if_match, change.generation, change.digest)
+}
--- /dev/null
+++ b/crates/control/tests/simulation/mod.rs
@@ -0,0 +1,497 @@
+//! Replicas in virtual time: a network that loses, doubles and reorders, disks that stall, fill up and forget what
+//! wasn't synced, processes that die, freeze and lose their disks, and operators that watch from outside.
+
+#![allow(dead_code)]
+
+pub mod checks;
+pub mod operators;
+pub mod schedule;
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crankpick_control::{
+    EntryId, Input, MemberId, Message, Options, Order, Outcome, Output, Record, Replica, SubmitKey, Ticket,
+    Timing,
+};
+
+use checks::Checks;
+use operators::Operators;
+
+pub const TICK: Duration = Duration::from_millis(50);
+
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// How a disk does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiskMode {
+    Well,
+    /// Syncs take so long.
+    Slow(Duration),
+    /// Syncs end only once it is well again.
+    Stalled,
+    /// Writes are refused.
+    Full,
+}
+
+/// A write on its way to the disk.
+#[derive(Clone, Debug)]
+struct Flight {
+    ticket: Ticket,
+    records: Vec<Vec<u8>>,
+    refused: bool,
+}
+
+/// A machine.
+pub struct Node {
+    pub address: SocketAddr,
+    pub zone: String,
+    pub bootstrap: bool,
+    pub votes: bool,
+    pub seeds: Vec<SocketAddr>,
+    pub replica: Option<Replica>,
+    /// Synced.
+    pub disk: Vec<Vec<u8>>,
+    pub mode: DiskMode,
+    flight: Option<Flight>,
+    rewrite: Option<Vec<Vec<u8>>>,
+    booted: Duration,
+    /// Counts starts: events of an earlier one are dropped.
+    life: u64,
+    pub frozen: bool,
+    held: Vec<Event>,
+    /// Gone for good.
+    pub removed: bool,
+    /// Of its last process.
+    pub identity: Option<MemberId>,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Tick { node: usize, life: u64 },
+    Deliver { node: usize, message: Message },
+    Synced { node: usize, life: u64, ticket: Ticket },
+    Persisted { node: usize, life: u64, ticket: Ticket, refused: bool },
+    Operator(operators::Wake),
+    Fault(schedule::Fault),
+}
+
+struct Scheduled {
+    at: Duration,
+    number: u64,
+    event: Event,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Self) -> bool {
+        self.number == other.number
+    }
+}
+impl Eq for Scheduled {}
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.number).cmp(&(other.at, other.number))
+    }
+}
+
+/// How the network treats messages.
+#[derive(Clone, Copy, Debug)]
+pub struct Network {
+    pub delay: Duration,
+    pub spread: Duration,
+    /// Of a thousand.
+    pub lost: u64,
+    pub doubled: u64,
+    pub late: u64,
+}
+
+/// All of it.
+pub struct World {
+    pub now: Duration,
+    pub random: fastrand::Rng,
+    pub nodes: Vec<Node>,
+    pub network: Network,
+    pub timing: Timing,
+    pub tolerate: usize,
+    /// One-way cuts.
+    pub cuts: Vec<(usize, usize)>,
+    pub checks: Checks,
+    pub operators: Operators,
+    pub messages: u64,
+    /// The one that stays down or sick at the end.
+    pub left_out: Option<usize>,
+    /// When a disk was last lost.
+    lost_disk: Option<Duration>,
+    queue: BinaryHeap<Reverse<Scheduled>>,
+    number: u64,
+    addresses: HashMap<SocketAddr, usize>,
+}
+
+pub fn address(place: usize) -> SocketAddr {
+    SocketAddr::from(([10, 1, 0, place as u8 + 1], 7500))
+}
+
+impl World {
+    /// Three seeds and as many more that join; nothing runs yet.
+    pub fn new(seed: u64, seeds: usize, others: usize) -> World {
+        let addresses: Vec<SocketAddr> = (0..seeds).map(address).collect();
+        let mut world = World {
+            now: ms(5000),
+            random: fastrand::Rng::with_seed(seed),
+            nodes: Vec::new(),
+            network: Network { delay: ms(1), spread: ms(1), lost: 0, doubled: 0, late: 0 },
+            timing: Timing::default(),
+            tolerate: 1,
+            cuts: Vec::new(),
+            checks: Checks::default(),
+            operators: Operators::default(),
+            messages: 0,
+            left_out: None,
+            lost_disk: None,
+            queue: BinaryHeap::new(),
+            number: 0,
+            addresses: HashMap::new(),
+        };
+        for place in 0..seeds + others {
+            world.add_node(addresses.clone(), place < seeds, true);
+        }
+        world
+    }
+
+    pub fn add_node(&mut self, seeds: Vec<SocketAddr>, bootstrap: bool, votes: bool) -> usize {
+        let place = self.nodes.len();
+        self.addresses.insert(address(place), place);
+        self.nodes.push(Node {
+            address: address(place),
+            zone: format!("z{}", place % 4),
+            bootstrap,
+            votes,
+            seeds,
+            replica: None,
+            disk: Vec::new(),
+            mode: DiskMode::Well,
+            flight: None,
+            rewrite: None,
+            booted: Duration::ZERO,
+            life: 0,
+            frozen: false,
+            held: Vec::new(),
+            removed: false,
+            identity: None,
+        });
+        place
+    }
+
+    fn push(&mut self, at: Duration, event: Event) {
+        self.number += 1;
+        self.queue.push(Reverse(Scheduled { at, number: self.number, event }));
+    }
+
+    pub fn fault_at(&mut self, at: Duration, fault: schedule::Fault) {
+        self.push(at, Event::Fault(fault));
+    }
+
+    pub fn wake_operator_at(&mut self, at: Duration, wake: operators::Wake) {
+        self.push(at, Event::Operator(wake));
+    }
+
+    /// Starts a process from what its disk holds.
+    pub fn start(&mut self, place: usize) {
+        let entropy = self.random.u64(..);
+        let node = &mut self.nodes[place];
+        if node.replica.is_some() || node.removed {
+            return;
+        }
+        node.life += 1;
+        node.frozen = false;
+        node.booted = self.now.saturating_sub(ms(self.random.u64(1..2000)));
+        let options = Options {
+            address: node.address,
+            zone: node.zone.clone(),
+            seeds: node.seeds.clone(),
+            bootstrap: node.bootstrap,
+            votes: node.votes,
+            tolerate_nodes: self.tolerate,
+            entropy,
+            timing: self.timing,
+        };
+        node.bootstrap = false;
+        let records = node.disk.iter().map(|bytes| Record::decode(bytes).expect("a sound record")).collect();
+        let mut outputs = Vec::new();
+        let replica = Replica::restore(self.now - node.booted, options, records, &mut outputs);
+        node.identity = Some(replica.id());
+        node.replica = Some(replica);
+        let life = node.life;
+        self.perform(place, outputs);
+        let first = self.now + Duration::from_micros(self.random.u64(0..50_000));
+        self.push(first, Event::Tick { node: place, life });
+    }
+
+    /// The process ends. What it hadn't synced is there or not, by lot.
+    pub fn kill(&mut self, place: usize) {
+        let kept = self.random.bool();
+        let node = &mut self.nodes[place];
+        node.replica = None;
+        node.held.clear();
+        node.frozen = false;
+        if let Some(flight) = node.flight.take() {
+            if kept && !flight.refused {
+                node.disk.extend(flight.records);
+                if let Some(rewrite) = node.rewrite.take() {
+                    node.disk = rewrite;
+                }
+            }
+        }
+        node.rewrite = None;
+        self.operators.lose(place);
+    }
+
+    /// The process ends and its disk is emptied.
+    pub fn wipe(&mut self, place: usize) {
+        self.kill(place);
+        self.nodes[place].disk.clear();
+        self.nodes[place].mode = DiskMode::Well;
+    }
+
+    pub fn freeze(&mut self, place: usize) {
+        self.nodes[place].frozen = self.nodes[place].replica.is_some();
+    }
+
+    pub fn thaw(&mut self, place: usize) {
+        if !std::mem::take(&mut self.nodes[place].frozen) {
+            return;
+        }
+        for event in std::mem::take(&mut self.nodes[place].held) {
+            self.push(self.now, event);
+        }
+    }
+
+    pub fn set_disk(&mut self, place: usize, mode: DiskMode) {
+        let was = std::mem::replace(&mut self.nodes[place].mode, mode);
+        if was == DiskMode::Stalled && mode != DiskMode::Stalled {
+            let node = &self.nodes[place];
+            if let Some(flight) = &node.flight {
+                let event = Event::Synced { node: place, life: node.life, ticket: flight.ticket };
+                self.push(self.now + ms(2), event);
+            }
+        }
+    }
+
+    /// Runs until a time.
+    pub fn run_until(&mut self, end: Duration) {
+        while let Some(Reverse(next)) = self.queue.peek() {
+            if next.at > end {
+                break;
+            }
+            let Some(Reverse(next)) = self.queue.pop() else { break };
+            self.now = self.now.max(next.at);
+            self.step(next.event);
+        }
+        self.now = self.now.max(end);
+    }
+
+    fn step(&mut self, event: Event) {
+        match event {
+            Event::Operator(wake) => self.operator_wakes(wake),
+            Event::Fault(fault) => self.apply(fault),
+            Event::Synced { node, life, ticket } => self.synced(node, life, ticket),
+            Event::Tick { node, .. } | Event::Deliver { node, .. } | Event::Persisted { node, .. } => {
+                if self.nodes[node].frozen {
+                    self.nodes[node].held.push(event);
+                } else {
+                    self.process(event);
+                }
+            }
+        }
+    }
+
+    fn process(&mut self, event: Event) {
+        match event {
+            Event::Tick { node, life }
+                if life == self.nodes[node].life && self.nodes[node].replica.is_some() =>
+            {
+                self.input(node, Input::Tick);
+                let late = Duration::from_micros(self.random.u64(0..8_000));
+                self.push(self.now + TICK + late, Event::Tick { node, life });
+            }
+            Event::Deliver { node, message } => {
+                let bytes = rmp_serde::to_vec(&message).expect("encoded");
+                let message = rmp_serde::from_slice(&bytes).expect("decoded");
+                self.input(node, Input::Message(message));
+            }
+            Event::Persisted { node, life, ticket, refused } if life == self.nodes[node].life => {
+                let input = if refused { Input::DiskRefused(ticket) } else { Input::Persisted(ticket) };
+                self.input(node, input);
+            }
+            _ => {}
+        }
+    }
+
+    /// The disk is done with a write, whether or not the process can hear it.
+    fn synced(&mut self, place: usize, life: u64, ticket: Ticket) {
+        let node = &mut self.nodes[place];
+        let due = node.flight.as_ref().is_some_and(|flight| flight.ticket == ticket);
+        if life != node.life || !due || node.mode == DiskMode::Stalled {
+            return;
+        }
+        let Some(flight) = node.flight.take() else { return };
+        if !flight.refused {
+            node.disk.extend(flight.records);
+        }
+        if let Some(rewrite) = node.rewrite.take() {
+            node.disk = rewrite;
+        }
+        let event = Event::Persisted { node: place, life, ticket, refused: flight.refused };
+        self.push(self.now, event);
+    }
+
+    pub fn input(&mut self, place: usize, input: Input) {
+        let now = self.now;
+        let node = &mut self.nodes[place];
+        let Some(replica) = &mut node.replica else { return };
+        let mut outputs = Vec::new();
+        replica.handle(now.saturating_sub(node.booted), input, &mut outputs);
+        self.perform(place, outputs);
+        self.check_freshness(place);
+        self.maybe_rewrite(place);
+    }
+
+    fn maybe_rewrite(&mut self, place: usize) {
+        let rewrites = self.random.u32(0..200) == 0;
+        let node = &mut self.nodes[place];
+        let (true, Some(replica)) = (rewrites, &node.replica) else { return };
+        let snapshot = replica.snapshot_records();
+        let records: Vec<Vec<u8>> = snapshot.iter().map(|record| record.encode().expect("encoded")).collect();
+        if node.flight.is_some() {
+            node.rewrite = Some(records);
+        } else if node.mode == DiskMode::Well {
+            node.disk = records;
+        }
+    }
+
+    fn perform(&mut self, place: usize, outputs: Vec<Output>) {
+        for output in outputs {
+            match output {
+                Output::Send { to, message } => self.send(place, to, message),
+                Output::Persist { ticket, records } => self.persist(place, ticket, &records),
+                Output::Answer { key, outcome } => self.operator_answered(place, key, outcome),
+                Output::Committed(entry) => self.checks.committed(self.now, place, &entry),
+                Output::ViewChanged(view) => self.checks.view(self.now, place, &view),
+            }
+        }
+    }
+
+    fn persist(&mut self, place: usize, ticket: Ticket, records: &[Record]) {
+        let usual = Duration::from_micros(self.random.u64(800..3_000));
+        let node = &mut self.nodes[place];
+        assert!(node.flight.is_none(), "one write at a time");
+        let records = records.iter().map(|record| record.encode().expect("encoded")).collect();
+        let refused = node.mode == DiskMode::Full;
+        node.flight = Some(Flight { ticket, records, refused });
+        let takes = match node.mode {
+            DiskMode::Slow(takes) => takes,
+            _ => usual,
+        };
+        let event = Event::Synced { node: place, life: node.life, ticket };
+        self.push(self.now + takes, event);
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, message: Message) {
+        self.messages += 1;
+        let Some(to) = self.addresses.get(&to).copied() else { return };
+        if self.cuts.contains(&(from, to)) || self.random.u64(0..1000) < self.network.lost {
+            return;
+        }
+        let copies = if self.random.u64(0..1000) < self.network.doubled { 2 } else { 1 };
+        for _ in 0..copies {
+            let spread = self.random.u64(0..=self.network.spread.as_micros() as u64);
+            let mut delay = self.network.delay + Duration::from_micros(spread);
+            if self.random.u64(0..1000) < self.network.late {
+                delay += ms(self.random.u64(1..400));
+            }
+            self.push(self.now + delay, Event::Deliver { node: to, message: message.clone() });
+        }
+    }
+
+    /// Everything that must hold whenever a replica says that it is fresh.
+    fn check_freshness(&mut self, place: usize) {
+        let node = &self.nodes[place];
+        let Some(replica) = &node.replica else { return };
+        let Some(age) = replica.freshness(self.now.saturating_sub(node.booted)) else { return };
+        let generation = replica.newest_committed().map_or(0, |entry| entry.order.generation);
+        self.checks.read(self.now, self.now.saturating_sub(age), place, generation);
+    }
+
+    pub fn is_fresh(&self, place: usize) -> bool {
+        let node = &self.nodes[place];
+        let age =
+            node.replica.as_ref().and_then(|replica| replica.freshness(self.now.saturating_sub(node.booted)));
+        age.is_some_and(|age| age <= ms(600))
+    }
+
+    /// The highest view that any process is in.
+    pub fn newest_view(&self) -> crankpick_control::View {
+        let replicas = self.nodes.iter().filter_map(|node| node.replica.as_ref());
+        replicas.map(|replica| replica.view().clone()).max_by_key(|view| view.epoch).unwrap_or_default()
+    }
+
+    pub fn place_of(&self, id: MemberId) -> Option<usize> {
+        self.nodes.iter().position(|node| node.replica.as_ref().is_some_and(|replica| replica.id() == id))
+    }
+
+    /// Whether the disk of some machine still belongs to that member.
+    pub fn holds(&self, id: MemberId) -> bool {
+        self.nodes.iter().any(|node| !node.disk.is_empty() && node.identity == Some(id))
+    }
+
+    pub fn last_lost_long_ago(&self) -> bool {
+        self.lost_disk.is_none_or(|at| self.now > at + ms(4000))
+    }
+
+    pub fn note_lost(&mut self) {
+        self.lost_disk = Some(self.now);
+    }
+
+    /// A dump for the reader of a failure.
+    pub fn describe(&self) -> String {
+        let mut text = format!("at {:?}\n", self.now);
+        for (place, node) in self.nodes.iter().enumerate() {
+            let Some(replica) = &node.replica else {
+                text += &format!("  {place}: down\n");
+                continue;
+            };
+            let committed = replica.newest_committed().map(|entry| entry.id).unwrap_or(EntryId::default());
+            let chain: Vec<Option<usize>> =
+                replica.view().chain.iter().map(|id| self.place_of(*id)).collect();
+            let members: Vec<String> =
+                replica.view().members.iter().map(|member| member.address.ip().to_string()).collect();
+            text += &format!(
+                "  {place}: id {:x} epoch {} chain {chain:?} members {members:?} committed {committed:?} frozen {} disk {:?}\n",
+                replica.id().0, replica.view().epoch, node.frozen, node.mode
+            );
+        }
+        text
+    }
+}
+
+pub fn order(if_match: u64, generation: u64, salt: u64) -> Arc<Order> {
+    Arc::new(Order::new(if_match, generation, format!("{generation} on {if_match} by {salt}").into_bytes()))
+}
+
+pub fn submit(world: &mut World, place: usize, key: u64, order: Arc<Order>) {
+    world.input(place, Input::Submit { key: SubmitKey(key), order });
+}
+
+pub fn is_refusal(outcome: Outcome) -> bool {
+    matches!(outcome, Outcome::Conflict { .. } | Outcome::Invalid { .. })
+}
--- /dev/null
+++ b/crates/control/tests/simulation/schedule.rs
@@ -0,0 +1,271 @@
+//! Schedules of faults, drawn from a seed.
+
+use std::time::Duration;
+
+use crankpick_control::Input;
+
+use super::operators::Wake;
+use super::{ms, DiskMode, Network, World};
+
+/// One fault, or its end.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    Start(usize),
+    Kill(usize),
+    Wipe(usize),
+    Freeze(usize),
+    Thaw(usize),
+    Disk(usize, DiskMode),
+    Cut(Vec<(usize, usize)>),
+    Heal,
+    Network(Network),
+    KillAll,
+    StartAll,
+    /// Shuts down in order, and comes back.
+    Leave(usize),
+    /// A machine is gone for good, an empty one comes at another address.
+    Replace(usize),
+}
+
+/// How a schedule ended.
+#[derive(Debug)]
+pub struct Report {
+    pub seed: u64,
+    pub breaches: Vec<String>,
+    /// From the end of all trouble to the next order taken.
+    pub recovered: Option<Duration>,
+    pub acknowledgements: usize,
+    pub refusals: u64,
+    pub views: u64,
+    pub reads: u64,
+    pub messages: u64,
+    pub trace: String,
+}
+
+const SEEDS: usize = 3;
+const TROUBLE_ENDS: Duration = Duration::from_secs(22);
+const BOUND: Duration = Duration::from_secs(4);
+
+impl World {
+    pub fn apply(&mut self, fault: Fault) {
+        match fault {
+            Fault::Start(place) => self.start(place),
+            Fault::Kill(place) => self.kill(place),
+            Fault::Wipe(place) => self.wipe_if_borne(place),
+            Fault::Freeze(place) => self.freeze(place),
+            Fault::Thaw(place) => self.thaw(place),
+            Fault::Disk(place, mode) => self.set_disk(place, mode),
+            Fault::Cut(pairs) => self.cuts.extend(pairs),
+            Fault::Heal => self.cuts.clear(),
+            Fault::Network(network) => self.network = network,
+            Fault::KillAll => (0..self.nodes.len()).for_each(|place| self.kill(place)),
+            Fault::StartAll => (0..self.nodes.len()).for_each(|place| self.start(place)),
+            Fault::Leave(place) => {
+                if !self.nodes[place].frozen {
+                    self.input(place, Input::Leave);
+                }
+            }
+            Fault::Replace(place) => self.replace_if_borne(place),
+        }
+    }
+
+    /// One disk may be lost at a time: all others of the view are known to have theirs.
+    fn may_lose_disk(&self, place: usize) -> bool {
+        let view = self.newest_view();
+        let lost = view.members.iter().filter(|member| !self.holds(member.id));
+        let own = self.nodes[place].replica.as_ref().map(|replica| replica.id());
+        let others = lost.filter(|member| Some(member.id) != own).count();
+        view.epoch > 0 && others == 0 && self.last_lost_long_ago()
+    }
+
+    fn wipe_if_borne(&mut self, place: usize) {
+        if self.may_lose_disk(place) {
+            self.note_lost();
+            self.wipe(place);
+        }
+    }
+
+    fn replace_if_borne(&mut self, place: usize) {
+        if self.may_lose_disk(place) {
+            self.note_lost();
+            self.wipe(place);
+            self.nodes[place].removed = true;
+            let seeds = self.nodes[place].seeds.clone();
+            let new = self.add_node(seeds, false, true);
+            self.start(new);
+        }
+    }
+
+    /// Draws a schedule and starts the machines.
+    fn prepare(&mut self) -> String {
+        let machines = self.nodes.len();
+        for place in 0..machines {
+            let at = self.now + ms(self.random.u64(0..300));
+            self.fault_at(at, Fault::Start(place));
+        }
+        self.operators.interval = ms(*self.random.choice(&[150, 300, 700]).unwrap_or(&300));
+        self.operators.answers_lost = *self.random.choice(&[0, 20, 60]).unwrap_or(&0);
+        self.wake_operator_at(self.now + ms(700), Wake::New);
+        let mut trace = String::new();
+        let faults = self.random.u32(2..9);
+        for _ in 0..faults {
+            let earliest = if self.random.u32(0..8) == 0 { 100 } else { 3000 };
+            let at = self.now + ms(self.random.u64(earliest..14_000));
+            let long = ms(self.random.u64(100..5500));
+            for (at, fault) in self.draw(at, long, machines) {
+                trace += &format!("  {at:?} {fault:?}\n");
+                self.fault_at(at, fault);
+            }
+        }
+        trace
+    }
+
+    fn draw(&mut self, at: Duration, long: Duration, machines: usize) -> Vec<(Duration, Fault)> {
+        let place = self.random.usize(0..machines);
+        let end = at + long;
+        match self.random.u32(0..15) {
+            0 | 1 => vec![(at, Fault::Kill(place)), (end, Fault::Start(place))],
+            2 | 3 => vec![(at, Fault::Wipe(place)), (at + long / 3, Fault::Start(place))],
+            4 => vec![(at, Fault::Freeze(place)), (end, Fault::Thaw(place))],
+            5 => vec![(at, Fault::Disk(place, DiskMode::Stalled)), (end, Fault::Disk(place, DiskMode::Well))],
+            6 => vec![(at, Fault::Disk(place, DiskMode::Full)), (end, Fault::Disk(place, DiskMode::Well))],
+            7 => {
+                let slow = DiskMode::Slow(ms(self.random.u64(20..900)));
+                vec![(at, Fault::Disk(place, slow)), (end, Fault::Disk(place, DiskMode::Well))]
+            }
+            8..=10 => {
+                let cut = self.draw_cut(place, machines);
+                vec![(at, Fault::Cut(cut)), (end, Fault::Heal)]
+            }
+            11 => vec![(at, Fault::KillAll), (at + ms(self.random.u64(10..1500)), Fault::StartAll)],
+            12 => {
+                let bad = Network { delay: ms(5), spread: ms(60), lost: 80, doubled: 120, late: 100 };
+                let usual = self.network;
+                vec![(at, Fault::Network(bad)), (end, Fault::Network(usual))]
+            }
+            13 => vec![
+                (at, Fault::Leave(place)),
+                (at + ms(300), Fault::Kill(place)),
+                (at + ms(800), Fault::Start(place)),
+            ],
+            _ => vec![(at, Fault::Replace(place))],
+        }
+    }
+
+    fn draw_cut(&mut self, place: usize, machines: usize) -> Vec<(usize, usize)> {
+        let others: Vec<usize> = (0..machines).filter(|other| *other != place).collect();
+        let outward: Vec<(usize, usize)> = others.iter().map(|other| (place, *other)).collect();
+        let inward: Vec<(usize, usize)> = others.iter().map(|other| (*other, place)).collect();
+        let one = others[self.random.usize(0..others.len())];
+        match self.random.u32(0..5) {
+            0 => outward,
+            1 => inward,
+            2 => outward.into_iter().chain(inward).collect(),
+            3 => vec![(place, one)],
+            _ => vec![(place, one), (one, place)],
+        }
+    }
+
+    /// All trouble ends; one machine that counts may stay down or sick.
+    fn end_trouble(&mut self) {
+        self.apply(Fault::Heal);
+        self.network = Network { delay: ms(1), spread: ms(1), lost: 0, doubled: 0, late: 0 };
+        let view = self.newest_view();
+        let whole = view.epoch > 0 && view.members.iter().all(|member| self.holds(member.id));
+        let left_out = (whole && view.members.len() > 2 && self.random.bool())
+            .then(|| self.random.usize(0..self.nodes.len()));
+        for place in 0..self.nodes.len() {
+            self.apply(Fault::Thaw(place));
+            if Some(place) == left_out {
+                match self.random.u32(0..3) {
+                    0 => self.kill(place),
+                    1 => self.set_disk(place, DiskMode::Stalled),
+                    _ => self.set_disk(place, DiskMode::Full),
+                }
+            } else {
+                self.set_disk(place, DiskMode::Well);
+                self.start(place);
+            }
+        }
+        self.left_out = left_out;
+    }
+
+    /// From the end of trouble to the first order taken that was sent after it.
+    fn recover(&mut self) -> Option<Duration> {
+        let begun = self.now;
+        self.operators.interval = ms(300);
+        self.operators.answers_lost = 0;
+        let first = self.operators.calls.len();
+        while self.now < begun + BOUND {
+            self.run_until(self.now + ms(20));
+            let calls = &self.operators.calls[first..];
+            let taken = calls
+                .iter()
+                .any(|call| matches!(call.ended, Some((_, Some(crankpick_control::Outcome::Taken)))));
+            if taken {
+                return Some(self.now - begun);
+            }
+        }
+        None
+    }
+
+    /// At the end every replica that is fresh has all that was acknowledged.
+    fn check_end(&mut self) {
+        self.operators.interval = Duration::ZERO;
+        self.run_until(self.now + ms(6000));
+        let newest = self.checks.newest_acknowledged();
+        let mut fresh = 0;
+        for place in 0..self.nodes.len() {
+            if !self.is_fresh(place) {
+                let excused = Some(place) == self.left_out || self.nodes[place].removed;
+                if !excused {
+                    let text = format!("node {place} isn't fresh at the end\n{}", self.describe());
+                    self.checks.breaches.push(text);
+                }
+                continue;
+            }
+            fresh += 1;
+            let Some(replica) = &self.nodes[place].replica else { continue };
+            let known = replica.newest_committed().map_or(0, |entry| entry.order.generation);
+            if known < newest {
+                self.checks.breaches.push(format!("node {place} has {known}, {newest} was acknowledged"));
+            }
+            if !replica.in_chain() {
+                continue;
+            }
+            for record in replica.snapshot_records() {
+                if let crankpick_control::RecordBody::Snapshot(snapshot) = record.body {
+                    self.checks.held(place, &snapshot.changes);
+                }
+            }
+        }
+        if fresh == 0 {
+            self.checks.breaches.push("nobody is fresh at the end".to_string());
+        }
+    }
+}
+
+/// Runs one schedule.
+pub fn run(seed: u64) -> Report {
+    let mut world = World::new(seed, SEEDS, 1);
+    let trace = world.prepare();
+    world.run_until(ms(5000) + TROUBLE_ENDS - ms(5000));
+    world.end_trouble();
+    let recovered = world.recover();
+    if recovered.is_none() {
+        let text = format!("no order taken within {BOUND:?} after trouble\n{}", world.describe());
+        world.checks.breaches.push(text);
+    }
+    world.check_end();
+    Report {
+        seed,
+        breaches: std::mem::take(&mut world.checks.breaches),
+        recovered,
+        acknowledgements: world.checks.acknowledgements(),
+        refusals: world.checks.refusals,
+        views: world.checks.views_changed,
+        reads: world.checks.reads,
+        messages: world.messages,
+        trace,
+    }
+}
--- a/crates/storage/src/log.rs
+++ b/crates/storage/src/log.rs
@@ -129,17 +129,17 @@
     pub fn rewrite(&mut self, records: &[&[u8]]) -> Result<(), StorageError> {
         self.clean()?;
         let number = self.number + 1;
-        let (file, end) = make_file(&self.folder, number, records)?;
         let path = file_path(&self.folder, number);
-        if let Err(error) = sync_folder(&self.folder) {
-            self.stray = Some(path);
-            return Err(error);
-        }
+        let made = make_file(&self.folder, number, records).and_then(|made| {
+            sync_folder(&self.folder)?;
+            Ok(made)
+        });
+        let (file, end) = made.inspect_err(|_| self.stray = Some(path.clone()))?;
         let old = std::mem::replace(&mut self.path, path);
         self.number = number;
         self.file = file;
         self.end = end;
-        self.write = 2;
+        self.write = if records.is_empty() { 1 } else { 2 };
         // Left over, it is removed at the next start: the higher number counts.
         drop(fs::remove_file(old));
         Ok(())
