--- a/crates/control/src/chain.rs
+++ b/crates/control/src/chain.rs
@@ -35,6 +35,9 @@
     pub(crate) opened: bool,
     /// The last entry that is synced.
     stored: EntryId,
+    /// Entries of this replica's own state up to here are known to be committed. What was learned of an entry of
+    /// another replica says nothing of the entries here.
+    pub(crate) committed: u64,
     /// When an entry was last sent to the successor.
     sent: Option<Now>,
     /// When the newest committed entry was last asked for.
@@ -46,7 +49,8 @@
 impl Chain {
     /// A view begins.
     pub(crate) fn begin(&mut self, now: Now) {
-        *self = Chain { matched: self.matched, waits: self.matched.then_some(now), ..Chain::default() };
+        let waits = self.matched.then_some(now);
+        *self = Chain { matched: self.matched, committed: self.committed, waits, ..Chain::default() };
     }
 
     /// All that the disk holds is synced.
@@ -78,7 +82,7 @@
     /// The next entry, made by the head. Nothing while too many are in flight.
     pub(crate) fn append_order(&mut self, order: Arc<Order>) -> Option<EntryId> {
         let last = self.state.last();
-        if last.position >= self.committed_id().position + IN_FLIGHT {
+        if last.position >= self.chain.committed + IN_FLIGHT {
             return None;
         }
         let id = EntryId { epoch: self.view.epoch, position: last.position + 1 };
@@ -204,30 +208,28 @@
         }
     }
 
-    /// An entry is committed. It counts here once its bytes are.
+    /// An entry is committed, and all before it.
     fn note_committed(&mut self, id: EntryId) {
-        if id.position <= self.committed_id().position || !self.state.contains(id) {
+        if id.position <= self.chain.committed || !self.state.contains(id) {
             return;
         }
+        self.chain.committed = id.position;
+        let waits = self.state.last().position > id.position;
+        self.chain.waits = waits.then_some(self.now);
         if let Some(entry) = self.state.entry(id.position).cloned() {
             self.learn(entry);
         }
+        self.state.release(id.position);
+        self.answer_waiting();
     }
 
-    /// The newest committed entry.
+    /// The newest committed entry, perhaps of another replica's state.
     pub(crate) fn learn(&mut self, entry: Arc<Entry>) {
-        let id = entry.id;
-        if id.position <= self.committed_id().position {
+        if entry.id.position <= self.committed_id().position {
             return;
         }
         self.committed = Some(entry.clone());
-        if self.state.contains(id) {
-            self.state.release(id.position);
-        }
-        let waits = self.state.last().position > id.position;
-        self.chain.waits = waits.then_some(self.now);
         self.output(Output::Committed(entry));
-        self.answer_waiting();
         self.note_freshness();
     }
 
--- a/crates/control/tests/simulation/mod.rs
+++ b/crates/control/tests/simulation/mod.rs
@@ -128,6 +128,8 @@
     pub checks: Checks,
     pub operators: Operators,
     pub messages: u64,
+    /// Prints what happens.
+    pub verbose: bool,
     /// The one that stays down or sick at the end.
     pub left_out: Option<usize>,
     /// When a disk was last lost.
@@ -156,6 +158,7 @@
             checks: Checks::default(),
             operators: Operators::default(),
             messages: 0,
+            verbose: std::env::var_os("CONTROL_VERBOSE").is_some(),
             left_out: None,
             lost_disk: None,
             queue: BinaryHeap::new(),
@@ -381,6 +384,42 @@
 
     fn perform(&mut self, place: usize, outputs: Vec<Output>) {
         for output in outputs {
+            if self.verbose {
+                match &output {
+                    Output::Committed(entry) => {
+                        println!(
+                            "{:?} node {place} committed {:?} {}->{}",
+                            self.now, entry.id, entry.order.if_match, entry.order.generation
+                        )
+                    }
+                    Output::ViewChanged(view) => {
+                        let chain: Vec<Option<usize>> =
+                            view.chain.iter().map(|id| self.place_of(*id)).collect();
+                        println!(
+                            "{:?} node {place} view {} chain {chain:?} start {:?} members {}",
+                            self.now,
+                            view.epoch,
+                            view.start,
+                            view.members.len()
+                        )
+                    }
+                    Output::Send { to, message }
+                        if !matches!(
+                            message.body,
+                            crankpick_control::Body::Heartbeat(_)
+                                | crankpick_control::Body::Decide(_)
+                                | crankpick_control::Body::Join(_)
+                                | crankpick_control::Body::Hello(_)
+                        ) =>
+                    {
+                        println!("{:?} node {place} to {to} {:?}", self.now, message.body);
+                    }
+                    Output::Answer { key, outcome } => {
+                        println!("{:?} node {place} answers {key:?} {outcome:?}", self.now)
+                    }
+                    _ => {}
+                }
+            }
             match output {
                 Output::Send { to, message } => self.send(place, to, message),
                 Output::Persist { ticket, records } => self.persist(place, ticket, &records),
--- a/crates/control/tests/simulation/operators.rs
+++ b/crates/control/tests/simulation/operators.rs
@@ -71,17 +71,18 @@
 
     fn send_something(&mut self) {
         let base = self.operators.known;
+        let step = self.random.u64(1..4);
         match self.random.u32(0..100) {
-            0..=59 => self.call_new(base, base + self.random.u64(1..4)),
+            0..=59 => self.call_new(base, base + step),
             60..=79 => {
-                let generation = base + self.random.u64(1..4);
-                self.call_new(base, generation);
-                self.call_new(base, generation + self.random.u64(0..2));
+                let other = base + step + self.random.u64(0..2);
+                self.call_new(base, base + step);
+                self.call_new(base, other);
             }
             80..=86 => self.call_old(),
             87..=90 => self.call_new(base, base),
-            91..=95 => self.call_new(base.saturating_sub(self.random.u64(1..4)), base + 1),
-            _ => self.call_new(base + self.random.u64(1..4), base + 5),
+            91..=95 => self.call_new(base.saturating_sub(step), base + 1),
+            _ => self.call_new(base + step, base + 5),
         }
     }
 
