--- a/crates/configuration/src/table.rs
+++ b/crates/configuration/src/table.rs
@@ -1,9 +1,11 @@
 //! The table that serving threads look things up in: compiled once, never changed, shared.
 
-use std::borrow::Cow;
-use std::collections::HashMap;
+use std::borrow::{Borrow, Cow};
+use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
+use foldhash::{HashMap, HashMapExt, HashSet};
+
 use crate::message::{Configuration, Route};
 use crate::rule::{self, ClientLimits, RouteRule, ServiceRule, SplitShare, TenantRule};
 
@@ -22,11 +24,35 @@
 /// The routes of one host.
 #[derive(Debug, Default)]
 struct HostRoutes {
-    by_prefix: HashMap<Box<str>, Arc<RouteRule>>,
+    by_prefix: HashSet<ByPrefix>,
     longest: usize,
     most_slashes: usize,
 }
 
+/// A route as its prefix, so that it is found by that without a copy of it.
+#[derive(Debug)]
+struct ByPrefix(Arc<RouteRule>);
+
+impl Borrow<str> for ByPrefix {
+    fn borrow(&self) -> &str {
+        &self.0.prefix
+    }
+}
+
+impl Hash for ByPrefix {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.0.prefix.hash(state);
+    }
+}
+
+impl PartialEq for ByPrefix {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.prefix == other.0.prefix
+    }
+}
+
+impl Eq for ByPrefix {}
+
 impl RoutingTable {
     /// Compiles a configuration that was read by [`crate::read`]. Of an unsound one, what can't be is left out.
     pub fn compile(configuration: &Configuration) -> RoutingTable {
@@ -126,8 +152,11 @@
 }
 
 fn compile_services(configuration: &Configuration) -> HashMap<String, Arc<ServiceRule>> {
-    let compiled = |service| Arc::new(ServiceRule::compile(service));
-    configuration.services.iter().map(|service| (service.name.clone(), compiled(service))).collect()
+    let mut services = HashMap::with_capacity(configuration.services.len());
+    for service in &configuration.services {
+        services.insert(service.name.clone(), Arc::new(ServiceRule::compile(service)));
+    }
+    services
 }
 
 impl HostRoutes {
@@ -135,23 +164,22 @@
         let slashes = route.prefix.bytes().filter(|byte| *byte == b'/').count();
         self.longest = self.longest.max(route.prefix.len());
         self.most_slashes = self.most_slashes.max(slashes);
-        self.by_prefix.insert(route.prefix.clone(), route);
+        self.by_prefix.replace(ByPrefix(route));
     }
 
     /// Prefixes end with a slash, so only the path's beginnings up to a slash can be one: a look-up for each, from the
     /// shortest, and no more of them than the deepest prefix has slashes.
     fn longest_prefix(&self, path: &str) -> Option<&Arc<RouteRule>> {
-        let path = path.split_once('?').map_or(path, |(path, _)| path);
-        let reach = path.as_bytes().iter().take(self.longest);
-        let ends = reach.enumerate().filter(|(_, byte)| **byte == b'/').map(|(place, _)| place + 1);
+        let reach = path.bytes().take(self.longest).take_while(|byte| *byte != b'?');
+        let ends = reach.enumerate().filter(|(_, byte)| *byte == b'/').map(|(place, _)| place + 1);
         let known = ends.take(self.most_slashes).filter_map(|end| self.by_prefix.get(&path[..end]));
-        known.last()
+        known.last().map(|by_prefix| &by_prefix.0)
     }
 }
 
 /// A host as routes are compared by: in lower case, without its port, without the dot of a full name.
 pub fn normal_host(host: &str) -> Cow<'_, str> {
-    let host = without_port(host.trim());
+    let host = without_port(host.trim_ascii());
     let host = host.strip_suffix('.').unwrap_or(host);
     if host.bytes().any(|byte| byte.is_ascii_uppercase()) {
         Cow::Owned(host.to_ascii_lowercase())
@@ -162,8 +190,9 @@
 
 /// A colon begins the port, unless it stands within the brackets of an IPv6 address.
 fn without_port(host: &str) -> &str {
-    if host.starts_with('[') {
-        return host.find(']').map_or(host, |end| &host[..=end]);
-    }
-    host.split_once(':').map_or(host, |(name, _)| name)
+    let end = match host.strip_prefix('[') {
+        Some(rest) => rest.bytes().position(|byte| byte == b']').map(|place| place + 2),
+        None => host.bytes().position(|byte| byte == b':'),
+    };
+    end.map_or(host, |end| &host[..end])
 }
--- a/crates/configuration/src/validate.rs
+++ b/crates/configuration/src/validate.rs
@@ -1,7 +1,8 @@
 //! What makes a configuration unsound, apart from its number.
 
 use std::collections::hash_map::Entry;
-use std::collections::{HashMap, HashSet};
+
+use foldhash::{HashMap, HashMapExt, HashSet, HashSetExt};
 
 use crate::code::ConfigurationCode;
 use crate::message::{Configuration, Route, Service, Tenant};
