--- a/crates/quota/src/allocator.rs
+++ b/crates/quota/src/allocator.rs
@@ -7,8 +7,10 @@
 use std::time::Duration;
 
 use crate::bounds::Total;
+use crate::bucket::Bucket;
 use crate::message::{Claim, Demand, Grant, GrantSource, HolderId};
 use crate::reservation::{Part, Reservation};
+use crate::urgency::Urgency;
 use crate::{Now, LEASE};
 
 /// A holder is lent this much for each unit of its demand.
@@ -46,8 +48,8 @@
     holders: BTreeMap<HolderId, HolderState>,
     reserved: Part,
     desired: f64,
-    pool: f64,
-    rolled_at: Now,
+    pool: Bucket,
+    urgency: Urgency,
     swept_at: Now,
     number: u64,
     /// The lease that the total comes from, when it comes from a grant.
@@ -64,8 +66,8 @@
             holders: BTreeMap::new(),
             reserved: Part::default(),
             desired: 0.0,
-            pool: 0.0,
-            rolled_at: now,
+            pool: Bucket::new(now),
+            urgency: Urgency::new(now),
             swept_at: now,
             number: 0,
             lease: None,
@@ -76,7 +78,6 @@
     pub fn set_total(&mut self, now: Now, total: Total) {
         self.roll(now);
         self.total = total;
-        self.pool = self.pool.min(self.pool_depth());
     }
 
     /// Takes over from a lost owner: these holders may hold leases of it until they report or those end.
@@ -104,6 +105,7 @@
     pub fn report(&mut self, now: Now, holder: HolderId, demand: Demand) -> Grant {
         self.roll(now);
         self.sweep(now);
+        self.give_back(now, demand.returned);
         if !self.holders.contains_key(&holder) && self.holders.len() >= MAX_HOLDERS {
             return self.nothing();
         }
@@ -115,7 +117,7 @@
     /// The holders whose need was not met when they reported and can be met by now, with their grants.
     pub fn settle(&mut self, now: Now) -> Vec<(HolderId, Grant)> {
         self.roll(now);
-        if self.pool <= 0.0 {
+        if self.pool.level() <= 0.0 {
             return Vec::new();
         }
         let waiting: Vec<HolderId> = self
@@ -127,8 +129,17 @@
         waiting.into_iter().map(|holder| (holder, self.grant(now, holder, None))).collect()
     }
 
+    /// Whether to report to the allocator above at once, since holders need what is not here.
+    pub fn urgent(&mut self, now: Now) -> bool {
+        let unmet = self.unmet(now);
+        self.urgency.at_least(now, unmet);
+        unmet > 0.0 && self.urgency.urgent(now)
+    }
+
     /// What this allocator asks of the one above it.
-    pub fn demand(&self, now: Now) -> Demand {
+    pub fn demand(&mut self, now: Now) -> Demand {
+        self.roll(now);
+        self.urgency.reported(now);
         let claim = self.lease.filter(|(_, until)| *until > now).map(|(grant, until)| Claim {
             token: grant.token,
             number: grant.number,
@@ -137,11 +148,11 @@
             debt: grant.debt,
             left: until - now,
         });
-        let unmet = self.holders.values().filter(|state| now.saturating_sub(state.unmet_at) < NEED_LASTS);
         Demand {
-            rate: self.holders.values().map(|state| state.demand).sum(),
-            need: unmet.map(|state| state.unmet).sum(),
-            level: self.pool,
+            rate: self.demand_rate(),
+            need: self.unmet(now),
+            level: self.pool.level(),
+            returned: self.pool.take_overflow(),
             claim,
         }
     }
@@ -157,10 +168,18 @@
         let valid_until = sent_at + grant.valid_for;
         self.lease = Some((grant, valid_until));
         self.total = Total { rate: grant.rate, burst: grant.burst, debt: grant.debt, valid_until };
-        self.pool = (self.pool.min(self.pool_depth())) + grant.credit;
+        self.pool.pay(now, grant.credit);
+        self.urgency.credited(grant.credit);
         true
     }
 
+    /// What holders asked for just now, and did not get.
+    fn unmet(&self, now: Now) -> f64 {
+        let recent = |state: &&HolderState| now.saturating_sub(state.unmet_at) < NEED_LASTS;
+        let unmet: f64 = self.holders.values().filter(recent).map(|state| state.unmet).sum();
+        (unmet - self.pool.level().max(0.0)).max(0.0)
+    }
+
     /// Whether the total runs.
     pub fn valid(&self, now: Now) -> bool {
         self.total.valid_until > now
@@ -272,18 +291,20 @@
     fn credit(&mut self, now: Now, holder: HolderId, part: &Part) -> f64 {
         let depth = self.pool_depth();
         let count = self.holders.len().max(1) as f64;
+        let whole_only = self.source != GrantSource::OWNER;
         let Some(state) = self.holders.get_mut(&holder) else {
             return 0.0;
         };
+        let there = self.pool.level().max(0.0);
         let mut credit = 0.0;
-        if now.saturating_sub(state.unmet_at) < NEED_LASTS {
-            credit = state.unmet.min(self.pool.max(0.0));
+        if now.saturating_sub(state.unmet_at) < NEED_LASTS && (!whole_only || state.unmet <= there) {
+            credit = state.unmet.min(there);
             state.unmet -= credit;
         }
-        let above = (self.pool - credit - depth * TOP_UP_ABOVE).max(0.0);
+        let above = (there - credit - depth * TOP_UP_ABOVE).max(0.0);
         let lacking = (part.burst - state.level - credit).max(0.0);
         credit += lacking.min(above / count.sqrt());
-        self.pool -= credit;
+        self.pool.take(credit);
         state.level += credit;
         credit
     }
@@ -295,13 +316,22 @@
 
     /// What is not lent accrues in the pool.
     fn roll(&mut self, now: Now) {
-        let until = now.min(self.total.valid_until);
-        let elapsed = until.saturating_sub(self.rolled_at).as_secs_f64();
-        self.rolled_at = self.rolled_at.max(now);
-        let spare = (self.total.rate - self.reserved.rate).max(0.0);
         let depth = self.pool_depth();
-        if self.pool < depth {
-            self.pool = (self.pool + spare * elapsed).min(depth);
+        let spare = (self.total.rate - self.reserved.rate).max(0.0);
+        let ends = self.total.valid_until.min(now);
+        if self.pool.filled_at() < ends {
+            self.pool.fill(ends, spare, depth);
+        }
+        self.pool.fill(now, 0.0, depth);
+    }
+
+    /// A holder gives back what has overflowed its bucket.
+    fn give_back(&mut self, now: Now, returned: f64) {
+        if self.valid(now) {
+            let room = (self.pool_depth() - self.pool.level()).max(0.0);
+            let returned = sane(returned).min(self.total.rate * LEASE.as_secs_f64());
+            self.pool.pay(now, returned.min(room));
+            self.pool.overflowed((returned - room).max(0.0));
         }
     }
 
--- a/crates/quota/src/holder.rs
+++ b/crates/quota/src/holder.rs
@@ -3,16 +3,14 @@
 use std::time::Duration;
 
 use crate::bounds::{QuotaBounds, QuotaLimit};
+use crate::bucket::Bucket;
 use crate::demand_estimate::DemandEstimate;
 use crate::message::{Claim, Demand, Grant, GrantSource};
+use crate::urgency::Urgency;
 use crate::Now;
 
 /// The most sources whose leases run at once.
 const MAX_LEASES: usize = 4;
-/// How long a request that could not be admitted counts as a need.
-const NEED_LASTS: Duration = Duration::from_millis(300);
-/// How long a bucket stays above its depth after a credit.
-const SURPLUS_LASTS: Duration = Duration::from_secs(1);
 /// The bucket of a gateway without a lease is as deep as its floor rate over this time.
 const FLOOR_DEPTH: Duration = Duration::from_secs(4);
 
@@ -35,13 +33,9 @@
 pub struct Holder {
     leases: Vec<Lease>,
     floor_rate: f64,
-    level: f64,
-    rolled_at: Now,
-    credited_at: Now,
+    bucket: Bucket,
     estimate: DemandEstimate,
-    need: f64,
-    needed_at: Now,
-    asked: bool,
+    urgency: Urgency,
 }
 
 impl Holder {
@@ -50,13 +44,9 @@
         Self {
             leases: Vec::new(),
             floor_rate: 0.0,
-            level: 0.0,
-            rolled_at: now,
-            credited_at: now,
+            bucket: Bucket::new(now),
             estimate: DemandEstimate::default(),
-            need: 0.0,
-            needed_at: now,
-            asked: false,
+            urgency: Urgency::new(now),
         }
     }
 
@@ -69,26 +59,37 @@
     /// Takes `amount` for a request that has just come in; whether it may be admitted.
     pub fn take(&mut self, now: Now, amount: f64) -> bool {
         self.estimate.add(now, amount);
-        self.take_again(now, amount)
+        let lacking = self.try_take(now, amount);
+        if lacking > 0.0 {
+            self.urgency.add(now, lacking.min(amount));
+        }
+        lacking <= 0.0
     }
 
     /// Takes `amount` for a request that `take` has not admitted and that was held since.
     pub fn take_again(&mut self, now: Now, amount: f64) -> bool {
+        let lacking = self.try_take(now, amount);
+        if lacking > 0.0 {
+            self.urgency.at_least(now, lacking);
+        }
+        lacking <= 0.0
+    }
+
+    /// Takes `amount` if it is there; what lacks, else.
+    fn try_take(&mut self, now: Now, amount: f64) -> f64 {
         self.roll(now);
-        let allowance = self.allowance(now);
-        if self.level + allowance.debt >= amount {
-            self.level -= amount;
-            return true;
+        let lacking = amount - self.bucket.level() - self.allowance(now).debt;
+        if lacking <= 0.0 {
+            self.bucket.take(amount);
         }
-        self.note_need(now, amount - self.level);
-        false
+        lacking
     }
 
     /// When `amount` may be taken, if no credit comes before; none while nobody can say.
     pub fn wait_for(&mut self, now: Now, amount: f64) -> Option<Duration> {
         self.roll(now);
         let allowance = self.allowance(now);
-        let lacking = amount - self.level - allowance.debt;
+        let lacking = amount - self.bucket.level() - allowance.debt;
         if lacking <= 0.0 {
             return Some(Duration::ZERO);
         }
@@ -98,10 +99,9 @@
         Duration::try_from_secs_f64(lacking / allowance.rate).ok()
     }
 
-    /// Whether a report should be sent at once, since a request could not be admitted. True once for each need.
-    pub fn urgent(&mut self, now: Now) -> bool {
-        let needed = self.need > 0.0 && now.saturating_sub(self.needed_at) < NEED_LASTS;
-        needed && !std::mem::replace(&mut self.asked, true)
+    /// Whether a report should be sent at once, since a request could not be admitted.
+    pub fn urgent(&self, now: Now) -> bool {
+        self.urgency.urgent(now)
     }
 
     /// Whether anything was asked for lately, or a lease runs: whether to report.
@@ -112,10 +112,7 @@
     /// What to report to `source`.
     pub fn demand(&mut self, now: Now, source: GrantSource) -> Demand {
         self.roll(now);
-        if now.saturating_sub(self.needed_at) >= NEED_LASTS {
-            self.need = 0.0;
-        }
-        self.asked = false;
+        self.urgency.reported(now);
         let held = self.leases.iter().find(|lease| lease.grant.source == source && lease.until > now);
         let claim = held.map(|lease| Claim {
             token: lease.grant.token,
@@ -125,7 +122,13 @@
             debt: lease.grant.debt,
             left: lease.until - now,
         });
-        Demand { rate: self.estimate.rate(now), need: self.need, level: self.level, claim }
+        Demand {
+            rate: self.estimate.rate(now),
+            need: self.urgency.need(now),
+            level: self.bucket.level(),
+            returned: self.bucket.take_overflow(),
+            claim,
+        }
     }
 
     /// Takes a grant; the report that it answers was sent at `sent_at`. Whether it was taken.
@@ -146,7 +149,8 @@
             }
         }
         if until > now {
-            self.pay(now, grant.credit);
+            self.bucket.pay(now, grant.credit);
+            self.urgency.credited(grant.credit);
         }
         true
     }
@@ -156,25 +160,6 @@
         self.allowance(now).rate
     }
 
-    fn pay(&mut self, now: Now, credit: f64) {
-        if credit > 0.0 {
-            self.level += credit;
-            self.need = (self.need - credit).max(0.0);
-            self.credited_at = now;
-        }
-    }
-
-    fn note_need(&mut self, now: Now, lacking: f64) {
-        if now.saturating_sub(self.needed_at) >= NEED_LASTS {
-            self.need = 0.0;
-            self.asked = false;
-        }
-        if self.need <= 0.0 {
-            self.needed_at = now;
-        }
-        self.need = self.need.max(lacking);
-    }
-
     fn allowance(&self, now: Now) -> Allowance {
         let mut sum = Allowance::default();
         for lease in self.leases.iter().filter(|lease| lease.until > now) {
@@ -191,20 +176,16 @@
 
     /// Fills the bucket up to now, lease by lease as they end.
     fn roll(&mut self, now: Now) {
-        while self.rolled_at < now {
-            let next_end =
-                self.leases.iter().map(|lease| lease.until).filter(|until| *until > self.rolled_at).min();
-            let until = next_end.unwrap_or(now).min(now);
-            let allowance = self.allowance(self.rolled_at);
-            let elapsed = (until - self.rolled_at).as_secs_f64();
-            if self.level < allowance.depth {
-                self.level = (self.level + allowance.rate * elapsed).min(allowance.depth);
-            }
-            self.rolled_at = until;
+        while self.bucket.filled_at() < now {
+            let from = self.bucket.filled_at();
+            let ends = self.leases.iter().map(|lease| lease.until).filter(|until| *until > from);
+            let until = ends.min().unwrap_or(now).min(now);
+            let allowance = self.allowance(from);
+            self.bucket.fill(until, allowance.rate, allowance.depth);
         }
-        let surplus_over = now.saturating_sub(self.credited_at) >= SURPLUS_LASTS;
-        if surplus_over {
-            self.level = self.level.min(self.allowance(now).depth);
+        if self.leases.iter().all(|lease| lease.until <= now) {
+            self.bucket.cut(self.allowance(now).depth);
+            self.bucket.take_overflow();
         }
     }
 }
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -6,11 +6,13 @@
 
 mod allocator;
 mod bounds;
+mod bucket;
 mod demand_estimate;
 mod holder;
 mod message;
 mod reservation;
 mod retry_budget;
+mod urgency;
 
 pub use allocator::Allocator;
 pub use bounds::{QuotaBounds, QuotaLimit, Total};
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -31,6 +31,8 @@
     pub need: f64,
     /// What is in its bucket; below zero when it is in debt.
     pub level: f64,
+    /// What has overflowed its bucket since the last report: given back.
+    pub returned: f64,
     /// The newest grant of the asked source that it holds.
     pub claim: Option<Claim>,
 }
