Dispatch: types, groups, rotation, fit, kept parts, learned pace, ejection and admission

The interface gains the weights of the choice and whether a request may be repeated (trials of ejected backends).

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,34 +1,36 @@
 //! The dispatcher: the backends and services it knows, and the choice for each request.
 
 use crate::backend::Backend;
+use crate::fit::shared;
+use crate::groups::Member;
+use crate::hash::Point;
+use crate::health::Verdict;
 use crate::interface::*;
+use crate::sends::{Send, Sends};
+use crate::service::Service;
 use fastrand::Rng;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// When to come again where all places are taken.
-const RETRY_AFTER: Duration = Duration::from_millis(250);
-
-/// A send that has not ended.
-#[derive(Debug)]
-struct Send {
-    serial: u32,
-    backend: BackendKey,
-    answered: bool,
-}
-
+/// Last shared parts whose last use is remembered, and for how long at the least.
+const MOST_USED: usize = 8192;
+const USED_FOR: Duration = Duration::from_secs(10);
+/// Peers asked for their failure rate.
+const PEERS: usize = 64;
 /// Chooses a backend for each request by what this gateway sent, was told and was answered.
 #[derive(Debug)]
 pub struct Dispatcher {
-    settings: DispatcherSettings,
-    rng: Rng,
-    gateways: usize,
-    services: HashMap<Arc<str>, ServiceView>,
-    backends: Vec<Option<Backend>>,
+    pub(crate) settings: DispatcherSettings,
+    pub(crate) rng: Rng,
+    pub(crate) gateways: usize,
+    pub(crate) services: Vec<Service>,
+    service_names: HashMap<Arc<str>, u32>,
+    pub(crate) backends: Vec<Option<Backend>>,
     keys: HashMap<Arc<str>, BackendKey>,
-    sends: Vec<Option<Send>>,
-    last_serial: u32,
+    sends: Sends,
+    /// When each last shared part was last sent anywhere by this gateway.
+    used: HashMap<u64, Now>,
 }
 
 impl Dispatcher {
@@ -38,26 +40,32 @@
             settings,
             rng: Rng::with_seed(seed),
             gateways: 1,
-            services: HashMap::new(),
+            services: Vec::new(),
+            service_names: HashMap::new(),
             backends: Vec::new(),
             keys: HashMap::new(),
-            sends: Vec::new(),
-            last_serial: 0,
+            sends: Sends::default(),
+            used: HashMap::new(),
         }
     }
 
     /// Takes in a changed view of the fleet.
-    pub fn update(&mut self, _now: Now, view: &FleetView) {
+    pub fn update(&mut self, now: Now, view: &FleetView) {
         self.gateways = view.gateways.max(1);
-        self.services = view.services.iter().map(|service| (service.name.clone(), service.clone())).collect();
-        for (_, key) in self.keys.iter() {
-            if let Some(backend) = self.backends.get_mut(key.0 as usize).and_then(Option::as_mut) {
-                backend.view.state = BackendState::Gone;
+        for service in &view.services {
+            match self.service_names.get(&service.name) {
+                Some(index) => self.services[*index as usize].view = service.clone(),
+                None => {
+                    self.service_names.insert(service.name.clone(), self.services.len() as u32);
+                    self.services.push(Service::new(service.clone()));
+                }
             }
         }
-        for backend in &view.backends {
-            self.take_in(backend);
+        for backend in self.backends.iter_mut().flatten() {
+            backend.view.state = BackendState::Gone;
         }
+        view.backends.iter().for_each(|backend| self.take_in(backend));
+        (0..self.services.len()).for_each(|service| self.rebuild(now, service));
     }
 
     fn take_in(&mut self, view: &BackendView) {
@@ -67,99 +75,143 @@
             return;
         }
         self.keys.insert(view.id.clone(), BackendKey(self.backends.len() as u32));
-        self.backends.push(Some(Backend::new(view.clone(), &self.settings.zone)));
+        let settings = &self.settings;
+        self.backends.push(Some(Backend::new(view.clone(), &settings.zone, &settings.weights)));
     }
 
-    /// The backend for a request, or why there is none.
-    pub fn choose(&mut self, _now: Now, request: &DispatchRequest) -> Choice {
-        let Some(service) = self.services.get(request.service) else { return Choice::NoBackend };
-        let bound = match service.max_conns {
-            0 => u32::MAX,
-            most => (most / self.gateways as u32).max(1),
-        };
-        let mut best: Option<(BackendKey, (u32, bool))> = None;
-        let (mut ties, mut known) = (0, false);
-        for (index, backend) in self.backends.iter().enumerate() {
-            let key = BackendKey(index as u32);
-            let Some(backend) = backend.as_ref().filter(|backend| &*backend.view.service == request.service)
-            else {
-                continue;
-            };
-            if !backend.ready() || request.tried.contains(&key) {
-                continue;
-            }
-            known = true;
-            if backend.in_flight >= bound {
-                continue;
-            }
-            let rank = (backend.load() * 8 / backend.view.slots.max(1), !backend.near);
-            ties = if best.is_some_and(|(_, least)| least == rank) { ties + 1 } else { 1 };
-            let less = best.is_none_or(|(_, least)| rank < least);
-            if less || best.is_some_and(|(_, least)| rank == least) && self.rng.u32(0..ties) == 0 {
-                best = Some((key, rank));
-            }
-        }
-        let engine = service.engine.is_some();
-        match best.and_then(|(key, _)| self.backend(key).map(|backend| (key, backend))) {
-            Some((backend, at)) => Choice::Send(Target {
-                backend,
-                id: at.view.id.clone(),
-                address: at.view.address,
-                priority_header: engine.then_some(request.priority.min(9)),
-            }),
-            None if known => Choice::Full { retry_after: RETRY_AFTER },
-            None => Choice::NoBackend,
+    pub(crate) fn rebuild(&mut self, now: Now, service: usize) {
+        let mut members = self.members(service, BackendState::Ready);
+        if members.is_empty() {
+            // Those that fell silent may yet serve; where none is ready there is nothing better.
+            members = self.members(service, BackendState::Silent);
         }
+        let start = self.rng.usize(..members.len().max(1));
+        self.services[service].groups.rebuild(now, members, start);
+    }
+
+    fn members(&self, service: usize, state: BackendState) -> Vec<Member> {
+        let name = &self.services[service].view.name;
+        let of_service = |backend: &&Backend| backend.view.state == state && backend.view.service == *name;
+        let known = self.backends.iter().enumerate();
+        let known = known.filter_map(|(index, backend)| Some((index, backend.as_ref()?)));
+        known
+            .filter(|(_, backend)| of_service(backend))
+            .map(|(index, backend)| Member {
+                zone: backend.view.zone.clone(),
+                hash: backend.hash,
+                backend: BackendKey(index as u32),
+                near: backend.near,
+            })
+            .collect()
+    }
+
+    pub(crate) fn service_index(&self, name: &str) -> Option<usize> {
+        self.service_names.get(name).map(|index| *index as usize)
+    }
+
+    /// When this gateway last sent a request with this last shared part.
+    pub(crate) fn used(&self, part: u64) -> Option<Now> {
+        self.used.get(&part).copied()
+    }
+
+    pub(crate) fn backend(&self, key: BackendKey) -> Option<&Backend> {
+        self.backends.get(key.0 as usize)?.as_ref()
     }
 
     /// A request goes out to a backend.
-    pub fn begin(&mut self, _now: Now, backend: BackendKey, _request: &DispatchRequest) -> Ticket {
-        if let Some(backend) = self.backend_mut(backend) {
-            backend.in_flight += 1;
-            backend.waiting += 1;
+    pub fn begin(&mut self, now: Now, key: BackendKey, request: &DispatchRequest) -> Ticket {
+        let serial = self.sends.next_serial();
+        let index = self.service_names.get(request.service).copied().unwrap_or(u32::MAX);
+        let mut send = Send::new(serial, key, index, now);
+        if let Some(service) = self.services.get_mut(index as usize) {
+            let part = shared(request).last().map(|part| part.id);
+            let last_used = part.and_then(|part| self.used.get(&part).copied());
+            let backend = self.backends.get_mut(key.0 as usize).and_then(Option::as_mut);
+            let weights = &self.settings.weights;
+            backend.into_iter().for_each(|backend| send.leave(service, backend, request, last_used, weights));
+            part.into_iter().for_each(|part| self.use_part(now, part));
         }
-        self.last_serial = self.last_serial.wrapping_add(1);
-        let send = Send { serial: self.last_serial, backend, answered: false };
-        let index = self.sends.iter().position(Option::is_none).unwrap_or(self.sends.len());
-        if index == self.sends.len() {
-            self.sends.push(None);
+        self.sends.insert(send)
+    }
+
+    fn use_part(&mut self, now: Now, part: u64) {
+        self.used.insert(part, now);
+        if self.used.len() > MOST_USED {
+            self.used.retain(|_, used| now.saturating_sub(*used) < USED_FOR);
         }
-        self.sends[index] = Some(send);
-        Ticket { index: index as u32, serial: self.last_serial }
     }
 
     /// The head of its answer has come; for a stream, its first event.
-    pub fn first_event(&mut self, _now: Now, ticket: Ticket, load: Option<ReportedLoad>) {
-        let Some(send) = self.send_mut(ticket) else { return };
-        let (key, first) = (send.backend, !std::mem::replace(&mut send.answered, true));
-        if let Some(backend) = self.backend_mut(key) {
-            backend.waiting -= u32::from(first);
-            backend.reported = load.or(backend.reported);
+    pub fn first_event(&mut self, now: Now, ticket: Ticket, load: Option<ReportedLoad>) {
+        let Some(send) = self.sends.get_mut(ticket).filter(|send| !send.answered) else { return };
+        send.answered = true;
+        let send = send.clone();
+        let backend = self.backends.get_mut(send.backend.0 as usize).and_then(Option::as_mut);
+        let (Some(backend), Some(service)) = (backend, self.services.get_mut(send.service as usize)) else {
+            return;
+        };
+        backend.hear(now);
+        backend.settle(send.serial);
+        send.teach(now, service, backend, &self.settings.weights);
+        if let Some(load) = load {
+            backend.report(now, load, service.mean_reading_ms, service.usual_wait_ms(now));
         }
     }
 
     /// A further event of a stream has come.
-    pub fn event(&mut self, _now: Now, _ticket: Ticket, _tokens: u32) {}
-
-    /// A send has ended. A ticket ends once; what comes after is ignored.
-    pub fn end(&mut self, _now: Now, ticket: Ticket, _outcome: Outcome) {
-        let Some(place) = self.sends.get_mut(ticket.index as usize) else { return };
-        let Some(send) = place.take_if(|send| send.serial == ticket.serial) else { return };
-        if let Some(backend) = self.backend_mut(send.backend) {
-            backend.in_flight -= 1;
-            backend.waiting -= u32::from(!send.answered);
+    pub fn event(&mut self, now: Now, ticket: Ticket, _tokens: u32) {
+        let Some(key) = self.sends.get_mut(ticket).map(|send| send.backend) else { return };
+        if let Some(backend) = self.backends.get_mut(key.0 as usize).and_then(Option::as_mut) {
+            backend.hear(now);
         }
     }
 
-    fn backend(&self, key: BackendKey) -> Option<&Backend> {
-        self.backends.get(key.0 as usize)?.as_ref()
+    /// A send has ended. A ticket ends once; what comes after is ignored.
+    pub fn end(&mut self, now: Now, ticket: Ticket, outcome: Outcome) {
+        let Some(send) = self.sends.remove(ticket) else { return };
+        let peers = self.peers_failure_rate(&send);
+        let Some(backend) = self.backends.get_mut(send.backend.0 as usize).and_then(Option::as_mut) else {
+            return;
+        };
+        backend.in_flight -= 1;
+        backend.units -= send.units;
+        backend.settle(send.serial);
+        let verdict = Verdict::of(outcome, now, send.began, backend.heard());
+        match outcome {
+            Outcome::Done => backend.hear(now),
+            Outcome::Refused => backend.refused(now),
+            // What it kept is lost with it, if it is gone.
+            Outcome::NoConnection | Outcome::Misdirected => backend.kept.clear(),
+            _ => {}
+        }
+        if backend.health.judge(verdict, send.trial, peers) {
+            self.eject(now, &send);
+        }
     }
 
-    fn backend_mut(&mut self, key: BackendKey) -> Option<&mut Backend> {
-        self.backends.get_mut(key.0 as usize)?.as_mut()
+    /// The mean failure rate of the others that serve the same.
+    fn peers_failure_rate(&self, send: &Send) -> f64 {
+        let Some(service) = self.services.get(send.service as usize) else { return 0.0 };
+        let others = service.groups.whole.all.points().iter().filter(|point| point.backend != send.backend);
+        let rates = others.take(PEERS).filter_map(|point| self.backend(point.backend));
+        let (sum, count) =
+            rates.fold((0.0, 0.0), |(sum, count), of| (sum + of.health.failure_rate(), count + 1.0));
+        sum / f64::max(count, 1.0)
     }
 
-    fn send_mut(&mut self, ticket: Ticket) -> Option<&mut Send> {
-        self.sends.get_mut(ticket.index as usize)?.as_mut().filter(|send| send.serial == ticket.serial)
+    /// Ejects a backend, unless as many as half of its service rest already.
+    fn eject(&mut self, now: Now, send: &Send) {
+        let Some(service) = self.services.get(send.service as usize) else { return };
+        let points = service.groups.whole.all.points();
+        let resting = |point: &&Point| self.backend(point.backend).is_some_and(|of| of.health.ejected());
+        let resting = points.iter().filter(resting).count();
+        let bound = points.len() / 2;
+        let jitter = self.rng.f64();
+        let Some(backend) = self.backends.get_mut(send.backend.0 as usize).and_then(Option::as_mut) else {
+            return;
+        };
+        if backend.health.ejected() || resting < bound {
+            backend.health.eject(now, jitter);
+        }
     }
 }
--- a/crates/dispatch/src/interface.rs
+++ b/crates/dispatch/src/interface.rs
@@ -1,5 +1,6 @@
 //! What passes between the data plane and the dispatcher.
 
+use crate::weights::Weights;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +13,15 @@
 pub struct DispatcherSettings {
     /// The zone of this gateway.
     pub zone: String,
+    /// What the choice weighs against time.
+    pub weights: Weights,
+}
+
+impl DispatcherSettings {
+    /// The usual weights, for a gateway in this zone.
+    pub fn new(zone: impl Into<String>) -> DispatcherSettings {
+        DispatcherSettings { zone: zone.into(), weights: Weights::default() }
+    }
 }
 
 /// The fleet as this gateway knows it: a snapshot, handed over whole whenever it changed.
@@ -97,6 +107,8 @@
     pub slo: Duration,
     /// Whether the prompt's parts are to be sent where they are kept.
     pub sticky: bool,
+    /// Whether it may run more than once: such requests try out backends that failed.
+    pub repeatable: bool,
 }
 
 /// One request for which a backend is sought.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -1,8 +1,22 @@
 //! The choice of a backend for each request of a gateway. No I/O, no clock: the host hands in the time.
 
+mod admission;
 mod backend;
+mod choose;
 mod dispatcher;
+mod fit;
+mod groups;
+mod hash;
+mod health;
 mod interface;
+mod kinds;
+mod pace;
+mod prefix;
+mod rotation;
+mod sends;
+mod service;
+mod weights;
 
 pub use dispatcher::Dispatcher;
 pub use interface::*;
+pub use weights::Weights;
--- /dev/null
+++ b/crates/dispatch/src/service.rs
@@ -0,0 +1,106 @@
+//! What a dispatcher keeps of one service.
+
+use crate::groups::Groups;
+use crate::interface::{DispatchRequest, Now, ServiceView};
+use crate::kinds::{size, Bands, Kind};
+use crate::pace::{Fading, ServicePace};
+
+const USUAL_TAU_MS: f64 = 5000.0;
+const USUAL_SHARE: f64 = 0.05;
+/// What one request counts in the means.
+const MEAN_SHARE: f64 = 0.02;
+
+/// A service, its groups, and what its backends are usually like.
+#[derive(Debug)]
+pub(crate) struct Service {
+    pub view: ServiceView,
+    pub groups: Groups,
+    pub bands: Bands,
+    pub pace: ServicePace,
+    /// What answers are late by for others' sends, all backends together.
+    usual_wait_ms: Fading,
+    /// The logarithm of what answers take against what was expected.
+    usual_times: Fading,
+    /// What a request takes to be read, on the mean.
+    pub mean_reading_ms: f64,
+    /// Memory that a request takes, on the mean.
+    pub mean_tokens: f64,
+    /// Load units of a request, on the mean.
+    pub mean_value: f64,
+    /// The highest and the lowest priority seen.
+    priorities: Option<(u8, u8)>,
+}
+
+impl Service {
+    pub fn new(view: ServiceView) -> Service {
+        Service {
+            view,
+            groups: Groups::default(),
+            bands: Bands::default(),
+            pace: ServicePace::default(),
+            usual_wait_ms: Fading::new(0.0, USUAL_TAU_MS),
+            usual_times: Fading::new(0.0, USUAL_TAU_MS),
+            mean_reading_ms: 0.0,
+            mean_tokens: 0.0,
+            mean_value: 1.0,
+            priorities: None,
+        }
+    }
+
+    pub fn is_engine(&self) -> bool {
+        self.view.engine.is_some()
+    }
+
+    pub fn kind(&self, request: &DispatchRequest) -> Kind {
+        self.bands.kind(size(f64::from(request.prompt_tokens), f64::from(request.answer_tokens)))
+    }
+
+    /// Connections to one backend that this gateway may hold, as one of so many.
+    pub fn conns_bound(&self, gateways: usize) -> u32 {
+        match self.view.max_conns {
+            0 => u32::MAX,
+            most => (most / gateways.max(1) as u32).max(1),
+        }
+    }
+
+    /// Takes in a request that is sent for the first time.
+    pub fn see(&mut self, now: Now, request: &DispatchRequest, kind: Kind, reading_ms: f64) {
+        let tokens = f64::from(request.prompt_tokens) + f64::from(request.answer_tokens);
+        let size = size(f64::from(request.prompt_tokens), f64::from(request.answer_tokens));
+        self.bands.see(size);
+        // Values are of one order; what engines read differs by three.
+        self.groups.see(now, kind, if self.is_engine() { size } else { kind.value() });
+        self.mean_reading_ms += (reading_ms - self.mean_reading_ms) * MEAN_SHARE;
+        self.mean_tokens += (tokens - self.mean_tokens) * MEAN_SHARE;
+        self.mean_value += (kind.value() - self.mean_value) * MEAN_SHARE;
+        let (highest, lowest) = self.priorities.unwrap_or((request.priority, request.priority));
+        self.priorities = Some((highest.min(request.priority), lowest.max(request.priority)));
+    }
+
+    /// From 1 for the most urgent requests of this service to 0 for the least.
+    pub fn urgency(&self, priority: u8) -> f64 {
+        match self.priorities {
+            Some((highest, lowest)) if lowest > highest => {
+                let place = f64::from(lowest.saturating_sub(priority)) / f64::from(lowest - highest);
+                place.min(1.0)
+            }
+            _ => 1.0,
+        }
+    }
+
+    /// What a backend's wait fades to, unless it is told.
+    pub fn usual_wait_ms(&self, now: Now) -> f64 {
+        self.usual_wait_ms.value(now, 0.0)
+    }
+
+    /// What answers usually take against what was expected.
+    pub fn usual_times(&self, now: Now) -> f64 {
+        self.usual_times.value(now, 0.0).exp()
+    }
+
+    /// An answer was late by this, and took `times` what was expected.
+    pub fn learn(&mut self, now: Now, late_ms: f64, times: f64) {
+        self.usual_wait_ms.see(now, 0.0, late_ms.max(0.0), USUAL_SHARE);
+        self.usual_times.see(now, 0.0, times.ln(), USUAL_SHARE);
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/weights.rs
@@ -0,0 +1,43 @@
+//! What the choice weighs against time: settings with sound defaults.
+
+/// Prices and bounds of the choice, in shares of a request's worth.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Weights {
+    /// A thousand bytes that cross a zone.
+    pub crossing_per_kb: f64,
+    /// A thousand tokens of shared parts that are read again.
+    pub reread_per_k: f64,
+    /// The chance that another gateway sent a part elsewhere lately, where nothing is known.
+    pub shared_elsewhere: f64,
+    /// The chance that a key's first backend keeps a part that this gateway hasn't sent there.
+    pub kept_at_first: f64,
+    /// How much of what one answer was late by counts as its backend's wait.
+    pub late_share: f64,
+    /// How fast a backend's wait by others is forgotten, in ms.
+    pub others_tau_ms: f64,
+    /// How much of a backend's silence past what was expected counts as wait.
+    pub silence: f64,
+    /// How lateness grows with the share of the objective that the first event takes.
+    pub lateness_power: f64,
+    /// What a backend outside the type's group counts, in shares of worth.
+    pub foreign: f64,
+    /// Of the members' maxima, the load up to which a group rotates.
+    pub light: f64,
+}
+
+impl Default for Weights {
+    fn default() -> Weights {
+        Weights {
+            crossing_per_kb: 0.002,
+            reread_per_k: 0.1,
+            shared_elsewhere: 0.5,
+            kept_at_first: 0.6,
+            late_share: 0.5,
+            others_tau_ms: 500.0,
+            silence: 1.0,
+            lateness_power: 2.0,
+            foreign: 0.1,
+            light: 0.1,
+        }
+    }
+}
