--- a/crates/proxy/src/framing.rs
+++ b/crates/http/src/framing.rs
@@ -19,8 +19,9 @@
     pub whole: Option<Instant>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 enum At {
+    #[default]
     Head,
     /// So many bytes of a body or a chunk, the line's end behind a chunk included.
     Body(u64, Next),
@@ -36,7 +37,8 @@
     Size,
 }
 
-#[derive(Debug)]
+/// The requests of one connection, as far as their bytes have come.
+#[derive(Debug, Default)]
 pub struct Framing {
     at: At,
     /// Lines that are not complete, or not all there.
@@ -48,7 +50,7 @@
 
 impl Framing {
     pub fn new() -> Self {
-        Framing { at: At::Head, held: Vec::new(), line: 0, head_since: None, came: VecDeque::new() }
+        Framing::default()
     }
 
     /// Since when a head is on its way and not whole.
@@ -57,10 +59,11 @@
     }
 
     /// The next request, in the order in which hyper serves them.
-    pub fn next(&mut self) -> Option<Came> {
+    pub fn next_request(&mut self) -> Option<Came> {
         self.came.pop_front()
     }
 
+    /// Takes in what came.
     pub fn feed(&mut self, mut bytes: &[u8], now: Instant) {
         while !bytes.is_empty() {
             match &mut self.at {
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,5 @@
+//! What the proxy and the gateway share of HTTP/1.1 on sockets.
+
+pub mod fields;
+pub mod framing;
+pub mod stall;
--- a/crates/proxy/tests/unit/framing.rs
+++ b/crates/http/tests/unit/framing.rs
@@ -15,7 +15,7 @@
             framing.feed(&rest[..size], Instant::now());
             rest = &rest[size..];
         }
-        let came: Vec<_> = std::iter::from_fn(|| framing.next())
+        let came: Vec<_> = std::iter::from_fn(|| framing.next_request())
             .map(|came| (came.two_lengths, came.whole.is_some()))
             .collect();
         let sound = (false, true);
@@ -32,7 +32,10 @@
     assert_eq!(framing.head_since(), None);
     framing.feed(b"GE", at(2));
     framing.feed(b"T / HTTP/1.1\r\nA: b\r\n", at(3));
-    assert_eq!((framing.head_since(), framing.next().is_none()), (Some(at(2)), true));
+    assert_eq!((framing.head_since(), framing.next_request().is_none()), (Some(at(2)), true));
     framing.feed(b"\r\n", at(4));
-    assert_eq!((framing.head_since(), framing.next().and_then(|came| came.whole)), (None, Some(at(4))));
+    assert_eq!(
+        (framing.head_since(), framing.next_request().and_then(|came| came.whole)),
+        (None, Some(at(4)))
+    );
 }
--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use crankpick::interface::{Ended, LoadReport};
 use crankpick_carry::run::Right;
+use crankpick_http::fields::end_to_end;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::connect::{capture_connection, CaptureConnection};
 use hyper_util::client::legacy::{Client, Error as ClientError};
@@ -277,30 +278,6 @@
     Some(report)
 }
 
-/// What belongs to the connection it came on and not to the request.
-const HOP_BY_HOP: [&str; 11] = [
-    "connection",
-    "content-length",
-    "expect",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
-/// The headers that go on: a hop's own stay behind, those that it names under `Connection` as well.
-fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    let named = headers.get_all("connection").iter().filter_map(|value| value.to_str().ok());
-    let named: Vec<&str> = named.flat_map(|value| value.split(',')).map(str::trim).collect();
-    let mut kept = headers.clone();
-    HOP_BY_HOP.iter().chain(&named).for_each(|name| drop(kept.remove(*name)));
-    kept
-}
-
 /// The request as the backend gets it: method, path, query and body as the bytes that came.
 fn outgoing(
     backend: u32, fresh: Option<u64>, address: SocketAddr, head: &Parts, body: Body, wait: Duration,
--- a/crates/proxy/src/connect.rs
+++ b/crates/proxy/src/connect.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use crankpick_carry::run::Right;
+use crankpick_http::stall::Stall;
 use hyper::Uri;
 use hyper_util::client::legacy::connect::{Connected, Connection};
 use hyper_util::rt::TokioIo;
@@ -258,27 +259,6 @@
     }
 }
 
-/// Ends a connection of which the other side takes nothing for too long.
-pub struct Stall {
-    most: Duration,
-    stalled: Option<Pin<Box<Sleep>>>,
-}
-
-impl Stall {
-    pub fn new(most: Duration) -> Self {
-        Stall { most, stalled: None }
-    }
-
-    pub fn wrote<T>(&mut self, cx: &mut Context<'_>, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
-        if written.is_ready() {
-            self.stalled = None;
-            return written;
-        }
-        let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(self.most)));
-        stalled.as_mut().poll(cx).map(|()| Err(io::ErrorKind::TimedOut.into()))
-    }
-}
-
 pub struct Wire {
     stream: TcpStream,
     stall: Stall,
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -19,6 +19,8 @@
 use axum::routing::any;
 use axum::Router;
 use bytes::{Bytes, BytesMut};
+use crankpick_http::framing::Framing;
+use crankpick_http::stall::Stall;
 use http_body::{Frame, SizeHint};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -31,8 +33,6 @@
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tower_service::Service;
 
-use crate::connect::Stall;
-use crate::framing::Framing;
 use crate::lifecycle::{Lifecycle, Stand, LATE};
 use crate::query::{answer, plain, Proxy};
 use crate::share::halve;
@@ -522,7 +522,7 @@
     let _ = client.stream.set_nodelay(true);
     let told = lifecycle.clone();
     let service = service_fn(|mut request: Request<Incoming>| {
-        if let Some(came) = client.framing().next() {
+        if let Some(came) = client.framing().next_request() {
             request.extensions_mut().insert(came);
         }
         client.asked.store(true, Ordering::Relaxed);
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -8,7 +8,6 @@
 mod decide;
 mod discovery;
 mod fleet;
-mod framing;
 mod front;
 mod handover;
 mod in_flight;
--- a/crates/proxy/src/query.rs
+++ b/crates/proxy/src/query.rs
@@ -13,13 +13,13 @@
 use axum::http::{HeaderMap, HeaderValue, Method, Response, StatusCode};
 use crankpick::interface::{Ended, Repeat};
 use crankpick_carry::run::Right;
+use crankpick_http::framing::Came;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
 use crate::backends::{Backends, Heard};
 use crate::bodies::{Broken, Payload, Pool};
 use crate::decide::{Decide, Decided, NotTaken};
-use crate::framing::Came;
 use crate::in_flight::flowing;
 use crate::lifecycle::Lifecycle;
 use crate::reload::{Known, Terms};
