--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,1 +1,25 @@
 //! The data plane: clients' requests and streams to backends.
+//!
+//! [`serve`] takes clients' connections from a listener. What it goes by stands in [`Shared`], which the
+//! process's control client keeps up to date: the routing table, the backends, the number of gateways and
+//! the tenants' quotas. The choice of a backend is the dispatcher's.
+
+mod counters;
+mod fleet_view;
+mod lifecycle;
+mod listener;
+mod quotas;
+mod refusal;
+mod retries;
+mod settings;
+mod shared;
+
+pub use counters::{Cause, Count};
+pub use listener::serve;
+pub use quotas::TenantDemand;
+pub use refusal::Refusal;
+pub use settings::GatewaySettings;
+pub use shared::Shared;
+
+/// Time since the process began, by its steady clock.
+pub type Now = std::time::Duration;
--- /dev/null
+++ b/crates/gateway/src/quotas.rs
@@ -0,0 +1,116 @@
+//! The tenants' quotas as far as this gateway holds leases of them.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use crankpick_configuration::{QuotaUnit, RoutingTable, TenantRule};
+use crankpick_quota::{Demand, Grant, GrantSource, Holder, QuotaBounds, QuotaLimit};
+use tokio::sync::Notify;
+
+use crate::Now;
+
+/// What this gateway asks for, of one tenant's quota.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TenantDemand {
+    /// The tenant's name.
+    pub tenant: String,
+    /// What it asks for.
+    pub demand: Demand,
+}
+
+/// Holds one lease a tenant.
+pub(crate) struct Quotas {
+    bounds: QuotaBounds,
+    holders: Mutex<BTreeMap<String, Holder>>,
+    /// Told when a request could not be admitted: a report should go out at once.
+    wanted: Notify,
+    /// Told when grants came.
+    granted: Notify,
+}
+
+impl Quotas {
+    pub fn new(bounds: QuotaBounds) -> Self {
+        Quotas { bounds, holders: Mutex::default(), wanted: Notify::new(), granted: Notify::new() }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Holder>> {
+        self.holders.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Goes by these tenants: what is without a limit, or gone, holds nothing.
+    pub fn publish(&self, now: Now, routing: &RoutingTable, gateways: usize) {
+        let gateways = u32::try_from(gateways).unwrap_or(u32::MAX);
+        let limited: BTreeMap<&str, &Arc<TenantRule>> = routing
+            .tenants()
+            .filter(|tenant| tenant.is_limited())
+            .map(|tenant| (tenant.name.as_str(), tenant))
+            .collect();
+        let mut holders = self.lock();
+        holders.retain(|name, _| limited.contains_key(name.as_str()));
+        for (name, tenant) in limited {
+            let limit = QuotaLimit { rate: tenant.rate_per_s, burst: tenant.burst };
+            let holder = holders.entry(name.to_owned()).or_insert_with(|| Holder::new(now));
+            holder.set_floor(now, &self.bounds, limit, gateways);
+        }
+    }
+
+    /// Takes a request's share, `again` where it was held for want of it; how long to wait where it isn't there.
+    pub fn take(
+        &self, now: Now, tenant: &TenantRule, amount: f64, again: bool,
+    ) -> Result<(), Option<Duration>> {
+        let mut holders = self.lock();
+        let Some(holder) = holders.get_mut(&tenant.name).filter(|_| tenant.is_limited()) else {
+            return Ok(());
+        };
+        let taken = if again { holder.take_again(now, amount) } else { holder.take(now, amount) };
+        if taken {
+            return Ok(());
+        }
+        let wait = holder.wait_for(now, amount);
+        if holder.urgent(now) {
+            self.wanted.notify_one();
+        }
+        Err(wait)
+    }
+
+    /// Comes when grants have come.
+    pub async fn granted(&self) {
+        self.granted.notified().await;
+    }
+
+    /// Comes when a report should go out at once.
+    pub async fn wanted(&self) {
+        self.wanted.notified().await;
+    }
+
+    pub fn urgent(&self, now: Now) -> bool {
+        self.lock().values().any(|holder| holder.urgent(now))
+    }
+
+    pub fn demands(&self, now: Now, source: GrantSource) -> Vec<TenantDemand> {
+        let mut holders = self.lock();
+        let active = holders.iter_mut().filter_map(|(tenant, holder)| {
+            let active = holder.active(now);
+            active.then(|| TenantDemand { tenant: tenant.clone(), demand: holder.demand(now, source) })
+        });
+        active.collect()
+    }
+
+    pub fn renewed(&self, now: Now, sent_at: Now, tenant: &str, grant: Grant) -> bool {
+        let mut holders = self.lock();
+        let taken = holders.get_mut(tenant).is_some_and(|holder| holder.renewed(now, sent_at, grant));
+        if taken {
+            self.granted.notify_waiters();
+        }
+        taken
+    }
+}
+
+/// What a request counts against its tenant's quota.
+pub(crate) fn amount(tenant: &TenantRule, tokens: Option<u32>) -> f64 {
+    match tenant.unit {
+        QuotaUnit::Requests => 1.0,
+        QuotaUnit::Tokens => f64::from(tokens.unwrap_or(tenant.plain_tokens)),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,55 @@
+//! What a gateway is told once, at its start.
+
+use std::time::Duration;
+
+use crankpick_quota::{QuotaBounds, RetryBudgetSettings};
+use tokio::time::Instant;
+
+/// Descriptors kept for all but clients and backends: files, the control plane, the listeners.
+const OTHER_DESCRIPTORS: usize = 400;
+/// The part of the other descriptors that clients may have.
+const FRONT_PART: f64 = 0.7;
+/// The part of the memory that bodies may take.
+const BODY_PART: u64 = 5;
+
+/// What a gateway is told once, at its start.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// The machine's zone.
+    pub zone: String,
+    /// How many repeats a service may see.
+    pub retry: RetryBudgetSettings,
+    /// How strictly tenants' quotas are judged.
+    pub quota: QuotaBounds,
+    /// From the signal to end to the kill.
+    pub grace: Duration,
+    /// Clients' connections open at once.
+    pub front_connections: usize,
+    /// Connections to backends open at once.
+    pub backend_connections: usize,
+    /// Bytes of bodies held at once, those of small ones aside.
+    pub body_memory: u64,
+    /// Draws ties and shares.
+    pub seed: u64,
+    /// When the process began: all times are counted from here.
+    pub start: Instant,
+}
+
+impl GatewaySettings {
+    /// The usual settings of a gateway in a zone; budgets as the machine's limits allow.
+    pub fn new(zone: impl Into<String>, max_fds: u64, memory_bytes: u64) -> Self {
+        let spare = usize::try_from(max_fds).unwrap_or(usize::MAX).saturating_sub(OTHER_DESCRIPTORS).max(20);
+        let front_connections = (spare as f64 * FRONT_PART) as usize;
+        GatewaySettings {
+            zone: zone.into(),
+            retry: RetryBudgetSettings { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) },
+            quota: QuotaBounds { window: Duration::from_secs(8), over: 0.1, slack: 0.0 },
+            grace: Duration::from_secs(8),
+            front_connections,
+            backend_connections: spare - front_connections,
+            body_memory: memory_bytes / BODY_PART,
+            seed: fastrand::u64(..),
+            start: Instant::now(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/shared.rs
@@ -0,0 +1,186 @@
+//! What all requests of a gateway go by, kept up to date by the process's control client.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use crankpick_configuration::{ClientLimits, RoutingTable};
+use crankpick_dispatch::{Dispatcher, DispatcherSettings};
+use crankpick_quota::{Grant, GrantSource};
+use crankpick_registry::BackendTable;
+
+use crate::counters::{Cause, Count, Counters};
+use crate::fleet_view::fleet_view;
+use crate::lifecycle::Lifecycle;
+use crate::quotas::{Quotas, TenantDemand};
+use crate::retries::Retries;
+use crate::settings::GatewaySettings;
+use crate::Now;
+
+/// The snapshots in force.
+#[derive(Clone)]
+struct Snapshots {
+    routing: Option<Arc<RoutingTable>>,
+    backends: Arc<BackendTable>,
+    gateways: usize,
+}
+
+/// What all requests of a gateway go by. Each publication takes effect at once for whatever comes after.
+pub struct Shared {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) quotas: Quotas,
+    pub(crate) retries: Retries,
+    pub(crate) lifecycle: Lifecycle,
+    pub(crate) counters: Counters,
+    pub(crate) log: slog::Logger,
+    snapshots: Mutex<Snapshots>,
+    dispatcher: Mutex<Dispatcher>,
+    current: AtomicBool,
+    in_flight: AtomicUsize,
+}
+
+impl Shared {
+    /// A gateway that knows nothing yet.
+    pub fn new(settings: GatewaySettings, log: slog::Logger) -> Arc<Shared> {
+        let snapshots = Snapshots { routing: None, backends: Arc::default(), gateways: 1 };
+        let dispatcher = Dispatcher::new(DispatcherSettings::new(settings.zone.clone()), settings.seed);
+        Arc::new(Shared {
+            quotas: Quotas::new(settings.quota),
+            retries: Retries::new(settings.retry),
+            lifecycle: Lifecycle::new(settings.grace),
+            counters: Counters::default(),
+            log,
+            snapshots: Mutex::new(snapshots),
+            dispatcher: Mutex::new(dispatcher),
+            current: AtomicBool::new(true),
+            in_flight: AtomicUsize::new(0),
+            settings,
+        })
+    }
+
+    /// Time since the start that the settings name.
+    pub fn now(&self) -> Now {
+        self.settings.start.elapsed()
+    }
+
+    /// A newer configuration is in force. Requests in hand keep the one that they came under.
+    pub fn publish_routing(&self, routing: Arc<RoutingTable>) {
+        self.snapshots().routing = Some(routing);
+        self.spread();
+    }
+
+    /// The backends have changed.
+    pub fn publish_backends(&self, backends: Arc<BackendTable>) {
+        self.snapshots().backends = backends;
+        self.spread();
+    }
+
+    /// The number of gateways, this one included, has changed.
+    pub fn set_gateways(&self, gateways: usize) {
+        let changed = {
+            let mut snapshots = self.snapshots();
+            let gateways = gateways.max(1);
+            std::mem::replace(&mut snapshots.gateways, gateways) != gateways
+        };
+        if changed {
+            self.spread();
+        }
+    }
+
+    /// Whether what is known is believed to be current; if not, the gateway is not ready.
+    pub fn set_current(&self, current: bool) {
+        self.current.store(current, Ordering::Relaxed);
+    }
+
+    /// Whether clients are to come here.
+    pub fn readiness(&self) -> bool {
+        let routed = self.snapshots().routing.is_some();
+        routed && self.current.load(Ordering::Relaxed) && !self.lifecycle.ending()
+    }
+
+    /// The signal to end has come: unready at once, done at the latest when the grace is over.
+    pub fn begin_shutdown(&self) {
+        self.lifecycle.end();
+    }
+
+    /// What to ask `source` for, of each tenant's quota.
+    pub fn quota_demands(&self, source: GrantSource) -> Vec<TenantDemand> {
+        self.quotas.demands(self.now(), source)
+    }
+
+    /// Takes a grant that answers a report sent at `sent_at`; whether it was taken.
+    pub fn quota_renewed(&self, sent_at: Now, tenant: &str, grant: Grant) -> bool {
+        self.quotas.renewed(self.now(), sent_at, tenant, grant)
+    }
+
+    /// Whether a report should go out at once, since a request could not be admitted.
+    pub fn quota_urgent(&self) -> bool {
+        self.quotas.urgent(self.now())
+    }
+
+    /// Comes when a report should go out at once.
+    pub async fn quota_wanted(&self) {
+        self.quotas.wanted().await;
+    }
+
+    /// What has happened since the start, by cause.
+    pub fn counts(&self) -> Vec<Count> {
+        self.counters.read()
+    }
+
+    /// Requests in hand.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn count(&self, cause: Cause) {
+        self.counters.add(cause);
+    }
+
+    pub(crate) fn hold(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlight { shared: Arc::clone(self) }
+    }
+
+    pub(crate) fn routing(&self) -> Option<Arc<RoutingTable>> {
+        self.snapshots().routing.clone()
+    }
+
+    pub(crate) fn gateways(&self) -> usize {
+        self.snapshots().gateways
+    }
+
+    pub(crate) fn client_limits(&self) -> ClientLimits {
+        self.snapshots().routing.as_ref().map(|routing| *routing.limits()).unwrap_or_default()
+    }
+
+    /// The dispatcher; never held across an await.
+    pub(crate) fn dispatcher(&self) -> MutexGuard<'_, Dispatcher> {
+        self.dispatcher.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn snapshots(&self) -> MutexGuard<'_, Snapshots> {
+        self.snapshots.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells the planes' state machines what is in force now.
+    fn spread(&self) {
+        let snapshots = self.snapshots().clone();
+        let Some(routing) = &snapshots.routing else { return };
+        let now = self.now();
+        let view = fleet_view(routing, &snapshots.backends, snapshots.gateways);
+        self.dispatcher().update(now, &view);
+        self.quotas.publish(now, routing, snapshots.gateways);
+        self.retries.publish(routing, snapshots.gateways);
+    }
+}
+
+/// One request in hand.
+pub(crate) struct InFlight {
+    shared: Arc<Shared>,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.shared.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
