--- a/crates/control-plane/src/sessions.rs
+++ b/crates/control-plane/src/sessions.rs
@@ -68,6 +68,7 @@
         }
         let members = if self.members == standing.members { Vec::new() } else { standing.members.to_vec() };
         let update = Update {
+            home: standing.registry.process(),
             answers,
             freshness_ms: standing.freshness_ms,
             members,
--- a/crates/protocol/src/home.rs
+++ b/crates/protocol/src/home.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use crankpick_quota::{Demand, Grant};
-use crankpick_registry::{Changes, Cursor, GatewayTotal};
+use crankpick_registry::{Changes, Cursor, GatewayTotal, ProcessId};
 use serde::{Deserialize, Serialize};
 
 /// A gateway in one incarnation of its process.
@@ -79,6 +79,8 @@
 /// What a home tells a gateway: the answer to a report, or at once where something changed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Update {
+    /// This start of the home.
+    pub home: ProcessId,
     /// The report that this answers.
     pub answers: Option<u64>,
     /// How long ago the home's configuration was known to be the newest acknowledged one, in ms.
--- a/crates/system/src/gate.rs
+++ b/crates/system/src/gate.rs
@@ -2,13 +2,14 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crankpick_gateway::{GatewaySettings, Shared};
+use crankpick_quota::{QuotaBounds, RetryBudgetSettings};
 use crankpick_settings::Settings;
 use slog::{error, info, Logger};
 use tokio::net::TcpListener;
-use tokio::time::{interval, MissedTickBehavior};
+use tokio::time::{interval, Instant, MissedTickBehavior};
 
 use crate::home_link::HomeLink;
 use crate::{ready, signals};
@@ -27,7 +28,7 @@
     let ready_at = settings.listen.ready.ok_or("SYS-105: the settings lack listen.ready")?;
     let listener = TcpListener::bind(front).await.map_err(|wrong| format!("SYS-106: {front}: {wrong}"))?;
     let terminate = signals::terminated()?;
-    let shared = Shared::new(gateway_settings(settings), started, log.clone());
+    let shared = Shared::new(gateway_settings(settings, started), log.clone());
     tokio::spawn(announce_readiness(ready_at, Arc::clone(&shared), log.clone()));
     tokio::spawn(HomeLink::new(settings, started, Arc::clone(&shared), log.clone()).run());
     tokio::spawn(log_counters(Arc::clone(&shared), log.clone()));
@@ -42,13 +43,23 @@
     Ok(())
 }
 
-fn gateway_settings(settings: &Settings) -> GatewaySettings {
+fn gateway_settings(settings: &Settings, start: Instant) -> GatewaySettings {
+    let bounds = &settings.bounds;
+    let memory = settings.limits.memory_mb << 20;
     GatewaySettings {
-        zone: settings.zone.clone(),
-        regions: settings.zones.clone(),
-        bounds: settings.bounds.clone(),
-        limits: settings.limits.clone(),
-        ip: settings.ip,
+        retry: RetryBudgetSettings {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window: bounds.retry_window,
+        },
+        quota: QuotaBounds {
+            window: bounds.quota_window,
+            over: bounds.quota_over,
+            slack: bounds.quota_slack,
+        },
+        grace: bounds.grace,
+        start,
+        ..GatewaySettings::new(settings.zone.clone(), settings.limits.max_fds, memory)
     }
 }
 
@@ -63,6 +74,13 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        info!(log, "counters"; "counts" => shared.counters());
+        info!(log, "counters"; "in_flight" => shared.in_flight(), "counts" => counts(&shared));
     }
 }
+
+/// Causes and how often each came, those that never came aside.
+fn counts(shared: &Shared) -> String {
+    let counts = shared.counts().into_iter().filter(|count| count.number > 0);
+    let words: Vec<String> = counts.map(|count| format!("{}={}", count.name, count.number)).collect();
+    words.join(" ")
+}
--- a/crates/system/src/home_link.rs
+++ b/crates/system/src/home_link.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crankpick_configuration::RoutingTable;
 use crankpick_gateway::Shared;
@@ -11,13 +11,14 @@
     dial, Caller, ConfigurationMark, ConfigurationUpdate, DialOptions, FrameReader, FrameWriter, GatewayName,
     Hello, ProtocolError, Report, Update,
 };
+use crankpick_quota::GrantSource;
 use crankpick_registry::{
     GatewayCount, HomeAction, HomeAnswer, HomeCandidate, HomeChoice, HomeChoiceSettings, Now, TableBuilder,
 };
 use crankpick_settings::Settings;
 use slog::{info, warn, Logger};
 use tokio::sync::mpsc::{channel, Receiver, Sender};
-use tokio::time::{sleep_until, timeout};
+use tokio::time::{sleep_until, timeout, Instant};
 
 /// Between two reports.
 const REPORT: Duration = Duration::from_millis(250);
@@ -52,6 +53,7 @@
 pub struct HomeLink {
     started: Instant,
     shared: Arc<Shared>,
+    source: GrantSource,
     name: GatewayName,
     options: DialOptions,
     choice: HomeChoice,
@@ -82,6 +84,7 @@
         HomeLink {
             started,
             shared,
+            source: GrantSource::home(0),
             name,
             options: DialOptions { from: settings.ip, within: CONNECT, user_timeout: USER_TIMEOUT },
             choice: HomeChoice::new(started.elapsed(), choice_settings, fastrand::u64(..)),
@@ -117,8 +120,8 @@
                     Some(Event::Closed(home)) => self.closed(home),
                     None => return,
                 },
-                _ = sleep_until((self.started + wake).into()) => {}
-                _ = self.shared.quota_urgent() => self.report_all(),
+                _ = sleep_until(self.started + wake) => {}
+                _ = self.shared.quota_wanted() => self.report_all(),
             }
         }
     }
@@ -175,7 +178,7 @@
         let now = self.now();
         let Some(connection) = self.connections.get_mut(&home) else { return };
         self.last_report += 1;
-        let demands = if followed { self.shared.quota_demands(now) } else { Vec::new() };
+        let demands = if followed { demands(&self.shared, self.source) } else { Vec::new() };
         let report = Report {
             number: self.last_report,
             configuration: self.configuration,
@@ -199,7 +202,10 @@
             self.choice.answered(now, home, HomeAnswer { age });
         }
         if followed {
-            self.shared.quota_renewed(now, sent_at.unwrap_or(now), &update.grants);
+            self.source = GrantSource::home(update.home.0);
+            for granted in &update.grants {
+                self.shared.quota_renewed(sent_at.unwrap_or(now), &granted.tenant, granted.grant);
+            }
             self.apply(home, update);
         } else if let Some(connection) = self.connections.get_mut(&home) {
             connection.held.push_back(update);
@@ -219,12 +225,12 @@
         }
         if let Some(changes) = update.changes {
             if self.builder.apply(now, changes) {
-                self.shared.publish_backends(now, self.builder.table());
+                self.shared.publish_backends(self.builder.table());
             }
         }
         self.count.told(now, update.gateways);
         if let Some(count) = self.count.count() {
-            self.shared.set_gateways(now, count);
+            self.shared.set_gateways(count as usize);
         }
         if let Some(configuration) = update.configuration {
             self.held_configuration = Some(configuration).max_by_mark(self.held_configuration.take());
@@ -252,7 +258,7 @@
             Ok(configuration) => {
                 info!(self.log, "configuration in force"; "generation" => held.mark.generation);
                 let table = Arc::new(RoutingTable::compile(&configuration));
-                self.shared.publish_routing(self.now(), table);
+                self.shared.publish_routing(table);
                 self.configuration = Some(held.mark);
             }
             Err(wrong) => warn!(self.log, "a configuration can't be read"; "cause" => %wrong),
@@ -290,6 +296,11 @@
     }
 }
 
+fn demands(shared: &Shared, source: GrantSource) -> Vec<TenantDemand> {
+    let demands = shared.quota_demands(source).into_iter();
+    demands.map(|asked| TenantDemand { tenant: asked.tenant, demand: asked.demand }).collect()
+}
+
 /// The seeds as gateways reach them: all machines use the same ports.
 fn internal_addresses(settings: &Settings) -> Vec<SocketAddr> {
     let port = settings.port_range.first;
