--- a/crates/configuration/tests/routing.rs
+++ b/crates/configuration/tests/routing.rs
@@ -46,7 +46,7 @@
 
 #[test]
 fn slashes_in_the_query_are_no_path() {
-    let table = table(vec![route("root", "h", "/"), route("a", "h", "/a/")]);
+    let table = table(vec![route("root", "h", "/"), route("a", "h", "/a/"), route("q", "h", "/a?next=/")]);
     assert_eq!(found(&table, "h", "/a?next=/b/"), Some("root"));
     assert_eq!(found(&table, "h", "/a/?next=/"), Some("a"));
 }
@@ -108,6 +108,16 @@
     assert!(route.leads_to("s") && route.leads_to("t") && !route.leads_to("u"));
 }
 
+#[test]
+fn draws_at_the_boundary_of_two_halves() {
+    let mut split = route("split", "h", "/");
+    split["split"] = json!([{"service": "s", "weight": 1}, {"service": "t", "weight": 1}]);
+    let table = table(vec![split]);
+    let route = table.route("h", "/").unwrap();
+    assert_eq!(route.pick_service((1 << 31) - 1), "s");
+    assert_eq!(route.pick_service(1 << 31), "t");
+}
+
 #[test]
 fn weights_of_any_size() {
     for weights in [[1e300, 1e300], [5e-324, 5e-324], [1.0, 1.0]] {
