--- a/crates/control-plane/src/quotas.rs
+++ b/crates/control-plane/src/quotas.rs
@@ -107,7 +107,7 @@
     /// What this home asks of the owners of the tenants that its gateways use.
     pub fn demands(&mut self, now: Now) -> Vec<DemandsToSend> {
         let mut by_owner: BTreeMap<SocketAddr, Vec<TenantDemand>> = BTreeMap::new();
-        for (tenant, lent) in &self.lent {
+        for (tenant, lent) in &mut self.lent {
             let Some(owner) = owner(&self.owners, tenant) else { continue };
             let demand = TenantDemand { tenant: tenant.clone(), demand: lent.demand(now) };
             by_owner.entry(owner).or_default().push(demand);
--- a/crates/system/src/home_link.rs
+++ b/crates/system/src/home_link.rs
@@ -9,7 +9,7 @@
 use crankpick_gateway::Shared;
 use crankpick_protocol::{
     dial, Caller, ConfigurationMark, ConfigurationUpdate, DialOptions, FrameReader, FrameWriter, GatewayName,
-    Hello, ProtocolError, Report, Update,
+    Hello, ProtocolError, Report, TenantDemand, Update,
 };
 use crankpick_quota::GrantSource;
 use crankpick_registry::{
