--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -29,22 +29,11 @@
     pub(crate) sent: Option<Now>,
     /// It has been healthy since.
     pub(crate) healthy: Option<Now>,
-    /// Its incarnation before this one, whose late messages don't count.
-    previous: u64,
 }
 
 impl Peer {
     fn new(sender: Sender, since: Now) -> Self {
-        Peer {
-            sender,
-            since,
-            heard: None,
-            heartbeat: None,
-            echoed: None,
-            sent: None,
-            healthy: None,
-            previous: 0,
-        }
+        Peer { sender, since, heard: None, heartbeat: None, echoed: None, sent: None, healthy: None }
     }
 
     /// Heard, and hears us.
@@ -67,26 +56,33 @@
     }
 
     /// Takes a heartbeat. False if it is an old one.
-    fn hear(&mut self, now: Now, heartbeat: Heartbeat, incarnation: u64) -> bool {
+    fn hear(&mut self, now: Now, heartbeat: Heartbeat, incarnation: u64, timing: &Timing) -> bool {
+        let echo = heartbeat.heard.filter(|echo| echo.incarnation == incarnation);
+        let echoed = echo.map(|echo| Duration::from_micros(echo.sent));
         if let Some(last) = &self.heartbeat {
             let same = last.sent.incarnation == heartbeat.sent.incarnation;
-            let late = heartbeat.sent.incarnation == self.previous;
-            if late || (same && heartbeat.sent.sent < last.sent.sent) {
+            let old = if same {
+                heartbeat.sent.sent < last.sent.sent
+            } else {
+                self.may_be_late(now, echoed, timing)
+            };
+            if old {
                 return false;
             }
-            if !same {
-                self.previous = last.sent.incarnation;
-            }
         }
         self.heard = Some(now);
-        let echo = heartbeat.heard.filter(|echo| echo.incarnation == incarnation);
-        if let Some(echo) = echo {
-            let sent = Duration::from_micros(echo.sent);
-            self.echoed = Some(self.echoed.map_or(sent, |known| known.max(sent)));
-        }
+        // The echo of this very heartbeat: what it says was so after that, and perhaps not before.
+        self.echoed = echoed;
         self.heartbeat = Some(heartbeat);
         true
     }
+
+    /// Whether a heartbeat of another incarnation may be one from before the peer's last start: it has heard nothing
+    /// newer of us than the one that is known, which still speaks.
+    fn may_be_late(&self, now: Now, echoed: Option<Now>, timing: &Timing) -> bool {
+        let speaks = self.heard.is_some_and(|at| now < at + timing.heartbeat * 2);
+        speaks && echoed <= self.echoed
+    }
 }
 
 /// An echo is older than the heartbeat that brings it, by up to an interval, and the next one may be lost.
@@ -98,6 +94,7 @@
 #[derive(Debug)]
 pub(crate) struct Peers {
     incarnation: u64,
+    timing: Timing,
     /// Nobody is suspected for what came before this.
     since: Now,
     ticked: Now,
@@ -108,7 +105,7 @@
 impl Peers {
     pub(crate) fn new(now: Now, incarnation: u64, timing: &Timing) -> Self {
         let since = now + timing.start_grace.saturating_sub(timing.suspect);
-        Peers { incarnation, since, ticked: now, voters: Vec::new(), strangers: Vec::new() }
+        Peers { incarnation, timing: *timing, since, ticked: now, voters: Vec::new(), strangers: Vec::new() }
     }
 
     /// The peers of a view, this process left out.
@@ -146,16 +143,16 @@
 
     /// Takes a heartbeat. False if it is an old one.
     pub(crate) fn hear(&mut self, now: Now, sender: Sender, heartbeat: Heartbeat) -> bool {
-        let incarnation = self.incarnation;
+        let (incarnation, timing) = (self.incarnation, self.timing);
         if let Some(peer) = self.get_mut(sender.id) {
             peer.sender = sender;
-            return peer.hear(now, heartbeat, incarnation);
+            return peer.hear(now, heartbeat, incarnation, &timing);
         }
         if self.strangers.len() >= STRANGERS {
             return false;
         }
         let mut peer = Peer::new(sender, now);
-        let heard = peer.hear(now, heartbeat, incarnation);
+        let heard = peer.hear(now, heartbeat, incarnation, &timing);
         self.strangers.push(peer);
         heard
     }
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -121,6 +121,8 @@
         replica.replay(records);
         if first {
             replica.draw_identity();
+        } else {
+            replica.discovery.identified = true;
         }
         if replica.view.epoch > 0 {
             replica.peers.enter(now, &replica.view, replica.id);
--- a/crates/control/src/restore.rs
+++ b/crates/control/src/restore.rs
@@ -15,7 +15,6 @@
             self.disk.number = self.disk.number.max(record.number);
             self.replay_one(record.body);
         }
-        self.discovery.identified = true;
     }
 
     fn replay_one(&mut self, body: RecordBody) {
