--- a/crates/control-plane/src/host.rs
+++ b/crates/control-plane/src/host.rs
@@ -394,6 +394,8 @@
         self.flood(0, renewed);
         let grants = self.parts.quotas.report(now, holder, std::mem::take(&mut report.demands));
         self.with_sessions(|sessions, standing| sessions.answer(session, &report, grants, standing));
+        let urgent = self.parts.quotas.urgent_demands(now);
+        self.ask_owners(urgent);
     }
 
     fn granted(&mut self, number: u64, grants: Vec<TenantGrant>) {
@@ -429,6 +431,8 @@
         self.ticks += 1;
         self.replica(Input::Tick);
         self.floods.tick(now);
+        let urgent = self.parts.quotas.urgent_demands(now);
+        self.ask_owners(urgent);
         if self.ticks.is_multiple_of(SLOW_TICKS) {
             self.slow_tick(self.ticks / SLOW_TICKS);
         }
@@ -449,7 +453,8 @@
         if changed {
             self.push();
         }
-        self.ask_owners();
+        let demands = self.parts.quotas.demands(now);
+        self.ask_owners(demands);
         if turn.is_multiple_of(PRESENCE) {
             self.say_present();
         }
@@ -458,9 +463,9 @@
         }
     }
 
-    fn ask_owners(&mut self) {
+    fn ask_owners(&mut self, asked: Vec<DemandsToSend>) {
         let now = self.now();
-        for DemandsToSend { to, number, epoch, demands } in self.parts.quotas.demands(now) {
+        for DemandsToSend { to, number, epoch, demands } in asked {
             let home = self.parts.process;
             if to == self.parts.address {
                 let others: Vec<ProcessId> = self.peers.processes().collect();
--- a/crates/control-plane/src/quotas.rs
+++ b/crates/control-plane/src/quotas.rs
@@ -104,10 +104,22 @@
         grants
     }
 
-    /// What this home asks of the owners of the tenants that its gateways use.
+    /// What this home asks of the owners of the tenants that its gateways use, at intervals.
     pub fn demands(&mut self, now: Now) -> Vec<DemandsToSend> {
+        self.demands_of(now, |_| true)
+    }
+
+    /// What it asks at once, since a gateway needs what is not here.
+    pub fn urgent_demands(&mut self, now: Now) -> Vec<DemandsToSend> {
+        self.demands_of(now, |lent| lent.urgent(now))
+    }
+
+    fn demands_of(&mut self, now: Now, mut asks: impl FnMut(&mut Allocator) -> bool) -> Vec<DemandsToSend> {
         let mut by_owner: BTreeMap<SocketAddr, Vec<TenantDemand>> = BTreeMap::new();
         for (tenant, lent) in &mut self.lent {
+            if !asks(lent) {
+                continue;
+            }
             let Some(owner) = owner(&self.owners, tenant) else { continue };
             let demand = TenantDemand { tenant: tenant.clone(), demand: lent.demand(now) };
             by_owner.entry(owner).or_default().push(demand);
