Control: a model check of the view change

Real replicas under stateright: three members, proposers that disagree about whom to leave out, a write, a restart, every order of messages, any of them lost.

--- a/crates/control/src/discovery.rs
+++ b/crates/control/src/discovery.rs
@@ -18,7 +18,7 @@
 const LONELY: Duration = Duration::from_secs(1);
 
 /// What this process knows of those that aren't in the view.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Discovery {
     /// This process's own identity is synced.
     pub(crate) identified: bool,
@@ -31,7 +31,7 @@
 }
 
 /// One that asks to be let in.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Joiner {
     member: Member,
     since: Now,
--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -20,7 +20,7 @@
 }
 
 /// A write that was handed to the host.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Flight {
     ticket: Ticket,
     records: Vec<Record>,
@@ -29,7 +29,7 @@
 }
 
 /// The queue to the disk.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Disk {
     /// Without a disk everything counts at once.
     volatile: bool,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -31,3 +31,7 @@
 pub use types::{
     Ballot, Change, Entry, EntryId, Member, MemberId, Now, Order, Outcome, Rank, Transfer, View,
 };
+
+#[cfg(test)]
+#[path = "../tests/unit/model.rs"]
+mod model;
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -16,7 +16,7 @@
 const WAITING: usize = 128;
 
 /// An order of this process's operator.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Submitted {
     host_key: SubmitKey,
     /// Not used by an earlier incarnation.
@@ -28,7 +28,7 @@
 }
 
 /// The orders of this process that have no answer yet.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Submits {
     next_key: u64,
     submitted: Vec<Submitted>,
@@ -41,7 +41,7 @@
 }
 
 /// An order at the head that waits until an entry is committed.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Waiting {
     from: Sender,
     forward: Forward,
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -91,7 +91,7 @@
 }
 
 /// All that this process exchanges heartbeats with.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Peers {
     incarnation: u64,
     timing: Timing,
--- a/crates/control/src/proposer.rs
+++ b/crates/control/src/proposer.rs
@@ -70,6 +70,12 @@
         self.counter = self.counter.max(ballot.counter);
     }
 
+    /// Whether the proposal with that ballot is under way.
+    #[cfg(test)]
+    pub(crate) fn is_at(&self, ballot: Ballot) -> bool {
+        self.proposal.as_ref().is_some_and(|proposal| proposal.ballot == ballot)
+    }
+
     /// The instance is over.
     pub(crate) fn abandon(&mut self) {
         self.proposal = None;
@@ -137,7 +143,7 @@
         before.filter(|id| self.peers.get(*id).is_some_and(|peer| peer.healthy.is_some())).count() as u32
     }
 
-    fn start_proposal(&mut self) {
+    pub(crate) fn start_proposal(&mut self) {
         let counter = self.proposer.counter + 1;
         let ballot = Ballot { counter, proposer: self.id, incarnation: self.incarnation };
         self.proposer.see(ballot);
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -85,7 +85,7 @@
 pub type Outputs = Vec<Output>;
 
 /// A replica, a member outside the chain, or a follower.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Replica {
     pub(crate) options: Options,
     pub(crate) now: Now,
