--- a/crates/control/src/chain.rs
+++ b/crates/control/src/chain.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 /// Entries appended and not committed.
-pub(crate) const IN_FLIGHT: u64 = 16;
+pub(crate) const IN_FLIGHT: u64 = 8;
 /// Entries sent again at a time.
 const RESENT: u64 = 4;
 /// What was sent to a successor isn't sent again for so long.
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -14,6 +14,8 @@
 const SUBMITS: usize = 32;
 /// Orders that wait at the head.
 const WAITING: usize = 128;
+/// Bytes of orders that wait, in either place.
+const WAITING_BYTES: usize = 24 << 20;
 
 /// An order of this process's operator.
 #[derive(Clone, Debug)]
@@ -51,7 +53,8 @@
 
 impl Replica {
     pub(crate) fn submit(&mut self, host_key: SubmitKey, order: Arc<Order>) {
-        if self.submits.submitted.len() >= SUBMITS {
+        let bytes: usize = self.submits.submitted.iter().map(|known| known.order.bytes.len()).sum();
+        if self.submits.submitted.len() >= SUBMITS || bytes + order.bytes.len() > WAITING_BYTES {
             return self.output(Output::Answer { key: host_key, outcome: Outcome::Unclear });
         }
         let key = self.submits.next_key;
@@ -128,7 +131,9 @@
 
     fn wait(&mut self, from: Sender, forward: Forward, position: u64) {
         let known = self.waiting.iter().any(|known| known.from == from && known.forward.key == forward.key);
-        if !known && self.waiting.len() < WAITING {
+        let bytes: usize = self.waiting.iter().map(|known| known.forward.order.bytes.len()).sum();
+        let fits = self.waiting.len() < WAITING && bytes + forward.order.bytes.len() <= WAITING_BYTES;
+        if !known && fits {
             self.waiting.push(Waiting { from, forward, position });
         }
     }
--- a/crates/control/src/plan.rs
+++ b/crates/control/src/plan.rs
@@ -91,8 +91,23 @@
         if id == self.id {
             return !self.sick() && !self.leaving;
         }
-        let timing = &self.options.timing;
-        self.peers.get(id).is_some_and(|peer| !peer.suspected(self.now, timing) && says_well(peer))
+        let Some(peer) = self.peers.get(id) else { return false };
+        let suspected = peer.suspected(self.now, &self.options.timing);
+        says_well(peer) && (!suspected || self.is_spoken_for(id))
+    }
+
+    /// One outside the chain doesn't have a replica left out that others reach: it would take its place, be left out
+    /// in turn, and so on while the two can't reach each other.
+    fn is_spoken_for(&self, id: MemberId) -> bool {
+        let others = self.view.chain.iter().copied().filter(|other| *other != id);
+        let mut current = others.filter(|other| self.is_current(*other));
+        !self.in_chain() && current.any(|other| !self.cannot_reach(other, id))
+    }
+
+    /// Whether a peer is connected and in the same view.
+    fn is_current(&self, id: MemberId) -> bool {
+        let peer = self.peers.get(id).filter(|peer| peer.connected(self.now, &self.options.timing));
+        peer.and_then(|peer| peer.heartbeat).is_some_and(|last| last.epoch == self.view.epoch)
     }
 
     /// A voter outside the chain enters if it has been healthy for long enough.
--- a/crates/control/tests/simulation/mod.rs
+++ b/crates/control/tests/simulation/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod checks;
+pub mod machine;
 pub mod operators;
 pub mod schedule;
 
@@ -14,11 +15,13 @@
 use std::time::Duration;
 
 use crankpick_control::{
-    EntryId, Input, MemberId, Message, Options, Order, Outcome, Output, Record, Replica, SubmitKey, Ticket,
-    Timing,
+    Body, EntryId, Input, MemberId, Message, Options, Order, Outcome, Output, Record, Replica, SubmitKey,
+    Ticket, Timing,
 };
 
 use checks::Checks;
+use machine::Flight;
+pub use machine::{DiskMode, Node};
 use operators::Operators;
 
 pub const TICK: Duration = Duration::from_millis(50);
@@ -27,52 +30,8 @@
     Duration::from_millis(millis)
 }
 
-/// How a disk does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum DiskMode {
-    Well,
-    /// Syncs take so long.
-    Slow(Duration),
-    /// Syncs end only once it is well again.
-    Stalled,
-    /// Writes are refused.
-    Full,
-}
-
-/// A write on its way to the disk.
-#[derive(Clone, Debug)]
-struct Flight {
-    ticket: Ticket,
-    records: Vec<Vec<u8>>,
-    refused: bool,
-}
-
-/// A machine.
-pub struct Node {
-    pub address: SocketAddr,
-    pub zone: String,
-    pub bootstrap: bool,
-    pub votes: bool,
-    pub seeds: Vec<SocketAddr>,
-    pub replica: Option<Replica>,
-    /// Synced.
-    pub disk: Vec<Vec<u8>>,
-    pub mode: DiskMode,
-    flight: Option<Flight>,
-    rewrite: Option<Vec<Vec<u8>>>,
-    booted: Duration,
-    /// Counts starts: events of an earlier one are dropped.
-    life: u64,
-    pub frozen: bool,
-    held: Vec<Event>,
-    /// Gone for good.
-    pub removed: bool,
-    /// Of its last process.
-    pub identity: Option<MemberId>,
-}
-
 #[derive(Clone, Debug)]
-enum Event {
+pub enum Event {
     Tick { node: usize, life: u64 },
     Deliver { node: usize, message: Message },
     Synced { node: usize, life: u64, ticket: Ticket },
@@ -387,42 +346,7 @@
 
     fn perform(&mut self, place: usize, outputs: Vec<Output>) {
         for output in outputs {
-            if self.verbose {
-                match &output {
-                    Output::Committed(entry) => {
-                        println!(
-                            "{:?} node {place} committed {:?} {}->{}",
-                            self.now, entry.id, entry.order.if_match, entry.order.generation
-                        )
-                    }
-                    Output::ViewChanged(view) => {
-                        let chain: Vec<Option<usize>> =
-                            view.chain.iter().map(|id| self.place_of(*id)).collect();
-                        println!(
-                            "{:?} node {place} view {} chain {chain:?} start {:?} members {}",
-                            self.now,
-                            view.epoch,
-                            view.start,
-                            view.members.len()
-                        )
-                    }
-                    Output::Send { to, message }
-                        if !matches!(
-                            message.body,
-                            crankpick_control::Body::Heartbeat(_)
-                                | crankpick_control::Body::Decide(_)
-                                | crankpick_control::Body::Join(_)
-                                | crankpick_control::Body::Hello(_)
-                        ) =>
-                    {
-                        println!("{:?} node {place} to {to} {:?}", self.now, message.body);
-                    }
-                    Output::Answer { key, outcome } => {
-                        println!("{:?} node {place} answers {key:?} {outcome:?}", self.now)
-                    }
-                    _ => {}
-                }
-            }
+            self.print(place, &output);
             match output {
                 Output::Send { to, message } => self.send(place, to, message),
                 Output::Persist { ticket, records } => self.persist(place, ticket, &records),
@@ -436,6 +360,21 @@
         }
     }
 
+    /// What a replica puts out, for the reader of a failure.
+    fn print(&self, place: usize, output: &Output) {
+        if !self.verbose {
+            return;
+        }
+        let quiet = |body: &Body| {
+            matches!(body, Body::Heartbeat(_) | Body::Decide(_) | Body::Join(_) | Body::Hello(_))
+        };
+        match output {
+            Output::Send { message, .. } if quiet(&message.body) => {}
+            Output::Persist { .. } => {}
+            output => println!("{:?} node {place}: {output:?}", self.now),
+        }
+    }
+
     fn persist(&mut self, place: usize, ticket: Ticket, records: &[Record]) {
         let usual = Duration::from_micros(self.random.u64(800..3_000));
         let node = &mut self.nodes[place];
