--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -20,6 +20,8 @@
 const COLD_SLOWNESS: f64 = 1.5;
 /// A wait by others that is more than a trace of an old one, in ms.
 const OTHERS_WAIT_MS: f64 = 20.0;
+/// How recently a backend was heard if a failed connection is no sign of its end.
+const HEARD_LATELY: Duration = Duration::from_millis(300);
 /// Between the events of a stream a backend is silent for this long at the least, in ms.
 const USUAL_GAP_MS: f64 = 120.0;
 
@@ -93,9 +95,21 @@
         self.units + self.others_running(now) * mean_value
     }
 
-    /// When a dispatcher last heard of it.
-    pub fn heard(&self) -> Now {
-        self.heard
+    /// How long it has said nothing past what a send expected, if nothing came since that began or, where
+    /// this gateway itself stood still, since it `resumed`.
+    pub fn silent(&self, now: Now, began: Now, expected_ms: f64, resumed: Now) -> Option<Duration> {
+        let expected = Duration::from_secs_f64(expected_ms / 1e3);
+        (self.heard <= began).then(|| now.saturating_sub(began.max(resumed)).saturating_sub(expected))
+    }
+
+    /// Whether something came from it a moment ago.
+    pub fn heard_lately(&self, now: Now) -> bool {
+        now.saturating_sub(self.heard) <= HEARD_LATELY && self.heard > Now::ZERO
+    }
+
+    /// This gateway stood still: what it didn't hear meanwhile was no silence.
+    pub fn resume(&mut self, now: Now) {
+        self.heard = self.heard.max(now);
     }
 
     /// How much slower than its peers it is.
@@ -124,7 +138,8 @@
         self.pending.len()
     }
 
-    /// The time until what is there before a new request has been read, `usual` being its peers'.
+    /// The time until what is there before a new request has been read, `usual` being what its peers' answers
+    /// wait for others' requests.
     pub fn wait_ms(&self, now: Now, usual: f64, weights: &Weights) -> f64 {
         let own_ms = if self.pending.is_empty() { 0.0 } else { ms(self.free_at.saturating_sub(now)) };
         let others_ms = self.others_wait_ms.value(now, usual);
--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -13,13 +13,14 @@
 /// When to come again where this gateway's connections are all in use.
 const CONNECTIONS_RETRY: Duration = Duration::from_millis(250);
 
-/// The backends that are weighed for one request.
-struct Candidates {
-    keys: Vec<BackendKey>,
-    /// Where the group's of all zones begin.
-    far: usize,
-    /// Where those outside the group begin.
-    foreign: usize,
+/// A backend that is weighed for a request.
+#[derive(Clone, Copy)]
+struct Candidate {
+    key: BackendKey,
+    /// The chance that it keeps shared parts that this gateway hasn't sent there.
+    kept: f64,
+    /// What it costs more than others, in shares of the request's worth.
+    penalty: f64,
 }
 
 /// A backend and what the request would meet there.
@@ -32,6 +33,7 @@
 impl Dispatcher {
     /// The backend for a request, or why there is none.
     pub fn choose(&mut self, now: Now, request: &DispatchRequest) -> Choice {
+        self.notice(now);
         let Some(index) = self.service_index(request.service) else { return Choice::NoBackend };
         if self.services[index].groups.due(now) {
             self.rebuild(now, index);
@@ -39,7 +41,7 @@
         let kind = self.services[index].kind(request);
         let part = shared(request).last().filter(|_| request.route.sticky).map(|part| part.id);
         let drawn = self.rng.u64(..);
-        let candidates = self.candidates(index, kind, part.unwrap_or(drawn));
+        let candidates = self.candidates(index, kind, part.unwrap_or(drawn), part.is_some());
         let light = part.is_none() && self.light(now, index, &candidates);
         let rotated = if light { self.rotated(now, index, kind, request) } else { None };
         let found = rotated.or_else(|| self.best(now, index, request, &candidates, part));
@@ -47,24 +49,36 @@
         self.answer(now, index, request, found, part)
     }
 
-    fn candidates(&self, index: usize, kind: Kind, key: u64) -> Candidates {
+    /// The type's group before all others. A key's first backends, in the own zone and of all, are the same for
+    /// all its requests whatever their types: what they share is kept there.
+    fn candidates(&self, index: usize, kind: Kind, key: u64, sticky: bool) -> Vec<Candidate> {
         let groups = &self.services[index].groups;
-        let mut keys = Vec::with_capacity(4 * CANDIDATES);
-        groups.of(kind).near.candidates(key, CANDIDATES, &mut keys);
-        let far = keys.len();
-        groups.of(kind).all.candidates(key, CANDIDATES, &mut keys);
-        let foreign = keys.len();
-        if groups.of(kind).all.len() < groups.whole.all.len() {
-            groups.whole.near.candidates(key, CANDIDATES, &mut keys);
-            groups.whole.all.candidates(key, CANDIDATES, &mut keys);
+        let (group, whole) = (groups.of(kind), &groups.whole);
+        let weights = &self.settings.weights;
+        let lists = [
+            (&group.near, 0.0, None),
+            (&group.all, 0.0, None),
+            (&whole.near, weights.foreign, Some(weights.kept_near)),
+            (&whole.all, weights.foreign, Some(weights.kept_at_first)),
+        ];
+        let mut keys = Vec::with_capacity(CANDIDATES);
+        let mut candidates = Vec::with_capacity(lists.len() * CANDIDATES);
+        for (circle, penalty, kept) in lists {
+            keys.clear();
+            circle.candidates(key, CANDIDATES, &mut keys);
+            candidates.extend(keys.iter().map(|key| Candidate { key: *key, kept: 0.0, penalty }));
+            let first = candidates.len() - keys.len();
+            if let Some((first, kept)) = candidates.get_mut(first).zip(kept.filter(|_| sticky)) {
+                (first.kept, first.penalty) = (kept, 0.0);
+            }
         }
-        Candidates { keys, far, foreign }
+        candidates
     }
 
     /// Whether the group's mean load is at most a tenth of its mean maximum.
-    fn light(&self, now: Now, index: usize, candidates: &Candidates) -> bool {
+    fn light(&self, now: Now, index: usize, candidates: &[Candidate]) -> bool {
         let value = self.services[index].mean_value;
-        let group = candidates.keys[..candidates.foreign].iter().filter_map(|key| self.backend(*key));
+        let group = candidates.iter().filter(|of| of.penalty <= 0.0).filter_map(|of| self.backend(of.key));
         let (load, max) = group.fold((0.0, 0.0), |(load, max), backend| {
             (load + backend.load_units(now, value), max + backend.max_units(now, value))
         });
@@ -89,41 +103,39 @@
         let near = turns.near.next(group.near.points(), usable);
         let key = near.or_else(|| turns.all.next(group.all.points(), usable))?;
         let fit = Fit::new(now, request, &self.services[index], &self.settings.weights, None);
-        let expected = fit.expected(self.backend(key)?, false);
+        let expected = fit.expected(self.backend(key)?, 0.0);
         self.services[index].groups.of_mut(kind).turns = turns;
         Some(Found { key, expected })
     }
 
     /// The candidate that costs least; ties are drawn. Those that fail or are full only where no other is left.
     fn best(
-        &mut self, now: Now, index: usize, request: &DispatchRequest, candidates: &Candidates,
+        &mut self, now: Now, index: usize, request: &DispatchRequest, candidates: &[Candidate],
         part: Option<u64>,
     ) -> Option<Found> {
         let bound = self.services[index].conns_bound(self.gateways);
         let last_used = part.and_then(|part| self.used(part));
         let mut rng = self.rng.fork();
         let fit = Fit::new(now, request, &self.services[index], &self.settings.weights, last_used);
-        let foreign = self.settings.weights.foreign;
         for open in [true, false] {
             let mut best: Option<Found> = None;
             let mut ties = 1;
-            for (place, key) in candidates.keys.iter().enumerate() {
-                let Some(backend) = self.usable(*key, request, bound) else { continue };
+            for candidate in candidates {
+                let Some(backend) = self.usable(candidate.key, request, bound) else { continue };
                 if open && !backend.open(now, request.route.repeatable) {
                     continue;
                 }
-                let first = part.is_some() && (place == 0 || place == candidates.far);
-                let mut expected = fit.expected(backend, first);
-                expected.cost += if place >= candidates.foreign { foreign } else { 0.0 };
+                let mut expected = fit.expected(backend, candidate.kept);
+                expected.cost += candidate.penalty;
                 let least = best.map_or(f64::INFINITY, |best| best.expected.cost);
-                let tied = expected.cost == least && best.is_some_and(|best| best.key != *key);
+                let tied = expected.cost == least && best.is_some_and(|best| best.key != candidate.key);
                 if tied {
                     ties += 1;
                 } else if expected.cost < least {
                     ties = 1;
                 }
                 if expected.cost < least || tied && rng.u32(0..ties) == 0 {
-                    best = Some(Found { key: *key, expected });
+                    best = Some(Found { key: candidate.key, expected });
                 }
             }
             if best.is_some() {
@@ -133,8 +145,8 @@
         None
     }
 
-    fn none(&self, request: &DispatchRequest, candidates: &Candidates) -> Choice {
-        if candidates.keys.iter().any(|key| self.usable(*key, request, u32::MAX).is_some()) {
+    fn none(&self, request: &DispatchRequest, candidates: &[Candidate]) -> Choice {
+        if candidates.iter().any(|of| self.usable(of.key, request, u32::MAX).is_some()) {
             Choice::Full { retry_after: CONNECTIONS_RETRY }
         } else {
             Choice::NoBackend
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -16,6 +16,8 @@
 /// Last shared parts whose last use is remembered, and for how long at the least.
 const MOST_USED: usize = 8192;
 const USED_FOR: Duration = Duration::from_secs(10);
+/// A pause in all calls after which what is out tells nothing of its backends.
+const STOOD_STILL: Duration = Duration::from_millis(1500);
 /// Peers asked for their failure rate.
 const PEERS: usize = 64;
 /// Chooses a backend for each request by what this gateway sent, was told and was answered.
@@ -31,6 +33,9 @@
     sends: Sends,
     /// When each last shared part was last sent anywhere by this gateway.
     used: HashMap<u64, Now>,
+    /// When it was last called, and when it last was after it had stood still.
+    called: Now,
+    resumed: Now,
 }
 
 impl Dispatcher {
@@ -46,6 +51,8 @@
             keys: HashMap::new(),
             sends: Sends::default(),
             used: HashMap::new(),
+            called: Now::ZERO,
+            resumed: Now::ZERO,
         }
     }
 
@@ -120,6 +127,7 @@
 
     /// A request goes out to a backend.
     pub fn begin(&mut self, now: Now, key: BackendKey, request: &DispatchRequest) -> Ticket {
+        self.notice(now);
         let serial = self.sends.next_serial();
         let index = self.service_names.get(request.service).copied().unwrap_or(u32::MAX);
         let mut send = Send::new(serial, key, index, now);
@@ -143,42 +151,49 @@
 
     /// The head of its answer has come; for a stream, its first event.
     pub fn first_event(&mut self, now: Now, ticket: Ticket, load: Option<ReportedLoad>) {
-        let Some(send) = self.sends.get_mut(ticket).filter(|send| !send.answered) else { return };
-        send.answered = true;
-        let send = send.clone();
-        let backend = self.backends.get_mut(send.backend.0 as usize).and_then(Option::as_mut);
-        let (Some(backend), Some(service)) = (backend, self.services.get_mut(send.service as usize)) else {
+        self.notice(now);
+        let Some(send) = self.sends.get_mut(ticket).filter(|send| send.answered.is_none()) else { return };
+        send.answered = Some(now);
+        let Some(backend) = self.backends.get_mut(send.backend.0 as usize).and_then(Option::as_mut) else {
             return;
         };
         backend.hear(now);
         backend.settle(send.serial);
-        send.teach(now, service, backend, &self.settings.weights);
-        if let Some(load) = load {
+        if let Some((load, service)) = load.zip(self.services.get(send.service as usize)) {
             backend.report(now, load, service.mean_reading_ms, service.usual_wait_ms(now));
         }
     }
 
     /// A further event of a stream has come.
     pub fn event(&mut self, now: Now, ticket: Ticket, _tokens: u32) {
-        let Some(key) = self.sends.get_mut(ticket).map(|send| send.backend) else { return };
-        if let Some(backend) = self.backends.get_mut(key.0 as usize).and_then(Option::as_mut) {
+        self.notice(now);
+        let Some(send) = self.sends.get_mut(ticket) else { return };
+        let backend = self.backends.get_mut(send.backend.0 as usize).and_then(Option::as_mut);
+        if let Some((backend, service)) = backend.zip(self.services.get_mut(send.service as usize)) {
             backend.hear(now);
+            send.teach(service, backend, &self.settings.weights);
         }
     }
 
     /// A send has ended. A ticket ends once; what comes after is ignored.
     pub fn end(&mut self, now: Now, ticket: Ticket, outcome: Outcome) {
-        let Some(send) = self.sends.remove(ticket) else { return };
+        self.notice(now);
+        let Some(mut send) = self.sends.remove(ticket) else { return };
         let peers = self.peers_failure_rate(&send);
-        let Some(backend) = self.backends.get_mut(send.backend.0 as usize).and_then(Option::as_mut) else {
+        let backend = self.backends.get_mut(send.backend.0 as usize).and_then(Option::as_mut);
+        let Some((backend, service)) = backend.zip(self.services.get_mut(send.service as usize)) else {
             return;
         };
         backend.in_flight -= 1;
         backend.units -= send.units;
         backend.settle(send.serial);
-        let verdict = Verdict::of(outcome, now, send.began, backend.heard());
+        let silent = backend.silent(now, send.began, send.expected_ms, self.resumed);
+        let verdict = Verdict::of(outcome, silent, backend.heard_lately(now));
         match outcome {
-            Outcome::Done => backend.hear(now),
+            Outcome::Done => {
+                backend.hear(now);
+                send.teach(service, backend, &self.settings.weights);
+            }
             Outcome::Refused => backend.refused(now),
             // What it kept is lost with it, if it is gone.
             Outcome::NoConnection | Outcome::Misdirected => backend.kept.clear(),
@@ -189,6 +204,15 @@
         }
     }
 
+    /// Whether this gateway itself stood still: nothing came of all that is out, for long.
+    pub(crate) fn notice(&mut self, now: Now) {
+        if now.saturating_sub(self.called) > STOOD_STILL && !self.sends.is_empty() {
+            self.resumed = now;
+            self.backends.iter_mut().flatten().for_each(|backend| backend.resume(now));
+        }
+        self.called = now;
+    }
+
     /// The mean failure rate of the others that serve the same.
     fn peers_failure_rate(&self, send: &Send) -> f64 {
         let Some(service) = self.services.get(send.service as usize) else { return 0.0 };
--- a/crates/dispatch/src/fit.rs
+++ b/crates/dispatch/src/fit.rs
@@ -79,15 +79,15 @@
         }
     }
 
-    /// What the request would meet; `first` where the backend is its key's first.
-    pub fn expected(&self, backend: &Backend, first: bool) -> Expected {
+    /// What the request would meet; `chance` is that that what isn't known to be kept is.
+    pub fn expected(&self, backend: &Backend, chance: f64) -> Expected {
         let slowness = backend.slowness(self.now);
         if !self.service.is_engine() {
             return self.expected_work(backend, slowness);
         }
         let kept = f64::from(backend.kept.kept_tokens(self.request.parts));
         let missing = (self.shared_tokens - kept).max(0.0);
-        let perhaps = if first { missing * self.weights.kept_at_first } else { 0.0 };
+        let perhaps = missing * chance;
         let prompt = f64::from(self.request.prompt_tokens).max(self.shared_tokens);
         let unread = (prompt - kept - perhaps).max(0.0);
         let usual_ms = self.service.usual_wait_ms(self.now);
--- a/crates/dispatch/src/hash.rs
+++ b/crates/dispatch/src/hash.rs
@@ -42,10 +42,6 @@
         Circle { points }
     }
 
-    pub fn len(&self) -> usize {
-        self.points.len()
-    }
-
     pub fn is_empty(&self) -> bool {
         self.points.is_empty()
     }
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -16,8 +16,8 @@
 const FORGIVEN: u32 = 32;
 /// How much longer it rests where only requests that must not run twice could try it.
 const ONCE_PATIENCE: Duration = Duration::from_secs(1);
-/// Of a send's life, how recently a backend was heard if a failed connection is no sign of its end.
-const HEARD_LATELY: Duration = Duration::from_millis(300);
+/// Silence past what was expected after which a send that was given up on shows that its backend is dark.
+const DARK: Duration = Duration::from_millis(300);
 /// Trials in a row that must succeed, at the most.
 const MOST_TRIALS: u32 = 3;
 
@@ -32,16 +32,17 @@
 }
 
 impl Verdict {
-    /// `heard` is when anything last came from the backend.
-    pub fn of(outcome: Outcome, now: Now, began: Now, heard: Now) -> Verdict {
-        let silent = heard <= began;
-        let lately = now.saturating_sub(heard) <= HEARD_LATELY;
+    /// `silent` is for how long nothing has come from the backend, if nothing has since the send began.
+    pub fn of(outcome: Outcome, silent: Option<Duration>, heard_lately: bool) -> Verdict {
         match outcome {
             Outcome::Done => Verdict::Good,
             Outcome::BackendError | Outcome::Reset => Verdict::Bad,
-            Outcome::TimedOut if !silent => Verdict::Bad,
-            Outcome::NoConnection if lately => Verdict::Bad,
-            Outcome::NoConnection | Outcome::TimedOut | Outcome::Misdirected => Verdict::Ruinous,
+            Outcome::NoConnection if heard_lately => Verdict::Bad,
+            Outcome::NoConnection | Outcome::Misdirected => Verdict::Ruinous,
+            Outcome::TimedOut if silent.is_none() => Verdict::Bad,
+            Outcome::TimedOut => Verdict::Ruinous,
+            // Nobody waits longer for a backend that says nothing at all.
+            Outcome::ClientGone if silent.is_some_and(|silent| silent >= DARK) => Verdict::Ruinous,
             Outcome::Refused | Outcome::ClientGone => Verdict::Nothing,
         }
     }
--- a/crates/dispatch/src/sends.rs
+++ b/crates/dispatch/src/sends.rs
@@ -27,8 +27,11 @@
     pub expected_ms: f64,
     /// Whether nothing else of this gateway's waited there.
     pub alone: bool,
-    pub answered: bool,
+    /// When its first event came, and whether that has taught anything yet.
+    pub answered: Option<Now>,
+    pub taught: bool,
     pub trial: bool,
+    pub priority: u8,
 }
 
 impl Send {
@@ -43,8 +46,10 @@
             alone_ms: 0.0,
             expected_ms: 0.0,
             alone: false,
-            answered: false,
+            answered: None,
+            taught: false,
             trial: false,
+            priority: 0,
         }
     }
 
@@ -54,13 +59,14 @@
         last_used: Option<Now>, weights: &Weights,
     ) {
         let kind = service.kind(request);
-        let expected = Fit::new(self.began, request, service, weights, last_used).expected(backend, false);
+        let expected = Fit::new(self.began, request, service, weights, last_used).expected(backend, 0.0);
         let reading_ms = service.pace.reading_ms(expected.unread);
         (self.units, self.unread) = (kind.value(), expected.unread);
         (self.alone_ms, self.expected_ms) = (expected.alone_ms, expected.first_ms);
         self.alone = backend.waiting() == 0;
         self.trial = backend.health.begin();
         backend.begin(self.began, self.serial, reading_ms, expected.first_ms);
+        self.priority = request.priority;
         backend.units += self.units;
         if let Some(engine) = service.view.engine {
             backend.kept.sent(request.parts, (engine.kv_tokens as f64 * KEPT_SHARE) as u64);
@@ -70,8 +76,10 @@
         }
     }
 
-    /// Its first event has come: what it teaches of its service's and its backend's pace.
-    pub fn teach(&self, now: Now, service: &mut Service, backend: &mut Backend, weights: &Weights) {
+    /// It was not a refusal that came: what its first event teaches of its service's and its backend's pace.
+    pub fn teach(&mut self, service: &mut Service, backend: &mut Backend, weights: &Weights) {
+        let Some(now) = self.answered.filter(|_| !self.taught) else { return };
+        self.taught = true;
         let took_ms = (now.saturating_sub(self.began).as_secs_f64() * 1e3).max(0.1);
         let times = took_ms / self.expected_ms.max(0.1);
         if !service.is_engine() {
@@ -88,7 +96,7 @@
         let against = (times / service.usual_times(now)).clamp(TIMES_BOUNDS.0, TIMES_BOUNDS.1);
         let late_ms = took_ms - self.alone_ms;
         backend.learn(now, late_ms, usual_ms, against, weights.late_share);
-        service.learn(now, late_ms, times);
+        service.learn(now, self.priority, late_ms, times);
     }
 }
 
@@ -106,6 +114,10 @@
         self.last_serial
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.places.len() == self.free.len()
+    }
+
     pub fn insert(&mut self, send: Send) -> Ticket {
         let serial = send.serial;
         let index = self.free.pop().unwrap_or(self.places.len() as u32);
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -5,6 +5,11 @@
 use crate::kinds::{size, Bands, Kind};
 use crate::pace::{Fading, ServicePace};
 
+/// Priorities told apart.
+const RANKS: usize = 10;
+/// What a priority may wait against the mean, and the wait from which that can be told, in ms.
+const RANK_BOUNDS: (f64, f64) = (0.1, 3.0);
+const RANK_LEAST_MS: f64 = 5.0;
 const USUAL_TAU_MS: f64 = 5000.0;
 const USUAL_SHARE: f64 = 0.05;
 /// What one request counts in the means.
@@ -19,6 +24,8 @@
     pub pace: ServicePace,
     /// What answers are late by for others' sends, all backends together.
     usual_wait_ms: Fading,
+    /// The same of each priority.
+    rank_wait_ms: [Fading; RANKS],
     /// The logarithm of what answers take against what was expected.
     usual_times: Fading,
     /// What a request takes to be read, on the mean.
@@ -39,6 +46,7 @@
             bands: Bands::default(),
             pace: ServicePace::default(),
             usual_wait_ms: Fading::new(0.0, USUAL_TAU_MS),
+            rank_wait_ms: [Fading::new(0.0, USUAL_TAU_MS); RANKS],
             usual_times: Fading::new(0.0, USUAL_TAU_MS),
             mean_reading_ms: 0.0,
             mean_tokens: 0.0,
@@ -98,9 +106,19 @@
         self.usual_times.value(now, 0.0).exp()
     }
 
+    /// What a request of this priority waits for others, against the mean request.
+    pub fn rank_wait(&self, now: Now, priority: u8) -> f64 {
+        let mean = self.usual_wait_ms(now) + RANK_LEAST_MS;
+        let own = self.rank_wait_ms[usize::from(priority).min(RANKS - 1)].value(now, mean) + RANK_LEAST_MS;
+        (own / mean).clamp(RANK_BOUNDS.0, RANK_BOUNDS.1)
+    }
+
     /// An answer was late by this, and took `times` what was expected.
-    pub fn learn(&mut self, now: Now, late_ms: f64, times: f64) {
+    pub fn learn(&mut self, now: Now, priority: u8, late_ms: f64, times: f64) {
+        let usual = self.usual_wait_ms(now);
         self.usual_wait_ms.see(now, 0.0, late_ms.max(0.0), USUAL_SHARE);
+        let rank = &mut self.rank_wait_ms[usize::from(priority).min(RANKS - 1)];
+        rank.see(now, usual, late_ms.max(0.0), USUAL_SHARE);
         self.usual_times.see(now, 0.0, times.ln(), USUAL_SHARE);
     }
 }
--- a/crates/dispatch/src/weights.rs
+++ b/crates/dispatch/src/weights.rs
@@ -11,6 +11,8 @@
     pub shared_elsewhere: f64,
     /// The chance that a key's first backend keeps a part that this gateway hasn't sent there.
     pub kept_at_first: f64,
+    /// The same of its first backend in this gateway's zone.
+    pub kept_near: f64,
     /// How much of what one answer was late by counts as its backend's wait.
     pub late_share: f64,
     /// How fast a backend's wait by others is forgotten, in ms.
@@ -28,15 +30,16 @@
 impl Default for Weights {
     fn default() -> Weights {
         Weights {
-            crossing_per_kb: 0.002,
+            crossing_per_kb: 0.004,
             reread_per_k: 0.1,
             shared_elsewhere: 0.5,
-            kept_at_first: 0.6,
+            kept_at_first: 0.8,
+            kept_near: 0.2,
             late_share: 0.5,
             others_tau_ms: 500.0,
-            silence: 1.0,
-            lateness_power: 2.0,
-            foreign: 0.1,
+            silence: 5.0,
+            lateness_power: 1.0,
+            foreign: 0.01,
             light: 0.1,
         }
     }
--- a/crates/dispatch/tests/balance.rs
+++ b/crates/dispatch/tests/balance.rs
@@ -25,6 +25,7 @@
             "reread" => weights.reread_per_k = value,
             "elsewhere" => weights.shared_elsewhere = value,
             "first" => weights.kept_at_first = value,
+            "near" => weights.kept_near = value,
             "late" => weights.late_share = value,
             "tau" => weights.others_tau_ms = value,
             "silence" => weights.silence = value,
@@ -60,6 +61,7 @@
         ("dark", base, dark),
         ("hot", Day { hot: Some((0, 0.3)), ..base }, calm),
         ("slow", base, slow),
+        ("over", Day { scale: 2.2 * busy, ..base }, Troubles::default()),
     ]
 }
 
@@ -67,7 +69,11 @@
 
 fn table(site: &Site) {
     let only = std::env::var("ONLY").unwrap_or_default();
+    let day_only = std::env::var("DAY").unwrap_or_default();
     for (name, day, troubles) in days(site) {
+        if !day_only.is_empty() && day_only != name {
+            continue;
+        }
         let ways: [(&str, Maker); 3] =
             [("rotation", rotation), ("least", least_loaded), ("dispatch", dispatcher)];
         for (way, maker) in ways.into_iter().filter(|(way, _)| only.is_empty() || *way == only) {
@@ -92,11 +98,12 @@
     );
     for (index, class) in site.classes.iter().enumerate() {
         text += &format!(
-            " {} p95 {:.0} late {:.2}% lost {:.1};",
+            " {} p95 {:.0} late {:.2}% lost {:.1} ref {:.1}%;",
             class.name,
             mean(&|of| of.classes[index].quantile(0.95)),
             mean(&|of| of.classes[index].over(class.slo_ms)) * 100.0,
             mean(&|of| of.classes[index].lost as f64),
+            mean(&|of| of.classes[index].refused as f64 / of.classes[index].count().max(1) as f64) * 100.0,
         );
     }
     text
--- a/crates/dispatch/tests/support/figures.rs
+++ b/crates/dispatch/tests/support/figures.rs
@@ -5,7 +5,11 @@
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Ended {
-    Answered { first_ms: f64 },
+    /// `second` where it was refused before.
+    Answered {
+        first_ms: f64,
+        second: bool,
+    },
     Lost,
     Refused,
 }
@@ -14,6 +18,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ClassFigures {
     pub first_ms: Vec<f64>,
+    /// Of these, those answered at a second try: on time they earn half.
+    pub second: Vec<f64>,
     pub lost: usize,
     pub refused: usize,
 }
@@ -57,7 +63,10 @@
     pub fn count(&mut self, class: usize, ended: Ended) {
         let of = &mut self.classes[class];
         match ended {
-            Ended::Answered { first_ms } => of.first_ms.push(first_ms),
+            Ended::Answered { first_ms, second } => {
+                of.first_ms.push(first_ms);
+                of.second.extend(second.then_some(first_ms));
+            }
             Ended::Lost => of.lost += 1,
             Ended::Refused => of.refused += 1,
         }
@@ -69,7 +78,8 @@
         for (class, of) in site.classes.iter().zip(&self.classes) {
             let on_time = of.first_ms.iter().filter(|first| **first <= class.slo_ms).count();
             let late = of.first_ms.len() - on_time;
-            earned += on_time as f64 * class.worth + late as f64 * class.late_worth;
+            let halved = of.second.iter().filter(|first| **first <= class.slo_ms).count();
+            earned += (on_time as f64 - halved as f64 / 2.0) * class.worth + late as f64 * class.late_worth;
             owed += of.count() as f64 * class.worth;
         }
         let crossing = self.crossed_bytes as f64 * site.cross_zone_gb / 1e9;
--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -15,6 +15,7 @@
 const CROSS_US: u64 = 900;
 const HERE_US: u64 = 200;
 const HEAD_BYTES: u64 = 600;
+const SILENCE_US: u64 = 1_500_000;
 const EVENT_BYTES: u64 = 65;
 
 /// Engines that are silent for a while.
@@ -80,6 +81,7 @@
     gateway: usize,
     tried: Vec<BackendKey>,
     first_us: Option<u64>,
+    refused: bool,
 }
 
 struct Fleet<'a> {
@@ -143,7 +145,13 @@
             let gateway = here[fleet.rng.usize(..here.len())];
             let at_us = arrival.at_us;
             let request = fleet.requests.len();
-            fleet.requests.push(Request { arrival, gateway, tried: Vec::new(), first_us: None });
+            fleet.requests.push(Request {
+                arrival,
+                gateway,
+                tried: Vec::new(),
+                first_us: None,
+                refused: false,
+            });
             fleet.at(at_us, Step::Arrive(request));
         }
         if let Some(dark) = troubles.dark {
@@ -253,15 +261,12 @@
         let gateway = &mut self.gateways[request.gateway];
         let target = match gateway.choose(now, &asked) {
             Choice::Send(target) => target,
-            _ => {
-                self.figures.count(request.arrival.class, Ended::Refused);
-                return;
-            }
+            Choice::Full { retry_after } => return self.refuse(index, retry_after),
+            Choice::NoBackend => return self.refuse(index, Duration::from_millis(200)),
         };
         let send = self.sends.len();
         gateway.begin(now, send, target.backend, &asked);
         let backend = self.view.backends.iter().position(|of| of.id == target.id).expect("it was listed");
-        let (us, silence_us) = ((class.slo_ms * 2e3).max(1.5e6) as u64, self.now_us);
         let (gateway, answered) = (request.gateway, false);
         self.figures.further_sends += usize::from(!request.tried.is_empty());
         self.requests[index].tried.push(target.backend);
@@ -269,7 +274,24 @@
         self.sends.push(Send { request: index, gateway, backend, heard_us, answered, over: false });
         let wire_us = self.wire_us(gateway, backend);
         self.at(self.now_us + wire_us, Step::Reach(send));
-        self.at(silence_us + us, Step::Silence(send));
+        self.at(self.now_us + SILENCE_US, Step::Silence(send));
+    }
+
+    /// The client comes again once, when it is told to, at whatever gateway of its zone.
+    fn refuse(&mut self, index: usize, retry_after: Duration) {
+        let request = &mut self.requests[index];
+        let class = &self.site.classes[request.arrival.class];
+        let left_us = (request.arrival.at_us + (class.deadline_ms * 1e3) as u64).saturating_sub(self.now_us);
+        if std::mem::replace(&mut request.refused, true) || !request.tried.is_empty() {
+            self.figures.count(request.arrival.class, Ended::Refused);
+            return;
+        }
+        let zone = self.site.gateways[request.gateway];
+        let here: Vec<usize> =
+            (0..self.site.gateways.len()).filter(|at| self.site.gateways[*at] == zone).collect();
+        request.gateway = here[self.rng.usize(..here.len())];
+        let wait_us = (retry_after.as_micros() as u64).min(left_us / 3);
+        self.at(self.now_us + wait_us, Step::Arrive(index));
     }
 
     fn reach(&mut self, send: usize) {
@@ -393,11 +415,16 @@
         if of.over {
             return;
         }
-        let quiet_us = self.now_us - of.heard_us;
-        if quiet_us >= 1_500_000 {
+        // A gateway tries another after a while, where that is allowed; a client bears more.
+        let request = &self.requests[of.request];
+        let class = &self.site.classes[request.arrival.class];
+        let patience_us = (class.slo_ms * 4e3).max(2e6) as u64;
+        let again = class.again && !of.answered && request.tried.len() < 2;
+        let bears_us = if again { SILENCE_US } else { patience_us };
+        if self.now_us - of.heard_us >= bears_us {
             self.end(send, Outcome::TimedOut);
         } else {
-            self.at(of.heard_us + 1_500_000, Step::Silence(send));
+            self.at(of.heard_us + bears_us, Step::Silence(send));
         }
     }
 
@@ -426,7 +453,8 @@
         match (outcome, request.first_us) {
             (Outcome::Done, Some(first_us)) => {
                 let first_ms = (first_us - request.arrival.at_us) as f64 / 1e3;
-                self.figures.count(class, Ended::Answered { first_ms });
+                let second = request.refused;
+                self.figures.count(class, Ended::Answered { first_ms, second });
             }
             (_, None) if again && request.tried.len() < 2 => self.dispatch(index),
             _ => self.figures.count(class, Ended::Lost),
