--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -27,8 +27,7 @@
         return None;
     }
     // What it needs itself is no reason: the longest would never be served. The more urgent are let ahead.
-    let wait_ms =
-        (expected.first_ms - expected.alone_ms) * fit.service.rank_wait(fit.now, fit.request.priority);
+    let wait_ms = expected.wait_ms() * fit.service.rank_wait(fit.now, fit.request.priority);
     let limit_ms = limit_ms(fit);
     if wait_ms <= limit_ms {
         return None;
--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -40,6 +40,8 @@
     /// Whether it is in the gateway's own zone.
     pub near: bool,
     pub hash: u64,
+    /// Since when the view has not held it.
+    pub gone_since: Option<Now>,
     /// Sends that have not ended.
     pub in_flight: u32,
     /// Load units of these.
@@ -49,7 +51,9 @@
     pending: Vec<Pending>,
     /// When all that this gateway sent there has been read.
     free_at: Now,
+    /// Since when its silence counts: when anything last came from it, or the first send went out.
     heard: Now,
+    answered: Option<Now>,
     full_until: Now,
     others_wait_ms: Fading,
     others_running: Fading,
@@ -66,6 +70,7 @@
             near: &*view.zone == zone,
             hash: hash_id(&view.id),
             view,
+            gone_since: None,
             in_flight: 0,
             units: 0.0,
             health: Health::default(),
@@ -73,6 +78,7 @@
             pending: Vec::new(),
             free_at: Now::ZERO,
             heard: Now::ZERO,
+            answered: None,
             full_until: Now::ZERO,
             others_wait_ms: Fading::new(0.0, weights.others_tau_ms),
             others_running: Fading::new(0.0, RUNNING_TAU_MS),
@@ -104,7 +110,7 @@
 
     /// Whether something came from it a moment ago.
     pub fn heard_lately(&self, now: Now) -> bool {
-        now.saturating_sub(self.heard) <= HEARD_LATELY && self.heard > Now::ZERO
+        self.answered.is_some_and(|answered| now.saturating_sub(answered) <= HEARD_LATELY)
     }
 
     /// This gateway stood still: what it didn't hear meanwhile was no silence.
@@ -171,6 +177,7 @@
     /// Something came from it.
     pub fn hear(&mut self, now: Now) {
         self.heard = now;
+        self.answered = Some(now);
     }
 
     /// A send waits for its first event no more.
--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -36,7 +36,7 @@
         self.notice(now);
         let Some(index) = self.service_index(request.service) else { return Choice::NoBackend };
         if self.services[index].groups.due(now) {
-            self.rebuild(now, index);
+            self.regroup(now, index);
         }
         let kind = self.services[index].kind(request);
         let part = shared(request).last().filter(|_| request.route.sticky).map(|part| part.id);
@@ -94,15 +94,17 @@
     fn rotated(&mut self, now: Now, index: usize, kind: Kind, request: &DispatchRequest) -> Option<Found> {
         let bound = self.services[index].conns_bound(self.gateways);
         let repeatable = request.route.repeatable;
+        // Few load units may yet be long prompts: one that waits as long is not light.
+        let bears_ms = request.route.slo.as_secs_f64() * 1e3 * self.settings.weights.light;
+        let fit = Fit::new(now, request, &self.services[index], &self.settings.weights, None);
         let usable = |key: BackendKey| {
             let backend = self.usable(key, request, bound).filter(|backend| backend.open(now, repeatable));
-            backend.is_some_and(|backend| backend.silence_ms(now) <= 0.0)
+            backend.is_some_and(|backend| fit.expected(backend, 0.0).wait_ms() <= bears_ms)
         };
         let group = self.services[index].groups.of(kind);
         let mut turns = group.turns;
         let near = turns.near.next(group.near.points(), usable);
         let key = near.or_else(|| turns.all.next(group.all.points(), usable))?;
-        let fit = Fit::new(now, request, &self.services[index], &self.settings.weights, None);
         let expected = fit.expected(self.backend(key)?, 0.0);
         self.services[index].groups.of_mut(kind).turns = turns;
         Some(Found { key, expected })
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -16,6 +16,8 @@
 /// Last shared parts whose last use is remembered, and for how long at the least.
 const MOST_USED: usize = 8192;
 const USED_FOR: Duration = Duration::from_secs(10);
+/// A backend that the view dropped is remembered for as long as a request may name its key.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(120);
 /// A pause in all calls after which what is out tells nothing of its backends.
 const STOOD_STILL: Duration = Duration::from_millis(1500);
 /// Peers asked for their failure rate.
@@ -30,6 +32,7 @@
     service_names: HashMap<Arc<str>, u32>,
     pub(crate) backends: Vec<Option<Backend>>,
     keys: HashMap<Arc<str>, BackendKey>,
+    free: Vec<u32>,
     sends: Sends,
     /// When each last shared part was last sent anywhere by this gateway.
     used: HashMap<u64, Now>,
@@ -49,6 +52,7 @@
             service_names: HashMap::new(),
             backends: Vec::new(),
             keys: HashMap::new(),
+            free: Vec::new(),
             sends: Sends::default(),
             used: HashMap::new(),
             called: Now::ZERO,
@@ -59,46 +63,89 @@
     /// Takes in a changed view of the fleet.
     pub fn update(&mut self, now: Now, view: &FleetView) {
         self.gateways = view.gateways.max(1);
-        for service in &view.services {
-            match self.service_names.get(&service.name) {
-                Some(index) => self.services[*index as usize].view = service.clone(),
-                None => {
-                    self.service_names.insert(service.name.clone(), self.services.len() as u32);
-                    self.services.push(Service::new(service.clone()));
-                }
-            }
-        }
+        view.services.iter().for_each(|service| self.take_in_service(service));
         for backend in self.backends.iter_mut().flatten() {
-            backend.view.state = BackendState::Gone;
+            backend.gone_since = backend.gone_since.or(Some(now));
         }
         view.backends.iter().for_each(|backend| self.take_in(backend));
-        (0..self.services.len()).for_each(|service| self.rebuild(now, service));
+        self.forget(now);
+        for service in 0..self.services.len() {
+            let members = self.members(service);
+            let mark = members.iter().fold(0, |mark: u64, member| mark.wrapping_add(member.hash));
+            if self.services[service].members != Some(mark) {
+                self.services[service].members = Some(mark);
+                self.deal(now, service, members);
+            }
+        }
+    }
+
+    fn take_in_service(&mut self, view: &ServiceView) {
+        match self.service_names.get(&view.name) {
+            Some(index) => self.services[*index as usize].view = view.clone(),
+            None => {
+                self.service_names.insert(view.name.clone(), self.services.len() as u32);
+                self.services.push(Service::new(view.clone()));
+            }
+        }
     }
 
     fn take_in(&mut self, view: &BackendView) {
         let known = self.keys.get(&view.id).and_then(|key| self.backends.get_mut(key.0 as usize));
         if let Some(Some(backend)) = known {
-            backend.view = view.clone();
+            backend.gone_since = None;
+            if backend.view != *view {
+                backend.view = view.clone();
+            }
             return;
         }
-        self.keys.insert(view.id.clone(), BackendKey(self.backends.len() as u32));
         let settings = &self.settings;
-        self.backends.push(Some(Backend::new(view.clone(), &settings.zone, &settings.weights)));
+        let backend = Some(Backend::new(view.clone(), &settings.zone, &settings.weights));
+        let index = self.free.pop().unwrap_or(self.backends.len() as u32);
+        match self.backends.get_mut(index as usize) {
+            Some(place) => *place = backend,
+            None => self.backends.push(backend),
+        }
+        self.keys.insert(view.id.clone(), BackendKey(index));
     }
 
-    pub(crate) fn rebuild(&mut self, now: Now, service: usize) {
-        let mut members = self.members(service, BackendState::Ready);
-        if members.is_empty() {
-            // Those that fell silent may yet serve; where none is ready there is nothing better.
-            members = self.members(service, BackendState::Silent);
+    /// Drops backends that are long gone and have no send; their keys may then be given to others.
+    fn forget(&mut self, now: Now) {
+        for (index, place) in self.backends.iter_mut().enumerate() {
+            let over = |since: Now| now.saturating_sub(since) >= FORGOTTEN_AFTER;
+            let dropped = place.take_if(|of| of.in_flight == 0 && of.gone_since.is_some_and(over));
+            if let Some(backend) = dropped {
+                self.keys.remove(&backend.view.id);
+                self.free.push(index as u32);
+            }
         }
+    }
+
+    /// Deals the groups anew, as their period is over.
+    pub(crate) fn regroup(&mut self, now: Now, service: usize) {
+        let members = self.members(service);
+        self.deal(now, service, members);
+    }
+
+    fn deal(&mut self, now: Now, service: usize, members: Vec<Member>) {
         let start = self.rng.usize(..members.len().max(1));
         self.services[service].groups.rebuild(now, members, start);
     }
 
-    fn members(&self, service: usize, state: BackendState) -> Vec<Member> {
+    /// The backends that a service's requests may go to.
+    fn members(&self, service: usize) -> Vec<Member> {
+        let ready = self.members_in(service, BackendState::Ready);
+        if !ready.is_empty() {
+            return ready;
+        }
+        // Those that fell silent may yet serve; where none is ready there is nothing better.
+        self.members_in(service, BackendState::Silent)
+    }
+
+    fn members_in(&self, service: usize, state: BackendState) -> Vec<Member> {
         let name = &self.services[service].view.name;
-        let of_service = |backend: &&Backend| backend.view.state == state && backend.view.service == *name;
+        let of_service = |backend: &Backend| {
+            backend.gone_since.is_none() && backend.view.state == state && backend.view.service == *name
+        };
         let known = self.backends.iter().enumerate();
         let known = known.filter_map(|(index, backend)| Some((index, backend.as_ref()?)));
         known
@@ -179,7 +226,7 @@
     pub fn end(&mut self, now: Now, ticket: Ticket, outcome: Outcome) {
         self.notice(now);
         let Some(mut send) = self.sends.remove(ticket) else { return };
-        let peers = self.peers_failure_rate(&send);
+        let peers = if outcome == Outcome::Done { 0.0 } else { self.peers_failure_rate(&send) };
         let backend = self.backends.get_mut(send.backend.0 as usize).and_then(Option::as_mut);
         let Some((backend, service)) = backend.zip(self.services.get_mut(send.service as usize)) else {
             return;
--- a/crates/dispatch/src/fit.rs
+++ b/crates/dispatch/src/fit.rs
@@ -42,6 +42,13 @@
     pub cost: f64,
 }
 
+impl Expected {
+    /// What it would wait for what is there before it.
+    pub fn wait_ms(&self) -> f64 {
+        self.first_ms - self.alone_ms
+    }
+}
+
 /// The parts of a prompt that others may share: all but the request's own last one.
 pub(crate) fn shared<'a>(request: &DispatchRequest<'a>) -> &'a [PromptPart] {
     match request.parts {
@@ -85,7 +92,7 @@
         if !self.service.is_engine() {
             return self.expected_work(backend, slowness);
         }
-        let kept = f64::from(backend.kept.kept_tokens(self.request.parts));
+        let kept = f64::from(backend.kept.kept_tokens(self.now, self.request.parts));
         let missing = (self.shared_tokens - kept).max(0.0);
         let perhaps = missing * chance;
         let prompt = f64::from(self.request.prompt_tokens).max(self.shared_tokens);
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -96,9 +96,13 @@
                 self.rate += (1.0 - self.rate) * SHARE;
                 self.good_in_a_row = 0;
                 self.in_a_row += 1;
+                if self.ejected() && !trial {
+                    // What went out before tells nothing new.
+                    return false;
+                }
                 let above = self.rate > peers * TIMES_PEERS + ABOVE_PEERS;
                 let many = self.in_a_row >= IN_A_ROW || self.rate > 2.5 * SHARE;
-                self.ejected() && trial || verdict == Verdict::Ruinous || above && many
+                trial || verdict == Verdict::Ruinous || above && many
             }
         }
     }
--- a/crates/dispatch/src/sends.rs
+++ b/crates/dispatch/src/sends.rs
@@ -8,6 +8,8 @@
 
 /// Of an engine's memory, what this gateway's prompts are believed to be kept in.
 const KEPT_SHARE: f64 = 0.8;
+/// Tokens of memory where the configuration doesn't tell.
+const USUAL_MEMORY: u64 = 200_000;
 /// How far one answer may teach, in times what was expected.
 const TIMES_BOUNDS: (f64, f64) = (0.1, 20.0);
 
@@ -69,7 +71,8 @@
         self.priority = request.priority;
         backend.units += self.units;
         if let Some(engine) = service.view.engine {
-            backend.kept.sent(request.parts, (engine.kv_tokens as f64 * KEPT_SHARE) as u64);
+            let memory = if engine.kv_tokens > 0 { engine.kv_tokens } else { USUAL_MEMORY };
+            backend.kept.sent(self.began, request.parts, (memory as f64 * KEPT_SHARE) as u64);
         }
         if request.tried.is_empty() {
             service.see(self.began, request, kind, reading_ms);
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -20,6 +20,8 @@
 pub(crate) struct Service {
     pub view: ServiceView,
     pub groups: Groups,
+    /// What the groups were dealt from: members' hashes, added up.
+    pub members: Option<u64>,
     pub bands: Bands,
     pub pace: ServicePace,
     /// What answers are late by for others' sends, all backends together.
@@ -43,6 +45,7 @@
         Service {
             view,
             groups: Groups::default(),
+            members: None,
             bands: Bands::default(),
             pace: ServicePace::default(),
             usual_wait_ms: Fading::new(0.0, USUAL_TAU_MS),
