--- a/crates/dispatch/src/groups.rs
+++ b/crates/dispatch/src/groups.rs
@@ -136,3 +136,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/groups.rs"]
+mod tests;
--- a/crates/dispatch/src/hash.rs
+++ b/crates/dispatch/src/hash.rs
@@ -68,3 +68,7 @@
         into.extend(arc.into_iter().map(|(_, backend)| backend));
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/hash.rs"]
+mod tests;
--- a/crates/dispatch/src/kinds.rs
+++ b/crates/dispatch/src/kinds.rs
@@ -56,3 +56,7 @@
         Kind::ALL[band]
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/kinds.rs"]
+mod tests;
--- a/crates/dispatch/src/pace.rs
+++ b/crates/dispatch/src/pace.rs
@@ -111,3 +111,7 @@
         self.at = now;
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/pace.rs"]
+mod tests;
--- a/crates/dispatch/src/prefix.rs
+++ b/crates/dispatch/src/prefix.rs
@@ -56,3 +56,7 @@
         *self = PrefixCache::default();
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/prefix.rs"]
+mod tests;
--- a/crates/dispatch/tests/balance.rs
+++ b/crates/dispatch/tests/balance.rs
@@ -109,6 +109,70 @@
     text
 }
 
+/// All days of one name, some seeds of each way: rotation, least loaded, dispatcher.
+fn compared(site: &Site, day_name: &str) -> [Vec<Figures>; 3] {
+    let (_, day, troubles) =
+        days(site).into_iter().find(|(name, ..)| *name == day_name).expect("a day of this name");
+    let ways: [Maker; 3] = [rotation, least_loaded, dispatcher];
+    ways.map(|maker| (1..=3).map(|seed| play(site, &day, &troubles, seed, &maker)).collect())
+}
+
+fn mean(plays: &[Figures], of: impl Fn(&Figures) -> f64) -> f64 {
+    plays.iter().map(of).sum::<f64>() / plays.len() as f64
+}
+
+#[test]
+fn twelve_gateways_beat_the_plain_ways_at_base_load() {
+    for site in [small(), large()] {
+        let [rotation, least, dispatch] = compared(&site, "base");
+        let p95 = |plays: &[Figures]| mean(plays, |of| of.engines(&site).0);
+        assert!(p95(&dispatch) < 0.8 * p95(&rotation), "{}: {}", site.name, p95(&dispatch));
+        assert!(p95(&dispatch) < 0.8 * p95(&least), "{}: {}", site.name, p95(&dispatch));
+        let over = |plays: &[Figures]| mean(plays, |of| of.engines(&site).1);
+        assert!(over(&dispatch) < 0.75 * over(&rotation), "{}: {}", site.name, over(&dispatch));
+    }
+}
+
+#[test]
+fn sessions_are_read_again_far_less_and_bytes_cross_less() {
+    for site in [small(), large()] {
+        let [rotation, _, dispatch] = compared(&site, "base");
+        let again = |plays: &[Figures]| mean(plays, |of| of.read_again as f64);
+        assert!(again(&dispatch) < 0.35 * again(&rotation), "{}: {}", site.name, again(&dispatch));
+        let crossed = |plays: &[Figures]| mean(plays, |of| of.crossed_bytes as f64);
+        assert!(crossed(&dispatch) < 0.7 * crossed(&rotation), "{}: {}", site.name, crossed(&dispatch));
+    }
+}
+
+#[test]
+fn bursts_and_hot_sessions_are_borne() {
+    for (site, day) in [(small(), "burst"), (large(), "burst"), (small(), "hot"), (large(), "hot")] {
+        let [rotation, _, dispatch] = compared(&site, day);
+        let priced = |plays: &[Figures]| mean(plays, |of| of.worth(&site).1);
+        assert!(priced(&dispatch) > priced(&rotation) + 0.03, "{} {day}: {}", site.name, priced(&dispatch));
+        let worth = |plays: &[Figures]| mean(plays, |of| of.worth(&site).0);
+        assert!(worth(&dispatch) > worth(&rotation), "{} {day}: {}", site.name, worth(&dispatch));
+    }
+}
+
+#[test]
+fn dark_backends_get_few_requests() {
+    for site in [small(), large()] {
+        let [rotation, _, dispatch] = compared(&site, "dark");
+        let dark = |plays: &[Figures]| mean(plays, |of| of.into_dark as f64);
+        assert!(dark(&dispatch) < 0.5 * dark(&rotation), "{}: {}", site.name, dark(&dispatch));
+    }
+}
+
+#[test]
+fn a_backend_four_times_slower_costs_little() {
+    for site in [small(), large()] {
+        let [rotation, _, dispatch] = compared(&site, "slow");
+        let lost = |plays: &[Figures]| 1.0 - mean(plays, |of| of.worth(&site).0);
+        assert!(lost(&dispatch) < 0.5 * lost(&rotation), "{}: {}", site.name, lost(&dispatch));
+    }
+}
+
 #[test]
 #[ignore = "prints the figures of all days and ways"]
 fn figures_of_all_ways() {
--- /dev/null
+++ b/crates/dispatch/tests/unit/groups.rs
@@ -0,0 +1,91 @@
+use super::{Groups, Member};
+use crate::hash::hash_id;
+use crate::interface::BackendKey;
+use crate::kinds::Kind;
+use std::time::Duration;
+
+fn members(count: u32) -> Vec<Member> {
+    let member = |index: u32| Member {
+        zone: ["a", "b", "c"][index as usize % 3].into(),
+        hash: hash_id(&format!("i-{index}")),
+        backend: BackendKey(index),
+        near: index.is_multiple_of(3),
+    };
+    (0..count).map(member).collect()
+}
+
+fn dealt(count: u32, traffic: [f64; 4]) -> Groups {
+    let mut groups = Groups::default();
+    for (kind, units) in Kind::ALL.into_iter().zip(traffic).filter(|(_, units)| *units > 0.0) {
+        groups.see(Duration::ZERO, kind, units);
+    }
+    groups.rebuild(Duration::from_secs(2), members(count), 0);
+    groups
+}
+
+fn sizes(groups: &Groups) -> [usize; 4] {
+    Kind::ALL.map(|kind| groups.of(kind).all.points().len())
+}
+
+#[test]
+fn groups_are_sized_by_load() {
+    assert_eq!(sizes(&dealt(12, [1.0, 1.0, 2.0, 2.0])), [2, 2, 4, 4]);
+}
+
+#[test]
+fn every_backend_is_in_some_group() {
+    let groups = dealt(11, [5.0, 1.0, 2.0, 3.0]);
+    let mut all: Vec<BackendKey> = Kind::ALL
+        .iter()
+        .flat_map(|kind| groups.of(*kind).all.points().iter().map(|point| point.backend))
+        .collect();
+    all.sort();
+    all.dedup();
+    assert_eq!(all.len(), 11);
+}
+
+#[test]
+fn types_share_backends_where_they_outnumber_them() {
+    assert_eq!(sizes(&dealt(2, [1.0, 1.0, 1.0, 1.0])), [1; 4]);
+    assert_eq!(sizes(&dealt(1, [1.0, 50.0, 1.0, 1.0])), [1; 4]);
+}
+
+#[test]
+fn a_type_without_traffic_uses_all() {
+    assert_eq!(sizes(&dealt(6, [1.0, 0.0, 1.0, 0.0])), [3, 6, 3, 6]);
+}
+
+#[test]
+fn a_group_of_some_size_reaches_every_zone() {
+    let groups = dealt(12, [1.0, 0.0, 1.0, 0.0]);
+    for kind in [Kind::Plain, Kind::LongAnswer] {
+        assert_eq!(groups.of(kind).near.points().len(), 2);
+    }
+}
+
+#[test]
+fn a_backend_that_leaves_does_so_before_the_period_is_over() {
+    let mut groups = dealt(12, [1.0, 0.0, 1.0, 0.0]);
+    let left = members(12).split_off(1);
+    groups.rebuild(Duration::from_secs(3), left, 0);
+    assert!(!groups.due(Duration::from_secs(3)));
+    assert_eq!(sizes(&groups)[0] + sizes(&groups)[2], 11);
+}
+
+#[test]
+fn periods_are_two_seconds_and_then_thirty() {
+    let mut groups = Groups::default();
+    assert!(!groups.due(Duration::from_secs(100)));
+    groups.see(Duration::from_secs(100), Kind::Plain, 1.0);
+    assert!(!groups.due(Duration::from_millis(101_900)));
+    assert!(groups.due(Duration::from_secs(102)));
+    groups.rebuild(Duration::from_secs(102), members(3), 0);
+    assert!(!groups.due(Duration::from_secs(131)));
+    assert!(groups.due(Duration::from_secs(132)));
+}
+
+#[test]
+fn no_members_make_empty_groups() {
+    let groups = dealt(0, [1.0, 1.0, 1.0, 1.0]);
+    assert_eq!(sizes(&groups), [0; 4]);
+}
