--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -52,7 +52,13 @@
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
         match std::task::ready!(Pin::new(&mut self.rest).poll_frame(cx)) {
-            Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
+            Some(Ok(frame)) => {
+                // Nobody asks again behind the last byte of a length that was told.
+                if self.rest.is_end_stream() {
+                    self.held.completed();
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
             Some(Err(_)) => Poll::Ready(Some(Err(BrokenOff))),
             None => {
                 self.held.completed();
@@ -77,7 +83,11 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, AnswerBody::Whole(None))
+        match self {
+            AnswerBody::Whole(bytes) => bytes.is_none(),
+            AnswerBody::Long(body) => body.first.is_none() && body.rest.is_end_stream(),
+            AnswerBody::Stream(_) => false,
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -199,7 +199,7 @@
         mut self: Pin<&mut Self>, cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         let frame = Pin::new(&mut self.body).poll_frame(cx);
-        if matches!(frame, Poll::Ready(None | Some(Err(_)))) {
+        if matches!(frame, Poll::Ready(None | Some(Err(_)))) || self.body.is_end_stream() {
             self.in_hand.done = true;
         }
         frame
--- a/crates/gateway/src/courier.rs
+++ b/crates/gateway/src/courier.rs
@@ -118,9 +118,9 @@
         }
     }
 
-    /// Another backend for a request that is out at one that is silent, if it may go there.
+    /// Another backend for a stream that has gone silent midway, if it may go there.
     pub fn alternative(&self) -> Option<Target> {
-        self.may_run_again(1).then(|| self.choose(&self.tried)).and_then(|choice| self.repeat(choice).ok())
+        self.may_run_again(0).then(|| self.choose(&self.tried)).and_then(|choice| self.repeat(choice).ok())
     }
 
     /// Backends that refused may be asked again.
--- a/crates/gateway/src/opened.rs
+++ b/crates/gateway/src/opened.rs
@@ -18,6 +18,7 @@
 
 /// What is kept whole of an answer.
 const SHORT: usize = 64 << 10;
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 
 /// An answer that may be passed on.
 pub(crate) enum Opened {
@@ -95,11 +96,13 @@
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING) || body.is_end_stream()
 }
 
+/// Whether an answer is a series of events: it says so, or says nothing of what it is nor of its length.
 fn is_stream(request: &ClientRequest, parts: &Parts) -> bool {
-    let events = |value: &hyper::header::HeaderValue| value.as_bytes().starts_with(b"text/event-stream");
-    request.terms.route.kind == RouteKind::Streaming
-        && parts.status.is_success()
-        && parts.headers.get(CONTENT_TYPE).is_none_or(events)
+    let events = match parts.headers.get(CONTENT_TYPE) {
+        Some(kind) => kind.as_bytes().starts_with(EVENT_STREAM),
+        None => !parts.headers.contains_key(CONTENT_LENGTH),
+    };
+    events && request.terms.route.kind == RouteKind::Streaming && parts.status.is_success()
 }
 
 /// Reads an answer until something of it may be passed on: the whole, its first part or its first event.
--- a/crates/gateway/src/outlet.rs
+++ b/crates/gateway/src/outlet.rs
@@ -48,15 +48,12 @@
     pub fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BrokenOff>>> {
         let Some(writer) = &mut self.writer else { return Poll::Ready(None) };
         let ended = writer.as_mut().poll(cx);
-        let piece = self.inlet.lock().take();
-        if ended.is_ready() {
-            self.writer = None;
-        }
-        match (piece, ended) {
-            (Some(piece), _) => Poll::Ready(Some(Ok(piece))),
-            (None, Poll::Ready(Ok(()))) => Poll::Ready(None),
-            (None, Poll::Ready(Err(broken))) => Poll::Ready(Some(Err(broken))),
-            (None, Poll::Pending) => Poll::Pending,
+        // A piece is taken before the writer goes on: it never ends with one on its way.
+        if let Some(piece) = self.inlet.lock().take() {
+            return Poll::Ready(Some(Ok(piece)));
         }
+        let ended = std::task::ready!(ended);
+        self.writer = None;
+        Poll::Ready(ended.err().map(Err))
     }
 }
--- /dev/null
+++ b/crates/gateway/tests/serving/shutdown.rs
@@ -0,0 +1,110 @@
+//! Readiness, and the way to the end.
+
+use std::sync::mpsc::TryRecvError;
+
+use crankpick_gateway::{GatewaySettings, Shared};
+
+use crate::stand_ins::*;
+
+fn gateway(backend: &Backend) -> Gateway {
+    Gateway::start(configuration(1, &route("/", "streaming", ""), ""), &[backend.address])
+}
+
+#[test]
+fn it_is_ready_with_a_configuration_that_is_current_until_it_is_to_end() {
+    let shared = Shared::new(
+        GatewaySettings::new("z", 4_100, 260 << 20),
+        slog::Logger::root(slog::Discard, slog::o!()),
+    );
+    assert!(!shared.readiness());
+    shared.publish_routing(configuration(1, &route("/", "mutating", ""), ""));
+    assert!(shared.readiness());
+    shared.set_current(false);
+    assert!(!shared.readiness());
+    shared.set_current(true);
+    assert!(shared.readiness());
+    shared.begin_shutdown();
+    assert!(!shared.readiness());
+}
+
+#[test]
+fn connections_that_still_come_are_served_and_each_ends_with_its_answer() {
+    let backend = Backend::start();
+    let gateway = gateway(&backend);
+    let mut before = gateway.connect();
+    before.ask("GET", "/", "", "");
+    backend.next().answer(200, SOUND, "");
+    assert_eq!(before.answer().header("connection"), None);
+    let mut resting = gateway.get("/");
+    backend.next().answer(200, SOUND, "");
+    resting.answer();
+    gateway.shared.begin_shutdown();
+    for mut client in [before, gateway.connect()] {
+        client.ask("GET", "/", "", "");
+        backend.next().answer(200, SOUND, "");
+        let answer = client.answer();
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+        assert!(client.ends());
+    }
+    // What rests ends in order, and then there is nothing left to wait for.
+    assert!(resting.ends());
+    gateway.ended.recv_timeout(PATIENCE).expect("it ends");
+}
+
+#[test]
+fn a_stream_in_hand_is_passed_on_to_its_end() {
+    let backend = Backend::start();
+    let gateway = gateway(&backend);
+    let mut client = gateway.get("/");
+    let mut asked = backend.next();
+    asked.begin_stream();
+    asked.piece("id: 1\n\n");
+    client.head();
+    client.chunk();
+    let mut resting = gateway.connect();
+    gateway.shared.begin_shutdown();
+    assert!(resting.ends());
+    assert_eq!(gateway.ended.try_recv(), Err(TryRecvError::Empty));
+    asked.piece("id: 2\n\n");
+    asked.end_stream();
+    assert_eq!((client.chunk().as_deref(), client.chunk().as_deref()), (Some("id: 2\n\n"), Some("")));
+    assert!(client.ends());
+    gateway.ended.recv_timeout(PATIENCE).expect("it ends");
+}
+
+#[test]
+fn it_ends_before_the_grace_is_over_whatever_is_in_hand() {
+    let backend = Backend::start();
+    let routing = configuration(1, &route("/", "streaming", ""), "");
+    let gateway = Gateway::with(routing, &[backend.address], |settings| {
+        settings.grace = std::time::Duration::from_millis(3_500);
+    });
+    let mut client = gateway.get("/");
+    let mut asked = backend.next();
+    asked.begin_stream();
+    asked.piece("id: 1\n\n");
+    client.head();
+    client.chunk();
+    gateway.shared.begin_shutdown();
+    gateway.ended.recv_timeout(std::time::Duration::from_millis(3_500)).expect("it ends in time");
+    assert_eq!(client.chunk(), None);
+}
+
+/// A configuration, backends and numbers published while requests are in hand cut none.
+#[test]
+fn nothing_published_cuts_a_request() {
+    let backend = Backend::start();
+    let gateway = gateway(&backend);
+    let mut client = gateway.get("/");
+    let mut asked = backend.next();
+    asked.begin_stream();
+    asked.piece("id: 1\n\n");
+    client.head();
+    client.chunk();
+    gateway.shared.publish_routing(configuration(2, &route("/x/", "mutating", ""), ""));
+    gateway.shared.publish_backends(table("s", &[]));
+    gateway.shared.set_gateways(40);
+    asked.piece("id: 2\n\n");
+    asked.end_stream();
+    assert_eq!((client.chunk().as_deref(), client.chunk().as_deref()), (Some("id: 2\n\n"), Some("")));
+}
