--- a/crates/control/tests/liveness.rs
+++ b/crates/control/tests/liveness.rs
@@ -109,3 +109,38 @@
     }
     assert!(failed.is_empty(), "late: {failed:?}");
 }
+
+/// Cuts between two of four: the view changes once or twice, and back when it heals, not all the time.
+#[test]
+fn two_that_dont_reach_each_other_dont_take_turns() {
+    for seed in 0..24 {
+        let mut world = calm(seed);
+        let one = seed as usize % 4;
+        let other = (one + 1 + seed as usize / 4 % 3) % 4;
+        let cut = if seed % 2 == 0 { vec![(one, other), (other, one)] } else { vec![(one, other)] };
+        let before = world.newest_view().epoch;
+        world.apply(Fault::Cut(cut));
+        let end = world.now + ms(12_000);
+        world.run_until(end);
+        let during = world.newest_view().epoch - before;
+        world.apply(Fault::Heal);
+        let end = world.now + ms(4000);
+        world.run_until(end);
+        assert!((1..=3).contains(&during), "seed {seed}: {during} views while {one} and {other} are cut");
+        assert_eq!(world.newest_view().chain.len(), 4, "seed {seed}: {}", world.describe());
+        assert!(world.checks.breaches.is_empty(), "seed {seed}: {:?}", world.checks.breaches);
+    }
+}
+
+/// A calm system changes no view and says little.
+#[test]
+fn a_calm_system_is_quiet() {
+    let mut world = calm(1);
+    let (epoch, messages) = (world.newest_view().epoch, world.messages);
+    let end = world.now + ms(60_000);
+    world.run_until(end);
+    assert_eq!(world.newest_view().epoch, epoch);
+    let each = (world.messages - messages) / 60 / 4;
+    println!("{each} messages a second from each of four");
+    assert!(each <= 22, "{each} messages a second");
+}
