--- a/crates/control/tests/simulation/schedule.rs
+++ b/crates/control/tests/simulation/schedule.rs
@@ -23,6 +23,8 @@
     StartAll,
     /// Shuts down in order, and comes back.
     Leave(usize),
+    /// One disk is lost and all processes die at the same moment.
+    WipeOneKillAll(usize),
     /// A machine is gone for good, an empty one comes at another address.
     Replace(usize),
 }
@@ -65,6 +67,10 @@
                     self.input(place, Input::Leave);
                 }
             }
+            Fault::WipeOneKillAll(place) => {
+                self.wipe_if_borne(place);
+                self.apply(Fault::KillAll);
+            }
             Fault::Replace(place) => self.replace_if_borne(place),
         }
     }
@@ -123,7 +129,7 @@
     fn draw(&mut self, at: Duration, long: Duration, machines: usize) -> Vec<(Duration, Fault)> {
         let place = self.random.usize(0..machines);
         let end = at + long;
-        match self.random.u32(0..15) {
+        match self.random.u32(0..17) {
             0 | 1 => vec![(at, Fault::Kill(place)), (end, Fault::Start(place))],
             2 | 3 => vec![(at, Fault::Wipe(place)), (at + long / 3, Fault::Start(place))],
             4 => vec![(at, Fault::Freeze(place)), (end, Fault::Thaw(place))],
@@ -148,7 +154,11 @@
                 (at + ms(300), Fault::Kill(place)),
                 (at + ms(800), Fault::Start(place)),
             ],
-            _ => vec![(at, Fault::Replace(place))],
+            14 => vec![(at, Fault::Replace(place))],
+            _ => vec![
+                (at, Fault::WipeOneKillAll(place)),
+                (at + ms(self.random.u64(10..1500)), Fault::StartAll),
+            ],
         }
     }
 
@@ -247,7 +257,12 @@
 
 /// Runs one schedule.
 pub fn run(seed: u64) -> Report {
-    let mut world = World::new(seed, SEEDS, 1);
+    let others = [1, 1, 1, 0, 2, 3][seed as usize % 6];
+    let mut world = World::new(seed, SEEDS, others);
+    if seed % 5 == 0 {
+        let seeds = world.nodes[0].seeds.clone();
+        world.add_node(seeds, false, false);
+    }
     let trace = world.prepare();
     world.run_until(ms(5000) + TROUBLE_ENDS - ms(5000));
     world.end_trouble();
