--- a/crates/control/src/proposer.rs
+++ b/crates/control/src/proposer.rs
@@ -244,7 +244,7 @@
         let plan = if proposal.base.epoch == 0 { Some(first_plan(&proposal)) } else { self.plan() };
         let source = self.source(&proposal);
         let (Some(plan), Some(state)) = (plan, source) else {
-            return self.proposer.rest(self.now, &mut self.random);
+            return self.keep_unless(late, proposal);
         };
         proposal.state = state;
         self.start_installing(proposal, plan);
@@ -260,7 +260,9 @@
         asked.any(|id| proposal.promises.iter().all(|promised| promised.sender.id != id))
     }
 
-    /// The highest state among a majority: it holds all that was acknowledged.
+    /// The highest state among a majority: it holds all that was acknowledged. This process's own counts only once its
+    /// own promise is synced, and with it all entries before: an entry that only the head's memory holds would be made
+    /// anew, under the same name, after a restart.
     fn source(&self, proposal: &Proposal) -> Option<State> {
         let own = self.state.rank();
         let highest = proposal.promises.iter().map(|promised| promised.rank).max()?;
@@ -270,7 +272,8 @@
             let taken = *rank == highest && state.install(transfer);
             return taken.then_some(state);
         }
-        Some(state)
+        let synced = proposal.promises.iter().any(|promised| promised.sender.id == self.id);
+        synced.then_some(state)
     }
 
     fn start_installing(&mut self, mut proposal: Proposal, plan: Plan) {
--- a/crates/control/tests/basics.rs
+++ b/crates/control/tests/basics.rs
@@ -270,3 +270,38 @@
     assert!(replica.newest_committed().is_none());
     fine(&world);
 }
+
+/// What only the head's memory holds must not become part of another's state: after a restart the head would give its
+/// name to another entry.
+#[test]
+fn what_the_head_hasnt_synced_isnt_handed_on() {
+    for wait in [20, 60, 100, 200, 300, 400] {
+        let mut world = settled(3, 1);
+        let places = chain(&world);
+        let (head, next) = (places[0], places[1]);
+        world.set_disk(head, simulation::DiskMode::Stalled);
+        world.input(head, Input::Submit { key: SubmitKey(1), order: order(0, 5, 1) });
+        world.apply(Fault::Leave(next));
+        run(&mut world, wait);
+        for place in 0..4 {
+            world.kill_without_power(place);
+        }
+        world.set_disk(head, simulation::DiskMode::Well);
+        world.apply(Fault::StartAll);
+        run(&mut world, 150);
+        for place in 0..4 {
+            world.input(place, Input::Submit { key: SubmitKey(2), order: order(0, 6, 2) });
+        }
+        run(&mut world, 4000);
+        fine(&world);
+        let mut states: Vec<Vec<crankpick_control::Change>> = Vec::new();
+        for node in &world.nodes {
+            for record in node.replica.as_ref().expect("up").snapshot_records() {
+                if let RecordBody::Snapshot(snapshot) = record.body {
+                    states.push(snapshot.changes);
+                }
+            }
+        }
+        assert!(states.windows(2).all(|pair| pair[0] == pair[1]), "after {wait} ms: {states:?}");
+    }
+}
--- a/crates/control/tests/simulation/mod.rs
+++ b/crates/control/tests/simulation/mod.rs
@@ -205,6 +205,15 @@
     /// The process ends. What it hadn't synced is there or not, by lot.
     pub fn kill(&mut self, place: usize) {
         let kept = self.random.bool();
+        self.end(place, kept);
+    }
+
+    /// Power is lost, and all that wasn't synced with it.
+    pub fn kill_without_power(&mut self, place: usize) {
+        self.end(place, false);
+    }
+
+    fn end(&mut self, place: usize, kept: bool) {
         let node = &mut self.nodes[place];
         node.replica = None;
         node.held.clear();
