--- a/crates/quota/src/allocator.rs
+++ b/crates/quota/src/allocator.rs
@@ -8,23 +8,25 @@
 
 use crate::bounds::Total;
 use crate::bucket::Bucket;
-use crate::message::{Claim, Demand, Grant, GrantSource, HolderId};
+use crate::message::{Claim, Demand, Grant, GrantSource, HolderId, Lineage};
 use crate::reservation::{Part, Reservation};
 use crate::urgency::Urgency;
 use crate::{Now, LEASE};
 
 /// A holder is lent this much for each unit of its demand.
-const HEADROOM: f64 = 1.25;
+const HEADROOM: f64 = 1.15;
 /// The part of the spare rate that is lent evenly, ahead of demand. The rest accrues in the pool.
-const LENT_SPARE: f64 = 0.5;
+const LENT_SPARE: f64 = 0.3;
 /// The part of all buckets' depths that is lent. The rest is the depth of the pool.
-const LENT_BURST: f64 = 0.5;
+const LENT_BURST: f64 = 0.4;
 /// The pool above this part of its depth tops up the holders' buckets.
 const TOP_UP_ABOVE: f64 = 0.5;
 /// How often ended leases are looked for.
 const SWEEP_EVERY: Duration = Duration::from_millis(100);
 /// How long a need that was not met counts.
 const NEED_LASTS: Duration = Duration::from_millis(500);
+/// The host gives the owner of each epoch a token that is higher by this much.
+pub const TOKENS_OF_ONE_EPOCH: u64 = 1 << 20;
 /// The most holders of one allocator.
 const MAX_HOLDERS: usize = 4_096;
 
@@ -44,6 +46,7 @@
 pub struct Allocator {
     source: GrantSource,
     token: u64,
+    lineage: Lineage,
     total: Total,
     holders: BTreeMap<HolderId, HolderState>,
     reserved: Part,
@@ -62,6 +65,7 @@
         Self {
             source,
             token,
+            lineage: Lineage { token, nonce: 0 },
             total: Total::default(),
             holders: BTreeMap::new(),
             reserved: Part::default(),
@@ -74,6 +78,12 @@
         }
     }
 
+    /// Sets the nonce of this owner, drawn at its start.
+    pub fn with_nonce(mut self, nonce: u64) -> Self {
+        self.lineage.nonce = nonce;
+        self
+    }
+
     /// Sets what may be lent: at the owner.
     pub fn set_total(&mut self, now: Now, total: Total) {
         self.roll(now);
@@ -109,6 +119,7 @@
         if !self.holders.contains_key(&holder) && self.holders.len() >= MAX_HOLDERS {
             return self.nothing();
         }
+        self.rise_above(&demand);
         self.note(now, holder, &demand);
         let claim = demand.claim.filter(|claim| claim.token < self.token);
         self.grant(now, holder, claim)
@@ -131,9 +142,17 @@
 
     /// Whether to report to the allocator above at once, since holders need what is not here.
     pub fn urgent(&mut self, now: Now) -> bool {
+        self.report_at(now).is_some_and(|at| at <= now)
+    }
+
+    /// When to report to the allocator above, ahead of the next regular report, because of holders' needs.
+    pub fn report_at(&mut self, now: Now) -> Option<Now> {
         let unmet = self.unmet(now);
+        if unmet <= 0.0 {
+            return None;
+        }
         self.urgency.at_least(now, unmet);
-        unmet > 0.0 && self.urgency.urgent(now)
+        self.urgency.report_at(now)
     }
 
     /// What this allocator asks of the one above it.
@@ -166,6 +185,7 @@
             }
         }
         let valid_until = sent_at + grant.valid_for;
+        self.lineage = grant.lineage;
         self.lease = Some((grant, valid_until));
         self.total = Total { rate: grant.rate, burst: grant.burst, debt: grant.debt, valid_until };
         self.pool.pay(now, grant.credit);
@@ -190,11 +210,29 @@
         self.holders.values().map(|state| state.demand).sum()
     }
 
+    /// What is in the pool.
+    pub fn pool(&self) -> f64 {
+        self.pool.level()
+    }
+
     /// The number of holders that hold, or may hold, a lease.
     pub fn holders(&self) -> usize {
         self.holders.len()
     }
 
+    /// A holder that shows a grant which this owner has not made has it from an earlier start of this owner
+    /// under the same token: the token rises, so that holders take the new grants.
+    fn rise_above(&mut self, demand: &Demand) {
+        let Some(claim) = demand.claim.filter(|_| self.source == GrantSource::OWNER) else {
+            return;
+        };
+        let unknown = claim.token == self.token && claim.number > self.number;
+        if unknown || (claim.token > self.token && claim.token - self.token < TOKENS_OF_ONE_EPOCH) {
+            self.token = claim.token + 1;
+            self.lineage.token = self.token;
+        }
+    }
+
     /// Notes what a holder reported.
     fn note(&mut self, now: Now, holder: HolderId, demand: &Demand) {
         let state = self.holders.entry(holder).or_default();
@@ -231,6 +269,7 @@
         let grant = Grant {
             source: self.source,
             token: self.token,
+            lineage: self.lineage,
             number: self.number,
             rate: part.rate,
             burst: part.burst,
@@ -251,6 +290,7 @@
         Grant {
             source: self.source,
             token: self.token,
+            lineage: self.lineage,
             number: self.number,
             rate: 0.0,
             burst: 0.0,
--- a/crates/quota/src/holder.rs
+++ b/crates/quota/src/holder.rs
@@ -11,6 +11,8 @@
 
 /// The most sources whose leases run at once.
 const MAX_LEASES: usize = 4;
+/// What is there may lack this part of an amount.
+const ROUNDING: f64 = 1e-6;
 /// The bucket of a gateway without a lease is as deep as its floor rate over this time.
 const FLOOR_DEPTH: Duration = Duration::from_secs(4);
 
@@ -59,30 +61,38 @@
     /// Takes `amount` for a request that has just come in; whether it may be admitted.
     pub fn take(&mut self, now: Now, amount: f64) -> bool {
         self.estimate.add(now, amount);
-        let lacking = self.try_take(now, amount);
-        if lacking > 0.0 {
-            self.urgency.add(now, lacking.min(amount));
+        let taken = self.try_take(now, amount);
+        if !taken {
+            let need = self.need_for(now, amount).min(amount);
+            self.urgency.add(now, need);
         }
-        lacking <= 0.0
+        taken
     }
 
     /// Takes `amount` for a request that `take` has not admitted and that was held since.
     pub fn take_again(&mut self, now: Now, amount: f64) -> bool {
-        let lacking = self.try_take(now, amount);
-        if lacking > 0.0 {
-            self.urgency.at_least(now, lacking);
+        let taken = self.try_take(now, amount);
+        if !taken {
+            let need = self.need_for(now, amount);
+            self.urgency.at_least(now, need);
         }
-        lacking <= 0.0
+        taken
     }
 
-    /// Takes `amount` if it is there; what lacks, else.
-    fn try_take(&mut self, now: Now, amount: f64) -> f64 {
+    /// Takes `amount` if it is there.
+    fn try_take(&mut self, now: Now, amount: f64) -> bool {
         self.roll(now);
-        let lacking = amount - self.bucket.level() - self.allowance(now).debt;
-        if lacking <= 0.0 {
+        let there = self.bucket.level() + self.allowance(now).debt;
+        let enough = there >= amount * (1.0 - ROUNDING);
+        if enough {
             self.bucket.take(amount);
         }
-        lacking
+        enough
+    }
+
+    /// What to ask for. It counts on half of the debt only: that may be less by the time the answer comes.
+    fn need_for(&self, now: Now, amount: f64) -> f64 {
+        amount - self.bucket.level() - self.allowance(now).debt / 2.0
     }
 
     /// When `amount` may be taken, if no credit comes before; none while nobody can say.
@@ -101,7 +111,12 @@
 
     /// Whether a report should be sent at once, since a request could not be admitted.
     pub fn urgent(&self, now: Now) -> bool {
-        self.urgency.urgent(now)
+        self.report_at(now).is_some_and(|at| at <= now)
+    }
+
+    /// When to report, ahead of the next regular report, because requests could not be admitted.
+    pub fn report_at(&self, now: Now) -> Option<Now> {
+        self.urgency.report_at(now)
     }
 
     /// Whether anything was asked for lately, or a lease runs: whether to report.
@@ -135,19 +150,19 @@
     pub fn renewed(&mut self, now: Now, sent_at: Now, grant: Grant) -> bool {
         self.roll(now);
         let until = sent_at + grant.valid_for;
-        match self.leases.iter_mut().find(|lease| lease.grant.source == grant.source) {
-            Some(held) if (grant.token, grant.number) <= (held.grant.token, held.grant.number) => {
-                return false
-            }
-            Some(held) => *held = Lease { grant, until },
-            None => {
-                self.leases.retain(|lease| lease.until > now);
-                if self.leases.len() >= MAX_LEASES {
-                    self.leases.remove(0);
-                }
-                self.leases.push(Lease { grant, until });
-            }
+        self.leases.retain(|lease| lease.until > now || lease.grant.source == grant.source);
+        let held = self.leases.iter().position(|lease| lease.grant.source == grant.source);
+        let held_number = held.map(|index| (self.leases[index].grant.token, self.leases[index].grant.number));
+        if held_number.is_some_and(|number| (grant.token, grant.number) <= number) || self.fenced(now, &grant)
+        {
+            return false;
+        }
+        self.leases
+            .retain(|lease| lease.grant.lineage == grant.lineage && lease.grant.source != grant.source);
+        if self.leases.len() >= MAX_LEASES {
+            self.leases.remove(0);
         }
+        self.leases.push(Lease { grant, until });
         if until > now {
             self.bucket.pay(now, grant.credit);
             self.urgency.credited(grant.credit);
@@ -160,6 +175,12 @@
         self.allowance(now).rate
     }
 
+    /// Whether the grant comes from an owner earlier than that of a lease which runs.
+    fn fenced(&self, now: Now, grant: &Grant) -> bool {
+        let running = self.leases.iter().filter(|lease| lease.until > now);
+        running.into_iter().any(|lease| lease.grant.lineage.token > grant.lineage.token)
+    }
+
     fn allowance(&self, now: Now) -> Allowance {
         let mut sum = Allowance::default();
         for lease in self.leases.iter().filter(|lease| lease.until > now) {
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -14,10 +14,10 @@
 mod retry_budget;
 mod urgency;
 
-pub use allocator::Allocator;
+pub use allocator::{Allocator, TOKENS_OF_ONE_EPOCH};
 pub use bounds::{QuotaBounds, QuotaLimit, Total};
 pub use holder::Holder;
-pub use message::{Claim, Demand, Grant, GrantSource, HolderId};
+pub use message::{Claim, Demand, Grant, GrantSource, HolderId, Lineage};
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
 
 /// Time since the process began, by its steady clock.
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -22,6 +22,16 @@
     }
 }
 
+/// The owner that a lease comes from in the end. What one owner has lent, a later one does not count: leases
+/// of a former lineage end when one of a later lineage is taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Lineage {
+    /// The owner's fencing token.
+    pub token: u64,
+    /// Drawn at each start of an owner.
+    pub nonce: u64,
+}
+
 /// What a holder asks for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Demand {
@@ -61,6 +71,8 @@
     pub source: GrantSource,
     /// The fencing token: a holder takes none that is lower than one it has seen of this source.
     pub token: u64,
+    /// The owner that this comes from.
+    pub lineage: Lineage,
     /// Rises with each grant under one token.
     pub number: u64,
     /// The rate, a second.
--- a/crates/quota/src/urgency.rs
+++ b/crates/quota/src/urgency.rs
@@ -61,10 +61,12 @@
         }
     }
 
-    /// Whether to report at once.
-    pub fn urgent(&self, now: Now) -> bool {
+    /// When to report because of a need; none while nothing is needed.
+    pub fn report_at(&self, now: Now) -> Option<Now> {
+        if self.need(now) <= 0.0 {
+            return None;
+        }
         let spacing = if self.in_vain { SPACING_IN_VAIN } else { SPACING };
-        let spaced = self.asked_at.is_none_or(|asked_at| now.saturating_sub(asked_at) >= spacing);
-        spaced && self.need(now) > 0.0
+        Some(self.asked_at.map_or(now, |asked_at| now.max(asked_at + spacing)))
     }
 }
--- /dev/null
+++ b/crates/quota/tests/support/mod.rs
@@ -0,0 +1,11 @@
+//! A fleet in virtual time: owner, homes, gateways and one tenant's clients.
+
+pub mod fleet;
+pub mod load;
+pub mod measure;
+pub mod parts;
+
+pub use fleet::Fleet;
+pub use load::{Load, Sizes};
+pub use measure::Outcome;
+pub use parts::{Fault, FleetSettings};
