--- a/crates/dispatch/src/hash.rs
+++ b/crates/dispatch/src/hash.rs
@@ -42,10 +42,6 @@
         Circle { points }
     }
 
-    pub fn len(&self) -> usize {
-        self.points.len()
-    }
-
     pub fn is_empty(&self) -> bool {
         self.points.is_empty()
     }
@@ -72,3 +68,7 @@
         into.extend(arc.into_iter().map(|(_, backend)| backend));
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/hash.rs"]
+mod tests;
