--- a/crates/control/tests/liveness.rs
+++ b/crates/control/tests/liveness.rs
@@ -117,7 +117,7 @@
         let mut world = calm(seed);
         let one = seed as usize % 4;
         let other = (one + 1 + seed as usize / 4 % 3) % 4;
-        let cut = if seed % 2 == 0 { vec![(one, other), (other, one)] } else { vec![(one, other)] };
+        let cut = if seed.is_multiple_of(2) { vec![(one, other), (other, one)] } else { vec![(one, other)] };
         let before = world.newest_view().epoch;
         world.apply(Fault::Cut(cut));
         let end = world.now + ms(12_000);
--- a/crates/control/tests/simulation/checks.rs
+++ b/crates/control/tests/simulation/checks.rs
@@ -56,6 +56,11 @@
         self.committed.insert(position, change);
     }
 
+    /// Whether an entry was seen to be committed before.
+    pub fn knows(&self, entry: &Entry) -> bool {
+        self.committed.contains_key(&entry.id.position)
+    }
+
     /// One view an epoch.
     pub fn view(&mut self, now: Duration, place: usize, view: &View) {
         if let Some(known) = self.views.get(&view.epoch).filter(|known| *known != view) {
--- /dev/null
+++ b/crates/control/tests/simulation/inspect.rs
@@ -0,0 +1,106 @@
+//! Looking at a world from outside.
+
+use crankpick_control::{Entry, EntryId, MemberId, Options, Order, Record, RecordBody, Replica};
+
+use super::{ms, World};
+
+impl World {
+    /// Everything that must hold whenever a replica says that it is fresh.
+    pub(super) fn check_freshness(&mut self, place: usize) {
+        let node = &self.nodes[place];
+        let Some(replica) = &node.replica else { return };
+        let Some(age) = replica.freshness(self.now.saturating_sub(node.booted)) else { return };
+        let generation = replica.newest_committed().map_or(0, |entry| entry.order.generation);
+        self.checks.read(self.now, self.now.saturating_sub(age), place, generation);
+    }
+
+    /// An entry that is committed, for the first time that anyone says so, is synced on enough disks.
+    pub(super) fn check_durable(&mut self, entry: &Entry) {
+        if self.checks.knows(entry) {
+            return;
+        }
+        let disks = (0..self.nodes.len()).filter(|place| self.is_on_disk(*place, &entry.order)).count();
+        // One that was lost since it synced the entry counts.
+        let lost = self.lost_disk.is_some_and(|at| self.now < at + ms(8000));
+        if disks + usize::from(lost) <= self.tolerate {
+            let text = format!("{:?}: committed on {disks} disks: {:?}", self.now, entry.change());
+            self.checks.breaches.push(text);
+        }
+    }
+
+    /// Whether a process started from that disk would know the order.
+    fn is_on_disk(&self, place: usize, order: &Order) -> bool {
+        let node = &self.nodes[place];
+        let decoded = node.disk.iter().map(|bytes| Record::decode(bytes).expect("a sound record"));
+        let replica = Replica::restore(ms(0), self.options(place, 0), decoded.collect(), &mut Vec::new());
+        replica.snapshot_records().into_iter().any(|record| match record.body {
+            RecordBody::Snapshot(snapshot) => snapshot.changes.iter().any(|change| change.is_of(order)),
+            _ => false,
+        })
+    }
+
+    pub(super) fn options(&self, place: usize, entropy: u64) -> Options {
+        let node = &self.nodes[place];
+        Options {
+            address: node.address,
+            zone: node.zone.clone(),
+            seeds: node.seeds.clone(),
+            bootstrap: node.bootstrap,
+            votes: node.votes,
+            tolerate_nodes: self.tolerate,
+            entropy,
+            timing: self.timing,
+        }
+    }
+
+    pub fn is_fresh(&self, place: usize) -> bool {
+        let node = &self.nodes[place];
+        let age =
+            node.replica.as_ref().and_then(|replica| replica.freshness(self.now.saturating_sub(node.booted)));
+        age.is_some_and(|age| age <= ms(600))
+    }
+
+    /// The highest view that any process is in.
+    pub fn newest_view(&self) -> crankpick_control::View {
+        let replicas = self.nodes.iter().filter_map(|node| node.replica.as_ref());
+        replicas.map(|replica| replica.view().clone()).max_by_key(|view| view.epoch).unwrap_or_default()
+    }
+
+    pub fn place_of(&self, id: MemberId) -> Option<usize> {
+        self.nodes.iter().position(|node| node.replica.as_ref().is_some_and(|replica| replica.id() == id))
+    }
+
+    /// Whether the disk of some machine still belongs to that member.
+    pub fn holds(&self, id: MemberId) -> bool {
+        self.nodes.iter().any(|node| !node.disk.is_empty() && node.identity == Some(id))
+    }
+
+    pub fn last_lost_long_ago(&self) -> bool {
+        self.lost_disk.is_none_or(|at| self.now > at + ms(4000))
+    }
+
+    pub fn note_lost(&mut self) {
+        self.lost_disk = Some(self.now);
+    }
+
+    /// A dump for the reader of a failure.
+    pub fn describe(&self) -> String {
+        let mut text = format!("at {:?}\n", self.now);
+        for (place, node) in self.nodes.iter().enumerate() {
+            let Some(replica) = &node.replica else {
+                text += &format!("  {place}: down\n");
+                continue;
+            };
+            let committed = replica.newest_committed().map(|entry| entry.id).unwrap_or(EntryId::default());
+            let chain: Vec<Option<usize>> =
+                replica.view().chain.iter().map(|id| self.place_of(*id)).collect();
+            let members: Vec<String> =
+                replica.view().members.iter().map(|member| member.address.ip().to_string()).collect();
+            text += &format!(
+                "  {place}: id {:x} epoch {} chain {chain:?} members {members:?} committed {committed:?} frozen {} disk {:?}\n",
+                replica.id().0, replica.view().epoch, node.frozen, node.mode
+            );
+        }
+        text
+    }
+}
--- a/crates/control/tests/simulation/mod.rs
+++ b/crates/control/tests/simulation/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod checks;
+pub mod inspect;
 pub mod machine;
 pub mod operators;
 pub mod schedule;
@@ -15,8 +16,7 @@
 use std::time::Duration;
 
 use crankpick_control::{
-    Body, EntryId, Input, MemberId, Message, Options, Order, Outcome, Output, Record, Replica, SubmitKey,
-    Ticket, Timing,
+    Body, Input, Message, Order, Outcome, Output, Record, Replica, SubmitKey, Ticket, Timing,
 };
 
 use checks::Checks;
@@ -180,16 +180,8 @@
         node.life += 1;
         node.frozen = false;
         node.booted = self.now.saturating_sub(ms(self.random.u64(1..2000)));
-        let options = Options {
-            address: node.address,
-            zone: node.zone.clone(),
-            seeds: node.seeds.clone(),
-            bootstrap: node.bootstrap,
-            votes: node.votes,
-            tolerate_nodes: self.tolerate,
-            entropy,
-            timing: self.timing,
-        };
+        let options = self.options(place, entropy);
+        let node = &mut self.nodes[place];
         node.bootstrap = false;
         let records = node.disk.iter().map(|bytes| Record::decode(bytes).expect("a sound record")).collect();
         let mut outputs = Vec::new();
@@ -363,7 +355,10 @@
                     self.heard.push((key, outcome));
                     self.operator_answered(place, key, outcome);
                 }
-                Output::Committed(entry) => self.checks.committed(self.now, place, &entry),
+                Output::Committed(entry) => {
+                    self.check_durable(&entry);
+                    self.checks.committed(self.now, place, &entry);
+                }
                 Output::ViewChanged(view) => self.checks.view(self.now, place, &view),
             }
         }
@@ -415,66 +410,6 @@
             self.push(self.now + delay, Event::Deliver { node: to, message: message.clone() });
         }
     }
-
-    /// Everything that must hold whenever a replica says that it is fresh.
-    fn check_freshness(&mut self, place: usize) {
-        let node = &self.nodes[place];
-        let Some(replica) = &node.replica else { return };
-        let Some(age) = replica.freshness(self.now.saturating_sub(node.booted)) else { return };
-        let generation = replica.newest_committed().map_or(0, |entry| entry.order.generation);
-        self.checks.read(self.now, self.now.saturating_sub(age), place, generation);
-    }
-
-    pub fn is_fresh(&self, place: usize) -> bool {
-        let node = &self.nodes[place];
-        let age =
-            node.replica.as_ref().and_then(|replica| replica.freshness(self.now.saturating_sub(node.booted)));
-        age.is_some_and(|age| age <= ms(600))
-    }
-
-    /// The highest view that any process is in.
-    pub fn newest_view(&self) -> crankpick_control::View {
-        let replicas = self.nodes.iter().filter_map(|node| node.replica.as_ref());
-        replicas.map(|replica| replica.view().clone()).max_by_key(|view| view.epoch).unwrap_or_default()
-    }
-
-    pub fn place_of(&self, id: MemberId) -> Option<usize> {
-        self.nodes.iter().position(|node| node.replica.as_ref().is_some_and(|replica| replica.id() == id))
-    }
-
-    /// Whether the disk of some machine still belongs to that member.
-    pub fn holds(&self, id: MemberId) -> bool {
-        self.nodes.iter().any(|node| !node.disk.is_empty() && node.identity == Some(id))
-    }
-
-    pub fn last_lost_long_ago(&self) -> bool {
-        self.lost_disk.is_none_or(|at| self.now > at + ms(4000))
-    }
-
-    pub fn note_lost(&mut self) {
-        self.lost_disk = Some(self.now);
-    }
-
-    /// A dump for the reader of a failure.
-    pub fn describe(&self) -> String {
-        let mut text = format!("at {:?}\n", self.now);
-        for (place, node) in self.nodes.iter().enumerate() {
-            let Some(replica) = &node.replica else {
-                text += &format!("  {place}: down\n");
-                continue;
-            };
-            let committed = replica.newest_committed().map(|entry| entry.id).unwrap_or(EntryId::default());
-            let chain: Vec<Option<usize>> =
-                replica.view().chain.iter().map(|id| self.place_of(*id)).collect();
-            let members: Vec<String> =
-                replica.view().members.iter().map(|member| member.address.ip().to_string()).collect();
-            text += &format!(
-                "  {place}: id {:x} epoch {} chain {chain:?} members {members:?} committed {committed:?} frozen {} disk {:?}\n",
-                replica.id().0, replica.view().epoch, node.frozen, node.mode
-            );
-        }
-        text
-    }
 }
 
 pub fn order(if_match: u64, generation: u64, salt: u64) -> Arc<Order> {
--- a/crates/control/tests/simulation/schedule.rs
+++ b/crates/control/tests/simulation/schedule.rs
@@ -259,7 +259,7 @@
 pub fn run(seed: u64) -> Report {
     let others = [1, 1, 1, 0, 2, 3][seed as usize % 6];
     let mut world = World::new(seed, SEEDS, others);
-    if seed % 5 == 0 {
+    if seed.is_multiple_of(5) {
         let seeds = world.nodes[0].seeds.clone();
         world.add_node(seeds, false, false);
     }
