Registry: rules, gateway leases and the choice of a home by tests in virtual time

A region that was lost whole held its gateways for over 6 s: the near homes were tried again before any far one.

--- a/crates/registry/src/home_choice.rs
+++ b/crates/registry/src/home_choice.rs
@@ -20,7 +20,7 @@
 /// A stale home is exchanged for another stale one only if that is fresher by this much.
 const CLEARLY_FRESHER: Duration = Duration::from_millis(500);
 /// The first pause between tries; it doubles with each try in vain.
-const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const FIRST_PAUSE: Duration = Duration::from_millis(60);
 /// The longest pause between tries.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_600);
 /// How long one candidate is left alone after its first failure; doubles with each.
@@ -292,13 +292,17 @@
         self.best(now, self.rank(followed))
     }
 
-    /// The best placed candidate that may be dialled and ranks below `below`.
+    /// The candidate to dial that ranks below `below`: of those that failed least often, the best placed.
     fn best(&self, now: Now, below: u8) -> Option<SocketAddr> {
         let followed = self.following();
         let eligible = self.candidates.iter().filter(|(address, candidate)| {
             Some(**address) != followed && candidate.not_before <= now && self.rank(**address) < below
         });
-        eligible.min_by_key(|(address, candidate)| (self.rank(**address), candidate.draw)).map(|(at, _)| *at)
+        let order = |address: &SocketAddr, candidate: &Candidate| {
+            (candidate.failures, self.rank(*address), candidate.draw)
+        };
+        let best = eligible.min_by_key(|(address, candidate)| order(address, candidate));
+        best.map(|(address, _)| *address)
     }
 
     fn fresh(&self, now: Now) -> bool {
--- /dev/null
+++ b/crates/registry/tests/gateways.rs
@@ -0,0 +1,228 @@
+//! Gateways: their leases, their number, and which home each follows.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crankpick_registry::{
+    GatewayCount, GatewayId, GatewayLeases, GatewayTotal, HomeAction, HomeAnswer, HomeCandidate, HomeChoice,
+    HomeChoiceSettings, ProcessId,
+};
+
+fn at(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+fn renew(leases: &mut GatewayLeases, now: u64, gateway: u64, seq: u64) -> bool {
+    let node = format!("node-{gateway}");
+    leases.renew(at(now), GatewayId(gateway), &node, "z", seq).is_some()
+}
+
+#[test]
+fn leases_are_told_as_changes_only_and_end() {
+    let (mut first, mut second) =
+        (GatewayLeases::new(at(0), ProcessId(1)), GatewayLeases::new(at(0), ProcessId(2)));
+    first.peer_up(at(0), ProcessId(2));
+    second.peer_up(at(0), ProcessId(1));
+    let word = first.renew(at(100), GatewayId(7), "n", "z", 1).unwrap();
+    second.merge(at(100), &word);
+    assert_eq!(second.total(at(100)), GatewayTotal { count: 1, settled: false });
+    for step in 1..20 {
+        assert!(first.renew(at(100 + 250 * step), GatewayId(7), "n", "z", 1 + step).is_none());
+        first.tick(at(110 + 250 * step));
+        second.tick(at(110 + 250 * step));
+    }
+    // It goes on to the second process: the end of its lease at the first one says nothing any more.
+    let moved = second.renew(at(5_000), GatewayId(7), "n", "z", 21).unwrap();
+    first.merge(at(5_010), &moved);
+    let mut seq = 22;
+    for time in (5_250..12_000).step_by(250) {
+        seq += 1;
+        second.renew(at(time), GatewayId(7), "n", "z", seq);
+        assert_eq!(first.tick(at(time)), None);
+        second.tick(at(time));
+    }
+    assert_eq!((first.total(at(12_000)).count, second.total(at(12_000)).count), (1, 1));
+    let mut ended = None;
+    for time in (12_000..20_000).step_by(250) {
+        ended = ended.or(second.tick(at(time)));
+        if let Some(word) = &ended {
+            first.merge(at(time), word);
+        }
+    }
+    assert_eq!((first.total(at(20_000)).count, second.total(at(20_000)).count), (0, 0));
+}
+
+#[test]
+fn the_count_falls_no_faster_than_leases_end() {
+    let mut leases = GatewayLeases::new(at(0), ProcessId(1));
+    for gateway in 0..13 {
+        assert!(renew(&mut leases, 100, gateway, 1));
+    }
+    assert_eq!(leases.total(at(100)).count, 13);
+    for step in 1..40 {
+        let now = 100 + 250 * step;
+        for gateway in 0..3 {
+            renew(&mut leases, now, gateway, 1 + step);
+        }
+        leases.tick(at(now));
+        let count = leases.total(at(now)).count;
+        assert!(count == 13 || now > 6_100, "{count} at {now}");
+    }
+    assert_eq!(leases.total(at(10_000)).count, 3);
+}
+
+#[test]
+fn an_isolated_or_frozen_process_does_not_count_fewer() {
+    let mut leases = GatewayLeases::new(at(0), ProcessId(1));
+    for gateway in 0..4 {
+        renew(&mut leases, 100, gateway, 1);
+    }
+    leases.set_isolated(at(200), true);
+    for now in (250..20_000).step_by(250) {
+        leases.tick(at(now));
+    }
+    assert_eq!(leases.total(at(20_000)), GatewayTotal { count: 4, settled: false });
+
+    let mut frozen = GatewayLeases::new(at(0), ProcessId(1));
+    renew(&mut frozen, 100, 1, 1);
+    assert_eq!(frozen.tick(at(30_000)), None);
+    assert_eq!(frozen.total(at(30_000)), GatewayTotal { count: 1, settled: false });
+}
+
+#[test]
+fn a_gateway_believes_a_lower_count_late() {
+    let mut count = GatewayCount::new();
+    assert_eq!(count.count(), None);
+    count.told(at(0), GatewayTotal { count: 13, settled: true });
+    count.told(at(100), GatewayTotal { count: 1, settled: false });
+    count.told(at(9_000), GatewayTotal { count: 2, settled: false });
+    assert_eq!(count.count(), Some(13));
+    count.told(at(9_100), GatewayTotal { count: 9, settled: true });
+    count.told(at(13_000), GatewayTotal { count: 9, settled: true });
+    assert_eq!(count.count(), Some(13));
+    count.told(at(13_200), GatewayTotal { count: 9, settled: true });
+    assert_eq!(count.count(), Some(9));
+    count.told(at(13_300), GatewayTotal { count: 10, settled: false });
+    assert_eq!(count.count(), Some(10));
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, index as u8, 1], 7500))
+}
+
+fn zones(count: usize) -> BTreeMap<String, String> {
+    (0..count).map(|zone| (format!("zone-{zone}"), format!("region-{}", zone / 5))).collect()
+}
+
+fn candidates(count: usize) -> Vec<HomeCandidate> {
+    (0..count).map(|zone| HomeCandidate { address: address(zone), zone: format!("zone-{zone}") }).collect()
+}
+
+fn choice(zone: usize, seed: u64) -> HomeChoice {
+    let settings = HomeChoiceSettings {
+        zone: format!("zone-{zone}"),
+        regions: zones(25),
+        seeds: (0..3).map(address).collect(),
+    };
+    HomeChoice::new(at(0), settings, seed)
+}
+
+const FRESH: HomeAnswer = HomeAnswer { age: Some(Duration::from_millis(100)) };
+const STALE: HomeAnswer = HomeAnswer { age: Some(Duration::from_secs(3)) };
+
+/// Polls each 50 ms and answers dials; the home that is followed in the end.
+fn settle(choice: &mut HomeChoice, from: u64, until: u64, answer: impl Fn(SocketAddr) -> Option<HomeAnswer>) {
+    for now in (from..until).step_by(50) {
+        for action in choice.poll(at(now)) {
+            if let HomeAction::Dial(home) = action {
+                match answer(home) {
+                    Some(answer) => choice.answered(at(now), home, answer),
+                    None => choice.failed(at(now), home),
+                }
+            }
+        }
+        if let Some(home) = choice.following() {
+            match answer(home) {
+                Some(answer) => choice.answered(at(now), home, answer),
+                None => choice.failed(at(now), home),
+            }
+            choice.learned(at(now), &candidates(25));
+        }
+    }
+}
+
+#[test]
+fn the_own_zone_is_followed_then_the_region_then_the_rest() {
+    let mut choice = choice(7, 3);
+    settle(&mut choice, 0, 3_000, |_| Some(FRESH));
+    assert_eq!(choice.following(), Some(address(7)));
+    settle(&mut choice, 3_000, 6_000, |home| (home != address(7)).then_some(FRESH));
+    let followed = choice.following().unwrap();
+    assert!((5..10).map(address).any(|region| region == followed), "{followed}");
+    settle(&mut choice, 6_000, 12_000, |home| {
+        (!(5..10).map(address).any(|near| near == home)).then_some(FRESH)
+    });
+    assert!(choice.following().is_some());
+    settle(&mut choice, 12_000, 30_000, |_| Some(FRESH));
+    assert_eq!(choice.following(), Some(address(7)));
+}
+
+#[test]
+fn a_stale_home_is_left_for_a_fresh_one_and_kept_if_there_is_none() {
+    let mut choice = choice(1, 5);
+    settle(&mut choice, 0, 3_000, |_| Some(FRESH));
+    assert_eq!(choice.following(), Some(address(1)));
+    settle(&mut choice, 3_000, 5_000, |home| Some(if home == address(1) { STALE } else { FRESH }));
+    assert_ne!(choice.following(), Some(address(1)));
+    let least_stale =
+        |home| HomeAnswer { age: Some(Duration::from_secs(if home == address(4) { 2 } else { 9 })) };
+    settle(&mut choice, 5_000, 60_000, |home| Some(least_stale(home)));
+    assert_eq!(choice.following(), Some(address(4)));
+}
+
+/// 1,100 gateways lose all 25 homes for 5 s.
+#[test]
+fn retries_of_a_whole_fleet_are_bounded() {
+    let mut gateways: Vec<HomeChoice> = (0..1_100).map(|index| choice(index % 25, index as u64)).collect();
+    let mut dials = vec![0_usize; 30];
+    let mut homeless_until = 0;
+    for now in (0..20_000).step_by(10) {
+        let down = (10_000..15_000).contains(&now);
+        for gateway in &mut gateways {
+            let followed = gateway.following();
+            if let Some(home) = followed {
+                if down {
+                    gateway.failed(at(now), home);
+                } else if now % 250 == 0 {
+                    gateway.answered(at(now), home, FRESH);
+                    gateway.learned(at(now), &candidates(25));
+                }
+            }
+            for action in gateway.poll(at(now)) {
+                let HomeAction::Dial(home) = action else {
+                    continue;
+                };
+                dials[now as usize / 1_000] += 1;
+                if down {
+                    gateway.failed(at(now), home);
+                } else {
+                    gateway.answered(at(now), home, FRESH);
+                }
+            }
+        }
+        if now >= 15_000 && gateways.iter().any(|gateway| gateway.following().is_none()) {
+            homeless_until = now;
+        }
+    }
+    let most = dials[10..15].iter().max().unwrap();
+    println!("dials a second while all homes are down: {:?}", &dials[10..15]);
+    println!(
+        "dials a second after: {:?}; all have a home {} ms after the homes are back",
+        &dials[15..20],
+        homeless_until - 15_000 + 10
+    );
+    assert!(*most <= 6 * 1_100, "{dials:?}");
+    assert!(dials[14] <= 1_100, "{dials:?}");
+    assert!(homeless_until - 15_000 <= 2_500, "{homeless_until}");
+}
