Dispatch: the heaviest prompts keep to their group, and what they hold up has a price

The heaviest type's keys have their homes in its own group and the others' outside it; a prompt costs what the streams beside it lose.

--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -147,9 +147,22 @@
     /// The time until what is there before a new request has been read, `usual` being what its peers' answers
     /// wait for others' requests.
     pub fn wait_ms(&self, now: Now, usual: f64, weights: &Weights) -> f64 {
-        let own_ms = if self.pending.is_empty() { 0.0 } else { ms(self.free_at.saturating_sub(now)) };
         let others_ms = self.others_wait_ms.value(now, usual);
-        (own_ms + others_ms).max(self.silence_ms(now) * weights.silence)
+        (self.own_wait_ms(now) + others_ms).max(self.silence_ms(now) * weights.silence)
+    }
+
+    /// The time until what this gateway sent there has been read.
+    pub fn own_wait_ms(&self, now: Now) -> f64 {
+        if self.pending.is_empty() {
+            0.0
+        } else {
+            ms(self.free_at.saturating_sub(now))
+        }
+    }
+
+    /// Streams that run there, own and told.
+    pub fn streams(&self, now: Now) -> f64 {
+        f64::from(self.in_flight) - self.pending.len() as f64 + self.others_running(now)
     }
 
     /// How much longer than expected it has been silent, though something should have come.
--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -41,7 +41,13 @@
         let kind = self.services[index].kind(request);
         let part = shared(request).last().filter(|_| request.route.sticky).map(|part| part.id);
         let drawn = self.rng.u64(..);
-        let candidates = self.candidates(index, kind, part.unwrap_or(drawn), part.is_some());
+        // A part that stands alone may be the request's own and never come again.
+        let shares = match (part, request.parts.len()) {
+            (None, _) => 0.0,
+            (_, 1) => 0.5,
+            _ => 1.0,
+        };
+        let candidates = self.candidates(index, kind, part.unwrap_or(drawn), shares);
         let light = part.is_none() && self.light(now, index, &candidates);
         let rotated = if light { self.rotated(now, index, kind, request) } else { None };
         let found = rotated.or_else(|| self.best(now, index, request, &candidates, part));
@@ -50,16 +56,18 @@
     }
 
     /// The type's group before all others. A key's first backends, in the own zone and of all, are the same for
-    /// all its requests whatever their types: what they share is kept there.
-    fn candidates(&self, index: usize, kind: Kind, key: u64, sticky: bool) -> Vec<Candidate> {
+    /// all its requests but the heaviest, whatever their types: what they share is kept there.
+    fn candidates(&self, index: usize, kind: Kind, key: u64, shares: f64) -> Vec<Candidate> {
         let groups = &self.services[index].groups;
-        let (group, whole) = (groups.of(kind), &groups.whole);
+        let (group, homes, whole) = (groups.of(kind), groups.homes(kind), &groups.whole);
         let weights = &self.settings.weights;
         let lists = [
             (&group.near, 0.0, None),
             (&group.all, 0.0, None),
-            (&whole.near, weights.foreign, Some(weights.kept_near)),
-            (&whole.all, weights.foreign, Some(weights.kept_at_first)),
+            (&homes.near, 0.0, Some(weights.kept_near)),
+            (&homes.all, 0.0, Some(weights.kept_at_first)),
+            (&whole.near, weights.foreign, None),
+            (&whole.all, weights.foreign, None),
         ];
         let mut keys = Vec::with_capacity(CANDIDATES);
         let mut candidates = Vec::with_capacity(lists.len() * CANDIDATES);
@@ -68,8 +76,8 @@
             circle.candidates(key, CANDIDATES, &mut keys);
             candidates.extend(keys.iter().map(|key| Candidate { key: *key, kept: 0.0, penalty }));
             let first = candidates.len() - keys.len();
-            if let Some((first, kept)) = candidates.get_mut(first).zip(kept.filter(|_| sticky)) {
-                (first.kept, first.penalty) = (kept, 0.0);
+            if let Some((first, kept)) = candidates.get_mut(first).zip(kept) {
+                first.kept = kept * shares;
             }
         }
         candidates
--- a/crates/dispatch/src/fit.rs
+++ b/crates/dispatch/src/fit.rs
@@ -101,10 +101,22 @@
         let alone_ms = self.service.pace.first_ms(unread) * slowness;
         let first_ms = alone_ms + backend.wait_ms(self.now, usual_ms, self.weights);
         let again = (missing - perhaps) / 1e3 * self.weights.reread_per_k * self.used_lately;
-        let cost = self.lateness(first_ms) + self.crossing(backend) + again + self.taken(backend);
+        let cost = self.lateness(first_ms)
+            + self.crossing(backend)
+            + again
+            + self.taken(backend)
+            + self.stalled(backend, unread);
         Expected { unread, alone_ms, first_ms, cost }
     }
 
+    /// What the streams that run there lose by this prompt: past a time, reading holds up their events.
+    fn stalled(&self, backend: &Backend, unread: f64) -> f64 {
+        let reading_ms = self.service.pace.reading_ms(unread) * backend.slowness(self.now);
+        let held_ms = reading_ms + backend.own_wait_ms(self.now);
+        let share = (held_ms / self.weights.stall_ms - 0.5).clamp(0.0, 1.0);
+        share * (reading_ms / held_ms.max(1.0)) * backend.streams(self.now) * self.weights.stall
+    }
+
     fn expected_work(&self, backend: &Backend, slowness: f64) -> Expected {
         let slots = f64::from(backend.view.slots.max(1));
         let before = (backend.requests(self.now) + 1.0 - slots).max(0.0) / slots;
--- a/crates/dispatch/src/groups.rs
+++ b/crates/dispatch/src/groups.rs
@@ -51,6 +51,8 @@
     /// All backends that are ready.
     pub whole: Group,
     by_kind: [Group; 4],
+    /// All but those of the heaviest type.
+    light: Group,
     traffic: [f64; 4],
     rebuild_at: Option<Now>,
 }
@@ -78,6 +80,15 @@
         }
     }
 
+    /// Where the homes of a type's keys lie: the heaviest requests keep to their group, the others out of it.
+    pub fn homes(&self, kind: Kind) -> &Group {
+        match kind {
+            Kind::Both => self.of(kind),
+            _ if self.light.all.is_empty() => &self.whole,
+            _ => &self.light,
+        }
+    }
+
     pub fn of_mut(&mut self, kind: Kind) -> &mut Group {
         let group = &mut self.by_kind[kind.index()];
         if group.all.is_empty() {
@@ -121,6 +132,7 @@
         let units: f64 = self.traffic.iter().sum();
         let count = members.len();
         let mut from = 0.0;
+        self.light = Group::default();
         for kind in Kind::ALL {
             let traffic = self.traffic[kind.index()];
             self.by_kind[kind.index()] = Group::default();
@@ -132,6 +144,9 @@
             let first = (f64::round(from) as usize).min(count - 1);
             let last = (f64::round(until) as usize).clamp(first + 1, count);
             self.by_kind[kind.index()] = Group::of(&members[first..last], turns);
+            if kind == Kind::Both {
+                self.light = Group::of(&members[..first], turns);
+            }
             from = until;
         }
     }
--- a/crates/dispatch/src/kinds.rs
+++ b/crates/dispatch/src/kinds.rs
@@ -3,7 +3,7 @@
 /// An answer's token against a prompt's: what the pages count for a request's size.
 const ANSWER_WEIGHT: f64 = 10.0;
 /// Where the bands are cut, in mean sizes of the service's requests.
-const CUTS: [f64; 3] = [0.5, 1.5, 3.0];
+const CUTS: [f64; 3] = [0.5, 1.5, 4.0];
 /// Load units that a request of each type adds.
 const VALUES: [f64; 4] = [1.0, 2.0, 2.0, 3.0];
 /// Requests after which the mean size has settled.
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -1,5 +1,6 @@
 //! What a dispatcher keeps of one service.
 
+use crate::fit::shared;
 use crate::groups::Groups;
 use crate::interface::{DispatchRequest, Now, ServiceView};
 use crate::kinds::{size, Bands, Kind};
@@ -15,6 +16,16 @@
 /// What one request counts in the means.
 const MEAN_SHARE: f64 = 0.02;
 
+/// Of the parts that a prompt shares, what must be read on the mean.
+const SHARED_READ: f64 = 0.3;
+
+/// What a request counts in bands and groups: what must be read of its prompt, and its answer.
+fn load_size(request: &DispatchRequest) -> f64 {
+    let shared: f64 = shared(request).iter().map(|part| f64::from(part.tokens)).sum();
+    let prompt = (f64::from(request.prompt_tokens) - shared).max(0.0) + shared * SHARED_READ;
+    size(prompt, f64::from(request.answer_tokens))
+}
+
 /// A service, its groups, and what its backends are usually like.
 #[derive(Debug)]
 pub(crate) struct Service {
@@ -63,7 +74,7 @@
     }
 
     pub fn kind(&self, request: &DispatchRequest) -> Kind {
-        self.bands.kind(size(f64::from(request.prompt_tokens), f64::from(request.answer_tokens)))
+        self.bands.kind(load_size(request))
     }
 
     /// Connections to one backend that this gateway may hold, as one of so many.
@@ -77,7 +88,7 @@
     /// Takes in a request that is sent for the first time.
     pub fn see(&mut self, now: Now, request: &DispatchRequest, kind: Kind, reading_ms: f64) {
         let tokens = f64::from(request.prompt_tokens) + f64::from(request.answer_tokens);
-        let size = size(f64::from(request.prompt_tokens), f64::from(request.answer_tokens));
+        let size = load_size(request);
         self.bands.see(size);
         // Values are of one order; what engines read differs by three.
         self.groups.see(now, kind, if self.is_engine() { size } else { kind.value() });
--- a/crates/dispatch/src/weights.rs
+++ b/crates/dispatch/src/weights.rs
@@ -21,6 +21,10 @@
     pub silence: f64,
     /// How lateness grows with the share of the objective that the first event takes.
     pub lateness_power: f64,
+    /// What one stream costs that a long prompt holds up, in shares of worth.
+    pub stall: f64,
+    /// The time of reading a prompt that holds up all streams beside it, in ms.
+    pub stall_ms: f64,
     /// What a backend outside the type's group counts, in shares of worth.
     pub foreign: f64,
     /// Of the members' maxima, the load up to which a group rotates.
@@ -30,16 +34,18 @@
 impl Default for Weights {
     fn default() -> Weights {
         Weights {
-            crossing_per_kb: 0.004,
-            reread_per_k: 0.1,
-            shared_elsewhere: 0.5,
+            crossing_per_kb: 0.005,
+            reread_per_k: 0.2,
+            shared_elsewhere: 0.6,
             kept_at_first: 0.8,
             kept_near: 0.2,
             late_share: 0.5,
             others_tau_ms: 500.0,
             silence: 5.0,
             lateness_power: 1.0,
-            foreign: 0.01,
+            stall: 0.3,
+            stall_ms: 300.0,
+            foreign: 0.3,
             light: 0.1,
         }
     }
--- a/crates/dispatch/tests/balance.rs
+++ b/crates/dispatch/tests/balance.rs
@@ -26,6 +26,8 @@
             "elsewhere" => weights.shared_elsewhere = value,
             "first" => weights.kept_at_first = value,
             "near" => weights.kept_near = value,
+            "stall" => weights.stall = value,
+            "stallms" => weights.stall_ms = value,
             "late" => weights.late_share = value,
             "tau" => weights.others_tau_ms = value,
             "silence" => weights.silence = value,
@@ -96,12 +98,17 @@
         mean(&|of| of.worth(site).0),
         mean(&|of| of.worth(site).1),
     );
+    for place in 0..6 {
+        text += &format!(" {:.0}k", mean(&|of| of.again_by[place] as f64 / 1e3));
+    }
     for (index, class) in site.classes.iter().enumerate() {
         text += &format!(
-            " {} p95 {:.0} late {:.2}% lost {:.1} ref {:.1}%;",
+            " {} p95 {:.0} late {:.2}% stall {:.2}% lost {:.1} ref {:.1}%;",
             class.name,
             mean(&|of| of.classes[index].quantile(0.95)),
             mean(&|of| of.classes[index].over(class.slo_ms)) * 100.0,
+            mean(&|of| of.classes[index].stalled.len() as f64 / of.classes[index].count().max(1) as f64)
+                * 100.0,
             mean(&|of| of.classes[index].lost as f64),
             mean(&|of| of.classes[index].refused as f64 / of.classes[index].count().max(1) as f64) * 100.0,
         );
--- a/crates/dispatch/tests/support/figures.rs
+++ b/crates/dispatch/tests/support/figures.rs
@@ -5,10 +5,11 @@
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Ended {
-    /// `second` where it was refused before.
+    /// `second` where it was refused before, `stalled` where its events paused for longer than they may.
     Answered {
         first_ms: f64,
         second: bool,
+        stalled: bool,
     },
     Lost,
     Refused,
@@ -20,6 +21,8 @@
     pub first_ms: Vec<f64>,
     /// Of these, those answered at a second try: on time they earn half.
     pub second: Vec<f64>,
+    /// Of these, those whose events paused for too long: late whenever they began.
+    pub stalled: Vec<f64>,
     pub lost: usize,
     pub refused: usize,
 }
@@ -48,6 +51,8 @@
 pub struct Figures {
     pub classes: Vec<ClassFigures>,
     pub read_again: u64,
+    /// By class, what is common and what is a session's.
+    pub again_by: [u64; 8],
     pub read: u64,
     pub crossed_bytes: u64,
     pub further_sends: usize,
@@ -57,13 +62,22 @@
 impl Figures {
     pub fn new(site: &Site) -> Figures {
         let classes = vec![ClassFigures::default(); site.classes.len()];
-        Figures { classes, read_again: 0, read: 0, crossed_bytes: 0, further_sends: 0, into_dark: 0 }
+        Figures {
+            classes,
+            read_again: 0,
+            again_by: [0; 8],
+            read: 0,
+            crossed_bytes: 0,
+            further_sends: 0,
+            into_dark: 0,
+        }
     }
 
     pub fn count(&mut self, class: usize, ended: Ended) {
         let of = &mut self.classes[class];
         match ended {
-            Ended::Answered { first_ms, second } => {
+            Ended::Answered { first_ms, second, stalled } => {
+                of.stalled.extend(stalled.then_some(first_ms));
                 of.first_ms.push(first_ms);
                 of.second.extend(second.then_some(first_ms));
             }
@@ -76,7 +90,9 @@
     pub fn worth(&self, site: &Site) -> (f64, f64) {
         let (mut earned, mut owed) = (0.0, 0.0);
         for (class, of) in site.classes.iter().zip(&self.classes) {
-            let on_time = of.first_ms.iter().filter(|first| **first <= class.slo_ms).count();
+            let on_time = |of: &[f64]| of.iter().filter(|first| **first <= class.slo_ms).count();
+            let (on_time, stalled) = (on_time(&of.first_ms), on_time(&of.stalled));
+            let on_time = on_time - stalled;
             let late = of.first_ms.len() - on_time;
             let halved = of.second.iter().filter(|first| **first <= class.slo_ms).count();
             earned += (on_time as f64 - halved as f64 / 2.0) * class.worth + late as f64 * class.late_worth;
--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -74,6 +74,7 @@
     heard_us: u64,
     answered: bool,
     over: bool,
+    pause_us: u64,
 }
 
 struct Request {
@@ -271,7 +272,15 @@
         self.figures.further_sends += usize::from(!request.tried.is_empty());
         self.requests[index].tried.push(target.backend);
         let heard_us = self.now_us;
-        self.sends.push(Send { request: index, gateway, backend, heard_us, answered, over: false });
+        self.sends.push(Send {
+            request: index,
+            gateway,
+            backend,
+            heard_us,
+            answered,
+            over: false,
+            pause_us: 0,
+        });
         let wire_us = self.wire_us(gateway, backend);
         self.at(self.now_us + wire_us, Step::Reach(send));
         self.at(self.now_us + SILENCE_US, Step::Silence(send));
@@ -351,6 +360,10 @@
             let used = self.used.get(&part.id).copied().unwrap_or(0);
             let again = used > 0 && self.now_us - used < AGAIN_US;
             self.figures.read_again += if again { u64::from(part.tokens) } else { 0 };
+            if again && part.id < 1 << 60 {
+                let place = ((part.id >> 40) as usize - 1) * 2 + ((part.id >> 32 & 3) as usize - 1);
+                self.figures.again_by[place] += u64::from(part.tokens);
+            }
             self.used.insert(part.id, self.now_us);
         }
         for of in yields {
@@ -405,6 +418,7 @@
         let now = Duration::from_micros(self.now_us);
         let of = &mut self.sends[send];
         if !of.over {
+            of.pause_us = of.pause_us.max(self.now_us - of.heard_us);
             of.heard_us = self.now_us;
             self.gateways[of.gateway].event(now, send);
         }
@@ -435,7 +449,7 @@
             return;
         }
         self.gateways[of.gateway].end(now, send, outcome);
-        let (index, backend, gateway) = (of.request, of.backend, of.gateway);
+        let (index, backend, gateway, pause_us) = (of.request, of.backend, of.gateway, of.pause_us);
         if let Host::Engine(engine) = &mut self.backends[backend].host {
             if outcome != Outcome::Done {
                 engine.cancel(send);
@@ -454,7 +468,8 @@
             (Outcome::Done, Some(first_us)) => {
                 let first_ms = (first_us - request.arrival.at_us) as f64 / 1e3;
                 let second = request.refused;
-                self.figures.count(class, Ended::Answered { first_ms, second });
+                let stalled = pause_us as f64 / 1e3 > terms.gap_ms;
+                self.figures.count(class, Ended::Answered { first_ms, second, stalled });
             }
             (_, None) if again && request.tried.len() < 2 => self.dispatch(index),
             _ => self.figures.count(class, Ended::Lost),
--- a/crates/dispatch/tests/support/sites.rs
+++ b/crates/dispatch/tests/support/sites.rs
@@ -16,6 +16,7 @@
         per_s,
         slo_ms,
         deadline_ms,
+        gap_ms: if slo_ms >= 1000.0 { 500.0 } else { 400.0 },
         worth: worth.0,
         late_worth: worth.1,
         priority,
--- a/crates/dispatch/tests/support/traffic.rs
+++ b/crates/dispatch/tests/support/traffic.rs
@@ -29,6 +29,8 @@
     pub per_s: f64,
     pub slo_ms: f64,
     pub deadline_ms: f64,
+    /// The longest pause between events at which an answer is on time.
+    pub gap_ms: f64,
     pub worth: f64,
     pub late_worth: f64,
     pub priority: u8,
--- a/crates/dispatch/tests/unit/kinds.rs
+++ b/crates/dispatch/tests/unit/kinds.rs
@@ -4,7 +4,7 @@
 fn bands_are_cut_by_the_mean_size() {
     let mut bands = Bands::default();
     (0..100).for_each(|_| bands.see(size(900.0, 10.0)));
-    let kinds = [100.0, 499.0, 501.0, 1499.0, 1501.0, 2999.0, 3001.0, 60_000.0].map(|size| bands.kind(size));
+    let kinds = [100.0, 499.0, 501.0, 1499.0, 1501.0, 3999.0, 4001.0, 60_000.0].map(|size| bands.kind(size));
     use Kind::*;
     assert_eq!(kinds, [Plain, Plain, LongPrompt, LongPrompt, LongAnswer, LongAnswer, Both, Both]);
 }
