--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -70,14 +70,17 @@
             (&whole.all, weights.foreign, None),
         ];
         let mut keys = Vec::with_capacity(CANDIDATES);
-        let mut candidates = Vec::with_capacity(lists.len() * CANDIDATES);
+        let mut candidates: Vec<Candidate> = Vec::with_capacity(lists.len() * CANDIDATES);
         for (circle, penalty, kept) in lists {
             keys.clear();
             circle.candidates(key, CANDIDATES, &mut keys);
-            candidates.extend(keys.iter().map(|key| Candidate { key: *key, kept: 0.0, penalty }));
-            let first = candidates.len() - keys.len();
-            if let Some((first, kept)) = candidates.get_mut(first).zip(kept) {
-                first.kept = kept * shares;
+            for (rank, key) in keys.iter().enumerate() {
+                let kept = if rank == 0 { kept.unwrap_or(0.0) * shares } else { 0.0 };
+                // Lists come by rising penalty: what is there already stays.
+                match candidates.iter_mut().find(|of| of.key == *key) {
+                    Some(known) => known.kept = known.kept.max(kept),
+                    None => candidates.push(Candidate { key: *key, kept, penalty }),
+                }
             }
         }
         candidates
