--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -16,7 +16,7 @@
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::TokioIo;
 use tokio::time::{sleep_until, Instant};
 
@@ -43,12 +43,21 @@
     InOrder,
     /// An answer went out over bytes that were not read.
     Unread,
-    /// An answer was broken off.
+    /// An answer was broken off whose end its client tells by that of the connection.
     CutOff,
     /// Too slow.
     TimedOut,
 }
 
+/// What was seen of a connection's requests.
+#[derive(Default)]
+struct Seen {
+    /// One was refused whose end can't be told.
+    refused: AtomicBool,
+    /// The last one was of a version without chunks.
+    unchunked: AtomicBool,
+}
+
 /// Serves a connection to its end.
 pub(crate) async fn serve(client: Arc<Client>, shared: Arc<Shared>) {
     shared.count(Cause::ClientConnected);
@@ -61,8 +70,8 @@
 }
 
 async fn drive(client: &Arc<Client>, shared: &Arc<Shared>) -> End {
-    let refused = AtomicBool::new(false);
-    let service = service_fn(|request| respond(client, shared, &refused, request));
+    let seen = Seen::default();
+    let service = service_fn(|request| respond(client, shared, &seen, request));
     let limit = usize::try_from(shared.client_limits().max_header_bytes).unwrap_or(MOST_BUFFER);
     let connection = http1::Builder::new()
         .header_read_timeout(None)
@@ -80,7 +89,7 @@
         };
         tokio::select! {
             biased;
-            ended = connection.as_mut() => return end_of(ended, &refused),
+            ended = connection.as_mut() => return end_of(ended, &seen),
             () = client.evicted.notified() => leaving = true,
             () = shared.lifecycle.ended_for(IDLE_ENDED), if !leaving => leaving = true,
             () = sooner(client, &limits, wake), if !leaving => {}
@@ -111,12 +120,12 @@
     .await;
 }
 
-fn end_of(ended: hyper::Result<()>, refused: &AtomicBool) -> End {
+fn end_of(ended: hyper::Result<()>, seen: &Seen) -> End {
     match ended {
-        Ok(()) if refused.load(Ordering::Relaxed) => End::Unread,
+        Ok(()) if seen.refused.load(Ordering::Relaxed) => End::Unread,
         Ok(()) => End::InOrder,
         Err(wrong) if wrong.is_parse() => End::Unread,
-        Err(wrong) if wrong.is_user() => End::CutOff,
+        Err(wrong) if wrong.is_user() && seen.unchunked.load(Ordering::Relaxed) => End::CutOff,
         Err(wrong) if timed_out(&wrong) => End::TimedOut,
         Err(_) => End::InOrder,
     }
@@ -145,9 +154,10 @@
 }
 
 async fn respond(
-    client: &Arc<Client>, shared: &Arc<Shared>, refused: &AtomicBool, request: Request<Incoming>,
+    client: &Arc<Client>, shared: &Arc<Shared>, seen: &Seen, request: Request<Incoming>,
 ) -> Result<Response<ClientBody>, std::convert::Infallible> {
     client.asks();
+    seen.unchunked.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
     shared.count(Cause::Requested);
     let (client, shared) = (Arc::clone(client), Arc::clone(shared));
     let _in_flight = shared.hold();
@@ -158,7 +168,7 @@
         if let Some(cause) = cause_of(&refusal) {
             in_hand.shared.count(cause);
         }
-        refused.fetch_or(refusal.closes(), Ordering::Relaxed);
+        seen.refused.fetch_or(refusal.closes(), Ordering::Relaxed);
         refusal.answer()
     });
     in_hand.done = matches!(answer.body(), AnswerBody::Whole(_));
--- a/crates/gateway/tests/serving/stand_ins.rs
+++ b/crates/gateway/tests/serving/stand_ins.rs
@@ -308,6 +308,12 @@
             && read.map_or_else(|wrong| wrong.kind() == std::io::ErrorKind::ConnectionReset, |_| true)
     }
 
+    /// Whether the connection ends by a reset, whatever came before.
+    pub fn is_reset(&mut self) -> bool {
+        let read = self.reader.read_to_end(&mut Vec::new());
+        read.is_err_and(|wrong| wrong.kind() == std::io::ErrorKind::ConnectionReset)
+    }
+
     pub fn leave(self) {
         let _ = self.reader.get_ref().shutdown(Shutdown::Both);
     }
