--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,37 +12,14 @@
 use crate::opened::{EventSource, Opened, Step};
 use crate::outlet::Inlet;
 
-/// The part of a client's patience after which a backend in the midst of a stream is too silent at the latest.
+/// The part of a client's patience after which a backend in the midst of a stream is too silent: sooner, as
+/// by the pace of its run, streams are moved that a long prompt beside them holds up, and their prompts read again.
 const SILENCE: f64 = 0.5;
-/// It is too silent sooner where its pace is known: after so many of its usual pauses, but not before this part of
-/// the pause at which the answer is late.
-const PAUSES: f64 = 10.0;
-const LATE_PAUSE_PART: f64 = 0.6;
-/// Pauses from which a pace is known.
-const KNOWN_PACE: u32 = 4;
 /// The part of a client's patience within which a stream goes on at another backend, or not at all.
 const RESUMED_WITHIN: f64 = 0.9;
 /// How often it is looked for another backend once one has been silent for too long.
 const LOOK_AGAIN: Duration = Duration::from_millis(250);
 
-/// The usual pause between two events of one run.
-#[derive(Clone, Copy, Debug, Default)]
-struct Pace {
-    pauses: u32,
-    sum: Duration,
-}
-
-impl Pace {
-    fn see(&mut self, pause: Duration) {
-        self.pauses += 1;
-        self.sum += pause;
-    }
-
-    fn usual(&self) -> Option<Duration> {
-        (self.pauses >= KNOWN_PACE).then(|| self.sum / self.pauses)
-    }
-}
-
 /// One stream on its way to its client.
 pub(crate) struct Relay {
     courier: Courier,
@@ -50,7 +27,6 @@
     last: Option<EventId>,
     last_at: Instant,
     patience: Duration,
-    pace: Pace,
     /// An event without an id was passed on: nobody can go on behind it.
     unnumbered: bool,
     /// Nothing of the present run was passed on, and something of one before was.
@@ -61,8 +37,7 @@
     pub fn new(courier: Courier, source: Box<EventSource>) -> Self {
         let patience = client_patience(&courier.request().terms.route);
         let last_at = Instant::now();
-        let pace = Pace::default();
-        Relay { courier, source, last: None, last_at, patience, pace, unnumbered: false, rejoins: false }
+        Relay { courier, source, last: None, last_at, patience, unnumbered: false, rejoins: false }
     }
 
     /// Passes all on, from what came first to the end. An error ends the answer so that it can't look whole.
@@ -115,16 +90,12 @@
     /// What comes next: of the present run, or of another where this one is silent for too long.
     async fn next(&mut self) -> Result<Step, BrokenOff> {
         let deadline = self.courier.request().deadline;
-        let asked_at = Instant::now();
-        let mut silent_at = asked_at + self.longest_silence();
+        let mut silent_at = Instant::now() + self.patience.mul_f64(SILENCE);
         loop {
             let resumable = self.resumable();
             tokio::select! {
                 biased;
-                step = self.source.next() => {
-                    self.pace.see(asked_at.elapsed());
-                    return Ok(step);
-                }
+                step = self.source.next() => return Ok(step),
                 () = sleep_until(deadline) => {
                     self.source.held.end(Outcome::TimedOut);
                     return Err(BrokenOff);
@@ -143,16 +114,6 @@
         }
     }
 
-    /// How long the present backend may be silent before another is looked for.
-    fn longest_silence(&self) -> Duration {
-        let most = self.patience.mul_f64(SILENCE);
-        let late = self.courier.request().terms.route.gap_aim;
-        match late.zip(self.pace.usual()) {
-            Some((late, usual)) => usual.mul_f64(PAUSES).max(late.mul_f64(LATE_PAUSE_PART)).min(most),
-            None => most,
-        }
-    }
-
     fn resumable(&self) -> bool {
         self.courier.request().terms.route.resume && self.last.is_some() && !self.unnumbered
     }
@@ -183,7 +144,6 @@
     fn rejoin(&mut self, opened: Opened) -> Result<Step, BrokenOff> {
         let Opened::Stream(_, source, first) = opened else { return Err(BrokenOff) };
         self.source = source;
-        self.pace = Pace::default();
         self.rejoins = true;
         self.courier.shared().count(Cause::StreamResumed);
         Ok(first)
