--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,7 +12,8 @@
 use crate::opened::{EventSource, Opened, Step};
 use crate::outlet::Inlet;
 
-/// The part of a client's patience after which a backend in the midst of a stream is too silent.
+/// The part of a client's patience after which a backend in the midst of a stream is too silent: sooner, as
+/// by the pace of its run, streams are moved that a long prompt beside them holds up, and their prompts read again.
 const SILENCE: f64 = 0.5;
 /// The part of a client's patience within which a stream goes on at another backend, or not at all.
 const RESUMED_WITHIN: f64 = 0.9;
--- a/crates/gateway/tests/serving/streams.rs
+++ b/crates/gateway/tests/serving/streams.rs
@@ -152,6 +152,21 @@
     assert_eq!(gateway.count(Cause::BackendSilent), 1);
 }
 
+/// To a client of HTTP/1.0 an end in order would say that the answer is whole.
+#[test]
+fn a_stream_without_chunks_that_breaks_off_ends_by_a_reset() {
+    let backend = Backend::start();
+    let gateway = gateway(&[&backend]);
+    let mut client = gateway.connect();
+    client.say(&format!("GET /s/ HTTP/1.0\r\nHost: {HOST}\r\nX-Request-Id: {ID}\r\n\r\n"));
+    let mut asked = backend.next();
+    asked.begin_stream();
+    asked.piece(&event(1));
+    assert_eq!(client.head().header("transfer-encoding"), None);
+    asked.break_off();
+    assert!(client.is_reset());
+}
+
 /// A backend's silence gives no reason to end an answer: there is nobody else who could go on.
 #[test]
 fn a_silent_stream_without_another_backend_is_waited_for() {
