--- a/crates/control/tests/unit/model.rs
+++ b/crates/control/tests/unit/model.rs
@@ -46,7 +46,8 @@
     restarts: usize,
     views: BTreeMap<u64, View>,
     committed: BTreeMap<u64, EntryId>,
-    acknowledged: Vec<EntryId>,
+    /// The versions; an order's key is its version.
+    acknowledged: Vec<u64>,
     /// What broke, if anything did.
     broken: Option<&'static str>,
 }
@@ -128,10 +129,7 @@
                     self.nodes[place].disk.extend(records);
                     self.input(place, Input::Persisted(ticket));
                 }
-                Output::Answer { outcome: Outcome::Taken, .. } => {
-                    let last = self.nodes[place].replica.known_committed();
-                    self.acknowledged.push(last);
-                }
+                Output::Answer { outcome: Outcome::Taken, key } => self.acknowledged.push(key.0),
                 Output::Answer { .. } => {}
                 Output::Committed(entry) => {
                     let known = *self.committed.entry(entry.id.position).or_insert(entry.id);
@@ -243,9 +241,14 @@
     /// A replica from its disk, with its own opinion of the others.
     fn start(&self, place: usize, disk: &[Record]) -> Replica {
         let mut replica = Replica::restore(NOW, options(place), disk.to_vec(), &mut Vec::new());
-        for (_, left_out, _) in self.proposers.iter().filter(|(proposer, _, _)| *proposer == place) {
-            if let Some(peer) = left_out.and_then(|left_out| replica.peers.get_mut(id(left_out))) {
+        let opinion = self.proposers.iter().find(|(proposer, _, _)| *proposer == place);
+        let left_out = opinion.and_then(|(_, left_out, _)| left_out.map(id));
+        replica.proposer.healthy = Some(Duration::ZERO);
+        for peer in replica.peers.voters_mut() {
+            if Some(peer.sender.id) == left_out {
                 peer.heartbeat = Some(sick_heartbeat());
+            } else {
+                (peer.heard, peer.echoed, peer.healthy) = (Some(NOW), Some(NOW), Some(Duration::ZERO));
             }
         }
         replica
@@ -340,7 +343,7 @@
                         replicas.filter(|replica| replica.view.epoch == newest && replica.chain.matched);
                     matched
                         .into_iter()
-                        .all(|replica| state.acknowledged.iter().all(|id| replica.state.contains(*id)))
+                        .all(|replica| state.acknowledged.iter().all(|version| holds(replica, *version)))
                 },
             ),
             Property::<Self>::sometimes("an order is taken", |_, state| !state.acknowledged.is_empty()),
@@ -355,6 +358,10 @@
     }
 }
 
+fn holds(replica: &Replica, version: u64) -> bool {
+    replica.state.changes().iter().any(|change| change.generation == version)
+}
+
 /// Explores all, or as many states as `CONTROL_MODEL_STATES` says.
 fn check(name: &str, model: Change) {
     let most =
@@ -376,28 +383,34 @@
 }
 
 #[test]
-fn one_proposer_and_a_write() {
+fn a_proposer_outside_the_chain_and_a_write() {
+    let model = Change { members: 3, chain: &[0, 1], proposers: &[(2, Some(0), 1)], orders: 1, restarts: 0 };
+    check("a proposer outside the chain, a write", model);
+}
+
+#[test]
+fn a_proposer_in_the_chain_and_a_write() {
     let model =
         Change { members: 3, chain: &[0, 1, 2], proposers: &[(1, Some(0), 1)], orders: 1, restarts: 0 };
-    check("one proposer, one write", model);
+    check("a proposer in the chain, a write", model);
 }
 
 #[test]
 fn two_proposers() {
     let proposers = &[(0, Some(2), 1), (1, Some(0), 1)];
-    let model = Change { members: 3, chain: &[0, 1], proposers, orders: 0, restarts: 0 };
+    let model = Change { members: 3, chain: &[0, 1, 2], proposers, orders: 0, restarts: 0 };
     check("two proposers", model);
 }
 
 #[test]
 fn two_proposers_and_a_write() {
-    let proposers = &[(0, Some(2), 1), (1, Some(0), 1)];
+    let proposers = &[(0, Some(2), 1), (2, Some(0), 1)];
     let model = Change { members: 3, chain: &[0, 1], proposers, orders: 1, restarts: 0 };
-    check("two proposers, one write", model);
+    check("two proposers, a write", model);
 }
 
 #[test]
 fn a_restart_in_the_middle() {
-    let model = Change { members: 3, chain: &[0, 1], proposers: &[(1, Some(0), 2)], orders: 1, restarts: 1 };
+    let model = Change { members: 3, chain: &[0, 1], proposers: &[(2, Some(0), 2)], orders: 1, restarts: 1 };
     check("one proposer twice, a write, a restart", model);
 }
