--- a/crates/control/tests/unit/model.rs
+++ b/crates/control/tests/unit/model.rs
@@ -414,3 +414,10 @@
     let model = Change { members: 3, chain: &[0, 1], proposers: &[(2, Some(0), 2)], orders: 1, restarts: 1 };
     check("one proposer twice, a write, a restart", model);
 }
+
+#[test]
+fn a_voter_restarts_between_two_proposers() {
+    let proposers = &[(0, Some(2), 1), (1, Some(0), 1)];
+    let model = Change { members: 3, chain: &[0, 1, 2], proposers, orders: 0, restarts: 1 };
+    check("two proposers, a restart", model);
+}
