--- a/crates/dispatch/tests/balance.rs
+++ b/crates/dispatch/tests/balance.rs
@@ -4,10 +4,11 @@
 
 use crankpick_dispatch::*;
 use support::figures::Figures;
-use support::fleet::{play, Dark, Troubles};
+use support::fleet::play;
 use support::policies::{ByDispatcher, ByPlain, Plain, Policy};
 use support::sites::{large, small};
 use support::traffic::{Day, Site};
+use support::troubles::{Dark, Troubles};
 
 fn dispatcher(number: usize, zone: &str) -> Box<dyn Policy> {
     let settings = DispatcherSettings { zone: zone.into(), weights: weights() };
--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -4,6 +4,7 @@
 use super::figures::{Ended, Figures};
 use super::policies::Policy;
 use super::traffic::{arrivals, Arrival, Day, Site};
+use super::troubles::Troubles;
 use super::worker::{Taken, Worker};
 use crankpick_dispatch::*;
 use std::cmp::Reverse;
@@ -18,24 +19,6 @@
 const SILENCE_US: u64 = 1_500_000;
 const EVENT_BYTES: u64 = 65;
 
-/// Engines that are silent for a while.
-#[derive(Clone, Copy, Debug)]
-pub struct Dark {
-    pub from_s: f64,
-    pub for_s: f64,
-    pub share: f64,
-}
-
-/// What befalls the backends of a day.
-#[derive(Clone, Debug, Default)]
-pub struct Troubles {
-    pub dark: Option<Dark>,
-    /// How many times slower an engine works, by its number.
-    pub slow: Vec<(usize, f64)>,
-    /// Engines that reset this share of what they get.
-    pub resets: Vec<(usize, f64)>,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Step {
     Arrive(usize),
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -6,4 +6,5 @@
 pub mod policies;
 pub mod sites;
 pub mod traffic;
+pub mod troubles;
 pub mod worker;
