--- a/crates/control-plane/src/host.rs
+++ b/crates/control-plane/src/host.rs
@@ -27,7 +27,7 @@
 const SLOW_TICKS: u64 = 5;
 /// Slow ticks between words of presence and digests.
 const PRESENCE: u64 = 2;
-const DIGEST: u64 = 8;
+const DIGEST: u64 = 4;
 /// The file on disk is rewritten past this many times its last rewritten size, and this many bytes.
 const REWRITE_RATIO: u64 = 4;
 const REWRITE_BYTES: u64 = 2 << 20;
@@ -394,13 +394,25 @@
         self.flood(0, renewed);
         let grants = self.parts.quotas.report(now, holder, std::mem::take(&mut report.demands));
         self.with_sessions(|sessions, standing| sessions.answer(session, &report, grants, standing));
+        self.look_after_quotas();
+    }
+
+    /// Lends on what has come in, and asks owners at once for what gateways still need.
+    fn look_after_quotas(&mut self) {
+        let now = self.now();
+        let settled = self.parts.quotas.settle(now);
+        self.lend(settled);
         let urgent = self.parts.quotas.urgent_demands(now);
         self.ask_owners(urgent);
     }
 
     fn granted(&mut self, number: u64, grants: Vec<TenantGrant>) {
         let now = self.now();
-        let settled: Vec<(HolderId, TenantGrant)> = self.parts.quotas.granted(now, number, grants);
+        let settled = self.parts.quotas.granted(now, number, grants);
+        self.lend(settled);
+    }
+
+    fn lend(&mut self, settled: Vec<(HolderId, TenantGrant)>) {
         for (holder, grant) in settled {
             self.with_sessions(|sessions, standing| sessions.grant(holder, vec![grant], standing));
         }
@@ -431,8 +443,7 @@
         self.ticks += 1;
         self.replica(Input::Tick);
         self.floods.tick(now);
-        let urgent = self.parts.quotas.urgent_demands(now);
-        self.ask_owners(urgent);
+        self.look_after_quotas();
         if self.ticks.is_multiple_of(SLOW_TICKS) {
             self.slow_tick(self.ticks / SLOW_TICKS);
         }
--- a/crates/control-plane/src/quotas.rs
+++ b/crates/control-plane/src/quotas.rs
@@ -7,7 +7,9 @@
 use crankpick_configuration::RoutingTable;
 use crankpick_control::View;
 use crankpick_protocol::{TenantDemand, TenantGrant};
-use crankpick_quota::{Allocator, GrantSource, HolderId, QuotaBounds, QuotaLimit, LEASE};
+use crankpick_quota::{
+    Allocator, GrantSource, HolderId, QuotaBounds, QuotaLimit, LEASE, TOKENS_OF_ONE_EPOCH,
+};
 use crankpick_registry::{Now, ProcessId};
 
 /// Reports to owners whose answers may still come.
@@ -157,7 +159,8 @@
         }
         let total = self.bounds.total(limit, now + LEASE);
         if !self.owned.contains_key(&asked.tenant) {
-            let mut allocator = Allocator::new(now, GrantSource::OWNER, self.epoch);
+            let token = self.epoch * TOKENS_OF_ONE_EPOCH;
+            let mut allocator = Allocator::new(now, GrantSource::OWNER, token).with_nonce(fastrand::u64(..));
             allocator.set_total(now, total);
             allocator.rebuild(now, others.iter().map(|process| HolderId(process.0)));
             self.owned.insert(asked.tenant.clone(), allocator);
@@ -179,19 +182,27 @@
         for TenantGrant { tenant, grant } in grants {
             let Some(lent) = self.lent.get_mut(&tenant) else { continue };
             lent.renewed(now, sent_at, grant);
-            for (holder, grant) in lent.settle(now) {
-                settled.push((holder, TenantGrant { tenant: tenant.clone(), grant }));
-            }
+            settled.extend(settle(now, &tenant, lent));
         }
         settled
     }
 
+    /// What can be lent by now to gateways that lacked it when they reported.
+    pub fn settle(&mut self, now: Now) -> Vec<(HolderId, TenantGrant)> {
+        self.lent.iter_mut().flat_map(|(tenant, lent)| settle(now, tenant, lent)).collect()
+    }
+
     /// The number of tenants owned here.
     pub fn owned(&self) -> usize {
         self.owned.len()
     }
 }
 
+fn settle(now: Now, tenant: &str, lent: &mut Allocator) -> Vec<(HolderId, TenantGrant)> {
+    let settled = lent.settle(now).into_iter();
+    settled.map(|(holder, grant)| (holder, TenantGrant { tenant: tenant.to_owned(), grant })).collect()
+}
+
 /// Who owns a tenant: the highest of the hashes of its name with each process's address.
 fn owner(owners: &[SocketAddr], tenant: &str) -> Option<SocketAddr> {
     owners.iter().copied().max_by_key(|address| hash(tenant, *address))
--- a/crates/control-plane/tests/unit/quotas.rs
+++ b/crates/control-plane/tests/unit/quotas.rs
@@ -40,7 +40,7 @@
 }
 
 fn asked(rate: f64) -> Vec<TenantDemand> {
-    let demand = Demand { rate, need: 0.0, level: 0.0, claim: None };
+    let demand = Demand { rate, need: 0.0, level: 0.0, ..Demand::default() };
     vec![TenantDemand { tenant: "large".into(), demand }]
 }
 
@@ -107,7 +107,7 @@
 fn a_tenant_without_a_limit_is_nobodys() {
     let now = Duration::from_secs(1);
     let mut quotas = quotas(owner_of_large());
-    let demand = Demand { rate: 1.0, need: 0.0, level: 0.0, claim: None };
+    let demand = Demand { rate: 1.0, need: 0.0, level: 0.0, ..Demand::default() };
     let unknown = vec![TenantDemand { tenant: "small".into(), demand }];
     assert!(quotas.report(now, HolderId(1), unknown.clone()).is_empty());
     assert!(quotas.own(now, ProcessId(9), 1, unknown, FRESH, &[]).is_empty());
--- a/crates/system/src/home_link.rs
+++ b/crates/system/src/home_link.rs
@@ -46,6 +46,7 @@
 struct Connection {
     reports: Sender<Report>,
     sent: VecDeque<(u64, Now)>,
+    last_sent: Option<Now>,
     held: VecDeque<Update>,
 }
 
@@ -147,7 +148,10 @@
             let _why = talk(home, name, options, queue, &events).await;
             let _ended = events.send(Event::Closed(home)).await;
         });
-        self.connections.insert(home, Connection { reports, sent: VecDeque::new(), held: VecDeque::new() });
+        self.connections.insert(
+            home,
+            Connection { reports, sent: VecDeque::new(), last_sent: None, held: VecDeque::new() },
+        );
         self.report(home, false);
     }
 
@@ -155,7 +159,7 @@
         info!(self.log, "home"; "address" => %home);
         let Some(connection) = self.connections.get_mut(&home) else { return };
         for update in std::mem::take(&mut connection.held) {
-            self.apply(home, update);
+            self.apply(update);
         }
     }
 
@@ -187,7 +191,10 @@
         };
         if connection.reports.try_send(report).is_ok() {
             connection.sent.push_back((self.last_report, now));
-            connection.sent.truncate(SENT);
+            connection.last_sent = Some(now);
+            if connection.sent.len() > SENT {
+                connection.sent.pop_front();
+            }
         }
     }
 
@@ -201,19 +208,30 @@
             let age = freshness.map(|freshness| freshness + now.saturating_sub(sent_at));
             self.choice.answered(now, home, HomeAnswer { age });
         }
+        // What comes by itself counts from the last report: a lease runs from the moment that it was asked for.
+        let asked_at = sent_at.or(self.connections.get(&home).and_then(|to| to.last_sent)).unwrap_or(now);
         if followed {
             self.source = GrantSource::home(update.home.0);
             for granted in &update.grants {
-                self.shared.quota_renewed(sent_at.unwrap_or(now), &granted.tenant, granted.grant);
+                self.shared.quota_renewed(asked_at, &granted.tenant, granted.grant);
             }
-            self.apply(home, update);
-        } else if let Some(connection) = self.connections.get_mut(&home) {
+            self.apply(update);
+        } else {
+            self.hold(home, update);
+        }
+    }
+
+    /// Keeps an update of a home that may be followed soon. None may be left out: the home tells nothing twice.
+    fn hold(&mut self, home: SocketAddr, update: Update) {
+        let Some(connection) = self.connections.get_mut(&home) else { return };
+        if connection.held.len() < HELD {
             connection.held.push_back(update);
-            connection.held.truncate(HELD);
+        } else {
+            self.closed(home);
         }
     }
 
-    fn apply(&mut self, _home: SocketAddr, update: Update) {
+    fn apply(&mut self, update: Update) {
         let now = self.now();
         if !update.members.is_empty() {
             let candidates: Vec<HomeCandidate> = update
