--- a/crates/control/src/discovery.rs
+++ b/crates/control/src/discovery.rs
@@ -94,12 +94,22 @@
         self.view.epoch == 0 || (!alone && !heard)
     }
 
-    fn hello_seeds(&mut self) {
+    fn own_hello(&self) -> Body {
         let bootstrap = !self.bootstrap.is_empty() && self.view.epoch == 0;
-        let hello = Hello { member: self.own_member(), bootstrap, epoch: self.view.epoch };
+        Body::Hello(Hello { member: self.own_member(), bootstrap, epoch: self.view.epoch })
+    }
+
+    /// Says hello to one that may know the view.
+    pub(crate) fn hello(&mut self, to: Sender) {
+        let hello = self.own_hello();
+        self.send(to, hello);
+    }
+
+    fn hello_seeds(&mut self) {
+        let hello = self.own_hello();
         for seed in self.options.seeds.clone() {
             if seed != self.options.address {
-                self.send_to_address(seed, None, Body::Hello(hello.clone()));
+                self.send_to_address(seed, None, hello.clone());
             }
         }
     }
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -255,6 +255,9 @@
         let meant = message.target.is_none_or(|target| target == self.id);
         if meant && !own {
             self.receive_body(message.sender, message.body);
+        } else if !own && self.view.epoch == 0 {
+            // Meant for who lived here before the disk was lost: the sender knows the view.
+            self.hello(message.sender);
         }
     }
 
--- a/crates/control/tests/basics.rs
+++ b/crates/control/tests/basics.rs
@@ -305,3 +305,15 @@
         assert!(states.windows(2).all(|pair| pair[0] == pair[1]), "after {wait} ms: {states:?}");
     }
 }
+
+#[test]
+fn a_wiped_member_whose_seeds_are_gone_is_found_by_the_others() {
+    let mut world = settled(3, 1);
+    world.nodes[1].seeds = vec![simulation::address(9)];
+    world.wipe(1);
+    world.start(1);
+    run(&mut world, 4500);
+    assert!(world.is_fresh(1), "{}", world.describe());
+    assert!(chain(&world).contains(&1));
+    fine(&world);
+}
