--- /dev/null
+++ b/crates/system/src/gate.rs
@@ -0,0 +1,86 @@
+//! A gateway's process: the data plane, its readiness, and its link to the control plane.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crankpick_gateway::{GatewaySettings, Shared};
+use crankpick_quota::{QuotaBounds, RetryBudgetSettings};
+use crankpick_settings::Settings;
+use slog::{error, info, Logger};
+use tokio::net::TcpListener;
+use tokio::time::{interval, Instant, MissedTickBehavior};
+
+use crate::home_link::HomeLink;
+use crate::{ready, signals};
+
+/// Between two lines of counters in the log.
+const COUNTERS: Duration = Duration::from_secs(5);
+
+/// Runs until SIGTERM and the end of what was in flight.
+pub fn run((_, settings): &(PathBuf, Settings), log: Logger) -> Result<(), String> {
+    signals::runtime()?.block_on(serve(settings, log))
+}
+
+async fn serve(settings: &Settings, log: Logger) -> Result<(), String> {
+    let started = Instant::now();
+    let front = settings.listen.front.ok_or("SYS-104: the settings lack listen.front")?;
+    let ready_at = settings.listen.ready.ok_or("SYS-105: the settings lack listen.ready")?;
+    let listener = TcpListener::bind(front).await.map_err(|wrong| format!("SYS-106: {front}: {wrong}"))?;
+    let terminate = signals::terminated()?;
+    let shared = Shared::new(gateway_settings(settings, started), log.clone());
+    tokio::spawn(announce_readiness(ready_at, Arc::clone(&shared), log.clone()));
+    tokio::spawn(HomeLink::new(settings, started, Arc::clone(&shared), log.clone()).run());
+    tokio::spawn(log_counters(Arc::clone(&shared), log.clone()));
+    info!(log, "started"; "front" => %front);
+    let stopping = Arc::clone(&shared);
+    tokio::spawn(async move {
+        terminate.await;
+        stopping.begin_shutdown();
+    });
+    crankpick_gateway::serve(listener, shared).await;
+    info!(log, "ended");
+    Ok(())
+}
+
+fn gateway_settings(settings: &Settings, start: Instant) -> GatewaySettings {
+    let bounds = &settings.bounds;
+    let memory = settings.limits.memory_mb << 20;
+    GatewaySettings {
+        retry: RetryBudgetSettings {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window: bounds.retry_window,
+        },
+        quota: QuotaBounds {
+            window: bounds.quota_window,
+            over: bounds.quota_over,
+            slack: bounds.quota_slack,
+        },
+        grace: bounds.grace,
+        start,
+        ..GatewaySettings::new(settings.zone.clone(), settings.limits.max_fds, memory)
+    }
+}
+
+async fn announce_readiness(address: std::net::SocketAddr, shared: Arc<Shared>, log: Logger) {
+    if let Err(wrong) = ready::serve(address, shared).await {
+        error!(log, "readiness can't be asked for"; "code" => "SYS-107", "cause" => %wrong);
+    }
+}
+
+async fn log_counters(shared: Arc<Shared>, log: Logger) {
+    let mut ticks = interval(COUNTERS);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        info!(log, "counters"; "in_flight" => shared.in_flight(), "counts" => counts(&shared));
+    }
+}
+
+/// Causes and how often each came, those that never came aside.
+fn counts(shared: &Shared) -> String {
+    let counts = shared.counts().into_iter().filter(|count| count.number > 0);
+    let words: Vec<String> = counts.map(|count| format!("{}={}", count.name, count.number)).collect();
+    words.join(" ")
+}
