--- a/crates/control-plane/src/host.rs
+++ b/crates/control-plane/src/host.rs
@@ -199,7 +199,7 @@
     }
 
     fn rewrite_when_long(&mut self, bytes: u64) {
-        let long = (self.rewritten_bytes * REWRITE_RATIO).max(REWRITE_BYTES).min(REWRITE_LATEST);
+        let long = (self.rewritten_bytes * REWRITE_RATIO).clamp(REWRITE_BYTES, REWRITE_LATEST);
         if self.rewriting || bytes < long || bytes <= self.rewritten_bytes.saturating_mul(2) {
             return;
         }
--- a/crates/control-plane/src/start.rs
+++ b/crates/control-plane/src/start.rs
@@ -1,7 +1,7 @@
 //! Puts a process of the control plane together from its settings.
 
 use std::net::{IpAddr, SocketAddr};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Instant;
 
 use crankpick_control::{Options, Outputs, Record, Replica, Timing};
@@ -25,6 +25,8 @@
 
 /// Events that wait for the host; more hold back who sends them.
 const EVENTS: usize = 8_192;
+/// What the names of files that were put aside end with.
+const UNSOUND: &str = "unsound";
 
 /// Runs until `terminate` ends.
 pub async fn run(
@@ -100,6 +102,7 @@
     let Some(folder) = &settings.data_dir else { return Ok((None, Vec::new())) };
     match Disk::open(folder.clone(), events.clone()) {
         Ok((disk, records)) => Ok((Some(disk), records)),
+        Err(wrong @ ControlPlaneError::Thread { .. }) => Err(wrong),
         Err(wrong) => {
             error!(log, "the disk's file is put aside"; "code" => wrong.code(), "cause" => %wrong);
             put_aside(folder);
@@ -109,12 +112,18 @@
     }
 }
 
+/// A name for a file that is put aside, which no earlier one has.
+fn unused(name: &Path) -> PathBuf {
+    let numbered = |number: u32| name.with_extension(format!("{number}.{UNSOUND}"));
+    (1..).map(numbered).find(|path| !path.exists()).unwrap_or_else(|| name.with_extension(UNSOUND))
+}
+
 fn put_aside(folder: &Path) {
     let Ok(entries) = std::fs::read_dir(folder) else { return };
     for entry in entries.flatten() {
         let name = entry.path();
-        if name.extension().is_none_or(|extension| extension != "unsound") {
-            let _kept = std::fs::rename(&name, name.with_extension("unsound"));
+        if name.extension().is_none_or(|extension| extension != UNSOUND) {
+            let _kept = std::fs::rename(&name, unused(&name));
         }
     }
 }
--- a/crates/system/src/home_link.rs
+++ b/crates/system/src/home_link.rs
@@ -1,7 +1,7 @@
 //! The gateway's connections to the control plane: one to its home, for a moment another while it changes homes.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -322,7 +322,7 @@
 /// The seeds as gateways reach them: all machines use the same ports.
 fn internal_addresses(settings: &Settings) -> Vec<SocketAddr> {
     let port = settings.port_range.first;
-    settings.seeds.iter().map(|seed| SocketAddr::new(IpAddr::from(seed.ip()), port)).collect()
+    settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port)).collect()
 }
 
 async fn talk(
