--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -642,6 +642,8 @@
     told["settings"]["Zone"] = json!(0);
     told["settings"]["Report"] = json!({"Via": "pull", "Columns": ["rif", "fail_rate"]});
     told["settings"]["Limits"]["Probes"] = json!(true);
+    // Who is one of few asks nobody: there are more proxies than backends.
+    told["settings"]["Balancers"] = json!(3);
     let proxy = Proxy::start(&told);
     for turn in 0..4 {
         let mut client = proxy.client();
