--- a/src/balance.rs
+++ b/src/balance.rs
@@ -604,9 +604,10 @@
         let ended = if gone { Ended::TimedOut } else { ended };
         // One ahead of ours holds for expired what we hold to be in time: full by its clock, not by its load.
         let by_clock = qry.longest_us.saturating_sub(now_us) < error_us * 2 && backend.load() < backend.max;
-        // Who breaks what he has in work has died: he comes back cold, whatever the list says so far.
-        let died = ended == Ended::Dropped && !over && backend.listed.phase == Phase::Ready;
-        let held_there = backend.crowd() as f64;
+        // Who breaks all he has in work has died: he comes back cold, whatever the list says so far.
+        let breaks = ended == Ended::Dropped && !over && backend.listed.phase == Phase::Ready;
+        let (died, held_there) =
+            (breaks && backend.breaks(now_us), (backend.crowd() + DROPS as usize) as f64);
         if died && backend.since_us + b.cold.window_us < now_us {
             backend.died(now_us);
         }
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -13,6 +13,10 @@
 pub const WAVES: u32 = 4;
 /// Of the use of a backend that the list drops.
 pub const STEPS: u8 = 4;
+/// Executions dropped together that tell a death from answers that break off one by one, and within what time: an answer
+/// that can't be read, or breaks off, is dropped too, and says nothing of the others.
+pub const DROPS: u32 = 3;
+const DROPS_US: u64 = 10_000;
 /// Longer than any body is on its way: an execution that counts as sent then is late for nobody.
 pub const A_LONG_TIME_US: u64 = 86_400_000_000;
 /// What a backend takes on at the most before any outcome tells.
@@ -208,6 +212,8 @@
 
 #[derive(Default)]
 pub struct Backend {
+    /// When the first of the last executions dropped together was, and how many were.
+    drops: (u64, u32),
     pub listed: Listed,
     /// Taken out by hand, whatever the list says.
     pub out: bool,
@@ -253,6 +259,15 @@
 
 impl Backend {
     /// What started anew is judged and learned anew; what is still out there counts on.
+    /// One more execution dropped: whether so many were at once that all in work there broke, not one answer alone.
+    pub fn breaks(&mut self, now_us: u64) -> bool {
+        if now_us > self.drops.0 + DROPS_US {
+            self.drops = (now_us, 0);
+        }
+        self.drops.1 += 1;
+        self.drops.1 == DROPS
+    }
+
     /// Breaks what it has in work: it will be back as one that has just started, but still as listed and as taken
     /// out by hand.
     pub fn died(&mut self, now_us: u64) {
