The proxy and the gateway write, end connections and hold bodies by one piece of code

The gateway had the proxy's loop that writes to a client's socket and its reading on behind an end once more, and the proxy two bodies that drop something at their end (in_flight.rs, front.rs). They stand in crates/http now: stream::poll_write, stream::linger, body::Guarded.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -12,19 +12,15 @@
 use crankpick_configuration::ClientLimits;
 use crankpick_http::framing::Framing;
 use crankpick_http::stall::Stall;
+use crankpick_http::stream::poll_write;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{timeout, Instant};
+use tokio::time::Instant;
 
 /// Against clients that don't read their answers.
 const UNREAD: Duration = Duration::from_secs(8);
-/// How long, and for how many bytes, a connection is read on behind its end: closed over unread bytes it would be
-/// reset, and what was last written to it lost.
-const LINGER: Duration = Duration::from_millis(250);
-const MOST_LINGERED: usize = 1 << 20;
-const PART: usize = 4 << 10;
 
 /// One connection of a client.
 pub(crate) struct Client {
@@ -108,23 +104,6 @@
         }
     }
 
-    /// Says that no more is written, and reads on for a while until the client says the same.
-    pub async fn linger(&self) {
-        let _ = SockRef::from(&self.stream).shutdown(Shutdown::Write);
-        let reads_on = async {
-            let (mut part, mut read) = ([0; PART], 0);
-            while read < MOST_LINGERED && self.stream.readable().await.is_ok() {
-                match self.stream.try_read(&mut part) {
-                    Ok(0) => return,
-                    Ok(length) => read += length,
-                    Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock => {}
-                    Err(_) => return,
-                }
-            }
-        };
-        let _ = timeout(LINGER, reads_on).await;
-    }
-
     /// Ends it by a reset, since an end in order could say that the answer is whole.
     pub fn reset(&self) {
         let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
@@ -145,15 +124,7 @@
     fn write(
         &mut self, cx: &mut Context<'_>, write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
-        let written = loop {
-            match self.client.stream.poll_write_ready(cx)? {
-                Poll::Pending => break Poll::Pending,
-                Poll::Ready(()) => match write(&self.client.stream) {
-                    Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock => {}
-                    written => break Poll::Ready(written),
-                },
-            }
-        };
+        let written = poll_write(&self.client.stream, cx, write);
         let written = self.stall.wrote(cx, written);
         let was_behind = self.client.behind.swap(written.is_pending(), Ordering::Relaxed);
         if was_behind && written.is_ready() && self.client.idle_since().is_some() {
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use crankpick_configuration::ClientLimits;
+use crankpick_http::stream::linger;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION};
@@ -63,7 +64,7 @@
     shared.count(Cause::ClientConnected);
     match drive(&client, &shared).await {
         End::InOrder => {}
-        End::Unread => client.linger().await,
+        End::Unread => linger(&client.stream).await,
         End::CutOff => client.reset(),
         End::TimedOut => shared.count(Cause::ClientTimedOut),
     }
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -12,16 +12,17 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use axum::body::{Body, HttpBody};
+use axum::body::Body;
 use axum::extract::State;
 use axum::http::header::CONNECTION;
 use axum::http::{HeaderValue, Request, StatusCode};
 use axum::routing::any;
 use axum::Router;
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
+use crankpick_http::body::Guarded;
 use crankpick_http::framing::Framing;
 use crankpick_http::stall::Stall;
-use http_body::{Frame, SizeHint};
+use crankpick_http::stream::{linger, poll_write};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -30,7 +31,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 use tower_service::Service;
 
 use crate::lifecycle::{Lifecycle, Stand, LATE};
@@ -60,10 +61,6 @@
 const MOST_AHEAD: usize = 256 << 10;
 const AHEAD: usize = 16;
 const PART: usize = 4 << 10;
-/// How long, and for how many bytes, a connection is read on behind its end: closed over unread bytes it would be
-/// reset, and what was last written to it lost.
-const LINGER: Duration = Duration::from_millis(250);
-const MOST_LINGERED: usize = 1 << 20;
 
 pub fn router(proxy: Arc<Proxy>, stand: Stand) -> Router {
     let ready = |State(stand): State<Stand>| async move {
@@ -172,23 +169,6 @@
         Poll::Pending
     }
 
-    /// Says that no more is written, and reads on for a while until the client says the same.
-    async fn linger(&self) {
-        let _ = SockRef::from(&self.stream).shutdown(Shutdown::Write);
-        let reads_on = async {
-            let (mut part, mut read) = ([0; PART], 0);
-            while read < MOST_LINGERED && self.stream.readable().await.is_ok() {
-                match self.stream.try_read(&mut part) {
-                    Ok(0) => return,
-                    Ok(length) => read += length,
-                    Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock => {}
-                    Err(_) => return,
-                }
-            }
-        };
-        let _ = timeout(LINGER, reads_on).await;
-    }
-
     /// The same past what may be read ahead, where only the socket's own word is left.
     async fn hangs_up(&self) {
         loop {
@@ -214,34 +194,12 @@
     }
 }
 
-/// An answer's body: its client is idle once it is through.
-struct Tail {
-    body: Body,
-    client: Arc<Client>,
-}
+/// Held by an answer's body: its client is idle once it is through.
+struct Answering(Arc<Client>);
 
-impl HttpBody for Tail {
-    type Data = Bytes;
-    type Error = axum::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>, cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, axum::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
-impl Drop for Tail {
+impl Drop for Answering {
     fn drop(&mut self) {
-        self.client.set_idle(Some(Instant::now()));
+        self.0.set_idle(Some(Instant::now()));
     }
 }
 
@@ -345,15 +303,7 @@
     fn write(
         &mut self, cx: &mut Context<'_>, write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
-        let written = loop {
-            match self.client.stream.poll_write_ready(cx)? {
-                Poll::Pending => break Poll::Pending,
-                Poll::Ready(()) => match write(&self.client.stream) {
-                    Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock => {}
-                    written => break Poll::Ready(written),
-                },
-            }
-        };
+        let written = poll_write(&self.client.stream, cx, write);
         self.wrote(cx, written)
     }
 }
@@ -438,7 +388,7 @@
                 "cut_off" => drop(SockRef::from(&client.stream).set_linger(Some(Duration::ZERO))),
                 // Its place is wanted now, and its last answer went long ago.
                 "over_budget" => {}
-                _ => client.linger().await,
+                _ => linger(&client.stream).await,
             }
             drop(permit);
         });
@@ -538,7 +488,7 @@
                 tokio::task::yield_now().await;
             }
             let Ok(answer) = router.call(request).await;
-            let mut answer = answer.map(|body| Body::new(Tail { body, client: Arc::clone(client) }));
+            let mut answer = answer.map(|body| Body::new(Guarded::new(body, Answering(Arc::clone(client)))));
             if told.borrow().ready().is_err() || client.leaving.load(Ordering::Relaxed) {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
--- a/crates/proxy/src/in_flight.rs
+++ b/crates/proxy/src/in_flight.rs
@@ -3,14 +3,11 @@
 //! executions end; read by `fleet`. Only where a fleet file is named.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
 
 use axum::body::Body;
 use axum::http::Response;
-use bytes::Bytes;
-use http_body::{Frame, SizeHint};
+use crankpick_http::body::Guarded;
 use tokio::sync::Notify;
 
 #[derive(Default)]
@@ -96,35 +93,10 @@
     }
 }
 
-/// An answer's body, in hand for as long as it flows.
-struct Flowing {
-    body: Body,
-    _hold: Hold,
-}
-
-impl http_body::Body for Flowing {
-    type Data = Bytes;
-    type Error = axum::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>, cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, axum::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// A long answer is on its way when its first bytes are: what it came from is in use until its last.
 pub fn flowing(answer: Response<Body>, hold: Option<Hold>) -> Response<Body> {
     match hold {
-        Some(hold) => answer.map(|body| Body::new(Flowing { body, _hold: hold })),
+        Some(hold) => answer.map(|body| Body::new(Guarded::new(body, hold))),
         None => answer,
     }
 }
