Fleet: one place for internal addresses, records that encode themselves, less copied at each report

Settings gives the internal addresses that two crates worked out; the disk's thread calls Record::encode and decode instead of writing them again; a held configuration is replaced by a comparison instead of a trait; a session copies the members only where they changed; a new owner's total is set once; resting connections are kept by a set of ids instead of a search of all backends for each pool. A comment in kept.rs stands again at what it tells of.

--- a/crates/control-plane/src/disk.rs
+++ b/crates/control-plane/src/disk.rs
@@ -9,7 +9,7 @@
 use snafu::ResultExt;
 use tokio::sync::mpsc::Sender;
 
-use crate::error::{ControlPlaneError, StorageSnafu, ThreadSnafu};
+use crate::error::{ControlPlaneError, RecordSnafu, StorageSnafu, ThreadSnafu};
 use crate::event::Event;
 
 /// Writes under way at the most; past that the disk counts as refusing.
@@ -62,7 +62,8 @@
     /// Reads what is on disk and starts the thread.
     pub fn open(folder: PathBuf, events: Sender<Event>) -> Result<(Disk, Vec<Record>), ControlPlaneError> {
         let (log, stored, _report) = Log::open(&folder).context(StorageSnafu)?;
-        let records = stored.iter().map(|bytes| decode(bytes)).collect::<Result<Vec<Record>, _>>()?;
+        let records: Result<Vec<Record>, _> = stored.iter().map(|bytes| Record::decode(bytes)).collect();
+        let records = records.context(RecordSnafu)?;
         let (writes, queue) = sync_channel(QUEUE);
         thread::Builder::new()
             .name("disk".into())
@@ -80,10 +81,6 @@
     }
 }
 
-fn decode(bytes: &[u8]) -> Result<Record, ControlPlaneError> {
-    rmp_serde::from_slice(bytes).map_err(|source| ControlPlaneError::Record { source })
-}
-
 fn write_all(mut log: Log, queue: &Receiver<Write>, events: &Sender<Event>) {
     let mut next = queue.recv().ok();
     while let Some(write) = next.take() {
@@ -119,7 +116,7 @@
 }
 
 fn encode(records: &[Record]) -> Option<Vec<Vec<u8>>> {
-    records.iter().map(|record| rmp_serde::to_vec(record).ok()).collect()
+    records.iter().map(|record| record.encode().ok()).collect()
 }
 
 fn append(log: &mut Log, tickets: &[u64], records: &[Record], events: &Sender<Event>) {
--- a/crates/control-plane/src/error.rs
+++ b/crates/control-plane/src/error.rs
@@ -18,7 +18,7 @@
     #[snafu(display("CTL-202: a record on disk can't be read: {source}; start the build that wrote it"))]
     Record {
         /// The cause.
-        source: rmp_serde::decode::Error,
+        source: crankpick_control::RecordError,
     },
     /// The disk's thread can't be started.
     #[snafu(display("CTL-203: the disk's thread can't be started: {source}"))]
--- a/crates/control-plane/src/quotas.rs
+++ b/crates/control-plane/src/quotas.rs
@@ -1,5 +1,6 @@
 //! Tenants' quotas at a process of the control plane: as the owner of some tenants, and as the home of its gateways.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -158,15 +159,21 @@
             return None;
         }
         let total = self.bounds.total(limit, now + LEASE);
-        if !self.owned.contains_key(&asked.tenant) {
-            let token = self.epoch * TOKENS_OF_ONE_EPOCH;
-            let mut allocator = Allocator::new(now, GrantSource::OWNER, token).with_nonce(fastrand::u64(..));
-            allocator.set_total(now, total);
-            allocator.rebuild(now, others.iter().map(|process| HolderId(process.0)));
-            self.owned.insert(asked.tenant.clone(), allocator);
-        }
-        let allocator = self.owned.get_mut(&asked.tenant)?;
-        allocator.set_total(now, total);
+        let allocator = match self.owned.entry(asked.tenant.clone()) {
+            Entry::Occupied(owned) => {
+                let allocator = owned.into_mut();
+                allocator.set_total(now, total);
+                allocator
+            }
+            Entry::Vacant(place) => {
+                let token = self.epoch * TOKENS_OF_ONE_EPOCH;
+                let fresh = Allocator::new(now, GrantSource::OWNER, token).with_nonce(fastrand::u64(..));
+                let allocator = place.insert(fresh);
+                allocator.set_total(now, total);
+                allocator.rebuild(now, others.iter().map(|process| HolderId(process.0)));
+                allocator
+            }
+        };
         let grant = allocator.report(now, HolderId(home.0), asked.demand);
         Some(TenantGrant { tenant: asked.tenant, grant })
     }
--- a/crates/control-plane/src/sessions.rs
+++ b/crates/control-plane/src/sessions.rs
@@ -66,12 +66,12 @@
         if answers.is_none() && configuration.is_none() && !moved && grants.is_empty() {
             return true;
         }
-        let members = if self.members == standing.members { Vec::new() } else { standing.members.to_vec() };
+        let changed_members = if self.members == standing.members { &[] } else { standing.members };
         let update = Update {
             home: standing.registry.process(),
             answers,
             freshness_ms: standing.freshness_ms,
-            members,
+            members: changed_members.to_vec(),
             configuration: configuration.map(|current| ConfigurationUpdate {
                 mark: current.mark,
                 document: current.document.clone(),
@@ -82,7 +82,9 @@
         };
         self.configuration = configuration.map(|current| current.mark).max(self.configuration);
         self.cursor = update.changes.as_ref().map(|changes| changes.cursor).or(self.cursor);
-        self.members = standing.members.to_vec();
+        if !changed_members.is_empty() {
+            self.members = changed_members.to_vec();
+        }
         self.updates.try_send(update).is_ok()
     }
 }
--- a/crates/control-plane/src/start.rs
+++ b/crates/control-plane/src/start.rs
@@ -1,6 +1,6 @@
 //! Puts a process of the control plane together from its settings.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Instant;
 
@@ -34,7 +34,7 @@
 ) -> Result<(), ControlPlaneError> {
     let started = Instant::now();
     let control = settings.listen.control.ok_or(ControlPlaneError::Settings { what: "listen.control" })?;
-    let own = SocketAddr::new(IpAddr::V4(settings.ip), settings.port_range.first);
+    let own = settings.internal_address();
     let (events, queue) = channel(EVENTS);
     let internal = TcpListener::bind(own).await.context(ListenSnafu { address: own })?;
     let api = tokio::net::TcpListener::bind(control).await.context(ListenSnafu { address: control })?;
@@ -57,7 +57,7 @@
     log: &Logger,
 ) -> Parts {
     let process = ProcessId(fastrand::u64(1..));
-    let seeds: Vec<SocketAddr> = internal_addresses(settings);
+    let seeds: Vec<SocketAddr> = settings.internal_seeds();
     let options = Options {
         address: own,
         zone: settings.zone.clone(),
@@ -86,11 +86,6 @@
     }
 }
 
-/// The seeds as peers and gateways reach them: all machines use the same ports.
-fn internal_addresses(settings: &Settings) -> Vec<SocketAddr> {
-    settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), settings.port_range.first)).collect()
-}
-
 fn quota_bounds(bounds: &Bounds) -> QuotaBounds {
     QuotaBounds { window: bounds.quota_window, over: bounds.quota_over, slack: bounds.quota_slack }
 }
--- a/crates/gateway/src/backend_pool.rs
+++ b/crates/gateway/src/backend_pool.rs
@@ -1,6 +1,6 @@
 //! Connections to backends: kept while they rest, no more to one backend than this gateway's share.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -91,11 +91,9 @@
 
     /// Lets go of what rests towards backends that get nothing more.
     pub fn keep_only(&self, backends: &BackendTable) {
-        let receiving = |id: &str| {
-            let mut records = backends.iter();
-            records.any(|record| record.id == id && record.may_receive())
-        };
-        self.lock().retain(|id, _| receiving(id));
+        let receiving = backends.iter().filter(|record| record.may_receive());
+        let receiving: BTreeSet<&str> = receiving.map(|record| record.id.as_str()).collect();
+        self.lock().retain(|id, _| receiving.contains(&**id));
     }
 
     /// A connection that rests, the one that was used last.
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -1,7 +1,7 @@
 //! The settings of a process as typed values.
 
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -64,6 +64,16 @@
         self.serves_role(ROLE_CONTROL)
     }
 
+    /// Where the fleet's own traffic to a control-plane process on this machine goes: to the first of the free ports.
+    pub fn internal_address(&self) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.ip), self.port_range.first)
+    }
+
+    /// The same of the seeds: all machines use the same ports.
+    pub fn internal_seeds(&self) -> Vec<SocketAddr> {
+        self.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), self.port_range.first)).collect()
+    }
+
     /// Whether a part of the rules is in force.
     pub fn has_contract(&self, name: &str) -> bool {
         self.contracts.iter().any(|contract| contract == name)
--- a/crates/system/src/home_link.rs
+++ b/crates/system/src/home_link.rs
@@ -79,7 +79,7 @@
             incarnation: fastrand::u64(1..),
             zone: settings.zone.clone(),
         };
-        let seeds = internal_addresses(settings);
+        let seeds = settings.internal_seeds();
         let choice_settings =
             HomeChoiceSettings { zone: settings.zone.clone(), regions: settings.zones.clone(), seeds };
         HomeLink {
@@ -250,8 +250,11 @@
         if let Some(count) = self.count.count() {
             self.shared.set_gateways(count as usize);
         }
-        if let Some(configuration) = update.configuration {
-            self.held_configuration = Some(configuration).max_by_mark(self.held_configuration.take());
+        let newer = |than: &Option<ConfigurationUpdate>, one: &ConfigurationUpdate| {
+            than.as_ref().is_none_or(|held| held.mark < one.mark)
+        };
+        if let Some(told) = update.configuration.filter(|told| newer(&self.held_configuration, told)) {
+            self.held_configuration = Some(told);
         }
         let fresh = self.choice.age(now).is_some_and(|age| age <= FRESH);
         if fresh || self.configuration.is_some() {
@@ -300,31 +303,11 @@
     }
 }
 
-trait MaxByMark {
-    fn max_by_mark(self, other: Self) -> Self;
-}
-
-impl MaxByMark for Option<ConfigurationUpdate> {
-    fn max_by_mark(self, other: Self) -> Self {
-        match (self, other) {
-            (Some(one), Some(other)) if other.mark > one.mark => Some(other),
-            (None, other) => other,
-            (one, _) => one,
-        }
-    }
-}
-
 fn demands(shared: &Shared, source: GrantSource) -> Vec<TenantDemand> {
     let demands = shared.quota_demands(source).into_iter();
     demands.map(|asked| TenantDemand { tenant: asked.tenant, demand: asked.demand }).collect()
 }
 
-/// The seeds as gateways reach them: all machines use the same ports.
-fn internal_addresses(settings: &Settings) -> Vec<SocketAddr> {
-    let port = settings.port_range.first;
-    settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port)).collect()
-}
-
 async fn talk(
     home: SocketAddr, name: GatewayName, options: DialOptions, mut reports: Receiver<Report>,
     events: &Sender<Event>,
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -258,7 +258,6 @@
 }
 
 impl Backend {
-    /// What started anew is judged and learned anew; what is still out there counts on.
     /// One more execution dropped: whether so many were at once that all in work there broke, not one answer alone.
     pub fn breaks(&mut self, now_us: u64) -> bool {
         if now_us > self.drops.0 + DROPS_US {
@@ -276,6 +275,7 @@
         (self.drained, self.out, self.steps) = (drained, out, steps);
     }
 
+    /// What started anew is judged and learned anew; what is still out there counts on.
     fn start_anew(&mut self, since_us: u64, heard_us: u64) {
         let (listed, held) = (self.listed, std::mem::take(&mut self.held));
         let sharers = std::mem::take(&mut self.sharers);
