Control: as many voters as the losses ask for; others stand by and keep up

Symptom: eight machines that count ran four voters, two wiped left none; after a planned replacement a member that had left went on voting, so that the next loss left no majority. Cause: voters were whoever joined, none was ever taken out; joiners got the state only while the chain waited; a seed without a disk never let the first view come about. Change: the view has max(2t + 1, 3) voters, spread over zones; the rest stand by, keep up by CatchUp, and take the place of one that leaves, is gone for 3 s or was wiped. A process that leaves ends once the others go on without it. Idle disks are written to each second.

--- a/crates/control-plane/src/event.rs
+++ b/crates/control-plane/src/event.rs
@@ -142,6 +142,10 @@
     Presence {
         /// This start of its process.
         process: ProcessId,
+        /// The zone it runs in.
+        zone: String,
+        /// The peers that it hears, so that those that don't vote find one another.
+        peers: Vec<SocketAddr>,
         /// It has just started, or has just heard of the receiver: it wants all that the receiver knows.
         recall: bool,
     },
--- a/crates/control-plane/src/host.rs
+++ b/crates/control-plane/src/host.rs
@@ -31,6 +31,8 @@
 /// The file on disk is rewritten past this many times its last rewritten size, and this many bytes.
 const REWRITE_RATIO: u64 = 4;
 const REWRITE_BYTES: u64 = 2 << 20;
+/// The longest that a process which leaves waits for the others to go on without it.
+const LEAVE_LIMIT: Duration = Duration::from_secs(3);
 /// After a freshness of more than this the process counts as cut off from the majority.
 const ISOLATED: Duration = Duration::from_millis(1_000);
 /// Files are never rewritten below this share of the disk.
@@ -71,7 +73,9 @@
     floods: Floods,
     operator: Operator,
     sessions: Sessions,
+    /// The voters and all others that gateways may have for their home.
     members: Vec<CoreMember>,
+    leaving_since: Option<Now>,
     current: Option<Current>,
     rewritten_bytes: u64,
     rewriting: bool,
@@ -92,6 +96,7 @@
             operator: Operator::default(),
             sessions: Sessions::default(),
             members: Vec::new(),
+            leaving_since: None,
             current: None,
             rewritten_bytes: 0,
             rewriting: false,
@@ -112,12 +117,14 @@
         loop {
             tokio::select! {
                 event = events.recv() => match event {
-                    Some(Event::Terminate) => return self.leave().await,
                     Some(event) => self.take(event),
                     None => return,
                 },
                 _ = ticks.tick() => self.tick(),
             }
+            if self.may_end() {
+                return self.end().await;
+            }
         }
     }
 
@@ -133,14 +140,27 @@
             Event::Reported { session, report } => self.reported(session, report),
             Event::Left { session } => self.sessions.left(session),
             Event::Disk(written) => self.written(written),
-            Event::Terminate => {}
+            Event::Terminate => self.leave(),
         }
     }
 
-    /// Says that this process leaves, and waits for the word to go out.
-    async fn leave(mut self) {
+    /// Says that this process leaves. It serves on until the others have taken over what it holds.
+    fn leave(&mut self) {
         info!(self.parts.log, "leaving");
+        self.leaving_since.get_or_insert(self.started.elapsed());
         self.replica(Input::Leave);
+    }
+
+    /// Whether this process leaves and the core goes on without it, or time is up.
+    fn may_end(&self) -> bool {
+        let Some(since) = self.leaving_since else { return false };
+        self.parts.replica.has_left() || self.now() >= since + LEAVE_LIMIT
+    }
+
+    /// Lets the last messages go out.
+    async fn end(self) {
+        let left = self.parts.replica.has_left();
+        info!(self.parts.log, "left"; "handed_over" => left);
         tokio::time::sleep(2 * TICK).await;
     }
 
@@ -229,12 +249,29 @@
             .collect();
         info!(self.parts.log, "view"; "epoch" => view.epoch, "members" => view.members.len(),
             "chain" => chain.join(","));
-        self.members = view
-            .members
-            .iter()
+        self.note_homes();
+        self.parts.quotas.view_changed(view);
+    }
+
+    /// The voters, whether or not they are within reach, and all peers that are.
+    fn note_homes(&mut self) {
+        let voters = self.parts.replica.view().members.iter();
+        let mut homes: Vec<CoreMember> = voters
             .map(|member| CoreMember { address: member.address, zone: member.zone.clone() })
+            .chain(self.peers.homes())
             .collect();
-        self.parts.quotas.view_changed(view);
+        if let Some(zone) = self.own_home() {
+            homes.push(zone);
+        }
+        homes.sort_by_key(|home| home.address);
+        homes.dedup_by_key(|home| home.address);
+        self.members = homes;
+    }
+
+    /// This process, which its gateways are to know as well, unless it leaves.
+    fn own_home(&self) -> Option<CoreMember> {
+        let home = CoreMember { address: self.parts.address, zone: self.parts.zone.clone() };
+        self.leaving_since.is_none().then_some(home)
     }
 
     // Calls of the operator and of backends.
@@ -316,7 +353,10 @@
             PeerPacket::Replica(message) => self.replica(Input::Message(message)),
             PeerPacket::Announce { number, announcements } => self.announced(from, number, &announcements),
             PeerPacket::Announced { number } => self.floods.acknowledged(number, from),
-            PeerPacket::Presence { process, recall } => self.presence(from, process, recall),
+            PeerPacket::Presence { process, zone, peers, recall } => {
+                self.peers.mentioned(now, &peers);
+                self.presence(from, process, zone, recall);
+            }
             PeerPacket::Digest(digest) => {
                 let announcements = self.parts.registry.answer_digest(now, &digest);
                 self.tell_all(from, announcements);
@@ -346,9 +386,9 @@
         self.push();
     }
 
-    fn presence(&mut self, from: SocketAddr, process: ProcessId, recall: bool) {
+    fn presence(&mut self, from: SocketAddr, process: ProcessId, zone: String, recall: bool) {
         let now = self.now();
-        let changes = self.peers.heard(now, from, process);
+        let changes = self.peers.heard(now, from, process, zone);
         let came = changes.iter().any(|change| matches!(change, PeerChange::Up(..)));
         self.peers_changed(changes);
         if recall || came {
@@ -367,6 +407,9 @@
 
     fn peers_changed(&mut self, changes: Vec<PeerChange>) {
         let now = self.now();
+        if !changes.is_empty() {
+            self.note_homes();
+        }
         for change in changes {
             match change {
                 PeerChange::Up(address, process) => {
@@ -493,11 +536,13 @@
         let own = self.parts.address;
         let mut others: Vec<SocketAddr> = self.members.iter().map(|member| member.address).collect();
         others.extend(self.peers.up());
+        others.extend(self.peers.mentions());
         others.extend(self.parts.seeds.iter().copied());
         others.sort();
         others.dedup();
         let recall = self.ticks <= SLOW_TICKS * PRESENCE;
-        let packet = PeerPacket::Presence { process: self.parts.process, recall };
+        let (process, zone) = (self.parts.process, self.parts.zone.clone());
+        let packet = PeerPacket::Presence { process, zone, peers: self.peers.up().collect(), recall };
         for other in others.into_iter().filter(|other| *other != own) {
             self.links.send(other, &packet);
         }
--- a/crates/control-plane/src/start.rs
+++ b/crates/control-plane/src/start.rs
@@ -63,8 +63,9 @@
         zone: settings.zone.clone(),
         seeds: seeds.clone(),
         bootstrap: settings.bootstrap,
-        votes: disk.is_some() && settings.counts_for_quorum,
+        durable: disk.is_some() && settings.counts_for_quorum,
         tolerate_nodes: settings.tolerate.nodes as usize,
+        tolerate_zones: settings.tolerate.zones as usize,
         entropy: fastrand::u64(..),
         timing: Timing::default(),
     };
--- a/crates/control/src/acceptor.rs
+++ b/crates/control/src/acceptor.rs
@@ -44,7 +44,7 @@
     /// Whether the sender votes in the view's instance. The first view is decided by the seeds' addresses.
     pub(crate) fn is_voter(&self, view: &View, sender: Sender) -> bool {
         if view.epoch == 0 {
-            self.bootstrap.contains(&sender.address)
+            self.electorate().contains(&sender.address)
         } else {
             view.member(sender.id).is_some()
         }
@@ -53,7 +53,7 @@
     /// The votes that decide in the view's instance.
     pub(crate) fn majority(&self, view: &View) -> usize {
         if view.epoch == 0 {
-            self.bootstrap.len() / 2 + 1
+            self.electorate().len() / 2 + 1
         } else {
             view.majority()
         }
@@ -85,7 +85,7 @@
     }
 
     pub(crate) fn on_install(&mut self, sender: Sender, install: Install) {
-        let able = self.options.votes && self.reach_instance(sender, &install.view);
+        let able = self.may_vote() && self.reach_instance(sender, &install.view);
         if !able || !self.bind(sender, install.ballot) {
             return;
         }
@@ -126,7 +126,7 @@
 
     /// Whether this process votes here, and the proposer may ask it to.
     fn votes_with(&self, proposer: Sender) -> bool {
-        self.options.votes && self.is_voter(&self.view, self.sender()) && self.is_voter(&self.view, proposer)
+        self.is_voter(&self.view, self.sender()) && self.is_voter(&self.view, proposer)
     }
 
     /// Takes the ballot unless a higher one was promised.
@@ -155,6 +155,7 @@
         }
         self.chain.begin(self.now);
         self.proposer.abandon();
+        self.catch_up.reset();
         self.waiting.clear();
         self.peers.enter(self.now, &self.view, self.id);
         let record = RecordBody::Entered(Box::new(view.clone()));
--- a/crates/control/src/chain.rs
+++ b/crates/control/src/chain.rs
@@ -87,7 +87,14 @@
 
     /// Whether this replica takes orders.
     pub(crate) fn takes_orders(&self) -> bool {
-        self.is_head() && self.chain.opened && !self.acceptor.sealed()
+        self.is_head() && self.chain.opened && !self.acceptor.sealed() && self.has_copies()
+    }
+
+    /// Whether the chain outlives the losses to be borne. At the first start of a fleet the machines beyond the seeds
+    /// join within seconds; where none does, there are too few, and fewer copies must do.
+    fn has_copies(&self) -> bool {
+        let enough = self.view.chain.len() > self.options.tolerate_nodes;
+        enough || self.has_run_for(self.options.timing.few_machines)
     }
 
     /// The next entry, made by the head. Nothing while too many are in flight.
@@ -206,9 +213,10 @@
         let peers = self.peers.voters().iter().chain(self.peers.strangers());
         let outside = peers.filter(|peer| peer.connected(self.now, &timing));
         let outside = outside.filter(|peer| self.view.place(peer.sender.id).is_none());
-        let lacking = outside.filter(|peer| peer.heartbeat.is_some_and(|last| last.committed < entry.id));
+        let lacking = outside.filter(|peer| peer.takes_entry(self.now, entry.id));
         let receivers: Vec<Sender> = lacking.map(|peer| peer.sender).collect();
         for receiver in receivers {
+            self.peers.telling(self.now, receiver.id, entry.id);
             self.send(receiver, Body::Learn(entry.clone()));
         }
     }
@@ -246,7 +254,10 @@
     }
 
     pub(crate) fn on_fetch(&mut self, sender: Sender) {
-        if let Some(entry) = self.committed.clone() {
+        let Some(entry) = self.committed.clone() else { return };
+        let lacks = self.peers.get(sender.id).is_none_or(|peer| peer.takes_entry(self.now, entry.id));
+        if lacks {
+            self.peers.telling(self.now, sender.id, entry.id);
             self.send(sender, Body::Learn(entry));
         }
     }
--- a/crates/control/src/discovery.rs
+++ b/crates/control/src/discovery.rs
@@ -25,8 +25,10 @@
     started: Now,
     next_hello: Now,
     next_join: Now,
-    /// Seeds that take part in the bootstrap, as heard.
-    seeds: Vec<SocketAddr>,
+    /// Seeds that take part in the bootstrap and have a disk, as heard.
+    durable_seeds: Vec<SocketAddr>,
+    /// Seeds without a disk, as heard.
+    volatile_seeds: Vec<SocketAddr>,
     joiners: Vec<Joiner>,
 }
 
@@ -36,6 +38,8 @@
     member: Member,
     since: Now,
     last: Now,
+    /// Its last install failed: it isn't tried again before this.
+    postponed: Now,
 }
 
 impl Discovery {
@@ -45,7 +49,8 @@
             started: now,
             next_hello: now,
             next_join: now,
-            seeds: Vec::new(),
+            durable_seeds: Vec::new(),
+            volatile_seeds: Vec::new(),
             joiners: Vec::new(),
         }
     }
@@ -59,11 +64,24 @@
     pub(crate) fn asked_since(&self, id: MemberId) -> Option<Now> {
         self.joiners.iter().find(|joiner| joiner.member.id == id).map(|joiner| joiner.since)
     }
+
+    /// Whether its last install failed a short while ago.
+    pub(crate) fn is_postponed(&self, now: Now, id: MemberId) -> bool {
+        self.joiners.iter().any(|joiner| joiner.member.id == id && now < joiner.postponed)
+    }
+
+    /// Its install failed.
+    pub(crate) fn postpone(&mut self, id: MemberId, until: Now) {
+        for joiner in self.joiners.iter_mut().filter(|joiner| joiner.member.id == id) {
+            joiner.postponed = until;
+        }
+    }
 }
 
 impl Replica {
     fn own_member(&self) -> Member {
-        Member { id: self.id, address: self.options.address, zone: self.options.zone.clone() }
+        let (address, zone) = (self.options.address, self.options.zone.clone());
+        Member { id: self.id, address, zone, durable: self.options.durable }
     }
 
     /// Says what is due to seeds and members.
@@ -82,11 +100,16 @@
 
     /// Between one and one and a half times an interval; after the first seconds twice that.
     fn jittered(&mut self, interval: Duration) -> Duration {
-        let early = self.now < self.discovery.started + Duration::from_secs(5);
+        let early = !self.has_run_for(Duration::from_secs(5));
         let interval = if early { interval } else { interval * 2 };
         interval + Duration::from_micros(self.random.u64(0..=interval.as_micros() as u64 / 2))
     }
 
+    /// Whether this process started at least so long ago.
+    pub(crate) fn has_run_for(&self, long: Duration) -> bool {
+        self.now >= self.discovery.started + long
+    }
+
     fn is_lonely(&self) -> bool {
         let mut others = self.peers.voters().iter();
         let alone = self.view.members.iter().all(|member| member.id == self.id);
@@ -118,22 +141,61 @@
         if self.view.epoch > hello.epoch {
             self.send(sender, Body::Decide(Box::new(self.view.clone())));
         }
-        let seed = hello.bootstrap && self.bootstrap.contains(&sender.address);
-        if seed && !self.discovery.seeds.contains(&sender.address) {
-            self.discovery.seeds.push(sender.address);
+        self.note_seed(sender.address, hello.member.durable, hello.bootstrap);
+    }
+
+    /// A seed with a disk takes part if it started for the bootstrap; one without a disk is known by being so.
+    fn note_seed(&mut self, address: SocketAddr, durable: bool, takes_part: bool) {
+        if !self.bootstrap.contains(&address) {
+            return;
+        }
+        let known = match durable {
+            true if !takes_part => return,
+            true => &mut self.discovery.durable_seeds,
+            false => &mut self.discovery.volatile_seeds,
+        };
+        if !known.contains(&address) {
+            known.push(address);
         }
     }
 
-    /// Whether the first view may be proposed: all seeds are heard, or enough and the last one is late.
+    /// The seeds that decide on the first view: those with a disk; if none has one, all. One that wasn't heard yet
+    /// counts among those with a disk, so that any two majorities meet whoever was heard.
+    pub(crate) fn electorate(&self) -> Vec<SocketAddr> {
+        let volatile = |seed: &SocketAddr| {
+            let own = *seed == self.options.address && !self.options.durable;
+            own || self.discovery.volatile_seeds.contains(seed)
+        };
+        let durable: Vec<SocketAddr> =
+            self.bootstrap.iter().copied().filter(|seed| !volatile(seed)).collect();
+        if durable.is_empty() {
+            self.bootstrap.clone()
+        } else {
+            durable
+        }
+    }
+
+    /// Whether the first view may be proposed: all that decide on it are heard, or enough and the last one is late.
     pub(crate) fn seeds_are_heard(&self) -> bool {
-        let heard = self.discovery.seeds.len() + 1;
-        let waited = self.now >= self.discovery.started + self.options.timing.bootstrap_wait;
-        heard >= self.bootstrap.len() || (waited && heard > self.bootstrap.len() / 2)
+        let electorate = self.electorate();
+        let heard = |seed: &&SocketAddr| {
+            **seed == self.options.address
+                || self.discovery.durable_seeds.contains(seed)
+                || self.discovery.volatile_seeds.contains(seed)
+        };
+        let heard = electorate.iter().filter(heard).count();
+        let waited = self.has_run_for(self.options.timing.bootstrap_wait);
+        heard == electorate.len() || (waited && heard > electorate.len() / 2)
+    }
+
+    /// Whether this process may vote in the view that it knows: without a disk only among others without one.
+    pub(crate) fn may_vote(&self) -> bool {
+        self.options.durable || self.view.members.iter().all(|member| !member.durable)
     }
 
     fn wants_in(&self) -> bool {
         let outside = self.view.epoch > 0 && self.view.member(self.id).is_none();
-        outside && self.options.votes && self.discovery.identified && !self.leaving
+        outside && self.may_vote() && self.discovery.identified && !self.leaving
     }
 
     fn ask_to_join(&mut self) {
@@ -152,7 +214,7 @@
             known.last = now;
             known.member = member;
         } else if joiners.len() < JOINERS {
-            joiners.push(Joiner { member, since: now, last: now });
+            joiners.push(Joiner { member, since: now, last: now, postponed: now });
         }
     }
 }
--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -41,6 +41,8 @@
     flight: Option<Flight>,
     ready: Vec<Effect>,
     refused: Option<Now>,
+    /// When a write was last handed to the host.
+    written: Now,
 }
 
 impl Disk {
@@ -54,6 +56,7 @@
             flight: None,
             ready: Vec::new(),
             refused: None,
+            written: Now::ZERO,
         }
     }
 
@@ -84,6 +87,7 @@
             return None;
         }
         self.ticket += 1;
+        self.written = now;
         let ticket = Ticket(self.ticket);
         let records = std::mem::take(&mut self.records);
         let effects = std::mem::take(&mut self.effects);
@@ -124,6 +128,16 @@
         !self.ready.is_empty()
     }
 
+    /// Something waits to be written or is under way.
+    pub(crate) fn is_busy(&self) -> bool {
+        self.flight.is_some() || !self.records.is_empty()
+    }
+
+    /// Nothing was written for so long: whether the disk still takes writes isn't known.
+    pub(crate) fn is_unproven(&self, now: Now, limit: Duration) -> bool {
+        !self.volatile && !self.is_busy() && now >= self.written + limit
+    }
+
     /// A write was refused or is under way for too long.
     pub(crate) fn sick(&self, now: Now, limit: Duration) -> bool {
         self.refused.is_some() || self.flight.as_ref().is_some_and(|flight| now > flight.since + limit)
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,11 +4,13 @@
 //! [`Output`]s. `docs/control.md` says why it is safe.
 
 mod acceptor;
+mod catch_up;
 mod chain;
 mod discovery;
 mod disk;
 mod freshness;
 mod heartbeat;
+mod membership;
 mod message;
 mod options;
 mod orders;
@@ -22,8 +24,8 @@
 mod types;
 
 pub use message::{
-    Accept, Append, Body, Commit, Echo, Forward, ForwardAnswer, Heartbeat, Hello, Install, Message, Nack,
-    Prepare, Promise, Sender,
+    Accept, Append, Body, CatchUp, CaughtUp, Commit, Echo, Forward, ForwardAnswer, Heartbeat, Hello, Install,
+    Message, Nack, Prepare, Promise, Sender,
 };
 pub use options::{Options, Timing};
 pub use record::{Record, RecordBody, RecordError, Snapshot};
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -64,6 +64,10 @@
     Forward(Forward),
     /// Its answer.
     ForwardAnswer(ForwardAnswer),
+    /// A replica outside the chain asks for what it lacks.
+    CatchUp(CatchUp),
+    /// Its answer.
+    CaughtUp(Box<CaughtUp>),
 }
 
 /// I am here.
@@ -213,3 +217,23 @@
     /// What became of it.
     pub outcome: Outcome,
 }
+
+/// Asks for the committed entries after the last one here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CatchUp {
+    /// The view it was sent in: a replica of another one drops it.
+    pub epoch: u64,
+    /// The last entry of the sender's state.
+    pub last: EntryId,
+    /// The newest committed entry whose bytes the sender has.
+    pub known: EntryId,
+}
+
+/// The committed entries that a replica lacks.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CaughtUp {
+    /// The view of the answering replica.
+    pub epoch: u64,
+    /// What the receiver lacks. Complete for no epoch.
+    pub transfer: Transfer,
+}
--- a/crates/control/src/options.rs
+++ b/crates/control/src/options.rs
@@ -14,10 +14,12 @@
     pub seeds: Vec<SocketAddr>,
     /// The whole system starts for the first time.
     pub bootstrap: bool,
-    /// This process has a disk and counts: it asks to be a member. Otherwise it only follows.
-    pub votes: bool,
+    /// This process has a disk and counts for the quorum. One that hasn't only follows, unless nobody has.
+    pub durable: bool,
     /// How many members may lose their disks at once.
     pub tolerate_nodes: usize,
+    /// How many zones may be lost at once.
+    pub tolerate_zones: usize,
     /// Drawn by the host from the system's entropy at each start.
     pub entropy: u64,
     /// How long things take.
@@ -35,14 +37,16 @@
     pub start_grace: Duration,
     /// A sync under way for so long makes the disk sick.
     pub disk_sick: Duration,
+    /// A disk that nothing was written to for so long is written to, to see whether it is well.
+    pub disk_probe: Duration,
     /// A write that was refused is tried again after it.
     pub disk_retry: Duration,
     /// A voter outside the chain must be healthy for so long to be taken back.
     pub take_back: Duration,
-    /// A member silent for so long gives its place to a joiner.
+    /// A voter out of reach, or with a sick disk, for so long gives its place to a newcomer.
     pub replace: Duration,
-    /// A joiner that takes nobody's place must ask for so long: whom it replaces may have just fallen silent.
-    pub join_wait: Duration,
+    /// A newcomer whose install failed isn't tried again for so long.
+    pub postpone: Duration,
     /// Between a joiner's requests, before jitter.
     pub join_retry: Duration,
     /// Between words to seeds while no view is known.
@@ -59,6 +63,8 @@
     pub stuck: Duration,
     /// Bootstrap waits so long for the last seed.
     pub bootstrap_wait: Duration,
+    /// A head with fewer replicas than the losses to be borne ask for takes orders only so long after its start.
+    pub few_machines: Duration,
     /// An order without an answer is forwarded again.
     pub forward_retry: Duration,
     /// An order without an answer for so long is unclear.
@@ -73,10 +79,11 @@
             suspect: ms(700),
             start_grace: ms(1000),
             disk_sick: ms(500),
+            disk_probe: ms(1000),
             disk_retry: ms(250),
             take_back: ms(2000),
             replace: ms(3000),
-            join_wait: ms(1000),
+            postpone: ms(2000),
             join_retry: ms(400),
             hello: ms(200),
             promise_wait: ms(60),
@@ -85,6 +92,7 @@
             sealed: ms(400),
             stuck: ms(1500),
             bootstrap_wait: ms(2000),
+            few_machines: ms(5000),
             forward_retry: ms(600),
             submit: ms(3000),
         }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -4,7 +4,7 @@
 
 use crate::message::{Echo, Heartbeat, Sender};
 use crate::options::Timing;
-use crate::types::{MemberId, Now, View};
+use crate::types::{EntryId, MemberId, Now, View};
 
 /// Followers and joiners that are answered.
 const STRANGERS: usize = 64;
@@ -12,6 +12,9 @@
 const STRANGER_KEPT: Duration = Duration::from_secs(2);
 /// A pause between ticks that says that this process stood still.
 const STOOD_STILL: Duration = Duration::from_millis(300);
+/// An entry sent to a peer outside the chain that hasn't said that it has it isn't followed by another one for so long:
+/// a slow link would hold ever more of them.
+const TELL_AGAIN: Duration = Duration::from_millis(600);
 
 /// What is known of one peer.
 #[derive(Clone, Debug)]
@@ -27,13 +30,27 @@
     pub(crate) echoed: Option<Now>,
     /// When we last sent it one.
     pub(crate) sent: Option<Now>,
+    /// The entry that was last sent to it for being outside the chain, and when.
+    told: Option<(Now, EntryId)>,
     /// It has been healthy since.
     pub(crate) healthy: Option<Now>,
+    /// It has been unhealthy since.
+    unhealthy: Option<Now>,
 }
 
 impl Peer {
     fn new(sender: Sender, since: Now) -> Self {
-        Peer { sender, since, heard: None, heartbeat: None, echoed: None, sent: None, healthy: None }
+        Peer {
+            sender,
+            since,
+            heard: None,
+            heartbeat: None,
+            echoed: None,
+            sent: None,
+            told: None,
+            healthy: None,
+            unhealthy: None,
+        }
     }
 
     /// Heard, and hears us.
@@ -50,9 +67,23 @@
         now > heard + timing.suspect || now > echoed + echo_limit(timing)
     }
 
-    /// How long it hasn't been heard.
-    pub(crate) fn silent_for(&self, now: Now) -> Duration {
-        now.saturating_sub(self.heard.unwrap_or_default().max(self.since))
+    /// Whether it lacks an entry and may be sent it: the one sent before has arrived, or was lost.
+    pub(crate) fn takes_entry(&self, now: Now, entry: EntryId) -> bool {
+        let Some(heartbeat) = self.heartbeat else { return false };
+        let arrived = |told: EntryId| heartbeat.committed.position >= told.position;
+        let free = self.told.is_none_or(|(at, told)| arrived(told) || now >= at + TELL_AGAIN);
+        heartbeat.committed.position < entry.position && free
+    }
+
+    /// Notes whether it is healthy now.
+    pub(crate) fn note_health(&mut self, now: Now, healthy: bool) {
+        self.healthy = healthy.then(|| self.healthy.unwrap_or(now));
+        self.unhealthy = (!healthy).then(|| self.unhealthy.unwrap_or(now));
+    }
+
+    /// How long it hasn't been healthy, but for what isn't held against it.
+    pub(crate) fn unhealthy_for(&self, now: Now) -> Duration {
+        self.unhealthy.map_or(Duration::ZERO, |at| now.saturating_sub(at.max(self.since)))
     }
 
     /// Takes a heartbeat. False if it is an old one.
@@ -131,6 +162,7 @@
             for peer in &mut self.voters {
                 peer.since = peer.since.max(now);
                 peer.healthy = None;
+                peer.unhealthy = None;
             }
         }
         self.ticked = now;
@@ -179,6 +211,13 @@
         &self.strangers
     }
 
+    /// Notes that an entry goes out to a peer outside the chain.
+    pub(crate) fn telling(&mut self, now: Now, id: MemberId, entry: EntryId) {
+        if let Some(peer) = self.get_mut(id) {
+            peer.told = Some((now, entry));
+        }
+    }
+
     /// All that are due a heartbeat.
     pub(crate) fn due(&self, now: Now, interval: Duration) -> Vec<Sender> {
         let all = self.voters.iter().chain(&self.strangers);
--- a/crates/control/src/plan.rs
+++ b/crates/control/src/plan.rs
@@ -1,12 +1,10 @@
 //! Which view should come next, and whether one is needed.
 
+use crate::membership::{choose_voters, Candidate, Condition, Tolerance};
 use crate::peers::Peer;
 use crate::replica::Replica;
 use crate::types::{Member, MemberId, View};
 
-/// The most voters.
-pub(crate) const MOST_MEMBERS: usize = 9;
-
 /// The next view, but for the state with which it begins.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Plan {
@@ -23,16 +21,22 @@
     pub(crate) fn member(&self, id: MemberId) -> Option<&Member> {
         self.members.iter().find(|member| member.id == id)
     }
+
+    /// Members that aren't in the view before.
+    pub(crate) fn newcomers<'a>(&'a self, base: &'a View) -> impl Iterator<Item = MemberId> + 'a {
+        let fresh = self.members.iter().filter(|member| base.member(member.id).is_none());
+        fresh.map(|member| member.id)
+    }
 }
 
 impl Replica {
-    /// Notes since when each voter has been healthy.
+    /// Notes since when each voter has been healthy, or hasn't.
     pub(crate) fn watch_health(&mut self) {
         let now = self.now;
         let timing = self.options.timing;
         for peer in self.peers.voters_mut() {
             let healthy = peer.connected(now, &timing) && says_well(peer);
-            peer.healthy = if healthy { peer.healthy.or(Some(now)) } else { None };
+            peer.note_health(now, healthy);
         }
         let well = !self.sick() && !self.leaving;
         self.proposer.healthy = if well { self.proposer.healthy.or(Some(now)) } else { None };
@@ -40,14 +44,15 @@
 
     /// The view that should come next. Nothing if no chain long enough can be made.
     pub(crate) fn plan(&self) -> Option<Plan> {
-        let (members, joiner) = self.members_with_joiner();
+        let members = self.next_voters();
         let mut chain: Vec<MemberId> =
             self.view.chain.iter().copied().filter(|id| self.may_stay(*id)).collect();
         chain.retain(|id| members.iter().any(|member| member.id == *id));
         let mut plan = Plan { members, chain };
         let least = plan.least_chain(self.options.tolerate_nodes);
         self.add_voters(&mut plan, false);
-        plan.chain.extend(joiner);
+        let newcomers: Vec<MemberId> = plan.newcomers(&self.view).collect();
+        plan.chain.extend(newcomers);
         self.drop_conflicts(&mut plan.chain);
         if plan.chain.len() < least {
             self.add_voters(&mut plan, true);
@@ -105,68 +110,75 @@
     }
 
     /// Whether a peer is connected and in the same view.
-    fn is_current(&self, id: MemberId) -> bool {
+    pub(crate) fn is_current(&self, id: MemberId) -> bool {
         let peer = self.peers.get(id).filter(|peer| peer.connected(self.now, &self.options.timing));
         peer.and_then(|peer| peer.heartbeat).is_some_and(|last| last.epoch == self.view.epoch)
     }
 
-    /// A voter outside the chain enters if it has been healthy for long enough.
+    /// A voter outside the chain enters if it has been healthy for long enough and has caught up. Where the chain would
+    /// be too short without it, it need only be healthy.
     fn may_enter(&self, id: MemberId, at_once: bool) -> bool {
-        let healthy = if id == self.id {
-            self.proposer.healthy
-        } else {
-            self.peers.get(id).and_then(|peer| peer.healthy)
-        };
-        healthy.is_some_and(|since| at_once || self.now >= since + self.options.timing.take_back)
+        if id == self.id {
+            let settled = |since| self.now >= since + self.options.timing.take_back;
+            return self.proposer.healthy.is_some_and(|since| at_once || settled(since));
+        }
+        let Some(peer) = self.peers.get(id) else { return false };
+        let settled = |since| self.now >= since + self.options.timing.take_back && self.has_caught_up(peer);
+        peer.healthy.is_some_and(|since| at_once || settled(since))
     }
 
-    /// The voters with the first joiner among them, in the place of one that is gone if there is one.
-    fn members_with_joiner(&self) -> (Vec<Member>, Option<MemberId>) {
-        let mut members = self.view.members.clone();
-        let Some(joiner) = self.discovery.joiners().find(|member| self.is_welcome(member)) else {
-            return (members, None);
-        };
-        let place = members.iter().position(|member| member.address == joiner.address);
-        match place.or_else(|| self.place_of_gone(&members, joiner)) {
-            Some(place) => members[place] = joiner.clone(),
-            // One that has just fallen silent may be the one that the joiner replaces.
-            None if !self.has_waited(joiner) => return (members, None),
-            None if members.len() < MOST_MEMBERS => members.push(joiner.clone()),
-            None => return (members, None),
-        }
-        (members, Some(joiner.id))
+    /// What the core is to bear.
+    pub(crate) fn tolerance(&self) -> Tolerance {
+        Tolerance { nodes: self.options.tolerate_nodes, zones: self.options.tolerate_zones }
     }
 
-    /// A joiner is taken once it has been heard, and hears us, for a while.
-    fn is_welcome(&self, joiner: &Member) -> bool {
-        let timing = &self.options.timing;
-        let peer = self.peers.get(joiner.id);
-        let connected = peer.is_some_and(|peer| peer.connected(self.now, timing) && says_well(peer));
-        connected && self.view.member(joiner.id).is_none()
+    /// The voters of the next view.
+    pub(crate) fn next_voters(&self) -> Vec<Member> {
+        let voters = self.view.members.iter().map(|member| Candidate {
+            member: member.clone(),
+            voter: true,
+            condition: self.condition(member),
+            settled: true,
+        });
+        let newcomers = self.discovery.joiners().filter(|member| self.is_welcome(member));
+        let newcomers = newcomers.map(|member| Candidate {
+            member: member.clone(),
+            voter: false,
+            condition: Condition::Present,
+            settled: self.has_asked_for(member.id, self.options.timing.take_back),
+        });
+        choose_voters(voters.chain(newcomers).collect(), self.tolerance())
     }
 
-    /// A joiner that would be one more waits a while, and until nobody is silent, unless the voters are too few.
-    fn has_waited(&self, joiner: &Member) -> bool {
-        let asked = self.discovery.asked_since(joiner.id);
-        let waited = asked.is_some_and(|since| self.now >= since + self.options.timing.join_wait);
-        let waited = waited && !self.one_is_silent();
-        waited || self.view.members.len() <= 2 * self.options.tolerate_nodes
+    /// What is known of a voter.
+    fn condition(&self, member: &Member) -> Condition {
+        if member.id == self.id {
+            return if self.leaving { Condition::Leaving } else { Condition::Present };
+        }
+        if self.discovery.joiners().any(|joiner| joiner.address == member.address && joiner.id != member.id) {
+            return Condition::Replaced;
+        }
+        let Some(peer) = self.peers.get(member.id) else { return Condition::Present };
+        if peer.heartbeat.is_some_and(|last| last.leaving) {
+            return Condition::Leaving;
+        }
+        if peer.unhealthy_for(self.now) >= self.options.timing.replace {
+            return Condition::Gone;
+        }
+        Condition::Present
     }
 
-    fn one_is_silent(&self) -> bool {
-        let suspect = self.options.timing.suspect;
-        self.peers.voters().iter().any(|peer| peer.silent_for(self.now) > suspect)
+    /// A newcomer may vote once it is heard and hears us, its disk is well, and it has caught up with the chain.
+    fn is_welcome(&self, joiner: &Member) -> bool {
+        let Some(peer) = self.peers.get(joiner.id) else { return false };
+        let connected = peer.connected(self.now, &self.options.timing) && says_well(peer);
+        let postponed = self.discovery.is_postponed(self.now, joiner.id);
+        let outside = self.view.member(joiner.id).is_none();
+        connected && outside && !postponed && self.has_caught_up(peer)
     }
 
-    /// A voter silent for so long that its place may be given away; one of the joiner's zone first.
-    fn place_of_gone(&self, members: &[Member], joiner: &Member) -> Option<usize> {
-        let gone = |member: &&Member| {
-            let silent = self.peers.get(member.id).map(|peer| peer.silent_for(self.now));
-            silent.is_some_and(|silent| silent >= self.options.timing.replace)
-        };
-        let found = members.iter().filter(gone).find(|member| member.zone == joiner.zone);
-        let found = found.or_else(|| members.iter().find(gone))?;
-        members.iter().position(|member| member.id == found.id)
+    fn has_asked_for(&self, id: MemberId, long: std::time::Duration) -> bool {
+        self.discovery.asked_since(id).is_some_and(|since| self.now >= since + long)
     }
 
     /// Of two that don't reach each other, the later one goes; of several, the one with most such pairs.
@@ -208,6 +220,47 @@
         let others = self.peers.voters().iter().filter(|peer| peer.connected(self.now, timing)).count();
         others + usize::from(self.view.member(self.id).is_some() && !self.sick())
     }
+
+    /// How many voters may be lost from now on so that orders are still taken, as far as this process can tell: enough
+    /// for a majority and for the shortest chain must remain.
+    pub fn bearable_losses(&self) -> usize {
+        let needed = self.view.majority().max(self.view.least_chain(self.options.tolerate_nodes));
+        self.well_voters().saturating_sub(needed)
+    }
+
+    /// Voters that are reached, well and stay, this process among them.
+    fn well_voters(&self) -> usize {
+        let timing = &self.options.timing;
+        let well =
+            self.peers.voters().iter().filter(|peer| peer.connected(self.now, timing) && says_well(peer));
+        let own = self.view.member(self.id).is_some() && !self.sick() && !self.leaving;
+        well.count() + usize::from(own)
+    }
+
+    /// How many voters the losses to be borne ask for.
+    pub fn wanted_voters(&self) -> usize {
+        self.tolerance().wanted_voters()
+    }
+
+    /// Whether this process, having said that it leaves, may end: the others go on without its state, and without its
+    /// vote if anybody can have it.
+    pub fn has_left(&self) -> bool {
+        if self.view.epoch == 0 || self.view.members.len() == 1 && self.view.member(self.id).is_some() {
+            return true;
+        }
+        if self.in_chain() || !self.tail_is_open() {
+            return false;
+        }
+        let votes = self.view.member(self.id).is_some();
+        let replaceable = self.next_voters().iter().all(|member| member.id != self.id);
+        !(votes && replaceable)
+    }
+
+    /// Whether the chain of the view that this process knows is in service.
+    fn tail_is_open(&self) -> bool {
+        let Some(tail) = self.view.tail().filter(|tail| self.is_current(*tail)) else { return false };
+        self.peers.get(tail).and_then(|peer| peer.heartbeat).is_some_and(|last| last.opened)
+    }
 }
 
 /// What the peer says of itself.
--- a/crates/control/src/proposer.rs
+++ b/crates/control/src/proposer.rs
@@ -4,11 +4,13 @@
 use crate::plan::Plan;
 use crate::replica::Replica;
 use crate::state::State;
-use crate::types::{Ballot, Member, MemberId, Now, Rank, Transfer, View};
+use crate::types::{Ballot, EntryId, Member, MemberId, Now, Rank, Transfer, View};
 use std::time::Duration;
 
 /// The longest pause before the next try, first and in the end.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(1200));
+/// What an install may take beyond its phase: a microsecond a byte, which is a link of 8 Mbit/s, up to this.
+const LONGEST_INSTALL: Duration = Duration::from_millis(1600);
 /// The spread of the first try.
 const SPREAD: Duration = Duration::from_millis(40);
 
@@ -26,8 +28,8 @@
 enum Phase {
     /// Waits for promises.
     Preparing,
-    /// Waits until each replica of the next chain has the state.
-    Installing { plan: Plan, installed: Vec<MemberId> },
+    /// Waits until each replica of the next chain has the state, for as long as the largest transfer may take.
+    Installing { plan: Plan, installed: Vec<MemberId>, within: Duration },
     /// Waits for votes.
     Accepting { next: View, voted: Vec<Sender> },
 }
@@ -117,11 +119,11 @@
 
     /// A proposer that doesn't reach a majority would only disturb the others.
     fn may_propose(&self) -> bool {
-        if !self.options.votes || !self.discovery.identified || self.sick() {
+        if !self.discovery.identified || self.sick() {
             return false;
         }
         if self.view.epoch == 0 {
-            return self.bootstrap.contains(&self.options.address);
+            return self.electorate().contains(&self.options.address);
         }
         self.view.member(self.id).is_some() && self.reached_voters() >= self.view.majority()
     }
@@ -133,7 +135,8 @@
     /// How many healthy voters come before this one: the chain in its order, then the others.
     fn turn(&self) -> u32 {
         if self.view.epoch == 0 {
-            let before = self.bootstrap.iter().filter(|seed| **seed < self.options.address);
+            let electorate = self.electorate();
+            let before = electorate.iter().filter(|seed| **seed < self.options.address);
             return before.count() as u32 * 3;
         }
         let outside = self.view.members.iter().map(|member| member.id);
@@ -164,7 +167,7 @@
 
     fn ask_voters(&mut self, body: Body) {
         if self.view.epoch == 0 {
-            for seed in self.bootstrap.clone() {
+            for seed in self.electorate() {
                 self.send_to_address(seed, None, body.clone());
             }
             return;
@@ -207,7 +210,11 @@
     /// Goes on to the next phase when it is time, or gives up.
     pub(crate) fn drive_proposal(&mut self) {
         let Some(proposal) = self.proposer.proposal.take() else { return };
-        let late = self.now >= proposal.since + self.options.timing.phase;
+        let within = match &proposal.phase {
+            Phase::Installing { within, .. } => *within,
+            _ => self.options.timing.phase,
+        };
+        let late = self.now >= proposal.since + within;
         match &proposal.phase {
             Phase::Preparing => self.drive_preparing(proposal, late),
             Phase::Installing { .. } => self.drive_installing(proposal, late),
@@ -241,7 +248,11 @@
             self.proposer.proposal = Some(proposal);
             return;
         }
-        let plan = if proposal.base.epoch == 0 { Some(first_plan(&proposal)) } else { self.plan() };
+        let plan = if proposal.base.epoch == 0 {
+            Some(first_plan(&proposal, self.options.durable))
+        } else {
+            self.plan()
+        };
         let source = self.source(&proposal);
         let (Some(plan), Some(state)) = (plan, source) else {
             return self.keep_unless(late, proposal);
@@ -253,7 +264,7 @@
     /// Whether a healthy voter hasn't answered yet.
     fn awaits_promise(&self, proposal: &Proposal) -> bool {
         if proposal.base.epoch == 0 {
-            return proposal.promises.len() < self.bootstrap.len();
+            return proposal.promises.len() < self.electorate().len();
         }
         let healthy = self.peers.voters().iter().filter(|peer| peer.healthy.is_some());
         let mut asked = healthy.map(|peer| peer.sender.id).chain([self.id]);
@@ -278,23 +289,33 @@
 
     fn start_installing(&mut self, mut proposal: Proposal, plan: Plan) {
         let receivers: Vec<Member> = plan.chain.iter().filter_map(|id| plan.member(*id)).cloned().collect();
-        proposal.phase = Phase::Installing { plan, installed: Vec::new() };
-        proposal.since = self.now;
         let (ballot, view) = (proposal.ballot, proposal.base.clone());
+        let mut largest = 0;
         for member in receivers {
-            let promised = proposal.promises.iter().find(|promised| promised.sender.id == member.id);
-            let last = promised.map(|promised| promised.rank.last).unwrap_or_default();
+            let last = self.last_entry_of(&proposal, member.id);
             let transfer = proposal.state.transfer(last, view.epoch);
+            largest = largest.max(transfer.size());
             let install = Install { ballot, view: view.clone(), transfer };
             let to = Sender { id: member.id, address: member.address };
             self.send(to, Body::Install(Box::new(install)));
         }
+        let transfers = Duration::from_micros(largest as u64).min(LONGEST_INSTALL);
+        let within = self.options.timing.phase + transfers;
+        proposal.phase = Phase::Installing { plan, installed: Vec::new(), within };
+        proposal.since = self.now;
         self.proposer.proposal = Some(proposal);
     }
 
+    /// What a receiver of the state last said to hold: in its promise, else in a heartbeat.
+    fn last_entry_of(&self, proposal: &Proposal, id: MemberId) -> EntryId {
+        let promised = proposal.promises.iter().find(|promised| promised.sender.id == id);
+        let heartbeat = self.peers.get(id).and_then(|peer| peer.heartbeat);
+        promised.map(|promised| promised.rank.last).or(heartbeat.map(|last| last.last)).unwrap_or_default()
+    }
+
     pub(crate) fn on_installed(&mut self, sender: Sender, ballot: Ballot) {
         let Some(mut proposal) = self.take_proposal(ballot) else { return };
-        if let Phase::Installing { plan, installed } = &mut proposal.phase {
+        if let Phase::Installing { plan, installed, .. } = &mut proposal.phase {
             if plan.chain.contains(&sender.id) && !installed.contains(&sender.id) {
                 installed.push(sender.id);
             }
@@ -304,14 +325,21 @@
     }
 
     fn drive_installing(&mut self, proposal: Proposal, late: bool) {
-        let Phase::Installing { plan, installed } = &proposal.phase else { return };
+        let Phase::Installing { plan, installed, .. } = &proposal.phase else { return };
+        let missing = plan.newcomers(&proposal.base).filter(|id| !installed.contains(id));
+        let missing: Vec<MemberId> = missing.collect();
         if installed.len() < plan.chain.len() && !late {
             self.proposer.proposal = Some(proposal);
             return;
         }
-        let members = self.without_missing_joiner(&proposal.base, plan, installed);
+        for newcomer in &missing {
+            self.discovery.postpone(*newcomer, self.now + self.options.timing.postpone);
+        }
+        // A newcomer that didn't take the state isn't made a member; the others try again in the next view.
+        let complete = proposal.base.epoch == 0 || missing.is_empty();
+        let members = if complete { plan.members.clone() } else { proposal.base.members.clone() };
         let mut chain = plan.chain.clone();
-        chain.retain(|id| installed.contains(id));
+        chain.retain(|id| installed.contains(id) && members.iter().any(|member| member.id == *id));
         let epoch = proposal.base.epoch + 1;
         let next = View { epoch, members, chain, start: proposal.state.last() };
         if next.chain.len() < next.least_chain(self.options.tolerate_nodes) {
@@ -320,17 +348,6 @@
         self.start_accepting(proposal, next);
     }
 
-    /// A joiner that didn't take the state isn't made a member.
-    fn without_missing_joiner(&self, base: &View, plan: &Plan, installed: &[MemberId]) -> Vec<Member> {
-        let known = |member: &Member| base.epoch == 0 || base.member(member.id).is_some();
-        let joined = plan.members.iter().all(|member| known(member) || installed.contains(&member.id));
-        if joined {
-            plan.members.clone()
-        } else {
-            base.members.clone()
-        }
-    }
-
     fn start_accepting(&mut self, mut proposal: Proposal, next: View) {
         let accept = Accept { ballot: proposal.ballot, view: proposal.base.clone(), next: next.clone() };
         proposal.phase = Phase::Accepting { next, voted: Vec::new() };
@@ -377,11 +394,11 @@
 }
 
 /// The seeds that promised make the first view.
-fn first_plan(proposal: &Proposal) -> Plan {
+fn first_plan(proposal: &Proposal, durable: bool) -> Plan {
     let mut members: Vec<Member> = Vec::with_capacity(proposal.promises.len());
     for promised in &proposal.promises {
         let Sender { id, address } = promised.sender;
-        members.push(Member { id, address, zone: promised.zone.clone() });
+        members.push(Member { id, address, zone: promised.zone.clone(), durable });
     }
     members.sort_by_key(|member| member.address);
     let chain = members.iter().map(|member| member.id).collect();
--- a/crates/control/src/record.rs
+++ b/crates/control/src/record.rs
@@ -63,6 +63,11 @@
     Committed(EntryId),
     /// All of the above, up to this record's number.
     Snapshot(Box<Snapshot>),
+    /// Committed entries that a replica outside the chain lacked.
+    CaughtUp {
+        /// What it lacked.
+        transfer: Transfer,
+    },
 }
 
 /// All that is kept.
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::acceptor::Acceptor;
+use crate::catch_up::Pending;
 use crate::chain::Chain;
 use crate::discovery::Discovery;
 use crate::disk::{Disk, Effect};
@@ -103,6 +104,7 @@
     pub(crate) freshness: Freshness,
     pub(crate) proposer: Proposer,
     pub(crate) discovery: Discovery,
+    pub(crate) catch_up: Pending,
     pub(crate) submits: Submits,
     pub(crate) waiting: Vec<Waiting>,
     pub(crate) disk: Disk,
@@ -142,9 +144,10 @@
         let first_key = random.u64(..) >> 1;
         Replica {
             peers: Peers::new(now, incarnation, &options.timing),
-            disk: Disk::new(!options.votes, 0),
+            disk: Disk::new(!options.durable, 0),
             submits: Submits::new(first_key),
             discovery: Discovery::new(now),
+            catch_up: Pending::default(),
             options,
             now,
             random,
@@ -167,8 +170,7 @@
     }
 
     fn draw_identity(&mut self) {
-        let takes_part = self.options.bootstrap && self.options.votes;
-        if takes_part && self.options.seeds.contains(&self.options.address) {
+        if self.options.bootstrap && self.options.seeds.contains(&self.options.address) {
             self.bootstrap = self.options.seeds.clone();
         }
         let body = RecordBody::Identity { id: self.id, bootstrap: self.bootstrap.clone() };
@@ -193,12 +195,14 @@
 
     fn tick(&mut self) {
         self.peers.tick(self.now);
+        self.probe_disk();
         self.note_sickness();
         self.watch_health();
         self.discover();
         self.drive_proposal();
         self.propose_if_needed();
         self.drive_submits();
+        self.catch_up_if_behind();
         let due = self.peers.due(self.now, self.options.timing.heartbeat);
         for peer in due {
             self.send_heartbeat(peer);
@@ -211,6 +215,13 @@
         self.heartbeat_all();
     }
 
+    /// An idle disk may be full or hang without anybody knowing, until the loss of another one makes it needed.
+    fn probe_disk(&mut self) {
+        if self.disk.is_unproven(self.now, self.options.timing.disk_probe) {
+            self.disk.stage(RecordBody::Committed(self.chain.committed), None);
+        }
+    }
+
     /// Others are to know at once that the disk fell ill.
     fn note_sickness(&mut self) {
         let sick = self.sick();
@@ -280,6 +291,8 @@
             Body::Learn(entry) => self.learn(entry),
             Body::Forward(forward) => self.on_forward(sender, forward),
             Body::ForwardAnswer(answer) => self.on_forward_answer(answer),
+            Body::CatchUp(request) => self.on_catch_up(sender, request),
+            Body::CaughtUp(answer) => self.on_caught_up(*answer),
         }
     }
 
--- a/crates/control/src/restore.rs
+++ b/crates/control/src/restore.rs
@@ -6,10 +6,15 @@
 use crate::types::{EntryId, View};
 
 impl Replica {
-    /// Replays records in order. A snapshot holds all up to its number: lower ones after it are skipped.
+    /// Replays records in order. A snapshot holds all up to its number: lower ones after it are skipped, and so is an
+    /// earlier snapshot.
     pub(crate) fn replay(&mut self, records: Vec<Record>) {
         for record in records {
-            if record.number <= self.disk.number && !matches!(record.body, RecordBody::Snapshot(_)) {
+            let superseded = match record.body {
+                RecordBody::Snapshot(_) => record.number < self.disk.number,
+                _ => record.number <= self.disk.number,
+            };
+            if superseded {
                 continue;
             }
             self.disk.number = self.disk.number.max(record.number);
@@ -37,6 +42,10 @@
             RecordBody::Appended { entry } => self.state.append(entry),
             RecordBody::Committed(id) => self.replay_committed(id),
             RecordBody::Snapshot(snapshot) => self.replay_snapshot(*snapshot),
+            RecordBody::CaughtUp { transfer } => {
+                self.state.install(&transfer);
+                self.replay_committed(self.state.last());
+            }
             RecordBody::Promised { .. }
             | RecordBody::Accepted { .. }
             | RecordBody::Entered(_)
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -98,13 +98,28 @@
         Transfer { complete, since: known.then_some(since), changes, newest }
     }
 
-    /// Takes a state in place of this one. False, and nothing is changed, if it doesn't follow from this one.
+    /// The part up to a committed entry that a replica with the last entry `since` lacks. The newest entry's bytes are
+    /// left out where the receiver knows them.
+    pub(crate) fn committed_transfer(&self, since: EntryId, committed: EntryId, known: EntryId) -> Transfer {
+        let follows = self.contains(since) && since.position <= committed.position;
+        let after = if follows { since.position } else { 0 };
+        let lacked = |change: &&Change| (after + 1..=committed.position).contains(&change.id.position);
+        let changes: Vec<Change> = self.changes.iter().filter(lacked).copied().collect();
+        let has_newest = committed == since || committed == known;
+        let newest = if has_newest { None } else { self.entry(committed.position).cloned() };
+        Transfer { complete: 0, since: follows.then_some(since), changes, newest }
+    }
+
+    /// Takes what follows an entry of this state in place of what stood there. False, and nothing is changed, if that
+    /// entry isn't part of this state.
     pub(crate) fn install(&mut self, transfer: &Transfer) -> bool {
         match transfer.since {
-            Some(since) if since != self.last() => return false,
-            Some(_) => self.changes.extend(transfer.changes.iter().copied()),
-            None => self.changes = transfer.changes.iter().copied().collect(),
+            Some(since) if since == EntryId::default() => self.changes.clear(),
+            Some(since) if !self.contains(since) => return false,
+            Some(since) => self.changes.retain(|change| change.id.position <= since.position),
+            None => self.changes.clear(),
         }
+        self.changes.extend(transfer.changes.iter().copied());
         let newest = transfer.newest.iter().filter(|newest| self.entry(newest.id.position) != Some(newest));
         let newest: Vec<Arc<Entry>> = newest.cloned().collect();
         self.entries.extend(newest);
--- a/crates/control/src/types.rs
+++ b/crates/control/src/types.rs
@@ -22,6 +22,14 @@
     pub address: SocketAddr,
     /// The zone it runs in.
     pub zone: String,
+    /// It keeps what it is told on a disk.
+    #[serde(default = "durable_by_default")]
+    pub durable: bool,
+}
+
+/// Files written before the field was there hold members with a disk only.
+fn durable_by_default() -> bool {
+    true
 }
 
 /// Names an entry: the epoch of the head that made it, and its position. The same name is the same entry, and the
@@ -193,6 +201,14 @@
     pub newest: Option<Arc<Entry>>,
 }
 
+impl Transfer {
+    /// About how many bytes it takes.
+    pub fn size(&self) -> usize {
+        let newest = self.newest.as_ref().map_or(0, |entry| entry.order.bytes.len());
+        newest + self.changes.len() * size_of::<Change>()
+    }
+}
+
 /// What became of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
