Control plane: nothing is confirmed without a majority's answer; re-encoded orders are known

Symptom: a core process that reached nobody acknowledged at once that a backend drains or left (no peer up, nothing to wait for), and did so after 300 ms while cut-off peers still counted as up. A second copy of the same drain was never spread again. Orders at such a process were held for up to 2.9 s, reads for 0.9 s. An order that was taken and came again in another encoding got 412.

Cause: the wait was for peers within reach, whoever they were; a repeat is no news to the registry; an order was known by a digest of its raw bytes.

A home keeps its gateways only while it reaches a majority, and two majorities share a member: that is why a majority is enough. Ready heartbeats are heeded but not acknowledged without a majority. Orders get 503 at once where neither a majority nor the head is within reach, and after 400 ms where only the head is; reads at once; reads outside the chain go to a replica that is reached. Orders are known by a fingerprint of what the document says (white space, order of members, ways of writing a string or number aside). Changes taken by an earlier build keep their old digest: such an order sent again across this upgrade is answered 412 if a later one was taken. `serve` takes bound listeners: the control port is no longer bound, released and bound again.

Tests: host tests of one and three processes over HTTP on loopback (tests/hosts).

--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod check;
 mod code;
+mod fingerprint;
 mod lenient;
 mod locate;
 mod message;
@@ -16,6 +17,7 @@
 
 pub use check::{check, check_bytes, Finding};
 pub use code::{ConfigurationCode, ConfigurationError};
+pub use fingerprint::fingerprint;
 pub use message::{Configuration, Engine, Limits, Model, Route, Service, Split, Tenant};
 pub use read::{read, Document, MAX_DOCUMENT_BYTES};
 pub use rule::{
--- a/crates/control-plane/src/api.rs
+++ b/crates/control-plane/src/api.rs
@@ -56,7 +56,12 @@
 }
 
 fn later(text: &str) -> Response {
-    let mut response = problem(StatusCode::SERVICE_UNAVAILABLE, "CTL-101", text);
+    unavailable("CTL-101", text)
+}
+
+/// The caller is to come again, here or elsewhere.
+fn unavailable(code: &str, text: &str) -> Response {
+    let mut response = problem(StatusCode::SERVICE_UNAVAILABLE, code, text);
     response.headers_mut().insert(header::RETRY_AFTER, header::HeaderValue::from_static("0.3"));
     response
 }
@@ -87,10 +92,11 @@
     }
 }
 
-/// The version that a change builds on; some callers put it in quotes.
+/// The version that a change builds on. Some callers write it as an entity tag: in quotes, or as a weak one.
 fn if_match(request: &Request) -> Option<u64> {
     let Some(value) = request.header(header::IF_MATCH) else { return Some(0) };
-    value.trim().trim_matches('"').parse().ok()
+    let value = value.trim();
+    value.strip_prefix("W/").unwrap_or(value).trim_matches('"').trim().parse().ok()
 }
 
 #[handler]
@@ -128,9 +134,14 @@
 
 fn acknowledge(answer: Option<HeartbeatAnswer>) -> Response {
     match answer {
-        Some(Ok(())) => json_body(StatusCode::OK, "{}"),
-        Some(Err(HeartbeatError::Full)) => later("too many backends"),
-        Some(Err(wrong)) => problem(StatusCode::BAD_REQUEST, "CTL-109", &wrong.to_string()),
+        Some(HeartbeatAnswer::Acknowledged) => json_body(StatusCode::OK, "{}"),
+        Some(HeartbeatAnswer::Unconfirmed) => {
+            unavailable("CTL-110", "this process reaches no majority of the control plane; call another one")
+        }
+        Some(HeartbeatAnswer::Refused(HeartbeatError::Full)) => later("too many backends"),
+        Some(HeartbeatAnswer::Refused(wrong)) => {
+            problem(StatusCode::BAD_REQUEST, "CTL-109", &wrong.to_string())
+        }
         None => later("not taken"),
     }
 }
--- a/crates/control-plane/src/event.rs
+++ b/crates/control-plane/src/event.rs
@@ -50,8 +50,16 @@
     },
 }
 
-/// The answer to a backend: it may be acknowledged, or is refused.
-pub type HeartbeatAnswer = Result<(), HeartbeatError>;
+/// The answer to a backend.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HeartbeatAnswer {
+    /// It is known to all that must know it.
+    Acknowledged,
+    /// It is not taken, for this reason.
+    Refused(HeartbeatError),
+    /// No majority of the control plane knows of it: to be said again elsewhere.
+    Unconfirmed,
+}
 
 /// The answer to a configuration.
 #[derive(Clone, Debug, PartialEq)]
@@ -133,6 +141,13 @@
         /// The changes.
         announcements: Vec<Announcement>,
     },
+    /// Changes to be passed on to peers that the sender does not reach.
+    Relay {
+        /// Those peers.
+        to: Vec<SocketAddr>,
+        /// The changes.
+        announcements: Vec<Announcement>,
+    },
     /// The changes of that number are held in memory.
     Announced {
         /// Their number.
--- a/crates/control-plane/src/host.rs
+++ b/crates/control-plane/src/host.rs
@@ -1,5 +1,6 @@
 //! The one owner of all state of a process of the control plane: takes events in order, and carries out what follows.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -7,7 +8,9 @@
 use crankpick_control::{Entry, Input, Message, Now, Order, Output, Outputs, Replica, Ticket, View};
 use crankpick_protocol::{ConfigurationMark, CoreMember, Report, TenantGrant};
 use crankpick_quota::HolderId;
-use crankpick_registry::{Announcement, GatewayLeases, Heard, HeartbeatError, ProcessId, Registry};
+use crankpick_registry::{
+    Announcement, GatewayLeases, Heard, HeartbeatError, HeartbeatState, ProcessId, Registry,
+};
 use slog::{info, warn, Logger};
 use tokio::sync::mpsc::Receiver;
 use tokio::sync::oneshot;
@@ -15,10 +18,11 @@
 
 use crate::disk::{Disk, Write, Written};
 use crate::event::{Call, Event, HeartbeatAnswer, PeerPacket, PutAnswer, SessionId};
-use crate::floods::Floods;
+use crate::floods::{Floods, Relay};
 use crate::links::Links;
 use crate::operator::Operator;
 use crate::peers::{PeerChange, Peers};
+use crate::quorum::{reaches_majority, Quorum};
 use crate::quotas::{DemandsToSend, Quotas};
 use crate::sessions::{Current, Sessions, Standing};
 
@@ -248,13 +252,13 @@
                 self.operator.settle_reads(now, &self.parts.replica);
             }
             Call::Heartbeat { id, heartbeat, reply } => {
-                let draining = heartbeat.state == crankpick_registry::HeartbeatState::Draining;
+                let draining = heartbeat.state == HeartbeatState::Draining;
                 let heard = self.parts.registry.heartbeat(now, &id, heartbeat);
-                self.heard(heard, draining, reply);
+                self.heard(&id, heard, draining, reply);
             }
             Call::Leave { id, reply } => {
                 let heard = self.parts.registry.leave(now, &id);
-                self.heard(heard, true, reply);
+                self.heard(&id, heard, true, reply);
             }
             Call::Status { reply } => {
                 let _gone = reply.send(self.status());
@@ -270,36 +274,80 @@
                 return;
             }
         };
-        let Some(key) = self.operator.begin_order(reply) else { return };
-        let order = Order::new(if_match, generation, body.to_vec());
+        let Some(key) = self.operator.begin_order(self.now(), &self.parts.replica, reply) else { return };
+        let order = order(if_match, generation, body);
         self.replica(Input::Submit { key, order: order.into() });
     }
 
-    /// A draining backend is acknowledged once the peers within reach have the word, any other one at once.
+    /// Spreads what a backend said. One that drains or leaves is acknowledged once a majority of the members has the
+    /// word, any other one at once. Whatever a process says that reaches no majority, it does not acknowledge: the
+    /// backend goes to another one.
     fn heard(
-        &mut self, heard: Result<Heard, HeartbeatError>, ending: bool,
+        &mut self, id: &str, heard: Result<Heard, HeartbeatError>, ending: bool,
         reply: oneshot::Sender<HeartbeatAnswer>,
     ) {
-        let now = self.now();
         let heard = match heard {
             Ok(heard) => heard,
             Err(wrong) => {
-                let _gone = reply.send(Err(wrong));
+                let _gone = reply.send(HeartbeatAnswer::Refused(wrong));
                 return;
             }
         };
-        let number = if ending && heard.announcement.is_some() {
-            self.floods.begin(now, self.peers.up(), reply)
+        if ending {
+            self.spread_ending(id, heard.announcement, reply);
         } else {
-            let _gone = reply.send(Ok(()));
-            0
-        };
-        self.flood(number, heard.announcement);
+            let contact = reaches_majority(&self.parts.replica);
+            let _gone = reply.send(if contact {
+                HeartbeatAnswer::Acknowledged
+            } else {
+                HeartbeatAnswer::Unconfirmed
+            });
+            self.flood(0, heard.announcement);
+        }
         if heard.changed {
             self.push();
         }
     }
 
+    /// Spreads the word of a backend that drains or leaves, also where it is not news here: an earlier copy may not
+    /// have reached a majority.
+    fn spread_ending(
+        &mut self, id: &str, news: Option<Announcement>, reply: oneshot::Sender<HeartbeatAnswer>,
+    ) {
+        let now = self.now();
+        let replica = &self.parts.replica;
+        let quorum = Quorum::of(replica.view(), replica.id()).filter(|_| reaches_majority(replica));
+        let announcement = news.or_else(|| self.parts.registry.announcement_of(now, id));
+        let (Some(quorum), Some(word)) = (quorum, announcement.clone()) else {
+            let _gone = reply.send(HeartbeatAnswer::Unconfirmed);
+            self.flood(0, announcement);
+            return;
+        };
+        let number = self.floods.begin(now, quorum, self.peers.up(), word, reply);
+        self.flood(number, announcement);
+        self.settle_floods();
+    }
+
+    /// Ends the waits of backends that are over.
+    fn settle_floods(&mut self) {
+        let now = self.now();
+        if !reaches_majority(&self.parts.replica) {
+            self.floods.give_up_all();
+        }
+        for relay in self.floods.tick(now) {
+            self.relay(&relay);
+        }
+    }
+
+    /// Has those that hold an announcement pass it on.
+    fn relay(&mut self, relay: &Relay) {
+        let packet =
+            PeerPacket::Relay { to: relay.to.clone(), announcements: vec![relay.announcement.clone()] };
+        for peer in &relay.via {
+            self.links.send(*peer, &packet);
+        }
+    }
+
     fn flood(&mut self, number: u64, announcement: Option<Announcement>) {
         let Some(announcement) = announcement else { return };
         let packet = PeerPacket::Announce { number, announcements: vec![announcement] };
@@ -315,7 +363,12 @@
         match packet {
             PeerPacket::Replica(message) => self.replica(Input::Message(message)),
             PeerPacket::Announce { number, announcements } => self.announced(from, number, &announcements),
-            PeerPacket::Announced { number } => self.floods.acknowledged(number, from),
+            PeerPacket::Relay { to, announcements } => self.pass_on(&to, &announcements),
+            PeerPacket::Announced { number } => {
+                if let Some(relay) = self.floods.answered(now, number, from) {
+                    self.relay(&relay);
+                }
+            }
             PeerPacket::Presence { process, recall } => self.presence(from, process, recall),
             PeerPacket::Digest(digest) => {
                 let announcements = self.parts.registry.answer_digest(now, &digest);
@@ -346,6 +399,16 @@
         self.push();
     }
 
+    /// Tells peers what another one can't tell them: members and those within reach alone.
+    fn pass_on(&mut self, to: &[SocketAddr], announcements: &[Announcement]) {
+        let known: BTreeSet<SocketAddr> =
+            self.members.iter().map(|member| member.address).chain(self.peers.up()).collect();
+        let own = self.parts.address;
+        for peer in to.iter().filter(|peer| known.contains(peer) && **peer != own) {
+            self.tell_all(*peer, announcements.to_vec());
+        }
+    }
+
     fn presence(&mut self, from: SocketAddr, process: ProcessId, recall: bool) {
         let now = self.now();
         let changes = self.peers.heard(now, from, process);
@@ -439,10 +502,10 @@
     // Time.
 
     fn tick(&mut self) {
-        let now = self.now();
         self.ticks += 1;
         self.replica(Input::Tick);
-        self.floods.tick(now);
+        self.operator.settle_orders(self.now(), &self.parts.replica);
+        self.settle_floods();
         self.look_after_quotas();
         if self.ticks.is_multiple_of(SLOW_TICKS) {
             self.slow_tick(self.ticks / SLOW_TICKS);
@@ -533,3 +596,12 @@
 fn check(body: &[u8]) -> Result<u64, ConfigurationError> {
     crankpick_configuration::read(body).map(|configuration| configuration.generation)
 }
+
+/// The order of a configuration. A copy of it that is encoded in another way is the same order.
+fn order(if_match: u64, generation: u64, body: &[u8]) -> Order {
+    let order = Order::new(if_match, generation, body.to_vec());
+    match crankpick_configuration::fingerprint(body) {
+        Some(digest) => Order { digest, ..order },
+        None => order,
+    }
+}
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -10,10 +10,11 @@
 mod listener;
 mod operator;
 mod peers;
+mod quorum;
 mod quotas;
 mod sessions;
 mod start;
 mod status;
 
 pub use error::ControlPlaneError;
-pub use start::run;
+pub use start::{run, serve, Listeners};
--- a/crates/control-plane/src/operator.rs
+++ b/crates/control-plane/src/operator.rs
@@ -9,9 +9,13 @@
 use tokio::sync::oneshot;
 
 use crate::event::{GetAnswer, PutAnswer};
+use crate::quorum::reaches_majority;
 
 /// A read that can't be answered by then is given back: its caller goes on to another process after a second.
 const READ_PATIENCE: Duration = Duration::from_millis(900);
+/// An order that is under way where no majority is within reach is given back after it: well before its caller's
+/// second of silence is over.
+const ISOLATED_PATIENCE: Duration = Duration::from_millis(400);
 /// Orders under way at a time.
 const ORDERS: usize = 256;
 /// Reads under way at a time.
@@ -20,40 +24,61 @@
 /// Calls of the operator that wait.
 #[derive(Default)]
 pub struct Operator {
-    orders: BTreeMap<SubmitKey, oneshot::Sender<PutAnswer>>,
+    orders: BTreeMap<SubmitKey, PendingOrder>,
     last_key: u64,
     reads: Vec<Read>,
 }
 
+struct PendingOrder {
+    since: Now,
+    reply: oneshot::Sender<PutAnswer>,
+}
+
 struct Read {
     since: Now,
     reply: oneshot::Sender<GetAnswer>,
 }
 
 impl Operator {
-    /// An order is handed to the replica under this key; `None` where too many wait.
-    pub fn begin_order(&mut self, reply: oneshot::Sender<PutAnswer>) -> Option<SubmitKey> {
-        self.orders.retain(|_, reply| !reply.is_closed());
-        if self.orders.len() >= ORDERS {
+    /// An order is to be handed to the replica under this key; `None` where it is answered already: too many wait, or
+    /// nobody who could take it is within reach.
+    pub fn begin_order(
+        &mut self, now: Now, replica: &Replica, reply: oneshot::Sender<PutAnswer>,
+    ) -> Option<SubmitKey> {
+        self.orders.retain(|_, order| !order.reply.is_closed());
+        if self.orders.len() >= ORDERS || is_cut_off(replica) {
             let _gone = reply.send(PutAnswer::Unclear);
             return None;
         }
         self.last_key += 1;
         let key = SubmitKey(self.last_key);
-        self.orders.insert(key, reply);
+        self.orders.insert(key, PendingOrder { since: now, reply });
         Some(key)
     }
 
+    /// Gives back the orders that can't be answered for want of a majority. They may still be taken.
+    pub fn settle_orders(&mut self, now: Now, replica: &Replica) {
+        if self.orders.is_empty() || replica.view().epoch == 0 || reaches_majority(replica) {
+            return;
+        }
+        let late = |order: &PendingOrder| now >= order.since + ISOLATED_PATIENCE;
+        let late: Vec<SubmitKey> =
+            self.orders.iter().filter(|(_, order)| late(order)).map(|(key, _)| *key).collect();
+        for key in late {
+            self.end_order(key, Outcome::Unclear);
+        }
+    }
+
     /// What became of an order.
     pub fn end_order(&mut self, key: SubmitKey, outcome: Outcome) {
-        let Some(reply) = self.orders.remove(&key) else { return };
+        let Some(order) = self.orders.remove(&key) else { return };
         let answer = match outcome {
             Outcome::Taken => PutAnswer::Taken,
             Outcome::Conflict { .. } => PutAnswer::Conflict,
             Outcome::Invalid { .. } => PutAnswer::Invalid("generation is not above the current one".into()),
             Outcome::Unclear => PutAnswer::Unclear,
         };
-        let _gone = reply.send(answer);
+        let _gone = order.reply.send(answer);
     }
 
     /// A read: answered once this replica surely knows all that was acknowledged before it came.
@@ -71,12 +96,12 @@
             return;
         }
         let fresh_as_of = replica.freshness(now).map(|age| now.saturating_sub(age));
-        let elsewhere = elsewhere(replica);
+        let unanswerable = unanswerable(replica);
         for read in std::mem::take(&mut self.reads) {
             let known = fresh_as_of.is_some_and(|moment| moment >= read.since);
             let answer = if known {
                 newest(replica.newest_committed())
-            } else if let Some(answer) = &elsewhere {
+            } else if let Some(answer) = &unanswerable {
                 answer.clone()
             } else if now.saturating_sub(read.since) >= READ_PATIENCE {
                 GetAnswer::Unclear
@@ -96,12 +121,25 @@
     }
 }
 
-/// Where a replica outside the chain sends readers.
-fn elsewhere(replica: &Replica) -> Option<GetAnswer> {
+/// Whether an order can't get to anyone who could take it: neither a majority of the members nor another member that
+/// heads the chain is within reach. While no view is known nobody can tell.
+fn is_cut_off(replica: &Replica) -> bool {
+    let view = replica.view();
+    let head_reached = view.head().is_some_and(|head| head != replica.id() && replica.reaches(head));
+    view.epoch > 0 && !reaches_majority(replica) && !head_reached
+}
+
+/// What is said at once to a read that this replica can't answer: without a majority it is never fresh, and outside
+/// the chain it sends readers to a replica that it reaches, the tail first.
+fn unanswerable(replica: &Replica) -> Option<GetAnswer> {
+    if !reaches_majority(replica) {
+        return Some(GetAnswer::Unclear);
+    }
     if replica.in_chain() {
         return None;
     }
     let view = replica.view();
-    let tail = view.tail().and_then(|tail| view.member(tail));
-    Some(tail.map_or(GetAnswer::Unclear, |member| GetAnswer::Elsewhere(member.address)))
+    let reached = view.chain.iter().rev().find(|id| replica.reaches(**id));
+    let member = reached.and_then(|id| view.member(*id));
+    Some(member.map_or(GetAnswer::Unclear, |member| GetAnswer::Elsewhere(member.address)))
 }
--- a/crates/control-plane/src/start.rs
+++ b/crates/control-plane/src/start.rs
@@ -8,7 +8,7 @@
 use crankpick_quota::QuotaBounds;
 use crankpick_registry::{GatewayLeases, ProcessId, Registry, RegistrySettings};
 use crankpick_settings::{Bounds, Settings};
-use poem::listener::TcpListener as ApiListener;
+use poem::listener::TcpAcceptor;
 use poem::Server;
 use slog::{error, info, Logger};
 use snafu::ResultExt;
@@ -28,23 +28,53 @@
 /// What the names of files that were put aside end with.
 const UNSOUND: &str = "unsound";
 
+/// Where a process is called.
+pub struct Listeners {
+    /// By other processes of the fleet.
+    pub internal: TcpListener,
+    /// By the operator and the backends.
+    pub control: TcpListener,
+}
+
+impl Listeners {
+    async fn bind(settings: &Settings) -> Result<Listeners, ControlPlaneError> {
+        let control =
+            settings.listen.control.ok_or(ControlPlaneError::Settings { what: "listen.control" })?;
+        let internal = settings.internal_address();
+        Ok(Listeners { internal: bind(internal).await?, control: bind(control).await? })
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, ControlPlaneError> {
+    TcpListener::bind(address).await.context(ListenSnafu { address })
+}
+
 /// Runs until `terminate` ends.
 pub async fn run(
     settings: &Settings, terminate: impl std::future::Future<Output = ()>, log: Logger,
+) -> Result<(), ControlPlaneError> {
+    let listeners = Listeners::bind(settings).await?;
+    serve(settings, listeners, terminate, log).await
+}
+
+/// Runs on listeners that are bound already, until `terminate` ends.
+pub async fn serve(
+    settings: &Settings, listeners: Listeners, terminate: impl std::future::Future<Output = ()>, log: Logger,
 ) -> Result<(), ControlPlaneError> {
     let started = Instant::now();
-    let control = settings.listen.control.ok_or(ControlPlaneError::Settings { what: "listen.control" })?;
     let own = settings.internal_address();
+    let control =
+        listeners.control.local_addr().context(ListenSnafu { address: SocketAddr::from(([0; 4], 0)) })?;
     let (events, queue) = channel(EVENTS);
-    let internal = TcpListener::bind(own).await.context(ListenSnafu { address: own })?;
-    let api = tokio::net::TcpListener::bind(control).await.context(ListenSnafu { address: control })?;
-    drop(api);
     let (disk, records) = open_disk(settings, &events, &log)?;
     let parts = parts(settings, own, disk, records, started, &log);
-    tokio::spawn(listen(internal, events.clone(), log.clone()));
+    tokio::spawn(listen(listeners.internal, events.clone(), log.clone()));
     let endpoint = routes(Api { events: events.clone(), port: control.port() });
-    tokio::spawn(Server::new(ApiListener::bind(control)).run(endpoint));
-    info!(log, "started"; "address" => %own, "control" => %control);
+    let acceptor = TcpAcceptor::from_tokio(listeners.control).context(ListenSnafu { address: control })?;
+    tokio::spawn(Server::new_with_acceptor(acceptor).run(endpoint));
+    info!(log, "started"; "address" => %own, "control" => %control, "disk" => settings.data_dir.is_some(),
+        "counts_for_quorum" => settings.counts_for_quorum, "bootstrap" => settings.bootstrap,
+        "seeds" => addresses(&settings.seeds));
     let host = tokio::spawn(Host::new(parts, started).run(queue));
     terminate.await;
     let _ended = events.send(Event::Terminate).await;
@@ -86,6 +116,11 @@
     }
 }
 
+fn addresses(all: &[SocketAddr]) -> String {
+    let texts: Vec<String> = all.iter().map(SocketAddr::to_string).collect();
+    texts.join(",")
+}
+
 fn quota_bounds(bounds: &Bounds) -> QuotaBounds {
     QuotaBounds { window: bounds.quota_window, over: bounds.quota_over, slack: bounds.quota_slack }
 }
--- /dev/null
+++ b/crates/control-plane/tests/hosts/main.rs
@@ -0,0 +1,5 @@
+//! Processes of the control plane on loopback addresses, called over HTTP.
+
+mod isolation;
+mod orders;
+mod support;
--- a/crates/control-plane/tests/unit/quotas.rs
+++ b/crates/control-plane/tests/unit/quotas.rs
@@ -6,7 +6,7 @@
 use crankpick_configuration::RoutingTable;
 use crankpick_control::{EntryId, Member, MemberId, View};
 use crankpick_protocol::TenantDemand;
-use crankpick_quota::{Demand, HolderId, QuotaBounds};
+use crankpick_quota::{Demand, HolderId, QuotaBounds, LEASE};
 use crankpick_registry::ProcessId;
 
 use super::{owner, Quotas};
@@ -112,3 +112,28 @@
     assert!(quotas.report(now, HolderId(1), unknown.clone()).is_empty());
     assert!(quotas.own(now, ProcessId(9), 1, unknown, FRESH, &[]).is_empty());
 }
+
+#[test]
+fn a_home_that_is_cut_off_lends_nothing_past_its_lease() {
+    let begin = Duration::from_secs(1);
+    let holder = HolderId(70);
+    let mut home = quotas(owner_of_large());
+    home.report(begin, holder, asked(500.0));
+    let sent = home.demands(begin).remove(0);
+    let grants = home.own(begin, ProcessId(9), sent.epoch, sent.demands, FRESH, &[]);
+    home.granted(begin, sent.number, grants);
+    let lent_until = begin + LEASE;
+    let mut now = begin;
+    while now < lent_until + LEASE {
+        let demands = home.demands(now);
+        let answered: usize = demands
+            .into_iter()
+            .map(|sent| home.own(now, ProcessId(9), sent.epoch, sent.demands, None, &[]).len())
+            .sum();
+        assert_eq!(answered, 0, "an owner that reaches no majority granted at {now:?}");
+        let lent = home.report(now, holder, asked(500.0)).remove(0).grant;
+        let lends = lent.rate > 0.0 || lent.credit > 0.0;
+        assert!(!lends || now + lent.valid_for <= lent_until, "lent at {now:?}: {lent:?}");
+        now += Duration::from_millis(250);
+    }
+}
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -153,6 +153,13 @@
         Ok(self.changed(now, vec![record]))
     }
 
+    /// What is known of `id`, to be told to the peers again: that a backend ends may be known here while the peers
+    /// never heard of it.
+    pub fn announcement_of(&self, now: Now, id: &str) -> Option<Announcement> {
+        let word = self.store.get(id)?.record.for_wire(now);
+        Some(Announcement::of_backends(self.me, vec![word]))
+    }
+
     /// Joins what a peer announced. What is returned is to be told to all peers: words that correct it.
     pub fn merge(&mut self, now: Now, announcement: &Announcement) -> Option<Announcement> {
         self.observe(now);
--- a/crates/registry/tests/rules.rs
+++ b/crates/registry/tests/rules.rs
@@ -274,3 +274,18 @@
     assert!(registry.is_empty());
     assert!(registry.leave(at(1), &long).is_err());
 }
+
+#[test]
+fn an_ending_that_is_no_news_can_be_told_again() {
+    let mut registry = registry(at(0), 1);
+    assert_eq!(registry.announcement_of(at(0), "i"), None);
+    registry.heartbeat(at(100), "i", ready(1, 1)).unwrap();
+    let first = registry.heartbeat(at(200), "i", draining(1, 2)).unwrap().announcement;
+    assert_eq!(registry.heartbeat(at(300), "i", draining(1, 3)).unwrap().announcement, None);
+    assert_eq!(registry.announcement_of(at(300), "i"), first);
+    registry.leave(at(400), "i").unwrap();
+    assert_eq!(registry.leave(at(500), "i").unwrap().announcement, None);
+    let mut peer = Registry::new(at(0), ProcessId(2), RegistrySettings::new(HEARTBEAT));
+    peer.merge(at(500), &registry.announcement_of(at(500), "i").unwrap());
+    assert!(peer.record("i").unwrap().deleted);
+}
