--- a/crates/carry/src/run.rs
+++ b/crates/carry/src/run.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use crankpick_fleet::kept::{Batch, Disk, Kept};
-use crankpick_fleet::node::{Event, Link, Node, Out};
+use crankpick_fleet::node::{Event, Link, Node, Output};
 use crankpick_fleet::sight::View;
 use crankpick_fleet::words::{Ask, Publication, Told};
 use tokio::net::TcpStream;
@@ -175,7 +175,7 @@
     let (mut keeper, kept, down) = opened(file);
     let mut node = Node::new(now_us(), file.plan.clone(), incarnation, kept, fastrand::u64(..));
     if let Some(why) = down {
-        node.without_disk(why);
+        node.disk_failed(why);
     }
     node.session.willing = file.owns;
     let _beyond = signal(SignalKind::from_raw(SIGXFSZ));
@@ -202,9 +202,9 @@
                 let mut word = Some(word);
                 for _ in 0..MOST_AT_ONCE {
                     match word {
-                        Some(Heard::Word(link, word)) => node.hear(now_us(), link, *word),
+                        Some(Heard::Word(link, word)) => node.receive(now_us(), link, *word),
                         Some(Heard::Closed(link)) => {
-                            node.closed(now_us(), &link);
+                            node.connection_closed(now_us(), &link);
                             if matches!(link, Link::Conn(_)) {
                                 links.close(&link);
                             }
@@ -225,27 +225,27 @@
                         let _ = told.send(Told::NotNow(why));
                     }
                 },
-                Some(Call::Acted { version, busy }) => node.acted(now_us(), version, busy),
-                Some(Call::Sees(view)) => node.sees(view),
-                Some(Call::Empty(empty)) => node.empty(now_us(), empty),
+                Some(Call::Acted { version, busy }) => node.version_applied(now_us(), version, busy),
+                Some(Call::Sees(view)) => node.set_view(view),
+                Some(Call::Empty(empty)) => node.set_idle(now_us(), empty),
                 Some(Call::Part(done)) => {
-                    node.part(now_us());
+                    node.announce_exit(now_us());
                     parting = Some((now_us() + PART_US, done));
                 }
                 Some(Call::Willing(is)) => {
                     if is != willing {
                         willing = is;
-                        node.willing(now_us(), is && file.owns);
+                        node.set_willing(now_us(), is && file.owns);
                     }
                 }
-                Some(Call::End) => node.end(now_us()),
+                Some(Call::End) => node.prepare_exit(now_us()),
             },
-            Some((call, answer)) = begun.recv() => node.begun(now_us(), &call, answer),
+            Some((call, answer)) = begun.recv() => node.work_start_answered(now_us(), &call, answer),
             _ = ticks.tick() => {
                 node.wall_us = wall_us();
                 let longest_us = ends.longest_us.load(Ordering::Relaxed);
                 if node.session.terms.longest_us != longest_us {
-                    node.longest(now_us(), longest_us);
+                    node.set_longest_execution(now_us(), longest_us);
                 }
                 node.tick(now_us());
             }
@@ -254,43 +254,43 @@
             // Written by now, as far as it can be.
             parting.take().map(|(_, done)| done.send(()));
         }
-        if node.disk_trouble().is_some() && now_us() >= disk_us {
+        if node.disk_error().is_some() && now_us() >= disk_us {
             disk_us = now_us() + DISK_AGAIN_US;
             // Closed first: the file is locked while it is open.
             drop(std::mem::replace(&mut keeper, Keeper::Nothing));
             let (again, kept, down) = opened(file);
             keeper = again;
             if down.is_none() {
-                node.revive(now_us(), kept);
+                node.disk_recovered(now_us(), kept);
             }
         }
         node.pump(now_us(), &mut keeper);
-        let outs: Vec<Out> = node.take_out().collect();
+        let outs: Vec<Output> = node.take_outputs().collect();
         for out in outs {
             match out {
-                Out::Say(link, word) => links.say(&link, &word),
-                Out::Close(link) => links.close(&link),
-                Out::Hello(hello) => links.hello(&hello),
-                Out::Take(publication) => {
+                Output::Send(link, word) => links.say(&link, &word),
+                Output::Close(link) => links.close(&link),
+                Output::Hello(hello) => links.hello(&hello),
+                Output::Apply(publication) => {
                     ends.taken.send_replace(Some(publication));
                 }
-                Out::Told(call, told) => {
+                Output::Answer(call, told) => {
                     if let Some(asked) = waiting.remove(&call) {
                         let _ = asked.send(told);
                     }
                 }
-                Out::Right(until) => ends.right.0.store(until, Ordering::SeqCst),
-                Out::Drain(drained) => {
+                Output::SendUntil(until) => ends.right.0.store(until, Ordering::SeqCst),
+                Output::Drain(drained) => {
                     ends.drain.send_replace(drained);
                 }
-                Out::Begin(call) => {
+                Output::StartWork(call) => {
                     let told = to_begun.clone();
                     tokio::spawn(async move {
                         let answer = upkeep::begin(&call).await;
                         let _ = told.send((call, answer)).await;
                     });
                 }
-                Out::Event(event) => tell(event, file, &node),
+                Output::Event(event) => tell(event, file, &node),
             }
         }
         // Only once what was heard has been passed on: whoever waits for this looks there next.
@@ -307,14 +307,14 @@
 
 /// One line for each thing that staff may have to know of; `docs/on-call.md` says what each code means.
 fn tell(event: Event, file: &FleetFile, node: &Node) {
-    let (t_us, process) = (now_us(), node.hello_name());
+    let (t_us, process) = (now_us(), node.process_name());
     match event {
-        Event::Held { duty, token, from_us, until_us } => {
+        Event::LeaseHeld { duty, token, from_us, until_us } => {
             if file.history {
                 tracing::info!(code = "fleet_held", t_us, duty, token, process, from_us, until_us, "renewed");
             }
         }
-        Event::Lapsed { duty, token } => {
+        Event::LeaseExpired { duty, token } => {
             tracing::warn!(
                 code = "fleet_lapsed",
                 t_us,
@@ -324,10 +324,10 @@
                 "the lease ran out: nothing more is done for this duty"
             );
         }
-        Event::LetGo { duty, token } => {
+        Event::LeaseReleased { duty, token } => {
             tracing::info!(code = "fleet_let_go", t_us, duty, token, process, "given up");
         }
-        Event::Effect { duty, token, version, owner } => {
+        Event::PublicationApplied { duty, token, version, owner } => {
             tracing::info!(
                 code = "fleet_taken",
                 t_us,
@@ -339,7 +339,7 @@
                 "published by its owner"
             );
         }
-        Event::StaleRefused { duty, token, version, owner, seen } => {
+        Event::StalePublication { duty, token, version, owner, seen } => {
             tracing::warn!(
                 code = "fleet_stale",
                 t_us,
@@ -352,16 +352,16 @@
                 "an old owner's word, refused"
             );
         }
-        Event::Leads { term } => {
+        Event::BecameLeader { term } => {
             tracing::info!(code = "fleet_leads", t_us, term, process, "leads the voters")
         }
-        Event::LeadLost { term } => {
+        Event::LostLeadership { term } => {
             tracing::info!(code = "fleet_lead_lost", t_us, term, process, "leads no more")
         }
-        Event::Founded { voters } => {
+        Event::LogFounded { voters } => {
             tracing::info!(code = "fleet_founded", t_us, voters, process, "the log begins")
         }
-        Event::Listening => {
+        Event::AwaitingAdmission => {
             tracing::warn!(
                 code = "fleet_new_disk",
                 t_us,
@@ -369,7 +369,7 @@
                 "the log began without this disk: waits to be taken in"
             );
         }
-        Event::Replaced { name } => {
+        Event::VoterReplaced { name } => {
             tracing::warn!(
                 code = "fleet_voter_replaced",
                 t_us,
@@ -386,7 +386,7 @@
                 "a newer process of this proxy has the session"
             );
         }
-        Event::Stranger { fleet, from } => {
+        Event::ForeignFleet { fleet, from } => {
             tracing::warn!(
                 code = "fleet_stranger",
                 t_us,
@@ -396,7 +396,7 @@
                 "a proxy of another fleet, turned away"
             );
         }
-        Event::DiskLost { why } => {
+        Event::DiskFailed { why } => {
             tracing::error!(
                 code = "fleet_disk_lost",
                 t_us,
@@ -404,11 +404,11 @@
                 "neither votes nor owns until it can write: {why}"
             );
         }
-        Event::DiskBack => tracing::info!(code = "fleet_disk_back", t_us, process, "it can write again"),
-        Event::Granted { duty, token, to } => {
+        Event::DiskRecovered => tracing::info!(code = "fleet_disk_back", t_us, process, "it can write again"),
+        Event::DutyGranted { duty, token, to } => {
             tracing::info!(code = "fleet_granted", t_us, duty, token, to, process, "has an owner");
         }
-        Event::Stepped { step } => {
+        Event::WorkStepped { step } => {
             let (from, to) = (step.from.name(), step.to.name());
             tracing::info!(
                 code = "fleet_work",
@@ -423,7 +423,7 @@
                 step.why
             );
         }
-        Event::NotBegun { machine, why } => {
+        Event::WorkNotStarted { machine, why } => {
             tracing::warn!(code = "fleet_not_begun", t_us, machine, process, "{why}");
         }
     }
--- a/crates/carry/src/upkeep.rs
+++ b/crates/carry/src/upkeep.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use crankpick_fleet::node::Begun;
+use crankpick_fleet::node::WorkStart;
 use crankpick_fleet::order::Begin;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
@@ -21,16 +21,16 @@
 const PATIENCE: Duration = Duration::from_millis(1_800);
 const MOST_ANSWER: usize = 4_096;
 
-pub async fn begin(call: &Begin) -> Begun {
+pub async fn begin(call: &Begin) -> WorkStart {
     match timeout(PATIENCE, asked(call)).await {
-        Ok(Ok((StatusCode::OK, _))) => Begun::Yes,
+        Ok(Ok((StatusCode::OK, _))) => WorkStart::Started,
         Ok(Ok((StatusCode::CONFLICT, answer))) => match answer["seen"].as_u64() {
-            Some(seen) if seen > call.token => Begun::Stale(seen),
-            _ => Begun::No(format!("{} refuses: {answer}", call.at)),
+            Some(seen) if seen > call.token => WorkStart::StaleToken(seen),
+            _ => WorkStart::Refused(format!("{} refuses: {answer}", call.at)),
         },
-        Ok(Ok((status, _))) => Begun::No(format!("{} answers {status}", call.at)),
-        Ok(Err(why)) => Begun::No(format!("{}: {why}", call.at)),
-        Err(_) => Begun::No(format!("{}: no answer in time", call.at)),
+        Ok(Ok((status, _))) => WorkStart::Refused(format!("{} answers {status}", call.at)),
+        Ok(Err(why)) => WorkStart::Refused(format!("{}: {why}", call.at)),
+        Err(_) => WorkStart::Refused(format!("{}: no answer in time", call.at)),
     }
 }
 
--- /dev/null
+++ b/crates/fleet/src/node/leadership.rs
@@ -0,0 +1,175 @@
+//! What the leader of the voters does: it proposes commands, follows what comes of them, and answers renewals once a
+//! majority has confirmed that it still leads.
+
+use crate::lead::Lead;
+use crate::state::{Command, Outcome};
+use crate::words::{Told, Who, Word, OUTS, WORK};
+
+use super::{Event, Node, Route};
+
+/// The call number of a proposal that nobody waits for: calls are numbered from 1 on.
+const NO_CALL: u64 = 0;
+
+const LEADERSHIP_LOST: &str = "the lead was lost: it may be agreed all the same";
+
+impl Node {
+    /// Follows the agreement: whether this voter leads now, and in which term.
+    pub(super) fn update_leadership(&mut self, now_us: u64) {
+        let Some(agreement) = self.agreement() else { return };
+        let (leads, term) = (agreement.leads(), agreement.term());
+        if self.leader.as_ref().is_some_and(|leader| !leads || leader.term != term) {
+            self.lose_leadership();
+        }
+        if leads && self.leader.is_none() {
+            self.begin_leadership(now_us, term);
+        }
+    }
+
+    fn begin_leadership(&mut self, now_us: u64, term: u64) {
+        self.leader = Some(Lead::new(&self.process.name, term, now_us));
+        self.event(Event::BecameLeader { term });
+        self.session.hurry(now_us);
+        if self.exiting {
+            self.transfer_leadership();
+        }
+    }
+
+    /// Hands the lead to another voter, where this one has it.
+    pub(super) fn transfer_leadership(&mut self) {
+        if let Some(agreement) = self.agreement_mut().filter(|agreement| agreement.leads()) {
+            agreement.hand_on();
+        }
+    }
+
+    pub(super) fn lose_leadership(&mut self) {
+        if let Some(leader) = self.leader.take() {
+            self.event(Event::LostLeadership { term: leader.term });
+        }
+        for (_, requester) in std::mem::take(&mut self.proposals) {
+            self.answer(requester, Told::NotNow(LEADERSHIP_LOST.into()));
+        }
+    }
+
+    /// Asks the voters to confirm the lead and proposes what is due; whether there was anything.
+    pub(super) fn propose_as_leader(&mut self, now_us: u64) -> bool {
+        let agreement = self.voter.as_mut().and_then(|voter| voter.agreement.as_mut());
+        let (Some(agreement), Some(leader)) = (agreement, &mut self.leader) else { return false };
+        let times = &self.plan.times;
+        let round = if agreement.confirms() { leader.round(now_us, times) } else { None };
+        if let Some(round) = round {
+            agreement.confirm(round);
+        }
+        let mut advanced = round.is_some();
+        for command in leader.propose(now_us, &agreement.fleet, times) {
+            advanced |= self.propose(NO_CALL, &command);
+        }
+        advanced
+    }
+
+    /// Whether the log took the proposal.
+    pub(super) fn propose(&mut self, call: u64, command: &Command) -> bool {
+        let proposed = self.agreement_mut().map(|agreement| agreement.propose(call, command));
+        let accepted = matches!(proposed, Some(Ok(())));
+        if !accepted {
+            if let Some(leader) = &mut self.leader {
+                leader.dropped(command);
+            }
+        }
+        accepted
+    }
+
+    /// An owner gives a duty up: proposed by the leader, passed on to it by others.
+    pub(super) fn release(&mut self, duty: String, token: u64, owner: Who) {
+        if let Some(leader) = &mut self.leader {
+            leader.released(&owner);
+            self.propose(NO_CALL, &Command::Release { duty, token });
+        } else if let Some(link) = self.link_to_leader() {
+            self.send(link, Word::Release { duty, token, who: owner });
+        }
+    }
+
+    /// A command has come into force: those concerned hear of it at once, and whoever asked gets the outcome.
+    pub(super) fn command_applied(
+        &mut self, now_us: u64, call: Option<u64>, command: &Command, outcome: Outcome,
+    ) {
+        let Some(leader) = &mut self.leader else { return };
+        leader.applied(now_us, command);
+        self.report_applied(command, &outcome);
+        for process in self.concerned_by(command, &outcome) {
+            self.nudge(now_us, process);
+        }
+        if let Some(requester) = call.and_then(|call| self.proposals.remove(&call)) {
+            self.answer(requester, Told::Done(outcome));
+        }
+    }
+
+    fn report_applied(&mut self, command: &Command, outcome: &Outcome) {
+        match (command, outcome) {
+            (Command::Grant { duty, token, to }, Outcome::Granted) => {
+                let (duty, token, to) = (duty.clone(), *token, to.to_string());
+                self.event(Event::DutyGranted { duty, token, to });
+            }
+            (Command::Steps(steps), Outcome::Stepped(refusals)) => {
+                let done = steps.iter().zip(refusals).filter(|(_, refusal)| refusal.is_none());
+                for (step, _) in done {
+                    self.event(Event::WorkStepped { step: step.clone() });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// The processes that a command concerns, which should not wait for their next renewal to hear of it.
+    fn concerned_by(&self, command: &Command, outcome: &Outcome) -> Vec<Who> {
+        let owners = |duties: &[&str]| duties.iter().filter_map(|duty| self.owner_of(duty)).collect();
+        match (command, outcome) {
+            (Command::Grant { to, .. }, Outcome::Granted) => vec![to.clone()],
+            (Command::Join(sessions), _) => sessions.iter().map(|(process, _)| process.clone()).collect(),
+            (Command::Outs { .. }, _) => owners(&[OUTS]),
+            (Command::Work { .. }, _) => owners(&[OUTS, WORK]),
+            (Command::Steps(steps), outcome) => {
+                let mut concerned: Vec<Who> = owners(&[OUTS, WORK]);
+                if let Outcome::Stepped(refusals) = outcome {
+                    let done = steps.iter().zip(refusals).filter(|(_, refusal)| refusal.is_none());
+                    concerned.extend(done.filter_map(|(step, _)| self.session_of(&step.machine)));
+                }
+                concerned
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn owner_of(&self, duty: &str) -> Option<Who> {
+        self.agreement()?.fleet.duties.get(duty)?.owner.clone()
+    }
+
+    /// The process that has a proxy's session.
+    fn session_of(&self, name: &str) -> Option<Who> {
+        let incarnation = self.agreement()?.fleet.sessions.get(name)?.incarnation;
+        Some(Who { name: name.to_owned(), incarnation })
+    }
+
+    /// Tells a process to renew at once.
+    fn nudge(&mut self, now_us: u64, process: Who) {
+        match self.leader.as_ref().and_then(|leader| leader.route(&process)).cloned() {
+            Some(Route::Own) => {
+                self.session.hurry(now_us);
+                self.renew(now_us);
+            }
+            Some(Route::Link(link)) => self.send(link, Word::Nudge(process)),
+            None => {}
+        }
+    }
+
+    /// A majority has confirmed the lead: the renewals that waited for this round are answered.
+    pub(super) fn leadership_confirmed(&mut self, now_us: u64, round: u64) {
+        let agreement = self.voter.as_ref().and_then(|voter| voter.agreement.as_ref());
+        let (Some(agreement), Some(leader)) = (agreement, &mut self.leader) else { return };
+        for (route, answer) in leader.confirmed(now_us, round, &agreement.fleet, &self.plan.times) {
+            match route {
+                Route::Link(link) => self.send(link, Word::Renewed(answer)),
+                Route::Own => self.renewed(now_us, answer),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/node/messages.rs
@@ -0,0 +1,128 @@
+//! Messages that come in: who sent them, which part of the node they are for, and the way back.
+
+use crate::words::{Who, Word};
+
+use super::{Event, Link, Node, Output};
+
+/// The process at the other end of an accepted connection, as it introduced itself.
+pub(super) struct Peer {
+    process: Who,
+    voter: bool,
+}
+
+/// Where a message came from.
+pub(super) struct Sender {
+    pub(super) name: String,
+    voter: bool,
+    pub(super) link: Link,
+}
+
+impl Node {
+    /// Takes a message. One from a connection that has not introduced itself is dropped.
+    pub fn receive(&mut self, now_us: u64, link: Link, message: Word) {
+        if let (Link::Conn(conn), Word::Hello { fleet, who, voter }) = (&link, &message) {
+            self.introduce(*conn, fleet, who, *voter);
+            return;
+        }
+        if let Some(sender) = self.sender(link) {
+            self.dispatch(now_us, sender, message);
+        }
+    }
+
+    fn introduce(&mut self, conn: u64, fleet: &str, process: &Who, voter: bool) {
+        if fleet != self.plan.fleet {
+            self.event(Event::ForeignFleet { fleet: fleet.to_owned(), from: process.name.clone() });
+            self.outputs.push_back(Output::Close(Link::Conn(conn)));
+            return;
+        }
+        let voter = voter && self.plan.voters.contains(&process.name);
+        self.peers.insert(conn, Peer { process: process.clone(), voter });
+    }
+
+    fn sender(&self, link: Link) -> Option<Sender> {
+        let (name, voter) = match &link {
+            Link::Voter(name) => (name.clone(), true),
+            Link::Conn(conn) => self.peers.get(conn).map(|peer| (peer.process.name.clone(), peer.voter))?,
+        };
+        Some(Sender { name, voter, link })
+    }
+
+    fn dispatch(&mut self, now_us: u64, sender: Sender, message: Word) {
+        // One hop: what others have passed on is not passed on again, or two voters that each take the other for the
+        // leader would do so for ever.
+        let direct = |process: &Who| process.name == sender.name;
+        match message {
+            Word::Hello { .. } | Word::Beat => {}
+            Word::Seat(seat) => self.receive_seat(&sender, seat),
+            Word::Agree(message) => self.receive_agreement(&sender, &message),
+            Word::Renew(renewal) => self.receive_renewal(now_us, &sender, renewal),
+            Word::Renewed(answer) if answer.who == self.process => self.renewed(now_us, answer),
+            Word::Renewed(answer) => self.pass_on(answer.who.clone(), Word::Renewed(answer)),
+            Word::Nudge(process) if process == self.process => self.session.hurry(now_us),
+            Word::Nudge(process) => self.pass_on(process.clone(), Word::Nudge(process)),
+            Word::Release { duty, token, who } => {
+                if self.leader.is_some() || direct(&who) {
+                    self.release(duty, token, who);
+                }
+            }
+            Word::Ask { who, call, ask } => self.receive_request(now_us, &sender, who, call, ask),
+            Word::Told { who, call, told } if who == self.process => self.complete_call(call, told),
+            Word::Told { who, call, told } => self.pass_on(who.clone(), Word::Told { who, call, told }),
+            Word::Publish { publication, passed } => {
+                self.receive_publication(sender.link, publication, passed);
+            }
+            Word::Stale { duty, token, .. } => self.lose_duty(&duty, token),
+            Word::Away => self.next_session_voter(now_us),
+            Word::Part(process) => {
+                // Nobody announces another's exit but the voter that passes it on.
+                if direct(&process) || sender.voter && self.leader.is_some() {
+                    self.process_exits(now_us, process);
+                }
+            }
+        }
+    }
+
+    /// Told by a receiver or a maintenance system that the lease is another's: that stands, whatever the clock says.
+    pub(super) fn lose_duty(&mut self, duty: &str, token: u64) {
+        if self.session.holding.let_go(duty, token) {
+            self.report_released(vec![(duty.to_owned(), token)]);
+        }
+    }
+
+    /// A connection is gone.
+    pub fn connection_closed(&mut self, now_us: u64, link: &Link) {
+        match link {
+            Link::Conn(conn) => {
+                self.peers.remove(conn);
+            }
+            Link::Voter(name) => {
+                if self.session_voter() == Some(name.as_str()) && self.voter.is_none() {
+                    self.next_session_voter(now_us);
+                }
+            }
+        }
+    }
+
+    /// The connections of processes that aren't voters, lowest number first.
+    pub(super) fn session_connections(&self) -> Vec<u64> {
+        self.peers.iter().filter(|(_, peer)| !peer.voter).map(|(conn, _)| *conn).collect()
+    }
+
+    /// To the process that this one has a connection from; the latest one, and one that isn't a voter's first.
+    fn pass_on(&mut self, process: Who, message: Word) {
+        let mut connections = self.peers.iter().rev().filter(|(_, peer)| peer.process == process);
+        let latest = connections.clone().next();
+        let connection = connections.find(|(_, peer)| !peer.voter).or(latest);
+        if let Some((conn, _)) = connection {
+            self.send(Link::Conn(*conn), message);
+        }
+    }
+
+    /// The way back to the sender of a message: to a voter over this process's own connection.
+    pub(super) fn return_link(&self, sender: &Sender) -> Link {
+        match sender.voter && sender.name != self.process.name {
+            true => Link::Voter(sender.name.clone()),
+            false => sender.link.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/node/persistence.rs
@@ -0,0 +1,110 @@
+//! The disk: what must be written before the node says anything, and what happens when writes fail.
+
+use crate::kept::{Batch, Disk, Kept};
+use crate::words::Word;
+
+use super::{Event, Link, Node, Output};
+
+/// Rounds of agreement in one call: proposals and what comes of them bring one another on.
+const MOST_ROUNDS: usize = 8;
+
+impl Node {
+    /// Carries everything as far as it goes now; what is to be done then comes from `take_outputs`.
+    pub fn pump(&mut self, now_us: u64, disk: &mut dyn Disk) {
+        if self.disk_error.is_some() {
+            return;
+        }
+        if let Err(why) = self.try_pump(now_us, disk) {
+            self.disk_failed(why);
+        }
+    }
+
+    fn try_pump(&mut self, now_us: u64, disk: &mut dyn Disk) -> Result<(), String> {
+        self.write_publication(disk)?;
+        self.advance_founding(now_us, disk)?;
+        for _ in 0..MOST_ROUNDS {
+            if !self.advance_agreement(now_us, disk)? {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    /// Writes the publication taken last. If that fails it is kept for the next try.
+    fn write_publication(&mut self, disk: &mut dyn Disk) -> Result<(), String> {
+        let Some(publication) = self.unwritten.take() else { return Ok(()) };
+        let version = publication.version;
+        let batch = Batch { taken: Some(publication), ..Batch::default() };
+        if let Err(why) = disk.write(&batch) {
+            self.unwritten = batch.taken;
+            return Err(why);
+        }
+        if self.kept.seat != 0 {
+            self.session.kept = version;
+        }
+        Ok(())
+    }
+
+    /// One round of agreement; whether there may be more to do.
+    fn advance_agreement(&mut self, now_us: u64, disk: &mut dyn Disk) -> Result<bool, String> {
+        let Some(agreement) = self.agreement_mut() else { return Ok(false) };
+        let progress = agreement.pump(disk)?;
+        for (voter, message) in progress.messages {
+            self.send_agreement(voter, message);
+        }
+        for name in progress.replaced {
+            self.event(Event::VoterReplaced { name });
+        }
+        self.update_leadership(now_us);
+        let mut advanced = !progress.applied.is_empty() || !progress.confirmed.is_empty();
+        for (call, command, outcome) in progress.applied {
+            self.command_applied(now_us, call, &command, outcome);
+        }
+        for round in progress.confirmed {
+            self.leadership_confirmed(now_us, round);
+        }
+        advanced |= self.propose_as_leader(now_us);
+        Ok(advanced)
+    }
+
+    fn send_agreement(&mut self, voter: u64, message: Vec<u8>) {
+        let name = self.agreement().and_then(|agreement| agreement.name(voter)).map(str::to_owned);
+        if let Some(name) = name {
+            self.send(Link::Voter(name), Word::Agree(message));
+        }
+    }
+
+    /// The disk takes writes again; this is what it holds, read anew.
+    pub fn disk_recovered(&mut self, now_us: u64, kept: Kept) {
+        if self.disk_error.take().is_none() {
+            return;
+        }
+        self.session.writable = true;
+        self.event(Event::DiskRecovered);
+        // What was taken meanwhile is not there yet.
+        self.unwritten = self.session.taken.clone().filter(|taken| kept.taken.as_ref() != Some(taken));
+        self.load(now_us, kept);
+        self.session.hurry(now_us);
+    }
+
+    /// The disk can't be had, at the start or later: this process stops voting and owning, and says so, so that
+    /// another that can write goes on at once.
+    pub fn disk_failed(&mut self, why: String) {
+        if self.disk_error.is_none() {
+            self.event(Event::DiskFailed { why: why.clone() });
+        }
+        self.disk_error = Some(why);
+        self.session.writable = false;
+        self.session.kept = 0;
+        self.lose_leadership();
+        self.voter = None;
+        let hello = self.hello();
+        self.outputs.push_back(Output::Hello(hello));
+        let released = self.session.let_go_all(u64::MIN);
+        self.report_released(released);
+        self.session.hurry(0);
+        for conn in self.peers.keys() {
+            self.outputs.push_back(Output::Send(Link::Conn(*conn), Word::Away));
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/node/publication.rs
@@ -0,0 +1,70 @@
+//! Publications of which backends are out: made by the duty's owner, fenced by token at each receiver, and spread by
+//! the voters.
+
+use crate::words::{Publication, Word, OUTS};
+
+use super::{Event, Link, Node, Output};
+
+impl Node {
+    /// Publishes, where this process owns the duty and something is due.
+    pub(super) fn publish(&mut self, now_us: u64) {
+        let Some(publication) = self.session.publish(now_us) else { return };
+        let is_news = self.apply_publication(None, &publication);
+        if self.voter.is_some() {
+            self.publish_to_voters(&publication);
+            if is_news {
+                self.publish_to_sessions(&publication);
+            }
+        } else if let Some(link) = self.link_to_leader() {
+            self.send(link, Word::Publish { publication, passed: false });
+        }
+    }
+
+    /// A publication, from wherever it comes: it is for this process and for all whose way it is on. Sessions hear
+    /// what is news here; what one has missed it is sent with its next renewal.
+    pub(super) fn receive_publication(&mut self, link: Link, publication: Publication, passed: bool) {
+        let is_news = self.apply_publication(Some(link), &publication);
+        if self.voter.is_none() {
+            return;
+        }
+        if !passed {
+            self.publish_to_voters(&publication);
+        }
+        if is_news {
+            self.publish_to_sessions(&publication);
+        }
+    }
+
+    fn publish_to_voters(&mut self, publication: &Publication) {
+        self.send_to_voters(&Word::Publish { publication: publication.clone(), passed: true });
+    }
+
+    fn publish_to_sessions(&mut self, publication: &Publication) {
+        for conn in self.session_connections() {
+            let publication = publication.clone();
+            self.send(Link::Conn(conn), Word::Publish { publication, passed: true });
+        }
+    }
+
+    /// Through the fence into force, or refused to where it came from. Whether it is news.
+    fn apply_publication(&mut self, from: Option<Link>, publication: &Publication) -> bool {
+        let (duty, owner) = (OUTS.to_owned(), publication.owner.clone());
+        let (token, version) = (publication.token, publication.version);
+        match self.session.take(publication) {
+            Ok(false) => false,
+            Ok(true) => {
+                self.event(Event::PublicationApplied { duty, token, version, owner });
+                self.unwritten = Some(publication.clone());
+                self.outputs.push_back(Output::Apply(publication.clone()));
+                true
+            }
+            Err(seen) => {
+                self.event(Event::StalePublication { duty: duty.clone(), token, version, owner, seen });
+                if let Some(link) = from {
+                    self.send(link, Word::Stale { duty, token, seen });
+                }
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/node/renewal.rs
@@ -0,0 +1,125 @@
+//! Renewals: this process's own heartbeats to the leader and their answers, and those of other processes on their way.
+
+use crate::agree::Agree;
+use crate::session::Changes;
+use crate::words::{Renewal, Renewed, Word};
+
+use super::messages::Sender;
+use super::{Event, Link, Node, Output, Route};
+
+impl Node {
+    /// The way to the leader: from a voter directly, else through the voter that the session is with. None for the
+    /// leader itself.
+    pub(super) fn link_to_leader(&self) -> Option<Link> {
+        match self.agreement().filter(|agreement| agreement.started()) {
+            Some(agreement) if agreement.leads() => None,
+            Some(agreement) => agreement.leader().map(|leader| Link::Voter(leader.to_owned())),
+            None => self.session_voter().map(|voter| Link::Voter(voter.to_owned())),
+        }
+    }
+
+    /// The other voter that the session is with, where this process is none or its own part is down.
+    pub(super) fn session_voter(&self) -> Option<&str> {
+        let voters = self.plan.voters.iter().cycle().skip(self.voter_index).take(self.plan.voters.len());
+        voters.map(String::as_str).find(|name| *name != self.process.name)
+    }
+
+    /// Takes the session to the next voter.
+    pub(super) fn next_session_voter(&mut self, now_us: u64) {
+        let position = |name: &str| self.plan.voters.iter().position(|voter| voter == name);
+        let index = self.session_voter().and_then(position).unwrap_or(self.voter_index);
+        self.voter_index = (index + 1) % self.plan.voters.len().max(1);
+        self.session.hurry(now_us);
+    }
+
+    /// Renews the session, when that is due.
+    pub(super) fn renew(&mut self, now_us: u64) {
+        if self.session.forsaken(now_us) && self.agreement().is_none_or(|agreement| !agreement.started()) {
+            self.next_session_voter(now_us);
+        }
+        let Some(renewal) = self.session.due(now_us, self.voter.is_some()) else { return };
+        if let Some(leader) = &mut self.leader {
+            leader.hear(now_us, renewal, Route::Own);
+        } else if let Some(link) = self.link_to_leader() {
+            self.send(link, Word::Renew(renewal));
+        }
+    }
+
+    /// The fleet's answer to this process's own renewal.
+    pub(super) fn renewed(&mut self, now_us: u64, answer: Renewed) {
+        let was_superseded = self.session.superseded;
+        let changes = self.session.renewed(now_us, answer);
+        if self.session.superseded && !was_superseded {
+            self.event(Event::Superseded);
+        }
+        self.report_leases(changes);
+        self.report_send_right();
+        self.report_drain();
+        self.publish(now_us);
+        self.do_work(now_us);
+    }
+
+    fn report_leases(&mut self, changes: Changes) {
+        for (duty, held) in changes.held {
+            let (token, from_us, until_us) = (held.token, held.from_us, held.until_us);
+            self.event(Event::LeaseHeld { duty, token, from_us, until_us });
+        }
+        for (duty, token) in changes.let_go {
+            self.session.holding.let_go(&duty, token);
+            self.report_released(vec![(duty, token)]);
+        }
+    }
+
+    /// Tells the proxy whether it is to be drained, where that has changed. One that is to go leads no more.
+    fn report_drain(&mut self) {
+        if self.session.drained == self.draining {
+            return;
+        }
+        self.draining = self.session.drained;
+        self.outputs.push_back(Output::Drain(self.draining));
+        if self.draining {
+            self.transfer_leadership();
+        }
+    }
+
+    /// Tells the fleet of duties that this process has given up.
+    pub(super) fn report_released(&mut self, released: Vec<(String, u64)>) {
+        for (duty, token) in released {
+            self.event(Event::LeaseReleased { duty: duty.clone(), token });
+            self.release(duty, token, self.process.clone());
+        }
+    }
+
+    /// Another process's renewal: taken by the leader, passed on to it by other voters. What its sender has missed it
+    /// is sent at once.
+    pub(super) fn receive_renewal(&mut self, now_us: u64, sender: &Sender, renewal: Renewal) {
+        let direct = renewal.who.name == sender.name;
+        if direct {
+            self.send_missed(sender, &renewal);
+        }
+        let route = Route::Link(self.return_link(sender));
+        if let Some(leader) = &mut self.leader {
+            leader.hear(now_us, renewal, route);
+        } else if direct {
+            self.pass_on_renewal(sender, renewal);
+        }
+    }
+
+    fn send_missed(&mut self, sender: &Sender, renewal: &Renewal) {
+        if let Some(publication) = self.session.missed_by(renewal).cloned() {
+            let link = self.return_link(sender);
+            self.send(link, Word::Publish { publication, passed: true });
+        }
+    }
+
+    /// One hop: to the leader, or whoever was it a moment ago.
+    fn pass_on_renewal(&mut self, sender: &Sender, renewal: Renewal) {
+        match self.agreement().and_then(Agree::leader).map(str::to_owned) {
+            Some(leader) if leader != self.process.name => {
+                self.send(Link::Voter(leader), Word::Renew(renewal));
+            }
+            _ if self.voter.is_none() => self.send(sender.link.clone(), Word::Away),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/node/requests.rs
@@ -0,0 +1,122 @@
+//! Requests of other processes: answered by the leader, passed on to it by other voters.
+
+use crate::agree::Agree;
+use crate::state::{Command, Outcome};
+use crate::words::{Ask, Status, Told, Who, Word};
+use crate::work::Stage;
+
+use super::calls::MOST_CALLS;
+use super::messages::Sender;
+use super::{Link, Node, Route};
+
+const NO_LEADER: &str = "nobody leads";
+
+/// Who made a request, under which number of its own, and the way back to it.
+pub(super) struct Requester {
+    pub(super) route: Route,
+    pub(super) process: Who,
+    pub(super) call: u64,
+}
+
+impl Node {
+    pub(super) fn receive_request(
+        &mut self, now_us: u64, sender: &Sender, process: Who, call: u64, ask: Ask,
+    ) {
+        // One hop: only what comes from the process itself is passed on.
+        let direct = process.name == sender.name;
+        let requester = Requester { route: Route::Link(self.return_link(sender)), process, call };
+        if self.leader.is_some() {
+            self.answer_as_leader(now_us, requester, ask);
+            return;
+        }
+        let leader = self.agreement().and_then(Agree::leader).map(str::to_owned);
+        match leader.filter(|leader| *leader != self.process.name && direct) {
+            Some(leader) => {
+                let Requester { process, call, .. } = requester;
+                self.send(Link::Voter(leader), Word::Ask { who: process, call, ask });
+            }
+            None => self.answer(requester, Told::NotNow(NO_LEADER.into())),
+        }
+    }
+
+    /// Answers a request; a command is answered once it has been applied.
+    pub(super) fn answer_as_leader(&mut self, now_us: u64, requester: Requester, ask: Ask) {
+        match ask {
+            Ask::Status => {
+                let status = self.status(now_us);
+                self.answer(requester, status);
+            }
+            Ask::Work => {
+                let work = self.work_status(now_us);
+                self.answer(requester, work);
+            }
+            Ask::Command(command) => self.propose_for(now_us, requester, &command),
+        }
+    }
+
+    fn propose_for(&mut self, now_us: u64, requester: Requester, command: &Command) {
+        if let Some(why) = self.unproven_step(now_us, command) {
+            self.answer(requester, Told::Done(Outcome::Refused(why)));
+            return;
+        }
+        if self.proposals.len() >= MOST_CALLS {
+            self.answer(requester, Told::NotNow("too much in hand".into()));
+            return;
+        }
+        let number = self.calls.next_number();
+        if self.propose(number, command) {
+            self.proposals.insert(number, requester);
+        } else {
+            self.answer(requester, Told::NotNow("the log takes nothing now".into()));
+        }
+    }
+
+    /// Why a command that says a machine is out can't be taken, whatever its owner believes: the leader knows of a
+    /// proxy that may still send there.
+    fn unproven_step(&mut self, now_us: u64, command: &Command) -> Option<String> {
+        let Command::Steps(steps) = command else { return None };
+        let fleet = &self.voter.as_ref()?.agreement.as_ref()?.fleet;
+        let leader = self.leader.as_ref()?;
+        steps.iter().filter(|step| step.to == Stage::Out).find_map(|step| {
+            let machine = fleet.work.plans.get(&step.plan)?.machines.get(&step.machine)?;
+            let waits = leader.waits(now_us, &step.machine, machine, fleet, &self.plan.times);
+            (!waits.is_empty()).then(|| format!("{}: {}", step.machine, waits.join(", ")))
+        })
+    }
+
+    pub(super) fn answer(&mut self, requester: Requester, told: Told) {
+        let Requester { route, process, call } = requester;
+        match route {
+            Route::Link(link) => self.send(link, Word::Told { who: process, call, told }),
+            Route::Own => self.complete_call(call, told),
+        }
+    }
+
+    fn status(&self, now_us: u64) -> Told {
+        let (Some(agreement), Some(leader)) = (self.agreement(), &self.leader) else {
+            return Told::NotNow(NO_LEADER.into());
+        };
+        let fleet = &agreement.fleet;
+        let owner = |owner: &Option<Who>| owner.as_ref().map(|who| who.name.clone());
+        let duties = fleet.duties.iter();
+        Told::Status(Box::new(Status {
+            leader: self.process.name.clone(),
+            term: agreement.term(),
+            version: fleet.version,
+            outs: fleet.published(),
+            duties: duties.map(|(name, duty)| (name.clone(), (owner(&duty.owner), duty.token))).collect(),
+            members: leader.members(now_us),
+            unheard: fleet.sessions.keys().filter(|name| !leader.heard_of(name)).cloned().collect(),
+            absent: fleet.absent.values().cloned().collect(),
+        }))
+    }
+
+    fn work_status(&mut self, now_us: u64) -> Told {
+        let agreement = self.voter.as_ref().and_then(|voter| voter.agreement.as_ref());
+        let (Some(agreement), Some(leader)) = (agreement, &mut self.leader) else {
+            return Told::NotNow(NO_LEADER.into());
+        };
+        let sight = leader.sight(now_us, &agreement.fleet, &self.plan.times);
+        Told::Work(Box::new((agreement.fleet.work.clone(), sight)))
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/node/voter.rs
@@ -0,0 +1,180 @@
+//! The part of a process that votes: the founding of the log, and the agreement that keeps it.
+
+use crate::agree::{founding, Agree};
+use crate::found::{Founding, Next};
+use crate::kept::{Batch, Disk};
+use crate::words::{Roster, Seat, Word};
+
+use super::messages::Sender;
+use super::{Event, Link, Node, Output};
+
+/// How often an unstarted voter says where it stands.
+const SEAT_INTERVAL_US: u64 = 200_000;
+/// Ticks that may be made up for one by one; after a longer pause one tick stands for all that were missed.
+const MOST_LATE_TICKS: u64 = 4;
+
+/// A process that is no voter has none, nor has one whose disk takes no writes.
+pub(super) struct Voter {
+    pub(super) founding: Founding,
+    /// None until the log has begun.
+    pub(super) agreement: Option<Agree>,
+    next_seat_us: u64,
+    next_tick_us: u64,
+}
+
+impl Voter {
+    pub(super) fn new(now_us: u64, founding: Founding) -> Self {
+        Voter { founding, agreement: None, next_seat_us: now_us, next_tick_us: now_us }
+    }
+
+    fn started(&self) -> bool {
+        self.agreement.as_ref().is_some_and(Agree::started)
+    }
+
+    /// Ticks the agreement's engine when it is due. What others said during a pause is yet to be received.
+    fn tick(&mut self, now_us: u64, tick_us: u64) {
+        let Some(agreement) = &mut self.agreement else { return };
+        if now_us < self.next_tick_us {
+            return;
+        }
+        agreement.tick();
+        let paused = now_us > self.next_tick_us + MOST_LATE_TICKS * tick_us;
+        self.next_tick_us = tick_us + if paused { now_us } else { self.next_tick_us };
+    }
+}
+
+impl Node {
+    /// Takes up voting, where this process is a voter and its disk is there.
+    pub(super) fn start_voter(&mut self, now_us: u64) {
+        if !self.plan.voters.contains(&self.process.name) || self.kept.seat == 0 {
+            return;
+        }
+        let started = self.kept.log.before() > 0;
+        let seat = Seat { id: self.kept.seat, roster: self.kept.roster.clone(), started };
+        let founding = Founding::new(seat, self.process.name.clone(), self.plan.voters.clone());
+        self.voter = Some(Voter::new(now_us, founding));
+        let hello = self.hello();
+        self.outputs.push_back(Output::Hello(hello));
+        if started {
+            self.start_agreement(now_us);
+        }
+    }
+
+    fn start_agreement(&mut self, now_us: u64) {
+        let seed = self.seed ^ self.process.incarnation ^ now_us;
+        match Agree::new(&self.kept, self.process.incarnation, &self.plan.times, seed) {
+            Ok(agreement) => {
+                if let Some(voter) = &mut self.voter {
+                    voter.agreement = Some(agreement);
+                    voter.founding.own.started = self.kept.log.before() > 0;
+                    voter.next_tick_us = now_us;
+                }
+            }
+            Err(why) => self.disk_failed(why),
+        }
+    }
+
+    pub(super) fn agreement(&self) -> Option<&Agree> {
+        self.voter.as_ref()?.agreement.as_ref()
+    }
+
+    pub(super) fn agreement_mut(&mut self) -> Option<&mut Agree> {
+        self.voter.as_mut()?.agreement.as_mut()
+    }
+
+    fn other_voters(&self) -> impl Iterator<Item = &String> {
+        self.plan.voters.iter().filter(|name| **name != self.process.name)
+    }
+
+    pub(super) fn send_to_voters(&mut self, message: &Word) {
+        let voters: Vec<String> = self.other_voters().cloned().collect();
+        for name in voters {
+            self.send(Link::Voter(name), message.clone());
+        }
+    }
+
+    pub(super) fn tick_voter(&mut self, now_us: u64) {
+        let tick_us = self.plan.times.tick_us;
+        let Some(voter) = &mut self.voter else { return };
+        voter.tick(now_us, tick_us);
+        if !voter.started() && now_us >= voter.next_seat_us {
+            voter.next_seat_us = now_us + SEAT_INTERVAL_US;
+            let seat = voter.founding.own.clone();
+            self.send_to_voters(&Word::Seat(seat));
+        }
+    }
+
+    /// Where another voter stands in the founding. Only a voter says this, whatever was last heard of its standing.
+    pub(super) fn receive_seat(&mut self, sender: &Sender, seat: Seat) {
+        if !self.plan.voters.contains(&sender.name) {
+            return;
+        }
+        let Some(voter) = &mut self.voter else { return };
+        if !voter.started() {
+            voter.founding.hear(&sender.name, seat);
+            return;
+        }
+        voter.founding.own.started = true;
+        let own = voter.founding.own.clone();
+        if let Some(agreement) = &mut voter.agreement {
+            agreement.replace(&sender.name, seat.id);
+        }
+        if !seat.started {
+            self.send(Link::Voter(sender.name.clone()), Word::Seat(own));
+        }
+    }
+
+    /// A message of the agreement's engine, from another voter.
+    pub(super) fn receive_agreement(&mut self, sender: &Sender, message: &[u8]) {
+        if !self.plan.voters.contains(&sender.name) {
+            return;
+        }
+        if let Some(agreement) = self.agreement_mut() {
+            agreement.step(&sender.name, message);
+        }
+    }
+
+    /// Does what the founding allows now, where the log has yet to begin.
+    pub(super) fn advance_founding(&mut self, now_us: u64, disk: &mut dyn Disk) -> Result<(), String> {
+        let Some(voter) = self.voter.as_ref().filter(|voter| voter.agreement.is_none()) else {
+            return Ok(());
+        };
+        match voter.founding.next() {
+            Next::Wait => Ok(()),
+            Next::Seal(roster) => self.seal_roster(now_us, roster, disk),
+            Next::Start(roster) => self.found_log(now_us, &roster, disk),
+            Next::Listen => {
+                self.start_agreement(now_us);
+                self.event(Event::AwaitingAdmission);
+                Ok(())
+            }
+        }
+    }
+
+    /// Binds this voter to a roster, on disk before anybody hears of it.
+    fn seal_roster(&mut self, now_us: u64, roster: Roster, disk: &mut dyn Disk) -> Result<(), String> {
+        self.write(disk, &Batch { roster: Some(roster.clone()), ..Batch::default() })?;
+        if let Some(voter) = &mut self.voter {
+            voter.founding.own.roster = Some(roster);
+            voter.next_seat_us = now_us;
+        }
+        Ok(())
+    }
+
+    fn found_log(&mut self, now_us: u64, roster: &Roster, disk: &mut dyn Disk) -> Result<(), String> {
+        self.write(disk, &founding(roster))?;
+        self.start_agreement(now_us);
+        // The others must hear it even if they were bound first.
+        if let Some(seat) = self.voter.as_ref().map(|voter| voter.founding.own.clone()) {
+            self.send_to_voters(&Word::Seat(seat));
+        }
+        self.event(Event::LogFounded { voters: roster.len() });
+        Ok(())
+    }
+
+    fn write(&mut self, disk: &mut dyn Disk, batch: &Batch) -> Result<(), String> {
+        disk.write(batch)?;
+        self.kept.absorb(batch);
+        Ok(())
+    }
+}
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -6,7 +6,7 @@
 
 use crankpick_fleet::kept::{Batch, Disk, Kept};
 use crankpick_fleet::lease::Times;
-use crankpick_fleet::node::{Event, Link, Node, Out, Plan};
+use crankpick_fleet::node::{Event, Link, Node, Output, Plan};
 use crankpick_fleet::state::{Command, Outcome};
 use crankpick_fleet::words::{Ask, Publication, Told, Word, OUTS};
 use crankpick_fleet::work::Terms;
@@ -282,7 +282,7 @@
             let host = &mut self.hosts[voter];
             let own = host.clock(t);
             if let Some(node) = host.node.as_mut().filter(|_| !host.paused) {
-                node.closed(own, &Link::Conn(old));
+                node.connection_closed(own, &Link::Conn(old));
             }
         }
         self.ends.insert(conn, (from, voter));
@@ -326,10 +326,10 @@
             self.end(at, true);
             return;
         }
-        let outs: Vec<Out> = node.take_out().collect();
+        let outs: Vec<Output> = node.take_outputs().collect();
         for out in outs {
             match out {
-                Out::Say(Link::Voter(name), word) => {
+                Output::Send(Link::Voter(name), word) => {
                     let voter = self.plan_voters.iter().position(|one| *one == name);
                     if let Some(voter) = voter.filter(|voter| *voter != at) {
                         if let Some(conn) = self.hosts[at].conns.get(&voter).copied() {
@@ -337,7 +337,7 @@
                         }
                     }
                 }
-                Out::Say(Link::Conn(conn), word) => {
+                Output::Send(Link::Conn(conn), word) => {
                     if let Some((dialled, _)) =
                         self.ends.get(&conn).copied().filter(|(_, voter)| *voter == at)
                     {
@@ -345,20 +345,20 @@
                         self.send(at, dialled, Link::Voter(name), word, false);
                     }
                 }
-                Out::Close(_) => {}
-                Out::Hello(hello) => {
+                Output::Close(_) => {}
+                Output::Hello(hello) => {
                     let conns: Vec<(usize, u64)> =
                         self.hosts[at].conns.iter().map(|(voter, conn)| (*voter, *conn)).collect();
                     for (voter, conn) in conns {
                         self.send(at, voter, Link::Conn(conn), hello.clone(), false);
                     }
                 }
-                Out::Take(publication) => self.take(at, publication),
-                Out::Told(call, told) => self.told(at, call, told),
-                Out::Event(event) => self.event(at, event),
-                Out::Right(until) => self.hosts[at].right_us = until,
-                Out::Drain(drained) => self.drained(at, drained),
-                Out::Begin(call) => self.begin_work(at, call),
+                Output::Apply(publication) => self.take(at, publication),
+                Output::Answer(call, told) => self.told(at, call, told),
+                Output::Event(event) => self.event(at, event),
+                Output::SendUntil(until) => self.hosts[at].right_us = until,
+                Output::Drain(drained) => self.drained(at, drained),
+                Output::StartWork(call) => self.begin_work(at, call),
             }
         }
     }
@@ -375,7 +375,7 @@
         let host = &mut self.hosts[at];
         let own = host.clock(t);
         if let Some(node) = &mut host.node {
-            node.acted(own, version, busy);
+            node.version_applied(own, version, busy);
         }
     }
 
@@ -394,18 +394,18 @@
         let host = &self.hosts[at];
         let process = host.process();
         let kind = match event {
-            Event::Held { duty, token, from_us, until_us } => {
+            Event::LeaseHeld { duty, token, from_us, until_us } => {
                 let (from_us, until_us) = (host.true_time(from_us), host.true_time(until_us));
                 Kind::Held { duty, token, process, from_us, until_us }
             }
-            Event::LetGo { duty, token } => Kind::LetGo { duty, token, process },
-            Event::Effect { duty, token, version, owner } => {
+            Event::LeaseReleased { duty, token } => Kind::LetGo { duty, token, process },
+            Event::PublicationApplied { duty, token, version, owner } => {
                 Kind::Effect { duty, token, version, owner, receiver: process }
             }
-            Event::StaleRefused { duty, token, version, owner, .. } => {
+            Event::StalePublication { duty, token, version, owner, .. } => {
                 Kind::StaleRefused { duty, token, version, owner, receiver: process }
             }
-            Event::Granted { duty, token, to } => Kind::Granted { duty, token, to },
+            Event::DutyGranted { duty, token, to } => Kind::Granted { duty, token, to },
             _ => return,
         };
         self.line(kind);
@@ -429,7 +429,7 @@
                 .as_ref()
                 .is_some_and(|node| node.session.holding.all(host.clock(self.t)).next().is_some())
         });
-        let leader = self.hosts.iter().position(|host| host.node.as_ref().is_some_and(Node::leads));
+        let leader = self.hosts.iter().position(|host| host.node.as_ref().is_some_and(Node::is_leader));
         let at = match self.rng.u32(0..4) {
             0 => owner.unwrap_or(at),
             1 => leader.unwrap_or(at),
@@ -492,7 +492,7 @@
                 let (t, host) = (self.t, &mut self.hosts[at]);
                 let own = host.clock(t);
                 if let Some(node) = host.node.as_mut().filter(|_| !host.paused) {
-                    node.end(own);
+                    node.prepare_exit(own);
                     host.ending = true;
                 }
                 self.settle(at);
@@ -556,10 +556,10 @@
         let own = host.clock(t);
         let kept = (!host.disk.full).then(|| host.disk.kept.clone());
         let Some(node) = host.node.as_mut() else { return };
-        if node.disk_trouble().is_some() && t >= host.revive_us {
+        if node.disk_error().is_some() && t >= host.revive_us {
             host.revive_us = t + 200_000;
             if let Some(kept) = kept {
-                node.revive(own, kept);
+                node.disk_recovered(own, kept);
             }
         }
         node.tick(own);
@@ -571,7 +571,7 @@
         let own = host.clock(t);
         let Some(node) = &mut host.node else { return };
         // A connection that has ended since says nothing more.
-        node.hear(own, link, word);
+        node.receive(own, link, word);
         self.settle(at);
     }
 
@@ -650,7 +650,7 @@
     }
 
     pub fn leader(&self) -> Option<usize> {
-        self.hosts.iter().position(|host| !host.paused && host.node.as_ref().is_some_and(Node::leads))
+        self.hosts.iter().position(|host| !host.paused && host.node.as_ref().is_some_and(Node::is_leader))
     }
 
     pub fn taken(&self, at: usize) -> Option<Publication> {
@@ -710,7 +710,7 @@
         let (t, host) = (self.t, &mut self.hosts[at]);
         let own = host.clock(t);
         if let Some(node) = &mut host.node {
-            node.end(own);
+            node.prepare_exit(own);
         }
         self.settle(at);
     }
@@ -769,8 +769,8 @@
     /// What each process is, for a test that fails.
     pub fn told_of(&self) -> String {
         let one = |host: &Host| {
-            let trouble = host.node.as_ref().and_then(|node| node.disk_trouble().map(str::to_owned));
-            let stands = host.node.as_ref().map(Node::stands);
+            let trouble = host.node.as_ref().and_then(|node| node.disk_error().map(str::to_owned));
+            let stands = host.node.as_ref().map(Node::describe);
             format!("{} paused={} disk={trouble:?} {stands:?}", host.process(), host.paused)
         };
         self.hosts.iter().map(one).collect::<Vec<_>>().join("\n")
@@ -821,7 +821,7 @@
             self.line(Kind::Fault { what: format!("BREACH a storm of more than {STORM} words") });
         }
         for at in 0..self.setup.voters {
-            if !self.hosts[at].node.as_ref().is_some_and(Node::votes) {
+            if !self.hosts[at].node.as_ref().is_some_and(Node::is_voter) {
                 let what = format!("BREACH {} does not vote at the end", self.hosts[at].name);
                 self.line(Kind::Fault { what });
             }
--- a/crates/lab/src/world/upkeep.rs
+++ b/crates/lab/src/world/upkeep.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crankpick_fleet::node::{Begun, Node};
+use crankpick_fleet::node::{Node, WorkStart};
 use crankpick_fleet::order::Begin;
 use crankpick_fleet::sight::{Coarse, Sees, View};
 use crankpick_fleet::state::{Command, Fleet};
@@ -119,8 +119,8 @@
         let (t, host) = (self.t, &mut self.hosts[at]);
         let own = host.clock(t);
         if let Some(node) = &mut host.node {
-            node.willing(own, !drained);
-            node.empty(own, drained);
+            node.set_willing(own, !drained);
+            node.set_idle(own, drained);
         }
     }
 
@@ -140,7 +140,7 @@
         for (_, at, call) in due {
             let begun = if call.token < self.upkeep.seen {
                 self.upkeep.stale += 1;
-                Begun::Stale(self.upkeep.seen)
+                WorkStart::StaleToken(self.upkeep.seen)
             } else {
                 self.upkeep.seen = call.token;
                 if self.upkeep.begun.insert(call.id.clone()) {
@@ -154,13 +154,13 @@
                 } else {
                     self.upkeep.again += 1;
                 }
-                Begun::Yes
+                WorkStart::Started
             };
             // An answer may be lost.
             let host = &mut self.hosts[at];
             let own = host.clock(t);
             if let Some(node) = host.node.as_mut().filter(|_| !host.paused && self.rng.u32(0..10) > 0) {
-                node.begun(own, &call, begun);
+                node.work_start_answered(own, &call, begun);
             }
             self.settle(at);
         }
@@ -262,7 +262,7 @@
                 view.backends.insert(format!("s-{number}"), Sees { zone, cell, load, max, lost });
             }
             if let Some(node) = self.hosts[at].node.as_mut().filter(|_| self.rng.u32(0..10) > 0) {
-                node.sees(view);
+                node.set_view(view);
             }
         }
     }
@@ -284,7 +284,7 @@
             let own = host.clock(t);
             if let Some(node) = host.node.as_mut().filter(|_| !host.paused && busy.len() != before) {
                 let version = node.session.acted;
-                node.acted(own, version, busy);
+                node.version_applied(own, version, busy);
                 self.settle(at);
             }
         }
