Control plane: machines that do not count send callers to a member; memory alone can be a core

Symptom: with the role on eight machines a zone each machine without a disk cost as much as a member: a replica's heartbeats with all members, floods, presence, quotas. Machines that all count and have no disk never formed a core: each write was refused.

Change: a process that does not count holds no replica. It tells gateways and newcomers that have it for a seed where the members are. A process that counts and has no disk keeps its records in memory.

--- a/crates/control-plane/src/api.rs
+++ b/crates/control-plane/src/api.rs
@@ -16,7 +16,7 @@
 use crate::event::{Call, Event, GetAnswer, HeartbeatAnswer, PutAnswer};
 
 /// The longest configuration taken.
-const LONGEST_CONFIGURATION: usize = 8 << 20;
+pub(crate) const LONGEST_CONFIGURATION: usize = 8 << 20;
 /// The longest heartbeat taken.
 const LONGEST_HEARTBEAT: usize = 64 << 10;
 /// Callers go on to another process after a second of silence; an answer just before that spares them the doubt.
@@ -60,13 +60,13 @@
 }
 
 /// The caller is to come again, here or elsewhere.
-fn unavailable(code: &str, text: &str) -> Response {
+pub(crate) fn unavailable(code: &str, text: &str) -> Response {
     let mut response = problem(StatusCode::SERVICE_UNAVAILABLE, code, text);
     response.headers_mut().insert(header::RETRY_AFTER, header::HeaderValue::from_static("0.3"));
     response
 }
 
-fn json_body(status: StatusCode, body: impl Into<Bytes>) -> Response {
+pub(crate) fn json_body(status: StatusCode, body: impl Into<Bytes>) -> Response {
     Response::builder().status(status).content_type("application/json").body(body.into())
 }
 
--- a/crates/control-plane/src/host.rs
+++ b/crates/control-plane/src/host.rs
@@ -175,12 +175,14 @@
     }
 
     fn persist(&mut self, ticket: Ticket, records: Vec<crankpick_control::Record>) {
-        let handed = match &self.parts.disk {
-            Some(disk) => disk.write(Write::Append { ticket: ticket.0, records }),
-            None => false,
-        };
-        if !handed {
-            self.replica(Input::DiskRefused(ticket));
+        match &self.parts.disk {
+            Some(disk) => {
+                if !disk.write(Write::Append { ticket: ticket.0, records }) {
+                    self.replica(Input::DiskRefused(ticket));
+                }
+            }
+            // Without a disk memory is all there is: it is as safe as the majority's processes.
+            None => self.replica(Input::Persisted(ticket)),
         }
     }
 
--- a/crates/control-plane/src/start.rs
+++ b/crates/control-plane/src/start.rs
@@ -14,6 +14,7 @@
 use snafu::ResultExt;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{channel, Sender};
+use tokio::sync::watch;
 
 use crate::api::{routes, Api};
 use crate::disk::Disk;
@@ -22,6 +23,8 @@
 use crate::host::{Host, Parts};
 use crate::listener::listen;
 use crate::quotas::Quotas;
+use crate::redirect_api::{self, RedirectApi};
+use crate::redirector::{Directions, Redirector};
 
 /// Events that wait for the host; more hold back who sends them.
 const EVENTS: usize = 8_192;
@@ -66,16 +69,26 @@
     let control =
         listeners.control.local_addr().context(ListenSnafu { address: SocketAddr::from(([0; 4], 0)) })?;
     let (events, queue) = channel(EVENTS);
-    let (disk, records) = open_disk(settings, &events, &log)?;
-    let parts = parts(settings, own, disk, records, started, &log);
-    tokio::spawn(listen(listeners.internal, events.clone(), log.clone()));
-    let endpoint = routes(Api { events: events.clone(), port: control.port() });
     let acceptor = TcpAcceptor::from_tokio(listeners.control).context(ListenSnafu { address: control })?;
-    tokio::spawn(Server::new_with_acceptor(acceptor).run(endpoint));
+    let server = Server::new_with_acceptor(acceptor);
     info!(log, "started"; "address" => %own, "control" => %control, "disk" => settings.data_dir.is_some(),
         "counts_for_quorum" => settings.counts_for_quorum, "bootstrap" => settings.bootstrap,
         "seeds" => addresses(&settings.seeds));
-    let host = tokio::spawn(Host::new(parts, started).run(queue));
+    let port = control.port();
+    let host = if settings.counts_for_quorum {
+        let (disk, records) = open_disk(settings, &events, &log)?;
+        let parts = parts(settings, own, disk, records, started, &log);
+        tokio::spawn(server.run(routes(Api { events: events.clone(), port })));
+        tokio::spawn(Host::new(parts, started).run(queue))
+    } else {
+        let (directions, heard) = watch::channel(Directions::default());
+        let api = RedirectApi { directions: heard, port };
+        tokio::spawn(server.run(redirect_api::routes(api)));
+        let seeds = settings.internal_seeds();
+        let redirector = Redirector::new(started, own, settings.zone.clone(), seeds, directions, log.clone());
+        tokio::spawn(redirector.run(queue))
+    };
+    tokio::spawn(listen(listeners.internal, events.clone(), log));
     terminate.await;
     let _ended = events.send(Event::Terminate).await;
     let _ended = host.await;
@@ -93,7 +106,7 @@
         zone: settings.zone.clone(),
         seeds: seeds.clone(),
         bootstrap: settings.bootstrap,
-        votes: disk.is_some() && settings.counts_for_quorum,
+        votes: true,
         tolerate_nodes: settings.tolerate.nodes as usize,
         entropy: fastrand::u64(..),
         timing: Timing::default(),
--- a/crates/control-plane/tests/hosts/main.rs
+++ b/crates/control-plane/tests/hosts/main.rs
@@ -2,4 +2,5 @@
 
 mod isolation;
 mod orders;
+mod outside;
 mod support;
--- a/crates/control-plane/tests/hosts/support.rs
+++ b/crates/control-plane/tests/hosts/support.rs
@@ -24,6 +24,8 @@
 pub enum Machine {
     /// It has a disk and counts.
     Disk,
+    /// It counts, and has no disk.
+    Volatile,
     /// It has no disk and doesn't count.
     Plain,
 }
@@ -35,6 +37,8 @@
     pub status: StatusCode,
     /// When the caller is to come again.
     pub retry_after: Option<String>,
+    /// Where the caller is to go.
+    pub location: Option<String>,
     /// Its body.
     pub body: String,
     /// How long it took.
@@ -72,14 +76,18 @@
 impl Core {
     /// Starts machines of these kinds, all with empty disks; those that count are the seeds.
     pub fn start(machines: &[Machine]) -> Core {
+        let counting: Vec<usize> = (0..machines.len()).filter(|at| machines[*at] != Machine::Plain).collect();
+        let seeds = vec![counting; machines.len()];
+        Core::start_with_seeds(machines, &seeds)
+    }
+
+    /// The same with other seeds for each machine.
+    pub fn start_with_seeds(machines: &[Machine], seeds: &[Vec<usize>]) -> Core {
         static NUMBER: AtomicU32 = AtomicU32::new(0);
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("crankpick-core-{}-{number}", std::process::id()));
         let (internal_port, internal) = bind_all(machines.len());
         let (control_port, control) = bind_all(machines.len());
-        let counting = (0..machines.len()).filter(|at| machines[*at] != Machine::Plain);
-        let seeds: Vec<String> =
-            counting.map(|at| SocketAddr::new(address(at), control_port).to_string()).collect();
         let mut core = Core {
             processes: Vec::new(),
             folder,
@@ -89,6 +97,10 @@
         };
         for (at, machine) in machines.iter().enumerate() {
             let control = SocketAddr::new(address(at), control_port);
+            let seeds: Vec<String> = seeds[at]
+                .iter()
+                .map(|seed| SocketAddr::new(address(*seed), control_port).to_string())
+                .collect();
             let settings = core.settings(at, *machine, control, &seeds);
             core.processes.push(Process { control, settings, running: None });
         }
@@ -105,7 +117,7 @@
                 std::fs::create_dir_all(&folder).unwrap();
                 format!("data_dir={}\n", folder.display())
             }
-            Machine::Plain => String::new(),
+            Machine::Volatile | Machine::Plain => String::new(),
         };
         let port = self.internal_port;
         format!(
@@ -158,6 +170,11 @@
         self.run(at, listeners, false);
     }
 
+    /// The URL of a path at a process.
+    pub fn url(&self, at: usize, path: &str) -> String {
+        format!("http://{}{path}", self.processes[at].control)
+    }
+
     /// Calls a process; nothing where the connection breaks.
     pub fn call(
         &self, at: usize, method: Method, path: &str, if_match: Option<&str>, body: &str,
@@ -187,7 +204,7 @@
     fn request(
         &self, at: usize, method: Method, path: &str, if_match: Option<&str>, body: &str,
     ) -> RequestBuilder {
-        let url = format!("http://{}{path}", self.processes[at].control);
+        let url = self.url(at, path);
         let request = self.client.request(method, url).body(body.to_owned());
         match if_match {
             Some(if_match) => request.header("If-Match", if_match),
@@ -257,9 +274,9 @@
     let begun = Instant::now();
     let response = request.send().await.ok()?;
     let header = |name: &str| Some(response.headers().get(name)?.to_str().ok()?.to_owned());
-    let (status, retry_after) = (response.status(), header("Retry-After"));
+    let (status, retry_after, location) = (response.status(), header("Retry-After"), header("Location"));
     let body = response.text().await.ok()?;
-    Some(Answer { status, retry_after, body, took: begun.elapsed() })
+    Some(Answer { status, retry_after, location, body, took: begun.elapsed() })
 }
 
 /// Looks until something is found.
--- /dev/null
+++ b/crates/control-plane/tests/unit/member_search.rs
@@ -0,0 +1,99 @@
+//! Whom a process outside the core asks for the view, and where it sends its callers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crankpick_control::{EntryId, Member, MemberId, View};
+
+use super::MemberSearch;
+
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7500))
+}
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Members in the zones `z1`, `z2` and so on.
+fn view(epoch: u64, numbers: &[u8]) -> View {
+    let member = |number: &u8| Member {
+        id: MemberId(u64::from(*number)),
+        address: address(*number),
+        zone: format!("z{number}"),
+    };
+    let members: Vec<Member> = numbers.iter().map(member).collect();
+    let chain = members.iter().map(|member| member.id).collect();
+    View { epoch, members, chain, start: EntryId::default() }
+}
+
+/// A process in the zone `z2` at an address of its own that knows these seeds.
+fn search(seeds: &[u8]) -> MemberSearch {
+    let seeds = seeds.iter().map(|number| address(*number)).collect();
+    MemberSearch::new(at(0), address(90), "z2".into(), seeds, 0)
+}
+
+#[test]
+fn it_asks_the_seeds_and_sends_callers_to_the_member_that_answers() {
+    let mut search = search(&[1, 2, 3]);
+    assert_eq!(search.reached(), None);
+    assert_eq!(search.poll(at(0)), Some(address(1)));
+    assert_eq!(search.poll(at(1)), None);
+    search.heard(at(10), address(1), view(1, &[1, 2, 3]));
+    assert_eq!(search.reached(), Some(address(1)));
+    assert_eq!(search.poll(at(2_009)), None);
+    assert_eq!(search.poll(at(2_010)), Some(address(1)));
+}
+
+#[test]
+fn one_that_does_not_answer_is_left_for_the_next() {
+    let mut search = search(&[1, 2, 3]);
+    search.poll(at(0));
+    search.heard(at(10), address(1), view(1, &[1, 2, 3]));
+    search.poll(at(2_010));
+    assert_eq!(search.wake_at(), at(2_610));
+    assert_eq!(search.poll(at(2_609)), None);
+    // The first that wasn't asked, after the member of its own zone.
+    assert_eq!(search.poll(at(2_610)), Some(address(1)));
+    assert_eq!(search.reached(), None);
+    assert_eq!(search.poll(at(3_210)), Some(address(3)));
+    search.heard(at(3_220), address(3), view(1, &[1, 2, 3]));
+    assert_eq!(search.reached(), Some(address(3)));
+}
+
+#[test]
+fn a_process_that_is_no_member_tells_the_view_but_takes_no_calls() {
+    let mut search = search(&[91, 92]);
+    assert_eq!(search.poll(at(0)), Some(address(91)));
+    search.heard(at(10), address(91), view(4, &[1, 2, 3]));
+    assert_eq!(search.reached(), None);
+    assert_eq!(search.poll(at(610)), Some(address(1)));
+    search.heard(at(620), address(1), view(4, &[1, 2, 3]));
+    assert_eq!(search.reached(), Some(address(1)));
+}
+
+#[test]
+fn one_that_is_no_member_any_more_is_left() {
+    let mut search = search(&[1]);
+    search.poll(at(0));
+    search.heard(at(10), address(1), view(1, &[1, 2, 3]));
+    search.heard(at(20), address(3), view(2, &[2, 3]));
+    assert_eq!(search.reached(), None);
+    assert_eq!(search.view().epoch, 2);
+    search.heard(at(30), address(1), view(1, &[1, 2, 3]));
+    assert_eq!(search.view().epoch, 2);
+}
+
+#[test]
+fn one_that_knows_nobody_asks_nobody() {
+    let mut search = search(&[90]);
+    assert_eq!(search.poll(at(0)), None);
+    assert_eq!(search.reached(), None);
+}
+
+#[test]
+fn while_nobody_answers_it_asks_once_in_600_ms() {
+    let mut search = search(&[1, 2, 3]);
+    let asked = (0..60_000).filter(|ms| search.poll(at(*ms)).is_some()).count();
+    assert_eq!(asked, 100);
+}
