Core: it says by code how many losses it bears; logs print durations

Symptom: a core that can't bear what `tolerate.nodes` asks for said so nowhere. The line "clients served" printed `Instant { tv_sec: ..}`.

"clients served" prints how long the process has been up.

--- a/crates/control-plane/src/host.rs
+++ b/crates/control-plane/src/host.rs
@@ -24,6 +24,7 @@
 use crate::peers::{PeerChange, Peers};
 use crate::quorum::{reaches_majority, Quorum};
 use crate::quotas::{DemandsToSend, Quotas};
+use crate::resilience::{bearable_losses, Change, Resilience, TOO_FEW};
 use crate::sessions::{Current, Sessions, Standing};
 
 const TICK: Duration = Duration::from_millis(50);
@@ -73,6 +74,7 @@
     links: Links,
     peers: Peers,
     floods: Floods,
+    resilience: Resilience,
     operator: Operator,
     sessions: Sessions,
     members: Vec<CoreMember>,
@@ -87,12 +89,14 @@
     /// A host whose time begins at `started`.
     pub fn new(parts: Parts, started: Instant) -> Self {
         let links = Links::new(parts.address);
+        let resilience = Resilience::new(parts.replica.options().tolerate_nodes);
         Host {
             started,
             parts,
             links,
             peers: Peers::default(),
             floods: Floods::default(),
+            resilience,
             operator: Operator::default(),
             sessions: Sessions::default(),
             members: Vec::new(),
@@ -519,6 +523,7 @@
         let isolated = self.parts.replica.freshness(now).is_none_or(|age| age > ISOLATED);
         self.parts.registry.set_isolated(now, isolated);
         self.parts.gateways.set_isolated(now, isolated);
+        self.watch_resilience();
         let changes = self.peers.tick(now);
         self.peers_changed(changes);
         let silent = self.parts.registry.tick(now);
@@ -539,6 +544,22 @@
         }
     }
 
+    fn watch_resilience(&mut self) {
+        let Some(bearable) = bearable_losses(&self.parts.replica) else { return };
+        let asked = self.resilience.asked();
+        match self.resilience.note(self.now(), bearable) {
+            Some(Change::TooFew { bearable }) => {
+                warn!(self.parts.log, "the core bears fewer losses than are asked for"; "code" => TOO_FEW,
+                    "bearable" => bearable, "asked" => asked);
+            }
+            Some(Change::Enough { bearable }) => {
+                info!(self.parts.log, "the core bears as many losses as are asked for";
+                    "bearable" => bearable, "asked" => asked);
+            }
+            None => {}
+        }
+    }
+
     fn ask_owners(&mut self, asked: Vec<DemandsToSend>) {
         let now = self.now();
         for DemandsToSend { to, number, epoch, demands } in asked {
@@ -590,6 +611,7 @@
             fleet_gateways: self.parts.gateways.total(self.now()).count,
             tenants_owned: self.parts.quotas.owned(),
             peers_up: self.peers.up().count(),
+            tolerated_losses: self.resilience.asked(),
         })
     }
 }
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -15,6 +15,7 @@
 mod quotas;
 mod redirect_api;
 mod redirector;
+mod resilience;
 mod sessions;
 mod start;
 mod status;
--- a/crates/control-plane/src/status.rs
+++ b/crates/control-plane/src/status.rs
@@ -7,6 +7,8 @@
 use crankpick_registry::Registry;
 use serde::Serialize;
 
+use crate::resilience::{bearable_losses, TOO_FEW};
+
 /// What a status is made of.
 pub struct Facts<'a> {
     /// Now.
@@ -29,6 +31,8 @@
     pub tenants_owned: usize,
     /// Peers within reach.
     pub peers_up: usize,
+    /// Losses of members that are to be borne.
+    pub tolerated_losses: usize,
 }
 
 #[derive(Serialize)]
@@ -47,6 +51,9 @@
     gateways: u32,
     tenants_owned: usize,
     peers_up: usize,
+    tolerated_losses: usize,
+    bearable_losses: Option<usize>,
+    warnings: Vec<&'static str>,
 }
 
 #[derive(Serialize)]
@@ -68,6 +75,8 @@
             in_chain: view.place(member.id),
         })
         .collect();
+    let bearable_losses = bearable_losses(facts.replica);
+    let too_few = bearable_losses.is_none_or(|bearable| bearable < facts.tolerated_losses);
     let status = Status {
         address: facts.address,
         zone: facts.zone,
@@ -83,6 +92,9 @@
         gateways: facts.fleet_gateways,
         tenants_owned: facts.tenants_owned,
         peers_up: facts.peers_up,
+        tolerated_losses: facts.tolerated_losses,
+        bearable_losses,
+        warnings: too_few.then_some(TOO_FEW).into_iter().collect(),
     };
     serde_json::to_string(&status).unwrap_or_default()
 }
--- a/crates/control-plane/tests/hosts/isolation.rs
+++ b/crates/control-plane/tests/hosts/isolation.rs
@@ -76,3 +76,16 @@
         core.sign_off(2, "j").filter(|answer| answer.status == StatusCode::OK)
     });
 }
+
+#[test]
+fn the_status_tells_how_many_losses_can_be_borne() {
+    let mut core = core_with_a_configuration();
+    let status = core.status(1).unwrap();
+    assert_eq!((status.field("bearable_losses"), status.field("tolerated_losses")), (1.into(), 1.into()));
+    assert_eq!(status.field("warnings"), serde_json::json!([]));
+    core.kill(0);
+    let status = in_the_end("a core that bears no loss", || {
+        core.status(1).filter(|status| status.field("bearable_losses") == 0)
+    });
+    assert_eq!(status.field("warnings"), serde_json::json!(["CTL-302"]));
+}
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -6,7 +6,7 @@
 
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::{sleep, Instant};
+use tokio::time::sleep;
 
 use crate::client::Client;
 use crate::connection;
@@ -104,7 +104,7 @@
         _ = room.acquire_many(all) => {}
         () = shared.lifecycle.grace_over() => {}
     }
-    slog::info!(shared.log, "clients served"; "broken_off" => shared.in_flight(), "since" => ?Instant::now());
+    slog::info!(shared.log, "clients served"; "broken_off" => shared.in_flight(), "up" => ?shared.now());
 }
 
 /// A connection that waits to be accepted, if there is one.
--- a/crates/system/src/cli.rs
+++ b/crates/system/src/cli.rs
@@ -109,11 +109,34 @@
     if check.file.extension().is_some_and(|extension| extension == "json") {
         return check_configuration(check);
     }
-    Settings::read(&check.file).map_err(|wrong| wrong.to_string())?;
+    let settings = Settings::read(&check.file).map_err(|wrong| wrong.to_string())?;
     println!("{}: sound", check.file.display());
+    for hint in hints(&settings) {
+        println!("{hint}");
+    }
     Ok(())
 }
 
+/// What sound settings ask for that may not come about. One file tells of one machine alone: the status of a running
+/// core tells what it bears.
+fn hints(settings: &Settings) -> Vec<String> {
+    let tolerated = settings.tolerate.nodes as usize;
+    let needed = 2 * tolerated + 1;
+    let mut hints = Vec::new();
+    if tolerated > 0 && settings.counts_for_quorum && settings.data_dir.is_none() {
+        hints.push(
+            "SYS-108: counts_for_quorum without data_dir: what it holds is lost with its process".into(),
+        );
+    }
+    if tolerated > 0 && !settings.seeds.is_empty() && settings.seeds.len() < needed {
+        let seeds = settings.seeds.len();
+        hints.push(format!(
+            "SYS-109: tolerate.nodes={tolerated} needs {needed} members, seeds name {seeds}; see that more count"
+        ));
+    }
+    hints
+}
+
 fn check_configuration(check: &Check) -> Result<(), String> {
     let findings = crankpick_configuration::check(&check.file);
     if findings.is_empty() {
@@ -135,3 +158,7 @@
     println!("{}", text.map_err(|wrong: reqwest::Error| format!("SYS-101: no status: {wrong}"))?);
     Ok(())
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/cli.rs"]
+mod tests;
