--- a/crates/control-plane/src/event.rs
+++ b/crates/control-plane/src/event.rs
@@ -141,13 +141,6 @@
         /// The changes.
         announcements: Vec<Announcement>,
     },
-    /// Changes to be passed on to peers that the sender does not reach.
-    Relay {
-        /// Those peers.
-        to: Vec<SocketAddr>,
-        /// The changes.
-        announcements: Vec<Announcement>,
-    },
     /// The changes of that number are held in memory.
     Announced {
         /// Their number.
@@ -180,4 +173,11 @@
         /// By tenant.
         grants: Vec<TenantGrant>,
     },
+    /// Changes to be passed on to peers that the sender does not reach.
+    Relay {
+        /// Those peers.
+        to: Vec<SocketAddr>,
+        /// The changes.
+        announcements: Vec<Announcement>,
+    },
 }
