--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use crate::message::{Body, Forward, ForwardAnswer, Sender};
+use crate::options::transfer_time;
 use crate::replica::{Output, Replica, SubmitKey};
 use crate::types::{Now, Order, Outcome};
 
@@ -14,6 +15,8 @@
 const SUBMITS: usize = 32;
 /// Orders that wait at the head.
 const WAITING: usize = 128;
+/// How often an order is carried from one process to another, until it is committed.
+const TRANSFERS: u32 = 4;
 /// Bytes of orders that wait, in either place.
 const WAITING_BYTES: usize = 24 << 20;
 
@@ -84,9 +87,10 @@
         let head = Sender { id: head.id, address: head.address };
         let mut due = Vec::new();
         for submitted in &mut self.submits.submitted {
-            let waits = submitted
-                .forwarded
-                .is_some_and(|(at, last)| last == epoch && now < at + timing.forward_retry);
+            // Down the chain and back: sent again while it is on its way, a large order would only fill the link.
+            let on_its_way = transfer_time(submitted.order.bytes.len()) * TRANSFERS;
+            let again_after = timing.forward_retry + on_its_way;
+            let waits = submitted.forwarded.is_some_and(|(at, last)| last == epoch && now < at + again_after);
             if !waits {
                 submitted.forwarded = Some((now, epoch));
                 due.push(Forward { epoch, key: submitted.key, order: submitted.order.clone() });
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use crate::message::{Echo, Heartbeat, Sender};
-use crate::options::Timing;
-use crate::types::{EntryId, MemberId, Now, View};
+use crate::options::{transfer_time, Timing};
+use crate::types::{Entry, EntryId, MemberId, Now, View};
 
 /// Followers and joiners that are answered.
 const STRANGERS: usize = 64;
@@ -30,7 +30,7 @@
     pub(crate) echoed: Option<Now>,
     /// When we last sent it one.
     pub(crate) sent: Option<Now>,
-    /// The entry that was last sent to it for being outside the chain, and when.
+    /// The entry that was last sent to it for being outside the chain, and when it should have arrived.
     told: Option<(Now, EntryId)>,
     /// It has been healthy since.
     pub(crate) healthy: Option<Now>,
@@ -71,7 +71,7 @@
     pub(crate) fn takes_entry(&self, now: Now, entry: EntryId) -> bool {
         let Some(heartbeat) = self.heartbeat else { return false };
         let arrived = |told: EntryId| heartbeat.committed.position >= told.position;
-        let free = self.told.is_none_or(|(at, told)| arrived(told) || now >= at + TELL_AGAIN);
+        let free = self.told.is_none_or(|(due, told)| arrived(told) || now >= due);
         heartbeat.committed.position < entry.position && free
     }
 
@@ -212,9 +212,10 @@
     }
 
     /// Notes that an entry goes out to a peer outside the chain.
-    pub(crate) fn telling(&mut self, now: Now, id: MemberId, entry: EntryId) {
+    pub(crate) fn telling(&mut self, now: Now, id: MemberId, entry: &Entry) {
+        let due = now + TELL_AGAIN + transfer_time(entry.order.bytes.len());
         if let Some(peer) = self.get_mut(id) {
-            peer.told = Some((now, entry));
+            peer.told = Some((due, entry.id));
         }
     }
 
--- a/crates/control/src/plan.rs
+++ b/crates/control/src/plan.rs
@@ -1,6 +1,7 @@
 //! Which view should come next, and whether one is needed.
 
 use crate::membership::{choose_voters, Candidate, Condition, Tolerance};
+use crate::options::transfer_time;
 use crate::peers::Peer;
 use crate::replica::Replica;
 use crate::types::{Member, MemberId, View};
@@ -79,7 +80,9 @@
     }
 
     fn is_stuck(&self) -> bool {
-        self.chain.matched && self.chain.waits.is_some_and(|at| self.now > at + self.options.timing.stuck)
+        let uncommitted = transfer_time(self.state.largest_entry()) * self.view.chain.len() as u32;
+        let limit = self.options.timing.stuck + uncommitted;
+        self.chain.matched && self.chain.waits.is_some_and(|at| self.now > at + limit)
     }
 
     fn add_voters(&self, plan: &mut Plan, at_once: bool) {
--- a/crates/control/src/proposer.rs
+++ b/crates/control/src/proposer.rs
@@ -1,6 +1,7 @@
 //! The proposer's side of the agreement on the next view: promises, installs, votes.
 
 use crate::message::{Accept, Body, Install, Nack, Prepare, Promise, Sender};
+use crate::options::transfer_time;
 use crate::plan::Plan;
 use crate::replica::Replica;
 use crate::state::State;
@@ -9,7 +10,7 @@
 
 /// The longest pause before the next try, first and in the end.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(1200));
-/// What an install may take beyond its phase: a microsecond a byte, which is a link of 8 Mbit/s, up to this.
+/// What the largest install may take beyond its phase.
 const LONGEST_INSTALL: Duration = Duration::from_millis(1600);
 /// The spread of the first try.
 const SPREAD: Duration = Duration::from_millis(40);
@@ -299,7 +300,7 @@
             let to = Sender { id: member.id, address: member.address };
             self.send(to, Body::Install(Box::new(install)));
         }
-        let transfers = Duration::from_micros(largest as u64).min(LONGEST_INSTALL);
+        let transfers = transfer_time(largest).min(LONGEST_INSTALL);
         let within = self.options.timing.phase + transfers;
         proposal.phase = Phase::Installing { plan, installed: Vec::new(), within };
         proposal.since = self.now;
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -67,6 +67,11 @@
         self.entries.iter().find(|entry| entry.id.position == position)
     }
 
+    /// The bytes of the largest entry that is kept whole.
+    pub(crate) fn largest_entry(&self) -> usize {
+        self.entries.iter().map(|entry| entry.order.bytes.len()).max().unwrap_or(0)
+    }
+
     pub(crate) fn append(&mut self, entry: Arc<Entry>) {
         self.changes.push_back(entry.change());
         self.entries.push_back(entry);
--- a/crates/control/tests/unit/model.rs
+++ b/crates/control/tests/unit/model.rs
@@ -276,6 +276,7 @@
         disk_well: false,
         leaving: false,
         unreachable: 0,
+        committed_bytes: 0,
     }
 }
 
