--- a/crates/lab/src/crowd.rs
+++ b/crates/lab/src/crowd.rs
@@ -206,9 +206,7 @@
         ..Layout::default()
     };
     let mut rig = Rig::new(layout, dir).await?;
-    for at in 0..4 {
-        rig.start(at).await?;
-    }
+    rig.start_all().await?;
     rig.settled(SOON).await?;
     let over = Duration::from_secs(seconds);
     let alone = costs(&rig, over).await;
@@ -328,9 +326,7 @@
                 ..Layout::default()
             };
             let mut rig = Rig::new(layout, &dir.join(format!("{turn}-{fleet}"))).await?;
-            for at in 0..3 {
-                rig.start(at).await?;
-            }
+            rig.start_all().await?;
             if fleet {
                 rig.settled(SOON).await?;
             }
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -11,12 +11,13 @@
 use crate::emulate::Nature;
 use crate::load::Load;
 use crate::rig::{Layout, Rig};
+use crate::sync::lock;
 
 const SOON: Duration = Duration::from_secs(20);
 
 /// Executions by backend since they were last counted.
 fn counted(rig: &Rig, from: &mut usize) -> String {
-    let account = rig.account.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let account = lock(&rig.account);
     let new = &account.executions[*from..];
     *from = account.executions.len();
     let of = |number: usize| new.iter().filter(|execution| execution.backend == number).count();
@@ -46,9 +47,7 @@
     let layout = Layout { nature, seed: 1, ..Layout::default() };
     println!("three proxies, four emulated backends, 100 queries a second at each proxy");
     let mut rig = Rig::new(layout, dir).await?;
-    for at in 0..3 {
-        rig.start(at).await?;
-    }
+    rig.start_all().await?;
     for proc in &rig.procs {
         let place = |address: &watch::Sender<Option<std::net::SocketAddr>>| {
             address.borrow().map(|address| address.to_string()).unwrap_or_default()
--- a/crates/lab/src/emulate.rs
+++ b/crates/lab/src/emulate.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,6 +19,8 @@
 use tokio::sync::{watch, Semaphore};
 use tokio::time::sleep;
 
+use crate::sync::lock;
+
 /// How long a deduplicated query's first execution stands against repeats of it.
 pub const WINDOW_US: u64 = 5_000_000;
 
@@ -105,10 +107,6 @@
     shared: Arc<Shared>,
 }
 
-fn lock<T>(held: &Mutex<T>) -> MutexGuard<'_, T> {
-    held.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Backend {
     /// `zone` and `cell` are where the list says that it is.
     pub async fn start(
--- a/crates/lab/src/history.rs
+++ b/crates/lab/src/history.rs
@@ -126,6 +126,17 @@
     },
 }
 
+/// Drops the unsure lines of calls that were acknowledged in the end: a call that was made again and then acknowledged is
+/// sure after all.
+pub fn drop_settled(lines: &mut Vec<Line>) {
+    let acked = lines.iter().filter_map(|line| match &line.kind {
+        Kind::Acked { command, .. } => Some(command.clone()),
+        _ => None,
+    });
+    let acked: BTreeSet<String> = acked.collect();
+    lines.retain(|line| !matches!(&line.kind, Kind::Unsure { command, .. } if acked.contains(command)));
+}
+
 /// What the checks found.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Found {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod relay;
 pub mod rig;
 pub mod size;
+mod sync;
 pub mod work;
 pub mod world;
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,6 +17,8 @@
 use tokio::sync::{watch, Semaphore};
 use tokio::time::{sleep_until, timeout, Instant};
 
+use crate::sync::lock;
+
 /// What clients wait for, and the slack with which an answer counts as in time.
 pub const DEADLINE: Duration = Duration::from_millis(2_000);
 const SLACK: Duration = Duration::from_millis(250);
@@ -112,9 +114,6 @@
     address: SocketAddr, class: &'static str, id: String, tally: &Mutex<Tally>, idle: &Mutex<Vec<Sender>>,
     disturbed: &Disturbed,
 ) {
-    fn lock<T>(held: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-        held.lock().unwrap_or_else(PoisonError::into_inner)
-    }
     let times = disturbed.times.load(Ordering::SeqCst);
     let method = if class == "read" { Method::GET } else { Method::POST };
     let request = || {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,10 +6,11 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 
-use clap::{Parser, Subcommand};
+use clap::{Args, Parser, Subcommand};
 use crankpick_lab::owner::{self, Order};
 use crankpick_lab::world::{Plans, Setup, World};
 use crankpick_lab::{crowd, demo, size, work};
+use serde::Serialize;
 
 #[derive(Parser)]
 #[command(
@@ -22,49 +23,59 @@
     what: What,
 }
 
+/// The fleet of a run with drawn faults.
+#[derive(Args)]
+struct FleetArgs {
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    #[arg(long, default_value_t = 5)]
+    processes: usize,
+    #[arg(long, default_value_t = 3)]
+    voters: usize,
+}
+
+impl FleetArgs {
+    /// Agreement needs a majority: an odd number of voters, each of them a process.
+    fn is_sound(&self) -> bool {
+        self.processes >= self.voters && self.voters % 2 == 1
+    }
+}
+
+/// What a run with drawn faults leaves behind, its leases and its load.
+#[derive(Args)]
+struct LoadArgs {
+    /// Where history.jsonl and summary.json go, and what the processes keep
+    #[arg(long)]
+    out: PathBuf,
+    /// In microseconds
+    #[arg(long, default_value_t = 1_000_000)]
+    lease_us: u64,
+    /// Queries a second at each proxy
+    #[arg(long, default_value_t = 40.0)]
+    rate: f64,
+}
+
 #[derive(Subcommand)]
 enum What {
     /// Real processes, one duty, faults: is there ever more than one owner?
     Owner {
-        #[arg(long, default_value_t = 1)]
-        seed: u64,
-        #[arg(long, default_value_t = 5)]
-        processes: usize,
-        #[arg(long, default_value_t = 3)]
-        voters: usize,
+        #[command(flatten)]
+        fleet: FleetArgs,
         #[arg(long, default_value_t = 30)]
         seconds: u64,
-        /// Where history.jsonl and summary.json go, and what the processes keep
-        #[arg(long)]
-        out: PathBuf,
-        /// In microseconds
-        #[arg(long, default_value_t = 1_000_000)]
-        lease_us: u64,
-        /// Queries a second at each proxy
-        #[arg(long, default_value_t = 40.0)]
-        rate: f64,
+        #[command(flatten)]
+        load: LoadArgs,
     },
     /// Real processes and a plan over all backends: is anything sent to a machine under work?
     Work {
-        #[arg(long, default_value_t = 1)]
-        seed: u64,
-        #[arg(long, default_value_t = 5)]
-        processes: usize,
-        #[arg(long, default_value_t = 3)]
-        voters: usize,
+        #[command(flatten)]
+        fleet: FleetArgs,
         #[arg(long, default_value_t = 12)]
         backends: usize,
         #[arg(long, default_value_t = 20)]
         seconds: u64,
-        /// Where history.jsonl and summary.json go, and what the processes keep
-        #[arg(long)]
-        out: PathBuf,
-        /// In microseconds
-        #[arg(long, default_value_t = 1_000_000)]
-        lease_us: u64,
-        /// Queries a second at each proxy
-        #[arg(long, default_value_t = 40.0)]
-        rate: f64,
+        #[command(flatten)]
+        load: LoadArgs,
         /// The same run with nothing worked on: what the plan costs is the difference
         #[arg(long)]
         without_plan: bool,
@@ -183,19 +194,10 @@
     runtime.map_err(|wrong| wrong.to_string())?.block_on(what)
 }
 
-fn owner(order: &Order, out: &std::path::Path) -> Result<(), String> {
-    let summary = run(owner::run(order, out))?;
-    println!("{}", serde_json::to_string(&summary).map_err(|wrong| wrong.to_string())?);
-    match summary.breaches.len() {
-        0 => Ok(()),
-        count => Err(format!("{count} promises broken")),
-    }
-}
-
-fn worked(order: &work::Order, out: &std::path::Path) -> Result<(), String> {
-    let summary = run(work::run(order, out))?;
-    println!("{}", serde_json::to_string(&summary).map_err(|wrong| wrong.to_string())?);
-    match summary.breaches.len() {
+/// Prints what came of a run with drawn faults; an error where a promise was broken.
+fn report(summary: &impl Serialize, breaches: &[String]) -> Result<(), String> {
+    println!("{}", serde_json::to_string(summary).map_err(|wrong| wrong.to_string())?);
+    match breaches.len() {
         0 => Ok(()),
         count => Err(format!("{count} promises broken")),
     }
@@ -203,43 +205,40 @@
 
 fn main() -> ExitCode {
     let done = match Cli::parse().what {
-        What::Work {
-            seed,
-            processes,
-            voters,
-            backends,
-            seconds,
-            out,
-            lease_us,
-            rate,
-            without_plan,
-            without_faults,
-        } => {
-            if processes < voters || voters % 2 == 0 || backends < 3 {
+        What::Work { fleet, backends, seconds, load, without_plan, without_faults } => {
+            if !fleet.is_sound() || backends < 3 {
                 eprintln!("crankpick-lab: an odd number of voters, no more than processes; three backends");
                 return ExitCode::from(2);
             }
-            let quiet = false;
             let order = work::Order {
-                seed,
-                processes,
-                voters,
+                seed: fleet.seed,
+                processes: fleet.processes,
+                voters: fleet.voters,
                 backends,
                 seconds,
-                lease_us,
-                rate,
+                lease_us: load.lease_us,
+                rate: load.rate,
                 without_plan,
                 without_faults,
-                quiet,
+                quiet: false,
             };
-            worked(&order, &out)
+            run(work::run(&order, &load.out)).and_then(|summary| report(&summary, &summary.breaches))
         }
-        What::Owner { seed, processes, voters, seconds, out, lease_us, rate } => {
-            if processes < voters || voters % 2 == 0 {
+        What::Owner { fleet, seconds, load } => {
+            if !fleet.is_sound() {
                 eprintln!("crankpick-lab: an odd number of voters, and no more than processes");
                 return ExitCode::from(2);
             }
-            owner(&Order { seed, processes, voters, seconds, lease_us, rate, quiet: false }, &out)
+            let order = Order {
+                seed: fleet.seed,
+                processes: fleet.processes,
+                voters: fleet.voters,
+                seconds,
+                lease_us: load.lease_us,
+                rate: load.rate,
+                quiet: false,
+            };
+            run(owner::run(&order, &load.out)).and_then(|summary| report(&summary, &summary.breaches))
         }
         What::Demo { out } => {
             let kept = out.is_some();
--- a/crates/lab/src/maintain.rs
+++ b/crates/lab/src/maintain.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,6 +21,7 @@
 use crate::emulate::Inventory;
 use crate::history::{Kind, Line};
 use crate::rig::{called, Record};
+use crate::sync::lock;
 
 const AGAIN: Duration = Duration::from_millis(400);
 
@@ -60,10 +61,6 @@
     work_us: (u64, u64),
 }
 
-fn lock<T>(held: &Mutex<T>) -> MutexGuard<'_, T> {
-    held.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Maintenance {
     pub async fn start(
         inventory: Arc<Inventory>, admins: Vec<watch::Receiver<Option<SocketAddr>>>,
--- a/crates/lab/src/owner.rs
+++ b/crates/lab/src/owner.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeSet;
 use std::path::Path;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use crankpick_carry::clock::now_us;
@@ -12,17 +12,16 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until, Instant};
 
-use crankpick_fleet::words::OUTS;
+use crankpick_fleet::words::{MemberStatus, Status, OUTS};
 
 use crate::emulate::Nature;
-use crate::history::{check, Found, Kind, Line};
+use crate::history::{check, drop_settled, Found, Kind, Line};
 use crate::load::{Load, Tally};
-use crate::rig::{Layout, Rig, Seen};
+use crate::rig::{called, Layout, Record, Rig, Seen, SETTLED};
+use crate::sync::lock;
 
 /// After a proxy has said that a backend is out, what it sent before may still arrive.
 const GRACE_US: u64 = 300_000;
-/// How soon after a promise that all is healed the fleet is whole again.
-const SETTLED: Duration = Duration::from_secs(20);
 
 #[derive(Clone, Debug)]
 pub struct Order {
@@ -142,10 +141,6 @@
     pub at_backends_out: usize,
 }
 
-fn lock<T>(held: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    held.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// The faults of a plan on a rig, each begun and ended at its time.
 pub struct Faults {
     rng: fastrand::Rng,
@@ -272,7 +267,7 @@
 /// Operators at any proxy that is up, some calls made twice under one id at two of them.
 async fn operators(
     admins: Vec<watch::Receiver<Option<std::net::SocketAddr>>>, seed: u64, backends: usize,
-    record: Arc<Mutex<crate::rig::Record>>, mut over: watch::Receiver<bool>,
+    record: Arc<Mutex<Record>>, mut over: watch::Receiver<bool>,
 ) {
     let mut rng = fastrand::Rng::with_seed(seed ^ 0x0f);
     let mut calls = tokio::task::JoinSet::new();
@@ -292,7 +287,7 @@
             let (record, backend) = (Arc::clone(&record), backend.clone());
             let line = format!("FLEET {} {id:x} {backend}", if out { "OUT" } else { "BACK" });
             calls.spawn(async move {
-                let said = crate::rig::called(admin, &line).await;
+                let said = called(admin, &line).await;
                 let (command, ids) = (format!("{id:x}"), vec![backend]);
                 let version =
                     said.ok().and_then(|said| serde_json::from_str::<serde_json::Value>(&said).ok());
@@ -379,10 +374,7 @@
         println!("{}", json!({"seed": order.seed, "plan": faults}));
     }
     let mut rig = Rig::new(layout, dir).await?;
-    for at in 0..order.processes {
-        rig.start(at).await?;
-    }
-    rig.settled(SETTLED).await.map_err(|why| format!("no fleet comes to be: {why}"))?;
+    rig.start_fleet().await?;
     let (over, on_over) = watch::channel(false);
     let load = Arc::new(Load::new());
     let mut clients = rig.clients(&load, order.rate, order.seed, &on_over);
@@ -409,12 +401,10 @@
 }
 
 /// What each process acts on at the end.
-async fn finals(rig: &Rig, status: &crankpick_fleet::words::Status) {
+async fn finals(rig: &Rig, status: &Status) {
     // Of a proxy that has started anew its last process counts.
     for member in &status.members {
-        let newer = |other: &crankpick_fleet::words::MemberStatus| {
-            other.name == member.name && other.silent_us < member.silent_us
-        };
+        let newer = |other: &MemberStatus| other.name == member.name && other.silent_us < member.silent_us;
         if status.members.iter().any(newer) {
             continue;
         }
@@ -429,15 +419,7 @@
         (record.lines.clone(), record.seen.clone())
     };
     lines.sort_by_key(|line| line.t_us);
-    // A call that was made again and then acknowledged is sure after all.
-    let acked: BTreeSet<String> = lines
-        .iter()
-        .filter_map(|line| match &line.kind {
-            Kind::Acked { command, .. } => Some(command.clone()),
-            _ => None,
-        })
-        .collect();
-    lines.retain(|line| !matches!(&line.kind, Kind::Unsure { command, .. } if acked.contains(command)));
+    drop_settled(&mut lines);
     let found = check(&lines);
     breaches.extend(found.breaches.iter().cloned());
     let (queries, broken) = rules(load, rig, &seen);
--- a/crates/lab/src/work.rs
+++ b/crates/lab/src/work.rs
@@ -3,10 +3,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use crankpick_fleet::sight::Sight;
+use crankpick_fleet::words::WORK;
 use crankpick_fleet::work::{Plan, Work};
 use serde::Serialize;
 use serde_json::json;
@@ -18,9 +19,9 @@
 use crate::load::Load;
 use crate::maintain::Maintenance;
 use crate::owner::{self, Faults, Queries};
-use crate::rig::{Layout, Rig};
+use crate::rig::{Layout, Rig, SETTLED};
+use crate::sync::lock;
 
-const SETTLED: Duration = Duration::from_secs(20);
 /// Once all is healed a plan has so long to end.
 const ENDS: Duration = Duration::from_secs(90);
 const PLAN: &str = "week";
@@ -58,10 +59,6 @@
     pub breaches: Vec<String>,
 }
 
-fn lock<T>(held: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    held.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// A fault of a backend.
 #[derive(Clone, Copy, Debug, Serialize)]
 struct Trouble {
@@ -156,10 +153,7 @@
     if !order.quiet {
         println!("{}", json!({"seed": order.seed, "plan": text, "faults": faults, "troubles": ills}));
     }
-    for at in 0..order.processes {
-        rig.start(at).await?;
-    }
-    rig.settled(SETTLED).await.map_err(|why| format!("no fleet comes to be: {why}"))?;
+    rig.start_fleet().await?;
     let (over, on_over) = watch::channel(false);
     let load = Arc::new(Load::new());
     let mut clients = rig.clients(&load, order.rate, order.seed, &on_over);
@@ -190,7 +184,7 @@
             while all.join_next().await.is_some() {}
         })
     };
-    Faults::new(order.seed, crankpick_fleet::words::WORK).play(&mut rig, &faults).await?;
+    Faults::new(order.seed, WORK).play(&mut rig, &faults).await?;
     let _ = ailing.await;
     rig.heal().await?;
     let mut plan_us = 0;
--- a/crates/lab/src/world/upkeep.rs
+++ b/crates/lab/src/world/upkeep.rs
@@ -10,7 +10,7 @@
 use crankpick_fleet::words::{Ask, WORK};
 use crankpick_fleet::work::{Bounds, Is, Machine, Order, Plan, Say, Stage, Terms, Work};
 
-use super::{Due, World};
+use super::{Occurrence, World};
 use crate::history::Kind;
 
 const LOOK_US: u64 = 50_000;
@@ -89,7 +89,7 @@
 impl World {
     fn breach(&mut self, what: String) {
         if self.upkeep.told.insert(what.clone()) {
-            self.line(Kind::Fault { what: format!("BREACH {what}") });
+            self.record(Kind::Fault { what: format!("BREACH {what}") });
         }
     }
 
@@ -100,7 +100,11 @@
         for id in outs.difference(&host.outs.clone()) {
             if longest > 0 && self.rng.bool() {
                 // What its right to send did not cover was never sent.
-                let last = if host.right_us == u64::MAX { t } else { t.min(host.true_time(host.right_us)) };
+                let last = if host.send_until_us == u64::MAX {
+                    t
+                } else {
+                    t.min(host.true_time(host.send_until_us))
+                };
                 host.busy.insert(id.clone(), last + self.rng.u64(0..longest));
             }
         }
@@ -174,11 +178,11 @@
         for machine in over {
             self.upkeep.under.remove(&machine);
             let well = |well| Order::Ended { machine: machine.clone(), well };
-            self.next_command += 2;
+            self.last_command += 2;
             if self.rng.u32(0..6) == 0 {
-                self.upkeep.says.push((t, self.next_command - 1, well(false)));
+                self.upkeep.says.push((t, self.last_command - 1, well(false)));
             }
-            self.upkeep.says.push((t + 1, self.next_command, well(true)));
+            self.upkeep.says.push((t + 1, self.last_command, well(true)));
         }
         let mut says = std::mem::take(&mut self.upkeep.says);
         for (due, id, order) in &mut says {
@@ -188,8 +192,8 @@
             *due = t + SAY_US;
             // Refused once, or agreed before what it answers, the same call is answered so for good.
             if !matches!(order, Order::Add { .. } | Order::Say { say: Say::Pause, .. }) {
-                self.next_command += 1;
-                *id = self.next_command;
+                self.last_command += 1;
+                *id = self.last_command;
             }
             let (id, order) = (*id, order.clone());
             self.order(id, order);
@@ -273,7 +277,7 @@
 
     pub(super) fn keep_up(&mut self) {
         let next = self.t + LOOK_US;
-        self.plan(next, Due::Upkeep);
+        self.schedule(next, Occurrence::Upkeep);
         self.maintenance();
         self.staff();
         self.see();
@@ -302,8 +306,9 @@
                     breaches.push(format!("{name} has something in hand at {machine}, which is under work"));
                 }
                 // What it sent last may take so long.
-                let may = host.right_us == u64::MAX
-                    || host.right_us > 0 && t < host.true_time(host.right_us) + self.terms.longest_us;
+                let may = host.send_until_us == u64::MAX
+                    || host.send_until_us > 0
+                        && t < host.true_time(host.send_until_us) + self.terms.longest_us;
                 if may && !host.outs.contains(machine) {
                     breaches.push(format!("{name} may send to {machine}, which is under work"));
                 }
@@ -360,8 +365,8 @@
             number: 0,
             machines,
         };
-        self.next_command += 1;
-        let (t, id) = (self.t, self.next_command);
+        self.last_command += 1;
+        let (t, id) = (self.t, self.last_command);
         self.upkeep.says.push((t, id, Order::Add { name: "patch".into(), plan: Box::new(plan) }));
         if plans.operators && self.rng.u32(0..3) == 0 {
             let when = t + self.rng.u64(1_000_000..8_000_000);
@@ -369,12 +374,12 @@
             let name = || "patch".to_owned();
             let ends = if self.rng.u32(0..4) == 0 { Say::Cancel } else { Say::Resume };
             for (when, say) in [(when, Say::Pause), (when + long, ends)] {
-                self.next_command += 1;
-                self.upkeep.says.push((when, self.next_command, Order::Say { name: name(), say }));
+                self.last_command += 1;
+                self.upkeep.says.push((when, self.last_command, Order::Say { name: name(), say }));
             }
         }
         let next = t + LOOK_US;
-        self.plan(next, Due::Upkeep);
+        self.schedule(next, Occurrence::Upkeep);
     }
 
     /// Plays faults round a plan, and then without faults until it is over; returns how long that took.
@@ -385,7 +390,7 @@
         let end = self.setup.faulty_us;
         for number in 0..self.rng.u32(4..24) {
             let at_us = self.rng.u64(first..end);
-            self.plan(at_us, Due::Fault(number));
+            self.schedule(at_us, Occurrence::Fault(number));
         }
         self.run_until(first);
         self.started = self.voters_up() == self.setup.voters;
@@ -428,8 +433,8 @@
 
     /// An operator's order at one process, repeated until it is agreed or refused for good.
     pub fn say(&mut self, order: Order) {
-        self.next_command += 1;
-        let (t, id) = (self.t, self.next_command);
+        self.last_command += 1;
+        let (t, id) = (self.t, self.last_command);
         self.upkeep.says.push((t, id, order));
     }
 
