--- a/crates/carry/src/lib.rs
+++ b/crates/carry/src/lib.rs
@@ -4,7 +4,9 @@
 pub mod clock;
 pub mod file;
 pub mod frames;
+mod handle;
 mod links;
+mod log;
 pub mod plan_file;
 pub mod run;
 pub mod store;
--- a/crates/carry/src/run.rs
+++ b/crates/carry/src/run.rs
@@ -1,16 +1,15 @@
 //! The thread of the fleet's part: one loop that brings words, calls and time to the node, writes what it must
 //! and says what came of it. Called by the proxy, which holds the `Handle`, where a fleet file is named.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::panic::AssertUnwindSafe;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use crankpick_fleet::kept::{Batch, Disk, Kept};
-use crankpick_fleet::node::{Event, Link, Node, Output};
-use crankpick_fleet::sight::View;
-use crankpick_fleet::words::{Ask, Publication, Told};
+use crankpick_fleet::node::{Link, Node, Output};
+use crankpick_fleet::words::{Publication, Told};
 use tokio::net::TcpStream;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -19,9 +18,12 @@
 use crate::clock::now_us;
 use crate::file::FleetFile;
 use crate::links::{listen, Heard, Links};
+use crate::log::tell;
 use crate::store::Store;
 use crate::upkeep;
 
+pub use crate::handle::{Call, Handle, Right};
+
 const MOST_HEARD: usize = 4_096;
 const MOST_CALLS: usize = 256;
 /// Answers of maintenance systems; one call for a machine is out at a time.
@@ -37,72 +39,6 @@
 /// A write beyond a file's permitted size raises it; unhandled it would end the process.
 const SIGXFSZ: i32 = 25;
 
-pub enum Call {
-    Ask {
-        ask: Ask,
-        patience_us: u64,
-        told: oneshot::Sender<Told>,
-    },
-    /// The module has been told of this version, and at these of the backends out something is still in hand.
-    Acted {
-        version: u64,
-        busy: BTreeSet<String>,
-    },
-    Sees(View),
-    /// Whether nothing at all is in hand.
-    Empty(bool),
-    /// The process ends, with all answered; said once this is.
-    Part(oneshot::Sender<()>),
-    Willing(bool),
-    /// Duties and the lead are to go to others at once.
-    End,
-}
-
-/// The proxy's hold on the fleet's part.
-#[derive(Clone)]
-pub struct Handle {
-    calls: mpsc::Sender<Call>,
-    /// Who is out, as last published and taken.
-    pub taken: watch::Receiver<Option<Publication>>,
-    /// Whether the version in force has been heard of.
-    pub heard: watch::Receiver<bool>,
-    /// Whether the fleet wants this proxy drained, for work on it.
-    pub drain: watch::Receiver<bool>,
-    pub right: Right,
-    /// The longest that an execution of this proxy may take.
-    pub longest_us: Arc<AtomicU64>,
-}
-
-/// Until when this process may send anything to a backend. Asked at the moment of sending: whoever has slept in
-/// between must find it over.
-#[derive(Clone, Default)]
-pub struct Right(Arc<AtomicU64>);
-
-impl Right {
-    pub fn lasts(&self) -> bool {
-        let until = self.0.load(Ordering::SeqCst);
-        until == u64::MAX || now_us() < until
-    }
-}
-
-impl Handle {
-    pub async fn ask(&self, ask: Ask, patience: Duration) -> Told {
-        let (told, answer) = oneshot::channel();
-        let patience_us = patience.as_micros() as u64;
-        let late = || Told::NotNow("the fleet's part of this proxy is busy or broken".into());
-        if self.calls.try_send(Call::Ask { ask, patience_us, told }).is_err() {
-            return late();
-        }
-        answer.await.unwrap_or_else(|_| late())
-    }
-
-    pub fn tell(&self, call: Call) {
-        if self.calls.try_send(call).is_err() {
-            tracing::warn!(code = "fleet_busy", "the fleet's part takes no more calls");
-        }
-    }
-}
-
 /// Writes that can't be made are the same to the node, be there a disk or not; with no folder nothing is kept.
 enum Keeper {
     Store(Box<Store>),
@@ -279,7 +215,7 @@
                         let _ = asked.send(told);
                     }
                 }
-                Output::SendUntil(until) => ends.right.0.store(until, Ordering::SeqCst),
+                Output::SendUntil(until) => ends.right.set(until),
                 Output::Drain(drained) => {
                     ends.drain.send_replace(drained);
                 }
@@ -304,127 +240,3 @@
     let (out, heard) = (links.bytes_out, links.bytes_in.load(Ordering::Relaxed));
     tracing::debug!(code = "fleet_ended", bytes_out = out, bytes_in = heard, "no part in the fleet any more");
 }
-
-/// One line for each thing that staff may have to know of; `docs/on-call.md` says what each code means.
-fn tell(event: Event, file: &FleetFile, node: &Node) {
-    let (t_us, process) = (now_us(), node.process_name());
-    match event {
-        Event::LeaseHeld { duty, token, from_us, until_us } => {
-            if file.history {
-                tracing::info!(code = "fleet_held", t_us, duty, token, process, from_us, until_us, "renewed");
-            }
-        }
-        Event::LeaseExpired { duty, token } => {
-            tracing::warn!(
-                code = "fleet_lapsed",
-                t_us,
-                duty,
-                token,
-                process,
-                "the lease ran out: nothing more is done for this duty"
-            );
-        }
-        Event::LeaseReleased { duty, token } => {
-            tracing::info!(code = "fleet_let_go", t_us, duty, token, process, "given up");
-        }
-        Event::PublicationApplied { duty, token, version, owner } => {
-            tracing::info!(
-                code = "fleet_taken",
-                t_us,
-                duty,
-                token,
-                version,
-                owner,
-                process,
-                "published by its owner"
-            );
-        }
-        Event::StalePublication { duty, token, version, owner, seen } => {
-            tracing::warn!(
-                code = "fleet_stale",
-                t_us,
-                duty,
-                token,
-                version,
-                owner,
-                process,
-                seen,
-                "an old owner's word, refused"
-            );
-        }
-        Event::BecameLeader { term } => {
-            tracing::info!(code = "fleet_leads", t_us, term, process, "leads the voters")
-        }
-        Event::LostLeadership { term } => {
-            tracing::info!(code = "fleet_lead_lost", t_us, term, process, "leads no more")
-        }
-        Event::LogFounded { voters } => {
-            tracing::info!(code = "fleet_founded", t_us, voters, process, "the log begins")
-        }
-        Event::AwaitingAdmission => {
-            tracing::warn!(
-                code = "fleet_new_disk",
-                t_us,
-                process,
-                "the log began without this disk: waits to be taken in"
-            );
-        }
-        Event::VoterReplaced { name } => {
-            tracing::warn!(
-                code = "fleet_voter_replaced",
-                t_us,
-                voter = name,
-                process,
-                "a voter's new disk has taken the old one's place"
-            );
-        }
-        Event::Superseded => {
-            tracing::info!(
-                code = "fleet_superseded",
-                t_us,
-                process,
-                "a newer process of this proxy has the session"
-            );
-        }
-        Event::ForeignFleet { fleet, from } => {
-            tracing::warn!(
-                code = "fleet_stranger",
-                t_us,
-                fleet,
-                from,
-                process,
-                "a proxy of another fleet, turned away"
-            );
-        }
-        Event::DiskFailed { why } => {
-            tracing::error!(
-                code = "fleet_disk_lost",
-                t_us,
-                process,
-                "neither votes nor owns until it can write: {why}"
-            );
-        }
-        Event::DiskRecovered => tracing::info!(code = "fleet_disk_back", t_us, process, "it can write again"),
-        Event::DutyGranted { duty, token, to } => {
-            tracing::info!(code = "fleet_granted", t_us, duty, token, to, process, "has an owner");
-        }
-        Event::WorkStepped { step } => {
-            let (from, to) = (step.from.name(), step.to.name());
-            tracing::info!(
-                code = "fleet_work",
-                t_us,
-                plan = step.plan,
-                machine = step.machine,
-                token = step.token,
-                from,
-                to,
-                process,
-                "{}",
-                step.why
-            );
-        }
-        Event::WorkNotStarted { machine, why } => {
-            tracing::warn!(code = "fleet_not_begun", t_us, machine, process, "{why}");
-        }
-    }
-}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod crowd;
 pub mod demo;
 pub mod emulate;
+pub mod faults;
 pub mod history;
 pub mod load;
 pub mod maintain;
@@ -11,6 +12,7 @@
 pub mod plot;
 pub mod relay;
 pub mod rig;
+pub mod rules;
 pub mod size;
 mod sync;
 pub mod work;
--- a/crates/lab/src/work.rs
+++ b/crates/lab/src/work.rs
@@ -15,11 +15,13 @@
 use tokio::time::{sleep, Instant};
 
 use crate::emulate::Inventory;
+use crate::faults::{plan as plan_faults, Draw, Faults};
 use crate::history::{Kind, Line};
 use crate::load::Load;
 use crate::maintain::Maintenance;
-use crate::owner::{self, Faults, Queries};
+use crate::owner;
 use crate::rig::{Layout, Rig, SETTLED};
+use crate::rules::{rules, Queries};
 use crate::sync::lock;
 
 /// Once all is healed a plan has so long to end.
@@ -124,16 +126,9 @@
         terms,
         ..Layout::default()
     };
-    let drawn = owner::Order {
-        seed: order.seed,
-        processes: order.processes,
-        voters: order.voters,
-        seconds: order.seconds,
-        lease_us: order.lease_us,
-        rate: order.rate,
-        quiet: true,
-    };
-    let (mut faults, mut ills) = (owner::plan(&drawn), troubles(order));
+    let Order { seed, processes, seconds, lease_us, .. } = *order;
+    let drawn = plan_faults(&Draw { seed, processes, seconds, lease_us });
+    let (mut faults, mut ills) = (drawn, troubles(order));
     if order.without_faults {
         (faults, ills) = (Vec::new(), Vec::new());
     }
@@ -318,7 +313,7 @@
     let found = crate::history::check(&lines);
     breaches.extend(found.breaches.iter().cloned());
     let most_out_seen = most_out(&lines, &rig.layout, bounds, &mut breaches);
-    let (queries, broken) = owner::rules(load, rig, &seen);
+    let (queries, broken) = rules(load, rig, &seen);
     breaches.extend(broken);
     let spans = spans(&lines);
     let account = lock(&rig.account);
