Gateways: an isolated home is left within a second also where the next one tried is silent

Symptom: a gateway whose home was cut off together with another core process followed it for 1.6 s: it tried the other one and waited 1 s for its answer.

Change: while the followed home is stale the first try has 350 ms, which double with each in vain up to the 1 s of before.

Tests: `an_isolated_home_is_left_soon_where_the_next_one_is_silent` failed on the code before with 1,600 ms, now 950; `an_isolated_home_is_left_within_a_second` (510 ms) held before.

--- a/crates/registry/src/home_choice.rs
+++ b/crates/registry/src/home_choice.rs
@@ -15,6 +15,9 @@
 const FRESH: Duration = Duration::from_millis(600);
 /// A try that is not answered within this time has failed.
 const TRY_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The same for the first try after the followed home has become stale: what is cut off with it is given up soon. It
+/// doubles with each try in vain.
+const FIRST_TRY_TIMEOUT: Duration = Duration::from_millis(350);
 /// A followed home that does not answer for this long is given up.
 const SILENCE: Duration = Duration::from_millis(2_000);
 /// A stale home is exchanged for another stale one only if that is fresher by this much.
@@ -206,10 +209,11 @@
         if !self.actions.is_empty() {
             return now;
         }
-        let tried = self.tried.map(|(_, since)| since + TRY_TIMEOUT);
+        let tried = self.tried.map(|(_, since)| since + self.try_timeout(now));
         let silence = self.followed.map(|(_, standing)| standing.answered_at + SILENCE);
         let next = match (self.tried, self.fresh(now)) {
-            (Some(_), _) => None,
+            (Some(_), true) => Some(self.stale_at(now)),
+            (Some(_), false) => None,
             (None, false) => Some(self.next_try.max(self.earliest_candidate())),
             (None, true) => Some(self.next_improvement.min(self.stale_at(now))),
         };
@@ -265,7 +269,7 @@
 
     fn give_up_silent(&mut self, now: Now) {
         if let Some((address, since)) = self.tried {
-            if now.saturating_sub(since) >= TRY_TIMEOUT {
+            if now.saturating_sub(since) >= self.try_timeout(now) {
                 self.tried = None;
                 self.actions.push(HomeAction::Close(address));
                 self.in_vain(now, address);
@@ -309,6 +313,15 @@
         self.followed.is_some_and(|(_, standing)| standing.age(now) <= FRESH)
     }
 
+    /// How long a try may take.
+    fn try_timeout(&self, now: Now) -> Duration {
+        if self.fresh(now) {
+            TRY_TIMEOUT
+        } else {
+            doubled(FIRST_TRY_TIMEOUT, self.tries_in_vain, TRY_TIMEOUT)
+        }
+    }
+
     fn stale_at(&self, now: Now) -> Now {
         let current_at = self.followed.and_then(|(_, standing)| standing.current_at);
         current_at.map_or(now, |current_at| current_at + FRESH + Duration::from_millis(1))
--- a/crates/registry/tests/gateways.rs
+++ b/crates/registry/tests/gateways.rs
@@ -226,3 +226,45 @@
     assert!(dials[14] <= 1_100, "{dials:?}");
     assert!(homeless_until - 15_000 <= 2_500, "{homeless_until}");
 }
+
+/// How long a gateway goes on following its home, by the home's isolation, where another home of its region answers
+/// nothing (or does).
+fn time_to_leave_an_isolated_home(seed: u64, second_is_silent: bool) -> u64 {
+    let (home, second) = (address(7), address(8));
+    let mut choice = choice(7, seed);
+    settle(&mut choice, 0, 8_000, |_| Some(FRESH));
+    assert_eq!(choice.following(), Some(home));
+    // The isolation begins at any moment between two reports.
+    let cut = 8_000 + seed % 250;
+    for now in (8_000_u64..20_000).step_by(10) {
+        if now % 250 == 0 {
+            let age = Duration::from_millis(100 + now.saturating_sub(cut));
+            choice.answered(at(now), home, HomeAnswer { age: Some(age) });
+        }
+        for action in choice.poll(at(now)) {
+            match action {
+                HomeAction::Dial(other) if second_is_silent && other == second => {}
+                HomeAction::Dial(other) => choice.answered(at(now), other, FRESH),
+                HomeAction::Follow(_) | HomeAction::Close(_) => {}
+            }
+        }
+        if choice.following() != Some(home) {
+            return now - cut;
+        }
+    }
+    panic!("the isolated home is never left");
+}
+
+#[test]
+fn an_isolated_home_is_left_within_a_second() {
+    let slowest = (0..500).map(|seed| time_to_leave_an_isolated_home(seed, false)).max().unwrap();
+    println!("an isolated home is left after {slowest} ms at most");
+    assert!(slowest <= 1_000, "{slowest} ms");
+}
+
+#[test]
+fn an_isolated_home_is_left_soon_where_the_next_one_is_silent() {
+    let slowest = (0..500).map(|seed| time_to_leave_an_isolated_home(seed, true)).max().unwrap();
+    println!("with a silent one in between it is left after {slowest} ms at most");
+    assert!(slowest <= 1_000, "{slowest} ms");
+}
