A gateway that may be out of date is not ready: clients find newer keys and leases elsewhere

Change: readiness asks whether the table is current; Shared::set_current, which nobody called, goes. Its test asked for readiness by that switch; it now asks by what the switch stood for, and a second one by a table that is too old. Seen to fail with the age left out.

--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,6 +1,6 @@
 //! What all requests of a gateway go by, kept up to date by the process's control client.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -45,7 +45,6 @@
     dispatcher: Mutex<Dispatcher>,
     /// Told when a snapshot was published.
     published: Notify,
-    current: AtomicBool,
     in_flight: AtomicUsize,
 }
 
@@ -70,7 +69,6 @@
             snapshots: Mutex::new(snapshots),
             dispatcher: Mutex::new(dispatcher),
             published: Notify::new(),
-            current: AtomicBool::new(true),
             in_flight: AtomicUsize::new(0),
             settings,
         })
@@ -117,15 +115,11 @@
         }
     }
 
-    /// Whether what is known is believed to be current; if not, the gateway is not ready.
-    pub fn set_current(&self, current: bool) {
-        self.current.store(current, Ordering::Relaxed);
-    }
-
-    /// Whether clients are to come here.
+    /// Whether clients are to come here: one that is cut off lacks newer keys and routes, and leases of quotas. Where
+    /// most are, the platform goes by readiness no more and uses them all.
     pub fn readiness(&self) -> bool {
         let routed = self.snapshots().routing.is_some();
-        routed && self.current.load(Ordering::Relaxed) && !self.lifecycle.ending()
+        routed && self.routing_is_current() && !self.lifecycle.ending()
     }
 
     /// The signal to end has come: unready at once, done at the latest when the grace is over.
--- a/crates/gateway/tests/serving/shutdown.rs
+++ b/crates/gateway/tests/serving/shutdown.rs
@@ -1,6 +1,8 @@
 //! Readiness, and the way to the end.
 
 use std::sync::mpsc::TryRecvError;
+use std::sync::Arc;
+use std::time::Duration;
 
 use crankpick_gateway::{GatewaySettings, Shared};
 
@@ -12,21 +14,30 @@
 
 #[test]
 fn it_is_ready_with_a_configuration_that_is_current_until_it_is_to_end() {
-    let shared = Shared::new(
-        GatewaySettings::new("z", 4_100, 260 << 20),
-        slog::Logger::root(slog::Discard, slog::o!()),
-    );
+    let shared = knowing_nothing(ALWAYS);
     assert!(!shared.readiness());
     shared.publish_routing(configuration(1, &route("/", "mutating", ""), ""));
-    assert!(shared.readiness());
-    shared.set_current(false);
     assert!(!shared.readiness());
-    shared.set_current(true);
+    shared.confirm_routing(shared.now());
     assert!(shared.readiness());
     shared.begin_shutdown();
     assert!(!shared.readiness());
 }
 
+#[test]
+fn it_is_not_ready_with_a_configuration_that_was_current_too_long_ago() {
+    let shared = knowing_nothing(Duration::ZERO);
+    shared.publish_routing(configuration(1, &route("/", "mutating", ""), ""));
+    shared.confirm_routing(Duration::ZERO);
+    assert!(!shared.readiness());
+}
+
+fn knowing_nothing(refuse_within: Duration) -> Arc<Shared> {
+    let mut settings = GatewaySettings::new("z", 4_100, 260 << 20);
+    settings.currency.refuse_within = refuse_within;
+    Shared::new(settings, slog::Logger::root(slog::Discard, slog::o!()))
+}
+
 #[test]
 fn connections_that_still_come_are_served_and_each_ends_with_its_answer() {
     let backend = Backend::start();
@@ -77,7 +88,7 @@
     let backend = Backend::start();
     let routing = configuration(1, &route("/", "streaming", ""), "");
     let gateway = Gateway::with(routing, &[backend.address], |settings| {
-        settings.grace = std::time::Duration::from_millis(3_500);
+        settings.grace = Duration::from_millis(3_500);
     });
     let mut client = gateway.get("/");
     let mut asked = backend.next();
@@ -86,7 +97,7 @@
     client.head();
     client.chunk();
     gateway.shared.begin_shutdown();
-    gateway.ended.recv_timeout(std::time::Duration::from_millis(3_500)).expect("it ends in time");
+    gateway.ended.recv_timeout(Duration::from_millis(3_500)).expect("it ends in time");
     assert_eq!(client.chunk(), None);
 }
 
