A test that no wait of the gateway outlasts its route's time

Symptom it guards: where slo_ms is far longer than timeout_ms, the waits for a quota's lease and for a first backend, parts of slo_ms, ended past timeout_ms.

--- a/crates/gateway/tests/serving/admission.rs
+++ b/crates/gateway/tests/serving/admission.rs
@@ -134,3 +134,24 @@
     backend.next().answer(200, SOUND, "");
     assert_eq!(client.answer().status(), 200);
 }
+
+/// Where the objective is far longer than the route's time, nothing is held for a part of the objective.
+#[test]
+fn no_wait_outlasts_the_routes_time() {
+    let backend = Backend::start();
+    let hasty = |text: String| {
+        text.replace(r#""slo_ms":1000"#, r#""slo_ms":60000"#)
+            .replace(r#""timeout_ms":10000"#, r#""timeout_ms":200"#)
+    };
+    let keyed = route("/keyed/", "mutating", "").replace(r#""public":true"#, r#""public":false"#);
+    let routes = [hasty(keyed), hasty(route("/public/", "mutating", ""))].join(",");
+    let began = std::time::Instant::now();
+    // For its quota, of which this gateway has no lease.
+    let gateway = Gateway::start(configuration(1, &routes, TENANTS), &[backend.address]);
+    assert_eq!(gateway.ask("GET", "/keyed/", "Authorization: Bearer k3\r\n", "").answer().status(), 429);
+    // For a first backend.
+    let gateway = Gateway::start(configuration(1, &routes, TENANTS), &[]);
+    assert_eq!(gateway.get("/public/").answer().status(), 503);
+    assert!(began.elapsed() < Duration::from_secs(5), "{:?}", began.elapsed());
+    assert!(backend.is_quiet());
+}
