--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,6 +1,6 @@
 //! What all requests of a gateway go by, kept up to date by the process's control client.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -14,6 +14,7 @@
 use crate::backend_pool::BackendPools;
 use crate::body::BodyMemory;
 use crate::counters::{Cause, Count, Counters};
+use crate::currency::Currency;
 use crate::fleet_view::fleet_view;
 use crate::lifecycle::Lifecycle;
 use crate::quotas::{Quotas, TenantDemand};
@@ -25,6 +26,7 @@
 #[derive(Clone)]
 struct Snapshots {
     routing: Option<Arc<RoutingTable>>,
+    currency: Currency,
     backends: Arc<BackendTable>,
     gateways: usize,
 }
@@ -43,14 +45,18 @@
     dispatcher: Mutex<Dispatcher>,
     /// Told when a snapshot was published.
     published: Notify,
-    current: AtomicBool,
     in_flight: AtomicUsize,
 }
 
 impl Shared {
     /// A gateway that knows nothing yet.
     pub fn new(settings: GatewaySettings, log: slog::Logger) -> Arc<Shared> {
-        let snapshots = Snapshots { routing: None, backends: Arc::default(), gateways: 1 };
+        let snapshots = Snapshots {
+            routing: None,
+            currency: Currency::new(settings.currency),
+            backends: Arc::default(),
+            gateways: 1,
+        };
         let dispatcher = Dispatcher::new(DispatcherSettings::new(settings.zone.clone()), settings.seed);
         Arc::new(Shared {
             quotas: Quotas::new(settings.quota),
@@ -63,7 +69,6 @@
             snapshots: Mutex::new(snapshots),
             dispatcher: Mutex::new(dispatcher),
             published: Notify::new(),
-            current: AtomicBool::new(true),
             in_flight: AtomicUsize::new(0),
             settings,
         })
@@ -80,6 +85,17 @@
         self.spread();
     }
 
+    /// The routing table in force was the newest at that time.
+    pub fn confirm_routing(&self, as_of: Now) {
+        self.snapshots().currency.confirmed(as_of);
+    }
+
+    /// Whether the routing table in force is known to be as new as the deployment asks.
+    pub fn routing_is_current(&self) -> bool {
+        let now = self.now();
+        self.currency().may_refuse(now)
+    }
+
     /// The backends have changed.
     pub fn publish_backends(&self, backends: Arc<BackendTable>) {
         self.pools.keep_only(&backends);
@@ -99,15 +115,11 @@
         }
     }
 
-    /// Whether what is known is believed to be current; if not, the gateway is not ready.
-    pub fn set_current(&self, current: bool) {
-        self.current.store(current, Ordering::Relaxed);
-    }
-
-    /// Whether clients are to come here.
+    /// Whether clients are to come here: one that is cut off lacks newer keys and routes, and leases of quotas. Where
+    /// most are, the platform goes by readiness no more and uses them all.
     pub fn readiness(&self) -> bool {
         let routed = self.snapshots().routing.is_some();
-        routed && self.current.load(Ordering::Relaxed) && !self.lifecycle.ending()
+        routed && self.routing_is_current() && !self.lifecycle.ending()
     }
 
     /// The signal to end has come: unready at once, done at the latest when the grace is over.
@@ -171,6 +183,11 @@
         let _ = timeout(within, self.published.notified()).await;
     }
 
+    /// Whether an unknown key or route may be refused for good, and whether known keys may be accepted.
+    pub(crate) fn currency(&self) -> Currency {
+        self.snapshots().currency
+    }
+
     pub(crate) fn gateways(&self) -> usize {
         self.snapshots().gateways
     }
