Control: an order older than what is remembered isn't refused; a home's age isn't cut at the process's own

Symptom: past 4,096 changes an order once acknowledged, sent again, was refused (412). Cause: refused by the version alone, though it may have been taken and forgotten. Change: answered unclear (503). A gateway 1.1 s old took a home 2.5 s stale for 1.1 s: the age is kept as told. Test: an_order_older_than_what_is_remembered_is_never_refused.

--- a/crates/control-plane/src/quorum.rs
+++ b/crates/control-plane/src/quorum.rs
@@ -8,8 +8,9 @@
 /// The members of a view of which a majority must answer.
 ///
 /// Whoever serves as a home is in contact with a majority of the members, or its gateways leave it. Two majorities of
-/// one view share a member, and a majority of a view meets each majority of the view after it as long as that one
-/// gains or loses one member: so each such home can hear what a majority has answered.
+/// one view share a member, so each such home can hear what a majority has answered: from that member, at once by its
+/// relay and at the latest by the next digest. A view that replaces several voters at once may leave none of that
+/// majority in a majority of its own; those that were replaced still run then, stand by as homes, and tell their peers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Quorum {
     others: BTreeSet<SocketAddr>,
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -129,7 +129,8 @@
         if last > committed {
             return self.wait(from, forward, last);
         }
-        let outcome = refusal(order, current);
+        let outcome =
+            if self.state.has_forgotten(order) { Outcome::Unclear } else { refusal(order, current) };
         self.answer(from, &forward, outcome);
     }
 
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -50,6 +50,12 @@
         self.changes.iter().rev().find(|change| change.is_of(order)).copied()
     }
 
+    /// Whether an order builds on so old a version that it may have been taken and is no longer remembered.
+    pub(crate) fn has_forgotten(&self, order: &Order) -> bool {
+        let oldest = self.changes.front();
+        oldest.is_some_and(|oldest| oldest.id.position > 1 && order.if_match < oldest.if_match)
+    }
+
     /// Whether the entry is part of this state.
     pub(crate) fn contains(&self, id: EntryId) -> bool {
         self.index(id.position)
--- a/crates/control/tests/catching_up.rs
+++ b/crates/control/tests/catching_up.rs
@@ -241,3 +241,20 @@
         assert!(world.checks.breaches.is_empty(), "{:#?}", world.checks.breaches);
     }
 }
+
+/// Beyond what is remembered nothing is known: such an order may have been taken, so it isn't refused.
+#[test]
+fn an_order_older_than_what_is_remembered_is_never_refused() {
+    let mut world = settled(1, 3);
+    let ask = |world: &mut World, order: Arc<Order>| {
+        let key = SubmitKey(world.heard.len() as u64 + 9_000_000);
+        world.input(1, Input::Submit { key, order });
+        run(world, 300);
+        world.heard.iter().find(|(heard, _)| *heard == key).map(|(_, outcome)| *outcome)
+    };
+    change(&mut world, 1, 4_500, 60, 0);
+    assert_eq!(ask(&mut world, order(10, 60)), Some(Outcome::Unclear), "taken long ago");
+    assert_eq!(ask(&mut world, order(4_000, 60)), Some(Outcome::Taken), "remembered");
+    assert_eq!(ask(&mut world, order(4_000, 61)), Some(Outcome::Conflict { current: 4_500 }), "a rival");
+    assert!(world.checks.breaches.is_empty(), "{:#?}", world.checks.breaches);
+}
--- a/crates/registry/src/home_choice.rs
+++ b/crates/registry/src/home_choice.rs
@@ -84,20 +84,25 @@
     not_before: Now,
 }
 
-/// When a state was current, by the gateway's clock.
+/// How old a state was when it was told, by the gateway's clock: it may be older than this process.
 #[derive(Clone, Copy, Debug)]
 struct Standing {
     answered_at: Now,
-    current_at: Option<Now>,
+    age: Option<Duration>,
 }
 
 impl Standing {
     fn of(now: Now, answer: HomeAnswer) -> Self {
-        Self { answered_at: now, current_at: answer.age.map(|age| now.saturating_sub(age)) }
+        Self { answered_at: now, age: answer.age }
     }
 
     fn age(&self, now: Now) -> Duration {
-        self.current_at.map_or(Duration::MAX, |current_at| now.saturating_sub(current_at))
+        self.age.map_or(Duration::MAX, |age| age + now.saturating_sub(self.answered_at))
+    }
+
+    /// Until when it counts as fresh.
+    fn fresh_until(&self) -> Option<Now> {
+        self.age.map(|age| (self.answered_at + FRESH).saturating_sub(age))
     }
 }
 
@@ -160,7 +165,7 @@
     /// How old the state of the followed home may be by now; none when nobody knows.
     pub fn age(&self, now: Now) -> Option<Duration> {
         let (_, standing) = self.followed?;
-        standing.current_at.map(|current_at| now.saturating_sub(current_at))
+        standing.age.map(|_| standing.age(now))
     }
 
     /// A process that was dialled has answered a report.
@@ -323,8 +328,8 @@
     }
 
     fn stale_at(&self, now: Now) -> Now {
-        let current_at = self.followed.and_then(|(_, standing)| standing.current_at);
-        current_at.map_or(now, |current_at| current_at + FRESH + Duration::from_millis(1))
+        let fresh_until = self.followed.and_then(|(_, standing)| standing.fresh_until());
+        fresh_until.map_or(now, |until| until + Duration::from_millis(1))
     }
 
     fn earliest_candidate(&self) -> Now {
