--- a/crates/control/tests/basics.rs
+++ b/crates/control/tests/basics.rs
@@ -79,6 +79,86 @@
     fine(&world);
 }
 
+/// Seeds are named over zones, whether or not they have a disk: those without one don't decide, and are waited for only
+/// until they say so.
+#[test]
+fn the_seeds_with_a_disk_decide_on_the_first_view() {
+    for durable in [vec![0], vec![1], vec![0, 2]] {
+        let mut world = World::new(3, 3, 2);
+        for place in 0..3 {
+            world.nodes[place].durable = durable.contains(&place);
+        }
+        for place in 0..5 {
+            world.start(place);
+        }
+        run(&mut world, 4000);
+        let mut expected = durable.clone();
+        expected.extend([3, 4]);
+        let mut voters = voters(&world);
+        voters.sort_unstable();
+        // Of four, one stands by.
+        voters.iter().for_each(|place| assert!(expected.contains(place), "{}", world.describe()));
+        assert_eq!(voters.len(), 3, "{}", world.describe());
+        assert_eq!(ask(&mut world, 1, 0, 5, 1), Some(Outcome::Taken));
+        fine(&world);
+    }
+}
+
+#[test]
+fn a_seed_that_isnt_heard_may_have_a_disk() {
+    let mut world = World::new(3, 3, 0);
+    world.nodes[1].durable = false;
+    world.start(0);
+    world.start(1);
+    run(&mut world, 6_000);
+    assert_eq!(world.newest_view(), View::default(), "the third might decide with others");
+    world.nodes[2].durable = false;
+    world.start(2);
+    run(&mut world, 1_500);
+    assert_eq!(voters(&world), [0]);
+    assert_eq!(ask(&mut world, 2, 0, 5, 1), Some(Outcome::Taken));
+}
+
+/// Fewer copies than the losses ask for aren't enough while other machines may still join.
+#[test]
+fn a_machine_that_is_alone_takes_orders_once_nobody_else_came() {
+    let mut world = World::new(3, 3, 0);
+    for place in 0..3 {
+        world.nodes[place].durable = place == 0;
+        world.start(place);
+    }
+    run(&mut world, 1_000);
+    assert_eq!(voters(&world), [0]);
+    let early = ask(&mut world, 2, 0, 5, 1);
+    assert_eq!(early, Some(Outcome::Unclear), "one copy, though one loss is to be borne");
+    run(&mut world, 1_000);
+    assert_eq!(ask(&mut world, 2, 0, 5, 1), Some(Outcome::Taken));
+}
+
+#[test]
+fn a_core_without_disks_bears_the_death_of_one() {
+    let mut world = World::new(3, 3, 1);
+    for place in 0..4 {
+        world.nodes[place].durable = false;
+        world.start(place);
+    }
+    run(&mut world, 3_000);
+    assert_eq!(voters(&world), [0, 1, 2], "{}", world.describe());
+    assert_eq!(ask(&mut world, 3, 0, 5, 1), Some(Outcome::Taken));
+    for dead in 0..3 {
+        world.kill(dead);
+        run(&mut world, 500);
+        world.start(dead);
+        run(&mut world, 5_000);
+        assert_eq!(chain(&world).len(), 3, "{}", world.describe());
+    }
+    assert_eq!(
+        ask(&mut world, 1, 0, 5, 1),
+        Some(Outcome::Taken),
+        "remembered by those that were started anew"
+    );
+}
+
 #[test]
 fn one_seed_alone_decides_nothing() {
     let mut world = World::new(3, 3, 1);
