Control's schedules: a new machine is told of the seeds that are there

All three seeds had been replaced for good, and a new machine was told of these alone, which the operator's list no longer has; nobody could be found. The check stays: every machine must be fresh at the end.

--- a/crates/control/tests/simulation/schedule.rs
+++ b/crates/control/tests/simulation/schedule.rs
@@ -161,9 +161,10 @@
         }
     }
 
-    /// An empty machine, told of the same seeds as another one.
+    /// An empty machine in the zone of another one. Its seeds are those that the operator's list has by then.
     fn start_empty_machine(&mut self, like: usize) {
-        let seeds = self.nodes[like].seeds.clone();
+        let listed = self.nodes.iter().filter(|node| node.durable && !node.removed);
+        let seeds = listed.map(|node| node.address).take(SEEDS).collect();
         let new = self.add_node(seeds, false, true);
         self.nodes[new].zone = self.nodes[like].zone.clone();
         self.start(new);
