Control: a newcomer with a large version still to come isn't installed while the chain waits

Symptom: an order sent while a wiped machine came back over 10 Mbit/s behind a version of 2 MB took 3.0 s (simulated). Cause: a newcomer counted as caught up though it lacked the newest version: the install carried it, the chain sealed meanwhile. Change: it must hold the newest version, or that is below 64 KiB, or it has waited for 5 s (overtaken).

--- a/crates/control/src/catch_up.rs
+++ b/crates/control/src/catch_up.rs
@@ -22,6 +22,10 @@
 const LONGEST_WAIT: Duration = Duration::from_millis(2_400);
 /// A replica that lacks no more entries than this has caught up: a proposal's install brings the rest.
 const LAG: u64 = 8;
+/// An entry that an install brings without the chain having to wait.
+const SMALL: usize = 64 << 10;
+/// A replica that is well and hasn't caught up for so long is overtaken by ever newer entries.
+const OVERTAKEN: Duration = Duration::from_secs(5);
 
 /// The request under way.
 #[derive(Clone, Copy, Debug, Default)]
@@ -49,10 +53,14 @@
 }
 
 impl Replica {
-    /// Whether a peer lacks next to nothing of what is known to be committed here.
-    pub(crate) fn has_caught_up(&self, peer: &Peer) -> bool {
+    /// Whether a peer lacks next to nothing of what is known to be committed here: few entries, and the newest one only
+    /// if it is small. One that has waited for long may lack a large one too: it may be overtaken again and again.
+    pub(crate) fn has_caught_up(&self, peer: &Peer, waited: Duration) -> bool {
+        let Some(heartbeat) = peer.heartbeat else { return false };
         let known = self.known_committed().position;
-        peer.heartbeat.is_some_and(|heartbeat| heartbeat.last.position + LAG >= known)
+        let has_newest = heartbeat.last.position >= known;
+        let quick = has_newest || self.committed_bytes() <= SMALL || waited >= OVERTAKEN;
+        quick && heartbeat.last.position + LAG >= known
     }
 
     /// Asks a replica of the chain for what this one lacks.
--- a/crates/control/src/plan.rs
+++ b/crates/control/src/plan.rs
@@ -126,7 +126,10 @@
             return self.proposer.healthy.is_some_and(|since| at_once || settled(since));
         }
         let Some(peer) = self.peers.get(id) else { return false };
-        let settled = |since| self.now >= since + self.options.timing.take_back && self.has_caught_up(peer);
+        let settled = |since| {
+            let healthy_for = self.now.saturating_sub(since);
+            healthy_for >= self.options.timing.take_back && self.has_caught_up(peer, healthy_for)
+        };
         peer.healthy.is_some_and(|since| at_once || settled(since))
     }
 
@@ -177,7 +180,9 @@
         let connected = peer.connected(self.now, &self.options.timing) && says_well(peer);
         let postponed = self.discovery.is_postponed(self.now, joiner.id);
         let outside = self.view.member(joiner.id).is_none();
-        connected && outside && !postponed && self.has_caught_up(peer)
+        let asked_since = self.discovery.asked_since(joiner.id);
+        let waited = asked_since.map(|since| self.now.saturating_sub(since)).unwrap_or_default();
+        connected && outside && !postponed && self.has_caught_up(peer, waited)
     }
 
     fn has_asked_for(&self, id: MemberId, long: std::time::Duration) -> bool {
--- a/crates/control/tests/catching_up.rs
+++ b/crates/control/tests/catching_up.rs
@@ -258,3 +258,21 @@
     assert_eq!(ask(&mut world, order(4_000, 61)), Some(Outcome::Conflict { current: 4_500 }), "a rival");
     assert!(world.checks.breaches.is_empty(), "{:#?}", world.checks.breaches);
 }
+
+/// A large state goes to a newcomer while the chain goes on: an order sent meanwhile doesn't wait for it.
+#[test]
+fn the_chain_doesnt_wait_for_a_newcomers_transfer() {
+    for seed in 0..24 {
+        let mut world = settled(seed, 3);
+        change(&mut world, 1, 1, 2_000_000, 0);
+        let place = [0, 2][seed as usize % 2];
+        world.wipe(place);
+        run(&mut world, 2_000);
+        world.network = Network { bytes_per_ms: SLOW_LINK, ..Network::CALM };
+        world.start(place);
+        run(&mut world, 100 + 100 * seed);
+        let begun = world.now;
+        change(&mut world, 1, 1, 100, 0);
+        assert!(world.now < begun + ms(600), "seed {seed}: {:?}", world.now - begun);
+    }
+}
