--- a/crates/control/tests/simulation/mod.rs
+++ b/crates/control/tests/simulation/mod.rs
@@ -455,6 +455,35 @@
     }
 }
 
+/// A core: its machines, and the losses that it bears.
+#[derive(Clone, Copy, Debug)]
+pub struct Core {
+    pub machines: usize,
+    pub losses: usize,
+}
+
+impl Core {
+    /// How many of the machines vote.
+    pub fn voters(self) -> usize {
+        2 * self.losses + 1
+    }
+
+    /// Its machines, which start one after another; nothing has run yet.
+    pub fn starting(self, seed: u64) -> World {
+        let mut world = World::new(seed, 3, self.machines - 3);
+        world.tolerate = self.losses;
+        for place in 0..self.machines {
+            world.fault_at(world.now + ms(40 * place as u64), schedule::Fault::Start(place));
+        }
+        world
+    }
+}
+
+/// Lets time pass.
+pub fn run(world: &mut World, millis: u64) {
+    world.run_until(world.now + ms(millis));
+}
+
 pub fn order(if_match: u64, generation: u64, salt: u64) -> Arc<Order> {
     Arc::new(Order::new(if_match, generation, format!("{generation} on {if_match} by {salt}").into_bytes()))
 }
