Control plane: machines that don't count find a core that none of their seeds is part of

Cause: the seeds had been exchanged for machines that don't count; restarted, these and the gateways knew one another alone. Change: a process of the core presents itself to its seeds, as before, and one that doesn't count heeds it; the core looks at its settings file each second for other seeds.

--- a/crates/control-plane/src/event.rs
+++ b/crates/control-plane/src/event.rs
@@ -125,6 +125,8 @@
     },
     /// A write to the disk has ended.
     Disk(Written),
+    /// The settings name other seeds: where peers reach them.
+    Seeds(Vec<SocketAddr>),
     /// SIGTERM.
     Terminate,
 }
--- a/crates/control-plane/src/host.rs
+++ b/crates/control-plane/src/host.rs
@@ -141,6 +141,10 @@
             Event::Reported { session, report } => self.reported(session, report),
             Event::Left { session } => self.sessions.left(session),
             Event::Disk(written) => self.written(written),
+            Event::Seeds(seeds) => {
+                self.parts.seeds.clone_from(&seeds);
+                self.replica(Input::Seeds(seeds));
+            }
             Event::Terminate => self.leave(),
         }
     }
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -17,6 +17,7 @@
 mod redirector;
 mod resilience;
 mod sessions;
+mod settings_watch;
 mod start;
 mod status;
 
--- a/crates/control-plane/src/member_search.rs
+++ b/crates/control-plane/src/member_search.rs
@@ -11,6 +11,8 @@
 
 /// Between two questions to a member that answers.
 const INTERVAL: Duration = Duration::from_secs(2);
+/// Processes of the core remembered that said by themselves that they are there.
+const NOTICED: usize = 16;
 /// An answer that takes longer is none; another one is asked then.
 const ANSWER: Duration = Duration::from_millis(600);
 
@@ -27,6 +29,8 @@
     zone: String,
     own: SocketAddr,
     seeds: Vec<SocketAddr>,
+    /// Processes of the core that were heard, the latest last.
+    noticed: Vec<SocketAddr>,
     view: View,
     reached: Option<SocketAddr>,
     question: Option<Question>,
@@ -44,6 +48,7 @@
             zone,
             own,
             seeds,
+            noticed: Vec::new(),
             view: View::default(),
             reached: None,
             question: None,
@@ -63,6 +68,26 @@
         self.reached
     }
 
+    /// The settings name other seeds.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
+    /// A process of the core has said that it is there. It is asked at once where nobody else is known to answer.
+    pub fn noticed(&mut self, now: Now, from: SocketAddr) {
+        if self.noticed.contains(&from) {
+            return;
+        }
+        if self.noticed.len() >= NOTICED {
+            self.noticed.remove(0);
+        }
+        self.noticed.push(from);
+        if self.reached.is_none() && self.view.epoch == 0 {
+            self.question = None;
+            self.next_question = now;
+        }
+    }
+
     /// Whom to ask now.
     pub fn poll(&mut self, now: Now) -> Option<SocketAddr> {
         if self.question.is_some_and(|question| now >= question.since + ANSWER) {
@@ -108,15 +133,17 @@
         self.view.members.iter().any(|member| member.address == address)
     }
 
-    /// Whom to ask while nobody is known to answer: the members of the own zone, the others, the seeds, by turns.
+    /// Whom to ask while nobody is known to answer: the members of the own zone, the others, those of the core that were
+    /// heard, the seeds, by turns.
     fn candidate(&self) -> Option<SocketAddr> {
         let (near, far): (Vec<&Member>, Vec<&Member>) =
             self.view.members.iter().partition(|member| member.zone == self.zone);
         let near = rotated(&near, self.draw).map(|member| member.address);
         let far = rotated(&far, self.draw).map(|member| member.address);
+        let noticed = self.noticed.iter().rev().copied();
         let seeds = rotated(&self.seeds, self.draw).copied();
-        let all: Vec<SocketAddr> =
-            near.chain(far).chain(seeds).filter(|address| *address != self.own).collect();
+        let known = near.chain(far).chain(noticed).chain(seeds);
+        let all: Vec<SocketAddr> = known.filter(|address| *address != self.own).collect();
         let place = self.failures.checked_rem(all.len())?;
         all.get(place).copied()
     }
--- a/crates/control-plane/src/redirector.rs
+++ b/crates/control-plane/src/redirector.rs
@@ -89,6 +89,11 @@
     fn take(&mut self, event: Event) {
         match event {
             Event::Peer { from, packet: PeerPacket::Replica(message) } => self.heard(from, message),
+            // A process of the core has this one for a seed.
+            Event::Peer { from, packet: PeerPacket::Presence { .. } } => {
+                self.search.noticed(self.now(), from)
+            }
+            Event::Seeds(seeds) => self.search.set_seeds(seeds),
             Event::Joined { session, updates, .. } => {
                 if self.gateways.len() < GATEWAYS {
                     self.gateways.push((session, updates));
--- a/crates/control-plane/src/start.rs
+++ b/crates/control-plane/src/start.rs
@@ -25,6 +25,7 @@
 use crate::quotas::Quotas;
 use crate::redirect_api::{self, RedirectApi};
 use crate::redirector::{Directions, Redirector};
+use crate::settings_watch::SettingsWatch;
 
 /// Events that wait for the host; more hold back who sends them.
 const EVENTS: usize = 8_192;
@@ -52,17 +53,20 @@
     TcpListener::bind(address).await.context(ListenSnafu { address })
 }
 
-/// Runs until `terminate` ends.
+/// Runs until `terminate` ends, by the settings in the file at `path`.
 pub async fn run(
-    settings: &Settings, terminate: impl std::future::Future<Output = ()>, log: Logger,
+    settings: &Settings, path: &Path, terminate: impl std::future::Future<Output = ()>, log: Logger,
 ) -> Result<(), ControlPlaneError> {
     let listeners = Listeners::bind(settings).await?;
-    serve(settings, listeners, terminate, log).await
+    serve(settings, Some(path), listeners, terminate, log).await
 }
 
 /// Runs on listeners that are bound already, until `terminate` ends.
+///
+/// A change of the file at `path`, where one is named, is noticed within a second.
 pub async fn serve(
-    settings: &Settings, listeners: Listeners, terminate: impl std::future::Future<Output = ()>, log: Logger,
+    settings: &Settings, path: Option<&Path>, listeners: Listeners,
+    terminate: impl std::future::Future<Output = ()>, log: Logger,
 ) -> Result<(), ControlPlaneError> {
     let started = Instant::now();
     let own = settings.internal_address();
@@ -88,6 +92,10 @@
         let redirector = Redirector::new(started, own, settings.zone.clone(), seeds, directions, log.clone());
         tokio::spawn(redirector.run(queue))
     };
+    if let Some(path) = path {
+        let watch = SettingsWatch::new(path.to_path_buf(), settings.internal_seeds(), log.clone());
+        tokio::spawn(watch.run(events.clone()));
+    }
     tokio::spawn(listen(listeners.internal, events.clone(), log));
     terminate.await;
     let _ended = events.send(Event::Terminate).await;
--- a/crates/control-plane/tests/hosts/support.rs
+++ b/crates/control-plane/tests/hosts/support.rs
@@ -146,7 +146,7 @@
                 };
                 let log = Logger::root(Discard, o!());
                 tokio::select! {
-                    ended = serve(&settings, listeners, std::future::pending(), log) => ended.unwrap(),
+                    ended = serve(&settings, None, listeners, std::future::pending(), log) => ended.unwrap(),
                     _killed = stopped => {}
                 }
             });
--- a/crates/control-plane/tests/unit/member_search.rs
+++ b/crates/control-plane/tests/unit/member_search.rs
@@ -98,3 +98,23 @@
     let asked = (0..60_000).filter(|ms| search.poll(at(*ms)).is_some()).count();
     assert_eq!(asked, 100);
 }
+
+/// All seeds are processes like this one, and all have just started: the first of the core that says it is there is asked.
+#[test]
+fn a_process_of_the_core_that_is_heard_is_asked_at_once() {
+    let mut search = search(&[91, 92]);
+    assert_eq!(search.poll(at(0)), Some(address(91)));
+    search.noticed(at(100), address(2));
+    let asked: Vec<_> = (0..3).map(|turn| search.poll(at(100 + 600 * turn))).collect();
+    assert!(asked.contains(&Some(address(2))), "{asked:?}");
+    search.heard(at(1_310), address(2), view(3, &[1, 2, 3]));
+    assert_eq!(search.view().epoch, 3);
+}
+
+#[test]
+fn seeds_that_are_named_later_are_asked() {
+    let mut search = search(&[91]);
+    assert_eq!(search.poll(at(0)), Some(address(91)));
+    search.set_seeds(vec![address(5)]);
+    assert_eq!(search.poll(at(600)), Some(address(5)));
+}
--- a/crates/system/src/cli.rs
+++ b/crates/system/src/cli.rs
@@ -95,11 +95,11 @@
 }
 
 /// Runs a process of the control plane.
-pub fn control_plane((_, settings): &(PathBuf, Settings), log: Logger) -> Result<(), String> {
+pub fn control_plane((path, settings): &(PathBuf, Settings), log: Logger) -> Result<(), String> {
     let runtime = signals::runtime()?;
     runtime.block_on(async {
         let terminate = signals::terminated()?;
-        let ended = crankpick_control_plane::run(settings, terminate, log).await;
+        let ended = crankpick_control_plane::run(settings, path, terminate, log).await;
         ended.map_err(|wrong| wrong.to_string())
     })
 }
