--- a/crates/control/src/discovery.rs
+++ b/crates/control/src/discovery.rs
@@ -128,6 +128,14 @@
         self.send(to, hello);
     }
 
+    /// All that this process knows may be gone: one that it hears by other ways may know the view.
+    pub(crate) fn hello_if_lonely(&mut self, address: SocketAddr) {
+        if self.is_lonely() {
+            let hello = self.own_hello();
+            self.send_to_address(address, None, hello);
+        }
+    }
+
     fn hello_seeds(&mut self) {
         let hello = self.own_hello();
         for seed in self.options.seeds.clone() {
--- a/crates/control/src/plan.rs
+++ b/crates/control/src/plan.rs
@@ -230,8 +230,13 @@
     }
 
     /// How many voters may be lost from now on so that orders are still taken, as far as this process can tell: enough
-    /// for a majority and for the shortest chain must remain.
+    /// for a majority and for the shortest chain must remain. None before the view is in service: a majority may not
+    /// know it for good yet.
     pub fn bearable_losses(&self) -> usize {
+        let in_service = self.chain.opened && self.view.tail() == Some(self.id) || self.tail_is_open();
+        if !in_service {
+            return 0;
+        }
         let needed = self.view.majority().max(self.view.least_chain(self.options.tolerate_nodes));
         self.well_voters().saturating_sub(needed)
     }
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -48,6 +48,8 @@
     },
     /// The settings name other seeds.
     Seeds(Vec<SocketAddr>),
+    /// Another process of the core has said that it is there.
+    Noticed(SocketAddr),
     /// This process shuts down in order.
     Leave,
 }
@@ -187,6 +189,7 @@
             Input::DiskRefused(ticket) => self.disk.refuse(self.now, ticket),
             Input::Submit { key, order } => self.submit(key, order),
             Input::Seeds(seeds) => self.options.seeds = seeds,
+            Input::Noticed(address) => self.hello_if_lonely(address),
             Input::Leave => self.leave(),
         }
         self.settle();
--- a/crates/control/tests/simulation/inspect.rs
+++ b/crates/control/tests/simulation/inspect.rs
@@ -39,6 +39,19 @@
         })
     }
 
+    /// Whether a majority of a view's members would know it after a restart: before that, what the view before it lacked
+    /// isn't made up for.
+    pub fn is_entered_for_good(&self, view: &crankpick_control::View) -> bool {
+        let knows = |place: &usize| {
+            let decoded = self.nodes[*place].disk.iter().map(|bytes| Record::decode(bytes).expect("sound"));
+            let options = self.options(*place, 0);
+            let restored = Replica::restore(ms(0), options, decoded.collect(), &mut Vec::new());
+            view.member(restored.id()).is_some() && restored.view().epoch == view.epoch
+        };
+        let known = (0..self.nodes.len()).filter(|place| !self.nodes[*place].disk.is_empty()).filter(knows);
+        known.count() >= view.majority()
+    }
+
     pub(super) fn options(&self, place: usize, entropy: u64) -> Options {
         let node = &self.nodes[place];
         Options {
