--- a/crates/control-plane/src/links.rs
+++ b/crates/control-plane/src/links.rs
@@ -1,5 +1,6 @@
-//! Connections to the other processes of the control plane: one each way, opened by who sends. Messages may be lost with
-//! a connection; what must arrive is said again by who said it.
+//! Connections to the other processes of the control plane: one each way, opened by who sends, and another one for large
+//! messages, so that heartbeats don't wait behind a configuration on a slow link. Messages may be lost with a connection;
+//! what must arrive is said again by who said it.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -13,11 +14,13 @@
 
 use crate::event::PeerPacket;
 
+/// Frames above this size go over the connection for large ones.
+const LARGE_FRAME: usize = 16 << 10;
 /// Frames that wait for a peer; the connection of one that takes none is closed and they go with it.
 const QUEUE: usize = 512;
 const CONNECT: Duration = Duration::from_millis(500);
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// For a frame to be taken by the system.
+/// For a small frame to be taken by the system; a byte takes a microsecond on the slowest link that is reckoned with.
 const WRITE: Duration = Duration::from_millis(1_500);
 /// Before a connection is tried again: each peer has one caller for each other, so the sum is one call in 60 ms from
 /// each of the few other processes of the control plane.
@@ -29,7 +32,14 @@
 pub struct Links {
     own: SocketAddr,
     options: DialOptions,
-    open: BTreeMap<SocketAddr, Sender<Bytes>>,
+    open: BTreeMap<(SocketAddr, Lane), Sender<Bytes>>,
+}
+
+/// Which of the two connections to a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Lane {
+    Small,
+    Large,
 }
 
 impl Links {
@@ -46,14 +56,15 @@
     /// Sends a message, or loses it.
     pub fn send(&mut self, to: SocketAddr, packet: &PeerPacket) {
         let Ok(frame) = encode(packet) else { return };
-        let link = self.open.entry(to).or_insert_with(|| open_link(self.own, to, self.options));
+        let lane = if frame.len() > LARGE_FRAME { Lane::Large } else { Lane::Small };
+        let link = self.open.entry((to, lane)).or_insert_with(|| open_link(self.own, to, self.options));
         if link.try_send(frame.clone()).is_ok() {
             return;
         }
         // Closed, or full: begun anew, with the newest word first.
         let link = open_link(self.own, to, self.options);
         let _lost = link.try_send(frame);
-        self.open.insert(to, link);
+        self.open.insert((to, lane), link);
     }
 }
 
@@ -85,7 +96,8 @@
     writer.send(&Hello::new(Caller::Peer { address: own })).await?;
     let mut frame = first;
     loop {
-        match timeout(WRITE, writer.send_frame(&frame)).await {
+        let within = WRITE + Duration::from_micros(frame.len() as u64);
+        match timeout(within, writer.send_frame(&frame)).await {
             Ok(sent) => sent?,
             Err(_) => return Err(ProtocolError::Stalled),
         }
--- a/crates/control/src/catch_up.rs
+++ b/crates/control/src/catch_up.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use crate::message::{Body, CatchUp, CaughtUp, Sender};
+use crate::options::transfer_time;
 use crate::peers::Peer;
 use crate::record::RecordBody;
 use crate::replica::Replica;
@@ -34,11 +35,10 @@
         self.asked.is_none_or(|at| now >= at + self.wait)
     }
 
-    /// Notes a request whose answer holds about so many bytes: a link of 8 Mbit/s carries one in a microsecond.
+    /// Notes a request whose answer holds about so many bytes.
     fn ask(&mut self, now: Now, bytes: usize) {
-        let transfer = Duration::from_micros(bytes as u64);
         self.wait = if self.asked.is_some() { (self.wait * 2).min(LONGEST_WAIT) } else { FIRST_WAIT };
-        self.wait = self.wait.max(FIRST_WAIT + transfer);
+        self.wait = self.wait.max(FIRST_WAIT + transfer_time(bytes));
         self.asked = Some(now);
     }
 
@@ -62,8 +62,7 @@
             return;
         }
         let Some(source) = self.random_source() else { return };
-        let bytes = self.committed.as_ref().map_or(0, |entry| entry.order.bytes.len());
-        self.catch_up.ask(self.now, bytes);
+        self.catch_up.ask(self.now, self.committed_bytes());
         let request = CatchUp { epoch: self.view.epoch, last: self.state.last(), known: self.committed_id() };
         self.send(source, Body::CatchUp(request));
     }
--- a/crates/control/src/chain.rs
+++ b/crates/control/src/chain.rs
@@ -8,6 +8,7 @@
 
 use crate::disk::Effect;
 use crate::message::{Append, Body, Commit, Heartbeat, Sender};
+use crate::options::transfer_time;
 use crate::record::RecordBody;
 use crate::replica::{Output, Replica};
 use crate::types::{Entry, EntryId, MemberId, Now, Order, View};
@@ -67,6 +68,11 @@
         self.committed.as_ref().map(|entry| entry.id).unwrap_or_default()
     }
 
+    /// The bytes of the newest committed entry.
+    pub(crate) fn committed_bytes(&self) -> usize {
+        self.committed.as_ref().map_or(0, |entry| entry.order.bytes.len())
+    }
+
     /// The newest entry that is known to be committed, whether or not its bytes are here.
     pub(crate) fn known_committed(&self) -> EntryId {
         let learned = self.committed_id();
@@ -216,7 +222,7 @@
         let lacking = outside.filter(|peer| peer.takes_entry(self.now, entry.id));
         let receivers: Vec<Sender> = lacking.map(|peer| peer.sender).collect();
         for receiver in receivers {
-            self.peers.telling(self.now, receiver.id, entry.id);
+            self.peers.telling(self.now, receiver.id, &entry);
             self.send(receiver, Body::Learn(entry.clone()));
         }
     }
@@ -257,7 +263,7 @@
         let Some(entry) = self.committed.clone() else { return };
         let lacks = self.peers.get(sender.id).is_none_or(|peer| peer.takes_entry(self.now, entry.id));
         if lacks {
-            self.peers.telling(self.now, sender.id, entry.id);
+            self.peers.telling(self.now, sender.id, &entry);
             self.send(sender, Body::Learn(entry));
         }
     }
@@ -296,7 +302,8 @@
     }
 
     fn fetch_if_behind(&mut self, sender: Sender, heartbeat: &Heartbeat) {
-        let lately = self.chain.fetched.is_some_and(|at| self.now < at + FETCH_AGAIN);
+        let wait = FETCH_AGAIN + transfer_time(heartbeat.committed_bytes as usize);
+        let lately = self.chain.fetched.is_some_and(|at| self.now < at + wait);
         if heartbeat.committed.position > self.committed_id().position && !lately {
             self.chain.fetched = Some(self.now);
             self.send(sender, Body::Fetch);
--- a/crates/control/src/heartbeat.rs
+++ b/crates/control/src/heartbeat.rs
@@ -28,6 +28,7 @@
             disk_well: !self.sick(),
             leaving: self.leaving,
             unreachable: self.unreachable(),
+            committed_bytes: self.committed_bytes() as u64,
         };
         self.send(to, Body::Heartbeat(heartbeat));
     }
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -117,6 +117,9 @@
     pub leaving: bool,
     /// A bit for each member of the view that it can't reach both ways.
     pub unreachable: u64,
+    /// The bytes of the newest committed entry that it holds.
+    #[serde(default)]
+    pub committed_bytes: u64,
 }
 
 /// Asks for a promise for the view after `view`.
--- a/crates/control/src/options.rs
+++ b/crates/control/src/options.rs
@@ -71,6 +71,12 @@
     pub submit: Duration,
 }
 
+/// How long a message of so many bytes may take beyond what a small one does, over the slowest link that is reckoned with:
+/// 8 Mbit/s, a microsecond a byte.
+pub(crate) fn transfer_time(bytes: usize) -> Duration {
+    Duration::from_micros(bytes as u64)
+}
+
 impl Default for Timing {
     fn default() -> Self {
         let ms = Duration::from_millis;
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -50,6 +50,12 @@
         self.changes.iter().rev().find(|change| change.is_of(order)).copied()
     }
 
+    /// Whether an order builds on so old a version that it may have been taken and is no longer remembered.
+    pub(crate) fn has_forgotten(&self, order: &Order) -> bool {
+        let oldest = self.changes.front();
+        oldest.is_some_and(|oldest| oldest.id.position > 1 && order.if_match < oldest.if_match)
+    }
+
     /// Whether the entry is part of this state.
     pub(crate) fn contains(&self, id: EntryId) -> bool {
         self.index(id.position)
@@ -67,6 +73,11 @@
         self.entries.iter().find(|entry| entry.id.position == position)
     }
 
+    /// The bytes of the largest entry that is kept whole.
+    pub(crate) fn largest_entry(&self) -> usize {
+        self.entries.iter().map(|entry| entry.order.bytes.len()).max().unwrap_or(0)
+    }
+
     pub(crate) fn append(&mut self, entry: Arc<Entry>) {
         self.changes.push_back(entry.change());
         self.entries.push_back(entry);
--- a/crates/control/tests/simulation/mod.rs
+++ b/crates/control/tests/simulation/mod.rs
@@ -24,9 +24,11 @@
 pub use machine::{DiskMode, Node};
 use operators::Operators;
 
+/// Messages up to this size have a connection of their own.
+const SMALL: u64 = 16 << 10;
 pub const TICK: Duration = Duration::from_millis(50);
 
-pub fn ms(millis: u64) -> Duration {
+pub const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
@@ -72,6 +74,20 @@
     pub lost: u64,
     pub doubled: u64,
     pub late: u64,
+    /// What each machine sends and receives in a millisecond at the most; no limit if 0.
+    pub bytes_per_ms: u64,
+}
+
+impl Network {
+    pub const CALM: Network =
+        Network { delay: ms(1), spread: ms(1), lost: 0, doubled: 0, late: 0, bytes_per_ms: 0 };
+}
+
+/// When a machine's link is free again, and all that it carried.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Link {
+    free_at: Duration,
+    pub bytes: u64,
 }
 
 /// All of it.
@@ -80,6 +96,8 @@
     pub random: fastrand::Rng,
     pub nodes: Vec<Node>,
     pub network: Network,
+    /// Of each machine, outward by false and inward by true.
+    pub links: HashMap<(usize, bool), Link>,
     pub timing: Timing,
     pub tolerate: usize,
     /// One-way cuts.
@@ -112,7 +130,8 @@
             now: ms(5000),
             random: fastrand::Rng::with_seed(seed),
             nodes: Vec::new(),
-            network: Network { delay: ms(1), spread: ms(1), lost: 0, doubled: 0, late: 0 },
+            network: Network::CALM,
+            links: HashMap::new(),
             timing: Timing::default(),
             tolerate: 1,
             cuts: Vec::new(),
@@ -400,6 +419,7 @@
         if self.cuts.contains(&(from, to)) || self.random.u64(0..1000) < self.network.lost {
             return;
         }
+        let sent = self.carry(from, to, &message);
         let copies = if self.random.u64(0..1000) < self.network.doubled { 2 } else { 1 };
         for _ in 0..copies {
             let spread = self.random.u64(0..=self.network.spread.as_micros() as u64);
@@ -407,8 +427,31 @@
             if self.random.u64(0..1000) < self.network.late {
                 delay += ms(self.random.u64(1..400));
             }
-            self.push(self.now + delay, Event::Deliver { node: to, message: message.clone() });
+            self.push(sent + delay, Event::Deliver { node: to, message: message.clone() });
+        }
+    }
+}
+
+impl World {
+    /// When both machines' links have carried a message.
+    fn carry(&mut self, from: usize, to: usize, message: &Message) -> Duration {
+        if self.network.bytes_per_ms == 0 {
+            return self.now;
+        }
+        let bytes = rmp_serde::to_vec(message).expect("encoded").len() as u64;
+        let takes = Duration::from_micros(bytes * 1000 / self.network.bytes_per_ms);
+        if bytes <= SMALL {
+            // On a connection of its own it shares the link with a large one and doesn't wait for its end.
+            return self.now + takes * 2;
+        }
+        let mut done = self.now;
+        for link in [(from, false), (to, true)] {
+            let link = self.links.entry(link).or_default();
+            link.bytes += bytes;
+            link.free_at = link.free_at.max(self.now) + takes;
+            done = done.max(link.free_at);
         }
+        done
     }
 }
 
--- a/crates/gateway/tests/serving/main.rs
+++ b/crates/gateway/tests/serving/main.rs
@@ -3,8 +3,10 @@
 mod admission;
 mod bounds;
 mod connections;
+mod currency;
 mod passing;
 mod retries;
+mod send_endings;
 mod shutdown;
 mod stand_ins;
 mod streams;
--- a/crates/registry/src/home_choice.rs
+++ b/crates/registry/src/home_choice.rs
@@ -15,6 +15,9 @@
 const FRESH: Duration = Duration::from_millis(600);
 /// A try that is not answered within this time has failed.
 const TRY_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The same for the first try after the followed home has become stale: what is cut off with it is given up soon. It
+/// doubles with each try in vain.
+const FIRST_TRY_TIMEOUT: Duration = Duration::from_millis(350);
 /// A followed home that does not answer for this long is given up.
 const SILENCE: Duration = Duration::from_millis(2_000);
 /// A stale home is exchanged for another stale one only if that is fresher by this much.
@@ -81,20 +84,25 @@
     not_before: Now,
 }
 
-/// When a state was current, by the gateway's clock.
+/// How old a state was when it was told, by the gateway's clock: it may be older than this process.
 #[derive(Clone, Copy, Debug)]
 struct Standing {
     answered_at: Now,
-    current_at: Option<Now>,
+    age: Option<Duration>,
 }
 
 impl Standing {
     fn of(now: Now, answer: HomeAnswer) -> Self {
-        Self { answered_at: now, current_at: answer.age.map(|age| now.saturating_sub(age)) }
+        Self { answered_at: now, age: answer.age }
     }
 
     fn age(&self, now: Now) -> Duration {
-        self.current_at.map_or(Duration::MAX, |current_at| now.saturating_sub(current_at))
+        self.age.map_or(Duration::MAX, |age| age + now.saturating_sub(self.answered_at))
+    }
+
+    /// Until when it counts as fresh.
+    fn fresh_until(&self) -> Option<Now> {
+        self.age.map(|age| (self.answered_at + FRESH).saturating_sub(age))
     }
 }
 
@@ -157,7 +165,7 @@
     /// How old the state of the followed home may be by now; none when nobody knows.
     pub fn age(&self, now: Now) -> Option<Duration> {
         let (_, standing) = self.followed?;
-        standing.current_at.map(|current_at| now.saturating_sub(current_at))
+        standing.age.map(|_| standing.age(now))
     }
 
     /// A process that was dialled has answered a report.
@@ -206,10 +214,11 @@
         if !self.actions.is_empty() {
             return now;
         }
-        let tried = self.tried.map(|(_, since)| since + TRY_TIMEOUT);
+        let tried = self.tried.map(|(_, since)| since + self.try_timeout(now));
         let silence = self.followed.map(|(_, standing)| standing.answered_at + SILENCE);
         let next = match (self.tried, self.fresh(now)) {
-            (Some(_), _) => None,
+            (Some(_), true) => Some(self.stale_at(now)),
+            (Some(_), false) => None,
             (None, false) => Some(self.next_try.max(self.earliest_candidate())),
             (None, true) => Some(self.next_improvement.min(self.stale_at(now))),
         };
@@ -265,7 +274,7 @@
 
     fn give_up_silent(&mut self, now: Now) {
         if let Some((address, since)) = self.tried {
-            if now.saturating_sub(since) >= TRY_TIMEOUT {
+            if now.saturating_sub(since) >= self.try_timeout(now) {
                 self.tried = None;
                 self.actions.push(HomeAction::Close(address));
                 self.in_vain(now, address);
@@ -309,9 +318,18 @@
         self.followed.is_some_and(|(_, standing)| standing.age(now) <= FRESH)
     }
 
+    /// How long a try may take.
+    fn try_timeout(&self, now: Now) -> Duration {
+        if self.fresh(now) {
+            TRY_TIMEOUT
+        } else {
+            doubled(FIRST_TRY_TIMEOUT, self.tries_in_vain, TRY_TIMEOUT)
+        }
+    }
+
     fn stale_at(&self, now: Now) -> Now {
-        let current_at = self.followed.and_then(|(_, standing)| standing.current_at);
-        current_at.map_or(now, |current_at| current_at + FRESH + Duration::from_millis(1))
+        let fresh_until = self.followed.and_then(|(_, standing)| standing.fresh_until());
+        fresh_until.map_or(now, |until| until + Duration::from_millis(1))
     }
 
     fn earliest_candidate(&self) -> Now {
