--- a/crates/gateway/tests/serving/main.rs
+++ b/crates/gateway/tests/serving/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod bounds;
+mod client_connections;
 mod connections;
 mod currency;
 mod passing;
