--- a/crates/gateway/tests/serving/client_connections.rs
+++ b/crates/gateway/tests/serving/client_connections.rs
@@ -80,5 +80,3 @@
     backend.next().answer(200, SOUND, "");
     assert_eq!(client.answer().status(), 200);
 }
-
-/// What is too long to be read for nothing ends with its refusal, which says so.
