Gateway: ends of clients' connections counted by reason, with their rest; metrics

Change: EndReason with counts and rests in the log's counter line, and GET /metrics beside readiness. No change of logic.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,8 +1,6 @@
 //! Serves one client's connection to its end.
 
-use std::error::Error;
 use std::future::poll_fn;
-use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -23,6 +21,7 @@
 
 use crate::answer::{AnswerBody, BrokenOff};
 use crate::client::{Client, ClientStream};
+use crate::connection_end::EndReason;
 use crate::counters::Cause;
 use crate::exchange;
 use crate::lifecycle::IDLE_ENDED;
@@ -37,19 +36,6 @@
 /// When one with a request in hand is looked at: it wakes by itself before.
 const BUSY_LOOK: Duration = Duration::from_secs(60);
 
-/// How a connection ended, as far as that decides what is done with its socket.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum End {
-    /// In order, or by the client.
-    InOrder,
-    /// An answer went out over bytes that were not read.
-    Unread,
-    /// An answer was broken off whose end its client tells by that of the connection.
-    CutOff,
-    /// Too slow.
-    TimedOut,
-}
-
 /// What was seen of a connection's requests.
 #[derive(Default)]
 struct Seen {
@@ -62,55 +48,70 @@
 /// Serves a connection to its end.
 pub(crate) async fn serve(client: Arc<Client>, shared: Arc<Shared>) {
     shared.count(Cause::ClientConnected);
-    match drive(&client, &shared).await {
-        End::InOrder => {}
-        End::Unread => linger(&client.stream).await,
-        End::CutOff => client.reset(),
-        End::TimedOut => shared.count(Cause::ClientTimedOut),
+    let seen = Seen::default();
+    let reason = drive(&client, &shared, &seen).await;
+    shared.connection_ended(reason, client.idle_since().map(|since| since.elapsed()));
+    match reason {
+        EndReason::RefusedBody | EndReason::Malformed => linger(&client.stream).await,
+        EndReason::AnswerBrokenOff if seen.unchunked.load(Ordering::Relaxed) => client.reset(),
+        EndReason::HeadTimeout | EndReason::WriteTimeout => shared.count(Cause::ClientTimedOut),
+        _ => {}
     }
 }
 
-async fn drive(client: &Arc<Client>, shared: &Arc<Shared>) -> End {
-    let seen = Seen::default();
-    let service = service_fn(|request| respond(client, shared, &seen, request));
+async fn drive(client: &Arc<Client>, shared: &Arc<Shared>, seen: &Seen) -> EndReason {
+    let service = service_fn(|request| respond(client, shared, seen, request));
     let limit = usize::try_from(shared.client_limits().max_header_bytes).unwrap_or(MOST_BUFFER);
     let connection = http1::Builder::new()
         .header_read_timeout(None)
         .max_buf_size(limit.clamp(LEAST_BUFFER, MOST_BUFFER))
         .serve_connection(TokioIo::new(ClientStream::new(Arc::clone(client))), service);
     let mut connection = std::pin::pin!(connection);
-    let (mut leaving, mut shut) = (false, false);
+    // Why the gateway ends it, and whether it has told hyper so.
+    let mut leaving = None;
+    let mut shut = false;
     loop {
         let limits = shared.client_limits();
         let now = Instant::now();
         let wake = match (leaving, shut) {
             (_, true) => now + BUSY_LOOK,
-            (true, false) => now + LOOK,
-            (false, false) => client.patience(&limits).unwrap_or(now + BUSY_LOOK),
+            (Some(_), false) => now + LOOK,
+            (None, false) => client.patience(&limits).unwrap_or(now + BUSY_LOOK),
         };
         tokio::select! {
             biased;
-            ended = connection.as_mut() => return end_of(ended, &seen),
-            () = client.evicted.notified() => leaving = true,
-            () = shared.lifecycle.ended_for(IDLE_ENDED), if !leaving => leaving = true,
-            () = sooner(client, &limits, wake), if !leaving => {}
+            ended = connection.as_mut() => return reason_of(&ended, seen, leaving.filter(|_| shut)),
+            () = client.evicted.notified() => leaving = Some(EndReason::Evicted),
+            () = shared.lifecycle.ended_for(IDLE_ENDED), if leaving.is_none() => {
+                leaving = Some(EndReason::ShuttingDown);
+            }
+            () = sooner(client, &limits, wake), if leaving.is_none() => {}
             () = sleep_until(wake) => {
                 if client.patience(&limits).is_some_and(|until| until <= Instant::now()) {
                     if client.framing().head_since().is_some() {
-                        return End::TimedOut;
+                        return EndReason::HeadTimeout;
                     }
-                    leaving = true;
+                    leaving = leaving.or(Some(EndReason::Idle));
                 }
             }
         }
         // A request may lie in the socket that nobody was told of: such a one is taken first.
-        if leaving && !shut && (client.idle_since().is_none() || client.at_rest()) {
+        if leaving.is_some() && !shut && (client.idle_since().is_none() || client.at_rest()) {
             connection.as_mut().graceful_shutdown();
             shut = true;
         }
     }
 }
 
+/// Why a connection ended; `asked_for` is why the gateway told hyper to end it.
+fn reason_of(ended: &hyper::Result<()>, seen: &Seen, asked_for: Option<EndReason>) -> EndReason {
+    match EndReason::of(ended) {
+        EndReason::Closed if seen.refused.load(Ordering::Relaxed) => EndReason::RefusedBody,
+        EndReason::Closed => asked_for.unwrap_or(EndReason::Closed),
+        reason => reason,
+    }
+}
+
 /// Comes once a client's patience ends before `wake`: a head has begun, or an answer has ended. Polled behind its
 /// connection, in the same task, which wakes for whatever changes this.
 async fn sooner(client: &Client, limits: &ClientLimits, wake: Instant) {
@@ -121,22 +122,6 @@
     .await;
 }
 
-fn end_of(ended: hyper::Result<()>, seen: &Seen) -> End {
-    match ended {
-        Ok(()) if seen.refused.load(Ordering::Relaxed) => End::Unread,
-        Ok(()) => End::InOrder,
-        Err(wrong) if wrong.is_parse() => End::Unread,
-        Err(wrong) if wrong.is_user() && seen.unchunked.load(Ordering::Relaxed) => End::CutOff,
-        Err(wrong) if timed_out(&wrong) => End::TimedOut,
-        Err(_) => End::InOrder,
-    }
-}
-
-fn timed_out(wrong: &hyper::Error) -> bool {
-    let source = wrong.source().and_then(|source| source.downcast_ref::<io::Error>());
-    source.is_some_and(|source| source.kind() == io::ErrorKind::TimedOut)
-}
-
 /// A request in hand; dropped before its answer, its client has gone.
 struct InHand {
     client: Arc<Client>,
--- /dev/null
+++ b/crates/gateway/src/connection_end.rs
@@ -0,0 +1,144 @@
+//! Why clients' connections end, and how often each reason came.
+
+use std::error::Error;
+use std::io;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// Why a client's connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(usize)]
+pub enum EndReason {
+    /// The client closed it, or an answer had said that it would end.
+    Closed,
+    /// It rested for longer than its client was told that it may.
+    Idle,
+    /// It was at rest and made room for another one.
+    Evicted,
+    /// It was at rest, or its request was answered, while the process shuts down.
+    ShuttingDown,
+    /// A request's head took too long.
+    HeadTimeout,
+    /// The client took nothing of its answer for too long.
+    WriteTimeout,
+    /// A request was refused before all of its body had come.
+    RefusedBody,
+    /// What came was no request.
+    Malformed,
+    /// The answer's body broke off.
+    AnswerBrokenOff,
+    /// The client left in the midst of something, or the network failed.
+    Lost,
+}
+
+/// All reasons with the names that logs and metrics give them.
+const REASONS: [(EndReason, &str); 10] = [
+    (EndReason::Closed, "closed"),
+    (EndReason::Idle, "idle"),
+    (EndReason::Evicted, "evicted"),
+    (EndReason::ShuttingDown, "shutting_down"),
+    (EndReason::HeadTimeout, "head_timeout"),
+    (EndReason::WriteTimeout, "write_timeout"),
+    (EndReason::RefusedBody, "refused_body"),
+    (EndReason::Malformed, "malformed"),
+    (EndReason::AnswerBrokenOff, "answer_broken_off"),
+    (EndReason::Lost, "lost"),
+];
+
+impl EndReason {
+    /// Why hyper ended a connection that the gateway had not asked it to end.
+    pub(crate) fn of(ended: &hyper::Result<()>) -> EndReason {
+        match ended {
+            Ok(()) => EndReason::Closed,
+            Err(wrong) if wrong.is_parse() => EndReason::Malformed,
+            Err(wrong) if wrong.is_user() => EndReason::AnswerBrokenOff,
+            Err(wrong) if timed_out(wrong) => EndReason::WriteTimeout,
+            Err(_) => EndReason::Lost,
+        }
+    }
+
+    /// Whether the gateway decided it by itself, so that no request may be in hand then.
+    pub(crate) fn is_decided_here(self) -> bool {
+        matches!(
+            self,
+            EndReason::Idle | EndReason::Evicted | EndReason::ShuttingDown | EndReason::HeadTimeout
+        )
+    }
+}
+
+fn timed_out(wrong: &hyper::Error) -> bool {
+    let source = wrong.source().and_then(|source| source.downcast_ref::<io::Error>());
+    source.is_some_and(|source| source.kind() == io::ErrorKind::TimedOut)
+}
+
+/// How often connections ended for one reason, and how long they had rested then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionEnds {
+    /// The reason.
+    pub reason: EndReason,
+    /// Its name in logs and metrics.
+    pub name: &'static str,
+    /// How many ended for it since the start.
+    pub number: u64,
+    /// The shortest rest before such an end; none where each had a request in hand.
+    pub least_rest: Option<Duration>,
+    /// The longest.
+    pub longest_rest: Option<Duration>,
+}
+
+/// Counts the ends of connections by reason.
+#[derive(Debug)]
+pub(crate) struct EndCounters {
+    by_reason: [EndCounter; REASONS.len()],
+}
+
+#[derive(Debug)]
+struct EndCounter {
+    number: AtomicU64,
+    rested: AtomicU64,
+    least_rest_us: AtomicU64,
+    longest_rest_us: AtomicU64,
+}
+
+impl Default for EndCounters {
+    fn default() -> Self {
+        let counter = || EndCounter {
+            number: AtomicU64::new(0),
+            rested: AtomicU64::new(0),
+            least_rest_us: AtomicU64::new(u64::MAX),
+            longest_rest_us: AtomicU64::new(0),
+        };
+        EndCounters { by_reason: std::array::from_fn(|_| counter()) }
+    }
+}
+
+impl EndCounters {
+    /// A connection ended, having rested for so long; none where a request was in hand.
+    pub fn add(&self, reason: EndReason, rest: Option<Duration>) {
+        let counter = &self.by_reason[reason as usize];
+        counter.number.fetch_add(1, Ordering::Relaxed);
+        if let Some(rest) = rest {
+            let rest_us = u64::try_from(rest.as_micros()).unwrap_or(u64::MAX);
+            counter.rested.fetch_add(1, Ordering::Relaxed);
+            counter.least_rest_us.fetch_min(rest_us, Ordering::Relaxed);
+            counter.longest_rest_us.fetch_max(rest_us, Ordering::Relaxed);
+        }
+    }
+
+    /// What has happened at all.
+    pub fn read(&self) -> Vec<ConnectionEnds> {
+        let ends = REASONS.iter().map(|(reason, name)| {
+            let counter = &self.by_reason[*reason as usize];
+            let rested = counter.rested.load(Ordering::Relaxed) > 0;
+            let rest = |us: &AtomicU64| rested.then(|| Duration::from_micros(us.load(Ordering::Relaxed)));
+            ConnectionEnds {
+                reason: *reason,
+                name,
+                number: counter.number.load(Ordering::Relaxed),
+                least_rest: rest(&counter.least_rest_us),
+                longest_rest: rest(&counter.longest_rest_us),
+            }
+        });
+        ends.filter(|ends| ends.number > 0).collect()
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod body;
 mod client;
 mod connection;
+mod connection_end;
 mod counters;
 mod courier;
 mod currency;
@@ -31,6 +32,7 @@
 mod shared;
 mod wire;
 
+pub use connection_end::{ConnectionEnds, EndReason};
 pub use counters::{Cause, Count};
 pub use currency::CurrencyBounds;
 pub use listener::serve;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -13,6 +13,7 @@
 
 use crate::backend_pool::BackendPools;
 use crate::body::BodyMemory;
+use crate::connection_end::{ConnectionEnds, EndCounters, EndReason};
 use crate::counters::{Cause, Count, Counters};
 use crate::currency::Currency;
 use crate::fleet_view::fleet_view;
@@ -38,6 +39,7 @@
     pub(crate) retries: Retries,
     pub(crate) lifecycle: Lifecycle,
     pub(crate) counters: Counters,
+    connection_ends: EndCounters,
     pub(crate) pools: BackendPools,
     pub(crate) bodies: BodyMemory,
     pub(crate) log: slog::Logger,
@@ -63,6 +65,7 @@
             retries: Retries::new(settings.retry),
             lifecycle: Lifecycle::new(settings.grace),
             counters: Counters::default(),
+            connection_ends: EndCounters::default(),
             pools: BackendPools::new(settings.backend_connections),
             bodies: BodyMemory::new(settings.body_memory),
             log,
@@ -152,6 +155,11 @@
         self.counters.read()
     }
 
+    /// How clients' connections have ended since the start, by reason.
+    pub fn connection_ends(&self) -> Vec<ConnectionEnds> {
+        self.connection_ends.read()
+    }
+
     /// Requests in hand.
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
@@ -161,6 +169,11 @@
         self.counters.add(cause);
     }
 
+    /// A client's connection has ended, having rested for so long; none where a request was in hand.
+    pub(crate) fn connection_ended(&self, reason: EndReason, rest: Option<Duration>) {
+        self.connection_ends.add(reason, rest);
+    }
+
     pub(crate) fn hold(self: &Arc<Self>) -> InFlight {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         InFlight { shared: Arc::clone(self) }
--- a/crates/system/src/gate.rs
+++ b/crates/system/src/gate.rs
@@ -78,7 +78,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        info!(log, "counters"; "in_flight" => shared.in_flight(), "counts" => counts(&shared));
+        info!(log, "counters"; "in_flight" => shared.in_flight(), "counts" => counts(&shared), "ends" => ends(&shared));
     }
 }
 
@@ -88,3 +88,12 @@
     let words: Vec<String> = counts.map(|count| format!("{}={}", count.name, count.number)).collect();
     words.join(" ")
 }
+
+/// Why clients' connections ended, how often, and the shortest rest before such an end.
+fn ends(shared: &Shared) -> String {
+    let words = shared.connection_ends().into_iter().map(|end| match end.least_rest {
+        Some(least) => format!("{}={} rest>={:.3}s", end.name, end.number, least.as_secs_f64()),
+        None => format!("{}={}", end.name, end.number),
+    });
+    words.collect::<Vec<_>>().join(" ")
+}
--- a/crates/system/src/main.rs
+++ b/crates/system/src/main.rs
@@ -4,6 +4,7 @@
 mod gate;
 mod home_link;
 mod log;
+mod metrics;
 mod ready;
 mod signals;
 
--- a/crates/system/src/ready.rs
+++ b/crates/system/src/ready.rs
@@ -1,4 +1,4 @@
-//! Readiness, as the platform asks for it.
+//! Readiness, as the platform asks for it, and the gateway's metrics.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,9 +9,11 @@
 use poem::web::Data;
 use poem::{get, handler, EndpointExt, Route, Server};
 
+use crate::metrics;
+
 /// Answers at this address until the process ends.
 pub async fn serve(address: SocketAddr, shared: Arc<Shared>) -> std::io::Result<()> {
-    let routes = Route::new().at("/v1/readyz", get(ready)).data(shared);
+    let routes = Route::new().at("/v1/readyz", get(ready)).at("/metrics", get(figures)).data(shared);
     Server::new(TcpListener::bind(address)).run(routes).await
 }
 
@@ -23,3 +25,8 @@
         StatusCode::SERVICE_UNAVAILABLE
     }
 }
+
+#[handler]
+fn figures(shared: Data<&Arc<Shared>>) -> String {
+    metrics::text(&shared)
+}
