--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -16,6 +16,9 @@
 /// What takes no place in the memory: connections are bounded.
 const SMALL: usize = 16 << 10;
 
+/// The most that is read of a body that nobody needs.
+const MOST_DISCARDED: u64 = 256 << 10;
+
 /// The memory for what is not small, in places of `SMALL` bytes.
 pub(crate) struct BodyMemory {
     places: Arc<Semaphore>,
@@ -88,3 +91,23 @@
         }
     }
 }
+
+/// Reads a body that nobody needs, so that its connection can serve on; it may stand still for so long. Whether all of
+/// it came.
+pub(crate) async fn discard(mut body: Incoming, still: Duration) -> bool {
+    if body.size_hint().lower() > MOST_DISCARDED {
+        return false;
+    }
+    let mut read = 0;
+    loop {
+        let next = poll_fn(|cx| Pin::new(&mut body).poll_frame(cx));
+        match timeout(still, next).await {
+            Ok(None) => return true,
+            Ok(Some(Ok(frame))) => read += frame.data_ref().map_or(0, |data| data.len() as u64),
+            Ok(Some(Err(_))) | Err(_) => return false,
+        }
+        if read > MOST_DISCARDED {
+            return false;
+        }
+    }
+}
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -19,9 +19,20 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::keep_alive::kept_rest;
+
 /// Against clients that don't read their answers.
 const UNREAD: Duration = Duration::from_secs(8);
 
+/// What a connection does between two requests.
+#[derive(Clone, Copy)]
+struct Rest {
+    /// None while a request is in hand.
+    since: Option<Instant>,
+    /// How long its client was last told that it may rest.
+    announced: Option<Duration>,
+}
+
 /// One connection of a client.
 pub(crate) struct Client {
     pub stream: TcpStream,
@@ -31,8 +42,7 @@
     told_to_end: AtomicBool,
     /// Whether some of an answer could not be written yet.
     behind: AtomicBool,
-    /// None while a request is in hand.
-    idle_since: Mutex<Option<Instant>>,
+    rest: Mutex<Rest>,
     framing: Mutex<Framing>,
 }
 
@@ -45,7 +55,7 @@
             asked: AtomicBool::new(false),
             told_to_end: AtomicBool::new(false),
             behind: AtomicBool::new(false),
-            idle_since: Mutex::new(Some(Instant::now())),
+            rest: Mutex::new(Rest { since: Some(Instant::now()), announced: None }),
             framing: Mutex::new(Framing::new()),
         }
     }
@@ -55,22 +65,33 @@
     }
 
     pub fn idle_since(&self) -> Option<Instant> {
-        *self.idle_since.lock().unwrap_or_else(PoisonError::into_inner)
+        self.rest().since
+    }
+
+    fn rest(&self) -> MutexGuard<'_, Rest> {
+        self.rest.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Its answer announces how long it may rest.
+    pub fn announce_rest(&self, announced: Duration) {
+        self.rest().announced = Some(announced);
     }
 
-    fn set_idle(&self, since: Option<Instant>) {
-        *self.idle_since.lock().unwrap_or_else(PoisonError::into_inner) = since;
+    /// Whether it rests, and its client may still believe that it is kept.
+    pub fn rests_as_announced(&self) -> bool {
+        let rest = *self.rest();
+        rest.since.zip(rest.announced).is_some_and(|(since, announced)| since.elapsed() < announced)
     }
 
     /// A request is in hand.
     pub fn asks(&self) {
         self.asked.store(true, Ordering::Relaxed);
-        self.set_idle(None);
+        self.rest().since = None;
     }
 
     /// Its answer is done with.
     pub fn answered(&self) {
-        self.set_idle(Some(Instant::now()));
+        self.rest().since = Some(Instant::now());
     }
 
     pub fn has_asked(&self) -> bool {
@@ -90,9 +111,11 @@
 
     /// When it will have taken too long over a head, or rested for too long; none while a request is in hand.
     pub fn patience(&self, limits: &ClientLimits) -> Option<Instant> {
-        let since = self.idle_since().filter(|_| !self.behind.load(Ordering::Relaxed))?;
+        let rest = *self.rest();
+        let since = rest.since.filter(|_| !self.behind.load(Ordering::Relaxed))?;
         let head = self.framing().head_since();
-        Some(head.map_or(since + limits.idle_timeout, |head| head + limits.header_timeout))
+        let kept = kept_rest(rest.announced, limits.idle_timeout);
+        Some(head.map_or(since + kept, |head| head + limits.header_timeout))
     }
 
     /// Whether nothing is in hand, nothing half read, and nothing lies in its socket that hyper has not seen.
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -12,7 +12,7 @@
 use crankpick_http::stream::linger;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, CONNECTION};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, Version};
@@ -24,10 +24,13 @@
 use crate::connection_end::EndReason;
 use crate::counters::Cause;
 use crate::exchange;
+use crate::invariant::Violation;
+use crate::keep_alive::{announced_rest, header_value};
 use crate::lifecycle::IDLE_ENDED;
 use crate::refusal::Refusal;
 use crate::shared::{InFlight, Shared};
 
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// hyper takes no less for its buffer, and no head needs more.
 const LEAST_BUFFER: usize = 8 << 10;
 const MOST_BUFFER: usize = 256 << 10;
@@ -80,7 +83,11 @@
         };
         tokio::select! {
             biased;
-            ended = connection.as_mut() => return reason_of(&ended, seen, leaving.filter(|_| shut)),
+            ended = connection.as_mut() => {
+                let reason = reason_of(&ended, seen, leaving.filter(|_| shut));
+                check_answered(client, shared, reason);
+                return reason;
+            }
             () = client.evicted.notified() => leaving = Some(EndReason::Evicted),
             () = shared.lifecycle.ended_for(IDLE_ENDED), if leaving.is_none() => {
                 leaving = Some(EndReason::ShuttingDown);
@@ -89,6 +96,7 @@
             () = sleep_until(wake) => {
                 if client.patience(&limits).is_some_and(|until| until <= Instant::now()) {
                     if client.framing().head_since().is_some() {
+                        check_answered(client, shared, EndReason::HeadTimeout);
                         return EndReason::HeadTimeout;
                     }
                     leaving = leaving.or(Some(EndReason::Idle));
@@ -97,12 +105,22 @@
         }
         // A request may lie in the socket that nobody was told of: such a one is taken first.
         if leaving.is_some() && !shut && (client.idle_since().is_none() || client.at_rest()) {
+            if leaving == Some(EndReason::Idle) && client.rests_as_announced() {
+                shared.violated(Violation::RestCutShort);
+            }
             connection.as_mut().graceful_shutdown();
             shut = true;
         }
     }
 }
 
+/// What the gateway ends by its own decision has no request in hand.
+fn check_answered(client: &Client, shared: &Shared, reason: EndReason) {
+    if reason.is_decided_here() && client.idle_since().is_none() {
+        shared.violated(Violation::RequestUnanswered);
+    }
+}
+
 /// Why a connection ended; `asked_for` is why the gateway told hyper to end it.
 fn reason_of(ended: &hyper::Result<()>, seen: &Seen, asked_for: Option<EndReason>) -> EndReason {
     match EndReason::of(ended) {
@@ -150,20 +168,30 @@
     let mut in_hand = InHand { client, shared, done: false, _in_flight };
     let came = in_hand.client.framing().next_request();
     let answer = exchange::answer(&in_hand.shared, request, came).await;
-    let answer = answer.unwrap_or_else(|refusal| {
-        if let Some(cause) = cause_of(&refusal) {
+    let answer = answer.unwrap_or_else(|declined| {
+        if let Some(cause) = cause_of(&declined.refusal) {
             in_hand.shared.count(cause);
         }
-        seen.refused.fetch_or(refusal.closes(), Ordering::Relaxed);
-        refusal.answer()
+        seen.refused.fetch_or(declined.body_unread, Ordering::Relaxed);
+        declined.answer()
     });
     in_hand.done = matches!(answer.body(), AnswerBody::Whole(_));
-    let ending = in_hand.shared.lifecycle.ending();
-    let mut answer = answer.map(|body| ClientBody { body, in_hand });
-    if ending {
-        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    let mut answer = answer;
+    say_what_follows(&in_hand, answer.headers_mut());
+    Ok(answer.map(|body| ClientBody { body, in_hand }))
+}
+
+/// Says whether the connection ends behind this answer, and else for how long it may rest.
+fn say_what_follows(in_hand: &InHand, headers: &mut HeaderMap) {
+    let shared = &in_hand.shared;
+    if shared.lifecycle.ending() || shared.front.is_crowded() {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    if !headers.contains_key(CONNECTION) {
+        let announced = announced_rest(shared.client_limits().idle_timeout);
+        in_hand.client.announce_rest(announced);
+        headers.insert(KEEP_ALIVE, header_value(announced));
     }
-    Ok(answer)
 }
 
 /// What is not counted where it is found out.
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -66,10 +66,14 @@
     BackendError,
     /// A backend was silent for too long.
     BackendSilent,
+    /// The gateway ended a connection with a request in hand: a fault of the program.
+    InvariantRequestUnanswered,
+    /// It ended one at rest before the time that its client was told: a fault of the program.
+    InvariantRestCutShort,
 }
 
 /// All causes with the names that logs give them.
-const CAUSES: [(Cause, &str); 30] = [
+const CAUSES: [(Cause, &str); 32] = [
     (Cause::ClientConnected, "client_connected"),
     (Cause::ClientEvicted, "client_evicted"),
     (Cause::ClientTimedOut, "client_timed_out"),
@@ -100,6 +104,8 @@
     (Cause::BackendMisdirected, "backend_misdirected"),
     (Cause::BackendError, "backend_error"),
     (Cause::BackendSilent, "backend_silent"),
+    (Cause::InvariantRequestUnanswered, "invariant_request_unanswered"),
+    (Cause::InvariantRestCutShort, "invariant_rest_cut_short"),
 ];
 
 /// How often something happened since the start.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,24 +1,26 @@
 //! The life of one request, from its head to the answer.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use crankpick_http::fields::end_to_end;
 use crankpick_http::framing::Came;
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING};
+use hyper::http::request::Parts as RequestParts;
 use hyper::http::response::Parts;
 use hyper::{Request, Response};
 use tokio::time::Instant;
 
 use crate::admission::Terms;
 use crate::answer::AnswerBody;
-use crate::body::BodyLimits;
+use crate::body::{discard, BodyLimits};
 use crate::counters::Cause;
 use crate::courier::Courier;
 use crate::opened::Opened;
 use crate::outgoing::ClientRequest;
 use crate::outlet::Outlet;
-use crate::refusal::Refusal;
+use crate::refusal::{Declined, Refusal};
 use crate::relay::Relay;
 use crate::request;
 use crate::shared::Shared;
@@ -29,20 +31,22 @@
 /// Answers one request.
 pub(crate) async fn answer(
     shared: &Arc<Shared>, request: Request<Incoming>, came: Option<Came>,
-) -> Result<Response<AnswerBody>, Refusal> {
+) -> Result<Response<AnswerBody>, Declined> {
     let arrived = came.and_then(|came| came.whole).unwrap_or_else(Instant::now);
     let (head, body) = request.into_parts();
     // Such a length may hide a second request in the body; one that was not followed may as well.
     let doubtful = came.is_none_or(|came| came.two_lengths) || two_lengths(&head.headers);
     if head.headers.contains_key(TRANSFER_ENCODING) && doubtful {
-        return Err(Refusal::Framing);
+        return Err(Refusal::Framing.into());
     }
     let limits = shared.client_limits();
     if head_bytes(&head.headers) > limits.max_header_bytes {
-        return Err(Refusal::HeadTooLong);
+        return Err(Refusal::HeadTooLong.into());
     }
-    let id = request::request_id(&head.headers)?;
-    let terms = Terms::find(shared, &head).await?;
+    let (id, terms) = match judge(shared, &head).await {
+        Ok(judged) => judged,
+        Err(refusal) => return Err(decline(refusal, &head, body, limits.header_timeout).await),
+    };
     let limits = BodyLimits { most: limits.max_body_bytes, still: limits.header_timeout };
     let body = shared.bodies.read(body, limits).await?;
     let request = ClientRequest::new(terms, id, arrived, head, body);
@@ -53,6 +57,20 @@
     Ok(pass_on(courier, opened))
 }
 
+/// What can be said of a request by its head: its id, route and tenant.
+async fn judge(shared: &Shared, head: &RequestParts) -> Result<(HeaderValue, Terms), Refusal> {
+    let id = request::request_id(&head.headers)?;
+    let terms = Terms::find(shared, head).await?;
+    Ok((id, terms))
+}
+
+/// Refuses a request by its head. Its connection serves on only behind the whole body: ended over bytes that are still
+/// to come it would be reset, and the refusal lost. Who waits to be asked for the body isn't asked.
+async fn decline(refusal: Refusal, head: &RequestParts, body: Incoming, still: Duration) -> Declined {
+    let body_unread = head.headers.contains_key(EXPECT) || !discard(body, still).await;
+    Declined { refusal, body_unread }
+}
+
 fn two_lengths(headers: &HeaderMap) -> bool {
     headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH)
 }
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::sleep;
 
 use crate::client::Client;
@@ -71,8 +71,6 @@
 /// Serves clients' connections from `listener` until the process is to end and all in hand is answered, or its
 /// grace is over.
 pub async fn serve(listener: TcpListener, shared: Arc<Shared>) {
-    let budget = shared.settings.front_connections;
-    let room = Arc::new(Semaphore::new(budget));
     let clients = Arc::new(Clients::default());
     let take = |stream: TcpStream, permit: OwnedSemaphorePermit| {
         let client = Arc::new(Client::new(stream));
@@ -89,19 +87,16 @@
         tokio::select! {
             biased;
             () = late.as_mut() => break,
-            (stream, permit) = accept(&listener, &room, &clients, &shared) => take(stream, permit),
+            (stream, permit) = accept(&listener, &clients, &shared) => take(stream, permit),
         }
     }
     // What the kernel has taken up for us by now would be reset with the listener.
-    while let (Some(stream), Ok(permit)) =
-        (accept_waiting(&listener).await, Arc::clone(&room).try_acquire_owned())
-    {
+    while let (Some(stream), Some(permit)) = (accept_waiting(&listener).await, shared.front.try_take()) {
         take(stream, permit);
     }
     drop(listener);
-    let all = u32::try_from(budget).unwrap_or(u32::MAX);
     tokio::select! {
-        _ = room.acquire_many(all) => {}
+        () = shared.front.emptied() => {}
         () = shared.lifecycle.grace_over() => {}
     }
     slog::info!(shared.log, "clients served"; "broken_off" => shared.in_flight(), "up" => ?shared.now());
@@ -118,16 +113,16 @@
 
 /// The next connection. What goes wrong here passes: no error may end the loop.
 async fn accept(
-    listener: &TcpListener, room: &Arc<Semaphore>, clients: &Clients, shared: &Shared,
+    listener: &TcpListener, clients: &Clients, shared: &Shared,
 ) -> (TcpStream, OwnedSemaphorePermit) {
     loop {
-        let permit = match Arc::clone(room).try_acquire_owned() {
-            Ok(permit) => permit,
-            Err(_) => {
+        let permit = match shared.front.try_take() {
+            Some(permit) => permit,
+            None => {
                 // Beyond the budget the kernel holds what comes until a place is free.
                 clients.evict_some(shared);
                 tokio::select! {
-                    Ok(permit) = Arc::clone(room).acquire_owned() => permit,
+                    Some(permit) = shared.front.take() => permit,
                     () = sleep(ACCEPT_PAUSE) => continue,
                 }
             }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -136,7 +136,7 @@
     }
 
     /// Whether what comes next on the connection can't be told apart from what is left of this request.
-    pub(crate) fn closes(&self) -> bool {
+    fn closes(&self) -> bool {
         matches!(
             self,
             Refusal::Framing
@@ -148,8 +148,7 @@
         )
     }
 
-    /// The answer.
-    pub(crate) fn answer(&self) -> Response<AnswerBody> {
+    fn answer(&self) -> Response<AnswerBody> {
         let text = format!("{{\"code\":{},\"message\":\"{}\"}}", self.code(), self.message());
         let mut answer = Response::new(AnswerBody::whole(Bytes::from(text)));
         *answer.status_mut() = self.status();
@@ -158,8 +157,31 @@
         if let Some(after) = self.retry_after().and_then(seconds) {
             headers.insert(RETRY_AFTER, after);
         }
-        if self.closes() {
-            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        answer
+    }
+}
+
+/// A request that the gateway answers by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Declined {
+    /// Why.
+    pub refusal: Refusal,
+    /// Some of its body may be still to come, so that its connection ends with the answer.
+    pub body_unread: bool,
+}
+
+impl From<Refusal> for Declined {
+    fn from(refusal: Refusal) -> Declined {
+        Declined { refusal, body_unread: refusal.closes() }
+    }
+}
+
+impl Declined {
+    /// The answer.
+    pub fn answer(&self) -> Response<AnswerBody> {
+        let mut answer = self.refusal.answer();
+        if self.body_unread {
+            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         answer
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -17,6 +17,8 @@
 use crate::counters::{Cause, Count, Counters};
 use crate::currency::Currency;
 use crate::fleet_view::fleet_view;
+use crate::front_room::FrontRoom;
+use crate::invariant::Violation;
 use crate::lifecycle::Lifecycle;
 use crate::quotas::{Quotas, TenantDemand};
 use crate::retries::Retries;
@@ -42,6 +44,7 @@
     connection_ends: EndCounters,
     pub(crate) pools: BackendPools,
     pub(crate) bodies: BodyMemory,
+    pub(crate) front: FrontRoom,
     pub(crate) log: slog::Logger,
     snapshots: Mutex<Snapshots>,
     dispatcher: Mutex<Dispatcher>,
@@ -68,6 +71,7 @@
             connection_ends: EndCounters::default(),
             pools: BackendPools::new(settings.backend_connections),
             bodies: BodyMemory::new(settings.body_memory),
+            front: FrontRoom::new(settings.front_connections),
             log,
             snapshots: Mutex::new(snapshots),
             dispatcher: Mutex::new(dispatcher),
@@ -174,6 +178,12 @@
         self.connection_ends.add(reason, rest);
     }
 
+    /// An invariant is broken.
+    pub(crate) fn violated(&self, violation: Violation) {
+        self.count(violation.cause());
+        slog::error!(self.log, "{}", violation.message(); "code" => violation.code());
+    }
+
     pub(crate) fn hold(self: &Arc<Self>) -> InFlight {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         InFlight { shared: Arc::clone(self) }
--- a/crates/gateway/tests/serving/client_connections.rs
+++ b/crates/gateway/tests/serving/client_connections.rs
@@ -4,7 +4,7 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-use crankpick_gateway::Cause;
+use crankpick_gateway::{Cause, EndReason};
 
 use crate::stand_ins::*;
 
@@ -33,6 +33,25 @@
     Duration::from_secs(seconds)
 }
 
+#[test]
+fn a_client_is_told_how_long_its_connection_may_rest() {
+    let backend = Backend::start();
+    for (idle_timeout_ms, told) in [(15_000, 12), (2_000, 1), (300, 1)] {
+        let gateway = gateway(&backend, idle_timeout_ms);
+        let answer = serve_one(&mut gateway.connect(), &backend);
+        assert_eq!(told_rest(&answer), Duration::from_secs(told), "{idle_timeout_ms} ms");
+    }
+}
+
+#[test]
+fn a_refusal_tells_it_as_well() {
+    let backend = Backend::start();
+    let routing = configuration(1, &route("/known/", "mutating", ""), &limits(15_000));
+    let gateway = Gateway::start(routing, &[backend.address]);
+    let answer = gateway.get("/unknown").answer();
+    assert_eq!((answer.status(), told_rest(&answer)), (404, Duration::from_secs(12)));
+}
+
 /// A limit of less than a second can't be told; what was told holds.
 #[test]
 fn a_connection_is_kept_for_as_long_as_its_client_was_told() {
@@ -80,3 +99,71 @@
     backend.next().answer(200, SOUND, "");
     assert_eq!(client.answer().status(), 200);
 }
+
+/// What is too long to be read for nothing ends with its refusal, which says so.
+#[test]
+fn a_refusal_of_a_long_body_says_that_it_ends_the_connection() {
+    let backend = Backend::start();
+    let routing = configuration(1, &route("/known/", "mutating", ""), "");
+    let gateway = Gateway::start(routing, &[backend.address]);
+    let mut client = gateway.ask("POST", "/unknown", "", &"x".repeat(300_000));
+    let answer = client.answer();
+    assert_eq!((answer.status(), answer.header("connection")), (404, Some("close")));
+    assert!(client.ends());
+}
+
+/// A client that waits to be asked for its body isn't asked for one that nobody needs.
+#[test]
+fn a_body_that_waits_to_be_asked_for_is_not_asked_for_in_vain() {
+    let backend = Backend::start();
+    let routing = configuration(1, &route("/known/", "mutating", ""), "");
+    let gateway = Gateway::start(routing, &[backend.address]);
+    let mut client = gateway.connect();
+    let head = format!("POST /unknown HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {ID}\r\n");
+    client.say(&format!("{head}Content-Length: 5\r\nExpect: 100-continue\r\n\r\n"));
+    let answer = client.answer();
+    assert_eq!((answer.status(), answer.header("connection")), (404, Some("close")));
+    assert!(client.ends());
+}
+
+/// Room is made in order before connections at rest must be ended for it.
+#[test]
+fn where_few_places_are_left_connections_end_with_their_answers() {
+    let backend = Backend::start();
+    let routing = configuration(1, &route("/", "mutating", ""), "");
+    let gateway = Gateway::with(routing, &[backend.address], |settings| settings.front_connections = 16);
+    let mut clients: Vec<_> = (0..15).map(|_| gateway.connect()).collect();
+    let mut closed = clients.iter_mut().map(|client| {
+        let answer = serve_one(client, &backend);
+        answer.header("connection") == Some("close")
+    });
+    assert!(closed.any(|closed| closed));
+    assert_eq!(gateway.count(Cause::ClientEvicted), 0);
+}
+
+#[test]
+fn an_answer_that_ends_its_connection_announces_no_rest() {
+    let backend = Backend::start();
+    let gateway = gateway(&backend, 15_000);
+    let mut client = gateway.connect();
+    serve_one(&mut client, &backend);
+    gateway.shared.begin_shutdown();
+    let answer = serve_one(&mut client, &backend);
+    assert_eq!((answer.header("connection"), answer.header("keep-alive")), (Some("close"), None));
+}
+
+#[test]
+fn ends_are_counted_by_reason_with_their_rest() {
+    let backend = Backend::start();
+    let gateway = gateway(&backend, 100);
+    let mut resting = gateway.connect();
+    let told = told_rest(&serve_one(&mut resting, &backend));
+    let mut left = gateway.connect();
+    serve_one(&mut left, &backend);
+    left.leave();
+    assert!(resting.ends());
+    let ends = gateway.shared.connection_ends();
+    let end = |reason| *ends.iter().find(|end| end.reason == reason).expect("it was counted");
+    assert_eq!((end(EndReason::Idle).number, end(EndReason::Closed).number), (1, 1));
+    assert!(end(EndReason::Idle).least_rest.expect("it rested") > told);
+}
--- a/crates/gateway/tests/serving/stand_ins.rs
+++ b/crates/gateway/tests/serving/stand_ins.rs
@@ -259,6 +259,11 @@
 impl Drop for Gateway {
     fn drop(&mut self) {
         self.shared.begin_shutdown();
+        if !std::thread::panicking() {
+            for violation in [Cause::InvariantRequestUnanswered, Cause::InvariantRestCutShort] {
+                assert_eq!(self.count(violation), 0, "{violation:?}");
+            }
+        }
     }
 }
 
