Gateway's tests: the count of an end is waited for, a client may see the end before it

Symptom: ends_are_counted_by_reason_with_their_rest failed in 2 of 10 runs ('it was counted'): the client hears of the end from the socket, the count is taken just after it. The test looked at once; now it waits for the count, for as long as for anything else. The checks are the same.

--- a/crates/gateway/tests/serving/client_connections.rs
+++ b/crates/gateway/tests/serving/client_connections.rs
@@ -2,9 +2,9 @@
 //! connection, and no refusal may be lost to it.
 
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use crankpick_gateway::{Cause, EndReason};
+use crankpick_gateway::{Cause, ConnectionEnds, EndReason};
 
 use crate::stand_ins::*;
 
@@ -162,8 +162,20 @@
     serve_one(&mut left, &backend);
     left.leave();
     assert!(resting.ends());
-    let ends = gateway.shared.connection_ends();
-    let end = |reason| *ends.iter().find(|end| end.reason == reason).expect("it was counted");
-    assert_eq!((end(EndReason::Idle).number, end(EndReason::Closed).number), (1, 1));
-    assert!(end(EndReason::Idle).least_rest.expect("it rested") > told);
+    let idle = counted_end(&gateway, EndReason::Idle);
+    assert_eq!((idle.number, counted_end(&gateway, EndReason::Closed).number), (1, 1));
+    assert!(idle.least_rest.expect("it rested") > told);
+}
+
+/// What was counted of the ends for one reason. A client may see an end before it is counted.
+fn counted_end(gateway: &Gateway, reason: EndReason) -> ConnectionEnds {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        let ends = gateway.shared.connection_ends();
+        if let Some(counted) = ends.into_iter().find(|end| end.reason == reason) {
+            return counted;
+        }
+        assert!(Instant::now() < until, "an end is counted: {reason:?}");
+        std::thread::yield_now();
+    }
 }
