--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -239,3 +239,7 @@
         self.body.size_hint()
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/connection.rs"]
+mod tests;
--- a/crates/gateway/tests/serving/client_connections.rs
+++ b/crates/gateway/tests/serving/client_connections.rs
@@ -1,6 +1,7 @@
 //! How clients' connections end: no request of a client that keeps to what it was told may cross the end of its
 //! connection, and no refusal may be lost to it.
 
+use std::io::Write;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -152,6 +153,26 @@
     assert_eq!((answer.header("connection"), answer.header("keep-alive")), (Some("close"), None));
 }
 
+/// A body that drips never stands still, and yet must not hold its refusal and its place for long.
+#[test]
+fn a_refusal_does_not_wait_for_a_body_that_drips() {
+    let backend = Backend::start();
+    let limits = r#","limits":{"header_timeout_ms":500}"#;
+    let routing = configuration(1, &route("/known/", "mutating", ""), limits);
+    let gateway = Gateway::start(routing, &[backend.address]);
+    let mut client = gateway.ask("POST", "/unknown", "Content-Length: 200000\r\n", "");
+    let mut dripping = client.second_handle();
+    std::thread::spawn(move || {
+        // It ends with the connection.
+        while dripping.write_all(b"x").is_ok() {
+            sleep(Duration::from_millis(20));
+        }
+    });
+    let answer = client.answer();
+    assert_eq!((answer.status(), answer.header("connection")), (404, Some("close")));
+    assert!(client.ends());
+}
+
 #[test]
 fn ends_are_counted_by_reason_with_their_rest() {
     let backend = Backend::start();
--- a/crates/gateway/tests/serving/stand_ins.rs
+++ b/crates/gateway/tests/serving/stand_ins.rs
@@ -335,6 +335,11 @@
         read.is_err_and(|wrong| wrong.kind() == std::io::ErrorKind::ConnectionReset)
     }
 
+    /// For a thread that writes while the answer is waited for.
+    pub fn second_handle(&self) -> TcpStream {
+        self.reader.get_ref().try_clone().expect("a second handle")
+    }
+
     pub fn leave(self) {
         let _ = self.reader.get_ref().shutdown(Shutdown::Both);
     }
--- /dev/null
+++ b/crates/gateway/tests/unit/connection.rs
@@ -0,0 +1,67 @@
+//! Decisions to end a connection that meet a request in its socket.
+
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+
+use crankpick_configuration::{read, RoutingTable};
+
+use super::*;
+use crate::settings::GatewaySettings;
+
+const UNKNOWN: &[u8] = b"GET /unknown HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: 5b1f\r\n\r\n";
+
+/// A gateway that knows no route, with this limit to the rest of connections.
+fn gateway(idle_timeout_ms: u64) -> Arc<Shared> {
+    let settings = GatewaySettings::new("z", 4_100, 260 << 20);
+    let shared = Shared::new(settings, slog::Logger::root(slog::Discard, slog::o!()));
+    let limits = format!(r#""limits":{{"idle_timeout_ms":{idle_timeout_ms}}}"#);
+    let text = format!(r#"{{"generation":1,"routes":[],"services":[],{limits}}}"#);
+    let configuration = read(text.as_bytes()).expect("a sound configuration");
+    shared.publish_routing(Arc::new(RoutingTable::compile(&configuration)));
+    shared
+}
+
+/// A connection in whose socket a whole request lies.
+fn asked() -> (TcpStream, Arc<Client>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let mut client = TcpStream::connect(listener.local_addr().expect("bound")).expect("connected");
+    let (stream, _) = listener.accept().expect("accepted");
+    client.write_all(UNKNOWN).expect("the kernel takes it");
+    stream.peek(&mut [0]).expect("it has come");
+    stream.set_nonblocking(true).expect("settable");
+    let stream = tokio::net::TcpStream::from_std(stream).expect("registered");
+    (client, Arc::new(Client::new(stream)))
+}
+
+/// All that a client got by the end of its connection.
+fn received(mut client: TcpStream) -> String {
+    let mut received = String::new();
+    client.read_to_string(&mut received).expect("its connection ends in order");
+    received.to_ascii_lowercase()
+}
+
+fn assert_told_of_the_end(shared: &Shared, received: &str) {
+    assert!(received.starts_with("http/1.1 "), "{received}");
+    assert!(received.contains("\r\nconnection: close\r\n"), "{received}");
+    assert!(!received.contains("\r\nkeep-alive: "), "{received}");
+    let violations = [Cause::InvariantRequestUnanswered, Cause::InvariantRestCutShort];
+    assert!(!shared.counts().iter().any(|count| violations.contains(&count.cause)));
+}
+
+#[tokio::test]
+async fn a_request_that_meets_the_end_for_room_is_answered_and_told_of_it() {
+    let shared = gateway(15_000);
+    let (client, served) = asked();
+    served.evict();
+    serve(served, Arc::clone(&shared)).await;
+    assert_told_of_the_end(&shared, &received(client));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_that_meets_the_end_of_the_rest_is_answered_and_told_of_it() {
+    let shared = gateway(100);
+    let (client, served) = asked();
+    tokio::time::advance(Duration::from_millis(101)).await;
+    serve(served, Arc::clone(&shared)).await;
+    assert_told_of_the_end(&shared, &received(client));
+}
