Gateway's tests: the request that meets the end of a rest does so for sure

The test as committed was wrong: the runtime saw the request before the end of the rest, so that nothing was to be told, and it would have failed after any mend. Now the request comes between the timer and the look at the socket. Seen to fail on the code before the mend: Keep-Alive: timeout=1 is announced, and the connection ends 20 ms later.

--- a/crates/gateway/tests/unit/connection.rs
+++ b/crates/gateway/tests/unit/connection.rs
@@ -1,5 +1,6 @@
 //! Decisions to end a connection that meet a request in its socket.
 
+use std::future::Future;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 
@@ -21,18 +22,24 @@
     shared
 }
 
-/// A connection in whose socket a whole request lies.
-fn asked() -> (TcpStream, Arc<Client>) {
+/// A connection, and its client's side.
+fn connected() -> (TcpStream, Arc<Client>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let mut client = TcpStream::connect(listener.local_addr().expect("bound")).expect("connected");
+    let client = TcpStream::connect(listener.local_addr().expect("bound")).expect("connected");
     let (stream, _) = listener.accept().expect("accepted");
-    client.write_all(UNKNOWN).expect("the kernel takes it");
-    stream.peek(&mut [0]).expect("it has come");
     stream.set_nonblocking(true).expect("settable");
     let stream = tokio::net::TcpStream::from_std(stream).expect("registered");
     (client, Arc::new(Client::new(stream)))
 }
 
+/// A whole request lies in the connection's socket, which the runtime has not seen.
+fn ask(mut client: &TcpStream, served: &Client) {
+    client.write_all(UNKNOWN).expect("the kernel takes it");
+    while served.at_rest() {
+        std::thread::yield_now();
+    }
+}
+
 /// All that a client got by the end of its connection.
 fn received(mut client: TcpStream) -> String {
     let mut received = String::new();
@@ -51,7 +58,8 @@
 #[tokio::test]
 async fn a_request_that_meets_the_end_for_room_is_answered_and_told_of_it() {
     let shared = gateway(15_000);
-    let (client, served) = asked();
+    let (client, served) = connected();
+    ask(&client, &served);
     served.evict();
     serve(served, Arc::clone(&shared)).await;
     assert_told_of_the_end(&shared, &received(client));
@@ -60,8 +68,13 @@
 #[tokio::test(start_paused = true)]
 async fn a_request_that_meets_the_end_of_the_rest_is_answered_and_told_of_it() {
     let shared = gateway(100);
-    let (client, served) = asked();
+    let (client, served) = connected();
+    let mut serving = std::pin::pin!(serve(Arc::clone(&served), Arc::clone(&shared)));
+    // It waits for a request, and for the end of its rest.
+    assert!(poll_fn(|cx| Poll::Ready(serving.as_mut().poll(cx).is_pending())).await);
     tokio::time::advance(Duration::from_millis(101)).await;
-    serve(served, Arc::clone(&shared)).await;
+    ask(&client, &served);
+    serving.await;
+    drop(served);
     assert_told_of_the_end(&shared, &received(client));
 }
