Gateway: an answer says that its connection ends where that is decided; refusals wait for bounded time

Symptom: an answer announced a rest on a connection that ended at once: one told to make room or whose rest was over while a request lay in its socket unseen. Cause: the decision was known to the connection's loop alone, not to its answers. Change: the client's record holds it; each answer from then on has Connection: close, which also ends it in order. Symptom: a refusal judged from the head waited without bound for a body that drips. Cause: each frame had the whole header time-out. Change: all of the body has it; what takes longer is refused with Connection: close, and read on for a while.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -92,22 +92,22 @@
     }
 }
 
-/// Reads a body that nobody needs, so that its connection can serve on; it may stand still for so long. Whether all of
-/// it came.
-pub(crate) async fn discard(mut body: Incoming, still: Duration) -> bool {
+/// Reads a body that nobody needs, so that its connection can serve on, for so long at most. Whether all of it came.
+pub(crate) async fn discard(body: Incoming, within: Duration) -> bool {
+    timeout(within, read_to_end(body)).await.unwrap_or(false)
+}
+
+async fn read_to_end(mut body: Incoming) -> bool {
     if body.size_hint().lower() > MOST_DISCARDED {
         return false;
     }
     let mut read = 0;
-    loop {
-        let next = poll_fn(|cx| Pin::new(&mut body).poll_frame(cx));
-        match timeout(still, next).await {
-            Ok(None) => return true,
-            Ok(Some(Ok(frame))) => read += frame.data_ref().map_or(0, |data| data.len() as u64),
-            Ok(Some(Err(_))) | Err(_) => return false,
-        }
-        if read > MOST_DISCARDED {
-            return false;
+    while read <= MOST_DISCARDED {
+        match poll_fn(|cx| Pin::new(&mut body).poll_frame(cx)).await {
+            None => return true,
+            Some(Ok(frame)) => read += frame.data_ref().map_or(0, |data| data.len() as u64),
+            Some(Err(_)) => return false,
         }
     }
+    false
 }
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -40,6 +40,8 @@
     pub evicted: Notify,
     asked: AtomicBool,
     told_to_end: AtomicBool,
+    /// Whether it ends as soon as no request is in hand.
+    leaving: AtomicBool,
     /// Whether some of an answer could not be written yet.
     behind: AtomicBool,
     rest: Mutex<Rest>,
@@ -54,6 +56,7 @@
             evicted: Notify::new(),
             asked: AtomicBool::new(false),
             told_to_end: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
             behind: AtomicBool::new(false),
             rest: Mutex::new(Rest { since: Some(Instant::now()), announced: None }),
             framing: Mutex::new(Framing::new()),
@@ -109,6 +112,16 @@
         self.told_to_end.load(Ordering::Relaxed)
     }
 
+    /// It ends as soon as no request is in hand.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether it ends behind the answer to the request in hand.
+    pub fn is_leaving(&self) -> bool {
+        self.is_evicted() || self.leaving.load(Ordering::Relaxed)
+    }
+
     /// When it will have taken too long over a head, or rested for too long; none while a request is in hand.
     pub fn patience(&self, limits: &ClientLimits) -> Option<Instant> {
         let rest = *self.rest();
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -103,6 +103,9 @@
                 }
             }
         }
+        if leaving.is_some() {
+            client.leave();
+        }
         // A request may lie in the socket that nobody was told of: such a one is taken first.
         if leaving.is_some() && !shut && (client.idle_since().is_none() || client.at_rest()) {
             if leaving == Some(EndReason::Idle) && client.rests_as_announced() {
@@ -184,7 +187,7 @@
 /// Says whether the connection ends behind this answer, and else for how long it may rest.
 fn say_what_follows(in_hand: &InHand, headers: &mut HeaderMap) {
     let shared = &in_hand.shared;
-    if shared.lifecycle.ending() || shared.front.is_crowded() {
+    if shared.lifecycle.ending() || shared.front.is_crowded() || in_hand.client.is_leaving() {
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
     if !headers.contains_key(CONNECTION) {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -65,9 +65,10 @@
 }
 
 /// Refuses a request by its head. Its connection serves on only behind the whole body: ended over bytes that are still
-/// to come it would be reset, and the refusal lost. Who waits to be asked for the body isn't asked.
-async fn decline(refusal: Refusal, head: &RequestParts, body: Incoming, still: Duration) -> Declined {
-    let body_unread = head.headers.contains_key(EXPECT) || !discard(body, still).await;
+/// to come it would be reset, and the refusal lost. Who waits to be asked for the body isn't asked, and one that takes
+/// too long over it isn't waited for.
+async fn decline(refusal: Refusal, head: &RequestParts, body: Incoming, within: Duration) -> Declined {
+    let body_unread = head.headers.contains_key(EXPECT) || !discard(body, within).await;
     Declined { refusal, body_unread }
 }
 
