--- a/crates/gateway/tests/serving/client_connections.rs
+++ b/crates/gateway/tests/serving/client_connections.rs
@@ -153,6 +153,44 @@
     assert_eq!((answer.header("connection"), answer.header("keep-alive")), (Some("close"), None));
 }
 
+/// Which answers announce a rest, by what the client said of its connection.
+#[test]
+fn no_rest_is_announced_to_a_client_whose_connection_ends() {
+    let backend = Backend::start();
+    let gateway = gateway(&backend, 15_000);
+    let kept = (Some("keep-alive"), Some("timeout=12"));
+    let cases = [
+        ("HTTP/1.1", "Connection: close\r\n", (Some("close"), None)),
+        ("HTTP/1.1", "Connection: x-hop, Close\r\n", (Some("close"), None)),
+        ("HTTP/1.0", "", (Some("close"), None)),
+        ("HTTP/1.0", "Connection: keep-alive\r\n", kept),
+    ];
+    for (version, fields, expected) in cases {
+        let mut client = gateway.connect();
+        client.say(&format!("GET / {version}\r\nHost: {HOST}\r\nX-Request-Id: {ID}\r\n{fields}\r\n"));
+        backend.next().answer(200, SOUND, "");
+        let answer = client.answer();
+        let told = (answer.header("connection"), answer.header("keep-alive"));
+        assert_eq!(told, expected, "{version} {fields}");
+        assert!(expected == kept || client.ends(), "{version} {fields}");
+    }
+}
+
+/// What the gateway ends must not say that it is kept.
+#[test]
+fn an_end_is_told_to_a_client_of_the_older_version_that_asked_for_a_kept_connection() {
+    let backend = Backend::start();
+    let gateway = gateway(&backend, 15_000);
+    let mut client = gateway.connect();
+    gateway.shared.begin_shutdown();
+    let head = format!("GET / HTTP/1.0\r\nHost: {HOST}\r\nX-Request-Id: {ID}\r\n");
+    client.say(&format!("{head}Connection: keep-alive\r\n\r\n"));
+    backend.next().answer(200, SOUND, "");
+    let answer = client.answer();
+    assert_eq!((answer.header("connection"), answer.header("keep-alive")), (Some("close"), None));
+    assert!(client.ends());
+}
+
 /// A body that drips never stands still, and yet must not hold its refusal and its place for long.
 #[test]
 fn a_refusal_does_not_wait_for_a_body_that_drips() {
--- a/crates/gateway/tests/serving/shutdown.rs
+++ b/crates/gateway/tests/serving/shutdown.rs
@@ -101,6 +101,25 @@
     assert_eq!(client.chunk(), None);
 }
 
+/// To a client of HTTP/1.0 an end in order would say that the answer is whole.
+#[test]
+fn an_answer_without_chunks_that_the_end_of_the_grace_cuts_does_not_look_whole() {
+    let backend = Backend::start();
+    let routing = configuration(1, &route("/", "streaming", ""), "");
+    let gateway = Gateway::with(routing, &[backend.address], |settings| {
+        settings.grace = Duration::from_millis(3_500);
+    });
+    let mut client = gateway.connect();
+    client.say(&format!("GET / HTTP/1.0\r\nHost: {HOST}\r\nX-Request-Id: {ID}\r\n\r\n"));
+    let mut asked = backend.next();
+    asked.begin_stream();
+    asked.piece("id: 1\n\n");
+    client.head();
+    gateway.shared.begin_shutdown();
+    gateway.ended.recv_timeout(PATIENCE).expect("it ends");
+    assert!(client.is_reset());
+}
+
 /// A configuration, backends and numbers published while requests are in hand cut none.
 #[test]
 fn nothing_published_cuts_a_request() {
