Gateway: no rest announced to whose connection ends, cut answers without chunks never look whole

Causes: what a client said of its connection was left to hyper, which adds its own word beside ours; only an answer that its backend broke off was reset, not one cut by the end of the grace or given up since its client took nothing. Change: the request's version and Connection decide whether a rest is announced; HTTP/1.0 gets one word; a request dropped in hand, or some of an answer unwritten, makes the end a reset where nothing else tells an answer's end. Answers to HEAD, 204 and 304 count as done at once, since hyper takes no body for them.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,7 +6,7 @@
 use crankpick_dispatch::{DispatchRequest, Outcome, ReportedLoad, Target, Ticket};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, CONNECTION, RETRY_AFTER};
+use hyper::header::{HeaderMap, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use tokio::time::timeout;
 
@@ -14,7 +14,7 @@
 use crate::counters::Cause;
 use crate::event::EventId;
 use crate::outgoing::ClientRequest;
-use crate::request::REQUEST_ID;
+use crate::request::{has_connection_option, REQUEST_ID};
 use crate::shared::Shared;
 
 /// How long a connection may take to come up.
@@ -217,10 +217,7 @@
 
 /// How long the connection may rest behind this answer; none where it closes.
 fn rest(headers: &HeaderMap) -> Option<Duration> {
-    let mut options = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
-    let closes =
-        options.any(|value| value.split(',').any(|option| option.trim().eq_ignore_ascii_case("close")));
-    if closes {
+    if has_connection_option(headers, "close") {
         return None;
     }
     let told = headers.get("keep-alive").and_then(|value| value.to_str().ok()).and_then(|value| {
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -125,7 +125,7 @@
     /// When it will have taken too long over a head, or rested for too long; none while a request is in hand.
     pub fn patience(&self, limits: &ClientLimits) -> Option<Instant> {
         let rest = *self.rest();
-        let since = rest.since.filter(|_| !self.behind.load(Ordering::Relaxed))?;
+        let since = rest.since.filter(|_| !self.is_behind())?;
         let head = self.framing().head_since();
         let kept = kept_rest(rest.announced, limits.idle_timeout);
         Some(head.map_or(since + kept, |head| head + limits.header_timeout))
@@ -133,13 +133,18 @@
 
     /// Whether nothing is in hand, nothing half read, and nothing lies in its socket that hyper has not seen.
     pub fn at_rest(&self) -> bool {
-        let idle = self.idle_since().is_some() && !self.behind.load(Ordering::Relaxed);
+        let idle = self.idle_since().is_some() && !self.is_behind();
         idle && self.framing().head_since().is_none() && {
             let looked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
             !matches!(looked, Ok(1..))
         }
     }
 
+    /// Whether some of an answer could not be written yet.
+    pub fn is_behind(&self) -> bool {
+        self.behind.load(Ordering::Relaxed)
+    }
+
     /// Ends it by a reset, since an end in order could say that the answer is whole.
     pub fn reset(&self) {
         let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -12,10 +12,10 @@
 use crankpick_http::stream::linger;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION};
+use hyper::header::{HeaderName, HeaderValue, CONNECTION};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, Version};
+use hyper::{Method, Request, Response, StatusCode, Version};
 use hyper_util::rt::TokioIo;
 use tokio::time::{sleep_until, Instant};
 
@@ -28,9 +28,12 @@
 use crate::keep_alive::{announced_rest, header_value};
 use crate::lifecycle::IDLE_ENDED;
 use crate::refusal::Refusal;
+use crate::request::keeps_connection;
 use crate::shared::{InFlight, Shared};
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// Answers without a body, whatever was asked for.
+const BODILESS: [StatusCode; 2] = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
 /// hyper takes no less for its buffer, and no head needs more.
 const LEAST_BUFFER: usize = 8 << 10;
 const MOST_BUFFER: usize = 256 << 10;
@@ -48,20 +51,43 @@
     unchunked: AtomicBool,
 }
 
+impl Seen {
+    fn unchunked(&self) -> bool {
+        self.unchunked.load(Ordering::Relaxed)
+    }
+}
+
 /// Serves a connection to its end.
 pub(crate) async fn serve(client: Arc<Client>, shared: Arc<Shared>) {
     shared.count(Cause::ClientConnected);
     let seen = Seen::default();
+    let _unwritten = UnwrittenGuard { client: &client, seen: &seen };
     let reason = drive(&client, &shared, &seen).await;
     shared.connection_ended(reason, client.idle_since().map(|since| since.elapsed()));
+    if matches!(reason, EndReason::HeadTimeout | EndReason::WriteTimeout) {
+        shared.count(Cause::ClientTimedOut);
+    }
     match reason {
         EndReason::RefusedBody | EndReason::Malformed => linger(&client.stream).await,
-        EndReason::AnswerBrokenOff if seen.unchunked.load(Ordering::Relaxed) => client.reset(),
-        EndReason::HeadTimeout | EndReason::WriteTimeout => shared.count(Cause::ClientTimedOut),
+        EndReason::AnswerBrokenOff | EndReason::WriteTimeout if seen.unchunked() => client.reset(),
         _ => {}
     }
 }
 
+/// Dropped with some of an answer unwritten whose client tells its end by that of the connection, it makes that a reset.
+struct UnwrittenGuard<'a> {
+    client: &'a Client,
+    seen: &'a Seen,
+}
+
+impl Drop for UnwrittenGuard<'_> {
+    fn drop(&mut self) {
+        if self.seen.unchunked() && self.client.is_behind() {
+            self.client.reset();
+        }
+    }
+}
+
 async fn drive(client: &Arc<Client>, shared: &Arc<Shared>, seen: &Seen) -> EndReason {
     let service = service_fn(|request| respond(client, shared, seen, request));
     let limit = usize::try_from(shared.client_limits().max_header_bytes).unwrap_or(MOST_BUFFER);
@@ -143,10 +169,14 @@
     .await;
 }
 
-/// A request in hand; dropped before its answer, its client has gone.
+/// A request in hand; dropped before its answer, its client has gone or the process ends.
 struct InHand {
     client: Arc<Client>,
     shared: Arc<Shared>,
+    /// Whether its client wants the connection to be kept.
+    keeps: bool,
+    /// Whether it is of a version without chunks.
+    unchunked: bool,
     done: bool,
     _in_flight: InFlight,
 }
@@ -155,6 +185,9 @@
     fn drop(&mut self) {
         if !self.done {
             self.shared.count(Cause::ClientGone);
+            if self.unchunked {
+                self.client.reset();
+            }
         }
         self.client.answered();
     }
@@ -164,37 +197,55 @@
     client: &Arc<Client>, shared: &Arc<Shared>, seen: &Seen, request: Request<Incoming>,
 ) -> Result<Response<ClientBody>, std::convert::Infallible> {
     client.asks();
-    seen.unchunked.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
     shared.count(Cause::Requested);
+    let unchunked = request.version() < Version::HTTP_11;
+    seen.unchunked.store(unchunked, Ordering::Relaxed);
+    let keeps = keeps_connection(request.version(), request.headers());
+    let asks_for_head = request.method() == Method::HEAD;
     let (client, shared) = (Arc::clone(client), Arc::clone(shared));
     let _in_flight = shared.hold();
-    let mut in_hand = InHand { client, shared, done: false, _in_flight };
+    let mut in_hand = InHand { client, shared, keeps, unchunked, done: false, _in_flight };
     let came = in_hand.client.framing().next_request();
     let answer = exchange::answer(&in_hand.shared, request, came).await;
-    let answer = answer.unwrap_or_else(|declined| {
+    let mut answer = answer.unwrap_or_else(|declined| {
         if let Some(cause) = cause_of(&declined.refusal) {
             in_hand.shared.count(cause);
         }
         seen.refused.fetch_or(declined.body_unread, Ordering::Relaxed);
         declined.answer()
     });
-    in_hand.done = matches!(answer.body(), AnswerBody::Whole(_));
-    let mut answer = answer;
-    say_what_follows(&in_hand, answer.headers_mut());
+    // hyper takes no body for these, and drops what there is.
+    let bodiless = asks_for_head || BODILESS.contains(&answer.status());
+    in_hand.done = bodiless || matches!(answer.body(), AnswerBody::Whole(_));
+    say_what_follows(&in_hand, &mut answer);
     Ok(answer.map(|body| ClientBody { body, in_hand }))
 }
 
 /// Says whether the connection ends behind this answer, and else for how long it may rest.
-fn say_what_follows(in_hand: &InHand, headers: &mut HeaderMap) {
-    let shared = &in_hand.shared;
-    if shared.lifecycle.ending() || shared.front.is_crowded() || in_hand.client.is_leaving() {
-        headers.insert(CONNECTION, HeaderValue::from_static("close"));
-    }
-    if !headers.contains_key(CONNECTION) {
-        let announced = announced_rest(shared.client_limits().idle_timeout);
+fn say_what_follows(in_hand: &InHand, answer: &mut Response<AnswerBody>) {
+    if !ends_behind(in_hand, answer) {
+        let announced = announced_rest(in_hand.shared.client_limits().idle_timeout);
         in_hand.client.announce_rest(announced);
-        headers.insert(KEEP_ALIVE, header_value(announced));
+        answer.headers_mut().insert(KEEP_ALIVE, header_value(announced));
+        return;
     }
+    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    if in_hand.unchunked {
+        // Else hyper says beside it that the connection is kept, to a client that asked for that.
+        *answer.version_mut() = Version::HTTP_10;
+    }
+}
+
+/// Whether the connection ends behind this answer.
+fn ends_behind(in_hand: &InHand, answer: &Response<AnswerBody>) -> bool {
+    let shared = &in_hand.shared;
+    let ends_the_answer = in_hand.unchunked && answer.body().size_hint().exact().is_none();
+    !in_hand.keeps
+        || ends_the_answer
+        || answer.headers().contains_key(CONNECTION)
+        || shared.lifecycle.ending()
+        || shared.front.is_crowded()
+        || in_hand.client.is_leaving()
 }
 
 /// What is not counted where it is found out.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use crankpick_dispatch::PromptPart;
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, AUTHORIZATION, HOST};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, AUTHORIZATION, CONNECTION, HOST};
+use hyper::Version;
 
 use crate::refusal::Refusal;
 
@@ -98,6 +99,19 @@
     Duration::try_from_secs_f64(milliseconds / 1e3).ok()
 }
 
+/// Whether its client wants the connection to be kept behind the answer.
+pub(crate) fn keeps_connection(version: Version, headers: &HeaderMap) -> bool {
+    let kept_by_version = version >= Version::HTTP_11;
+    !has_connection_option(headers, "close")
+        && (kept_by_version || has_connection_option(headers, "keep-alive"))
+}
+
+/// Whether `Connection` names this option.
+pub(crate) fn has_connection_option(headers: &HeaderMap, option: &str) -> bool {
+    let mut values = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    values.any(|value| value.split(',').any(|named| named.trim().eq_ignore_ascii_case(option)))
+}
+
 /// The key that it bears.
 pub(crate) fn key(headers: &HeaderMap) -> Option<&str> {
     let value = single(headers, &AUTHORIZATION)?.to_str().ok()?;
