--- a/crates/gateway/tests/serving/client_connections.rs
+++ b/crates/gateway/tests/serving/client_connections.rs
@@ -176,6 +176,40 @@
     }
 }
 
+/// What comes behind the last request that is answered must not cost that answer: a connection that is closed over
+/// unread bytes is reset, and what its client has not taken yet is lost.
+#[test]
+fn an_answer_is_not_lost_to_bytes_behind_its_request() {
+    let backend = Backend::start();
+    let gateway = gateway(&backend, 15_000);
+    let mut client = gateway.get("/");
+    let mut asked = backend.next();
+    // More than is read ahead of an answer.
+    client.ask("POST", "/", "", &"x".repeat(200_000));
+    gateway.shared.begin_shutdown();
+    let body = "y".repeat(400_000);
+    asked.answer(200, SOUND, &body);
+    gateway.ended.recv_timeout(PATIENCE).expect("all is served");
+    let answer = client.answer();
+    assert_eq!((answer.status(), answer.body.len()), (200, body.len()));
+}
+
+/// A client on a slow link may send its body for longer than its refusal is on its way.
+#[test]
+fn a_refusal_is_not_lost_to_a_long_body_that_still_comes() {
+    let backend = Backend::start();
+    let routing = configuration(1, &route("/known/", "mutating", ""), "");
+    let gateway = Gateway::start(routing, &[backend.address]);
+    let mut client = gateway.ask("POST", "/unknown", "Content-Length: 1000000\r\n", "");
+    let pieces = 50;
+    for _ in 0..pieces {
+        client.say(&"x".repeat(1_000_000 / pieces));
+        sleep(Duration::from_millis(20));
+    }
+    assert_eq!(client.answer().status(), 404);
+    assert!(client.ends());
+}
+
 /// What the gateway ends must not say that it is kept.
 #[test]
 fn an_end_is_told_to_a_client_of_the_older_version_that_asked_for_a_kept_connection() {
--- a/crates/gateway/tests/serving/streams.rs
+++ b/crates/gateway/tests/serving/streams.rs
@@ -167,6 +167,26 @@
     assert!(client.is_reset());
 }
 
+/// The same where its client takes nothing of it for too long.
+#[test]
+fn a_stream_without_chunks_that_is_not_taken_ends_by_a_reset() {
+    let backend = Backend::start();
+    let gateway = gateway(&[&backend]);
+    let mut client = gateway.connect();
+    client.say(&format!("GET /s/ HTTP/1.0\r\nHost: {HOST}\r\nX-Request-Id: {ID}\r\n\r\n"));
+    let mut asked = backend.next();
+    asked.begin_stream();
+    let long = format!("data: {}\n\n", "x".repeat(60_000));
+    // More than the kernel holds: the rest is written until the gateway gives up.
+    for _ in 0..500 {
+        asked.piece(&long);
+    }
+    while gateway.count(Cause::ClientTimedOut) == 0 {
+        std::thread::yield_now();
+    }
+    assert!(client.is_reset());
+}
+
 /// A backend's silence gives no reason to end an answer: there is nobody else who could go on.
 #[test]
 fn a_silent_stream_without_another_backend_is_waited_for() {
