Gateway: connections with unread bytes are read on before they are closed, for as long as a slow body comes

Symptom: an answer, or the refusal of a long body, lost to a reset. Causes: only refused and malformed requests were followed by reading on, though bytes behind any last answer (a pipelined request, what an early answer left) make the close a reset; and reading on ended after 250 ms, however the client went on sending. Change: lingering_close.rs of the gateway in place of the shared one: until 250 ms of silence, 2 s or 4 MiB. Whoever leaves already is not chosen again to make room.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -1,7 +1,6 @@
 //! A client's connection as hyper drives it, and what is known of it meanwhile.
 
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -20,6 +19,7 @@
 use tokio::time::Instant;
 
 use crate::keep_alive::kept_rest;
+use crate::lingering_close::has_unread;
 
 /// Against clients that don't read their answers.
 const UNREAD: Duration = Duration::from_secs(8);
@@ -134,10 +134,7 @@
     /// Whether nothing is in hand, nothing half read, and nothing lies in its socket that hyper has not seen.
     pub fn at_rest(&self) -> bool {
         let idle = self.idle_since().is_some() && !self.is_behind();
-        idle && self.framing().head_since().is_none() && {
-            let looked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
-            !matches!(looked, Ok(1..))
-        }
+        idle && self.framing().head_since().is_none() && !has_unread(&self.stream)
     }
 
     /// Whether some of an answer could not be written yet.
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -9,7 +9,6 @@
 
 use bytes::Bytes;
 use crankpick_configuration::ClientLimits;
-use crankpick_http::stream::linger;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue, CONNECTION};
@@ -27,6 +26,7 @@
 use crate::invariant::Violation;
 use crate::keep_alive::{announced_rest, header_value};
 use crate::lifecycle::IDLE_ENDED;
+use crate::lingering_close::{has_unread, linger};
 use crate::refusal::Refusal;
 use crate::request::keeps_connection;
 use crate::shared::{InFlight, Shared};
@@ -63,12 +63,14 @@
     let seen = Seen::default();
     let _unwritten = UnwrittenGuard { client: &client, seen: &seen };
     let reason = drive(&client, &shared, &seen).await;
+    client.leave();
     shared.connection_ended(reason, client.idle_since().map(|since| since.elapsed()));
     if matches!(reason, EndReason::HeadTimeout | EndReason::WriteTimeout) {
         shared.count(Cause::ClientTimedOut);
     }
     match reason {
         EndReason::RefusedBody | EndReason::Malformed => linger(&client.stream).await,
+        reason if reason.is_behind_an_answer() && has_unread(&client.stream) => linger(&client.stream).await,
         EndReason::AnswerBrokenOff | EndReason::WriteTimeout if seen.unchunked() => client.reset(),
         _ => {}
     }
--- a/crates/gateway/src/connection_end.rs
+++ b/crates/gateway/src/connection_end.rs
@@ -64,6 +64,18 @@
             EndReason::Idle | EndReason::Evicted | EndReason::ShuttingDown | EndReason::HeadTimeout
         )
     }
+
+    /// Whether whatever was answered on it was written whole.
+    pub(crate) fn is_behind_an_answer(self) -> bool {
+        matches!(
+            self,
+            EndReason::Closed
+                | EndReason::Idle
+                | EndReason::Evicted
+                | EndReason::ShuttingDown
+                | EndReason::HeadTimeout
+        )
+    }
 }
 
 fn timed_out(wrong: &hyper::Error) -> bool {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod invariant;
 mod keep_alive;
 mod lifecycle;
+mod lingering_close;
 mod listener;
 mod opened;
 mod outgoing;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -53,7 +53,7 @@
     /// Makes room for a few: first those that never asked, then those that have rested for longest.
     fn evict_some(&self, shared: &Shared) {
         let open = self.lock();
-        let resting = open.by_number.values().filter(|client| !client.is_evicted());
+        let resting = open.by_number.values().filter(|client| !client.is_leaving());
         let resting = resting.filter_map(|client| {
             let since = client.idle_since()?;
             let old = client.has_asked() || since.elapsed() > YOUNG;
