--- a/crates/gateway/tests/serving/client_connections.rs
+++ b/crates/gateway/tests/serving/client_connections.rs
@@ -44,6 +44,15 @@
     }
 }
 
+/// What concerns the connection alone is named by `Connection`, so that nobody in between passes it on.
+#[test]
+fn the_rest_is_told_as_an_option_of_the_connection() {
+    let backend = Backend::start();
+    let gateway = gateway(&backend, 15_000);
+    let answer = serve_one(&mut gateway.connect(), &backend);
+    assert_eq!(answer.header("connection"), Some("keep-alive"));
+}
+
 #[test]
 fn a_refusal_tells_it_as_well() {
     let backend = Backend::start();
--- a/crates/gateway/tests/unit/connection.rs
+++ b/crates/gateway/tests/unit/connection.rs
@@ -78,3 +78,25 @@
     drop(served);
     assert_told_of_the_end(&shared, &received(client));
 }
+
+/// hyper stops for others behind sixteen requests, with the rest in its buffer: told to end then, a connection says so.
+#[tokio::test]
+async fn pipelined_requests_that_are_not_served_any_more_are_told_of_the_end() {
+    const PIPELINED: usize = 40;
+    let shared = gateway(15_000);
+    let (client, served) = connected();
+    for _ in 0..PIPELINED {
+        ask(&client, &served);
+    }
+    let mut serving = std::pin::pin!(serve(Arc::clone(&served), Arc::clone(&shared)));
+    while poll_fn(|cx| Poll::Ready(serving.as_mut().poll(cx).is_pending())).await && !served.has_asked() {
+        tokio::task::yield_now().await;
+    }
+    served.evict();
+    serving.await;
+    drop(served);
+    let received = received(client);
+    let answers: Vec<&str> = received.split("http/1.1 ").skip(1).collect();
+    assert!((1..PIPELINED).contains(&answers.len()), "{} answers", answers.len());
+    assert_told_of_the_end(&shared, &format!("http/1.1 {}", answers[answers.len() - 1]));
+}
