--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -29,7 +29,7 @@
 struct Rest {
     /// None while a request is in hand.
     since: Option<Instant>,
-    /// How long its client was last told that it may rest.
+    /// How long its client was told by the last answer that it may rest.
     announced: Option<Duration>,
 }
 
@@ -75,9 +75,9 @@
         self.rest.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Its answer announces how long it may rest.
-    pub fn announce_rest(&self, announced: Duration) {
-        self.rest().announced = Some(announced);
+    /// Its answer announces how long it may rest; none where it announces the end.
+    pub fn announce_rest(&self, announced: Option<Duration>) {
+        self.rest().announced = announced;
     }
 
     /// Whether it rests, and its client may still believe that it is kept.
@@ -86,6 +86,12 @@
         rest.since.zip(rest.announced).is_some_and(|(since, announced)| since.elapsed() < announced)
     }
 
+    /// Whether a request that was read has no answer, and no answer before it announced the end.
+    pub fn is_unanswered(&self) -> bool {
+        let rest = *self.rest();
+        rest.since.is_none() || (rest.announced.is_some() && self.framing().next_request().is_some())
+    }
+
     /// A request is in hand.
     pub fn asks(&self) {
         self.asked.store(true, Ordering::Relaxed);
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -145,9 +145,9 @@
     }
 }
 
-/// What the gateway ends by its own decision has no request in hand.
+/// What the gateway ends by its own decision has no request in hand, and has read none that it does not answer.
 fn check_answered(client: &Client, shared: &Shared, reason: EndReason) {
-    if reason.is_decided_here() && client.idle_since().is_none() {
+    if reason.is_decided_here() && client.is_unanswered() {
         shared.violated(Violation::RequestUnanswered);
     }
 }
@@ -227,10 +227,12 @@
 fn say_what_follows(in_hand: &InHand, answer: &mut Response<AnswerBody>) {
     if !ends_behind(in_hand, answer) {
         let announced = announced_rest(in_hand.shared.client_limits().idle_timeout);
-        in_hand.client.announce_rest(announced);
+        in_hand.client.announce_rest(Some(announced));
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("keep-alive"));
         answer.headers_mut().insert(KEEP_ALIVE, header_value(announced));
         return;
     }
+    in_hand.client.announce_rest(None);
     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     if in_hand.unchunked {
         // Else hyper says beside it that the connection is kept, to a client that asked for that.
