--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -1,7 +1,6 @@
 //! A client's connection as hyper drives it, and what is known of it meanwhile.
 
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -20,6 +19,7 @@
 use tokio::time::Instant;
 
 use crate::keep_alive::kept_rest;
+use crate::lingering_close::has_unread;
 
 /// Against clients that don't read their answers.
 const UNREAD: Duration = Duration::from_secs(8);
@@ -29,7 +29,7 @@
 struct Rest {
     /// None while a request is in hand.
     since: Option<Instant>,
-    /// How long its client was last told that it may rest.
+    /// How long its client was told by the last answer that it may rest.
     announced: Option<Duration>,
 }
 
@@ -40,6 +40,8 @@
     pub evicted: Notify,
     asked: AtomicBool,
     told_to_end: AtomicBool,
+    /// Whether it ends as soon as no request is in hand.
+    leaving: AtomicBool,
     /// Whether some of an answer could not be written yet.
     behind: AtomicBool,
     rest: Mutex<Rest>,
@@ -54,6 +56,7 @@
             evicted: Notify::new(),
             asked: AtomicBool::new(false),
             told_to_end: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
             behind: AtomicBool::new(false),
             rest: Mutex::new(Rest { since: Some(Instant::now()), announced: None }),
             framing: Mutex::new(Framing::new()),
@@ -72,9 +75,9 @@
         self.rest.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Its answer announces how long it may rest.
-    pub fn announce_rest(&self, announced: Duration) {
-        self.rest().announced = Some(announced);
+    /// Its answer announces how long it may rest; none where it announces the end.
+    pub fn announce_rest(&self, announced: Option<Duration>) {
+        self.rest().announced = announced;
     }
 
     /// Whether it rests, and its client may still believe that it is kept.
@@ -83,6 +86,12 @@
         rest.since.zip(rest.announced).is_some_and(|(since, announced)| since.elapsed() < announced)
     }
 
+    /// Whether a request that was read has no answer, and no answer before it announced the end.
+    pub fn is_unanswered(&self) -> bool {
+        let rest = *self.rest();
+        rest.since.is_none() || (rest.announced.is_some() && self.framing().next_request().is_some())
+    }
+
     /// A request is in hand.
     pub fn asks(&self) {
         self.asked.store(true, Ordering::Relaxed);
@@ -109,10 +118,20 @@
         self.told_to_end.load(Ordering::Relaxed)
     }
 
+    /// It ends as soon as no request is in hand.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether it ends behind the answer to the request in hand.
+    pub fn is_leaving(&self) -> bool {
+        self.is_evicted() || self.leaving.load(Ordering::Relaxed)
+    }
+
     /// When it will have taken too long over a head, or rested for too long; none while a request is in hand.
     pub fn patience(&self, limits: &ClientLimits) -> Option<Instant> {
         let rest = *self.rest();
-        let since = rest.since.filter(|_| !self.behind.load(Ordering::Relaxed))?;
+        let since = rest.since.filter(|_| !self.is_behind())?;
         let head = self.framing().head_since();
         let kept = kept_rest(rest.announced, limits.idle_timeout);
         Some(head.map_or(since + kept, |head| head + limits.header_timeout))
@@ -120,11 +139,13 @@
 
     /// Whether nothing is in hand, nothing half read, and nothing lies in its socket that hyper has not seen.
     pub fn at_rest(&self) -> bool {
-        let idle = self.idle_since().is_some() && !self.behind.load(Ordering::Relaxed);
-        idle && self.framing().head_since().is_none() && {
-            let looked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
-            !matches!(looked, Ok(1..))
-        }
+        let idle = self.idle_since().is_some() && !self.is_behind();
+        idle && self.framing().head_since().is_none() && !has_unread(&self.stream)
+    }
+
+    /// Whether some of an answer could not be written yet.
+    pub fn is_behind(&self) -> bool {
+        self.behind.load(Ordering::Relaxed)
     }
 
     /// Ends it by a reset, since an end in order could say that the answer is whole.
