--- a/crates/gateway/tests/serving/shutdown.rs
+++ b/crates/gateway/tests/serving/shutdown.rs
@@ -138,3 +138,24 @@
     asked.end_stream();
     assert_eq!((client.chunk().as_deref(), client.chunk().as_deref()), (Some("id: 2\n\n"), Some("")));
 }
+
+/// What is broken off at the end of the grace is lost; what is refused before it runs is asked for elsewhere.
+#[test]
+fn a_request_that_may_outlast_the_grace_is_refused_once_the_process_ends() {
+    let backend = Backend::start();
+    let short = route("/short/", "streaming", "").replace(r#""timeout_ms":10000"#, r#""timeout_ms":1000"#);
+    let routing = configuration(1, &format!("{},{short}", route("/long/", "streaming", "")), "");
+    let gateway = Gateway::with(routing, &[backend.address], |settings| {
+        settings.grace = Duration::from_secs(5);
+    });
+    let (mut long, mut short) = (gateway.connect(), gateway.connect());
+    gateway.shared.begin_shutdown();
+    long.ask("GET", "/long/", "", "");
+    let refused = long.answer();
+    assert_eq!((refused.status(), refused.header("connection")), (503, Some("close")));
+    assert!(refused.header("retry-after").is_some());
+    assert!(backend.is_quiet());
+    short.ask("GET", "/short/", "", "");
+    backend.next().answer(200, SOUND, "");
+    assert_eq!(short.answer().status(), 200);
+}
