--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -10,7 +10,6 @@
 use hyper::body::Incoming;
 use tokio::time::Sleep;
 
-use crate::answer_times::AnswerTimer;
 use crate::attempt::Held;
 use crate::outlet::Outlet;
 
@@ -44,8 +43,6 @@
     /// Comes when nobody waits any more.
     pub deadline: Pin<Box<Sleep>>,
     pub held: Held,
-    /// Notes how long the answer took.
-    pub timer: Option<AnswerTimer>,
 }
 
 impl AnswerBody {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -14,7 +14,6 @@
 
 use crate::admission::Terms;
 use crate::answer::AnswerBody;
-use crate::answer_times::AnswerTimer;
 use crate::body::{discard, BodyLimits};
 use crate::counters::Cause;
 use crate::courier::Courier;
@@ -54,23 +53,19 @@
     check_time_left(shared, &request)?;
     request.terms.take_quota(shared, &request.size, request.deadline).await?;
     let mut courier = Courier::new(Arc::clone(shared), request);
-    let delivered = courier.deliver(None).await;
-    let took_its_time = matches!(delivered, Ok(_) | Err(Refusal::TimedOut));
-    let timer = took_its_time.then(|| AnswerTimer::new(shared, courier.request()));
-    let opened = delivered?;
+    let opened = courier.deliver(None).await?;
     shared.count(Cause::Answered);
-    Ok(pass_on(courier, opened, timer))
+    Ok(pass_on(courier, opened))
 }
 
-/// While the process ends it takes only what is likely to be answered before its grace is over.
+/// A process that shuts down takes requests for a while yet, since clients don't hear of it at once. What is under way at
+/// the end of its grace is broken off, and how long an answer lasts can't be foreseen: so it takes only what must end
+/// before, by the request's own deadline. The rest is refused before it runs, to be asked for elsewhere.
 fn check_time_left(shared: &Shared, request: &ClientRequest) -> Result<(), Refusal> {
-    let Some(left) = shared.lifecycle.time_left() else { return Ok(()) };
-    let expected = shared.answer_times().expected(shared.now(), &request.terms.route.name);
-    let needed = expected.unwrap_or(Duration::MAX).min(request.left());
-    if needed > left {
-        return Err(Refusal::Ending);
+    match shared.lifecycle.time_left() {
+        Some(left) if request.left() > left => Err(Refusal::Ending),
+        _ => Ok(()),
     }
-    Ok(())
 }
 
 /// What can be said of a request by its head: its id, route and tenant.
@@ -97,15 +92,12 @@
 }
 
 /// The backend's answer as the client gets it.
-fn pass_on(courier: Courier, opened: Opened, timer: Option<AnswerTimer>) -> Response<AnswerBody> {
+fn pass_on(courier: Courier, opened: Opened) -> Response<AnswerBody> {
     match opened {
         Opened::Whole(parts, bytes) => response(parts, AnswerBody::whole(bytes)),
-        Opened::Long(parts, mut body) => {
-            body.timer = timer;
-            response(parts, AnswerBody::Long(body))
-        }
+        Opened::Long(parts, body) => response(parts, AnswerBody::Long(body)),
         Opened::Stream(parts, source, first) => {
-            let relay = Relay::new(courier, source, timer);
+            let relay = Relay::new(courier, source);
             response(parts, AnswerBody::Stream(Outlet::new(|inlet| relay.run(first, inlet))))
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,6 @@
 
 mod admission;
 mod answer;
-mod answer_times;
 mod attempt;
 mod backend_pool;
 mod body;
--- a/crates/gateway/src/opened.rs
+++ b/crates/gateway/src/opened.rs
@@ -169,6 +169,6 @@
         }
     }
     let deadline = Box::pin(sleep_until(request.deadline));
-    let body = LongBody { first: Some(read.freeze()), rest: body, length, deadline, held, timer: None };
+    let body = LongBody { first: Some(read.freeze()), rest: body, length, deadline, held };
     Ok(Opened::Long(parts, Box::new(body)))
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -53,6 +53,8 @@
 
 /// Where nothing else tells when to come again.
 const COME_AGAIN: Duration = Duration::from_millis(150);
+/// Where any other gateway can serve it right away.
+const GO_ELSEWHERE: Duration = Duration::from_millis(50);
 
 impl Refusal {
     /// The status it is told by.
@@ -123,7 +125,7 @@
             Refusal::Full(_) => "all places are taken",
             Refusal::NoBackend => "no backend",
             Refusal::Expired => "its time was over before it was sent",
-            Refusal::Ending => "this process ends, perhaps before it could be answered",
+            Refusal::Ending => "this process may end before it could be answered",
             Refusal::Unclear => "no answer; it may have run",
             Refusal::TimedOut => "no answer in time; it may have run",
         }
@@ -133,11 +135,10 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Refusal::OverQuota(after) | Refusal::Full(after) => Some(*after),
-            Refusal::NotReady
-            | Refusal::NotCurrent
-            | Refusal::NoMemory
-            | Refusal::NoBackend
-            | Refusal::Ending => Some(COME_AGAIN),
+            Refusal::NotReady | Refusal::NotCurrent | Refusal::NoMemory | Refusal::NoBackend => {
+                Some(COME_AGAIN)
+            }
+            Refusal::Ending => Some(GO_ELSEWHERE),
             _ => None,
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,7 +6,6 @@
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 use crate::answer::BrokenOff;
-use crate::answer_times::AnswerTimer;
 use crate::counters::Cause;
 use crate::courier::{client_patience, Courier};
 use crate::event::{Event, EventId};
@@ -32,23 +31,13 @@
     unnumbered: bool,
     /// Nothing of the present run was passed on, and something of one before was.
     rejoins: bool,
-    _timer: Option<AnswerTimer>,
 }
 
 impl Relay {
-    pub fn new(courier: Courier, source: Box<EventSource>, timer: Option<AnswerTimer>) -> Self {
+    pub fn new(courier: Courier, source: Box<EventSource>) -> Self {
         let patience = client_patience(&courier.request().terms.route);
         let last_at = Instant::now();
-        Relay {
-            courier,
-            source,
-            last: None,
-            last_at,
-            patience,
-            unnumbered: false,
-            rejoins: false,
-            _timer: timer,
-        }
+        Relay { courier, source, last: None, last_at, patience, unnumbered: false, rejoins: false }
     }
 
     /// Passes all on, from what came first to the end. An error ends the answer so that it can't look whole.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -11,7 +11,6 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-use crate::answer_times::AnswerTimes;
 use crate::backend_pool::BackendPools;
 use crate::body::BodyMemory;
 use crate::connection_end::{ConnectionEnds, EndCounters, EndReason};
@@ -43,7 +42,6 @@
     pub(crate) lifecycle: Lifecycle,
     pub(crate) counters: Counters,
     connection_ends: EndCounters,
-    answer_times: Mutex<AnswerTimes>,
     pub(crate) pools: BackendPools,
     pub(crate) bodies: BodyMemory,
     pub(crate) front: FrontRoom,
@@ -71,7 +69,6 @@
             lifecycle: Lifecycle::new(settings.grace),
             counters: Counters::default(),
             connection_ends: EndCounters::default(),
-            answer_times: Mutex::default(),
             pools: BackendPools::new(settings.backend_connections),
             bodies: BodyMemory::new(settings.body_memory),
             front: FrontRoom::new(settings.front_connections),
@@ -227,11 +224,6 @@
         self.dispatcher.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// How long answers took lately; never held across an await.
-    pub(crate) fn answer_times(&self) -> MutexGuard<'_, AnswerTimes> {
-        self.answer_times.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     fn snapshots(&self) -> MutexGuard<'_, Snapshots> {
         self.snapshots.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/gateway/tests/serving/stand_ins.rs
+++ b/crates/gateway/tests/serving/stand_ins.rs
@@ -20,6 +20,9 @@
 /// The headers of a sound answer to the request `ID`.
 pub const SOUND: &str = "X-Request-Id: 9c41d07be2a35f68\r\nX-Response-Seal: 3e1b.07\r\n";
 
+/// A header by which a request is done well before the grace of these gateways is over.
+pub const DONE_SOON: &str = "X-Deadline-Ms: 5000\r\n";
+
 /// A message as it came: head lines, then the body.
 #[derive(Debug)]
 pub struct Message {
