--- a/crates/gateway/tests/serving/bounds.rs
+++ b/crates/gateway/tests/serving/bounds.rs
@@ -105,6 +105,16 @@
     assert!(silent.ends() && used.ends());
 }
 
+/// Empty lines ahead of a request are no part of it, and none of them keeps a connection.
+#[test]
+fn a_connection_that_sends_empty_lines_alone_ends_after_its_time() {
+    let backend = Backend::start();
+    let gateway = gateway(&backend);
+    let mut client = gateway.connect();
+    client.say("\r\n");
+    assert!(client.ends());
+}
+
 #[test]
 fn where_there_is_no_room_connections_at_rest_end() {
     let backend = Backend::start();
