Gateway: a connection that sends empty lines alone ends as any other at rest

Cause: hyper's graceful shutdown closes a fresh connection only while its buffer is empty; empty lines stay in it until a request comes.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -139,6 +139,10 @@
             if leaving == Some(EndReason::Idle) && client.rests_as_announced() {
                 shared.violated(Violation::RestCutShort);
             }
+            // hyper keeps one that sent empty lines alone, as if a request had begun.
+            if let Some(reason) = leaving.filter(|_| !client.has_asked()) {
+                return reason;
+            }
             connection.as_mut().graceful_shutdown();
             shut = true;
         }
