--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -72,10 +72,12 @@
     InvariantRequestUnanswered,
     /// It ended one at rest before the time that its client was told: a fault of the program.
     InvariantRestCutShort,
+    /// A request taken after the signal to end was broken off at the end of the grace: a fault of the program.
+    InvariantTakenTooLate,
 }
 
 /// All causes with the names that logs give them.
-const CAUSES: [(Cause, &str); 33] = [
+const CAUSES: [(Cause, &str); 34] = [
     (Cause::ClientConnected, "client_connected"),
     (Cause::ClientEvicted, "client_evicted"),
     (Cause::ClientTimedOut, "client_timed_out"),
@@ -109,6 +111,7 @@
     (Cause::BackendSilent, "backend_silent"),
     (Cause::InvariantRequestUnanswered, "invariant_request_unanswered"),
     (Cause::InvariantRestCutShort, "invariant_rest_cut_short"),
+    (Cause::InvariantTakenTooLate, "invariant_taken_too_late"),
 ];
 
 /// How often something happened since the start.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -28,6 +28,9 @@
 /// What the bytes of a field's line hold besides name and value.
 const FIELD_MARKS: usize = 4;
 
+/// What must lie between a request's deadline and the end of the grace, for its last bytes to go out.
+const END_MARGIN: Duration = Duration::from_millis(50);
+
 /// Answers one request.
 pub(crate) async fn answer(
     shared: &Arc<Shared>, request: Request<Incoming>, came: Option<Came>,
@@ -49,7 +52,7 @@
     };
     let limits = BodyLimits { most: limits.max_body_bytes, still: limits.header_timeout };
     let body = shared.bodies.read(body, limits).await?;
-    let request = ClientRequest::new(terms, id, arrived, head, body);
+    let request = ClientRequest::new(terms, id, arrived, head, body, shared.hold_if_late());
     check_time_left(shared, &request)?;
     request.terms.take_quota(shared, &request.size, request.deadline).await?;
     let mut courier = Courier::new(Arc::clone(shared), request);
@@ -63,7 +66,7 @@
 /// before, by the request's own deadline. The rest is refused before it runs, to be asked for elsewhere.
 fn check_time_left(shared: &Shared, request: &ClientRequest) -> Result<(), Refusal> {
     match shared.lifecycle.time_left() {
-        Some(left) if request.left() > left => Err(Refusal::Ending),
+        Some(left) if request.left() + END_MARGIN > left => Err(Refusal::Ending),
         _ => Ok(()),
     }
 }
--- a/crates/gateway/src/invariant.rs
+++ b/crates/gateway/src/invariant.rs
@@ -2,6 +2,7 @@
 //!
 //! - Each request that was read has its answer before the gateway ends the connection by its own decision.
 //! - A connection at rest outlasts the time that its client was told, unless there is no room or the process ends.
+//! - No request that was taken after the signal to end is under way when the grace is over.
 //!
 //! A violation is a fault of the program. It is counted and logged, and the tests allow none.
 
@@ -14,6 +15,8 @@
     RequestUnanswered,
     /// A connection at rest was ended before the time that its client was told.
     RestCutShort,
+    /// A request that was taken after the signal to end is broken off at the end of the grace.
+    TakenTooLate,
 }
 
 impl Violation {
@@ -21,6 +24,7 @@
         match self {
             Violation::RequestUnanswered => "GWY-101",
             Violation::RestCutShort => "GWY-102",
+            Violation::TakenTooLate => "GWY-103",
         }
     }
 
@@ -28,6 +32,9 @@
         match self {
             Violation::RequestUnanswered => "invariant violated: a connection ended with a request in hand",
             Violation::RestCutShort => "invariant violated: a connection ended before the time that was told",
+            Violation::TakenTooLate => {
+                "invariant violated: a request taken after the signal outlasts the grace"
+            }
         }
     }
 
@@ -35,6 +42,7 @@
         match self {
             Violation::RequestUnanswered => Cause::InvariantRequestUnanswered,
             Violation::RestCutShort => Cause::InvariantRestCutShort,
+            Violation::TakenTooLate => Cause::InvariantTakenTooLate,
         }
     }
 }
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -97,7 +97,7 @@
     drop(listener);
     tokio::select! {
         () = shared.front.emptied() => {}
-        () = shared.lifecycle.grace_over() => {}
+        () = shared.lifecycle.grace_over() => shared.check_late_requests(),
     }
     slog::info!(shared.log, "clients served"; "broken_off" => shared.in_flight(), "up" => ?shared.now());
 }
--- a/crates/gateway/src/outgoing.rs
+++ b/crates/gateway/src/outgoing.rs
@@ -16,6 +16,7 @@
 use crate::body::WholeBody;
 use crate::event::EventId;
 use crate::request::{self, PromptSize};
+use crate::shared::LateInFlight;
 
 /// Kept back from what the client waits: the way there and back.
 const ROOM: Duration = Duration::from_millis(10);
@@ -34,10 +35,14 @@
     target: Uri,
     headers: HeaderMap,
     body: WholeBody,
+    _late: Option<LateInFlight>,
 }
 
 impl ClientRequest {
-    pub fn new(terms: Terms, id: HeaderValue, arrived: Instant, head: Parts, body: WholeBody) -> Arc<Self> {
+    pub fn new(
+        terms: Terms, id: HeaderValue, arrived: Instant, head: Parts, body: WholeBody,
+        late: Option<LateInFlight>,
+    ) -> Arc<Self> {
         let size = PromptSize::read(&head.headers);
         let most = terms.route.timeout;
         let patience = request::patience(&head.headers).unwrap_or(most).min(most);
@@ -52,6 +57,7 @@
             target: origin_form(&head.uri),
             headers,
             body,
+            _late: late,
         })
     }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -51,6 +51,8 @@
     /// Told when a snapshot was published.
     published: Notify,
     in_flight: AtomicUsize,
+    /// Requests under way that were taken after the signal to end.
+    late_in_flight: Arc<AtomicUsize>,
 }
 
 impl Shared {
@@ -77,6 +79,7 @@
             dispatcher: Mutex::new(dispatcher),
             published: Notify::new(),
             in_flight: AtomicUsize::new(0),
+            late_in_flight: Arc::default(),
             settings,
         })
     }
@@ -178,6 +181,18 @@
         self.connection_ends.add(reason, rest);
     }
 
+    /// Counts a request that is taken now, if the signal to end has come, until it is dropped.
+    pub(crate) fn hold_if_late(&self) -> Option<LateInFlight> {
+        self.lifecycle.ending().then(|| LateInFlight::new(&self.late_in_flight))
+    }
+
+    /// The grace is over: what is under way is broken off.
+    pub(crate) fn check_late_requests(&self) {
+        if self.late_in_flight.load(Ordering::Relaxed) > 0 {
+            self.violated(Violation::TakenTooLate);
+        }
+    }
+
     /// An invariant is broken.
     pub(crate) fn violated(&self, violation: Violation) {
         self.count(violation.cause());
@@ -241,6 +256,25 @@
     }
 }
 
+/// A request under way that was taken after the signal to end.
+#[derive(Debug)]
+pub(crate) struct LateInFlight {
+    number: Arc<AtomicUsize>,
+}
+
+impl LateInFlight {
+    fn new(number: &Arc<AtomicUsize>) -> LateInFlight {
+        number.fetch_add(1, Ordering::Relaxed);
+        LateInFlight { number: Arc::clone(number) }
+    }
+}
+
+impl Drop for LateInFlight {
+    fn drop(&mut self) {
+        self.number.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// One request in hand.
 pub(crate) struct InFlight {
     shared: Arc<Shared>,
--- a/crates/gateway/tests/serving/stand_ins.rs
+++ b/crates/gateway/tests/serving/stand_ins.rs
@@ -263,7 +263,12 @@
     fn drop(&mut self) {
         self.shared.begin_shutdown();
         if !std::thread::panicking() {
-            for violation in [Cause::InvariantRequestUnanswered, Cause::InvariantRestCutShort] {
+            let invariants = [
+                Cause::InvariantRequestUnanswered,
+                Cause::InvariantRestCutShort,
+                Cause::InvariantTakenTooLate,
+            ];
+            for violation in invariants {
                 assert_eq!(self.count(violation), 0, "{violation:?}");
             }
         }
