Failing tests: a restarted tail commits what a dead proposal installed

Symptom: a tail whose disk holds an install of a proposal that died restarts, hears that its predecessor is open in the view that should have ended, and commits the installed entry. The middle of the chain may not hold it: two of five disks do, where two losses are to be borne.

--- /dev/null
+++ b/crates/control/tests/restarts.rs
@@ -0,0 +1,104 @@
+//! What a replica may say after a restart: nothing that its disk holds for another reason than the chain's.
+
+mod simulation;
+
+use std::sync::Arc;
+
+use crankpick_control::{
+    Ballot, Body, Echo, Entry, EntryId, Heartbeat, Input, Member, MemberId, Message, Options, Output, Record,
+    RecordBody, Replica, Sender, Timing, Transfer, View,
+};
+use simulation::{address, ms, order};
+
+const HEAD: MemberId = MemberId(1);
+const MIDDLE: MemberId = MemberId(2);
+const TAIL: MemberId = MemberId(3);
+
+fn member(id: MemberId) -> Member {
+    Member { id, address: address(id.0 as usize), zone: format!("z{}", id.0), durable: true }
+}
+
+/// Five voters, of which three hold the state.
+fn view() -> View {
+    let members = (1..=5).map(|id| member(MemberId(id))).collect();
+    View { epoch: 1, members, chain: vec![HEAD, MIDDLE, TAIL], start: EntryId::default() }
+}
+
+fn options(id: MemberId) -> Options {
+    Options {
+        address: member(id).address,
+        zone: member(id).zone,
+        seeds: Vec::new(),
+        bootstrap: false,
+        durable: true,
+        tolerate_nodes: 2,
+        tolerate_zones: 0,
+        entropy: 7,
+        timing: Timing::default(),
+    }
+}
+
+fn record(number: u64, body: RecordBody) -> Record {
+    Record { number, body }
+}
+
+/// An entry that the head alone had synced came to the tail by a proposal that died.
+fn records_of_the_tail() -> Vec<Record> {
+    let entry = Arc::new(Entry { id: EntryId { epoch: 1, position: 1 }, order: order(0, 5, 1) });
+    let since = Some(EntryId::default());
+    let transfer = Transfer { complete: 1, since, changes: vec![entry.change()], newest: Some(entry) };
+    let ballot = Ballot { counter: 1, proposer: MemberId(4), incarnation: 9 };
+    vec![
+        record(1, RecordBody::Identity { id: TAIL, bootstrap: Vec::new() }),
+        record(2, RecordBody::Entered(Box::new(view()))),
+        record(3, RecordBody::Installed { epoch: 1, ballot, transfer }),
+    ]
+}
+
+/// The predecessor says that it and the head hold the state with which the view begins.
+fn predecessor_is_open() -> Input {
+    let heartbeat = Heartbeat {
+        sent: Echo { incarnation: 1, sent: 1 },
+        heard: None,
+        epoch: 1,
+        accepted: false,
+        sealed: false,
+        matched: true,
+        opened: true,
+        last: EntryId::default(),
+        committed: EntryId::default(),
+        disk_well: true,
+        leaving: false,
+        unreachable: 0,
+        committed_bytes: 0,
+    };
+    let sender = Sender { id: MIDDLE, address: member(MIDDLE).address };
+    Input::Message(Message { sender, target: Some(TAIL), body: Body::Heartbeat(heartbeat) })
+}
+
+fn commits(outputs: &[Output]) -> bool {
+    outputs.iter().any(|output| match output {
+        Output::Committed(_) => true,
+        Output::Send { message, .. } => matches!(message.body, Body::Commit(_)),
+        _ => false,
+    })
+}
+
+/// Two of five disks hold the entry, which two losses may take away.
+#[test]
+fn a_tail_commits_nothing_that_a_proposal_installed() {
+    let mut outputs = Vec::new();
+    let mut tail = Replica::restore(ms(1), options(TAIL), records_of_the_tail(), &mut outputs);
+    tail.handle(ms(10), predecessor_is_open(), &mut outputs);
+    assert!(!commits(&outputs), "{outputs:#?}");
+}
+
+/// The same where the file was rewritten between the two.
+#[test]
+fn a_tail_restored_from_a_snapshot_commits_nothing_that_a_proposal_installed() {
+    let before = Replica::restore(ms(1), options(TAIL), records_of_the_tail(), &mut Vec::new());
+    let mut outputs = Vec::new();
+    let mut tail = Replica::restore(ms(1), options(TAIL), before.snapshot_records(), &mut outputs);
+    tail.handle(ms(10), predecessor_is_open(), &mut outputs);
+    assert!(!commits(&outputs), "{outputs:#?}");
+}
