A replica whose state a proposal replaced opens no more in the view that ends

Cause: after a restart a replica counts all that its disk holds as stored by the chain. An install isn't: the replicas before it may lack it. The tail committed it once its predecessor said that it was open; one that was told so, a standby or a gateway's home, showed an entry that lay on two disks, and two losses could take it away while another entry took its position. Change: an install marks the replica as replaced, in replays too; it opens no more in that view. A rewritten file keeps the mark as a replica that doesn't match. Such a replica is sealed already, so the view was at its end anyhow.

--- a/crates/control/src/acceptor.rs
+++ b/crates/control/src/acceptor.rs
@@ -93,6 +93,7 @@
         if !self.state.install(&transfer) {
             return;
         }
+        self.chain.replaced = true;
         let record = RecordBody::Installed { epoch: self.view.epoch, ballot: install.ballot, transfer };
         let body = Body::Installed(install.ballot);
         self.disk.stage(record, Some(Effect::Send { to: sender, body }));
--- a/crates/control/src/chain.rs
+++ b/crates/control/src/chain.rs
@@ -28,6 +28,9 @@
 pub(crate) struct Chain {
     /// It holds the state with which the view begins, and all entries since.
     pub(crate) matched: bool,
+    /// A proposal has put another state in place of the chain's since: nothing says that the replicas before this one
+    /// hold it. Such a replica is sealed, and opens no more in this view.
+    pub(crate) replaced: bool,
     /// Entering the view is synced.
     entered: bool,
     /// All before it match, synced.
@@ -181,7 +184,7 @@
 
     /// Opens this replica's part of the view once it and all before it hold the state.
     pub(crate) fn check_opened(&mut self) {
-        let ready = self.chain.matched && self.chain.entered && !self.chain.opened;
+        let ready = self.chain.matched && self.chain.entered && !self.chain.opened && !self.chain.replaced;
         if !ready || !(self.is_head() || self.chain.predecessor_open) {
             return;
         }
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -336,7 +336,7 @@
             view: self.view.clone(),
             promised: self.acceptor.promised,
             accepted: self.acceptor.accepted.clone(),
-            matched: self.chain.matched,
+            matched: self.chain.matched && !self.chain.replaced,
             complete: self.state.complete,
             committed: self.chain.committed,
             changes: self.state.changes(),
--- a/crates/control/src/restore.rs
+++ b/crates/control/src/restore.rs
@@ -37,7 +37,7 @@
             RecordBody::Entered(view) if view.epoch > self.view.epoch => self.enter(*view),
             RecordBody::Installed { epoch, ballot, transfer } if epoch == self.view.epoch => {
                 self.acceptor.promise(self.now, ballot);
-                self.state.install(&transfer);
+                self.chain.replaced |= self.state.install(&transfer);
             }
             RecordBody::Appended { entry } => self.state.append(entry),
             RecordBody::Committed(id) => self.replay_committed(id),
@@ -78,6 +78,7 @@
     pub(crate) fn enter(&mut self, view: View) {
         self.acceptor.clear();
         self.chain.matched = view.place(self.id).is_some() && self.state.last() == view.start;
+        self.chain.replaced = false;
         if self.chain.matched {
             self.state.complete = view.epoch;
         }
