No order is taken with fewer copies than losses where more copies are possible

Cause: few_machines rested on time alone. Change: after 5 s fewer copies do only if fewer machines are known than copies are wanted: members, those heard since the start, and at the first start the seeds not known to be without a disk. target_size keeps an even number of voters where one less would hold too few copies. copies_wanted is capped at nine voters. Open: what was heard isn't kept on disk, so a head of a view of t members or fewer that restarts and is cut off for 5 s counts anew.

--- a/crates/control/src/chain.rs
+++ b/crates/control/src/chain.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use crate::disk::Effect;
+use crate::membership::copies_wanted;
 use crate::message::{Append, Body, Commit, Heartbeat, Sender};
 use crate::options::transfer_time;
 use crate::record::RecordBody;
@@ -100,10 +101,13 @@
     }
 
     /// Whether the chain outlives the losses to be borne. At the first start of a fleet the machines beyond the seeds
-    /// join within seconds; where none does, there are too few, and fewer copies must do.
+    /// join within seconds. Fewer copies must do only where that time has passed and too few machines are known: while
+    /// others are known and out of reach, an order waits for them.
     fn has_copies(&self) -> bool {
-        let enough = self.view.chain.len() > self.options.tolerate_nodes;
-        enough || self.has_run_for(self.options.timing.few_machines)
+        let copies = copies_wanted(self.options.tolerate_nodes);
+        let few_machines =
+            || self.has_run_for(self.options.timing.few_machines) && self.possible_copies() < copies;
+        self.view.chain.len() >= copies || few_machines()
     }
 
     /// The next entry, made by the head. Nothing while too many are in flight.
--- a/crates/control/src/discovery.rs
+++ b/crates/control/src/discovery.rs
@@ -3,6 +3,7 @@
 //! A process that knows no view asks the seeds; only the three that start with `bootstrap` and an empty disk, and are
 //! seeds themselves, ever decide a first one. A process with a disk that is no member asks the members to take it in.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -14,6 +15,8 @@
 const JOINER_KEPT: Duration = Duration::from_secs(2);
 /// Joiners remembered at a time.
 const JOINERS: usize = 16;
+/// Addresses remembered at a time.
+const MACHINES: usize = 64;
 /// While a view is known but nobody of it is heard, the seeds are asked after this.
 const LONELY: Duration = Duration::from_secs(1);
 
@@ -22,6 +25,8 @@
 pub(crate) struct Discovery {
     /// This process's own identity is synced.
     pub(crate) identified: bool,
+    /// This process started with an empty disk.
+    pub(crate) first_start: bool,
     started: Now,
     next_hello: Now,
     next_join: Now,
@@ -30,6 +35,8 @@
     /// Seeds without a disk, as heard.
     volatile_seeds: Vec<SocketAddr>,
     joiners: Vec<Joiner>,
+    /// Processes that could vote, as heard since the start, with whether they have a disk.
+    heard: BTreeMap<SocketAddr, bool>,
 }
 
 /// One that asks to be let in.
@@ -46,12 +53,21 @@
     pub(crate) fn new(now: Now) -> Self {
         Discovery {
             identified: false,
+            first_start: false,
             started: now,
             next_hello: now,
             next_join: now,
             durable_seeds: Vec::new(),
             volatile_seeds: Vec::new(),
             joiners: Vec::new(),
+            heard: BTreeMap::new(),
+        }
+    }
+
+    /// Notes a process that was heard.
+    fn note_heard(&mut self, member: &Member) {
+        if self.heard.len() < MACHINES || self.heard.contains_key(&member.address) {
+            self.heard.insert(member.address, member.durable);
         }
     }
 
@@ -150,6 +166,7 @@
             self.send(sender, Body::Decide(Box::new(self.view.clone())));
         }
         self.note_seed(sender.address, hello.member.durable, hello.bootstrap);
+        self.discovery.note_heard(&hello.member);
     }
 
     /// A seed with a disk takes part if it started for the bootstrap; one without a disk is known by being so.
@@ -183,6 +200,23 @@
         }
     }
 
+    /// How many machines could hold a copy of the state, as far as this process can tell: the members, those that were
+    /// heard, and in the process that took part in the bootstrap the seeds that weren't. Where anybody has a disk, only
+    /// those with one.
+    pub(crate) fn possible_copies(&self) -> usize {
+        let members = self.view.members.iter().map(|member| (member.address, member.durable));
+        let heard = self.discovery.heard.iter().map(|(address, durable)| (*address, *durable));
+        let known: Vec<(SocketAddr, bool)> =
+            members.chain(heard).chain([(self.options.address, self.options.durable)]).collect();
+        let with_disk = known.iter().any(|(_, durable)| *durable);
+        let mut machines: BTreeSet<SocketAddr> =
+            known.iter().filter(|(_, durable)| *durable || !with_disk).map(|(address, _)| *address).collect();
+        if self.discovery.first_start {
+            machines.extend(self.electorate());
+        }
+        machines.len()
+    }
+
     /// Whether the first view may be proposed: all that decide on it are heard, or enough and the last one is late.
     pub(crate) fn seeds_are_heard(&self) -> bool {
         let electorate = self.electorate();
@@ -215,6 +249,7 @@
     }
 
     pub(crate) fn on_join(&mut self, member: Member) {
+        self.discovery.note_heard(&member);
         let now = self.now;
         let joiners = &mut self.discovery.joiners;
         joiners.retain(|known| known.member.id == member.id || known.member.address != member.address);
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -31,6 +31,11 @@
     }
 }
 
+/// On how many replicas an entry outlives the loss of `losses` of them, as far as there may be so many voters.
+pub(crate) fn copies_wanted(losses: usize) -> usize {
+    (losses + 1).min(MOST_VOTERS)
+}
+
 /// What speaks for or against a candidate, best first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Condition {
@@ -90,9 +95,11 @@
 }
 
 /// As many as wanted; if there are fewer, the largest odd number: an even one needs a larger majority and bears no more.
+/// But as many as there must be copies, if there are.
 fn target_size(candidates: &[Candidate], tolerance: Tolerance) -> usize {
     let available = candidates.len().min(tolerance.wanted_voters());
-    if available > 2 && available.is_multiple_of(2) {
+    let spare = available > copies_wanted(tolerance.nodes);
+    if spare && available > 2 && available.is_multiple_of(2) {
         available - 1
     } else {
         available
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -175,6 +175,7 @@
         if self.options.bootstrap && self.options.seeds.contains(&self.options.address) {
             self.bootstrap = self.options.seeds.clone();
         }
+        self.discovery.first_start = true;
         let body = RecordBody::Identity { id: self.id, bootstrap: self.bootstrap.clone() };
         self.disk.stage(body, Some(Effect::Identified));
     }
