Schedules of ends: disks lost and power gone with everything else under way

Stricter checks: an acknowledgement, as a commit, is on more disks than may be lost, those counted as lost that held it (before: any lost within 8 s); a fresh read is never older than one that was shown before it; a rewrite survives or not by its own lot.

--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -6,13 +6,14 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use simulation::schedule::{run, Report};
+use simulation::schedule::Report;
+use simulation::{ends, schedule};
 
 fn from_environment(name: &str, usual: u64) -> u64 {
     std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(usual)
 }
 
-fn run_all(first: u64, count: u64, threads: usize) -> Vec<Report> {
+fn run_all(run: fn(u64) -> Report, first: u64, count: u64, threads: usize) -> Vec<Report> {
     let next = AtomicU64::new(first);
     let reports = Mutex::new(Vec::new());
     std::thread::scope(|scope| {
@@ -34,8 +35,17 @@
 
 #[test]
 fn schedules_of_faults_break_nothing() {
+    break_nothing(schedule::run);
+}
+
+#[test]
+fn schedules_of_ends_lose_nothing() {
+    break_nothing(ends::run);
+}
+
+fn break_nothing(run: fn(u64) -> Report) {
     let count = from_environment("CONTROL_SCHEDULES", 300);
-    let reports = run_all(from_environment("CONTROL_FIRST", 1), count, 3);
+    let reports = run_all(run, from_environment("CONTROL_FIRST", 1), count, 3);
     let failed: Vec<&Report> = reports.iter().filter(|report| !report.breaches.is_empty()).collect();
     for report in failed.iter().take(5) {
         println!("seed {}: {:#?}\n{}", report.seed, report.breaches, report.trace);
--- a/crates/control/tests/simulation/checks.rs
+++ b/crates/control/tests/simulation/checks.rs
@@ -22,6 +22,8 @@
     /// When each version was acknowledged, in order of time; versions never fall.
     acknowledged: Vec<(Duration, Identity)>,
     refused: Vec<Identity>,
+    /// When each version was first shown as the newest, in order of time.
+    shown: Vec<(Duration, u64)>,
     pub reads: u64,
     pub views_changed: u64,
     pub refusals: u64,
@@ -71,6 +73,13 @@
         }
     }
 
+    /// All views that were seen, in order.
+    pub fn views(&self) -> Vec<View> {
+        let mut views: Vec<View> = self.views.values().cloned().collect();
+        views.sort_by_key(|view| view.epoch);
+        views
+    }
+
     pub fn acknowledged(&mut self, now: Duration, order: &Order) {
         let order = identity(order);
         if self.refused.contains(&order) {
@@ -109,6 +118,21 @@
                 "{now:?} node {place}: reads {generation} as of {as_of:?}, {due:?} was acknowledged"
             ));
         }
+        // Versions only rise: the newest shown before that moment is the highest.
+        let shown = self.shown.iter().rev().find(|(at, _)| *at < as_of).map(|(_, shown)| *shown);
+        if shown.is_some_and(|shown| generation < shown) {
+            self.breach(format!(
+                "{now:?} node {place}: reads {generation} as of {as_of:?}, {shown:?} was read"
+            ));
+        }
+        if self.shown.last().is_none_or(|(_, newest)| generation > *newest) {
+            self.shown.push((now, generation));
+        }
+    }
+
+    /// The newest version that a read has shown.
+    pub fn newest_shown(&self) -> u64 {
+        self.shown.last().map_or(0, |(_, generation)| *generation)
     }
 
     /// The newest acknowledged version.
--- a/crates/control/tests/simulation/inspect.rs
+++ b/crates/control/tests/simulation/inspect.rs
@@ -1,6 +1,6 @@
 //! Looking at a world from outside.
 
-use crankpick_control::{Entry, EntryId, MemberId, Options, Order, Record, RecordBody, Replica};
+use crankpick_control::{Change, Entry, EntryId, MemberId, Options, Order, Record, RecordBody, Replica};
 
 use super::{ms, World};
 
@@ -16,27 +16,38 @@
 
     /// An entry that is committed, for the first time that anyone says so, is synced on enough disks.
     pub(super) fn check_durable(&mut self, entry: &Entry) {
-        if self.checks.knows(entry) {
-            return;
+        if !self.checks.knows(entry) {
+            self.check_copies("committed", &entry.order);
         }
-        let disks = (0..self.nodes.len()).filter(|place| self.is_on_disk(*place, &entry.order)).count();
-        // One that was lost since it synced the entry counts.
-        let lost = self.disks_lost_within(ms(8000));
+    }
+
+    /// More disks hold or held an order than may be lost.
+    pub(super) fn check_copies(&mut self, what: &str, order: &Order) {
+        let holds = |place: &usize| self.changes_on_disk(*place).iter().any(|change| change.is_of(order));
+        let disks = (0..self.nodes.len()).filter(holds).count();
+        let held = |copies: &&Vec<Change>| copies.iter().any(|change| change.is_of(order));
+        let lost = self.lost_copies.iter().filter(held).count();
         if disks + lost <= self.tolerate {
-            let text = format!("{:?}: committed on {disks} disks: {:?}", self.now, entry.change());
+            let (if_match, generation) = (order.if_match, order.generation);
+            let text = format!("{:?}: {what} on {disks} disks: {generation} on {if_match}", self.now);
             self.checks.breaches.push(text);
         }
     }
 
-    /// Whether a process started from that disk would know the order.
-    fn is_on_disk(&self, place: usize, order: &Order) -> bool {
+    /// The changes that a process started from that disk would know.
+    pub(super) fn changes_on_disk(&self, place: usize) -> Vec<Change> {
         let node = &self.nodes[place];
+        if node.disk.is_empty() {
+            return Vec::new();
+        }
         let decoded = node.disk.iter().map(|bytes| Record::decode(bytes).expect("a sound record"));
         let replica = Replica::restore(ms(0), self.options(place, 0), decoded.collect(), &mut Vec::new());
-        replica.snapshot_records().into_iter().any(|record| match record.body {
-            RecordBody::Snapshot(snapshot) => snapshot.changes.iter().any(|change| change.is_of(order)),
-            _ => false,
-        })
+        let snapshots = replica.snapshot_records().into_iter();
+        let changes = snapshots.filter_map(|record| match record.body {
+            RecordBody::Snapshot(snapshot) => Some(snapshot.changes),
+            _ => None,
+        });
+        changes.flatten().collect()
     }
 
     /// Whether a majority of a view's members would know it after a restart: before that, what the view before it lacked
--- a/crates/control/tests/simulation/mod.rs
+++ b/crates/control/tests/simulation/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod checks;
+pub mod ends;
 pub mod inspect;
 pub mod machine;
 pub mod operators;
@@ -16,7 +17,7 @@
 use std::time::Duration;
 
 use crankpick_control::{
-    Body, Input, Message, Order, Outcome, Output, Record, Replica, SubmitKey, Ticket, Timing,
+    Body, Change, Input, Message, Order, Outcome, Output, Record, Replica, SubmitKey, Ticket, Timing,
 };
 
 use checks::Checks;
@@ -135,6 +136,10 @@
     pub left_out: Vec<usize>,
     /// When disks were lost.
     lost_disks: Vec<Duration>,
+    /// The changes that each lost disk held.
+    lost_copies: Vec<Vec<Change>>,
+    /// The end that strikes at the next acknowledgement or change.
+    pub pending_end: Option<ends::End>,
     queue: BinaryHeap<Reverse<Scheduled>>,
     number: u64,
     addresses: HashMap<SocketAddr, usize>,
@@ -164,6 +169,8 @@
             verbose: std::env::var_os("CONTROL_VERBOSE").is_some(),
             left_out: Vec::new(),
             lost_disks: Vec::new(),
+            lost_copies: Vec::new(),
+            pending_end: None,
             queue: BinaryHeap::new(),
             number: 0,
             addresses: HashMap::new(),
@@ -271,6 +278,8 @@
     }
 
     fn end(&mut self, place: usize, kept: bool) {
+        // A rewrite comes after the write under way, and is there or not by a lot of its own.
+        let rewrite_kept = self.random.bool();
         let node = &mut self.nodes[place];
         node.replica = None;
         node.held.clear();
@@ -278,7 +287,7 @@
         if let Some(flight) = node.flight.take() {
             if kept && !flight.refused {
                 node.disk.extend(flight.records);
-                if let Some(rewrite) = node.rewrite.take() {
+                if let Some(rewrite) = node.rewrite.take().filter(|_| rewrite_kept) {
                     node.disk = rewrite;
                 }
             }
@@ -289,6 +298,8 @@
 
     /// The process ends and its disk is emptied.
     pub fn wipe(&mut self, place: usize) {
+        let copies = self.changes_on_disk(place);
+        self.lost_copies.push(copies);
         self.kill(place);
         self.nodes[place].disk.clear();
         self.nodes[place].mode = DiskMode::Well;
--- a/crates/control/tests/simulation/operators.rs
+++ b/crates/control/tests/simulation/operators.rs
@@ -90,6 +90,7 @@
 
     /// Sends a new change.
     pub fn call_new(&mut self, if_match: u64, generation: u64) {
+        self.strike_after_a_change();
         self.operators.salt += 1;
         let order = order(if_match, generation, self.operators.salt);
         self.call(order);
@@ -160,7 +161,11 @@
                 self.wake_operator_at(now + ms(100), Wake::Look { call, attempt });
                 return;
             }
-            Outcome::Taken => self.checks.acknowledged(now, &order),
+            Outcome::Taken => {
+                self.check_copies("acknowledged", &order);
+                self.checks.acknowledged(now, &order);
+                self.strike_after_an_acknowledgement();
+            }
             Outcome::Conflict { .. } | Outcome::Invalid { .. } => self.checks.refused(now, &order),
         }
         known_end(self, call, now, outcome);
--- a/crates/control/tests/simulation/schedule.rs
+++ b/crates/control/tests/simulation/schedule.rs
@@ -4,6 +4,7 @@
 
 use crankpick_control::Input;
 
+use super::ends::End;
 use super::operators::Wake;
 use super::{ms, DiskMode, Network, World};
 
@@ -44,6 +45,14 @@
         place: usize,
         after: Duration,
     },
+    /// Kills several at one moment.
+    KillMany(Vec<usize>),
+    /// An end waits for its moment.
+    Arm(End),
+    /// An end strikes.
+    End(End),
+    /// Changes come at such intervals from now on.
+    Interval(Duration),
 }
 
 /// How a schedule ended.
@@ -61,14 +70,14 @@
     pub trace: String,
 }
 
-const SEEDS: usize = 3;
+pub(super) const SEEDS: usize = 3;
 /// The longest that a process takes to leave.
 const LEAVE_LIMIT: Duration = Duration::from_secs(3);
 /// The machines beyond the seeds, and the losses that the core bears.
 const CORES: [(usize, usize); 12] =
     [(1, 1), (1, 1), (0, 1), (1, 1), (2, 1), (3, 1), (2, 2), (0, 1), (5, 2), (3, 2), (6, 3), (4, 2)];
-const TROUBLE_ENDS: Duration = Duration::from_secs(22);
-const BOUND: Duration = Duration::from_secs(4);
+pub(super) const TROUBLE_ENDS: Duration = Duration::from_secs(22);
+pub(super) const BOUND: Duration = Duration::from_secs(4);
 
 impl World {
     pub fn apply(&mut self, fault: Fault) {
@@ -98,6 +107,10 @@
                 self.apply(Fault::KillAll);
             }
             Fault::Replace(place) => self.replace_if_borne(place),
+            Fault::KillMany(places) => places.into_iter().for_each(|place| self.kill(place)),
+            Fault::Arm(end) => self.arm(end),
+            Fault::End(end) => self.strike(&end),
+            Fault::Interval(interval) => self.operators.interval = interval,
             Fault::ReplaceInOrder { place, after } => {
                 if self.may_lose_disk(place) {
                     self.note_lost();
@@ -195,7 +208,7 @@
         trace
     }
 
-    fn draw(&mut self, at: Duration, long: Duration, machines: usize) -> Vec<(Duration, Fault)> {
+    pub(super) fn draw(&mut self, at: Duration, long: Duration, machines: usize) -> Vec<(Duration, Fault)> {
         let place = self.random.usize(0..machines);
         let end = at + long;
         match self.random.u32(0..20) {
@@ -261,7 +274,7 @@
     }
 
     /// All trouble ends; some machines that count may stay down or sick, as many as the core bears.
-    fn end_trouble(&mut self) {
+    pub(super) fn end_trouble(&mut self) {
         self.apply(Fault::Heal);
         self.network = Network::CALM;
         let view = self.newest_view();
@@ -288,7 +301,7 @@
     }
 
     /// From the end of trouble to the first order taken that was sent after it.
-    fn recover(&mut self) -> Option<Duration> {
+    pub(super) fn recover(&mut self) -> Option<Duration> {
         let begun = self.now;
         self.operators.interval = ms(300);
         self.operators.answers_lost = 0;
@@ -307,10 +320,10 @@
     }
 
     /// At the end every replica that is fresh has all that was acknowledged.
-    fn check_end(&mut self) {
+    pub(super) fn check_end(&mut self) {
         self.operators.interval = Duration::ZERO;
         self.run_until(self.now + ms(6000));
-        let newest = self.checks.newest_acknowledged();
+        let newest = self.checks.newest_acknowledged().max(self.checks.newest_shown());
         let mut fresh = 0;
         for place in 0..self.nodes.len() {
             if !self.is_fresh(place) {
@@ -325,7 +338,9 @@
             let Some(replica) = &self.nodes[place].replica else { continue };
             let known = replica.newest_committed().map_or(0, |entry| entry.order.generation);
             if known < newest {
-                self.checks.breaches.push(format!("node {place} has {known}, {newest} was acknowledged"));
+                self.checks
+                    .breaches
+                    .push(format!("node {place} has {known}, {newest} was acknowledged or shown"));
             }
             if !replica.in_chain() {
                 continue;
@@ -345,7 +360,7 @@
 impl World {
     /// Once the core has had time to make up for what it lost, it says that it bears as many losses as it should, and it
     /// does: that many voters are lost at one moment, and an order is taken in time.
-    fn bear_more_losses(&mut self) {
+    pub(super) fn bear_more_losses(&mut self) {
         let well = self.well();
         if !self.checks.breaches.is_empty() || well.len() < 2 * self.tolerate + 1 {
             return;
@@ -385,24 +400,31 @@
         world.add_node(seeds, false, false);
     }
     let trace = world.prepare();
-    world.run_until(ms(5000) + TROUBLE_ENDS - ms(5000));
-    world.end_trouble();
-    let recovered = world.recover();
-    if recovered.is_none() {
-        let text = format!("no order taken within {BOUND:?} after trouble\n{}", world.describe());
-        world.checks.breaches.push(text);
-    }
-    world.check_end();
-    world.bear_more_losses();
-    Report {
-        seed,
-        breaches: std::mem::take(&mut world.checks.breaches),
-        recovered,
-        acknowledgements: world.checks.acknowledgements(),
-        refusals: world.checks.refusals,
-        views: world.checks.views_changed,
-        reads: world.checks.reads,
-        messages: world.messages,
-        trace,
+    world.finish(seed, trace)
+}
+
+impl World {
+    /// Lets the drawn trouble run its course, then looks at what is left.
+    pub(super) fn finish(mut self, seed: u64, trace: String) -> Report {
+        self.run_until(TROUBLE_ENDS);
+        self.end_trouble();
+        let recovered = self.recover();
+        if recovered.is_none() {
+            let text = format!("no order taken within {BOUND:?} after trouble\n{}", self.describe());
+            self.checks.breaches.push(text);
+        }
+        self.check_end();
+        self.bear_more_losses();
+        Report {
+            seed,
+            breaches: std::mem::take(&mut self.checks.breaches),
+            recovered,
+            acknowledgements: self.checks.acknowledgements(),
+            refusals: self.checks.refusals,
+            views: self.checks.views_changed,
+            reads: self.checks.reads,
+            messages: self.messages,
+            trace,
+        }
     }
 }
