Invariants of the control state, checked in the running code

crates/control/src/invariant.rs: what a replica commits, hands on or votes for is synced on its own disk, by the records of finished writes; the chain has min(t + 1, voters) replicas at each commit; the newest committed entry never becomes an older one; nothing else stands where an entry was committed, and no later view begins without it; what is answered as taken is known to be committed. Each World, the model and the hosts' tests fail on any.

--- a/crates/control-plane/src/host/replication.rs
+++ b/crates/control-plane/src/host/replication.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 
 use crankpick_configuration::RoutingTable;
-use crankpick_control::{Entry, Input, Message, Output, Outputs, Record, Ticket, View};
+use crankpick_control::{Entry, Input, Message, Output, Outputs, Record, Ticket, View, Violation};
 use crankpick_protocol::ConfigurationMark;
-use slog::{info, warn};
+use slog::{error, info, warn};
 
 use super::Host;
 use crate::disk::{Write, Written};
@@ -35,10 +35,17 @@
                 Output::Answer { key, outcome } => self.operator.end_order(key, outcome),
                 Output::Committed(entry) => self.committed(&entry),
                 Output::ViewChanged(view) => self.view_changed(&view),
+                Output::Violation(violation) => self.violated(&violation),
             }
         }
     }
 
+    /// Tells of a fault of this program: what it says from now on may be wrong.
+    fn violated(&self, violation: &Violation) {
+        error!(self.parts.log, "an invariant of the control state is broken"; "code" => violation.kind.code(),
+            "kind" => ?violation.kind, "epoch" => violation.epoch, "entry" => ?violation.entry);
+    }
+
     pub(super) fn send_message(&mut self, to: SocketAddr, message: Message) {
         self.links.send(to, &PeerPacket::Replica(message));
     }
--- a/crates/control-plane/src/status.rs
+++ b/crates/control-plane/src/status.rs
@@ -1,9 +1,10 @@
 //! How things stand at a process of the control plane, as JSON for an operator.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crankpick_control::{Now, Replica};
+use crankpick_control::{Now, Replica, ViolationKind};
 use crankpick_registry::Registry;
 use serde::Serialize;
 
@@ -53,6 +54,8 @@
     peers_up: usize,
     tolerated_losses: usize,
     bearable_losses: Option<usize>,
+    /// How often an invariant was seen broken since the start, by the code of its kind.
+    violations: BTreeMap<&'static str, u64>,
     warnings: Vec<&'static str>,
 }
 
@@ -63,6 +66,12 @@
     in_chain: Option<usize>,
 }
 
+/// All kinds of violations by their codes, those never seen as well.
+fn violations(replica: &Replica) -> BTreeMap<&'static str, u64> {
+    let counted = |kind: ViolationKind| replica.violations().get(&kind).copied().unwrap_or_default();
+    ViolationKind::ALL.into_iter().map(|kind| (kind.code(), counted(kind))).collect()
+}
+
 /// The status as JSON.
 pub fn describe(facts: &Facts<'_>) -> String {
     let view = facts.replica.view();
@@ -94,6 +103,7 @@
         peers_up: facts.peers_up,
         tolerated_losses: facts.tolerated_losses,
         bearable_losses,
+        violations: violations(facts.replica),
         warnings: too_few.then_some(TOO_FEW).into_iter().collect(),
     };
     serde_json::to_string(&status).unwrap_or_default()
--- a/crates/control-plane/tests/hosts/isolation.rs
+++ b/crates/control-plane/tests/hosts/isolation.rs
@@ -83,6 +83,7 @@
     let status = core.status(1).unwrap();
     assert_eq!((status.field("bearable_losses"), status.field("tolerated_losses")), (1.into(), 1.into()));
     assert_eq!(status.field("warnings"), serde_json::json!([]));
+    assert_eq!(status.field("violations")["CTL-311"], 0, "{}", status.body);
     core.kill(0);
     let status = in_the_end("a core that bears no loss", || {
         core.status(1).filter(|status| status.field("bearable_losses") == 0)
--- a/crates/control-plane/tests/hosts/support.rs
+++ b/crates/control-plane/tests/hosts/support.rs
@@ -154,8 +154,20 @@
         process.running = Some(Running { stop, thread });
     }
 
+    /// No process may have seen an invariant of the control state broken. One that doesn't count keeps none.
+    fn check_invariants(&self, at: usize) {
+        let Some(status) = self.status(at).filter(|_| !std::thread::panicking()) else { return };
+        let violations = status.field("violations");
+        for (code, count) in violations.as_object().into_iter().flatten() {
+            assert_eq!(count.as_u64(), Some(0), "process {at}: {code}");
+        }
+    }
+
     /// Ends a process at once, as a kill does.
     pub fn kill(&mut self, at: usize) {
+        if self.processes[at].running.is_some() {
+            self.check_invariants(at);
+        }
         if let Some(running) = self.processes[at].running.take() {
             let _ended = running.stop.send(());
             running.thread.join().unwrap();
--- a/crates/control/src/acceptor.rs
+++ b/crates/control/src/acceptor.rs
@@ -150,6 +150,7 @@
     /// Enters a decided view.
     pub(crate) fn adopt(&mut self, view: View) {
         let epoch = view.epoch;
+        self.check_view(&view);
         self.enter(view.clone());
         if !self.chain.matched {
             self.state.release_all();
--- a/crates/control/src/catch_up.rs
+++ b/crates/control/src/catch_up.rs
@@ -120,7 +120,8 @@
     }
 
     fn note_caught_up(&mut self, newest: Option<Arc<Entry>>) {
-        self.chain.committed = self.state.last();
+        let before = std::mem::replace(&mut self.chain.committed, self.state.last());
+        self.check_committed_since(before.position);
         self.state.release(self.state.last().position);
         if let Some(entry) = newest {
             self.learn(entry);
--- a/crates/control/src/chain.rs
+++ b/crates/control/src/chain.rs
@@ -157,6 +157,7 @@
     fn pass_on(&mut self, position: u64) {
         let Some(entry) = self.state.entry(position).cloned() else { return };
         let Some(successor) = self.replica(self.view.successor(self.id)) else { return };
+        self.check_synced(entry.id);
         let append = Append { epoch: self.view.epoch, entry, committed: self.known_committed() };
         self.chain.sent = Some(self.now);
         self.send(successor, Body::Append(append));
@@ -207,6 +208,10 @@
             return;
         }
         let committed = self.chain.stored;
+        if committed.position > self.chain.committed.position {
+            self.check_synced(committed);
+            self.check_copies(committed);
+        }
         self.note_committed(committed);
         let commit = Commit { epoch: self.view.epoch, committed };
         for id in self.view.chain.clone() {
@@ -245,7 +250,8 @@
         if id.position <= self.chain.committed.position || !self.state.contains(id) {
             return;
         }
-        self.chain.committed = id;
+        let before = std::mem::replace(&mut self.chain.committed, id);
+        self.check_committed_since(before.position);
         self.disk.stage(RecordBody::Committed(id), None);
         let waits = self.state.last().position > id.position;
         self.chain.waits = waits.then_some(self.now);
@@ -261,6 +267,7 @@
         if entry.id.position <= self.committed_id().position {
             return;
         }
+        self.check_learned(&entry);
         self.committed = Some(entry.clone());
         self.output(Output::Committed(entry));
         self.note_freshness();
--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -95,13 +95,12 @@
         Some((ticket, records))
     }
 
-    /// A write is synced.
-    pub(crate) fn persisted(&mut self, ticket: Ticket) {
-        if self.flight.as_ref().is_some_and(|flight| flight.ticket == ticket) {
-            let effects = self.flight.take().map(|flight| flight.effects).unwrap_or_default();
-            self.ready.extend(effects);
-            self.refused = None;
-        }
+    /// A write is synced: its records.
+    pub(crate) fn persisted(&mut self, ticket: Ticket) -> Option<Vec<Record>> {
+        let flight = self.flight.take_if(|flight| flight.ticket == ticket)?;
+        self.ready.extend(flight.effects);
+        self.refused = None;
+        Some(flight.records)
     }
 
     /// A write was refused: its records wait, before all later ones.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 mod disk;
 mod freshness;
 mod heartbeat;
+mod invariant;
 mod membership;
 mod message;
 mod options;
@@ -23,6 +24,7 @@
 mod state;
 mod types;
 
+pub use invariant::{Violation, ViolationKind};
 pub use message::{
     Accept, Append, Body, CatchUp, CaughtUp, Commit, Echo, Forward, ForwardAnswer, Heartbeat, Hello, Install,
     Message, Nack, Prepare, Promise, Sender,
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -115,6 +115,7 @@
         let committed = self.chain.committed.position;
         if let Some(change) = self.state.find(order) {
             if change.id.position <= committed {
+                self.check_acknowledged(order);
                 return self.answer(from, &forward, Outcome::Taken);
             }
             return self.wait(from, forward, change.id.position);
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -11,6 +11,7 @@
 use crate::discovery::Discovery;
 use crate::disk::{Disk, Effect};
 use crate::freshness::Freshness;
+use crate::invariant::{Invariants, Violation};
 use crate::message::{Body, Message, Sender};
 use crate::options::Options;
 use crate::orders::{Submits, Waiting};
@@ -82,6 +83,8 @@
     Committed(Arc<Entry>),
     /// The view is another one now.
     ViewChanged(View),
+    /// An invariant is broken: this is a fault of the program, to be told under its code.
+    Violation(Violation),
 }
 
 /// What the host is to do, in order.
@@ -111,6 +114,7 @@
     pub(crate) waiting: Vec<Waiting>,
     pub(crate) disk: Disk,
     pub(crate) leaving: bool,
+    pub(crate) invariants: Invariants,
     was_sick: bool,
     /// What this process says to itself.
     inbox: VecDeque<Body>,
@@ -133,6 +137,7 @@
             replica.outputs.push(Output::ViewChanged(replica.view.clone()));
         }
         replica.chain.resume(now, &replica.view, replica.id, replica.state.last());
+        replica.check_restored();
         replica.check_opened();
         replica.settle();
         outputs.append(&mut replica.outputs);
@@ -165,6 +170,7 @@
             proposer: Proposer::default(),
             waiting: Vec::new(),
             leaving: false,
+            invariants: Invariants::default(),
             was_sick: false,
             inbox: VecDeque::new(),
             outputs: Vec::new(),
@@ -186,7 +192,7 @@
         match input {
             Input::Tick => self.tick(),
             Input::Message(message) => self.receive(message),
-            Input::Persisted(ticket) => self.disk.persisted(ticket),
+            Input::Persisted(ticket) => self.persisted(ticket),
             Input::DiskRefused(ticket) => self.disk.refuse(self.now, ticket),
             Input::Submit { key, order } => self.submit(key, order),
             Input::Seeds(seeds) => self.options.seeds = seeds,
@@ -197,6 +203,12 @@
         outputs.append(&mut self.outputs);
     }
 
+    fn persisted(&mut self, ticket: Ticket) {
+        if let Some(records) = self.disk.persisted(ticket) {
+            self.invariants.note_synced(&records);
+        }
+    }
+
     fn tick(&mut self) {
         self.peers.tick(self.now);
         self.probe_disk();
@@ -258,7 +270,10 @@
 
     fn apply(&mut self, effect: Effect) {
         match effect {
-            Effect::Send { to, body } => self.send(to, body),
+            Effect::Send { to, body } => {
+                self.check_vote(&body);
+                self.send(to, body);
+            }
             Effect::Stored { epoch, id } => self.on_stored(epoch, id),
             Effect::Entered { epoch } => self.on_entered(epoch),
             Effect::Identified => self.discovery.identified = true,
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -41,6 +41,18 @@
         self.changes.iter().copied().collect()
     }
 
+    /// The changes after one position, up to another.
+    pub(crate) fn changes_between(&self, after: u64, last: u64) -> Vec<Change> {
+        let wanted = |change: &&Change| change.id.position > after && change.id.position <= last;
+        self.changes
+            .iter()
+            .rev()
+            .take_while(|change| change.id.position > after)
+            .filter(wanted)
+            .copied()
+            .collect()
+    }
+
     pub(crate) fn entries(&self) -> Vec<Arc<Entry>> {
         self.entries.iter().cloned().collect()
     }
--- a/crates/control/src/types.rs
+++ b/crates/control/src/types.rs
@@ -169,7 +169,7 @@
 }
 
 /// What is remembered of a taken order, so that the same order again is known.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
     /// The entry.
     pub id: EntryId,
--- a/crates/control/tests/restarts.rs
+++ b/crates/control/tests/restarts.rs
@@ -1,12 +1,12 @@
-//! What a replica may say after a restart: nothing that its disk holds for another reason than the chain's.
+//! What a replica makes of its own past: of what its disk holds for another reason than the chain's, and of late answers.
 
 mod simulation;
 
 use std::sync::Arc;
 
 use crankpick_control::{
-    Ballot, Body, Echo, Entry, EntryId, Heartbeat, Input, Member, MemberId, Message, Options, Output, Record,
-    RecordBody, Replica, Sender, Timing, Transfer, View,
+    Ballot, Body, CaughtUp, Echo, Entry, EntryId, Heartbeat, Input, Member, MemberId, Message, Options,
+    Output, Record, RecordBody, Replica, Sender, Timing, Transfer, View,
 };
 use simulation::{address, ms, order};
 
@@ -102,3 +102,39 @@
     tail.handle(ms(10), predecessor_is_open(), &mut outputs);
     assert!(!commits(&outputs), "{outputs:#?}");
 }
+
+const STANDBY: MemberId = MemberId(4);
+
+/// The first entries of view 1.
+fn entries(count: u64) -> Vec<Arc<Entry>> {
+    let entry =
+        |position| Entry { id: EntryId { epoch: 1, position }, order: order(position - 1, position, 1) };
+    (1..=count).map(|position| Arc::new(entry(position))).collect()
+}
+
+fn caught_up(count: u64) -> Input {
+    let entries = entries(count);
+    let changes = entries.iter().map(|entry| entry.change()).collect();
+    let newest = entries.last().cloned();
+    let transfer = Transfer { complete: 0, since: Some(EntryId::default()), changes, newest };
+    let body = Body::CaughtUp(Box::new(CaughtUp { epoch: 1, transfer }));
+    let sender = Sender { id: HEAD, address: member(HEAD).address };
+    Input::Message(Message { sender, target: Some(STANDBY), body })
+}
+
+/// What a replica outside the chain has caught up with stays, though an earlier answer comes late.
+#[test]
+fn a_late_answer_takes_nothing_back() {
+    let records = vec![
+        record(1, RecordBody::Identity { id: STANDBY, bootstrap: Vec::new() }),
+        record(2, RecordBody::Entered(Box::new(view()))),
+    ];
+    let mut outputs = Vec::new();
+    let mut standby = Replica::restore(ms(1), options(STANDBY), records, &mut outputs);
+    standby.handle(ms(10), caught_up(3), &mut outputs);
+    standby.handle(ms(20), caught_up(2), &mut outputs);
+    let RecordBody::Snapshot(snapshot) = standby.snapshot_records().remove(0).body else { unreachable!() };
+    assert_eq!(snapshot.committed, EntryId { epoch: 1, position: 3 });
+    assert_eq!(snapshot.changes.len(), 3);
+    assert!(standby.violations().is_empty(), "{:?}", standby.violations());
+}
--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -55,7 +55,7 @@
     let at = |share: usize| recovered.get(recovered.len() * share / 100).copied().unwrap_or_default();
     let sum = |value: fn(&Report) -> u64| reports.iter().map(value).sum::<u64>();
     println!(
-        "{count} schedules, {} failed; {} acknowledgements, {} refusals, {} views, {} reads, {} messages; \
+        "{count} schedules, {} failed; {} acknowledgements, {} refusals, {} views, {} reads, {} messages, {} violations; \
          recovered after {:?} median, {:?} p99, {:?} at most",
         failed.len(),
         sum(|report| report.acknowledgements as u64),
@@ -63,6 +63,7 @@
         sum(|report| report.views),
         sum(|report| report.reads),
         sum(|report| report.messages),
+        sum(|report| report.violations),
         at(50),
         at(99),
         recovered.last(),
--- a/crates/control/tests/simulation/checks.rs
+++ b/crates/control/tests/simulation/checks.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crankpick_control::{Change, Entry, Order, View};
+use crankpick_control::{Change, Entry, Order, View, Violation};
 
 /// What tells one order from another.
 pub type Identity = (u64, u64, u128);
@@ -24,6 +24,8 @@
     refused: Vec<Identity>,
     /// When each version was first shown as the newest, in order of time.
     shown: Vec<(Duration, u64)>,
+    pub violations: u64,
+    pub violations_reported: bool,
     pub reads: u64,
     pub views_changed: u64,
     pub refusals: u64,
@@ -63,6 +65,12 @@
         self.committed.contains_key(&entry.id.position)
     }
 
+    /// A replica has seen its own invariant broken: no schedule may show that.
+    pub fn violated(&mut self, now: Duration, place: usize, violation: Violation) {
+        self.violations += 1;
+        self.breach(format!("{now:?} node {place}: {violation:?}"));
+    }
+
     /// One view an epoch.
     pub fn view(&mut self, now: Duration, place: usize, view: &View) {
         if let Some(known) = self.views.get(&view.epoch).filter(|known| *known != view) {
--- a/crates/control/tests/simulation/mod.rs
+++ b/crates/control/tests/simulation/mod.rs
@@ -437,6 +437,7 @@
                     self.checks.committed(self.now, place, &entry);
                 }
                 Output::ViewChanged(view) => self.checks.view(self.now, place, &view),
+                Output::Violation(violation) => self.checks.violated(self.now, place, violation),
             }
         }
     }
@@ -513,6 +514,15 @@
     }
 }
 
+impl Drop for World {
+    /// Whatever a test looks at, no replica may have seen its own invariants broken. Schedules report it themselves.
+    fn drop(&mut self) {
+        if !std::thread::panicking() && !self.checks.violations_reported {
+            assert_eq!(self.checks.violations, 0, "{:#?}", self.checks.breaches);
+        }
+    }
+}
+
 /// A core: its machines, and the losses that it bears.
 #[derive(Clone, Copy, Debug)]
 pub struct Core {
--- a/crates/control/tests/simulation/schedule.rs
+++ b/crates/control/tests/simulation/schedule.rs
@@ -67,6 +67,7 @@
     pub views: u64,
     pub reads: u64,
     pub messages: u64,
+    pub violations: u64,
     pub trace: String,
 }
 
@@ -415,6 +416,7 @@
         }
         self.check_end();
         self.bear_more_losses();
+        self.checks.violations_reported = true;
         Report {
             seed,
             breaches: std::mem::take(&mut self.checks.breaches),
@@ -424,6 +426,7 @@
             views: self.checks.views_changed,
             reads: self.checks.reads,
             messages: self.messages,
+            violations: self.checks.violations,
             trace,
         }
     }
--- a/crates/control/tests/unit/model.rs
+++ b/crates/control/tests/unit/model.rs
@@ -138,6 +138,7 @@
                         self.broken = Some("two entries at a position");
                     }
                 }
+                Output::Violation(_) => self.broken = Some("an invariant"),
                 Output::ViewChanged(view) => {
                     let known = self.views.entry(view.epoch).or_insert_with(|| view.clone());
                     if *known != view {
