--- a/crates/storage/src/log.rs
+++ b/crates/storage/src/log.rs
@@ -3,13 +3,12 @@
 //! Files are named `records-N`. A rewrite makes `records-N+1` whole under another name, syncs it, renames it, syncs
 //! the folder, and only then removes the old one: at each moment one of them holds all that was acknowledged.
 
-use std::fs::{self, File, OpenOptions};
-use std::io::{Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
 use snafu::{ensure, ResultExt};
 
 use crate::error::{IoSnafu, StorageError, TooLongSnafu, UnsoundSnafu};
+use crate::file_system::{FileSystem, OpenFile, SystemFiles};
 use crate::frame;
 
 const PREFIX: &str = "records-";
@@ -33,11 +32,12 @@
 
 /// An append-only file of checksummed records in a folder of its own.
 #[derive(Debug)]
-pub struct Log {
+pub struct Log<F: FileSystem = SystemFiles> {
+    files: F,
     folder: PathBuf,
     number: u64,
     path: PathBuf,
-    file: File,
+    file: F::File,
     /// What is synced ends here.
     end: u64,
     /// The number of the next write.
@@ -59,53 +59,61 @@
 impl Log {
     /// Opens the folder's file, or makes it; returns its records in order. A torn last write is dropped.
     pub fn open(folder: &Path) -> Result<(Log, Vec<Vec<u8>>, OpenReport), StorageError> {
-        fs::create_dir_all(folder).context(IoSnafu { action: "make", path: folder })?;
-        remove_unfinished(folder)?;
-        let numbers = file_numbers(folder)?;
+        Log::open_in(SystemFiles, folder)
+    }
+}
+
+impl<F: FileSystem> Log<F> {
+    /// The same in another file system.
+    pub fn open_in(files: F, folder: &Path) -> Result<(Self, Vec<Vec<u8>>, OpenReport), StorageError> {
+        files.make_folder(folder).context(IoSnafu { action: "make", path: folder })?;
+        let names = files.names(folder).context(IoSnafu { action: "list", path: folder })?;
+        // Left over, they count for nothing: a full disk may refuse to remove them.
+        for name in names.iter().filter(|name| is_unfinished(name)) {
+            drop(files.remove(&folder.join(name)));
+        }
+        let numbers = file_numbers(&names);
         let Some(number) = numbers.last().copied() else {
-            let log = Log::create(folder)?;
+            let log = Log::create(files, folder)?;
             return Ok((log, Vec::new(), OpenReport::default()));
         };
         // The newest name must last before older files go, and before anything is appended under it.
-        sync_folder(folder)?;
-        let opened = Log::open_file(folder, number)?;
+        sync_folder(&files, folder)?;
+        let opened = Log::open_file(files, folder, number)?;
         for older in &numbers[..numbers.len() - 1] {
-            remove(&file_path(folder, *older))?;
+            drop(opened.0.files.remove(&file_path(folder, *older)));
         }
         Ok(opened)
     }
 
-    fn open_file(folder: &Path, number: u64) -> Result<(Log, Vec<Vec<u8>>, OpenReport), StorageError> {
+    fn open_file(
+        files: F, folder: &Path, number: u64,
+    ) -> Result<(Self, Vec<Vec<u8>>, OpenReport), StorageError> {
         let path = file_path(folder, number);
-        let mut file = OpenOptions::new()
-            .read(true)
-            .write(true)
-            .open(&path)
-            .context(IoSnafu { action: "open", path: &path })?;
+        let mut file = files.open(&path).context(IoSnafu { action: "open", path: &path })?;
         // A process may have ended between a write and its sync: what is read here must last.
-        file.sync_all().context(IoSnafu { action: "sync", path: &path })?;
-        let mut bytes = Vec::new();
-        file.read_to_end(&mut bytes).context(IoSnafu { action: "read", path: &path })?;
+        file.sync().context(IoSnafu { action: "sync", path: &path })?;
+        let bytes = file.read_all().context(IoSnafu { action: "read", path: &path })?;
         let contents = read_contents(&path, &bytes)?;
         let end = contents.end as u64;
         let torn = contents.end < bytes.len();
         let dropped = torn.then(|| TornTail { path: path.clone(), offset: end });
         let folder = folder.to_path_buf();
-        let mut log =
-            Log { folder, number, path, file, end, write: contents.write, soiled: torn, stray: None };
+        let write = contents.write;
+        let mut log = Log { files, folder, number, path, file, end, write, soiled: torn, stray: None };
         // A full disk may refuse it now: then it is done before the next write.
         drop(log.clean());
         Ok((log, contents.records, OpenReport { dropped }))
     }
 
     /// A folder's first file.
-    fn create(folder: &Path) -> Result<Log, StorageError> {
+    fn create(files: F, folder: &Path) -> Result<Self, StorageError> {
         let number = 1;
-        let (file, end) = make_file(folder, number, &[])?;
-        sync_folder(folder)?;
+        let (file, end) = make_file(&files, folder, number, &[])?;
+        sync_folder(&files, folder)?;
         let path = file_path(folder, number);
         let folder = folder.to_path_buf();
-        Ok(Log { folder, number, path, file, end, write: 1, soiled: false, stray: None })
+        Ok(Log { files, folder, number, path, file, end, write: 1, soiled: false, stray: None })
     }
 
     /// Appends records in one write and syncs. After an error none of them counts.
@@ -116,8 +124,7 @@
         let buffer = encode(self.write, records)?;
         self.clean()?;
         self.soiled = true;
-        self.file.seek(SeekFrom::Start(self.end)).context(IoSnafu { action: "seek in", path: &self.path })?;
-        self.file.write_all(&buffer).context(IoSnafu { action: "write", path: &self.path })?;
+        self.file.write_at(self.end, &buffer).context(IoSnafu { action: "write", path: &self.path })?;
         self.file.sync_data().context(IoSnafu { action: "sync", path: &self.path })?;
         self.soiled = false;
         self.end += buffer.len() as u64;
@@ -130,8 +137,8 @@
         self.clean()?;
         let number = self.number + 1;
         let path = file_path(&self.folder, number);
-        let made = make_file(&self.folder, number, records).and_then(|made| {
-            sync_folder(&self.folder)?;
+        let made = make_file(&self.files, &self.folder, number, records).and_then(|made| {
+            sync_folder(&self.files, &self.folder)?;
             Ok(made)
         });
         let (file, end) = made.inspect_err(|_| self.stray = Some(path.clone()))?;
@@ -141,7 +148,7 @@
         self.end = end;
         self.write = if records.is_empty() { 1 } else { 2 };
         // Left over, it is removed at the next start: the higher number counts.
-        drop(fs::remove_file(old));
+        drop(self.files.remove(&old));
         Ok(())
     }
 
@@ -158,17 +165,19 @@
     /// Cuts off what a failed or torn write left, and removes what a failed rewrite left.
     fn clean(&mut self) -> Result<(), StorageError> {
         if let Some(stray) = &self.stray {
-            if stray.exists() {
-                remove(stray)?;
+            let names = self.files.names(&self.folder);
+            let names = names.context(IoSnafu { action: "list", path: &self.folder })?;
+            if names.iter().any(|name| self.folder.join(name) == *stray) {
+                self.files.remove(stray).context(IoSnafu { action: "remove", path: stray })?;
             }
-            sync_folder(&self.folder)?;
+            sync_folder(&self.files, &self.folder)?;
             self.stray = None;
         }
         if !self.soiled {
             return Ok(());
         }
         self.file.set_len(self.end).context(IoSnafu { action: "cut", path: &self.path })?;
-        self.file.sync_all().context(IoSnafu { action: "sync", path: &self.path })?;
+        self.file.sync().context(IoSnafu { action: "sync", path: &self.path })?;
         self.soiled = false;
         Ok(())
     }
@@ -216,66 +225,42 @@
 }
 
 /// A whole file under its name, itself synced; the folder isn't yet.
-fn make_file(folder: &Path, number: u64, records: &[&[u8]]) -> Result<(File, u64), StorageError> {
+fn make_file<F: FileSystem>(
+    files: &F, folder: &Path, number: u64, records: &[&[u8]],
+) -> Result<(F::File, u64), StorageError> {
     let path = file_path(folder, number);
     let unfinished = folder.join(format!("{PREFIX}{number}{UNFINISHED}"));
     let buffer = encode(1, records)?;
-    let made = write_new(&unfinished, &buffer).and_then(|file| {
-        fs::rename(&unfinished, &path).context(IoSnafu { action: "rename", path: &unfinished })?;
+    let made = write_new(files, &unfinished, &buffer).and_then(|file| {
+        files.rename(&unfinished, &path).context(IoSnafu { action: "rename", path: &unfinished })?;
         Ok(file)
     });
-    let file = made.inspect_err(|_| drop(fs::remove_file(&unfinished)))?;
+    let file = made.inspect_err(|_| drop(files.remove(&unfinished)))?;
     Ok((file, buffer.len() as u64))
 }
 
-fn write_new(path: &Path, buffer: &[u8]) -> Result<File, StorageError> {
-    let mut file = OpenOptions::new()
-        .read(true)
-        .write(true)
-        .create(true)
-        .truncate(true)
-        .open(path)
-        .context(IoSnafu { action: "make", path })?;
-    file.write_all(buffer).context(IoSnafu { action: "write", path })?;
-    file.sync_all().context(IoSnafu { action: "sync", path })?;
+fn write_new<F: FileSystem>(files: &F, path: &Path, buffer: &[u8]) -> Result<F::File, StorageError> {
+    let mut file = files.create(path).context(IoSnafu { action: "make", path })?;
+    file.write_at(0, buffer).context(IoSnafu { action: "write", path })?;
+    file.sync().context(IoSnafu { action: "sync", path })?;
     Ok(file)
 }
 
-fn sync_folder(folder: &Path) -> Result<(), StorageError> {
-    let opened = File::open(folder).context(IoSnafu { action: "open", path: folder })?;
-    opened.sync_all().context(IoSnafu { action: "sync", path: folder })
-}
-
-fn remove(path: &Path) -> Result<(), StorageError> {
-    fs::remove_file(path).context(IoSnafu { action: "remove", path })
+fn sync_folder<F: FileSystem>(files: &F, folder: &Path) -> Result<(), StorageError> {
+    files.sync_folder(folder).context(IoSnafu { action: "sync", path: folder })
 }
 
 fn file_path(folder: &Path, number: u64) -> PathBuf {
     folder.join(format!("{PREFIX}{number}"))
 }
 
-fn names(folder: &Path) -> Result<Vec<String>, StorageError> {
-    let mut names = Vec::new();
-    for entry in fs::read_dir(folder).context(IoSnafu { action: "list", path: folder })? {
-        let entry = entry.context(IoSnafu { action: "list", path: folder })?;
-        names.extend(entry.file_name().into_string());
-    }
-    Ok(names)
-}
-
-fn file_numbers(folder: &Path) -> Result<Vec<u64>, StorageError> {
-    let names = names(folder)?;
+fn file_numbers(names: &[String]) -> Vec<u64> {
     let mut numbers: Vec<u64> =
         names.iter().filter_map(|name| name.strip_prefix(PREFIX)?.parse().ok()).collect();
     numbers.sort_unstable();
-    Ok(numbers)
+    numbers
 }
 
-fn remove_unfinished(folder: &Path) -> Result<(), StorageError> {
-    for name in names(folder)? {
-        if name.starts_with(PREFIX) && name.ends_with(UNFINISHED) {
-            remove(&folder.join(name))?;
-        }
-    }
-    Ok(())
+fn is_unfinished(name: &str) -> bool {
+    name.starts_with(PREFIX) && name.ends_with(UNFINISHED)
 }
