A disk that refuses at a start keeps what it holds

Symptom: any error of Log::open, also a sync or a removal that a full or sick disk refuses, put the file aside; if the rename was taken, the process came back as a new member without its copy and its vote. A disk was lost that nobody had lost, beside the t that may be. Cause: open_disk told no refusal from unsound records.

--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod api;
 mod disk;
+mod disk_opening;
 mod error;
 mod event;
 mod floods;
--- a/crates/control-plane/src/start.rs
+++ b/crates/control-plane/src/start.rs
@@ -1,7 +1,7 @@
 //! Puts a process of the control plane together from its settings.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::Instant;
 
 use crankpick_control::{Options, Outputs, Record, Replica, Timing};
@@ -10,14 +10,15 @@
 use crankpick_settings::{Bounds, Settings};
 use poem::listener::TcpAcceptor;
 use poem::Server;
-use slog::{error, info, Logger};
+use slog::{info, Logger};
 use snafu::ResultExt;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc::{channel, Sender};
+use tokio::sync::mpsc::channel;
 use tokio::sync::watch;
 
 use crate::api::{routes, Api};
 use crate::disk::Disk;
+use crate::disk_opening::{open_disk, OPEN_AGAIN};
 use crate::error::{ControlPlaneError, ListenSnafu};
 use crate::event::Event;
 use crate::host::{Host, Parts};
@@ -29,8 +30,6 @@
 
 /// Events that wait for the host; more hold back who sends them.
 const EVENTS: usize = 8_192;
-/// What the names of files that were put aside end with.
-const UNSOUND: &str = "unsound";
 
 /// Where a process is called.
 pub struct Listeners {
@@ -80,7 +79,13 @@
         "seeds" => addresses(&settings.seeds));
     let port = control.port();
     let host = if settings.counts_for_quorum {
-        let (disk, records) = open_disk(settings, &events, &log)?;
+        let (disk, records) = match &settings.data_dir {
+            Some(folder) => {
+                let (disk, records) = open_disk(folder, &events, OPEN_AGAIN, &log).await?;
+                (Some(disk), records)
+            }
+            None => (None, Vec::new()),
+        };
         let parts = parts(settings, own, disk, records, started, &log);
         tokio::spawn(server.run(routes(Api { events: events.clone(), port })));
         tokio::spawn(Host::new(parts, started).run(queue))
@@ -146,36 +151,3 @@
 fn quota_bounds(bounds: &Bounds) -> QuotaBounds {
     QuotaBounds { window: bounds.quota_window, over: bounds.quota_over, slack: bounds.quota_slack }
 }
-
-/// Opens the disk. A file that can't be read whole is put aside, and the process joins as one that remembers nothing.
-fn open_disk(
-    settings: &Settings, events: &Sender<Event>, log: &Logger,
-) -> Result<(Option<Disk>, Vec<Record>), ControlPlaneError> {
-    let Some(folder) = &settings.data_dir else { return Ok((None, Vec::new())) };
-    match Disk::open(folder.clone(), events.clone()) {
-        Ok((disk, records)) => Ok((Some(disk), records)),
-        Err(wrong @ ControlPlaneError::Thread { .. }) => Err(wrong),
-        Err(wrong) => {
-            error!(log, "the disk's file is put aside"; "code" => wrong.code(), "cause" => %wrong);
-            put_aside(folder);
-            let (disk, records) = Disk::open(folder.clone(), events.clone())?;
-            Ok((Some(disk), records))
-        }
-    }
-}
-
-/// A name for a file that is put aside, which no earlier one has.
-fn unused(name: &Path) -> PathBuf {
-    let numbered = |number: u32| name.with_extension(format!("{number}.{UNSOUND}"));
-    (1..).map(numbered).find(|path| !path.exists()).unwrap_or_else(|| name.with_extension(UNSOUND))
-}
-
-fn put_aside(folder: &Path) {
-    let Ok(entries) = std::fs::read_dir(folder) else { return };
-    for entry in entries.flatten() {
-        let name = entry.path();
-        if name.extension().is_none_or(|extension| extension != UNSOUND) {
-            let _kept = std::fs::rename(&name, unused(&name));
-        }
-    }
-}
