Failing test: a process's identity is told by its clock

Hypothesis: member ids, incarnations and ballots hang on fastrand's thread-local generator, which seeds itself from Instant::now and the thread's number through a hasher with fixed keys. Two processes whose steady clocks show the same moment at that call draw the same id: two members of one id take each other's messages for their own, and the tail takes entries of both as its predecessor's. The test finds the drawn number again by trying each nanosecond between two looks at the clock: fails.

--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -3,6 +3,7 @@
 mod api;
 mod disk;
 mod disk_opening;
+mod entropy;
 mod error;
 mod event;
 mod floods;
