Identities are drawn from the system's entropy, not from the clock

Change: entropy::draw (RandomState: the system's entropy) for member and process ids, the replica's entropy (incarnation, ballots), nonces of quotas, and the jitter of links. Not changed, in crates of others: gateway's seed (settings.rs) and proxy, carry, fleet draw by fastrand's own seed as well.

--- a/crates/control-plane/src/links.rs
+++ b/crates/control-plane/src/links.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc::{channel, Receiver, Sender};
 use tokio::time::{sleep, timeout};
 
+use crate::entropy;
 use crate::event::PeerPacket;
 
 /// Frames above this size go over the connection for large ones.
@@ -75,7 +76,7 @@
 }
 
 async fn run_link(own: SocketAddr, to: SocketAddr, options: DialOptions, mut queue: Receiver<Bytes>) {
-    let mut rng = Rng::new();
+    let mut rng = Rng::with_seed(entropy::draw());
     while let Ok(Some(first)) = timeout(IDLE, queue.recv()).await {
         let broken = send_all(own, to, options, first, &mut queue).await;
         if broken.is_ok() {
--- a/crates/control-plane/src/quotas.rs
+++ b/crates/control-plane/src/quotas.rs
@@ -13,6 +13,8 @@
 };
 use crankpick_registry::{Now, ProcessId};
 
+use crate::entropy;
+
 /// Reports to owners whose answers may still come.
 const REPORTS: usize = 32;
 /// An owner that can't be sure of its view grants nothing.
@@ -167,7 +169,7 @@
             }
             Entry::Vacant(place) => {
                 let token = self.epoch * TOKENS_OF_ONE_EPOCH;
-                let fresh = Allocator::new(now, GrantSource::OWNER, token).with_nonce(fastrand::u64(..));
+                let fresh = Allocator::new(now, GrantSource::OWNER, token).with_nonce(entropy::draw());
                 let allocator = place.insert(fresh);
                 allocator.set_total(now, total);
                 allocator.rebuild(now, others.iter().map(|process| HolderId(process.0)));
--- a/crates/control-plane/src/redirector.rs
+++ b/crates/control-plane/src/redirector.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep_until;
 
+use crate::entropy;
 use crate::event::{Event, PeerPacket, SessionId};
 use crate::links::Links;
 use crate::member_search::MemberSearch;
@@ -51,12 +52,12 @@
         started: Instant, address: SocketAddr, zone: String, seeds: Vec<SocketAddr>,
         directions: watch::Sender<Directions>, log: Logger,
     ) -> Self {
-        let me = Member { id: MemberId(fastrand::u64(1..)), address, zone: zone.clone(), durable: false };
+        let me = Member { id: MemberId(entropy::draw()), address, zone: zone.clone(), durable: false };
         Redirector {
             started,
-            process: ProcessId(fastrand::u64(1..)),
+            process: ProcessId(entropy::draw()),
             me,
-            search: MemberSearch::new(started.elapsed(), address, zone, seeds, fastrand::usize(..)),
+            search: MemberSearch::new(started.elapsed(), address, zone, seeds, entropy::draw() as usize),
             links: Links::new(address),
             gateways: Vec::new(),
             directions,
--- a/crates/control-plane/src/start.rs
+++ b/crates/control-plane/src/start.rs
@@ -19,6 +19,7 @@
 use crate::api::{routes, Api};
 use crate::disk::Disk;
 use crate::disk_opening::{open_disk, OPEN_AGAIN};
+use crate::entropy;
 use crate::error::{ControlPlaneError, ListenSnafu};
 use crate::event::Event;
 use crate::host::{Host, Parts};
@@ -112,7 +113,7 @@
     settings: &Settings, own: SocketAddr, disk: Option<Disk>, records: Vec<Record>, started: Instant,
     log: &Logger,
 ) -> Parts {
-    let process = ProcessId(fastrand::u64(1..));
+    let process = ProcessId(entropy::draw());
     let seeds: Vec<SocketAddr> = settings.internal_seeds();
     let options = Options {
         address: own,
@@ -122,7 +123,7 @@
         durable: disk.is_some(),
         tolerate_nodes: settings.tolerate.nodes as usize,
         tolerate_zones: settings.tolerate.zones as usize,
-        entropy: fastrand::u64(..),
+        entropy: entropy::draw(),
         timing: Timing::default(),
     };
     let mut outputs = Outputs::new();
--- a/crates/control/src/invariant.rs
+++ b/crates/control/src/invariant.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 
 use crate::membership::copies_wanted;
-use crate::message::Body;
+use crate::message::{Body, Sender};
 use crate::record::{Record, RecordBody};
 use crate::replica::{Output, Replica};
 use crate::types::{Ballot, Change, Entry, EntryId, Order, View};
@@ -32,17 +32,20 @@
     CommitReplaced,
     /// An order was answered as taken that isn't known to be committed.
     AcknowledgedUncommitted,
+    /// Another process bears this one's identity.
+    SameIdentity,
 }
 
 impl ViolationKind {
     /// All kinds.
-    pub const ALL: [ViolationKind; 6] = [
+    pub const ALL: [ViolationKind; 7] = [
         ViolationKind::Unsynced,
         ViolationKind::VoteUnsynced,
         ViolationKind::TooFewCopies,
         ViolationKind::CommitWentBack,
         ViolationKind::CommitReplaced,
         ViolationKind::AcknowledgedUncommitted,
+        ViolationKind::SameIdentity,
     ];
 
     /// Its number in `docs/codes.md`.
@@ -54,6 +57,7 @@
             ViolationKind::CommitWentBack => "CTL-314",
             ViolationKind::CommitReplaced => "CTL-315",
             ViolationKind::AcknowledgedUncommitted => "CTL-316",
+            ViolationKind::SameIdentity => "CTL-317",
         }
     }
 }
@@ -175,6 +179,13 @@
         }
     }
 
+    /// A message has come.
+    pub(crate) fn check_sender(&mut self, sender: Sender) {
+        if sender.id == self.id && sender.address != self.options.address {
+            self.violated(ViolationKind::SameIdentity, EntryId::default());
+        }
+    }
+
     /// The own state is known to be committed up to another entry than before.
     pub(crate) fn check_committed_since(&mut self, before: u64) {
         let committed = self.chain.committed;
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -281,6 +281,7 @@
     }
 
     fn receive(&mut self, message: Message) {
+        self.check_sender(message.sender);
         let own = message.sender.id == self.id;
         let meant = message.target.is_none_or(|target| target == self.id);
         if meant && !own {
--- a/crates/control/tests/restarts.rs
+++ b/crates/control/tests/restarts.rs
@@ -6,7 +6,7 @@
 
 use crankpick_control::{
     Ballot, Body, CaughtUp, Echo, Entry, EntryId, Heartbeat, Input, Member, MemberId, Message, Options,
-    Output, Record, RecordBody, Replica, Sender, Timing, Transfer, View,
+    Output, Record, RecordBody, Replica, Sender, Timing, Transfer, View, ViolationKind,
 };
 use simulation::{address, ms, order};
 
@@ -138,3 +138,15 @@
     assert_eq!(snapshot.changes.len(), 3);
     assert!(standby.violations().is_empty(), "{:?}", standby.violations());
 }
+
+/// Two processes of one identity would take each other's words for their own.
+#[test]
+fn another_process_of_the_same_identity_is_told() {
+    let records = vec![record(1, RecordBody::Identity { id: STANDBY, bootstrap: Vec::new() })];
+    let mut outputs = Vec::new();
+    let mut standby = Replica::restore(ms(1), options(STANDBY), records, &mut outputs);
+    let sender = Sender { id: STANDBY, address: address(9) };
+    let message = Message { sender, target: None, body: Body::Fetch };
+    standby.handle(ms(10), Input::Message(message), &mut outputs);
+    assert_eq!(standby.violations().get(&ViolationKind::SameIdentity), Some(&1));
+}
