--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -2,6 +2,8 @@
 
 mod api;
 mod disk;
+mod disk_opening;
+mod entropy;
 mod error;
 mod event;
 mod floods;
--- a/crates/control/src/acceptor.rs
+++ b/crates/control/src/acceptor.rs
@@ -93,6 +93,7 @@
         if !self.state.install(&transfer) {
             return;
         }
+        self.chain.replaced = true;
         let record = RecordBody::Installed { epoch: self.view.epoch, ballot: install.ballot, transfer };
         let body = Body::Installed(install.ballot);
         self.disk.stage(record, Some(Effect::Send { to: sender, body }));
@@ -149,6 +150,7 @@
     /// Enters a decided view.
     pub(crate) fn adopt(&mut self, view: View) {
         let epoch = view.epoch;
+        self.check_view(&view);
         self.enter(view.clone());
         if !self.chain.matched {
             self.state.release_all();
--- a/crates/control/src/chain.rs
+++ b/crates/control/src/chain.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use crate::disk::Effect;
+use crate::membership::copies_wanted;
 use crate::message::{Append, Body, Commit, Heartbeat, Sender};
 use crate::options::transfer_time;
 use crate::record::RecordBody;
@@ -28,6 +29,9 @@
 pub(crate) struct Chain {
     /// It holds the state with which the view begins, and all entries since.
     pub(crate) matched: bool,
+    /// A proposal has put another state in place of the chain's since: nothing says that the replicas before this one
+    /// hold it. Such a replica is sealed, and opens no more in this view.
+    pub(crate) replaced: bool,
     /// Entering the view is synced.
     entered: bool,
     /// All before it match, synced.
@@ -97,10 +101,13 @@
     }
 
     /// Whether the chain outlives the losses to be borne. At the first start of a fleet the machines beyond the seeds
-    /// join within seconds; where none does, there are too few, and fewer copies must do.
+    /// join within seconds. Fewer copies must do only where that time has passed and too few machines are known: while
+    /// others are known and out of reach, an order waits for them.
     fn has_copies(&self) -> bool {
-        let enough = self.view.chain.len() > self.options.tolerate_nodes;
-        enough || self.has_run_for(self.options.timing.few_machines)
+        let copies = copies_wanted(self.options.tolerate_nodes);
+        let few_machines =
+            || self.has_run_for(self.options.timing.few_machines) && self.possible_copies() < copies;
+        self.view.chain.len() >= copies || few_machines()
     }
 
     /// The next entry, made by the head. Nothing while too many are in flight.
@@ -150,6 +157,7 @@
     fn pass_on(&mut self, position: u64) {
         let Some(entry) = self.state.entry(position).cloned() else { return };
         let Some(successor) = self.replica(self.view.successor(self.id)) else { return };
+        self.check_synced(entry.id);
         let append = Append { epoch: self.view.epoch, entry, committed: self.known_committed() };
         self.chain.sent = Some(self.now);
         self.send(successor, Body::Append(append));
@@ -181,7 +189,7 @@
 
     /// Opens this replica's part of the view once it and all before it hold the state.
     pub(crate) fn check_opened(&mut self) {
-        let ready = self.chain.matched && self.chain.entered && !self.chain.opened;
+        let ready = self.chain.matched && self.chain.entered && !self.chain.opened && !self.chain.replaced;
         if !ready || !(self.is_head() || self.chain.predecessor_open) {
             return;
         }
@@ -200,6 +208,10 @@
             return;
         }
         let committed = self.chain.stored;
+        if committed.position > self.chain.committed.position {
+            self.check_synced(committed);
+            self.check_copies(committed);
+        }
         self.note_committed(committed);
         let commit = Commit { epoch: self.view.epoch, committed };
         for id in self.view.chain.clone() {
@@ -238,7 +250,8 @@
         if id.position <= self.chain.committed.position || !self.state.contains(id) {
             return;
         }
-        self.chain.committed = id;
+        let before = std::mem::replace(&mut self.chain.committed, id);
+        self.check_committed_since(before.position);
         self.disk.stage(RecordBody::Committed(id), None);
         let waits = self.state.last().position > id.position;
         self.chain.waits = waits.then_some(self.now);
@@ -254,6 +267,7 @@
         if entry.id.position <= self.committed_id().position {
             return;
         }
+        self.check_learned(&entry);
         self.committed = Some(entry.clone());
         self.output(Output::Committed(entry));
         self.note_freshness();
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -41,6 +41,12 @@
         self.changes.iter().copied().collect()
     }
 
+    /// The newest changes, so many at the most, after one position and up to another.
+    pub(crate) fn changes_between(&self, after: u64, last: u64, count: usize) -> Vec<Change> {
+        let newest = self.changes.iter().rev().skip_while(|change| change.id.position > last);
+        newest.take_while(|change| change.id.position > after).take(count).copied().collect()
+    }
+
     pub(crate) fn entries(&self) -> Vec<Arc<Entry>> {
         self.entries.iter().cloned().collect()
     }
--- a/crates/control/tests/simulation/checks.rs
+++ b/crates/control/tests/simulation/checks.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crankpick_control::{Change, Entry, Order, View};
+use crankpick_control::{Change, Entry, Order, View, Violation};
 
 /// What tells one order from another.
 pub type Identity = (u64, u64, u128);
@@ -22,6 +22,10 @@
     /// When each version was acknowledged, in order of time; versions never fall.
     acknowledged: Vec<(Duration, Identity)>,
     refused: Vec<Identity>,
+    /// When each version was first shown as the newest, in order of time.
+    shown: Vec<(Duration, u64)>,
+    pub violations: u64,
+    pub violations_reported: bool,
     pub reads: u64,
     pub views_changed: u64,
     pub refusals: u64,
@@ -61,6 +65,12 @@
         self.committed.contains_key(&entry.id.position)
     }
 
+    /// A replica has seen its own invariant broken: no schedule may show that.
+    pub fn violated(&mut self, now: Duration, place: usize, violation: Violation) {
+        self.violations += 1;
+        self.breach(format!("{now:?} node {place}: {violation:?}"));
+    }
+
     /// One view an epoch.
     pub fn view(&mut self, now: Duration, place: usize, view: &View) {
         if let Some(known) = self.views.get(&view.epoch).filter(|known| *known != view) {
@@ -71,11 +81,24 @@
         }
     }
 
+    /// All views that were seen, in order.
+    pub fn views(&self) -> Vec<View> {
+        let mut views: Vec<View> = self.views.values().cloned().collect();
+        views.sort_by_key(|view| view.epoch);
+        views
+    }
+
     pub fn acknowledged(&mut self, now: Duration, order: &Order) {
         let order = identity(order);
         if self.refused.contains(&order) {
             self.breach(format!("{now:?}: refused, yet acknowledged: {order:?}"));
         }
+        // Several are committed at once: the newest of them is told.
+        if self.committed.values().all(|change| change.generation < order.1) {
+            self.breach(format!(
+                "{now:?}: acknowledged, and nobody has said that it is committed: {order:?}"
+            ));
+        }
         let rival = self
             .acknowledged
             .iter()
@@ -109,6 +132,21 @@
                 "{now:?} node {place}: reads {generation} as of {as_of:?}, {due:?} was acknowledged"
             ));
         }
+        // Versions only rise: the newest shown before that moment is the highest.
+        let shown = self.shown.iter().rev().find(|(at, _)| *at < as_of).map(|(_, shown)| *shown);
+        if shown.is_some_and(|shown| generation < shown) {
+            self.breach(format!(
+                "{now:?} node {place}: reads {generation} as of {as_of:?}, {shown:?} was read"
+            ));
+        }
+        if self.shown.last().is_none_or(|(_, newest)| generation > *newest) {
+            self.shown.push((now, generation));
+        }
+    }
+
+    /// The newest version that a read has shown.
+    pub fn newest_shown(&self) -> u64 {
+        self.shown.last().map_or(0, |(_, generation)| *generation)
     }
 
     /// The newest acknowledged version.
--- a/crates/control/tests/simulation/mod.rs
+++ b/crates/control/tests/simulation/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod checks;
+pub mod ends;
 pub mod inspect;
 pub mod machine;
 pub mod operators;
@@ -16,7 +17,7 @@
 use std::time::Duration;
 
 use crankpick_control::{
-    Body, Input, Message, Order, Outcome, Output, Record, Replica, SubmitKey, Ticket, Timing,
+    Body, Change, Input, Message, Order, Outcome, Output, Record, Replica, SubmitKey, Ticket, Timing,
 };
 
 use checks::Checks;
@@ -135,6 +136,12 @@
     pub left_out: Vec<usize>,
     /// When disks were lost.
     lost_disks: Vec<Duration>,
+    /// The changes that each lost disk held.
+    lost_copies: Vec<Vec<Change>>,
+    /// Copies are counted at each acknowledgement too, not only at the first word of the commit: dear where disks are full.
+    pub counts_copies_again: bool,
+    /// The end that strikes at the next acknowledgement or change.
+    pub pending_end: Option<ends::End>,
     queue: BinaryHeap<Reverse<Scheduled>>,
     number: u64,
     addresses: HashMap<SocketAddr, usize>,
@@ -164,6 +171,9 @@
             verbose: std::env::var_os("CONTROL_VERBOSE").is_some(),
             left_out: Vec::new(),
             lost_disks: Vec::new(),
+            lost_copies: Vec::new(),
+            counts_copies_again: false,
+            pending_end: None,
             queue: BinaryHeap::new(),
             number: 0,
             addresses: HashMap::new(),
@@ -271,6 +281,8 @@
     }
 
     fn end(&mut self, place: usize, kept: bool) {
+        // A rewrite comes after the write under way, and is there or not by a lot of its own.
+        let rewrite_kept = self.random.bool();
         let node = &mut self.nodes[place];
         node.replica = None;
         node.held.clear();
@@ -278,7 +290,7 @@
         if let Some(flight) = node.flight.take() {
             if kept && !flight.refused {
                 node.disk.extend(flight.records);
-                if let Some(rewrite) = node.rewrite.take() {
+                if let Some(rewrite) = node.rewrite.take().filter(|_| rewrite_kept) {
                     node.disk = rewrite;
                 }
             }
@@ -289,6 +301,8 @@
 
     /// The process ends and its disk is emptied.
     pub fn wipe(&mut self, place: usize) {
+        let copies = self.changes_on_disk(place);
+        self.lost_copies.push(copies);
         self.kill(place);
         self.nodes[place].disk.clear();
         self.nodes[place].mode = DiskMode::Well;
@@ -426,6 +440,7 @@
                     self.checks.committed(self.now, place, &entry);
                 }
                 Output::ViewChanged(view) => self.checks.view(self.now, place, &view),
+                Output::Violation(violation) => self.checks.violated(self.now, place, violation),
             }
         }
     }
@@ -502,6 +517,15 @@
     }
 }
 
+impl Drop for World {
+    /// Whatever a test looks at, no replica may have seen its own invariants broken. Schedules report it themselves.
+    fn drop(&mut self) {
+        if !std::thread::panicking() && !self.checks.violations_reported {
+            assert_eq!(self.checks.violations, 0, "{:#?}", self.checks.breaches);
+        }
+    }
+}
+
 /// A core: its machines, and the losses that it bears.
 #[derive(Clone, Copy, Debug)]
 pub struct Core {
