Soak: real processes under drawn faults, first working version

crankpick-soak starts gateways and control planes on loopback, runs traffic and changes under drawn troubles and judges invariants from outside.

--- /dev/null
+++ b/crates/soak/src/report.rs
@@ -0,0 +1,110 @@
+//! A run in plain words, for the terminal and for its folder.
+
+use std::fmt::{self, Write as _};
+use std::path::Path;
+
+use snafu::ResultExt;
+
+use crate::configuration::IdleTimeouts;
+use crate::error::{FileSnafu, SoakError};
+use crate::run::Report;
+
+impl Report {
+    /// Writes the report and the history of requests into a folder.
+    pub fn write(&self, folder: &Path) -> Result<(), SoakError> {
+        let path = folder.join("report.txt");
+        std::fs::write(&path, self.to_string()).context(FileSnafu { path })?;
+        let path = folder.join("history.txt");
+        std::fs::write(&path, self.history_lines()).context(FileSnafu { path })
+    }
+
+    /// All that was seen, a line each.
+    fn history_lines(&self) -> String {
+        let mut text = String::new();
+        for exchange in &self.history.exchanges {
+            let runs = self.history.runs.get(&exchange.id);
+            let _ = writeln!(text, "{exchange:?} runs {:?}", runs.map(Vec::as_slice).unwrap_or_default());
+        }
+        for disturbance in &self.history.disturbances {
+            let _ = writeln!(text, "{disturbance:?}");
+        }
+        for order in &self.history.orders {
+            let (generation, base, idle) = (order.generation, order.base, order.idle_timeout);
+            let _ = writeln!(
+                text,
+                "order {generation} on {base}, idle timeout {idle:?}, sent at {}, {:?}",
+                order.sent, order.end
+            );
+        }
+        for reading in &self.history.readings {
+            let generation = &reading.document["generation"];
+            let _ =
+                writeln!(text, "read {generation} at machine {}, sent at {}", reading.machine, reading.sent);
+        }
+        text
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (options, shape) = (&self.options, &self.plan.shape);
+        let timeouts = match self.plan.idle_timeouts {
+            IdleTimeouts::Constant(timeout) => format!("always {timeout:?}"),
+            IdleTimeouts::Drawn => "drawn with each change".to_owned(),
+        };
+        writeln!(
+            out,
+            "seed {}: {} s, {} clients, {} machines that count, {} that don't, {} zones, {} may be lost, idle timeout {timeouts}",
+            options.seed, options.seconds, options.clients, shape.counting, shape.others, shape.zones, shape.tolerated
+        )?;
+        for trouble in &self.plan.troubles {
+            writeln!(out, "  {trouble}")?;
+        }
+        self.write_counts(out)?;
+        for line in &self.verdict.cut_lines {
+            writeln!(out, "  cut: {line}")?;
+        }
+        for violation in &self.verdict.violations {
+            writeln!(out, "VIOLATION {violation}")?;
+        }
+        if let Some(folder) = &self.folder {
+            writeln!(out, "kept in {}", folder.display())?;
+        }
+        let held = if self.verdict.holds() { "all invariants held" } else { "invariants broken" };
+        writeln!(out, "seed {}: {held}", options.seed)
+    }
+}
+
+impl Report {
+    fn write_counts(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let history = &self.history;
+        let taken = history.orders.iter().filter(|order| order.acknowledged().is_some()).count();
+        writeln!(
+            out,
+            "  {} requests, {} changes sent, {taken} acknowledged, {} reads answered",
+            history.exchanges.len(),
+            history.orders.len(),
+            history.readings.len()
+        )?;
+        for (outcome, number) in &self.verdict.outcomes {
+            writeln!(out, "  {outcome}: {number}")?;
+        }
+        for ((reason, begun), number) in &self.verdict.cuts {
+            let reason = reason.map_or("no reason".to_owned(), |reason| format!("{reason:?}"));
+            let begun = if *begun { "begun at a backend" } else { "begun nowhere" };
+            writeln!(out, "  cut without an answer, {begun}, {reason}: {number}")?;
+        }
+        for (note, number) in &history.notes {
+            writeln!(out, "  {note}: {number}")?;
+        }
+        if let Some(share) = history.shortest_end_of_rest {
+            writeln!(
+                out,
+                "  shortest rest at whose end a connection was closed: {share:.3} of the idle timeout"
+            )?;
+        }
+        let counters: Vec<String> =
+            self.counters.iter().map(|(name, number)| format!("{name}={number}")).collect();
+        writeln!(out, "  counters of the gateways: {}", counters.join(" "))
+    }
+}
--- /dev/null
+++ b/crates/soak/src/trouble.rs
@@ -0,0 +1,290 @@
+//! The troubles of a run, drawn from its seed before it starts.
+
+use std::fmt;
+use std::time::Duration;
+
+use fastrand::Rng;
+
+use crate::clock::Moment;
+use crate::layout::{Role, Shape};
+
+/// Quiet time before the first troubles and between two groups of them.
+const FIRST_MS: u64 = 2_000;
+const BETWEEN_MS: std::ops::Range<u64> = 1_500..4_000;
+/// Troubles of one group begin within this time, so that they overlap.
+const TOGETHER_MS: std::ops::Range<u64> = 0..900;
+/// The most troubles of one group.
+const MOST_TOGETHER: usize = 3;
+const PAUSE_MS: std::ops::Range<u64> = 100..3_000;
+const CUT_MS: std::ops::Range<u64> = 300..4_000;
+const DOWN_MS: std::ops::Range<u64> = 20..1_500;
+const LATE_MS: std::ops::Range<u64> = 100..2_500;
+
+/// One trouble.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Trouble {
+    /// When it begins.
+    pub at: Moment,
+    /// What it is.
+    pub kind: TroubleKind,
+}
+
+/// A process, by its machine and role.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// The machine.
+    pub machine: usize,
+    /// The role.
+    pub role: Role,
+}
+
+/// What befalls the fleet or its neighbours.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TroubleKind {
+    /// SIGKILL of some processes at once, all started again so much later; the disk of one may be lost.
+    Kill {
+        /// The processes.
+        targets: Vec<Target>,
+        /// How long they are down.
+        down: Duration,
+        /// The counting machine whose disk is lost.
+        lost_disk: Option<usize>,
+    },
+    /// SIGSTOP of some processes at once, SIGCONT so much later.
+    Pause {
+        /// The processes.
+        targets: Vec<Target>,
+        /// How long they stand still.
+        time: Duration,
+    },
+    /// SIGTERM of a process, SIGKILL at the end of its grace, and a start.
+    Roll {
+        /// The process.
+        target: Target,
+        /// How long it is down.
+        down: Duration,
+    },
+    /// SIGHUP of a process.
+    HangUp {
+        /// The process.
+        target: Target,
+    },
+    /// Clients' way to a machine by its relay is cut.
+    CutFront {
+        /// The machine.
+        machine: usize,
+        /// How long.
+        time: Duration,
+    },
+    /// Clients' connections to a machine by its relay are reset.
+    ResetFront {
+        /// The machine.
+        machine: usize,
+    },
+    /// The way of the operator and of backends to a machine is cut.
+    CutControl {
+        /// The machine.
+        machine: usize,
+        /// How long.
+        time: Duration,
+    },
+    /// Calls to a machine's control address lose their answers.
+    ResetControl {
+        /// The machine.
+        machine: usize,
+    },
+    /// The way of all gateways to a backend is cut.
+    CutBackend {
+        /// The backend.
+        backend: usize,
+        /// How long.
+        time: Duration,
+    },
+    /// All connections to a backend are reset.
+    ResetBackend {
+        /// The backend.
+        backend: usize,
+    },
+    /// A backend ends without a word and comes back under another id.
+    CrashBackend {
+        /// The backend.
+        backend: usize,
+        /// How long it is down.
+        down: Duration,
+    },
+    /// A backend runs requests and breaks off.
+    LoseAnswers {
+        /// The backend.
+        backend: usize,
+        /// How long.
+        time: Duration,
+    },
+    /// A backend answers late.
+    AnswerLate {
+        /// The backend.
+        backend: usize,
+        /// How late.
+        late: Duration,
+        /// How long.
+        time: Duration,
+    },
+    /// A backend refuses.
+    Refuse {
+        /// The backend.
+        backend: usize,
+        /// How long.
+        time: Duration,
+    },
+}
+
+/// Draws the troubles of a run of so many seconds.
+pub fn draw(rng: &mut Rng, shape: &Shape, seconds: u64) -> Vec<Trouble> {
+    let mut drawer = Drawer { rng, shape, disks_left: shape.tolerated };
+    let mut troubles = Vec::new();
+    let mut at = FIRST_MS;
+    while at + 1_000 < seconds * 1_000 {
+        for _ in 0..drawer.rng.usize(1..=MOST_TOGETHER) {
+            let begins = at + drawer.rng.u64(TOGETHER_MS);
+            troubles.push(Trouble { at: Moment::from_millis(begins), kind: drawer.kind() });
+        }
+        at += drawer.rng.u64(BETWEEN_MS);
+    }
+    troubles.sort_by_key(|trouble| trouble.at);
+    troubles
+}
+
+struct Drawer<'a> {
+    rng: &'a mut Rng,
+    shape: &'a Shape,
+    /// How many more disks may be lost.
+    disks_left: usize,
+}
+
+impl Drawer<'_> {
+    fn kind(&mut self) -> TroubleKind {
+        match self.rng.u32(..24) {
+            0..=3 => TroubleKind::Kill { targets: vec![self.target()], down: self.down(), lost_disk: None },
+            4 => TroubleKind::Kill { targets: self.core(), down: self.down(), lost_disk: None },
+            5 => TroubleKind::Kill { targets: self.all(), down: self.down(), lost_disk: None },
+            6 | 7 => self.lose_disk(),
+            8..=10 => TroubleKind::Pause { targets: vec![self.target()], time: self.time(PAUSE_MS) },
+            11 => TroubleKind::Pause { targets: self.side(), time: self.time(PAUSE_MS) },
+            12..=14 => TroubleKind::Roll { target: self.target(), down: self.down() },
+            15 => TroubleKind::HangUp { target: self.target() },
+            16 => TroubleKind::CutFront { machine: self.machine(), time: self.time(CUT_MS) },
+            17 => TroubleKind::ResetFront { machine: self.machine() },
+            18 => TroubleKind::CutControl { machine: self.machine(), time: self.time(CUT_MS) },
+            19 => TroubleKind::ResetControl { machine: self.machine() },
+            _ => self.of_backend(),
+        }
+    }
+
+    fn of_backend(&mut self) -> TroubleKind {
+        let backend = self.rng.usize(..self.shape.backends);
+        let time = self.time(CUT_MS);
+        match self.rng.u32(..7) {
+            0 => TroubleKind::CutBackend { backend, time },
+            1 => TroubleKind::ResetBackend { backend },
+            2 => TroubleKind::CrashBackend { backend, down: self.down() },
+            3 | 4 => TroubleKind::LoseAnswers { backend, time },
+            5 => TroubleKind::AnswerLate { backend, late: self.time(LATE_MS), time },
+            _ => TroubleKind::Refuse { backend, time },
+        }
+    }
+
+    /// A disk is lost, its process killed alone or together with all others of the core.
+    fn lose_disk(&mut self) -> TroubleKind {
+        if self.disks_left == 0 {
+            return TroubleKind::Kill { targets: self.core(), down: self.down(), lost_disk: None };
+        }
+        self.disks_left -= 1;
+        let machine = self.rng.usize(..self.shape.counting);
+        let alone = vec![Target { machine, role: Role::ControlPlane }];
+        let targets = if self.rng.bool() { self.core() } else { alone };
+        TroubleKind::Kill { targets, down: self.down(), lost_disk: Some(machine) }
+    }
+
+    fn time(&mut self, range: std::ops::Range<u64>) -> Duration {
+        Duration::from_millis(self.rng.u64(range))
+    }
+
+    fn down(&mut self) -> Duration {
+        self.time(DOWN_MS)
+    }
+
+    fn machine(&mut self) -> usize {
+        self.rng.usize(..self.shape.machines())
+    }
+
+    fn target(&mut self) -> Target {
+        Target { machine: self.machine(), role: Role::ALL[self.rng.usize(..2)] }
+    }
+
+    fn core(&self) -> Vec<Target> {
+        (0..self.shape.counting).map(|machine| Target { machine, role: Role::ControlPlane }).collect()
+    }
+
+    fn all(&self) -> Vec<Target> {
+        let machines = 0..self.shape.machines();
+        machines.flat_map(|machine| Role::ALL.map(|role| Target { machine, role })).collect()
+    }
+
+    /// All processes of about half of the machines: nobody hears them, nor they anybody.
+    fn side(&mut self) -> Vec<Target> {
+        let side: Vec<usize> = (0..self.shape.machines()).filter(|_| self.rng.bool()).collect();
+        side.into_iter().flat_map(|machine| Role::ALL.map(|role| Target { machine, role })).collect()
+    }
+}
+
+impl fmt::Display for Target {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "{}-{}", self.machine, self.role.name())
+    }
+}
+
+impl fmt::Display for Trouble {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "{} {}", self.at, self.kind)
+    }
+}
+
+impl fmt::Display for TroubleKind {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            TroubleKind::Kill { targets, down, lost_disk } => {
+                write!(out, "kill {}, down for {down:?}", named(targets))?;
+                lost_disk.map_or(Ok(()), |machine| write!(out, ", disk of {machine} lost"))
+            }
+            TroubleKind::Pause { targets, time } => write!(out, "pause {} for {time:?}", named(targets)),
+            TroubleKind::Roll { target, down } => write!(out, "roll {target}, down for {down:?}"),
+            TroubleKind::HangUp { target } => write!(out, "SIGHUP of {target}"),
+            TroubleKind::CutFront { machine, time } => write!(out, "clients cut from {machine} for {time:?}"),
+            TroubleKind::ResetFront { machine } => write!(out, "clients' connections to {machine} reset"),
+            TroubleKind::CutControl { machine, time } => {
+                write!(out, "operator and backends cut from {machine} for {time:?}")
+            }
+            TroubleKind::ResetControl { machine } => {
+                write!(out, "calls to the control plane of {machine} reset")
+            }
+            TroubleKind::CutBackend { backend, time } => {
+                write!(out, "backend {backend} cut off for {time:?}")
+            }
+            TroubleKind::ResetBackend { backend } => write!(out, "connections to backend {backend} reset"),
+            TroubleKind::CrashBackend { backend, down } => {
+                write!(out, "backend {backend} crashes, down for {down:?}")
+            }
+            TroubleKind::LoseAnswers { backend, time } => {
+                write!(out, "backend {backend} breaks off for {time:?}")
+            }
+            TroubleKind::AnswerLate { backend, late, time } => {
+                write!(out, "backend {backend} answers {late:?} late for {time:?}")
+            }
+            TroubleKind::Refuse { backend, time } => write!(out, "backend {backend} refuses for {time:?}"),
+        }
+    }
+}
+
+fn named(targets: &[Target]) -> String {
+    let names: Vec<String> = targets.iter().map(Target::to_string).collect();
+    names.join(" ")
+}
