--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -96,8 +96,17 @@
     pub outcomes: BTreeMap<String, u64>,
     /// Connections cut without an answer: by reason, and whether a backend had begun the request.
     pub cuts: BTreeMap<(Option<Reason>, bool), u64>,
-    /// A line on each of them.
-    pub cut_lines: Vec<String>,
+    /// Each of them.
+    pub cut_lines: Vec<CutLine>,
+}
+
+/// A connection that was cut without an answer.
+#[derive(Clone, Debug)]
+pub struct CutLine {
+    /// Why it may be.
+    pub reason: Option<Reason>,
+    /// What was seen.
+    pub text: String,
 }
 
 impl Verdict {
@@ -257,7 +266,7 @@
     *verdict.cuts.entry((reason, begun)).or_default() += 1;
     let why = reason.map_or("no reason".to_owned(), |reason| format!("{reason:?}"));
     let text = format!("{}, begun: {begun}, {why}", told(exchange));
-    verdict.cut_lines.push(text.clone());
+    verdict.cut_lines.push(CutLine { reason, text: text.clone() });
     if reason.is_none() {
         verdict.add(if begun { Rule::CutAfterStart } else { Rule::CutBeforeStart }, text);
     }
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -21,10 +21,12 @@
 const PATIENCE: Duration = Duration::from_secs(15);
 /// How long a new connection may take.
 const CONNECT: Duration = Duration::from_secs(1);
-/// How long a client waits after a connection that did not come up.
+/// How long a client waits after a connection that did not come up or gave no answer.
 const RECONNECT: Duration = Duration::from_millis(100);
 /// The longest pause between two parts of a request.
 const MOST_SPLIT_MS: u64 = 40;
+/// One connection in so many is opened before there is a request for it.
+const OPENED_AHEAD: u32 = 8;
 /// One connection in so many is left behind after an answer.
 const LEFT_BEHIND: u32 = 40;
 
@@ -45,6 +47,8 @@
     wire: Wire,
     machine: usize,
     relayed: bool,
+    /// Whether it was opened before there was a request for it.
+    ahead: bool,
     /// Requests sent on it.
     place: u32,
     rest_from: Moment,
@@ -83,7 +87,12 @@
                     }
                 },
             };
-            kept = self.exchange(connection).await;
+            let opened_ahead = connection.place == 0 && self.rng.u32(..OPENED_AHEAD) == 0;
+            kept = if opened_ahead && !connection.ahead {
+                Some(Connection { ahead: true, ..connection })
+            } else {
+                self.exchange(connection).await
+            };
         }
     }
 
@@ -97,7 +106,7 @@
         let rest_from = fleet.clock.now();
         let wire = Wire::connect(address, CONNECT).await?;
         fleet.note("connections");
-        Ok(Connection { wire, machine, relayed, place: 0, rest_from })
+        Ok(Connection { wire, machine, relayed, ahead: false, place: 0, rest_from })
     }
 
     /// Lets a connection rest for a drawn time; none if it can't be used any more.
@@ -171,6 +180,9 @@
             }
             Ok(Err(wrong)) => ending(&wrong),
         };
+        if !matches!(outcome, Outcome::Answered { .. }) {
+            sleep(RECONNECT).await;
+        }
         let mut history = lock(&fleet.history);
         let exchange = Exchange {
             id: request.task.id.clone(),
--- a/crates/soak/src/director.rs
+++ b/crates/soak/src/director.rs
@@ -21,6 +21,9 @@
 const STILL_ACCEPTED: Duration = Duration::from_millis(2_500);
 /// How long a process may take to listen.
 const LISTENS: Duration = Duration::from_secs(20);
+/// A slow process stands still and goes on for so long in turns.
+const SLOW_STOP: Duration = Duration::from_millis(15);
+const SLOW_GO: Duration = Duration::from_millis(5);
 const LOOK: Duration = Duration::from_millis(20);
 /// How often it is looked for processes that ended by themselves.
 const WATCH: Duration = Duration::from_millis(200);
@@ -50,7 +53,15 @@
         match kind {
             TroubleKind::Kill { targets, down, lost_disk } => self.kill(&targets, down, lost_disk).await,
             TroubleKind::Pause { targets, time } => self.pause(&targets, time).await,
-            TroubleKind::Roll { target, down } => self.roll(target, down).await,
+            TroubleKind::Slow { targets, time } => self.slow(&targets, time).await,
+            TroubleKind::Roll { targets, down } => {
+                let mut rolls = JoinSet::new();
+                for target in targets {
+                    let director = self.clone();
+                    rolls.spawn(async move { director.roll(target, down).await });
+                }
+                while rolls.join_next().await.is_some() {}
+            }
             TroubleKind::HangUp { target } => self.fleet.process(target.machine, target.role).hang_up(),
             TroubleKind::CutFront { machine, time } => {
                 let cut = self.fleet.disturb(machine, DisturbanceKind::Cut);
@@ -141,6 +152,21 @@
         disturbances.into_iter().for_each(|disturbance| self.fleet.settle(disturbance));
     }
 
+    /// Short stops, far below any bound that clients heed: no disturbance that would explain anything.
+    async fn slow(&self, targets: &[Target], time: Duration) {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            for target in targets {
+                self.fleet.process(target.machine, target.role).pause();
+            }
+            sleep(SLOW_STOP).await;
+            for target in targets {
+                self.fleet.process(target.machine, target.role).resume();
+            }
+            sleep(SLOW_GO).await;
+        }
+    }
+
     async fn roll(&self, target: Target, down: Duration) {
         let process = self.fleet.process(target.machine, target.role);
         let is_gate = target.role == Role::Gate;
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -114,7 +114,7 @@
     }
 
     /// Counts something that decides nothing.
-    pub fn note(&self, what: &'static str) {
+    pub fn note(&self, what: &str) {
         lock(&self.history).note(what);
     }
 
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -236,7 +236,7 @@
     /// What processes say of themselves.
     pub process_findings: Vec<ProcessFinding>,
     /// Counts that decide nothing.
-    pub notes: BTreeMap<&'static str, u64>,
+    pub notes: BTreeMap<String, u64>,
     /// The shortest rest after which a gateway ended a connection, as a share of the idle timeout that its client
     /// knew.
     pub shortest_end_of_rest: Option<f64>,
@@ -244,8 +244,8 @@
 
 impl History {
     /// Counts something that decides nothing.
-    pub fn note(&mut self, what: &'static str) {
-        *self.notes.entry(what).or_default() += 1;
+    pub fn note(&mut self, what: &str) {
+        *self.notes.entry(what.to_owned()).or_default() += 1;
     }
 
     /// The moment since which a connection may have been at rest, once this request is answered: before it no answer
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -166,8 +166,9 @@
         let end = match status {
             Some(200) => OrderEnd::Acknowledged(now),
             Some(OTHER_VERSION) => OrderEnd::Refused(now),
-            _ => {
-                fleet.note("calls of the operator without a clear answer");
+            unclear => {
+                let answer = unclear.map_or("nothing".to_owned(), |status| status.to_string());
+                fleet.note(&format!("changes answered with {answer}"));
                 sleep(pause.mul_f64(0.5 + rng.f64())).await;
                 pause = (pause * 2).min(MOST_PAUSE);
                 continue;
@@ -188,9 +189,13 @@
 
 /// Reads the configuration at a machine and notes what it answered.
 pub async fn read(fleet: &Fleet, machine: usize, last: bool) -> Option<Value> {
-    let answer = fleet.call_control(machine, "GET /v1/config HTTP/1.1", "", PATIENCE).await.ok()?;
+    let answer = fleet.call_control(machine, "GET /v1/config HTTP/1.1", "", PATIENCE).await;
+    let Ok(answer) = answer else {
+        fleet.note("reads answered with nothing");
+        return None;
+    };
     if answer.status != 200 {
-        fleet.note("reads without an answer");
+        fleet.note(&format!("reads answered with {}", answer.status));
         return None;
     }
     fleet.note("reads");
--- a/crates/soak/src/relay.rs
+++ b/crates/soak/src/relay.rs
@@ -91,6 +91,9 @@
     if !ended {
         reset(to_caller.as_ref());
         reset(to_called.as_ref());
+        // Dropped, these would end their connections in order first.
+        to_caller.forget();
+        to_called.forget();
     }
 }
 
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -5,6 +5,7 @@
 
 use snafu::ResultExt;
 
+use crate::check::Reason;
 use crate::configuration::IdleTimeouts;
 use crate::error::{FileSnafu, SoakError};
 use crate::run::Report;
@@ -61,8 +62,8 @@
             writeln!(out, "  {trouble}")?;
         }
         self.write_counts(out)?;
-        for line in &self.verdict.cut_lines {
-            writeln!(out, "  cut: {line}")?;
+        for cut in self.verdict.cut_lines.iter().filter(|cut| is_remarkable(cut.reason)) {
+            writeln!(out, "  cut: {}", cut.text)?;
         }
         for violation in &self.verdict.violations {
             writeln!(out, "VIOLATION {violation}")?;
@@ -75,6 +76,11 @@
     }
 }
 
+/// A process that is killed, and a way that is cut or reset, cut whatever is on them.
+fn is_remarkable(reason: Option<Reason>) -> bool {
+    !matches!(reason, Some(Reason::Killed | Reason::Network))
+}
+
 impl Report {
     fn write_counts(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         let history = &self.history;
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -18,6 +18,7 @@
 const PAUSE_MS: std::ops::Range<u64> = 100..3_000;
 const CUT_MS: std::ops::Range<u64> = 300..4_000;
 const DOWN_MS: std::ops::Range<u64> = 20..1_500;
+const SLOW_MS: std::ops::Range<u64> = 1_000..5_000;
 const LATE_MS: std::ops::Range<u64> = 100..2_500;
 
 /// One trouble.
@@ -57,11 +58,18 @@
         /// How long they stand still.
         time: Duration,
     },
-    /// SIGTERM of a process, SIGKILL at the end of its grace, and a start.
+    /// The processes stand still and go on in turns, again and again: a machine that is too slow.
+    Slow {
+        /// The processes.
+        targets: Vec<Target>,
+        /// How long.
+        time: Duration,
+    },
+    /// SIGTERM of some processes at once; of each, SIGKILL at the end of its grace, and a start.
     Roll {
-        /// The process.
-        target: Target,
-        /// How long it is down.
+        /// The processes.
+        targets: Vec<Target>,
+        /// How long each is down.
         down: Duration,
     },
     /// SIGHUP of a process.
@@ -162,19 +170,21 @@
 
 impl Drawer<'_> {
     fn kind(&mut self) -> TroubleKind {
-        match self.rng.u32(..24) {
+        match self.rng.u32(..25) {
             0..=3 => TroubleKind::Kill { targets: vec![self.target()], down: self.down(), lost_disk: None },
             4 => TroubleKind::Kill { targets: self.core(), down: self.down(), lost_disk: None },
             5 => TroubleKind::Kill { targets: self.all(), down: self.down(), lost_disk: None },
             6 | 7 => self.lose_disk(),
             8..=10 => TroubleKind::Pause { targets: vec![self.target()], time: self.time(PAUSE_MS) },
             11 => TroubleKind::Pause { targets: self.side(), time: self.time(PAUSE_MS) },
-            12..=14 => TroubleKind::Roll { target: self.target(), down: self.down() },
+            12 | 13 => TroubleKind::Roll { targets: vec![self.target()], down: self.down() },
+            14 => TroubleKind::Roll { targets: self.some_gates(), down: self.down() },
             15 => TroubleKind::HangUp { target: self.target() },
             16 => TroubleKind::CutFront { machine: self.machine(), time: self.time(CUT_MS) },
             17 => TroubleKind::ResetFront { machine: self.machine() },
             18 => TroubleKind::CutControl { machine: self.machine(), time: self.time(CUT_MS) },
             19 => TroubleKind::ResetControl { machine: self.machine() },
+            20 => TroubleKind::Slow { targets: self.machine_whole(), time: self.time(SLOW_MS) },
             _ => self.of_backend(),
         }
     }
@@ -220,6 +230,18 @@
         Target { machine: self.machine(), role: Role::ALL[self.rng.usize(..2)] }
     }
 
+    fn machine_whole(&mut self) -> Vec<Target> {
+        let machine = self.machine();
+        Role::ALL.map(|role| Target { machine, role }).to_vec()
+    }
+
+    /// The gateways of about half of the machines.
+    fn some_gates(&mut self) -> Vec<Target> {
+        let machines = 0..self.shape.machines();
+        let some: Vec<usize> = machines.filter(|_| self.rng.bool()).collect();
+        some.into_iter().map(|machine| Target { machine, role: Role::Gate }).collect()
+    }
+
     fn core(&self) -> Vec<Target> {
         (0..self.shape.counting).map(|machine| Target { machine, role: Role::ControlPlane }).collect()
     }
@@ -256,7 +278,10 @@
                 lost_disk.map_or(Ok(()), |machine| write!(out, ", disk of {machine} lost"))
             }
             TroubleKind::Pause { targets, time } => write!(out, "pause {} for {time:?}", named(targets)),
-            TroubleKind::Roll { target, down } => write!(out, "roll {target}, down for {down:?}"),
+            TroubleKind::Slow { targets, time } => write!(out, "slow {} for {time:?}", named(targets)),
+            TroubleKind::Roll { targets, down } => {
+                write!(out, "roll {}, down for {down:?}", named(targets))
+            }
             TroubleKind::HangUp { target } => write!(out, "SIGHUP of {target}"),
             TroubleKind::CutFront { machine, time } => write!(out, "clients cut from {machine} for {time:?}"),
             TroubleKind::ResetFront { machine } => write!(out, "clients' connections to {machine} reset"),
--- /dev/null
+++ b/crates/soak/tests/short_run.rs
@@ -0,0 +1,37 @@
+//! The short form for CI: real processes of the program, a small fleet, a few seconds of drawn troubles.
+
+use std::path::PathBuf;
+
+use crankpick_soak::layout::Shape;
+use crankpick_soak::run::{run, Options, Report};
+
+fn folder(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("crankpick-soak-{}-{name}", std::process::id()))
+}
+
+async fn played(name: &str, options: Options) -> Report {
+    let report = run(&options).await.expect("it is played");
+    assert!(report.verdict.holds(), "{report}");
+    assert!(report.folder.is_none(), "{report}");
+    let _ = std::fs::remove_dir_all(folder(name));
+    report
+}
+
+fn short(name: &str, seed: u64) -> Options {
+    Options { seconds: 10, clients: 40, shape: Some(Shape::small()), ..Options::new(seed, &folder(name)) }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_short_run_under_troubles_keeps_every_invariant() {
+    let report = played("troubled", short("troubled", 4)).await;
+    assert!(!report.plan.troubles.is_empty());
+    assert!(report.history.exchanges.len() > 100, "{report}");
+    assert!(report.history.orders.iter().any(|order| order.base > 0), "{report}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_short_quiet_run_answers_every_request() {
+    let report = played("quiet", Options { quiet: true, seconds: 5, ..short("quiet", 5) }).await;
+    assert!(report.verdict.cuts.is_empty(), "{report}");
+    assert!(report.history.exchanges.len() > 100, "{report}");
+}
