--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint format run regression demo fleet-soak work-soak
+.PHONY: build test lint format run regression demo fleet-soak work-soak system-soak
 
 build:
 	cargo build --release
@@ -40,3 +40,9 @@
 	@for seed in $(SEEDS); do \
 	  target/release/crankpick-lab work --seed $$seed --out target/soak/work-$$seed || exit 1; \
 	done
+
+# The router fleet: real processes under drawn troubles, three quarters of a minute a seed (docs/soak.md).
+system-soak: build
+	@for seed in $(SEEDS); do \
+	  target/release/crankpick-soak run --seed $$seed || exit 1; \
+	done
