--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -92,6 +92,11 @@
         lock(&self.relay).clone()
     }
 
+    /// The id of the incarnation that runs.
+    pub fn running_id(&self) -> Option<String> {
+        self.running().map(|number| self.id(number))
+    }
+
     fn id(&self, number: u32) -> String {
         format!("i-{}-{number}", self.number)
     }
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::clock::Moment;
-use crate::history::{DisturbanceKind, Exchange, History, Order, OrderEnd, Outcome, RunEnd};
+use crate::history::{DisturbanceKind, Exchange, History, Order, OrderEnd, Outcome, Run, RunEnd};
 
 /// Within which an acknowledged configuration is in force everywhere.
 pub const CONFIG_APPLY: Duration = Duration::from_secs(2);
@@ -13,6 +13,8 @@
 const LIMIT_LINGER: Duration = Duration::from_secs(10);
 /// How far a disturbance reaches: a process that was killed or stood still acts until then by what it had read.
 const AFTERMATH: Duration = Duration::from_millis(500);
+/// A gateway ends a request so much before its deadline at the earliest.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(100);
 /// The part of the idle timeout for which clients reuse a connection.
 pub const REUSE_SHARE: f64 = 0.8;
 /// Statuses that promise that nothing ran.
@@ -81,7 +83,7 @@
     OverRest,
     /// It was at rest beyond four fifths of an idle timeout that may be in force beside the one its client knew.
     LimitChanged,
-    /// Its backend broke off within the answer.
+    /// Its backend, or the way to it, broke off within the answer.
     BackendBrokeOff,
     /// Its deadline had passed.
     Deadline,
@@ -278,12 +280,12 @@
         return Some(reason);
     }
     if exchange.outcome == Outcome::CutMidAnswer {
-        let runs = history.runs.get(&exchange.id).into_iter().flatten();
-        if runs.into_iter().any(|run| run.end == Some(RunEnd::BrokenOff)) {
+        let mut runs = history.runs.get(&exchange.id).into_iter().flatten();
+        if runs.any(|run| broke_off(history, run, exchange.ended)) {
             return Some(Reason::BackendBrokeOff);
         }
     }
-    if exchange.ended >= exchange.deadline {
+    if exchange.ended.plus(DEADLINE_MARGIN) >= exchange.deadline {
         return Some(Reason::Deadline);
     }
     let began = history.runs.contains_key(&exchange.id);
@@ -293,6 +295,12 @@
     over_rest(history, exchange)
 }
 
+/// Whether a backend, or the way to it, broke off.
+fn broke_off(history: &History, run: &Run, ended: Moment) -> bool {
+    let disturbed = history.backend_disturbances.iter().any(|disturbance| disturbance.touches(run, ended));
+    run.end == Some(RunEnd::BrokenOff) || disturbed
+}
+
 /// The disturbance that touched the connection of a request.
 fn disturbed(history: &History, exchange: &Exchange) -> Option<Reason> {
     let touching = history.disturbances.iter().filter(|disturbance| {
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -10,6 +10,7 @@
 
 use crate::check::REUSE_SHARE;
 use crate::clock::Moment;
+use crate::configuration::LEAST_TIMEOUT;
 use crate::fleet::Fleet;
 use crate::history::{Exchange, Outcome};
 use crate::platform::Platform;
@@ -193,7 +194,7 @@
             rest_from: connection.rest_from,
             write_began,
             written,
-            deadline: write_began.plus(request.deadline),
+            deadline: write_began.plus(request.deadline.min(LEAST_TIMEOUT)),
             ended,
             outcome,
         };
--- a/crates/soak/src/configuration.rs
+++ b/crates/soak/src/configuration.rs
@@ -20,7 +20,7 @@
 /// Routes beside those that clients use.
 const MOST_EXTRA_ROUTES: usize = 30;
 /// The shortest time that a route gives a request.
-const LEAST_TIMEOUT_MS: u64 = 3_000;
+pub const LEAST_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// The prefix of a kind's route.
 pub fn prefix(kind: RouteKind) -> &'static str {
@@ -80,7 +80,7 @@
     let share = rng.u32(1..100);
     let mut route = json!({
         "name": prefix(kind).trim_matches('/'), "host": HOST, "prefix": prefix(kind), "type": word,
-        "timeout_ms": LEAST_TIMEOUT_MS + rng.u64(..3_000), "slo_ms": 1_000, "priority": rng.u32(..3),
+        "timeout_ms": LEAST_TIMEOUT.as_millis() as u64 + rng.u64(..3_000), "slo_ms": 1_000, "priority": rng.u32(..3),
         "split": [{"service": SERVICES[0], "weight": share}, {"service": SERVICES[1], "weight": 100 - share}],
         "retries": rng.u32(1..=3), "public": false, "resume": kind == RouteKind::Resumable,
     });
--- a/crates/soak/src/director.rs
+++ b/crates/soak/src/director.rs
@@ -12,6 +12,7 @@
 use crate::fleet::Fleet;
 use crate::history::{DisturbanceKind, ProcessFinding};
 use crate::layout::{Role, GRACE};
+use crate::relay::Relay;
 use crate::sync::lock;
 use crate::trouble::{Target, Trouble, TroubleKind};
 
@@ -82,15 +83,10 @@
             }
             TroubleKind::ResetControl { machine } => self.fleet.control_relay(machine).reset(),
             TroubleKind::CutBackend { backend, time } => {
-                let Some(relay) = self.backends[backend].relay() else { return };
-                relay.cut();
-                sleep(time).await;
-                relay.join();
+                self.disturb_way(&self.backends[backend], time, Relay::cut, Relay::join).await;
             }
             TroubleKind::ResetBackend { backend } => {
-                if let Some(relay) = self.backends[backend].relay() {
-                    relay.reset();
-                }
+                self.disturb_way(&self.backends[backend], Duration::ZERO, Relay::reset, |_| ()).await;
             }
             TroubleKind::CrashBackend { backend, down } => self.crash(backend, down).await,
             TroubleKind::LoseAnswers { backend, time } => {
@@ -188,6 +184,16 @@
         unreachable.into_iter().for_each(|unreachable| self.fleet.settle(unreachable));
     }
 
+    /// Does something to the way to a backend, and takes it back so much later.
+    async fn disturb_way(&self, backend: &Backend, time: Duration, begin: fn(&Relay), end: fn(&Relay)) {
+        let (Some(relay), Some(id)) = (backend.relay(), backend.running_id()) else { return };
+        let disturbance = self.fleet.disturb_backend(id);
+        begin(&relay);
+        sleep(time).await;
+        end(&relay);
+        self.fleet.settle_backend(disturbance);
+    }
+
     async fn crash(&self, backend: usize, down: Duration) {
         let backend = &self.backends[backend];
         let Some(number) = backend.running() else { return };
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -11,7 +11,7 @@
 
 use crate::clock::{Clock, Moment};
 use crate::error::{FileSnafu, PortsSnafu, SoakError};
-use crate::history::{Disturbance, DisturbanceKind, History};
+use crate::history::{BackendDisturbance, Disturbance, DisturbanceKind, History};
 use crate::layout::{Layout, Role};
 use crate::process::Process;
 use crate::relay::Relay;
@@ -113,6 +113,19 @@
         lock(&self.history).disturbances[disturbance].to = Some(now);
     }
 
+    /// Notes that the way to a backend is cut or reset from now on; call it before.
+    pub fn disturb_backend(&self, backend: String) -> usize {
+        let mut history = lock(&self.history);
+        history.backend_disturbances.push(BackendDisturbance { backend, from: self.clock.now(), to: None });
+        history.backend_disturbances.len() - 1
+    }
+
+    /// Notes its end; call it after it was taken back.
+    pub fn settle_backend(&self, disturbance: usize) {
+        let now = self.clock.now();
+        lock(&self.history).backend_disturbances[disturbance].to = Some(now);
+    }
+
     /// Counts something that decides nothing.
     pub fn note(&self, what: &str) {
         lock(&self.history).note(what);
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -80,7 +80,7 @@
     pub write_began: Moment,
     /// When its last byte had been written.
     pub written: Moment,
-    /// When the client gives it up, by what it tells the gateway.
+    /// When a gateway may give it up: by what its client tells, or by its route.
     pub deadline: Moment,
     /// When it ended.
     pub ended: Moment,
@@ -209,6 +209,24 @@
     }
 }
 
+/// A time in which the way to a backend was cut or reset.
+#[derive(Clone, Debug)]
+pub struct BackendDisturbance {
+    /// The incarnation's id.
+    pub backend: String,
+    /// When it began; before it takes effect.
+    pub from: Moment,
+    /// When it ended; after it was taken back.
+    pub to: Option<Moment>,
+}
+
+impl BackendDisturbance {
+    /// Whether it can have touched a run, as seen at a client until `ended`.
+    pub fn touches(&self, run: &Run, ended: Moment) -> bool {
+        self.backend == run.backend && self.from <= ended && self.to.is_none_or(|to| to >= run.began)
+    }
+}
+
 /// A line of a process's log that tells of a broken invariant, or an end that nobody caused.
 #[derive(Clone, Debug)]
 pub struct ProcessFinding {
@@ -233,6 +251,8 @@
     pub readings: Vec<Reading>,
     /// What befell clients' connections.
     pub disturbances: Vec<Disturbance>,
+    /// What befell the ways to backends.
+    pub backend_disturbances: Vec<BackendDisturbance>,
     /// What processes say of themselves.
     pub process_findings: Vec<ProcessFinding>,
     /// Counts that decide nothing.
