--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::clock::Moment;
-use crate::history::{DisturbanceKind, Exchange, History, Order, OrderEnd, Outcome, Run, RunEnd};
+use crate::history::{DisturbanceKind, EndOfRest, Exchange, History, Order, OrderEnd, Outcome, Run, RunEnd};
 
 /// Within which an acknowledged configuration is in force everywhere.
 pub const CONFIG_APPLY: Duration = Duration::from_secs(2);
@@ -83,6 +83,8 @@
     OverRest,
     /// It was at rest beyond four fifths of an idle timeout that may be in force beside the one its client knew.
     LimitChanged,
+    /// Its gateway was told to end some time before, and had not passed the request on.
+    Leaving,
     /// Its backend, or the way to it, broke off within the answer.
     BackendBrokeOff,
     /// Its deadline had passed.
@@ -100,6 +102,8 @@
     pub cuts: BTreeMap<(Option<Reason>, bool), u64>,
     /// Each of them.
     pub cut_lines: Vec<CutLine>,
+    /// Connections at rest that were ended sooner than any idle timeout explains.
+    pub early_ends: Vec<EndOfRest>,
 }
 
 /// A connection that was cut without an answer.
@@ -129,6 +133,7 @@
     judge_readings(history, &mut verdict);
     judge_exchanges(history, &mut verdict);
     judge_runs(history, &mut verdict);
+    verdict.early_ends = early_ends(history);
     for finding in &history.process_findings {
         verdict.add(Rule::Process, format!("{}: {}", finding.process, finding.text));
     }
@@ -288,11 +293,7 @@
     if exchange.ended.plus(DEADLINE_MARGIN) >= exchange.deadline {
         return Some(Reason::Deadline);
     }
-    let began = history.runs.contains_key(&exchange.id);
-    if began || exchange.outcome != Outcome::CutNoAnswer {
-        return None;
-    }
-    over_rest(history, exchange)
+    is_crossing(history, exchange).then(|| over_rest(history, exchange)).flatten()
 }
 
 /// Whether a backend, or the way to it, broke off.
@@ -303,24 +304,34 @@
 
 /// The disturbance that touched the connection of a request.
 fn disturbed(history: &History, exchange: &Exchange) -> Option<Reason> {
+    let (from, to) = (exchange.rest_from, exchange.ended);
+    disturbance_between(history, exchange.machine, exchange.relayed, from, to)
+        .filter(|reason| *reason != Reason::Leaving || is_crossing(history, exchange))
+}
+
+/// Whether a connection ended before a request on it was passed on.
+fn is_crossing(history: &History, exchange: &Exchange) -> bool {
+    exchange.outcome == Outcome::CutNoAnswer && !history.runs.contains_key(&exchange.id)
+}
+
+/// The gravest disturbance that touched a connection between two moments, or shortly before.
+fn disturbance_between(
+    history: &History, machine: usize, relayed: bool, from: Moment, to: Moment,
+) -> Option<Reason> {
     let touching = history.disturbances.iter().filter(|disturbance| {
-        disturbance.touches(exchange.machine, exchange.relayed)
-            && (disturbance.overlaps(exchange.rest_from, exchange.ended)
-                || is_before(disturbance.to, exchange))
+        let aftermath = disturbance.to.map(|end| end.plus(AFTERMATH));
+        let in_time = disturbance.from <= to && aftermath.is_none_or(|end| end >= from);
+        disturbance.touches(machine, relayed) && in_time
     });
     let reasons = touching.map(|disturbance| match disturbance.kind {
         DisturbanceKind::Killed | DisturbanceKind::GraceOver => Reason::Killed,
         DisturbanceKind::Paused => Reason::Paused,
-        DisturbanceKind::Unreachable | DisturbanceKind::Cut | DisturbanceKind::Reset => Reason::Network,
+        DisturbanceKind::Cut | DisturbanceKind::Reset => Reason::Network,
+        DisturbanceKind::Leaving => Reason::Leaving,
     });
     reasons.min()
 }
 
-/// Whether a disturbance ended so shortly before a request that its connection may still suffer from it.
-fn is_before(to: Option<Moment>, exchange: &Exchange) -> bool {
-    to.is_some_and(|to| to <= exchange.rest_from && to.plus(AFTERMATH) >= exchange.rest_from)
-}
-
 /// Whether the connection was at rest for too long, by any idle timeout that may be in force at its gateway.
 fn over_rest(history: &History, exchange: &Exchange) -> Option<Reason> {
     let rest = exchange.written.since(exchange.rest_from);
@@ -346,6 +357,18 @@
     sent.filter(|order| !replaced(order)).map(|order| order.idle_timeout).collect()
 }
 
+/// Connections ended at rest before four fifths of every idle timeout that may be in force, with nothing that
+/// touched them: a request sent at that moment would cross the end.
+fn early_ends(history: &History) -> Vec<EndOfRest> {
+    let is_early = |end: &&EndOfRest| {
+        let rest = end.ended.since(end.rest_from);
+        let timeouts = timeouts_in_force(history, end.rest_from, end.ended);
+        let allowed = timeouts.iter().min().is_some_and(|least| rest < least.mul_f64(REUSE_SHARE));
+        allowed && disturbance_between(history, end.machine, end.relayed, end.rest_from, end.ended).is_none()
+    };
+    history.ends_of_rest.iter().filter(is_early).copied().collect()
+}
+
 fn judge_runs(history: &History, verdict: &mut Verdict) {
     let sent: HashMap<&str, &Exchange> =
         history.exchanges.iter().map(|exchange| (exchange.id.as_str(), exchange)).collect();
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -12,7 +12,7 @@
 use crate::clock::Moment;
 use crate::configuration::LEAST_TIMEOUT;
 use crate::fleet::Fleet;
-use crate::history::{Exchange, Outcome};
+use crate::history::{EndOfRest, Exchange, Outcome};
 use crate::platform::Platform;
 use crate::request::Request;
 use crate::sync::lock;
@@ -145,16 +145,14 @@
 
     fn ended_at_rest(&self, connection: &Connection, rest: Rest) {
         let fleet = &self.crowd.fleet;
-        let known = lock(&self.crowd.idle_timeout).as_secs_f64();
-        let share = fleet.clock.now().since(connection.rest_from).as_secs_f64() / known;
+        let ended = fleet.clock.now();
         let mut history = lock(&fleet.history);
         if rest == Rest::Bytes {
             history.note("bytes on a connection at rest");
             return;
         }
-        history.note("connections ended at rest");
-        let shortest = history.shortest_end_of_rest.map_or(share, |shortest| shortest.min(share));
-        history.shortest_end_of_rest = Some(shortest);
+        let Connection { machine, relayed, rest_from, .. } = *connection;
+        history.ends_of_rest.push(EndOfRest { machine, relayed, rest_from, ended });
     }
 
     /// Sends a request and waits for how it ends; the connection, if it can be kept.
--- a/crates/soak/src/director.rs
+++ b/crates/soak/src/director.rs
@@ -168,7 +168,7 @@
         let is_gate = target.role == Role::Gate;
         process.terminate();
         let mut ended = process.ended_within(STILL_ACCEPTED).await;
-        let unreachable = is_gate.then(|| self.fleet.disturb(target.machine, DisturbanceKind::Unreachable));
+        let leaving = is_gate.then(|| self.fleet.disturb(target.machine, DisturbanceKind::Leaving));
         if !ended {
             ended = process.ended_within(GRACE - STILL_ACCEPTED).await;
         }
@@ -181,7 +181,7 @@
         }
         sleep(down).await;
         self.start(target).await;
-        unreachable.into_iter().for_each(|unreachable| self.fleet.settle(unreachable));
+        leaving.into_iter().for_each(|leaving| self.fleet.settle(leaving));
     }
 
     /// Does something to the way to a backend, and takes it back so much later.
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -18,6 +18,8 @@
 use crate::sync::lock;
 use crate::wire::{Message, Wire};
 
+/// The time on the way between clients and a gateway, by its relay: what is sent in it crosses.
+const FRONT_DELAY: Duration = Duration::from_millis(10);
 /// Callers follow a redirect so often.
 const MOST_REDIRECTS: usize = 2;
 
@@ -42,7 +44,8 @@
         let processes = machines.clone().map(process).collect();
         let (mut front_relays, mut control_relays) = (Vec::new(), Vec::new());
         for machine in machines {
-            front_relays.push(Relay::start(layout.front(machine)).await.context(PortsSnafu)?);
+            let relay = Relay::with_delay(layout.front(machine), FRONT_DELAY).await;
+            front_relays.push(relay.context(PortsSnafu)?);
             control_relays.push(Relay::start(layout.control(machine)).await.context(PortsSnafu)?);
         }
         let (clock, history) = (Clock::start(), Mutex::default());
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -174,8 +174,8 @@
     Paused,
     /// The gateway was told to end, and killed as its grace was over.
     GraceOver,
-    /// The gateway takes no connections, or may not: a relay takes them first and resets them.
-    Unreachable,
+    /// The gateway was told to end some time ago: it ends connections at rest and takes no new ones.
+    Leaving,
     /// The relay to the gateway held all up.
     Cut,
     /// The relay to the gateway reset its connections.
@@ -196,19 +196,26 @@
 }
 
 impl Disturbance {
-    /// Whether it was in force at any time between two moments.
-    pub fn overlaps(&self, from: Moment, to: Moment) -> bool {
-        self.from <= to && self.to.is_none_or(|end| end >= from)
-    }
-
     /// Whether it can touch a connection.
     pub fn touches(&self, machine: usize, relayed: bool) -> bool {
-        let by_relay =
-            matches!(self.kind, DisturbanceKind::Unreachable | DisturbanceKind::Cut | DisturbanceKind::Reset);
+        let by_relay = matches!(self.kind, DisturbanceKind::Cut | DisturbanceKind::Reset);
         self.machine == machine && (relayed || !by_relay)
     }
 }
 
+/// A connection at rest that its gateway ended.
+#[derive(Clone, Copy, Debug)]
+pub struct EndOfRest {
+    /// The machine.
+    pub machine: usize,
+    /// Whether the connection goes through the machine's relay.
+    pub relayed: bool,
+    /// When the rest began.
+    pub rest_from: Moment,
+    /// When its client saw the end.
+    pub ended: Moment,
+}
+
 /// A time in which the way to a backend was cut or reset.
 #[derive(Clone, Debug)]
 pub struct BackendDisturbance {
@@ -257,9 +264,8 @@
     pub process_findings: Vec<ProcessFinding>,
     /// Counts that decide nothing.
     pub notes: BTreeMap<String, u64>,
-    /// The shortest rest after which a gateway ended a connection, as a share of the idle timeout that its client
-    /// knew.
-    pub shortest_end_of_rest: Option<f64>,
+    /// Connections at rest that their gateways ended.
+    pub ends_of_rest: Vec<EndOfRest>,
 }
 
 impl History {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -48,6 +48,9 @@
     /// No troubles: traffic, idle connections and changes alone
     #[arg(long)]
     quiet: bool,
+    /// All processes are slow throughout
+    #[arg(long)]
+    slow: bool,
     /// The smallest fleet
     #[arg(long)]
     small: bool,
@@ -71,6 +74,7 @@
             seconds: self.seconds,
             clients: self.clients,
             quiet: self.quiet,
+            slow: self.slow,
             shape: self.small.then(Shape::small),
             idle_timeouts: self.idle_timeout.map(Duration::from_millis).map(IdleTimeouts::Constant),
             patterns: self.pattern.clone(),
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -26,6 +26,9 @@
             let runs = self.history.runs.get(&exchange.id);
             let _ = writeln!(text, "{exchange:?} runs {:?}", runs.map(Vec::as_slice).unwrap_or_default());
         }
+        for end in &self.history.ends_of_rest {
+            let _ = writeln!(text, "{end:?}");
+        }
         for disturbance in &self.history.disturbances {
             let _ = writeln!(text, "{disturbance:?}");
         }
@@ -103,11 +106,15 @@
         for (note, number) in &history.notes {
             writeln!(out, "  {note}: {number}")?;
         }
-        if let Some(share) = history.shortest_end_of_rest {
-            writeln!(
-                out,
-                "  shortest rest at whose end a connection was closed: {share:.3} of the idle timeout"
-            )?;
+        writeln!(
+            out,
+            "  connections ended at rest: {}, sooner than any idle timeout explains: {}",
+            history.ends_of_rest.len(),
+            self.verdict.early_ends.len()
+        )?;
+        for end in &self.verdict.early_ends {
+            let rest = end.ended.since(end.rest_from);
+            writeln!(out, "  early end: at machine {} at {} after {rest:?} of rest", end.machine, end.ended)?;
         }
         let counters: Vec<String> =
             self.counters.iter().map(|(name, number)| format!("{name}={number}")).collect();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -51,6 +51,8 @@
     pub shape: Option<Shape>,
     /// No troubles: traffic, idle connections and changes of the configuration alone.
     pub quiet: bool,
+    /// All processes are slow throughout.
+    pub slow: bool,
     /// Whether changes touch the idle timeout; drawn where it is none.
     pub idle_timeouts: Option<IdleTimeouts>,
     /// What tells of a broken invariant in a process's log.
@@ -70,6 +72,7 @@
             clients: 200,
             shape: None,
             quiet: false,
+            slow: false,
             idle_timeouts: None,
             patterns: log::PATTERNS.map(str::to_owned).to_vec(),
             out: out.to_owned(),
@@ -98,7 +101,10 @@
         let drawn = if constant { IdleTimeouts::Constant(IDLE_TIMEOUT) } else { IdleTimeouts::Drawn };
         let shape = options.shape.unwrap_or(drawn_shape);
         let troubles = trouble::draw(&mut rng, &shape, options.seconds);
-        let troubles = if options.quiet { Vec::new() } else { troubles };
+        let mut troubles = if options.quiet { Vec::new() } else { troubles };
+        if options.slow {
+            troubles.insert(0, trouble::all_slow(&shape, options.seconds));
+        }
         Plan { shape, idle_timeouts: options.idle_timeouts.unwrap_or(drawn), troubles }
     }
 }
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -161,6 +161,17 @@
     troubles
 }
 
+/// All processes are slow for so many seconds.
+pub fn all_slow(shape: &Shape, seconds: u64) -> Trouble {
+    let kind = TroubleKind::Slow { targets: all_processes(shape), time: Duration::from_secs(seconds) };
+    Trouble { at: Moment::default(), kind }
+}
+
+fn all_processes(shape: &Shape) -> Vec<Target> {
+    let machines = 0..shape.machines();
+    machines.flat_map(|machine| Role::ALL.map(|role| Target { machine, role })).collect()
+}
+
 struct Drawer<'a> {
     rng: &'a mut Rng,
     shape: &'a Shape,
@@ -247,8 +258,7 @@
     }
 
     fn all(&self) -> Vec<Target> {
-        let machines = 0..self.shape.machines();
-        machines.flat_map(|machine| Role::ALL.map(|role| Target { machine, role })).collect()
+        all_processes(self.shape)
     }
 
     /// All processes of about half of the machines: nobody hears them, nor they anybody.
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -5,7 +5,7 @@
 use crankpick_soak::check::{judge, reason, Reason, Rule};
 use crankpick_soak::clock::Moment;
 use crankpick_soak::history::{
-    BackendDisturbance, Disturbance, DisturbanceKind, Exchange, History, Order, OrderEnd, Outcome,
+    BackendDisturbance, Disturbance, DisturbanceKind, EndOfRest, Exchange, History, Order, OrderEnd, Outcome,
     ProcessFinding, Reading, RouteKind, Run, RunEnd,
 };
 use serde_json::json;
@@ -115,6 +115,35 @@
     assert_eq!(reason(&relayed, &relayed.exchanges[0]), Some(Reason::Network));
 }
 
+#[test]
+fn a_gateway_that_leaves_may_end_a_connection_but_not_a_request_that_it_passed_on() {
+    let mut history = cut();
+    let (from, to) = (at(4_900), Some(at(9_000)));
+    history.disturbances.push(Disturbance { machine: 0, kind: DisturbanceKind::Leaving, from, to });
+    assert_eq!(rules(&history), [Rule::CutAfterStart]);
+    history.exchanges[0].outcome = Outcome::CutMidAnswer;
+    assert_eq!(rules(&history), [Rule::CutMidAnswer]);
+    history.exchanges[0].outcome = Outcome::CutNoAnswer;
+    history.runs.clear();
+    assert_eq!(reason(&history, &history.exchanges[0]), Some(Reason::Leaving));
+}
+
+#[test]
+fn a_connection_that_ends_at_rest_is_early_before_four_fifths_of_the_timeout() {
+    let mut history = sound();
+    let end = |rested: u64| EndOfRest {
+        machine: 0,
+        relayed: false,
+        rest_from: at(4_000),
+        ended: at(4_000 + rested),
+    };
+    history.ends_of_rest.extend([end(700), end(799), end(801), end(1_000)]);
+    assert_eq!(judge(&history).early_ends.len(), 2);
+    let (from, to) = (at(4_100), Some(at(4_200)));
+    history.disturbances.push(Disturbance { machine: 0, kind: DisturbanceKind::Killed, from, to });
+    assert_eq!(judge(&history).early_ends.len(), 0);
+}
+
 #[test]
 fn a_rest_beyond_four_fifths_of_the_timeout_explains_a_cut_that_no_backend_had_begun() {
     let mut history = cut();
--- a/crates/soak/tests/wire.rs
+++ b/crates/soak/tests/wire.rs
@@ -80,6 +80,23 @@
     assert_eq!(&byte, b"b");
 }
 
+#[tokio::test]
+async fn a_relay_with_a_delay_keeps_the_order_and_passes_nothing_on_sooner() {
+    const DELAY: Duration = Duration::from_millis(30);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let relay = Relay::with_delay(listener.local_addr().expect("bound"), DELAY).await.expect("a port");
+    let mut caller = TcpStream::connect(relay.address).await.expect("open");
+    let (mut called, _) = listener.accept().await.expect("open");
+    let begun = tokio::time::Instant::now();
+    caller.write_all(b"one ").await.expect("open");
+    caller.write_all(b"two").await.expect("open");
+    drop(caller);
+    let mut all = Vec::new();
+    timeout(SOON, called.read_to_end(&mut all)).await.expect("in time").expect("in order");
+    assert_eq!(all, b"one two");
+    assert!(begun.elapsed() >= DELAY);
+}
+
 #[tokio::test]
 async fn a_relay_passes_ends_and_resets_on() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
