--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -9,7 +9,7 @@
 
 /// Within which an acknowledged configuration is in force everywhere.
 pub const CONFIG_APPLY: Duration = Duration::from_secs(2);
-/// For how long after a newer acknowledgement an older limit may still be in force at a machine in trouble.
+/// For how long after a newer acknowledgement an older limit may still be in force, in a run with troubles.
 const LIMIT_LINGER: Duration = Duration::from_secs(10);
 /// How far a disturbance reaches: a process that was killed or stood still acts until then by what it had read.
 const AFTERMATH: Duration = Duration::from_millis(500);
@@ -335,7 +335,7 @@
 /// Whether the connection was at rest for too long, by any idle timeout that may be in force at its gateway.
 fn over_rest(history: &History, exchange: &Exchange) -> Option<Reason> {
     let rest = exchange.written.since(exchange.rest_from);
-    let timeouts = timeouts_in_force(history, exchange.rest_from, exchange.ended);
+    let timeouts = timeouts_in_force(history, exchange.write_began, exchange.ended);
     let (least, most) = (timeouts.iter().min()?, timeouts.iter().max()?);
     if rest > most.mul_f64(REUSE_SHARE) {
         Some(Reason::OverRest)
@@ -348,10 +348,11 @@
 
 /// The idle timeouts of all configurations that may be in force at some machine between two moments.
 fn timeouts_in_force(history: &History, from: Moment, to: Moment) -> Vec<Duration> {
+    let linger = if history.is_calm { CONFIG_APPLY } else { LIMIT_LINGER };
     let replaced = |order: &Order| {
         let newer = history.orders.iter().filter(|newer| newer.generation > order.generation);
         let acknowledged = newer.filter_map(Order::acknowledged).min();
-        acknowledged.is_some_and(|acknowledged| acknowledged.plus(LIMIT_LINGER) < from)
+        acknowledged.is_some_and(|acknowledged| acknowledged.plus(linger) < from)
     };
     let sent = history.orders.iter().filter(|order| order.sent <= to);
     sent.filter(|order| !replaced(order)).map(|order| order.idle_timeout).collect()
@@ -362,7 +363,7 @@
 fn early_ends(history: &History) -> Vec<EndOfRest> {
     let is_early = |end: &&EndOfRest| {
         let rest = end.ended.since(end.rest_from);
-        let timeouts = timeouts_in_force(history, end.rest_from, end.ended);
+        let timeouts = timeouts_in_force(history, end.ended, end.ended);
         let allowed = timeouts.iter().min().is_some_and(|least| rest < least.mul_f64(REUSE_SHARE));
         allowed && disturbance_between(history, end.machine, end.relayed, end.rest_from, end.ended).is_none()
     };
--- a/crates/soak/src/configuration.rs
+++ b/crates/soak/src/configuration.rs
@@ -16,7 +16,7 @@
 /// The path that tells whether a backend is well.
 pub const HEALTH_PATH: &str = "/healthz";
 /// Idle timeouts as they are drawn, in milliseconds.
-const IDLE_TIMEOUTS: [u64; 5] = [1_000, 1_200, 1_500, 2_500, 4_000];
+const IDLE_TIMEOUTS: [u64; 5] = [1_000, 1_500, 2_500, 4_000, 8_000];
 /// Routes beside those that clients use.
 const MOST_EXTRA_ROUTES: usize = 30;
 /// The shortest time that a route gives a request.
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -246,6 +246,8 @@
 /// All that was seen of a run.
 #[derive(Debug, Default)]
 pub struct History {
+    /// Whether the run had no troubles at all.
+    pub is_calm: bool,
     /// Requests that were written whole.
     pub exchanges: Vec<Exchange>,
     /// Runs at backends, by the request's id.
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -1,5 +1,6 @@
 //! The operator: changes of the configuration under way one after the other or as rivals, and reads.
 
+use std::ops::Range;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,9 +20,8 @@
 /// The first pause after a call without a clear answer; it doubles.
 const PAUSE: Duration = Duration::from_millis(50);
 const MOST_PAUSE: Duration = Duration::from_millis(800);
-/// Pauses between two changes, and between two reads.
-const CHANGE_PAUSE_MS: std::ops::Range<u64> = 200..1_600;
-const READ_PAUSE_MS: std::ops::Range<u64> = 30..250;
+/// Pauses between two reads.
+const READ_PAUSE_MS: Range<u64> = 30..250;
 /// An order on top of another version is refused so.
 const OTHER_VERSION: u16 = 412;
 
@@ -38,6 +38,8 @@
 pub struct Operator {
     crowd: Arc<Crowd>,
     timeouts: IdleTimeouts,
+    /// Pauses between two changes, in milliseconds.
+    pauses: Range<u64>,
     rng: Rng,
     /// The newest version that it knows.
     base: u64,
@@ -45,8 +47,8 @@
 
 impl Operator {
     /// An operator who has sent nothing yet.
-    pub fn new(crowd: &Arc<Crowd>, timeouts: IdleTimeouts, seed: u64) -> Self {
-        Operator { crowd: Arc::clone(crowd), timeouts, rng: Rng::with_seed(seed), base: 0 }
+    pub fn new(crowd: &Arc<Crowd>, timeouts: IdleTimeouts, pauses: Range<u64>, seed: u64) -> Self {
+        Operator { crowd: Arc::clone(crowd), timeouts, pauses, rng: Rng::with_seed(seed), base: 0 }
     }
 
     fn fleet(&self) -> &Arc<Fleet> {
@@ -61,7 +63,7 @@
     /// Sends changes until the crowd stops.
     pub async fn run(mut self) {
         while !self.crowd.stopping.load(Ordering::Relaxed) {
-            sleep(Duration::from_millis(self.rng.u64(CHANGE_PAUSE_MS))).await;
+            sleep(Duration::from_millis(self.rng.u64(self.pauses.clone()))).await;
             let rival = self.rng.u32(..6) == 0;
             let taken = self.change(rival).await;
             if taken && self.rng.u32(..5) == 0 {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,7 @@
 //! One run: a fleet comes up, traffic and changes go on under troubles, all is healed, and the verdict is given.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -35,6 +36,9 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// How long processes get to end in order when all is over.
 const ENDS: Duration = Duration::from_secs(8);
+/// Pauses between two changes.
+const QUICK_CHANGES_MS: Range<u64> = 200..1_600;
+const SLOW_CHANGES_MS: Range<u64> = 2_500..6_000;
 /// The idle timeout where changes don't touch it, and before the first is known.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
@@ -88,6 +92,8 @@
     pub shape: Shape,
     /// Whether changes touch the idle timeout.
     pub idle_timeouts: IdleTimeouts,
+    /// Pauses between changes, in milliseconds.
+    pub change_pauses: Range<u64>,
     /// The troubles.
     pub troubles: Vec<Trouble>,
 }
@@ -99,13 +105,14 @@
         let drawn_shape = Shape::draw(&mut rng);
         let constant = rng.bool();
         let drawn = if constant { IdleTimeouts::Constant(IDLE_TIMEOUT) } else { IdleTimeouts::Drawn };
+        let change_pauses = if rng.bool() { QUICK_CHANGES_MS } else { SLOW_CHANGES_MS };
         let shape = options.shape.unwrap_or(drawn_shape);
         let troubles = trouble::draw(&mut rng, &shape, options.seconds);
         let mut troubles = if options.quiet { Vec::new() } else { troubles };
         if options.slow {
             troubles.insert(0, trouble::all_slow(&shape, options.seconds));
         }
-        Plan { shape, idle_timeouts: options.idle_timeouts.unwrap_or(drawn), troubles }
+        Plan { shape, idle_timeouts: options.idle_timeouts.unwrap_or(drawn), change_pauses, troubles }
     }
 }
 
@@ -136,7 +143,8 @@
     end(&fleet).await;
     played?;
     let counters = read_logs(&fleet, &options.patterns);
-    let history = std::mem::take(&mut *lock(&fleet.history));
+    let mut history = std::mem::take(&mut *lock(&fleet.history));
+    history.is_calm = plan.troubles.is_empty();
     let verdict = judge(&history);
     let mut report =
         Report { options: options.clone(), plan, history, verdict, counters, folder: Some(folder.clone()) };
@@ -167,7 +175,7 @@
         idle_timeout: Mutex::new(IDLE_TIMEOUT),
         stopping: AtomicBool::new(false),
     });
-    let mut operator = Operator::new(&crowd, plan.idle_timeouts, rng.u64(..));
+    let mut operator = Operator::new(&crowd, plan.idle_timeouts, plan.change_pauses.clone(), rng.u64(..));
     let begun = timeout(PATIENCE, operator.begin()).await;
     let backends = start_backends(fleet, plan.shape.backends, &mut rng).await;
     if !begun.is_ok_and(|taken| taken) {
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -156,6 +156,13 @@
     let smaller = Order { idle_timeout: Duration::from_millis(500), ..order(5, 4, 4_900, OrderEnd::Open) };
     history.orders.push(smaller);
     assert_eq!(reason(&history, &history.exchanges[0]), Some(Reason::LimitChanged));
+    // One that was replaced is in force for a while, as long as machines may be in trouble.
+    history.orders[2].sent = at(2_000);
+    history.orders.push(order(6, 5, 2_100, OrderEnd::Acknowledged(at(2_200))));
+    assert_eq!(reason(&history, &history.exchanges[0]), Some(Reason::LimitChanged));
+    history.is_calm = true;
+    assert_eq!(reason(&history, &history.exchanges[0]), None);
+    history.is_calm = false;
     // A request that was passed on is never explained so.
     history.runs.insert("c1-1".into(), vec![run(5_020)]);
     assert_eq!(reason(&history, &history.exchanges[0]), None);
