--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -2,10 +2,11 @@
 
 use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use fastrand::Rng;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 use crate::check::REUSE_SHARE;
@@ -38,7 +39,7 @@
     /// The platform.
     pub platform: Arc<Platform>,
     /// The idle timeout of the newest configuration that the operator knows to be taken.
-    pub idle_timeout: Mutex<Duration>,
+    pub idle_timeout: watch::Sender<Duration>,
     /// Set once no new request is to be sent.
     pub stopping: AtomicBool,
 }
@@ -113,24 +114,26 @@
     /// Lets a connection rest for a drawn time; none if it can't be used any more.
     async fn rest(&mut self, mut connection: Connection) -> Option<Connection> {
         let fleet = Arc::clone(&self.crowd.fleet);
-        let longest = lock(&self.crowd.idle_timeout).mul_f64(REUSE_SHARE);
-        let share = match self.rng.u32(..10) {
-            0 => 0.0,
-            1..=5 => self.rng.f64(),
-            // Close to the end of what is allowed.
-            _ => 0.9 + 0.1 * self.rng.f64(),
-        };
-        let until = connection.rest_from.plus(longest.mul_f64(share));
-        tokio::select! {
-            () = fleet.clock.sleep_until(until) => {}
-            rest = connection.wire.disturbed() => {
-                self.ended_at_rest(&connection, rest);
-                return None;
+        let mut limits = self.crowd.idle_timeout.subscribe();
+        let mut longest = Duration::ZERO;
+        let mut until = connection.rest_from;
+        loop {
+            let allowed = limits.borrow_and_update().mul_f64(REUSE_SHARE);
+            if allowed > longest {
+                // A connection may rest for longer once its client knows a larger limit.
+                until = connection.rest_from.plus(allowed.mul_f64(self.share_of_rest()));
+            }
+            longest = allowed;
+            tokio::select! {
+                () = fleet.clock.sleep_until(until) => break,
+                rest = connection.wire.disturbed() => {
+                    self.ended_at_rest(&connection, rest);
+                    return None;
+                }
+                changed = limits.changed() => if changed.is_err() { return None },
             }
         }
-        // A client may know that the limit is a smaller one by now.
-        let allowed = lock(&self.crowd.idle_timeout).mul_f64(REUSE_SHARE);
-        if fleet.clock.now().since(connection.rest_from) > allowed {
+        if fleet.clock.now().since(connection.rest_from) > longest {
             fleet.note("connections not used again: at rest for too long");
             return None;
         }
@@ -143,6 +146,16 @@
         }
     }
 
+    /// The part of the longest rest for which a connection is to rest.
+    fn share_of_rest(&mut self) -> f64 {
+        match self.rng.u32(..10) {
+            0 => 0.0,
+            1..=5 => self.rng.f64(),
+            // Close to the end of what is allowed.
+            _ => 0.9 + 0.1 * self.rng.f64(),
+        }
+    }
+
     fn ended_at_rest(&self, connection: &Connection, rest: Rest) {
         let fleet = &self.crowd.fleet;
         let ended = fleet.clock.now();
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -121,7 +121,7 @@
         let taken = history.orders.iter().filter(|order| order.acknowledged().is_some());
         if let Some(order) = taken.max_by_key(|order| order.generation) {
             self.base = order.generation;
-            *lock(&self.crowd.idle_timeout) = order.idle_timeout;
+            self.crowd.idle_timeout.send_replace(order.idle_timeout);
         }
     }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -4,11 +4,12 @@
 use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use fastrand::Rng;
 use snafu::ResultExt;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -172,7 +173,7 @@
     let crowd = Arc::new(Crowd {
         fleet: Arc::clone(fleet),
         platform: Platform::start(fleet),
-        idle_timeout: Mutex::new(IDLE_TIMEOUT),
+        idle_timeout: watch::Sender::new(IDLE_TIMEOUT),
         stopping: AtomicBool::new(false),
     });
     let mut operator = Operator::new(&crowd, plan.idle_timeouts, plan.change_pauses.clone(), rng.u64(..));
