--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -24,6 +24,9 @@
 /// Against clients that don't read their answers.
 const UNREAD: Duration = Duration::from_secs(8);
 
+/// Within which the first request of a connection is on its way: who connects asks right away.
+const FIRST_REQUEST: Duration = Duration::from_secs(1);
+
 /// What a connection does between two requests.
 #[derive(Clone, Copy)]
 struct Rest {
@@ -38,6 +41,7 @@
     pub stream: TcpStream,
     /// Told to end to make room.
     pub evicted: Notify,
+    accepted: Instant,
     asked: AtomicBool,
     told_to_end: AtomicBool,
     /// Whether it ends as soon as no request is in hand.
@@ -54,6 +58,7 @@
         Client {
             stream,
             evicted: Notify::new(),
+            accepted: Instant::now(),
             asked: AtomicBool::new(false),
             told_to_end: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
@@ -107,6 +112,11 @@
         self.asked.load(Ordering::Relaxed)
     }
 
+    /// Whether its first request may be on its way.
+    pub fn is_new(&self) -> bool {
+        !self.has_asked() && self.accepted.elapsed() < FIRST_REQUEST
+    }
+
     /// Tells it once to end, to make room.
     pub fn evict(&self) {
         if !self.told_to_end.swap(true, Ordering::Relaxed) {
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -122,7 +122,8 @@
             }
             () = sooner(client, &limits, wake), if leaving.is_none() => {}
             () = sleep_until(wake) => {
-                if client.patience(&limits).is_some_and(|until| until <= Instant::now()) {
+                // A larger limit may have come meanwhile.
+                if client.patience(&shared.client_limits()).is_some_and(|until| until <= Instant::now()) {
                     if client.framing().head_since().is_some() {
                         check_answered(client, shared, EndReason::HeadTimeout);
                         return EndReason::HeadTimeout;
@@ -135,7 +136,8 @@
             client.leave();
         }
         // A request may lie in the socket that nobody was told of: such a one is taken first.
-        if leaving.is_some() && !shut && (client.idle_since().is_none() || client.at_rest()) {
+        let may_end = client.at_rest() && !(leaving == Some(EndReason::ShuttingDown) && client.is_new());
+        if leaving.is_some() && !shut && (client.idle_since().is_none() || may_end) {
             if leaving == Some(EndReason::Idle) && client.rests_as_announced() {
                 shared.violated(Violation::RestCutShort);
             }
