One public call for contact with a majority: Replica::reaches_majority

members_reached and reaches_majority of control-plane counted beside Replica. Same count as before: a sick disk doesn't make a member unreached there, as it does in reached_voters, which proposers go by. Measured: units of control-plane and hosts pass.

--- a/crates/control-plane/src/host/calls.rs
+++ b/crates/control-plane/src/host/calls.rs
@@ -7,7 +7,7 @@
 
 use super::Host;
 use crate::event::{Call, HeartbeatAnswer, PutAnswer};
-use crate::quorum::{reaches_majority, Quorum};
+use crate::quorum::Quorum;
 
 impl Host {
     pub(super) fn call(&mut self, call: Call) {
@@ -63,7 +63,7 @@
         if ending {
             self.spread_ending(id, heard.announcement, reply);
         } else {
-            let contact = reaches_majority(&self.parts.replica);
+            let contact = self.parts.replica.reaches_majority();
             let _gone = reply.send(if contact {
                 HeartbeatAnswer::Acknowledged
             } else {
@@ -83,7 +83,7 @@
     ) {
         let now = self.now();
         let replica = &self.parts.replica;
-        let quorum = Quorum::of(replica.view(), replica.id()).filter(|_| reaches_majority(replica));
+        let quorum = Quorum::of(replica.view(), replica.id()).filter(|_| replica.reaches_majority());
         let announcement = news.or_else(|| self.parts.registry.announcement_of(now, id));
         let (Some(quorum), Some(word)) = (quorum, announcement.clone()) else {
             let _gone = reply.send(HeartbeatAnswer::Unconfirmed);
--- a/crates/control-plane/src/host/peers.rs
+++ b/crates/control-plane/src/host/peers.rs
@@ -12,7 +12,6 @@
 use crate::event::PeerPacket;
 use crate::floods::Relay;
 use crate::peers::PeerChange;
-use crate::quorum::reaches_majority;
 
 impl Host {
     pub(super) fn peer(&mut self, from: SocketAddr, packet: PeerPacket) {
@@ -125,7 +124,7 @@
     /// Ends the waits of backends that are over.
     pub(super) fn settle_floods(&mut self) {
         let now = self.now();
-        if !reaches_majority(&self.parts.replica) {
+        if !self.parts.replica.reaches_majority() {
             self.floods.give_up_all();
         }
         for relay in self.floods.tick(now) {
--- a/crates/control-plane/src/operator.rs
+++ b/crates/control-plane/src/operator.rs
@@ -9,7 +9,6 @@
 use tokio::sync::oneshot;
 
 use crate::event::{GetAnswer, PutAnswer};
-use crate::quorum::reaches_majority;
 
 /// A read that can't be answered by then is given back: its caller goes on to another process after a second.
 const READ_PATIENCE: Duration = Duration::from_millis(900);
@@ -58,7 +57,7 @@
 
     /// Gives back the orders that can't be answered for want of a majority. They may still be taken.
     pub fn settle_orders(&mut self, now: Now, replica: &Replica) {
-        if self.orders.is_empty() || replica.view().epoch == 0 || reaches_majority(replica) {
+        if self.orders.is_empty() || replica.view().epoch == 0 || replica.reaches_majority() {
             return;
         }
         let late = |order: &PendingOrder| now >= order.since + ISOLATED_PATIENCE;
@@ -126,13 +125,13 @@
 fn is_cut_off(replica: &Replica) -> bool {
     let view = replica.view();
     let head_reached = view.head().is_some_and(|head| head != replica.id() && replica.reaches(head));
-    view.epoch > 0 && !reaches_majority(replica) && !head_reached
+    view.epoch > 0 && !replica.reaches_majority() && !head_reached
 }
 
 /// What is said at once to a read that this replica can't answer: without a majority it is never fresh, and outside
 /// the chain it sends readers to a replica that it reaches, the tail first.
 fn unanswerable(replica: &Replica) -> Option<GetAnswer> {
-    if !reaches_majority(replica) {
+    if !replica.reaches_majority() {
         return Some(GetAnswer::Unclear);
     }
     if replica.in_chain() {
--- a/crates/control-plane/src/quorum.rs
+++ b/crates/control-plane/src/quorum.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use crankpick_control::{MemberId, Replica, View};
+use crankpick_control::{MemberId, View};
 
 /// The members of a view of which a majority must answer.
 ///
@@ -46,19 +46,6 @@
     }
 }
 
-/// The members of the view that the replica reaches both ways, itself among them if it is one.
-pub fn members_reached(replica: &Replica) -> usize {
-    let own = replica.id();
-    let members = replica.view().members.iter();
-    members.filter(|member| member.id == own || replica.reaches(member.id)).count()
-}
-
-/// Whether the replica reaches a majority of the view's members.
-pub fn reaches_majority(replica: &Replica) -> bool {
-    let view = replica.view();
-    view.epoch > 0 && members_reached(replica) >= view.majority()
-}
-
 #[cfg(test)]
 #[path = "../tests/unit/quorum.rs"]
 mod tests;
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -392,6 +392,14 @@
         self.peers.get(id).is_some_and(|peer| peer.connected(self.now, &self.options.timing))
     }
 
+    /// Whether this process reaches a majority of its view's voters both ways, itself counted if it votes. A sick disk
+    /// doesn't count against it: it still hears.
+    pub fn reaches_majority(&self) -> bool {
+        let reached =
+            self.view.members.iter().filter(|member| member.id == self.id || self.reaches(member.id));
+        self.view.epoch > 0 && reached.count() >= self.view.majority()
+    }
+
     /// What it was told at its start.
     pub fn options(&self) -> &Options {
         &self.options
