Control: losses that can be borne and leaving have a module of their own

resilience.rs: bearable_losses, wanted_voters, has_left and what they rest on, moved from plan.rs as they were.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -20,6 +20,7 @@
 mod proposer;
 mod record;
 mod replica;
+mod resilience;
 mod restore;
 mod state;
 mod types;
--- a/crates/control/src/plan.rs
+++ b/crates/control/src/plan.rs
@@ -1,5 +1,7 @@
 //! Which view should come next, and whether one is needed.
 
+use std::time::Duration;
+
 use crate::membership::{choose_voters, Candidate, Condition, Tolerance};
 use crate::options::transfer_time;
 use crate::peers::Peer;
@@ -185,7 +187,7 @@
         connected && outside && !postponed && self.has_caught_up(peer, waited)
     }
 
-    fn has_asked_for(&self, id: MemberId, long: std::time::Duration) -> bool {
+    fn has_asked_for(&self, id: MemberId, long: Duration) -> bool {
         self.discovery.asked_since(id).is_some_and(|since| self.now >= since + long)
     }
 
@@ -228,55 +230,9 @@
         let others = self.peers.voters().iter().filter(|peer| peer.connected(self.now, timing)).count();
         others + usize::from(self.view.member(self.id).is_some() && !self.sick())
     }
-
-    /// How many voters may be lost from now on so that orders are still taken, as far as this process can tell: enough
-    /// for a majority and for the shortest chain must remain. None before the view is in service: a majority may not
-    /// know it for good yet.
-    pub fn bearable_losses(&self) -> usize {
-        let in_service = self.chain.opened && self.view.tail() == Some(self.id) || self.tail_is_open();
-        if !in_service {
-            return 0;
-        }
-        let needed = self.view.majority().max(self.view.least_chain(self.options.tolerate_nodes));
-        self.well_voters().saturating_sub(needed)
-    }
-
-    /// Voters that are reached, well and stay, this process among them.
-    fn well_voters(&self) -> usize {
-        let timing = &self.options.timing;
-        let well =
-            self.peers.voters().iter().filter(|peer| peer.connected(self.now, timing) && says_well(peer));
-        let own = self.view.member(self.id).is_some() && !self.sick() && !self.leaving;
-        well.count() + usize::from(own)
-    }
-
-    /// How many voters the losses to be borne ask for.
-    pub fn wanted_voters(&self) -> usize {
-        self.tolerance().wanted_voters()
-    }
-
-    /// Whether this process, having said that it leaves, may end: the others go on without its state, and without its
-    /// vote if anybody can have it.
-    pub fn has_left(&self) -> bool {
-        if self.view.epoch == 0 || self.view.members.len() == 1 && self.view.member(self.id).is_some() {
-            return true;
-        }
-        if self.in_chain() || !self.tail_is_open() {
-            return false;
-        }
-        let votes = self.view.member(self.id).is_some();
-        let replaceable = self.next_voters().iter().all(|member| member.id != self.id);
-        !(votes && replaceable)
-    }
-
-    /// Whether the chain of the view that this process knows is in service.
-    fn tail_is_open(&self) -> bool {
-        let Some(tail) = self.view.tail().filter(|tail| self.is_current(*tail)) else { return false };
-        self.peers.get(tail).and_then(|peer| peer.heartbeat).is_some_and(|last| last.opened)
-    }
 }
 
 /// What the peer says of itself.
-fn says_well(peer: &Peer) -> bool {
+pub(crate) fn says_well(peer: &Peer) -> bool {
     peer.heartbeat.is_none_or(|last| last.disk_well && !last.leaving)
 }
