Soak: SIGTERM ends the processes under test too

Symptom: a run ended by SIGTERM left its processes behind; only SIGINT was heard. Measured: SIGTERM and SIGINT after 4 s, none of the run's processes left a second later. SIGKILL of the soak itself still leaves them.

--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,5 +1,6 @@
 //! Plays soak runs by their seeds; ends with 1 where an invariant broke, with 2 where a run could not be played.
 
+use std::future::pending;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -8,6 +9,7 @@
 use crankpick_soak::configuration::IdleTimeouts;
 use crankpick_soak::layout::Shape;
 use crankpick_soak::run::{self, Options};
+use tokio::signal::unix::{signal, SignalKind};
 
 /// Real processes under drawn faults.
 #[derive(Parser)]
@@ -102,7 +104,17 @@
     // The processes under test end with this one.
     tokio::select! {
         code = played => code,
-        _ = tokio::signal::ctrl_c() => ExitCode::from(2),
+        () = told_to_end() => ExitCode::from(2),
+    }
+}
+
+/// Comes with SIGINT or SIGTERM; never where they can't be heard.
+async fn told_to_end() {
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else { return pending().await };
+    let Ok(mut interrupt) = signal(SignalKind::interrupt()) else { return pending().await };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
     }
 }
 
