--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -43,6 +43,13 @@
     break_nothing(ends::run);
 }
 
+/// A tail that restarted committed what a proposal had installed: on two of five disks, where two may be lost.
+#[test]
+fn an_end_two_milliseconds_after_an_install_loses_nothing() {
+    let report = ends::run(6_004_873);
+    assert!(report.breaches.is_empty(), "{:#?}", report.breaches);
+}
+
 fn break_nothing(run: fn(u64) -> Report) {
     let count = from_environment("CONTROL_SCHEDULES", 300);
     let reports = run_all(run, from_environment("CONTROL_FIRST", 1), count, 3);
