Control plane: the error of a refusing disk no longer says to empty the folder

Cause: the text is from when only an unsound file ended a process; followed now, it throws away the copy that disk_opening keeps, against docs/codes.md. Change: the text says what codes.md says. Measured: the added check of a_disk_that_refuses_keeps_what_it_holds was seen to fail on the old text; the 41 unit tests of the crate pass after.

--- a/crates/control-plane/src/error.rs
+++ b/crates/control-plane/src/error.rs
@@ -9,7 +9,7 @@
 #[snafu(visibility(pub(crate)))]
 pub enum ControlPlaneError {
     /// The file on disk can't be read.
-    #[snafu(display("CTL-201: {source}; empty the folder: the process then joins anew"))]
+    #[snafu(display("CTL-201: {source}; mend or free the disk and start again: what it holds is kept"))]
     Storage {
         /// The cause.
         source: crankpick_storage::StorageError,
