Gateway: a client's socket is looked into only when its connection is to end

The look (a system call) had come to be made at each turn of a connection's loop. Behaviour unchanged: it has no effect of its own.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -136,8 +136,8 @@
             client.leave();
         }
         // A request may lie in the socket that nobody was told of: such a one is taken first.
-        let may_end = client.at_rest() && !(leaving == Some(EndReason::ShuttingDown) && client.is_new());
-        if leaving.is_some() && !shut && (client.idle_since().is_none() || may_end) {
+        let may_end = || client.at_rest() && !(leaving == Some(EndReason::ShuttingDown) && client.is_new());
+        if leaving.is_some() && !shut && (client.idle_since().is_none() || may_end()) {
             if leaving == Some(EndReason::Idle) && client.rests_as_announced() {
                 shared.violated(Violation::RestCutShort);
             }
