--- a/crates/configuration/src/code.rs
+++ b/crates/configuration/src/code.rs
@@ -45,11 +45,21 @@
     TooMany,
     /// A text is longer than any may be.
     TooLong,
+    /// A patch names a list that no configuration has.
+    UnknownList,
+    /// An item of a patch has no name.
+    Unnamed,
+    /// A name that a patch uses stands twice, in the patch or in the configuration that it changes.
+    NamedTwice,
+    /// A patch replaces and deletes one item.
+    ReplacedAndDeleted,
+    /// A patch deletes an item that isn't there.
+    NotThere,
 }
 
 impl ConfigurationCode {
     /// All codes, in the order of their numbers.
-    pub const ALL: [ConfigurationCode; 19] = [
+    pub const ALL: [ConfigurationCode; 24] = [
         ConfigurationCode::Unreadable,
         ConfigurationCode::TooLarge,
         ConfigurationCode::CutShort,
@@ -69,6 +79,11 @@
         ConfigurationCode::HealthPath,
         ConfigurationCode::TooMany,
         ConfigurationCode::TooLong,
+        ConfigurationCode::UnknownList,
+        ConfigurationCode::Unnamed,
+        ConfigurationCode::NamedTwice,
+        ConfigurationCode::ReplacedAndDeleted,
+        ConfigurationCode::NotThere,
     ];
 
     /// The code as operators read it.
@@ -93,6 +108,11 @@
             ConfigurationCode::HealthPath => "CFG-117",
             ConfigurationCode::TooMany => "CFG-118",
             ConfigurationCode::TooLong => "CFG-119",
+            ConfigurationCode::UnknownList => "CFG-120",
+            ConfigurationCode::Unnamed => "CFG-121",
+            ConfigurationCode::NamedTwice => "CFG-122",
+            ConfigurationCode::ReplacedAndDeleted => "CFG-123",
+            ConfigurationCode::NotThere => "CFG-124",
         }
     }
 
@@ -118,6 +138,11 @@
             ConfigurationCode::HealthPath => "begin health_path with a slash, without spaces",
             ConfigurationCode::TooMany => "send fewer",
             ConfigurationCode::TooLong => "shorten it",
+            ConfigurationCode::UnknownList => "name routes, services or tenants",
+            ConfigurationCode::Unnamed => "give each item its name, and delete by names",
+            ConfigurationCode::NamedTwice => "name each item once; give items that share a name names of their own by a whole configuration",
+            ConfigurationCode::ReplacedAndDeleted => "leave it in upsert or in delete",
+            ConfigurationCode::NotThere => "read the configuration that it changes and leave the name out",
         }
     }
 }
--- a/crates/configuration/src/read.rs
+++ b/crates/configuration/src/read.rs
@@ -1,6 +1,7 @@
 //! From an order's body to a checked configuration.
 
 use bytes::Bytes;
+use serde::Deserialize;
 use serde_json::error::Category;
 
 use crate::code::{ConfigurationCode, ConfigurationError};
@@ -26,18 +27,23 @@
         let text = format!("the document has {} bytes, over {MAX_DOCUMENT_BYTES}", bytes.len());
         return Err(ConfigurationError::new(ConfigurationCode::TooLarge, None, text));
     }
-    let text = std::str::from_utf8(bytes).map_err(|error| not_text(bytes, error.valid_up_to()))?;
-    let object: Object<Configuration> = serde_json::from_str(text).map_err(unreadable)?;
+    let object: Object<Configuration> = from_json(bytes)?;
     Ok(object.0)
 }
 
+/// Reads JSON that must be text throughout, fields that are skipped included.
+pub(crate) fn from_json<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, ConfigurationError> {
+    let text = std::str::from_utf8(bytes).map_err(|error| not_text(bytes, error.valid_up_to()))?;
+    serde_json::from_str(text).map_err(unreadable)
+}
+
 /// Bytes that are no text, be it in a field that is skipped.
 fn not_text(bytes: &[u8], place: usize) -> ConfigurationError {
     let line = 1 + bytes[..place].iter().filter(|byte| **byte == b'\n').count();
     ConfigurationError::new(ConfigurationCode::NotJson, Some(line), "the document is not UTF-8".to_owned())
 }
 
-fn unreadable(error: serde_json::Error) -> ConfigurationError {
+pub(crate) fn unreadable(error: serde_json::Error) -> ConfigurationError {
     let code = match error.classify() {
         Category::Eof => ConfigurationCode::CutShort,
         Category::Data => ConfigurationCode::WrongType,
--- a/crates/control-plane/src/api.rs
+++ b/crates/control-plane/src/api.rs
@@ -44,7 +44,7 @@
 /// All of the interface.
 pub fn routes(api: Api) -> impl poem::Endpoint {
     Route::new()
-        .at("/v1/config", get(read_configuration).put(take_configuration))
+        .at("/v1/config", get(read_configuration).put(take_configuration).patch(take_patch))
         .at("/v1/instances/:id", put(heartbeat).delete(leave))
         .at("/v1/status", get(describe))
         .data(api)
@@ -72,6 +72,20 @@
 
 #[handler]
 async fn take_configuration(request: &Request, body: Body, api: Data<&Api>) -> Response {
+    let call = |if_match, body, reply| Call::Put { if_match, body, reply };
+    take_change(request, body, &api, call).await
+}
+
+#[handler]
+async fn take_patch(request: &Request, body: Body, api: Data<&Api>) -> Response {
+    let call = |if_match, body, reply| Call::Patch { if_match, body, reply };
+    take_change(request, body, &api, call).await
+}
+
+async fn take_change(
+    request: &Request, body: Body, api: &Api,
+    call: impl FnOnce(u64, Bytes, oneshot::Sender<PutAnswer>) -> Call,
+) -> Response {
     let Some(if_match) = if_match(request) else {
         return problem(StatusCode::BAD_REQUEST, "CTL-102", "If-Match names no version");
     };
@@ -82,12 +96,13 @@
             "the configuration is too long or was cut short",
         );
     };
-    match api.ask(PATIENCE, |reply| Call::Put { if_match, body, reply }).await {
+    match api.ask(PATIENCE, |reply| call(if_match, body, reply)).await {
         Some(PutAnswer::Taken) => json_body(StatusCode::OK, "{}"),
         Some(PutAnswer::Conflict) => {
             problem(StatusCode::PRECONDITION_FAILED, "CTL-104", "another version is in place")
         }
         Some(PutAnswer::Invalid(reason)) => problem(StatusCode::BAD_REQUEST, "CTL-105", &reason),
+        Some(PutAnswer::Elsewhere(peer)) => redirect(peer, api.port),
         Some(PutAnswer::Unclear) | None => later("the change may be taken or not; send it again"),
     }
 }
--- a/crates/control-plane/src/event.rs
+++ b/crates/control-plane/src/event.rs
@@ -22,6 +22,15 @@
         /// Where the answer goes.
         reply: oneshot::Sender<PutAnswer>,
     },
+    /// Changes of named items of a configuration.
+    Patch {
+        /// The version that it builds on.
+        if_match: u64,
+        /// As sent.
+        body: Bytes,
+        /// Where the answer goes.
+        reply: oneshot::Sender<PutAnswer>,
+    },
     /// The newest configuration.
     Get {
         /// Where the answer goes.
@@ -61,7 +70,7 @@
     Unconfirmed,
 }
 
-/// The answer to a configuration.
+/// The answer to a change of the configuration, whole or by a patch.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PutAnswer {
     /// It is taken, and will not be lost.
@@ -70,6 +79,8 @@
     Conflict,
     /// It is invalid, for this reason.
     Invalid(String),
+    /// Another process can take it: nothing was done with it here.
+    Elsewhere(SocketAddr),
     /// Nothing is known: to be asked again.
     Unclear,
 }
--- a/crates/control-plane/src/host.rs
+++ b/crates/control-plane/src/host.rs
@@ -147,6 +147,7 @@
             }
             Event::Terminate => self.leave(),
         }
+        self.drive_patches();
     }
 
     /// Says that this process leaves. It serves on until the others have taken over what it holds.
--- a/crates/control-plane/src/host/calls.rs
+++ b/crates/control-plane/src/host/calls.rs
@@ -1,12 +1,14 @@
 //! Calls of the operator and of backends.
 
-use crankpick_configuration::ConfigurationError;
+use crankpick_configuration::{ConfigurationError, Patch};
 use crankpick_control::{Input, Order};
 use crankpick_registry::{Announcement, Heard, HeartbeatError, HeartbeatState};
 use tokio::sync::oneshot;
 
 use super::Host;
+use crate::api::LONGEST_CONFIGURATION;
 use crate::event::{Call, HeartbeatAnswer, PutAnswer};
+use crate::operator::{patch_step, PatchStep, PendingPatch};
 use crate::quorum::Quorum;
 
 impl Host {
@@ -14,6 +16,7 @@
         let now = self.now();
         match call {
             Call::Put { if_match, body, reply } => self.put(if_match, &body, reply),
+            Call::Patch { if_match, body, reply } => self.patch(if_match, &body, reply),
             Call::Get { reply } => {
                 self.operator.begin_read(now, reply);
                 self.operator.settle_reads(now, &self.parts.replica);
@@ -46,6 +49,38 @@
         self.replica(Input::Submit { key, order: order.into() });
     }
 
+    fn patch(&mut self, if_match: u64, body: &[u8], reply: oneshot::Sender<PutAnswer>) {
+        match Patch::read(body) {
+            Ok(patch) => self.drive_patch(PendingPatch { since: self.now(), if_match, patch, reply }),
+            Err(wrong) => {
+                let _gone = reply.send(PutAnswer::Invalid(wrong.to_string()));
+            }
+        }
+    }
+
+    /// Looks again at the patches whose base was not known here.
+    pub(super) fn drive_patches(&mut self) {
+        for pending in self.operator.take_patches() {
+            self.drive_patch(pending);
+        }
+    }
+
+    fn drive_patch(&mut self, pending: PendingPatch) {
+        let now = self.now();
+        match patch_step(&pending, now, &self.parts.replica, LONGEST_CONFIGURATION) {
+            PatchStep::Submit(order) => {
+                let begun = self.operator.begin_order(now, &self.parts.replica, pending.reply);
+                if let Some(key) = begun {
+                    self.replica(Input::Submit { key, order: order.into() });
+                }
+            }
+            PatchStep::Answer(answer) => {
+                let _gone = pending.reply.send(answer);
+            }
+            PatchStep::Wait => self.operator.hold_patch(pending),
+        }
+    }
+
     /// Spreads what a backend said. One that drains or leaves is acknowledged once a majority of the members has the
     /// word, any other one at once. Whatever a process says that reaches no majority, it does not acknowledge: the
     /// backend goes to another one.
--- a/crates/control-plane/src/host/timers.rs
+++ b/crates/control-plane/src/host/timers.rs
@@ -18,6 +18,7 @@
         self.ticks += 1;
         self.replica(Input::Tick);
         self.operator.settle_orders(self.now(), &self.parts.replica);
+        self.drive_patches();
         self.settle_floods();
         self.look_after_quotas();
         if self.ticks.is_multiple_of(SLOW_TICKS) {
--- a/crates/control-plane/src/operator.rs
+++ b/crates/control-plane/src/operator.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use crankpick_control::{Entry, Now, Outcome, Replica, SubmitKey};
+use crankpick_configuration::Patch;
+use crankpick_control::{Entry, Now, Order, Outcome, Replica, SubmitKey};
 use tokio::sync::oneshot;
 
 use crate::event::{GetAnswer, PutAnswer};
@@ -19,6 +20,8 @@
 const ORDERS: usize = 256;
 /// Reads under way at a time.
 const READS: usize = 256;
+/// Patches at a time whose base isn't known here yet.
+const PATCHES: usize = 32;
 
 /// Calls of the operator that wait.
 #[derive(Default)]
@@ -26,6 +29,29 @@
     orders: BTreeMap<SubmitKey, PendingOrder>,
     last_key: u64,
     reads: Vec<Read>,
+    patches: Vec<PendingPatch>,
+}
+
+/// A patch whose base is not known here yet.
+pub struct PendingPatch {
+    /// When it came.
+    pub since: Now,
+    /// The version that it builds on.
+    pub if_match: u64,
+    /// What it changes.
+    pub patch: Patch,
+    /// Where the answer goes.
+    pub reply: oneshot::Sender<PutAnswer>,
+}
+
+/// What a patch becomes at a process, by the newest configuration that it knows to be committed.
+pub enum PatchStep {
+    /// An order for the head.
+    Submit(Order),
+    /// An answer at once.
+    Answer(PutAnswer),
+    /// Its base may still come.
+    Wait,
 }
 
 struct PendingOrder {
@@ -80,6 +106,20 @@
         let _gone = order.reply.send(answer);
     }
 
+    /// Keeps a patch until its base is known here.
+    pub fn hold_patch(&mut self, pending: PendingPatch) {
+        if self.patches.len() >= PATCHES {
+            let _gone = pending.reply.send(PutAnswer::Unclear);
+            return;
+        }
+        self.patches.push(pending);
+    }
+
+    /// The patches that are held, to be looked at again.
+    pub fn take_patches(&mut self) -> Vec<PendingPatch> {
+        std::mem::take(&mut self.patches)
+    }
+
     /// A read: answered once this replica surely knows all that was acknowledged before it came.
     pub fn begin_read(&mut self, now: Now, reply: oneshot::Sender<GetAnswer>) {
         if self.reads.len() >= READS {
@@ -113,6 +153,35 @@
     }
 }
 
+/// What to do with a patch. A committed version is one configuration, whoever holds it: what a patch makes of it is the
+/// same everywhere, and a patch that it refuses can never be taken. Where the base is no longer at hand, the head is
+/// asked whether the patch was taken.
+pub fn patch_step(pending: &PendingPatch, now: Now, replica: &Replica, longest: usize) -> PatchStep {
+    let newest = replica.newest_committed();
+    let generation = newest.map_or(0, |entry| entry.order.generation);
+    let PendingPatch { if_match, patch, .. } = pending;
+    let (if_match, digest) = (*if_match, patch.fingerprint());
+    if generation > if_match {
+        return PatchStep::Submit(Order::inquiry(if_match, patch.generation(), digest));
+    }
+    if let Some(base) = newest.filter(|_| generation == if_match) {
+        return match patch.apply(&base.order.bytes) {
+            Ok(bytes) if bytes.len() > longest => {
+                let text = format!("the configuration would have {} bytes, over {longest}", bytes.len());
+                PatchStep::Answer(PutAnswer::Invalid(text))
+            }
+            Ok(bytes) => PatchStep::Submit(Order { if_match, generation: patch.generation(), digest, bytes }),
+            Err(wrong) => PatchStep::Answer(PutAnswer::Invalid(wrong.to_string())),
+        };
+    }
+    match unanswerable(replica) {
+        Some(GetAnswer::Elsewhere(member)) => PatchStep::Answer(PutAnswer::Elsewhere(member)),
+        Some(_) => PatchStep::Answer(PutAnswer::Unclear),
+        None if now.saturating_sub(pending.since) >= READ_PATIENCE => PatchStep::Answer(PutAnswer::Unclear),
+        None => PatchStep::Wait,
+    }
+}
+
 fn newest(entry: Option<&Arc<Entry>>) -> GetAnswer {
     match entry {
         Some(entry) => GetAnswer::Document(Bytes::copy_from_slice(&entry.order.bytes)),
--- a/crates/control-plane/src/redirect_api.rs
+++ b/crates/control-plane/src/redirect_api.rs
@@ -20,7 +20,7 @@
 /// All of the interface.
 pub fn routes(api: RedirectApi) -> impl poem::Endpoint {
     Route::new()
-        .at("/v1/config", get(redirect).put(redirect))
+        .at("/v1/config", get(redirect).put(redirect).patch(redirect))
         .at("/v1/instances/:id", put(redirect).delete(redirect))
         .at("/v1/status", get(describe))
         .data(api)
--- a/crates/control-plane/tests/hosts/main.rs
+++ b/crates/control-plane/tests/hosts/main.rs
@@ -3,4 +3,5 @@
 mod isolation;
 mod orders;
 mod outside;
+mod patches;
 mod support;
--- a/crates/control-plane/tests/hosts/outside.rs
+++ b/crates/control-plane/tests/hosts/outside.rs
@@ -19,8 +19,12 @@
     let core = Core::start(&[Machine::Disk, Machine::Plain]);
     core.wait_for_members(0, 1);
     wait_for_directions(&core, 1);
-    let calls =
-        [(Method::PUT, "/v1/config"), (Method::PUT, "/v1/instances/i"), (Method::DELETE, "/v1/instances/i")];
+    let calls = [
+        (Method::PUT, "/v1/config"),
+        (Method::PATCH, "/v1/config"),
+        (Method::PUT, "/v1/instances/i"),
+        (Method::DELETE, "/v1/instances/i"),
+    ];
     for (method, path) in calls {
         let answer = core.call(1, method, path, Some("0"), FIRST).unwrap();
         assert_eq!(answer.status, StatusCode::TEMPORARY_REDIRECT, "{answer:?}");
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -120,7 +120,7 @@
             }
             return self.wait(from, forward, change.id.position);
         }
-        if order.if_match == current && order.generation > current {
+        if order.if_match == current && order.generation > current && !order.is_inquiry() {
             if let Some(id) = self.append_order(order.clone()) {
                 self.wait(from, forward, id.position);
             }
@@ -130,8 +130,8 @@
         if last > committed {
             return self.wait(from, forward, last);
         }
-        let outcome =
-            if self.state.has_forgotten(order) { Outcome::Unclear } else { refusal(order, current) };
+        let unknown = self.state.has_forgotten(order) || (order.is_inquiry() && order.if_match >= current);
+        let outcome = if unknown { Outcome::Unclear } else { refusal(order, current) };
         self.answer(from, &forward, outcome);
     }
 
--- a/crates/control/src/types.rs
+++ b/crates/control/src/types.rs
@@ -126,9 +126,9 @@
     pub if_match: u64,
     /// Its own version.
     pub generation: u64,
-    /// Of the bytes.
+    /// Of what the operator sent.
     pub digest: u128,
-    /// The configuration as sent.
+    /// The configuration that it makes, as sent or merged; nothing in an inquiry.
     #[serde(with = "serde_bytes")]
     pub bytes: Vec<u8>,
 }
@@ -138,6 +138,16 @@
     pub fn new(if_match: u64, generation: u64, bytes: Vec<u8>) -> Self {
         Order { if_match, generation, digest: digest(&bytes), bytes }
     }
+
+    /// Asks whether an order was taken whose configuration can't be made any more. It is never taken itself.
+    pub fn inquiry(if_match: u64, generation: u64, digest: u128) -> Self {
+        Order { if_match, generation, digest, bytes: Vec::new() }
+    }
+
+    /// Whether it only asks.
+    pub fn is_inquiry(&self) -> bool {
+        self.bytes.is_empty()
+    }
 }
 
 /// FNV-1a of 128 bits: tells apart what operators send, and nobody gains by a collision.
@@ -177,7 +187,7 @@
     pub if_match: u64,
     /// Its version.
     pub generation: u64,
-    /// Of its bytes.
+    /// Of what the operator sent.
     pub digest: u128,
 }
 
--- a/crates/control/tests/rival_orders.rs
+++ b/crates/control/tests/rival_orders.rs
@@ -135,3 +135,23 @@
         }
     }
 }
+
+#[test]
+fn an_inquiry_finds_the_order_that_was_taken_and_never_takes_one() {
+    let mut world = settled(11, 3);
+    let first = order(0, 3, 1);
+    let inquiry =
+        |order: &Arc<Order>| Arc::new(Order::inquiry(order.if_match, order.generation, order.digest));
+    let key = send(&mut world, 0, &inquiry(&first));
+    run(&mut world, 4_000);
+    assert_eq!(answer(&world, key), Some(Outcome::Unclear), "it may yet be taken");
+    assert_eq!(insist(&mut world, &first), Some(Outcome::Taken));
+    assert_eq!(insist(&mut world, &inquiry(&first)), Some(Outcome::Taken));
+    let rival = order(0, 3, 2);
+    assert_eq!(insist(&mut world, &inquiry(&rival)), Some(Outcome::Conflict { current: 3 }));
+    let next = order(3, 5, 3);
+    let key = send(&mut world, 1, &inquiry(&next));
+    run(&mut world, 4_000);
+    assert_eq!(answer(&world, key), Some(Outcome::Unclear));
+    assert_eq!(insist(&mut world, &next), Some(Outcome::Taken));
+}
--- a/crates/control/tests/simulation/mod.rs
+++ b/crates/control/tests/simulation/mod.rs
@@ -436,6 +436,7 @@
                     self.operator_answered(place, key, outcome);
                 }
                 Output::Committed(entry) => {
+                    assert!(!entry.order.is_inquiry(), "an inquiry was taken for a change");
                     self.check_durable(&entry);
                     self.checks.committed(self.now, place, &entry);
                 }
--- a/crates/control/tests/simulation/operators.rs
+++ b/crates/control/tests/simulation/operators.rs
@@ -6,6 +6,7 @@
 
 use crankpick_control::{Input, Order, Outcome, SubmitKey};
 
+use super::machine::Node;
 use super::{is_refusal, ms, order, World};
 
 /// A caller waits so long for an answer, then tries another process.
@@ -127,7 +128,10 @@
         let patience = if refused { ms(50) } else { PATIENCE };
         if !refused && !node.frozen {
             operators.keys.insert(key, (call, attempt, place));
-            self.input(place, Input::Submit { key: SubmitKey(key), order });
+            match as_taken_up(node, &order) {
+                Some(order) => self.input(place, Input::Submit { key: SubmitKey(key), order }),
+                None => self.operator_answered(place, SubmitKey(key), Outcome::Unclear),
+            }
         }
         self.wake_operator_at(self.now + patience, Wake::Look { call, attempt });
     }
@@ -174,6 +178,18 @@
     }
 }
 
+/// Half of the orders are patches: what a process makes of one depends on the newest version that it knows to be
+/// committed. Past the patch's base it can only ask whether the patch was taken, before it there is nothing to patch.
+fn as_taken_up(node: &Node, order: &Arc<Order>) -> Option<Arc<Order>> {
+    let is_patch = order.digest.is_multiple_of(2);
+    let newest = node.replica.as_ref().and_then(|replica| replica.newest_committed());
+    let known = newest.map_or(0, |entry| entry.order.generation);
+    if !is_patch || known == order.if_match {
+        return Some(order.clone());
+    }
+    (known > order.if_match).then(|| Arc::new(Order::inquiry(order.if_match, order.generation, order.digest)))
+}
+
 fn known_end(world: &mut World, call: usize, now: Duration, outcome: Outcome) {
     let operators = &mut world.operators;
     operators.calls[call].ended = Some((now, Some(outcome)));
