--- a/crates/control-plane/src/host/timers.rs
+++ b/crates/control-plane/src/host/timers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crankpick_control::Input;
+use crankpick_registry::ProcessId;
 use slog::{info, warn};
 
 use super::{Host, PRESENCE, SLOW_TICKS};
@@ -42,6 +43,9 @@
         if changed {
             self.push();
         }
+        let others: Vec<ProcessId> = self.peers.processes().collect();
+        let fresh = self.parts.replica.freshness(now);
+        self.parts.quotas.hold(now, fresh, &others);
         let demands = self.parts.quotas.demands(now);
         self.ask_owners(demands);
         if turn.is_multiple_of(PRESENCE) {
--- a/crates/control-plane/src/quotas.rs
+++ b/crates/control-plane/src/quotas.rs
@@ -160,8 +160,35 @@
         if owner(&self.owners, &asked.tenant) != Some(self.own_address) {
             return None;
         }
+        let allocator = self.allocator_of(now, &asked.tenant, limit, others);
+        let grant = allocator.report(now, HolderId(home.0), asked.demand);
+        Some(TenantGrant { tenant: asked.tenant, grant })
+    }
+
+    /// Keeps what this process owns up to date, also of tenants that nobody asks for: what they don't use accrues, so
+    /// that their first requests find it.
+    pub fn hold(&mut self, now: Now, fresh: Option<Duration>, others: &[ProcessId]) {
+        if fresh.is_none_or(|age| age > OWNER_FRESHNESS) {
+            return;
+        }
+        let (owners, own_address) = (&self.owners, self.own_address);
+        let owned: Vec<(String, QuotaLimit)> = self
+            .limits
+            .iter()
+            .filter(|(tenant, _)| owner(owners, tenant) == Some(own_address))
+            .map(|(tenant, limit)| (tenant.clone(), *limit))
+            .collect();
+        for (tenant, limit) in owned {
+            self.allocator_of(now, &tenant, limit, others);
+        }
+    }
+
+    /// The allocator of a tenant that this process owns, by its limit as it is now.
+    fn allocator_of(
+        &mut self, now: Now, tenant: &str, limit: QuotaLimit, others: &[ProcessId],
+    ) -> &mut Allocator {
         let total = self.bounds.total(limit, now + LEASE);
-        let allocator = match self.owned.entry(asked.tenant.clone()) {
+        match self.owned.entry(tenant.to_owned()) {
             Entry::Occupied(owned) => {
                 let allocator = owned.into_mut();
                 allocator.set_total(now, total);
@@ -175,9 +202,7 @@
                 allocator.rebuild(now, others.iter().map(|process| HolderId(process.0)));
                 allocator
             }
-        };
-        let grant = allocator.report(now, HolderId(home.0), asked.demand);
-        Some(TenantGrant { tenant: asked.tenant, grant })
+        }
     }
 
     /// An owner's answer. What can be lent on at once to gateways that lack it.
--- a/crates/control-plane/tests/unit/quotas.rs
+++ b/crates/control-plane/tests/unit/quotas.rs
@@ -141,3 +141,31 @@
         now += Duration::from_millis(250);
     }
 }
+
+/// What was not used while nobody asked is there for the first who asks, and no more than that.
+#[test]
+fn an_owner_that_nobody_asks_lets_its_pool_fill() {
+    let mut quotas = quotas(owner_of_large());
+    let others = [ProcessId(7), ProcessId(8)];
+    for quarter in 4..60 {
+        quotas.hold(Duration::from_millis(250) * quarter, FRESH, &others);
+    }
+    let needy = Demand { rate: 0.0, need: 900.0, ..Demand::default() };
+    let asked = vec![TenantDemand { tenant: "large".into(), demand: needy }];
+    let now = Duration::from_secs(15);
+    let credit = |quotas: &mut Quotas, home: u64| {
+        quotas.own(now, ProcessId(home), 1, asked.clone(), FRESH, &others)[0].grant.credit
+    };
+    assert!(credit(&mut quotas, 7) >= 900.0);
+    let later = credit(&mut quotas, 8);
+    assert!(later < 900.0, "{later}: burst and margin are spent once");
+}
+
+#[test]
+fn an_owner_in_doubt_of_its_view_fills_nothing() {
+    let mut quotas = quotas(owner_of_large());
+    for quarter in 4..60 {
+        quotas.hold(Duration::from_millis(250) * quarter, None, &[]);
+    }
+    assert_eq!(quotas.owned(), 0);
+}
--- a/crates/quota/src/allocator.rs
+++ b/crates/quota/src/allocator.rs
@@ -84,9 +84,10 @@
         self
     }
 
-    /// Sets what may be lent: at the owner.
+    /// Sets what may be lent: at the owner. What nobody holds any more accrues in the pool from now on.
     pub fn set_total(&mut self, now: Now, total: Total) {
         self.roll(now);
+        self.sweep(now);
         self.total = total;
     }
 
