--- a/crates/dispatch/src/groups.rs
+++ b/crates/dispatch/src/groups.rs
@@ -11,6 +11,10 @@
 const FIRST_PERIOD: Duration = Duration::from_secs(2);
 /// Of the traffic of a period, what counts in the next.
 const KEPT_TRAFFIC: f64 = 0.5;
+/// How far a group's bound may be off by chance before groups are dealt, in backends.
+const BOUND_ERROR: f64 = 2.0;
+/// The standard deviation of a share drawn once, at the most: that of a half.
+const MOST_DEVIATION: f64 = 0.5;
 
 /// A backend that may be dealt to a group.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -54,9 +58,17 @@
     /// All but those of the heaviest type.
     light: Group,
     traffic: [f64; 4],
+    /// Requests in that traffic.
+    requests: f64,
     rebuild_at: Option<Now>,
 }
 
+/// The requests from which shares are known well enough to deal so many backends. Gateways see traffic of their own
+/// each: from fewer, their groups would differ, and a key would have other homes at each of them.
+fn telling_requests(backends: usize) -> f64 {
+    (backends as f64 * MOST_DEVIATION / BOUND_ERROR).powi(2)
+}
+
 /// Backends so that neighbours are of different zones, in an order that all gateways find.
 fn interleaved(mut members: Vec<Member>) -> Vec<Member> {
     members.sort();
@@ -101,6 +113,7 @@
     /// A request came that adds so many units.
     pub fn see(&mut self, now: Now, kind: Kind, units: f64) {
         self.traffic[kind.index()] += units;
+        self.requests += 1.0;
         // Until traffic is known a group is all; the first groups come soon after it begins.
         if self.rebuild_at.is_none() {
             self.rebuild_at = Some(now + FIRST_PERIOD);
@@ -119,15 +132,27 @@
         let turns = Turns { near: rotation, all: rotation };
         self.whole = Group::of(&members, turns);
         let due = self.due(now);
-        if due || self.by_kind.iter().any(|group| !group.all.is_empty()) {
+        let telling = self.requests >= telling_requests(members.len());
+        if !telling {
+            self.undeal();
+        } else if due || self.by_kind.iter().any(|group| !group.all.is_empty()) {
             self.deal(&members, turns);
         }
-        if due {
+        if due && telling {
             self.traffic = self.traffic.map(|units| units * KEPT_TRAFFIC);
+            self.requests *= KEPT_TRAFFIC;
             self.rebuild_at = Some(now + PERIOD);
+        } else if due {
+            self.rebuild_at = Some(now + FIRST_PERIOD);
         }
     }
 
+    /// Each type's group is all backends.
+    fn undeal(&mut self) {
+        self.by_kind = Default::default();
+        self.light = Group::default();
+    }
+
     fn deal(&mut self, members: &[Member], turns: Turns) {
         let units: f64 = self.traffic.iter().sum();
         let count = members.len();
