--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -14,6 +14,7 @@
 mod read;
 mod rule;
 mod table;
+mod urgency;
 mod validate;
 
 pub use check::{check, check_bytes, Finding};
