--- a/crates/control-plane/src/settings_watch.rs
+++ b/crates/control-plane/src/settings_watch.rs
@@ -48,8 +48,9 @@
         if self.bytes.as_ref() == Some(&bytes) {
             return None;
         }
+        let settings = Settings::parse(&self.path, &bytes);
         self.bytes = Some(bytes);
-        let seeds = match Settings::read(&self.path) {
+        let seeds = match settings {
             Ok(settings) => settings.internal_seeds(),
             Err(wrong) => {
                 warn!(self.log, "the changed settings aren't taken"; "cause" => %wrong);
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -52,6 +52,10 @@
 }
 
 impl Seen {
+    fn refused(&self) -> bool {
+        self.refused.load(Ordering::Relaxed)
+    }
+
     fn unchunked(&self) -> bool {
         self.unchunked.load(Ordering::Relaxed)
     }
@@ -112,8 +116,8 @@
         tokio::select! {
             biased;
             ended = connection.as_mut() => {
-                let reason = reason_of(&ended, seen, leaving.filter(|_| shut));
-                check_answered(client, shared, reason);
+                let reason = EndReason::of(&ended, seen.refused(), leaving.filter(|_| shut));
+                reason.check_answered(client, shared);
                 return reason;
             }
             () = client.evicted.notified() => leaving = Some(EndReason::Evicted),
@@ -125,7 +129,7 @@
                 // A larger limit may have come meanwhile.
                 if client.patience(&shared.client_limits()).is_some_and(|until| until <= Instant::now()) {
                     if client.framing().head_since().is_some() {
-                        check_answered(client, shared, EndReason::HeadTimeout);
+                        EndReason::HeadTimeout.check_answered(client, shared);
                         return EndReason::HeadTimeout;
                     }
                     leaving = leaving.or(Some(EndReason::Idle));
@@ -151,22 +155,6 @@
     }
 }
 
-/// What the gateway ends by its own decision has no request in hand, and has read none that it does not answer.
-fn check_answered(client: &Client, shared: &Shared, reason: EndReason) {
-    if reason.is_decided_here() && client.is_unanswered() {
-        shared.violated(Violation::RequestUnanswered);
-    }
-}
-
-/// Why a connection ended; `asked_for` is why the gateway told hyper to end it.
-fn reason_of(ended: &hyper::Result<()>, seen: &Seen, asked_for: Option<EndReason>) -> EndReason {
-    match EndReason::of(ended) {
-        EndReason::Closed if seen.refused.load(Ordering::Relaxed) => EndReason::RefusedBody,
-        EndReason::Closed => asked_for.unwrap_or(EndReason::Closed),
-        reason => reason,
-    }
-}
-
 /// Comes once a client's patience ends before `wake`: a head has begun, or an answer has ended. Polled behind its
 /// connection, in the same task, which wakes for whatever changes this.
 async fn sooner(client: &Client, limits: &ClientLimits, wake: Instant) {
--- a/crates/gateway/src/connection_end.rs
+++ b/crates/gateway/src/connection_end.rs
@@ -5,6 +5,10 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use crate::client::Client;
+use crate::invariant::Violation;
+use crate::shared::Shared;
+
 /// Why a client's connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(usize)]
@@ -46,10 +50,12 @@
 ];
 
 impl EndReason {
-    /// Why hyper ended a connection that the gateway had not asked it to end.
-    pub(crate) fn of(ended: &hyper::Result<()>) -> EndReason {
+    /// Why a connection ended. `refused` is whether one of its requests was refused before its end, `asked_for` why the
+    /// gateway told hyper to end it.
+    pub(crate) fn of(ended: &hyper::Result<()>, refused: bool, asked_for: Option<EndReason>) -> EndReason {
         match ended {
-            Ok(()) => EndReason::Closed,
+            Ok(()) if refused => EndReason::RefusedBody,
+            Ok(()) => asked_for.unwrap_or(EndReason::Closed),
             Err(wrong) if wrong.is_parse() => EndReason::Malformed,
             Err(wrong) if wrong.is_user() => EndReason::AnswerBrokenOff,
             Err(wrong) if timed_out(wrong) => EndReason::WriteTimeout,
@@ -57,6 +63,13 @@
         }
     }
 
+    /// What the gateway ends by its own decision has no request in hand, and has read none that it does not answer.
+    pub(crate) fn check_answered(self, client: &Client, shared: &Shared) {
+        if self.is_decided_here() && client.is_unanswered() {
+            shared.violated(Violation::RequestUnanswered);
+        }
+    }
+
     /// Whether the gateway decided it by itself, so that no request may be in hand then.
     pub(crate) fn is_decided_here(self) -> bool {
         matches!(
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -123,6 +123,8 @@
     pub base: u64,
     /// All of it.
     pub document: Value,
+    /// What was sent in its place, where it was sent as a patch.
+    pub patch: Option<Value>,
     /// Its `idle_timeout_ms`.
     pub idle_timeout: Duration,
     /// When it was first sent.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,7 +8,7 @@
 //! | `trouble`, `director` | faults as drawn, and who carries them out |
 //! | `client`, `request`, `platform` | clients on kept connections, what they ask, and where their connections go |
 //! | `backend` | stand-ins for backends |
-//! | `operator`, `configuration` | changes and reads of the configuration |
+//! | `operator`, `configuration`, `patch` | changes, whole or as patches, and reads of the configuration |
 //! | `history`, `check` | what was seen, and the invariants over it |
 //! | `wire`, `relay` | HTTP/1.1 on raw sockets; relays that cut and reset |
 //! | `log`, `clock`, `error` | the processes' logs, the run's clock, why a run can't be played |
@@ -25,6 +25,7 @@
 pub mod layout;
 pub mod log;
 pub mod operator;
+pub mod patch;
 pub mod platform;
 pub mod process;
 pub mod relay;
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -13,6 +13,7 @@
 use crate::configuration::{draw, Drawn, IdleTimeouts};
 use crate::fleet::{ControlAnswer, Fleet};
 use crate::history::{Order, OrderEnd, Reading};
+use crate::patch::{between, Patched};
 use crate::sync::lock;
 
 /// How long an answer may take.
@@ -100,15 +101,24 @@
         answer == Answer::Acknowledged
     }
 
-    /// Notes an order before it is sent; its place among the orders.
-    fn file(&self, drawn: Drawn) -> usize {
+    /// Notes an order before it is sent; its place among the orders. Half of those whose base is known are patches.
+    fn file(&mut self, drawn: Drawn) -> usize {
+        let as_patch = self.rng.bool();
         let fleet = self.fleet();
         let mut history = lock(&fleet.history);
         let generation = drawn.document["generation"].as_u64().unwrap_or_default();
+        let of_base = |order: &&Order| order.generation == self.base && order.acknowledged().is_some();
+        let base = history.orders.iter().find(of_base).filter(|_| as_patch);
+        let patched = base.map(|base| between(&base.document, base.idle_timeout, &drawn.document));
+        let (drawn, patch) = match patched {
+            Some(Patched { patch, result }) => (result, Some(patch)),
+            None => (drawn, None),
+        };
         history.orders.push(Order {
             generation,
             base: self.base,
             document: drawn.document,
+            patch,
             idle_timeout: drawn.idle_timeout,
             sent: fleet.clock.now(),
             end: OrderEnd::Open,
@@ -147,7 +157,7 @@
         };
         let Some(order) = newest.filter(|order| order.acknowledged().is_some()) else { return };
         let machine = self.rng.usize(..self.fleet().machines());
-        let answer = put(self.fleet(), &order, machine).await;
+        let answer = send(self.fleet(), &order, machine).await;
         self.fleet().note("acknowledged changes sent again");
         if answer.is_some_and(|answer| (400..500).contains(&answer.status) && answer.status != 408) {
             lock(&self.fleet().history).repeats_refused.push(order.generation);
@@ -163,7 +173,7 @@
     while !crowd.stopping.load(Ordering::Relaxed) {
         let order = lock(&fleet.history).orders[place].clone();
         let machine = rng.usize(..fleet.machines());
-        let status = put(fleet, &order, machine).await.map(|answer| answer.status);
+        let status = send(fleet, &order, machine).await.map(|answer| answer.status);
         let now = fleet.clock.now();
         let end = match status {
             Some(200) => OrderEnd::Acknowledged(now),
@@ -183,10 +193,15 @@
     Answer::Unclear
 }
 
-async fn put(fleet: &Fleet, order: &Order, machine: usize) -> Option<ControlAnswer> {
+async fn send(fleet: &Fleet, order: &Order, machine: usize) -> Option<ControlAnswer> {
+    let (method, body) = match &order.patch {
+        Some(patch) => ("PATCH", patch),
+        None => ("PUT", &order.document),
+    };
+    fleet.note(&format!("changes sent by {method}"));
     let head =
-        format!("PUT /v1/config HTTP/1.1\r\nIf-Match: {}\r\nContent-Type: application/json", order.base);
-    fleet.call_control(machine, &head, &order.document.to_string(), PATIENCE).await.ok()
+        format!("{method} /v1/config HTTP/1.1\r\nIf-Match: {}\r\nContent-Type: application/json", order.base);
+    fleet.call_control(machine, &head, &body.to_string(), PATIENCE).await.ok()
 }
 
 /// Reads the configuration at a machine and notes what it answered.
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -50,7 +50,7 @@
 fn order(generation: u64, base: u64, sent: u64, end: OrderEnd) -> Order {
     let document = json!({"generation": generation, "sent": sent});
     let idle_timeout = Duration::from_millis(IDLE_TIMEOUT_MS);
-    Order { generation, base, document, idle_timeout, sent: at(sent), end }
+    Order { generation, base, document, patch: None, idle_timeout, sent: at(sent), end }
 }
 
 fn reading(sent: u64, document: &serde_json::Value, last: bool) -> Reading {
