Quota: a home grants between reports only what it can pay

Cause: each event of a home granted anew to every gateway whose request waited, while its pool held anything at all. Change: `grant_pending` leaves out a holder whose need the pool can't pay; an owner pays from a twentieth of the need on.

--- a/crates/quota/src/allocator.rs
+++ b/crates/quota/src/allocator.rs
@@ -104,13 +104,19 @@
 
     /// Grants to the holders whose need was not met when they reported, if it can be met by now. Returns the
     /// grants to send.
+    ///
+    /// The host calls this at each of its events. A holder that could not be paid yet is left out: after a
+    /// restart of the whole fleet, with all pools empty, each of them would else get a grant of nothing at each
+    /// event.
     pub fn grant_pending(&mut self, now: Now) -> Vec<(HolderId, Grant)> {
         self.accrue(now);
-        if self.pool.level() <= 0.0 {
-            return Vec::new();
+        let mut grants = Vec::new();
+        for holder in self.holders_with_unmet_need(now) {
+            if self.can_pay(holder) {
+                grants.push((holder, self.grant(now, holder, None)));
+            }
         }
-        let waiting = self.holders_with_unmet_need(now);
-        waiting.into_iter().map(|holder| (holder, self.grant(now, holder, None))).collect()
+        grants
     }
 
     /// Whether to report to the allocator above at once, because holders need more than the pool has.
--- a/crates/quota/src/allocator/pool.rs
+++ b/crates/quota/src/allocator/pool.rs
@@ -8,8 +8,27 @@
 
 /// While the pool is fuller than this fraction of its depth, it tops up the holders' buckets.
 const TOP_UP_THRESHOLD: f64 = 0.5;
+/// The owner pays a need that has waited once its pool has this fraction of it. Less would be a message for
+/// nothing.
+const MIN_PAID_FRACTION: f64 = 0.05;
 
 impl Allocator {
+    /// Whether the pool has enough to pay a holder's need: all of it, or at the owner a part that is worth a
+    /// grant.
+    pub(super) fn can_pay(&self, holder: HolderId) -> bool {
+        let Some(state) = self.holders.get(&holder) else {
+            return false;
+        };
+        let level = self.pool.level();
+        let required = if self.pays_in_part() { state.unmet * MIN_PAID_FRACTION } else { state.unmet };
+        level > 0.0 && level >= required
+    }
+
+    /// Whether a need is paid in part if there isn't enough for all of it.
+    fn pays_in_part(&self) -> bool {
+        self.source == GrantSource::OWNER
+    }
+
     /// Pays a holder out of the pool: its need first, then a top-up of its bucket. Returns the units paid.
     ///
     /// A home pays a need in full or not at all, since a part of it admits no request; it asks the owner for
@@ -17,7 +36,7 @@
     pub(super) fn pay_credit(&mut self, now: Now, holder: HolderId, share: &Share) -> f64 {
         let depth = self.pool_depth();
         let count = self.holder_count();
-        let pays_in_part = self.source == GrantSource::OWNER;
+        let pays_in_part = self.pays_in_part();
         let Some(state) = self.holders.get_mut(&holder) else {
             return 0.0;
         };
