--- a/crates/control/src/options.rs
+++ b/crates/control/src/options.rs
@@ -32,6 +32,9 @@
 pub struct Timing {
     /// The interval between heartbeats to one peer.
     pub heartbeat_interval: Duration,
+    /// The interval between heartbeats to a voter that hasn't been heard since this process started, within
+    /// `start_grace_period`.
+    pub first_contact_interval: Duration,
     /// A peer is suspected after this time without a heartbeat, or without an echo of ours.
     pub suspicion_timeout: Duration,
     /// No peer is suspected for this long after the start.
@@ -86,6 +89,7 @@
         let ms = Duration::from_millis;
         Timing {
             heartbeat_interval: ms(150),
+            first_contact_interval: ms(50),
             suspicion_timeout: ms(700),
             start_grace_period: ms(1000),
             disk_sync_timeout: ms(500),
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -39,6 +39,8 @@
     pub(crate) echoed_at: Option<Now>,
     /// When we last sent it a heartbeat.
     last_heartbeat_sent_at: Option<Now>,
+    /// The peer's incarnation whose heartbeat our last one echoed.
+    echoed_incarnation: Option<u64>,
     learn_in_flight: Option<LearnInFlight>,
     /// Since when it has been healthy.
     pub(crate) healthy_since: Option<Now>,
@@ -55,6 +57,7 @@
             heartbeat: None,
             echoed_at: None,
             last_heartbeat_sent_at: None,
+            echoed_incarnation: None,
             learn_in_flight: None,
             healthy_since: None,
             unhealthy_since: None,
@@ -85,6 +88,11 @@
         self.heartbeat.is_none_or(|last| last.disk_healthy && !last.shutting_down)
     }
 
+    /// Whether no heartbeat of its present incarnation was echoed to it.
+    pub(crate) fn lacks_echo(&self) -> bool {
+        self.heartbeat.is_some_and(|last| self.echoed_incarnation != Some(last.sent.incarnation))
+    }
+
     /// Whether it lacks a committed entry and may be sent it: the one sent before has arrived, or counts as lost.
     pub(crate) fn can_receive_entry(&self, now: Now, entry: EntryId) -> bool {
         let Some(heartbeat) = self.heartbeat else { return false };
@@ -152,6 +160,7 @@
     /// Of this process: echoes of heartbeats of its earlier incarnations don't count.
     incarnation: u64,
     timing: Timing,
+    started_at: Now,
     /// Silence before this counts against nobody.
     grace_until: Now,
     last_tick_at: Now,
@@ -166,6 +175,7 @@
         Peers {
             incarnation,
             timing: *timing,
+            started_at: now,
             grace_until,
             last_tick_at: now,
             voters: Vec::new(),
@@ -259,8 +269,17 @@
     }
 
     /// The peers that had no heartbeat of ours for the interval.
-    pub(crate) fn due_heartbeats(&self, now: Now, interval: Duration) -> Vec<Sender> {
-        let is_due = |peer: &&Peer| peer.last_heartbeat_sent_at.is_none_or(|at| now >= at + interval);
+    ///
+    /// Voters that haven't been heard yet get them more often for a while after the start: where many processes start
+    /// at once, the first ones are lost at those that don't listen yet, and nothing is confirmed before they arrive.
+    pub(crate) fn due_heartbeats(&self, now: Now) -> Vec<Sender> {
+        let timing = &self.timing;
+        let is_starting = now < self.started_at + timing.start_grace_period;
+        let interval = |peer: &Peer| match peer.last_seen {
+            None if is_starting => timing.first_contact_interval,
+            _ => timing.heartbeat_interval,
+        };
+        let is_due = |peer: &&Peer| peer.last_heartbeat_sent_at.is_none_or(|at| now >= at + interval(peer));
         let peers = self.voters.iter().chain(&self.non_voters);
         peers.filter(is_due).map(|peer| peer.sender).collect()
     }
@@ -268,7 +287,9 @@
     /// Takes note that a heartbeat is sent to a peer; returns what it is to echo.
     pub(crate) fn record_heartbeat_sent(&mut self, now: Now, id: MemberId) -> Option<Echo> {
         let peer = self.get_mut(id)?;
+        let echo = peer.heartbeat.map(|heartbeat| heartbeat.sent);
         peer.last_heartbeat_sent_at = Some(now);
-        peer.heartbeat.map(|heartbeat| heartbeat.sent)
+        peer.echoed_incarnation = echo.map(|echo| echo.incarnation);
+        echo
     }
 }
--- a/crates/control/src/replica/chain_replication.rs
+++ b/crates/control/src/replica/chain_replication.rs
@@ -173,6 +173,8 @@
         if self.is_tail() {
             self.commit_as_tail();
             self.update_freshness();
+            // Nobody can confirm a read before it knows that the tail is open.
+            self.send_heartbeat_to_voters();
         } else if let Some(successor) = self.successor() {
             self.send_heartbeat(successor);
         }
--- a/crates/control/src/replica/heartbeats.rs
+++ b/crates/control/src/replica/heartbeats.rs
@@ -2,6 +2,7 @@
 
 use super::Replica;
 use crate::message::{Body, Echo, Heartbeat, Sender, MAX_REPORTED_MEMBERS};
+use crate::peers::Peer;
 
 impl Replica {
     /// Sends a heartbeat to all voters at once.
@@ -14,7 +15,7 @@
 
     /// Sends a heartbeat to each peer that had none for an interval.
     pub(super) fn send_due_heartbeats(&mut self) {
-        for peer in self.peers.due_heartbeats(self.now, self.options.timing.heartbeat_interval) {
+        for peer in self.peers.due_heartbeats(self.now) {
             self.send_heartbeat(peer);
         }
     }
@@ -53,6 +54,14 @@
         bits
     }
 
+    /// Answers at once the first heartbeat of a peer's incarnation, instead of with the next regular one: until it has
+    /// an echo, that process can confirm nothing. Each of two processes does so once for each start of the other.
+    fn answer_first_contact(&mut self, sender: Sender) {
+        if self.peers.get(sender.id).is_some_and(Peer::lacks_echo) {
+            self.send_heartbeat(sender);
+        }
+    }
+
     pub(super) fn on_heartbeat(&mut self, sender: Sender, heartbeat: Heartbeat) {
         let before = self.peers.get(sender.id).and_then(|peer| peer.heartbeat);
         if !self.peers.record_heartbeat(self.now, sender, heartbeat) {
@@ -61,6 +70,7 @@
         if heartbeat.epoch < self.view.epoch {
             self.send(sender, Body::Decide(Box::new(self.view.clone())));
         }
+        self.answer_first_contact(sender);
         let is_first =
             before.is_none_or(|last| last.epoch != heartbeat.epoch || last.matched != heartbeat.matched);
         self.on_chain_heartbeat(sender, &heartbeat, is_first);
