Control plane: a refused epoch of quotas is refused aloud and not used again; owners kept by view

Cause: an owner dropped demands of another epoch without a word. A home whose view was old went on asking with it, an owner whose view was old went on granting after it had seen demands of a later epoch, and a process that had been refused and restarted could ask in the old view that its disk held. Owners of all tenants were sought by a hash at each tick and demand. Change: `quotas` in four modules. The epoch is a fence (`epoch_fence.rs`): a refusal is an answer without grants, and the newer view with it (`Input::EpochUsed`); a later epoch that is heard of ends the own one; a home asks only once a majority has confirmed its view since the start. Owners are assigned when the view or the configuration changes (`ownership.rs`). Tuples became `SentDemands` and `GatewayGrant`. `status` counts refused epochs and declined commands. Tests: five on refusals that come late, twice, reordered, after a pause longer than a lease and after a restart, and on two owners; four can't be written against the old code, which had no refusal.

--- a/crates/control-plane/src/host/api_requests.rs
+++ b/crates/control-plane/src/host/api_requests.rs
@@ -161,6 +161,7 @@
             tenants_owned: self.components.quotas.owned_tenants(),
             peers_up: self.peers.up().count(),
             tolerated_losses: self.tolerance.required(),
+            refused_epochs: self.components.quotas.refused_epochs(),
         })
     }
 }
--- a/crates/control-plane/src/host/gateways.rs
+++ b/crates/control-plane/src/host/gateways.rs
@@ -1,12 +1,14 @@
 //! Handles the gateways that have this process for their home, and tenants' quotas.
 
+use std::net::SocketAddr;
+
+use crankpick_control::Input;
 use crankpick_protocol::{GatewayReport, TenantDemand, TenantGrant};
-use crankpick_quota::HolderId;
 use crankpick_registry::ProcessId;
 
 use super::Host;
 use crate::event::{PeerMessage, SessionId};
-use crate::quotas::DemandsToSend;
+use crate::quotas::{DemandsToSend, GatewayGrant, OwnerAnswer, ReceivedDemands};
 use crate::sessions::{Sessions, UpdateContext};
 
 impl Host {
@@ -28,7 +30,8 @@
         let now = self.now();
         let grants = self.components.quotas.deferred_grants(now);
         self.push_grants(grants);
-        let urgent = self.components.quotas.urgent_demands(now);
+        let freshness = self.components.replica.freshness(now);
+        let urgent = self.components.quotas.urgent_demands(now, freshness);
         self.send_demands(urgent);
     }
 
@@ -40,8 +43,8 @@
     }
 
     /// Sends grants to the gateways that wait for them.
-    pub(super) fn push_grants(&mut self, grants: Vec<(HolderId, TenantGrant)>) {
-        for (holder, grant) in grants {
+    pub(super) fn push_grants(&mut self, grants: Vec<GatewayGrant>) {
+        for GatewayGrant { holder, grant } in grants {
             self.with_sessions(|sessions, context| sessions.push_grants(holder, vec![grant], context));
         }
     }
@@ -72,23 +75,52 @@
         home: ProcessId,
         epoch: u64,
         demands: Vec<TenantDemand>,
-    ) -> Vec<TenantGrant> {
+    ) -> OwnerAnswer {
         let now = self.now();
-        let others: Vec<ProcessId> = self.peers.processes().collect();
+        let other_homes: Vec<ProcessId> = self.peers.processes().collect();
         let freshness = self.components.replica.freshness(now);
-        self.components.quotas.grant_as_owner(now, home, epoch, demands, freshness, &others)
+        let received = ReceivedDemands { home, epoch, demands, other_homes: &other_homes };
+        self.components.quotas.grant_as_owner(now, received, freshness)
+    }
+
+    /// Handles another home's demands. One that uses an epoch that is over is refused, and sent the newer view; one whose
+    /// view is newer is asked for it.
+    pub(super) fn handle_demands(
+        &mut self,
+        from: SocketAddr,
+        number: u64,
+        home: ProcessId,
+        epoch: u64,
+        demands: Vec<TenantDemand>,
+    ) {
+        if epoch != self.components.quotas.epoch() {
+            self.drive_replica(Input::EpochUsed { address: from, epoch });
+        }
+        let grants = match self.grant_as_owner(home, epoch, demands) {
+            OwnerAnswer::Granted(grants) if grants.is_empty() => return,
+            OwnerAnswer::Granted(grants) => grants,
+            OwnerAnswer::StaleEpoch => Vec::new(),
+            OwnerAnswer::Unconfirmed => return,
+        };
+        self.connections.send(from, &PeerMessage::QuotaGrants { number, grants });
     }
 
     /// Sends demands to the owners of their tenants.
     pub(super) fn send_demands(&mut self, pending: Vec<DemandsToSend>) {
         for DemandsToSend { to, number, epoch, demands } in pending {
             let home = self.components.process;
-            if to == self.components.address {
-                let grants = self.grant_as_owner(home, epoch, demands);
-                self.handle_grants(number, grants);
-            } else {
+            if to != self.components.address {
                 self.connections.send(to, &PeerMessage::QuotaDemands { number, home, epoch, demands });
+            } else if let OwnerAnswer::Granted(grants) = self.grant_as_owner(home, epoch, demands) {
+                self.handle_own_grants(number, grants);
             }
         }
     }
+
+    /// Handles the grants of this process as owner to itself as home: none is no refusal.
+    fn handle_own_grants(&mut self, number: u64, grants: Vec<TenantGrant>) {
+        if !grants.is_empty() {
+            self.handle_grants(number, grants);
+        }
+    }
 }
--- a/crates/control-plane/src/host/peer_messages.rs
+++ b/crates/control-plane/src/host/peer_messages.rs
@@ -37,10 +37,7 @@
                 self.send_announcements(from, announcements);
             }
             PeerMessage::QuotaDemands { number, home, epoch, demands } => {
-                let grants = self.grant_as_owner(home, epoch, demands);
-                if !grants.is_empty() {
-                    self.connections.send(from, &PeerMessage::QuotaGrants { number, grants });
-                }
+                self.handle_demands(from, number, home, epoch, demands);
             }
             PeerMessage::QuotaGrants { number, grants } => self.handle_grants(number, grants),
         }
--- a/crates/control-plane/src/host/timers.rs
+++ b/crates/control-plane/src/host/timers.rs
@@ -66,7 +66,7 @@
         let others: Vec<ProcessId> = self.peers.processes().collect();
         let freshness = self.components.replica.freshness(now);
         self.components.quotas.refresh_owned(now, freshness, &others);
-        let demands = self.components.quotas.demands(now);
+        let demands = self.components.quotas.demands(now, freshness);
         self.send_demands(demands);
     }
 
--- a/crates/control-plane/src/quotas.rs
+++ b/crates/control-plane/src/quotas.rs
@@ -1,7 +1,14 @@
 //! Tenants' quotas at a process of the control plane, in its two roles: owner of some tenants, and home of gateways.
+//!
+//! A home asks the owner of a tenant, and grants to its gateways out of what it was granted. Both go by the epoch of their
+//! view (`epoch_fence.rs`): the tenants' owners change with it.
+
+mod epoch_fence;
+mod outstanding;
+mod ownership;
 
 use std::collections::btree_map::Entry;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,15 +20,13 @@
 };
 use crankpick_registry::{Now, ProcessId};
 
+use self::epoch_fence::EpochFence;
+use self::outstanding::OutstandingDemands;
+use self::ownership::Ownership;
 use crate::random_ids::random_id;
 
-/// The most demands sent to owners whose answers are still accepted.
-const MAX_OUTSTANDING_DEMANDS: usize = 32;
 /// An owner whose view is staler than this grants nothing.
 const MAX_OWNER_FRESHNESS: Duration = Duration::from_millis(1_000);
-/// The parameters of FNV-1a, a hash on which all processes agree.
-const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
 
 /// Demands to be sent to one owner.
 pub struct DemandsToSend {
@@ -35,18 +40,57 @@
     pub demands: Vec<TenantDemand>,
 }
 
+/// A home's demands as the owner receives them.
+pub struct ReceivedDemands<'a> {
+    /// The incarnation of the home.
+    pub home: ProcessId,
+    /// The epoch of the view in which the receiver owns the tenants.
+    pub epoch: u64,
+    /// One entry for each tenant.
+    pub demands: Vec<TenantDemand>,
+    /// The other homes that the owner knows, which may hold leases.
+    pub other_homes: &'a [ProcessId],
+}
+
+/// An owner's answer to demands.
+#[derive(Clone, Debug, PartialEq)]
+pub enum OwnerAnswer {
+    /// The grants for the tenants that it owns.
+    Granted(Vec<TenantGrant>),
+    /// The epoch of the demands is over: the home must not use it again.
+    StaleEpoch,
+    /// It isn't known whether this process is the owner now: no answer.
+    Unconfirmed,
+}
+
+/// A grant for one gateway.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewayGrant {
+    /// The gateway, as a holder of leases.
+    pub holder: HolderId,
+    /// The grant.
+    pub grant: TenantGrant,
+}
+
+/// How often epochs were refused since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RefusedEpochs {
+    /// Demands of other homes that this owner refused.
+    pub refused_here: u64,
+    /// Demands of this home that an owner refused.
+    pub refused_elsewhere: u64,
+}
+
 /// The quotas that this process allocates, as owner and as home.
 pub struct Quotas {
     process: ProcessId,
     bounds: QuotaBounds,
-    limits: BTreeMap<String, QuotaLimit>,
+    ownership: Ownership,
     owned: BTreeMap<String, Allocator>,
     leased: BTreeMap<String, Allocator>,
-    epoch: u64,
-    owners: Vec<SocketAddr>,
-    local_address: SocketAddr,
-    last_number: u64,
-    outstanding: VecDeque<(u64, Now)>,
+    fence: EpochFence,
+    outstanding: OutstandingDemands,
+    refused_epochs: RefusedEpochs,
 }
 
 impl Quotas {
@@ -55,53 +99,59 @@
         Quotas {
             process,
             bounds,
-            limits: BTreeMap::new(),
+            ownership: Ownership::new(local_address),
             owned: BTreeMap::new(),
             leased: BTreeMap::new(),
-            epoch: 0,
-            owners: Vec::new(),
-            local_address,
-            last_number: 0,
-            outstanding: VecDeque::new(),
+            fence: EpochFence::default(),
+            outstanding: OutstandingDemands::default(),
+            refused_epochs: RefusedEpochs::default(),
         }
     }
 
     /// Applies the limits of a new configuration.
     pub fn configure(&mut self, table: &RoutingTable) {
-        self.limits = table
-            .tenants()
-            .filter(|tenant| tenant.rate_per_s > 0.0)
-            .map(|tenant| (tenant.name.clone(), QuotaLimit { rate: tenant.rate_per_s, burst: tenant.burst }))
-            .collect();
-        let limits = &self.limits;
-        self.owned.retain(|tenant, _| limits.contains_key(tenant));
-        self.leased.retain(|tenant, _| limits.contains_key(tenant));
+        let limited = table.tenants().filter(|tenant| tenant.rate_per_s > 0.0);
+        self.ownership.set_limits(limited.map(|tenant| {
+            (tenant.name.clone(), QuotaLimit { rate: tenant.rate_per_s, burst: tenant.burst })
+        }));
+        let ownership = &self.ownership;
+        self.owned.retain(|tenant, _| ownership.limit_of(tenant).is_some());
+        self.leased.retain(|tenant, _| ownership.limit_of(tenant).is_some());
     }
 
     /// Applies a new view. An owner's fencing token begins at its epoch times [`TOKENS_PER_EPOCH`], so a later owner fences
     /// off an earlier one. An allocator is kept only if this process owned the tenant in the immediately preceding view.
     pub fn view_changed(&mut self, view: &View) {
-        if view.epoch == self.epoch {
+        let former = self.fence.own();
+        if view.epoch == former {
             return;
         }
-        let contiguous = view.epoch == self.epoch + 1;
-        self.epoch = view.epoch;
-        self.owners =
-            view.chain.iter().filter_map(|id| view.member(*id)).map(|member| member.address).collect();
-        self.owners.sort();
-        let (owners, local_address) = (&self.owners, self.local_address);
-        self.owned.retain(|tenant, _| contiguous && owner(owners, tenant) == Some(local_address));
+        self.fence.enter(view.epoch);
+        let replicas = view.chain.iter().filter_map(|id| view.member(*id));
+        self.ownership.set_owners(replicas.map(|member| member.address).collect());
+        let is_next = view.epoch == former + 1;
+        let ownership = &self.ownership;
+        self.owned.retain(|tenant, _| is_next && ownership.is_owned_here(tenant));
+    }
+
+    /// The epoch of this process's view.
+    pub fn epoch(&self) -> u64 {
+        self.fence.own()
+    }
+
+    /// How often epochs were refused since the start.
+    pub fn refused_epochs(&self) -> RefusedEpochs {
+        self.refused_epochs
     }
 
     /// Handles a gateway's demands and returns what it may take.
     pub fn report(&mut self, now: Now, holder: HolderId, demands: Vec<TenantDemand>) -> Vec<TenantGrant> {
-        let process = self.process;
+        let home = GrantSource::home(self.process.0);
         let mut grants = Vec::with_capacity(demands.len());
         for TenantDemand { tenant, demand } in demands {
-            if !self.limits.contains_key(&tenant) {
+            if self.ownership.limit_of(&tenant).is_none() {
                 continue;
             }
-            let home = GrantSource::home(process.0);
             let allocator = self.leased.entry(tenant.clone()).or_insert_with(|| Allocator::new(now, home, 1));
             let grant = allocator.report(now, holder, demand);
             grants.push(TenantGrant { tenant, grant });
@@ -109,64 +159,66 @@
         grants
     }
 
-    /// The periodic demands to the owners of all tenants that this home's gateways use.
-    pub fn demands(&mut self, now: Now) -> Vec<DemandsToSend> {
-        self.collect_demands(now, |_| true)
+    /// The periodic demands to the owners of all tenants that this home's gateways use. `freshness` is the age of the
+    /// view, if it was ever confirmed.
+    pub fn demands(&mut self, now: Now, freshness: Option<Duration>) -> Vec<DemandsToSend> {
+        self.collect_demands(now, freshness, |_| true)
     }
 
     /// The demands to send at once because a gateway needs more than this home has.
-    pub fn urgent_demands(&mut self, now: Now) -> Vec<DemandsToSend> {
-        self.collect_demands(now, |allocator| allocator.urgent(now))
+    pub fn urgent_demands(&mut self, now: Now, freshness: Option<Duration>) -> Vec<DemandsToSend> {
+        self.collect_demands(now, freshness, |allocator| allocator.urgent(now))
     }
 
+    /// None are sent in an epoch that was refused, and none before a majority has confirmed the view since the start: a
+    /// process that was refused and restarted may find the old view on its disk.
     fn collect_demands(
         &mut self,
         now: Now,
+        freshness: Option<Duration>,
         mut is_due: impl FnMut(&mut Allocator) -> bool,
     ) -> Vec<DemandsToSend> {
+        if freshness.is_none() || !self.fence.is_current() {
+            return Vec::new();
+        }
         let mut by_owner: BTreeMap<SocketAddr, Vec<TenantDemand>> = BTreeMap::new();
         for (tenant, allocator) in &mut self.leased {
             if !is_due(allocator) {
                 continue;
             }
-            let Some(owner) = owner(&self.owners, tenant) else { continue };
+            let Some(owner) = self.ownership.owner_of(tenant) else { continue };
             let demand = TenantDemand { tenant: tenant.clone(), demand: allocator.demand(now) };
             by_owner.entry(owner).or_default().push(demand);
         }
-        let epoch = self.epoch;
-        by_owner.into_iter().map(|(to, demands)| self.track_demands(now, to, epoch, demands)).collect()
+        let epoch = self.fence.own();
+        let outstanding = &mut self.outstanding;
+        let to_send = by_owner.into_iter().map(|(to, demands)| {
+            let number = outstanding.add(now, epoch);
+            DemandsToSend { to, number, epoch, demands }
+        });
+        to_send.collect()
     }
 
-    fn track_demands(
-        &mut self,
-        now: Now,
-        to: SocketAddr,
-        epoch: u64,
-        demands: Vec<TenantDemand>,
-    ) -> DemandsToSend {
-        self.last_number += 1;
-        self.outstanding.push_back((self.last_number, now));
-        if self.outstanding.len() > MAX_OUTSTANDING_DEMANDS {
-            self.outstanding.pop_front();
-        }
-        DemandsToSend { to, number: self.last_number, epoch, demands }
-    }
-
-    /// Handles a home's demands as the owner of these tenants. Grants nothing if ownership may have ended: another epoch,
-    /// or a view whose age (`fresh`) is unknown or too high. `others` are the other homes, which may hold leases.
+    /// Handles a home's demands as the owner of these tenants. Grants nothing if ownership may have ended: a later epoch is
+    /// in use, or the view's age (`freshness`) is unknown or too high.
     pub fn grant_as_owner(
         &mut self,
         now: Now,
-        home: ProcessId,
-        epoch: u64,
-        demands: Vec<TenantDemand>,
+        received: ReceivedDemands<'_>,
         freshness: Option<Duration>,
-        others: &[ProcessId],
-    ) -> Vec<TenantGrant> {
-        if epoch != self.epoch || freshness.is_none_or(|age| age > MAX_OWNER_FRESHNESS) {
-            return Vec::new();
+    ) -> OwnerAnswer {
+        let ReceivedDemands { home, epoch, demands, other_homes } = received;
+        self.fence.observe(epoch);
+        if epoch < self.fence.own() {
+            self.refused_epochs.refused_here += 1;
+            return OwnerAnswer::StaleEpoch;
         }
-        demands.into_iter().filter_map(|demand| self.grant_tenant(now, home, demand, others)).collect()
+        if !self.fence.is_current() || freshness.is_none_or(|age| age > MAX_OWNER_FRESHNESS) {
+            return OwnerAnswer::Unconfirmed;
+        }
+        let grants =
+            demands.into_iter().filter_map(|demand| self.grant_tenant(now, home, demand, other_homes));
+        OwnerAnswer::Granted(grants.collect())
     }
 
     fn grant_tenant(
@@ -174,32 +226,25 @@
         now: Now,
         home: ProcessId,
         demand: TenantDemand,
-        others: &[ProcessId],
+        other_homes: &[ProcessId],
     ) -> Option<TenantGrant> {
-        let limit = *self.limits.get(&demand.tenant)?;
-        if owner(&self.owners, &demand.tenant) != Some(self.local_address) {
+        let limit = self.ownership.limit_of(&demand.tenant)?;
+        if !self.ownership.is_owned_here(&demand.tenant) {
             return None;
         }
-        let allocator = self.allocator_of(now, &demand.tenant, limit, others);
+        let allocator = self.allocator_of(now, &demand.tenant, limit, other_homes);
         let grant = allocator.report(now, HolderId(home.0), demand.demand);
         Some(TenantGrant { tenant: demand.tenant, grant })
     }
 
     /// Brings the allocators of all owned tenants up to date, idle ones as well: their unused quota accrues, so that
     /// their first requests find it.
-    pub fn refresh_owned(&mut self, now: Now, freshness: Option<Duration>, others: &[ProcessId]) {
-        if freshness.is_none_or(|age| age > MAX_OWNER_FRESHNESS) {
+    pub fn refresh_owned(&mut self, now: Now, freshness: Option<Duration>, other_homes: &[ProcessId]) {
+        if !self.fence.is_current() || freshness.is_none_or(|age| age > MAX_OWNER_FRESHNESS) {
             return;
         }
-        let (owners, local_address) = (&self.owners, self.local_address);
-        let owned: Vec<(String, QuotaLimit)> = self
-            .limits
-            .iter()
-            .filter(|(tenant, _)| owner(owners, tenant) == Some(local_address))
-            .map(|(tenant, limit)| (tenant.clone(), *limit))
-            .collect();
-        for (tenant, limit) in owned {
-            self.allocator_of(now, &tenant, limit, others);
+        for (tenant, limit) in self.ownership.owned_here() {
+            self.allocator_of(now, &tenant, limit, other_homes);
         }
     }
 
@@ -209,7 +254,7 @@
         now: Now,
         tenant: &str,
         limit: QuotaLimit,
-        others: &[ProcessId],
+        other_homes: &[ProcessId],
     ) -> &mut Allocator {
         let total = self.bounds.total(limit, now + LEASE_DURATION);
         match self.owned.entry(tenant.to_owned()) {
@@ -219,39 +264,38 @@
                 allocator
             }
             Entry::Vacant(vacant) => {
-                let token = self.epoch * TOKENS_PER_EPOCH;
+                let token = self.fence.own() * TOKENS_PER_EPOCH;
                 let new = Allocator::new(now, GrantSource::OWNER, token).with_nonce(random_id());
                 let allocator = vacant.insert(new);
                 allocator.set_total(now, total);
-                allocator.rebuild(now, others.iter().map(|process| HolderId(process.0)));
+                allocator.rebuild(now, other_homes.iter().map(|process| HolderId(process.0)));
                 allocator
             }
         }
     }
 
-    /// Records an owner's answer, and returns what can be granted to gateways at once because of it.
-    pub fn grants_received(
-        &mut self,
-        now: Now,
-        number: u64,
-        grants: Vec<TenantGrant>,
-    ) -> Vec<(HolderId, TenantGrant)> {
-        let Some(sent_at) = self.outstanding.iter().find(|(sent, _)| *sent == number).map(|(_, at)| *at)
-        else {
+    /// Records an owner's answer, and returns what can be granted to gateways at once because of it. An answer without
+    /// grants is a refusal: the epoch of the demands is over.
+    pub fn grants_received(&mut self, now: Now, number: u64, grants: Vec<TenantGrant>) -> Vec<GatewayGrant> {
+        let Some(sent) = self.outstanding.get(number) else { return Vec::new() };
+        if grants.is_empty() {
+            self.refused_epochs.refused_elsewhere += 1;
+            self.fence.refuse(sent.epoch);
             return Vec::new();
-        };
+        }
         let mut granted = Vec::new();
         for TenantGrant { tenant, grant } in grants {
             let Some(allocator) = self.leased.get_mut(&tenant) else { continue };
-            allocator.apply_grant(now, sent_at, grant);
-            granted.extend(take_grants(now, &tenant, allocator));
+            allocator.apply_grant(now, sent.sent_at, grant);
+            granted.extend(pending_grants(now, &tenant, allocator));
         }
         granted
     }
 
     /// The grants that have become possible for gateways since their reports.
-    pub fn deferred_grants(&mut self, now: Now) -> Vec<(HolderId, TenantGrant)> {
-        self.leased.iter_mut().flat_map(|(tenant, allocator)| take_grants(now, tenant, allocator)).collect()
+    pub fn deferred_grants(&mut self, now: Now) -> Vec<GatewayGrant> {
+        let leased = self.leased.iter_mut();
+        leased.flat_map(|(tenant, allocator)| pending_grants(now, tenant, allocator)).collect()
     }
 
     /// The number of tenants that this process owns.
@@ -260,21 +304,13 @@
     }
 }
 
-fn take_grants(now: Now, tenant: &str, allocator: &mut Allocator) -> Vec<(HolderId, TenantGrant)> {
+fn pending_grants(now: Now, tenant: &str, allocator: &mut Allocator) -> Vec<GatewayGrant> {
     let granted = allocator.grant_pending(now).into_iter();
-    granted.map(|(holder, grant)| (holder, TenantGrant { tenant: tenant.to_owned(), grant })).collect()
-}
-
-/// The owner of a tenant, by rendezvous hashing of its name with each process's address.
-fn owner(owners: &[SocketAddr], tenant: &str) -> Option<SocketAddr> {
-    owners.iter().copied().max_by_key(|address| rendezvous_hash(tenant, *address))
-}
-
-fn rendezvous_hash(tenant: &str, address: SocketAddr) -> u64 {
-    let address_text = address.to_string();
-    let bytes = tenant.bytes().chain(address_text.bytes());
-    let mixed = bytes.fold(FNV_OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME));
-    mixed ^ (mixed >> 29)
+    let granted = granted.map(|(holder, grant)| GatewayGrant {
+        holder,
+        grant: TenantGrant { tenant: tenant.to_owned(), grant },
+    });
+    granted.collect()
 }
 
 #[cfg(test)]
--- a/crates/control-plane/src/status.rs
+++ b/crates/control-plane/src/status.rs
@@ -4,11 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crankpick_control::{Now, Replica, ViolationKind};
+use crankpick_control::{DeclineReason, Now, Replica, ViolationKind};
 use crankpick_registry::Registry;
 use serde::Serialize;
 
 use crate::fault_tolerance::{bearable_losses, LOW_TOLERANCE_CODE};
+use crate::quotas::RefusedEpochs;
 
 /// The inputs of a status.
 pub struct StatusInputs<'a> {
@@ -34,6 +35,8 @@
     pub peers_up: usize,
     /// The number of lost members that must be tolerated.
     pub tolerated_losses: usize,
+    /// Epochs of quotas that were refused.
+    pub refused_epochs: RefusedEpochs,
 }
 
 #[derive(Serialize)]
@@ -54,11 +57,25 @@
     peers_up: usize,
     tolerated_losses: usize,
     bearable_losses: Option<usize>,
+    /// Epochs that were refused since the start because a later one was in use.
+    refused_epochs: RefusedEpochsStatus,
+    /// Commands that this process declined as the head since the start, by the reason.
+    declined_commands: BTreeMap<&'static str, u64>,
     /// Violated invariants since the start, by the code of their kind.
     violations: BTreeMap<&'static str, u64>,
     warnings: Vec<&'static str>,
 }
 
+#[derive(Serialize)]
+struct RefusedEpochsStatus {
+    /// Messages of the replication protocol that this process refused.
+    messages_here: u64,
+    /// Quota demands that this process refused as the owner.
+    demands_here: u64,
+    /// Quota demands of this process as a home that an owner refused.
+    demands_elsewhere: u64,
+}
+
 #[derive(Serialize)]
 struct MemberStatus {
     address: SocketAddr,
@@ -72,6 +89,12 @@
     ViolationKind::ALL.into_iter().map(|kind| (kind.code(), counted(kind))).collect()
 }
 
+/// The number of declined commands for each reason, zeros included.
+fn declined_commands(replica: &Replica) -> BTreeMap<&'static str, u64> {
+    let counted = |reason: DeclineReason| (reason.name(), replica.declined_commands(reason));
+    DeclineReason::ALL.into_iter().map(counted).collect()
+}
+
 /// Encodes the status as JSON.
 pub fn describe(inputs: &StatusInputs<'_>) -> String {
     let view = inputs.replica.view();
@@ -103,6 +126,12 @@
         peers_up: inputs.peers_up,
         tolerated_losses: inputs.tolerated_losses,
         bearable_losses,
+        refused_epochs: RefusedEpochsStatus {
+            messages_here: inputs.replica.stale_epochs_refused(),
+            demands_here: inputs.refused_epochs.refused_here,
+            demands_elsewhere: inputs.refused_epochs.refused_elsewhere,
+        },
+        declined_commands: declined_commands(inputs.replica),
         violations: violations(inputs.replica),
         warnings: is_low.then_some(LOW_TOLERANCE_CODE).into_iter().collect(),
     };
--- a/crates/control-plane/tests/unit/status.rs
+++ b/crates/control-plane/tests/unit/status.rs
@@ -11,11 +11,12 @@
 use super::{describe, StatusInputs};
 use crate::redirector::RedirectState;
 
-const STATUS_KEYS: [&str; 18] = [
+const STATUS_KEYS: [&str; 20] = [
     "address",
     "backends",
     "backends_settled",
     "bearable_losses",
+    "declined_commands",
     "epoch",
     "freshness_ms",
     "gateways",
@@ -24,6 +25,7 @@
     "in_chain",
     "members",
     "peers_up",
+    "refused_epochs",
     "tenants_owned",
     "tolerated_losses",
     "up_ms",
@@ -90,6 +92,7 @@
         tenants_owned: 3,
         peers_up: 4,
         tolerated_losses: 5,
+        refused_epochs: crate::quotas::RefusedEpochs::default(),
     });
     serde_json::from_str(&text).unwrap()
 }
