Storage, control plane: a disk that refuses from the first start on, said with its code; a failed sync isn't believed later

Cause: a process whose disk was full at its first start could not make its file and ended after eight tries: it served neither backends nor gateways, though it could. A refused write was logged four times a second and was not in `status`; a rewrite that failed was said nowhere, and its failure raised the mark for the next one. After a failed sync at a start the same file was synced again, which the system may call done. An error on putting a file aside was dropped. Change: the log makes its folder and file with the first append (`storage`: contents, directory, opening and log are modules now, an opened log is a type in place of a tuple); after a failed sync it is opened by copying its records. The circle of `disk` and `event` is gone (`disk_message`). One assertion changed: no file is expected before the first append, and one after it.

--- a/crates/control-plane/src/disk.rs
+++ b/crates/control-plane/src/disk.rs
@@ -2,57 +2,29 @@
 //!
 //! Records are written in order. Those that wait at the same time are written and synced together.
 
-use std::path::PathBuf;
+use std::path::Path;
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
 use std::thread;
 
 use crankpick_control::Record;
-use crankpick_storage::Log;
+use crankpick_storage::{Log, Opened};
 use snafu::ResultExt;
 use tokio::sync::mpsc::Sender;
 
+use crate::disk_message::{WriteRequest, WriteResult};
 use crate::error::{ControlPlaneError, RecordSnafu, StorageSnafu, ThreadSnafu};
 use crate::event::Event;
 
 /// The most writes that wait; beyond it a write is rejected.
 const MAX_QUEUED_WRITES: usize = 1_024;
 
-/// A request to the disk's thread.
-pub enum WriteRequest {
-    /// Append records.
-    Append {
-        /// The id of this write, repeated in its result.
-        write_id: u64,
-        /// The records to append.
-        records: Vec<Record>,
-    },
-    /// Replace the whole contents.
-    Rewrite {
-        /// The records that replace it.
-        records: Vec<Record>,
-    },
-}
-
-/// The result of a write.
-#[derive(Clone, Copy, Debug)]
-pub enum WriteResult {
-    /// The records are durable.
-    Synced {
-        /// The id of the write.
-        write_id: u64,
-        /// The size of the file, in bytes.
-        bytes: u64,
-    },
-    /// None of the records was stored.
-    Failed {
-        /// The id of the write.
-        write_id: u64,
-    },
-    /// A rewrite has ended, successfully or not.
-    Rewritten {
-        /// The size of the file, in bytes.
-        bytes: u64,
-    },
+/// How the log is opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OpenMode {
+    /// As it is.
+    InPlace,
+    /// By copying its records, after an attempt that failed; see [`Log::open_by_copy`].
+    ByCopy,
 }
 
 /// A handle to the disk's thread. The thread ends when the handle is dropped.
@@ -66,8 +38,16 @@
     /// # Errors
     ///
     /// If the log can't be opened, a record can't be decoded, or the thread can't be started.
-    pub fn open(directory: PathBuf, events: Sender<Event>) -> Result<(Disk, Vec<Record>), ControlPlaneError> {
-        let (log, stored, _report) = Log::open(&directory).context(StorageSnafu)?;
+    pub fn open(
+        directory: &Path,
+        mode: OpenMode,
+        events: Sender<Event>,
+    ) -> Result<(Disk, Vec<Record>), ControlPlaneError> {
+        let opened = match mode {
+            OpenMode::InPlace => Log::open(directory),
+            OpenMode::ByCopy => Log::open_by_copy(directory),
+        };
+        let Opened { log, records: stored, .. } = opened.context(StorageSnafu)?;
         let records: Result<Vec<Record>, _> = stored.iter().map(|bytes| Record::decode(bytes)).collect();
         let records = records.context(RecordSnafu)?;
         let (writes, queue) = sync_channel(MAX_QUEUED_WRITES);
@@ -124,30 +104,37 @@
     (write_ids, records, None)
 }
 
-fn encode(records: &[Record]) -> Option<Vec<Vec<u8>>> {
-    records.iter().map(|record| record.encode().ok()).collect()
+fn encode(records: &[Record]) -> Result<Vec<Vec<u8>>, ControlPlaneError> {
+    let encoded: Result<Vec<Vec<u8>>, _> = records.iter().map(Record::encode).collect();
+    encoded.context(RecordSnafu)
 }
 
 fn append(log: &mut Log, write_ids: &[u64], records: &[Record], events: &Sender<Event>) {
-    let synced = encode(records).is_some_and(|encoded| {
+    let appended = encode(records).and_then(|encoded| {
         let slices: Vec<&[u8]> = encoded.iter().map(Vec::as_slice).collect();
-        log.append(&slices).is_ok()
+        log.append(&slices).context(StorageSnafu)
     });
     let bytes = log.size();
     for &write_id in write_ids {
-        let result =
-            if synced { WriteResult::Synced { write_id, bytes } } else { WriteResult::Failed { write_id } };
+        let result = match &appended {
+            Ok(()) => WriteResult::Synced { write_id, bytes },
+            Err(error) => WriteResult::Failed { write_id, cause: error.to_string() },
+        };
         notify(events, result);
     }
 }
 
 fn rewrite(log: &mut Log, records: &[Record], events: &Sender<Event>) {
-    if let Some(encoded) = encode(records) {
+    let rewritten = encode(records).and_then(|encoded| {
         let slices: Vec<&[u8]> = encoded.iter().map(Vec::as_slice).collect();
-        // After an error the former file stays in force: nothing is lost, and a later rewrite tries again.
-        let _kept = log.rewrite(&slices);
-    }
-    notify(events, WriteResult::Rewritten { bytes: log.size() });
+        log.rewrite(&slices).context(StorageSnafu)
+    });
+    let result = match rewritten {
+        Ok(()) => WriteResult::Rewritten { bytes: log.size() },
+        // The former file stays in force: nothing is lost, and a later rewrite tries again.
+        Err(error) => WriteResult::RewriteFailed { cause: error.to_string() },
+    };
+    notify(events, result);
 }
 
 fn notify(events: &Sender<Event>, result: WriteResult) {
--- /dev/null
+++ b/crates/control-plane/src/disk_message.rs
@@ -0,0 +1,48 @@
+//! What the owner of a process's state asks of the disk's thread, and what it hears of it.
+
+use crankpick_control::Record;
+
+/// A request to the disk's thread.
+pub enum WriteRequest {
+    /// Append records.
+    Append {
+        /// The id of this write, repeated in its result.
+        write_id: u64,
+        /// The records to append.
+        records: Vec<Record>,
+    },
+    /// Replace the whole contents.
+    Rewrite {
+        /// The records that replace it.
+        records: Vec<Record>,
+    },
+}
+
+/// The result of a write.
+#[derive(Clone, Debug)]
+pub enum WriteResult {
+    /// The records are durable.
+    Synced {
+        /// The id of the write.
+        write_id: u64,
+        /// The size of the file, in bytes.
+        bytes: u64,
+    },
+    /// None of the records was stored.
+    Failed {
+        /// The id of the write.
+        write_id: u64,
+        /// The cause, for the log.
+        cause: String,
+    },
+    /// The contents were replaced.
+    Rewritten {
+        /// The size of the file, in bytes.
+        bytes: u64,
+    },
+    /// The contents could not be replaced: the former ones stay in force.
+    RewriteFailed {
+        /// The cause, for the log.
+        cause: String,
+    },
+}
--- a/crates/control-plane/src/disk_opening.rs
+++ b/crates/control-plane/src/disk_opening.rs
@@ -9,11 +9,12 @@
 use crankpick_control::Record;
 use crankpick_storage::StorageError;
 use slog::{warn, Logger};
+use snafu::ResultExt;
 use tokio::sync::mpsc::Sender;
 use tokio::time::sleep;
 
-use crate::disk::Disk;
-use crate::error::ControlPlaneError;
+use crate::disk::{Disk, OpenMode};
+use crate::error::{ControlPlaneError, QuarantineSnafu};
 use crate::event::Event;
 
 /// The extension of quarantined files.
@@ -34,26 +35,39 @@
     retry_interval: Duration,
     log: &Logger,
 ) -> Result<(Disk, Vec<Record>), ControlPlaneError> {
+    let mut mode = OpenMode::InPlace;
     for _ in 1..MAX_ATTEMPTS {
-        match Disk::open(directory.to_path_buf(), events.clone()) {
+        let error = match Disk::open(directory, mode, events.clone()) {
             Ok(opened) => return Ok(opened),
-            Err(error) if is_io_error(&error) => {
-                warn!(log, "the disk can't be opened yet"; "code" => error.code(), "cause" => %error);
-                sleep(retry_interval).await;
+            Err(error) => error,
+        };
+        if is_io_error(&error) {
+            warn!(log, "the disk can't be opened yet"; "code" => error.code(), "cause" => %error);
+            if is_failed_sync(&error) {
+                mode = OpenMode::ByCopy;
             }
-            Err(error) if is_corrupt(&error) => {
-                slog::error!(log, "the disk's file is put aside"; "code" => error.code(), "cause" => %error);
-                quarantine_files(directory);
+            sleep(retry_interval).await;
+        } else if is_corrupt(&error) {
+            slog::error!(log, "the disk's file is put aside"; "code" => error.code(), "cause" => %error);
+            if let Err(error) = quarantine_files(directory) {
+                warn!(log, "the disk's file can't be put aside yet"; "code" => error.code(), "cause" => %error);
+                sleep(retry_interval).await;
             }
-            Err(error) => return Err(error),
+        } else {
+            return Err(error);
         }
     }
-    Disk::open(directory.to_path_buf(), events.clone())
+    Disk::open(directory, mode, events.clone())
 }
 
 /// Whether an operation failed, so that the contents of the disk aren't known.
 fn is_io_error(error: &ControlPlaneError) -> bool {
-    matches!(error, ControlPlaneError::Storage { source: StorageError::Io { .. } })
+    matches!(error, ControlPlaneError::Storage { source: StorageError::Io { .. } }) || is_failed_sync(error)
+}
+
+/// Whether a sync failed: the next one may be reported as done although it isn't.
+fn is_failed_sync(error: &ControlPlaneError) -> bool {
+    matches!(error, ControlPlaneError::Storage { source: StorageError::Sync { .. } })
 }
 
 /// Whether the contents were read and can't be used.
@@ -70,14 +84,15 @@
         .unwrap_or_else(|| name.with_extension(QUARANTINE_EXTENSION))
 }
 
-fn quarantine_files(directory: &Path) {
-    let Ok(entries) = std::fs::read_dir(directory) else { return };
-    for entry in entries.flatten() {
-        let name = entry.path();
-        if name.extension().is_none_or(|extension| extension != QUARANTINE_EXTENSION) {
-            let _kept = std::fs::rename(&name, unused_path(&name));
+/// Renames all files but those that were put aside before.
+fn quarantine_files(directory: &Path) -> Result<(), ControlPlaneError> {
+    for entry in std::fs::read_dir(directory).context(QuarantineSnafu { path: directory })? {
+        let path = entry.context(QuarantineSnafu { path: directory })?.path();
+        if path.extension().is_none_or(|extension| extension != QUARANTINE_EXTENSION) {
+            std::fs::rename(&path, unused_path(&path)).context(QuarantineSnafu { path: &path })?;
         }
     }
+    Ok(())
 }
 
 #[cfg(test)]
--- a/crates/control-plane/src/error.rs
+++ b/crates/control-plane/src/error.rs
@@ -1,6 +1,7 @@
 //! The errors that end a process of the control plane.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use snafu::Snafu;
 
@@ -34,6 +35,14 @@
         /// The cause.
         source: std::io::Error,
     },
+    /// A file with unsound records can't be put aside.
+    #[snafu(display("CTL-206: can't put {} aside: {source}; move it away by hand and start again", path.display()))]
+    Quarantine {
+        /// The file, or the directory that can't be read.
+        path: PathBuf,
+        /// The cause.
+        source: std::io::Error,
+    },
     /// The settings lack a value that this role needs.
     #[snafu(display("CTL-205: the settings lack {what}"))]
     Settings {
@@ -51,6 +60,7 @@
             ControlPlaneError::Thread { .. } => "CTL-203",
             ControlPlaneError::Listen { .. } => "CTL-204",
             ControlPlaneError::Settings { .. } => "CTL-205",
+            ControlPlaneError::Quarantine { .. } => "CTL-206",
         }
     }
 }
--- a/crates/control-plane/src/event.rs
+++ b/crates/control-plane/src/event.rs
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc::Sender;
 use tokio::sync::oneshot;
 
-use crate::disk::WriteResult;
+use crate::disk_message::WriteResult;
 
 /// A request to the HTTP API, answered on a channel of its own.
 pub enum ApiRequest {
--- a/crates/control-plane/src/host.rs
+++ b/crates/control-plane/src/host.rs
@@ -6,6 +6,8 @@
 mod replication;
 mod timers;
 
+pub(crate) use self::replication::{DISK_REFUSES_CODE, REWRITE_FAILS_CODE};
+
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -19,6 +21,7 @@
 use crate::disk::Disk;
 use crate::event::Event;
 use crate::fault_tolerance::ToleranceMonitor;
+use crate::log_rewriting::LogRewriting;
 use crate::operator_requests::OperatorRequests;
 use crate::peer_connections::PeerConnections;
 use crate::peers::Peers;
@@ -76,8 +79,9 @@
     homes: Vec<CoreMember>,
     leaving_since: Option<Now>,
     current: Option<CurrentConfiguration>,
-    rewritten_bytes: u64,
-    rewriting: bool,
+    log_rewriting: LogRewriting,
+    /// Whether the disk refused the last write.
+    disk_refuses: bool,
     ticks: u64,
     digest_turn: usize,
 }
@@ -99,8 +103,8 @@
             homes: Vec::new(),
             leaving_since: None,
             current: None,
-            rewritten_bytes: 0,
-            rewriting: false,
+            log_rewriting: LogRewriting::default(),
+            disk_refuses: false,
             ticks: 0,
             digest_turn: 0,
         }
--- a/crates/control-plane/src/host/api_requests.rs
+++ b/crates/control-plane/src/host/api_requests.rs
@@ -162,6 +162,8 @@
             peers_up: self.peers.up().count(),
             tolerated_losses: self.tolerance.required(),
             refused_epochs: self.components.quotas.refused_epochs(),
+            disk_healthy: self.components.disk.as_ref().map(|_| !self.components.replica.is_disk_unhealthy()),
+            rewrite_failing: self.log_rewriting.is_failing(),
         })
     }
 }
--- a/crates/control-plane/src/host/replication.rs
+++ b/crates/control-plane/src/host/replication.rs
@@ -8,16 +8,15 @@
 use slog::{error, info, warn};
 
 use super::Host;
-use crate::disk::{WriteRequest, WriteResult};
+use crate::disk_message::{WriteRequest, WriteResult};
 use crate::event::PeerMessage;
+use crate::log_rewriting::RewriteCause;
 use crate::sessions::CurrentConfiguration;
 
-/// The log is rewritten when it has grown by this factor since the last rewrite.
-const REWRITE_RATIO: u64 = 4;
-/// A shorter log isn't rewritten. In bytes.
-const MIN_REWRITE_BYTES: u64 = 2 << 20;
-/// A longer log is rewritten whatever its growth, if it has at least doubled. In bytes.
-const MAX_REWRITE_BYTES: u64 = 8 << 20;
+/// The code of a disk that refuses writes, in the log and in the status.
+pub(crate) const DISK_REFUSES_CODE: &str = "CTL-301";
+/// The code of a log that can't be rewritten, in the log and in the status.
+pub(crate) const REWRITE_FAILS_CODE: &str = "CTL-303";
 
 impl Host {
     /// Passes an input to the replica and performs its outputs.
@@ -69,30 +68,50 @@
     pub(super) fn handle_write_result(&mut self, result: WriteResult) {
         match result {
             WriteResult::Synced { write_id, bytes } => {
+                self.report_disk(Ok(()));
                 self.drive_replica(Input::Persisted(WriteId(write_id)));
-                self.rewrite_if_large(bytes);
+                self.rewrite_log_if_due(RewriteCause::Length(bytes));
             }
-            WriteResult::Failed { write_id } => {
-                warn!(self.components.log, "the disk refused a write"; "code" => "CTL-301");
+            WriteResult::Failed { write_id, cause } => {
+                self.report_disk(Err(&cause));
                 self.drive_replica(Input::WriteFailed(WriteId(write_id)));
-                self.rewrite_if_large(u64::MAX);
+                self.rewrite_log_if_due(RewriteCause::RefusedWrite);
             }
             WriteResult::Rewritten { bytes } => {
-                self.rewriting = false;
-                self.rewritten_bytes = bytes;
+                if self.log_rewriting.succeed(bytes) {
+                    info!(self.components.log, "the log on disk is rewritten again"; "bytes" => bytes);
+                }
+            }
+            WriteResult::RewriteFailed { cause } => {
+                let now = self.now();
+                if self.log_rewriting.fail(now) {
+                    warn!(self.components.log, "the log on disk can't be rewritten, it is put off";
+                        "code" => REWRITE_FAILS_CODE, "cause" => cause);
+                }
+            }
+        }
+    }
+
+    /// Logs when the disk begins to refuse writes, and when it takes them again.
+    fn report_disk(&mut self, written: Result<(), &str>) {
+        let refused = std::mem::replace(&mut self.disk_refuses, written.is_err());
+        match written {
+            Ok(()) if refused => info!(self.components.log, "the disk takes writes again"),
+            Err(cause) if !refused => {
+                warn!(self.components.log, "the disk refuses writes"; "code" => DISK_REFUSES_CODE, "cause" => cause);
             }
+            _ => {}
         }
     }
 
-    /// Rewrites a log of this many bytes if it has grown too long.
-    pub(super) fn rewrite_if_large(&mut self, bytes: u64) {
-        let threshold = (self.rewritten_bytes * REWRITE_RATIO).clamp(MIN_REWRITE_BYTES, MAX_REWRITE_BYTES);
-        if self.rewriting || bytes < threshold || bytes <= self.rewritten_bytes.saturating_mul(2) {
+    fn rewrite_log_if_due(&mut self, cause: RewriteCause) {
+        let Some(disk) = &self.components.disk else { return };
+        if !self.log_rewriting.is_due(self.started.elapsed(), cause) {
             return;
         }
         let records = self.components.replica.snapshot_records();
-        if let Some(disk) = self.components.disk.as_ref().filter(|_| !records.is_empty()) {
-            self.rewriting = disk.write(WriteRequest::Rewrite { records });
+        if disk.write(WriteRequest::Rewrite { records }) {
+            self.log_rewriting.begin();
         }
     }
 
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -2,12 +2,14 @@
 
 mod api;
 mod disk;
+mod disk_message;
 mod disk_opening;
 mod error;
 mod event;
 mod fault_tolerance;
 mod host;
 mod listener;
+mod log_rewriting;
 mod member_search;
 mod operator_requests;
 mod peer_connections;
--- a/crates/control-plane/src/status.rs
+++ b/crates/control-plane/src/status.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use crate::fault_tolerance::{bearable_losses, LOW_TOLERANCE_CODE};
+use crate::host::{DISK_REFUSES_CODE, REWRITE_FAILS_CODE};
 use crate::quotas::RefusedEpochs;
 
 /// The inputs of a status.
@@ -37,6 +38,23 @@
     pub tolerated_losses: usize,
     /// Epochs of quotas that were refused.
     pub refused_epochs: RefusedEpochs,
+    /// Whether the disk takes writes in time; `None` without a disk.
+    pub disk_healthy: Option<bool>,
+    /// The last rewrite of the log has failed.
+    pub rewrite_failing: bool,
+}
+
+impl StatusInputs<'_> {
+    /// The codes of what is wrong with this process.
+    fn warnings(&self) -> Vec<&'static str> {
+        let is_low = bearable_losses(self.replica).is_none_or(|bearable| bearable < self.tolerated_losses);
+        let conditions = [
+            (self.disk_healthy == Some(false), DISK_REFUSES_CODE),
+            (is_low, LOW_TOLERANCE_CODE),
+            (self.rewrite_failing, REWRITE_FAILS_CODE),
+        ];
+        conditions.into_iter().filter(|(holds, _)| *holds).map(|(_, code)| code).collect()
+    }
 }
 
 #[derive(Serialize)]
@@ -57,6 +75,7 @@
     peers_up: usize,
     tolerated_losses: usize,
     bearable_losses: Option<usize>,
+    disk_healthy: Option<bool>,
     /// Epochs that were refused since the start because a later one was in use.
     refused_epochs: RefusedEpochsStatus,
     /// Commands that this process declined as the head since the start, by the reason.
@@ -107,8 +126,6 @@
             in_chain: view.chain_index(member.id),
         })
         .collect();
-    let bearable_losses = bearable_losses(inputs.replica);
-    let is_low = bearable_losses.is_none_or(|bearable| bearable < inputs.tolerated_losses);
     let status = Status {
         address: inputs.address,
         zone: inputs.zone,
@@ -125,7 +142,8 @@
         tenants_owned: inputs.tenants_owned,
         peers_up: inputs.peers_up,
         tolerated_losses: inputs.tolerated_losses,
-        bearable_losses,
+        bearable_losses: bearable_losses(inputs.replica),
+        disk_healthy: inputs.disk_healthy,
         refused_epochs: RefusedEpochsStatus {
             messages_here: inputs.replica.stale_epochs_refused(),
             demands_here: inputs.refused_epochs.refused_here,
@@ -133,7 +151,7 @@
         },
         declined_commands: declined_commands(inputs.replica),
         violations: violations(inputs.replica),
-        warnings: is_low.then_some(LOW_TOLERANCE_CODE).into_iter().collect(),
+        warnings: inputs.warnings(),
     };
     serde_json::to_string(&status).unwrap_or_default()
 }
--- a/crates/control-plane/tests/hosts/support.rs
+++ b/crates/control-plane/tests/hosts/support.rs
@@ -24,6 +24,8 @@
 pub enum Machine {
     /// It has a disk and counts.
     Disk,
+    /// The same, and its disk refuses every write until it is mended.
+    RefusingDisk,
     /// It counts, and has no disk.
     Volatile,
     /// It has no disk and doesn't count.
@@ -117,6 +119,13 @@
                 std::fs::create_dir_all(&folder).unwrap();
                 format!("data_dir={}\n", folder.display())
             }
+            Machine::RefusingDisk => {
+                let folder = self.folder.join(at.to_string());
+                std::fs::create_dir_all(&self.folder).unwrap();
+                // A link to nowhere: nothing can be read or made there, whoever runs this.
+                std::os::unix::fs::symlink(self.mended_folder(at), &folder).unwrap();
+                format!("data_dir={}\n", folder.display())
+            }
             Machine::Volatile | Machine::Plain => String::new(),
         };
         let port = self.internal_port;
@@ -154,6 +163,16 @@
         process.running = Some(Running { stop, thread });
     }
 
+    /// Where a refusing disk keeps its files once it is mended.
+    fn mended_folder(&self, at: usize) -> PathBuf {
+        self.folder.join(format!("{at}-mended"))
+    }
+
+    /// From now on a refusing disk takes writes.
+    pub fn mend_disk(&self, at: usize) {
+        std::fs::create_dir(self.mended_folder(at)).unwrap();
+    }
+
     /// No process may have seen an invariant of the control state broken. One that doesn't count keeps none.
     fn check_invariants(&self, at: usize) {
         let Some(status) = self.status(at).filter(|_| !std::thread::panicking()) else { return };
--- a/crates/control-plane/tests/unit/disk_opening.rs
+++ b/crates/control-plane/tests/unit/disk_opening.rs
@@ -18,7 +18,7 @@
     fn with_identity(name: &str) -> Folder {
         let path = std::env::temp_dir().join(format!("crankpick-opening-{}-{name}", std::process::id()));
         drop(fs::remove_dir_all(&path));
-        let (mut log, _, _) = Log::open(&path).unwrap();
+        let mut log = Log::open(&path).unwrap().log;
         log.append(&[&identity().encode().unwrap()]).unwrap();
         Folder(path)
     }
@@ -68,8 +68,23 @@
 #[test]
 fn a_file_of_unsound_records_is_put_aside() {
     let folder = Folder::with_identity("unsound");
-    let (mut log, _, _) = Log::open(&folder.0).unwrap();
+    let mut log = Log::open(&folder.0).unwrap().log;
     log.append(&[b"a record of no build"]).unwrap();
     assert_eq!(folder.open().unwrap(), []);
+    // Nothing is made before there is something to store.
+    assert_eq!(folder.names(), ["records-1.1.unsound"]);
+    let mut log = Log::open(&folder.0).unwrap().log;
+    log.append(&[b"a record"]).unwrap();
     assert_eq!(folder.names(), ["records-1", "records-1.1.unsound"]);
 }
+
+#[test]
+fn files_that_cant_be_put_aside_are_told() {
+    let folder = Folder::with_identity("kept");
+    let missing = folder.0.join("missing");
+    let error = quarantine_files(&missing).unwrap_err();
+    assert_eq!(error.code(), "CTL-206");
+    assert!(error.to_string().contains("missing"), "{error}");
+    quarantine_files(&folder.0).unwrap();
+    assert_eq!(folder.names(), ["records-1.1.unsound"]);
+}
--- /dev/null
+++ b/crates/control-plane/tests/unit/log_rewriting.rs
@@ -0,0 +1,47 @@
+//! When the log is rewritten, and how a rewrite that fails is put off.
+
+use std::time::Duration;
+
+use super::{LogRewriting, RewriteCause};
+
+const MIB: u64 = 1 << 20;
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+#[test]
+fn a_log_is_rewritten_once_it_has_grown_long() {
+    let mut rewriting = LogRewriting::default();
+    assert!(!rewriting.is_due(at(1), RewriteCause::Length(2 * MIB - 1)));
+    assert!(rewriting.is_due(at(1), RewriteCause::Length(2 * MIB)));
+    rewriting.begin();
+    assert!(!rewriting.is_due(at(1), RewriteCause::Length(9 * MIB)), "one at a time");
+    assert!(!rewriting.succeed(MIB));
+    assert!(!rewriting.is_due(at(1), RewriteCause::Length(4 * MIB - 1)));
+    assert!(rewriting.is_due(at(1), RewriteCause::Length(4 * MIB)));
+    rewriting.begin();
+    rewriting.succeed(5 * MIB);
+    assert!(!rewriting.is_due(at(1), RewriteCause::Length(10 * MIB)), "it hasn't doubled");
+    assert!(rewriting.is_due(at(1), RewriteCause::Length(10 * MIB + 1)));
+}
+
+#[test]
+fn a_rewrite_that_fails_is_put_off_and_said_once() {
+    let mut rewriting = LogRewriting::default();
+    assert!(rewriting.is_due(at(1), RewriteCause::RefusedWrite));
+    rewriting.begin();
+    assert!(rewriting.fail(at(1)), "the first one is said");
+    assert!(rewriting.is_failing());
+    for second in 1..6 {
+        assert!(!rewriting.is_due(at(second), RewriteCause::RefusedWrite), "{second}");
+        assert!(!rewriting.is_due(at(second), RewriteCause::Length(100 * MIB)), "{second}");
+    }
+    assert!(rewriting.is_due(at(6), RewriteCause::RefusedWrite));
+    rewriting.begin();
+    assert!(!rewriting.fail(at(6)), "the second one isn't");
+    rewriting.begin();
+    assert!(rewriting.succeed(MIB), "its end is");
+    assert!(!rewriting.is_failing());
+    assert!(rewriting.is_due(at(6), RewriteCause::RefusedWrite));
+}
--- a/crates/control-plane/tests/unit/status.rs
+++ b/crates/control-plane/tests/unit/status.rs
@@ -11,12 +11,13 @@
 use super::{describe, StatusInputs};
 use crate::redirector::RedirectState;
 
-const STATUS_KEYS: [&str; 20] = [
+const STATUS_KEYS: [&str; 21] = [
     "address",
     "backends",
     "backends_settled",
     "bearable_losses",
     "declined_commands",
+    "disk_healthy",
     "epoch",
     "freshness_ms",
     "gateways",
@@ -79,13 +80,20 @@
 }
 
 fn status() -> Value {
+    describe_with(|_| {})
+}
+
+/// The status for inputs that are changed first.
+fn describe_with(change: impl FnOnce(&mut StatusInputs<'_>)) -> Value {
     let settings = RegistrySettings::new(Duration::from_secs(1));
-    let text = describe(&StatusInputs {
+    let replica = only_member();
+    let registry = Registry::new(Duration::ZERO, ProcessId(9), settings);
+    let mut inputs = StatusInputs {
         now: Duration::from_secs(20),
         address: address(),
         zone: "zone-a",
-        replica: &only_member(),
-        registry: &Registry::new(Duration::ZERO, ProcessId(9), settings),
+        replica: &replica,
+        registry: &registry,
         generation: Some(42),
         gateways: vec!["gateway-1".into()],
         fleet_gateways: 2,
@@ -93,8 +101,11 @@
         peers_up: 4,
         tolerated_losses: 5,
         refused_epochs: crate::quotas::RefusedEpochs::default(),
-    });
-    serde_json::from_str(&text).unwrap()
+        disk_healthy: Some(true),
+        rewrite_failing: false,
+    };
+    change(&mut inputs);
+    serde_json::from_str(&describe(&inputs)).unwrap()
 }
 
 #[test]
@@ -115,6 +126,19 @@
     assert_eq!(status["warnings"][0], "CTL-302");
 }
 
+#[test]
+fn the_status_warns_of_its_disk() {
+    let healthy = describe_with(|_| {});
+    assert_eq!(healthy["warnings"].as_array().unwrap().len(), 1);
+    let refusing = describe_with(|inputs| inputs.disk_healthy = Some(false));
+    assert_eq!(refusing["warnings"][0], "CTL-301");
+    assert_eq!(refusing["disk_healthy"], false);
+    let failing = describe_with(|inputs| inputs.rewrite_failing = true);
+    assert_eq!(failing["warnings"][1], "CTL-303");
+    let without = describe_with(|inputs| inputs.disk_healthy = None);
+    assert!(without["disk_healthy"].is_null());
+}
+
 #[test]
 fn the_status_outside_the_core_keeps_its_keys() {
     let redirect_state =
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -211,7 +211,8 @@
         !self.is_disk_unhealthy() && !self.shutting_down
     }
 
-    fn is_disk_unhealthy(&self) -> bool {
+    /// Whether the disk refuses writes, or takes too long for one.
+    pub fn is_disk_unhealthy(&self) -> bool {
         self.disk.is_unhealthy(self.now, self.options.timing.disk_sync_timeout)
     }
 
--- a/crates/storage/src/error.rs
+++ b/crates/storage/src/error.rs
@@ -9,7 +9,15 @@
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum StorageError {
-    /// The directory or a file can't be read, written or synced.
+    /// A file or a directory can't be synced. The operating system may call it synced the next time, although it isn't.
+    #[snafu(display("sync {}: {source}", path.display()))]
+    Sync {
+        /// The path of the file or directory.
+        path: PathBuf,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The directory or a file can't be read or written.
     #[snafu(display("{action} {}: {source}", path.display()))]
     Io {
         /// The operation that failed, as a verb for messages.
--- /dev/null
+++ b/crates/storage/src/opening.rs
@@ -0,0 +1,148 @@
+//! Opening a log: its records are read, and whatever an earlier process left half done is dropped.
+
+use std::io::ErrorKind;
+use std::path::{Path, PathBuf};
+
+use snafu::ResultExt;
+
+use crate::contents::{read_contents, Contents};
+use crate::directory::{file_numbers, file_path, is_temporary, sync_directory};
+use crate::error::{IoSnafu, StorageError, SyncSnafu};
+use crate::file_system::{FileSystem, OpenFile, SystemFiles};
+use crate::log::Log;
+
+/// A log that was opened.
+pub struct Opened<F: FileSystem = SystemFiles> {
+    /// The log, to be appended to.
+    pub log: Log<F>,
+    /// Its records, in order.
+    pub records: Vec<Vec<u8>>,
+    /// A torn last write that was dropped, if there was one.
+    pub dropped: Option<TornTail>,
+}
+
+impl<F: FileSystem> std::fmt::Debug for Opened<F> {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let mut text = formatter.debug_struct("Opened");
+        text.field("path", &self.log.path()).field("records", &self.records).field("dropped", &self.dropped);
+        text.finish_non_exhaustive()
+    }
+}
+
+/// A torn last write that was dropped when the log was opened. It had not been acknowledged.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TornTail {
+    /// The path of the file.
+    pub path: PathBuf,
+    /// The offset of the torn write, in bytes.
+    pub offset: u64,
+}
+
+impl Log {
+    /// Opens the log in `directory` and returns its records in order. A torn last write is dropped.
+    ///
+    /// Nothing is created before the first append: a disk that refuses all writes can be opened if nothing was stored on
+    /// it.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError::Corrupt`] if a record before the last write is corrupt; [`StorageError::Io`] if the directory or
+    /// a file can't be read or synced.
+    pub fn open(directory: &Path) -> Result<Opened, StorageError> {
+        Log::open_in(SystemFiles, directory)
+    }
+
+    /// Opens the log after an attempt that failed: the records are copied to a new file before they count as durable.
+    ///
+    /// A sync that failed may be reported as done the next time, although the disk hasn't what it was for: the operating
+    /// system drops what it couldn't write.
+    ///
+    /// # Errors
+    ///
+    /// As [`Log::open`], and [`StorageError::Io`] if the copy can't be written.
+    pub fn open_by_copy(directory: &Path) -> Result<Opened, StorageError> {
+        Log::open_by_copy_in(SystemFiles, directory)
+    }
+}
+
+impl<F: FileSystem> Log<F> {
+    /// Opens a log as [`Log::open`] does, in the given file system.
+    ///
+    /// # Errors
+    ///
+    /// As [`Log::open`].
+    pub fn open_in(files: F, directory: &Path) -> Result<Opened<F>, StorageError> {
+        let Some(newest) = newest_file(&files, directory)? else {
+            return Ok(Opened { log: Log::empty(files, directory), records: Vec::new(), dropped: None });
+        };
+        let path = file_path(directory, newest.number);
+        let mut file = files.open(&path).context(IoSnafu { action: "open", path: &path })?;
+        // A process may have ended between a write and its sync: what is read here must be durable.
+        file.sync().context(SyncSnafu { path: &path })?;
+        let opened = read_file(files, directory, newest.number, file)?;
+        opened.log.remove_files(&newest.older);
+        Ok(opened)
+    }
+
+    /// Opens a log as [`Log::open_by_copy`] does, in the given file system.
+    ///
+    /// # Errors
+    ///
+    /// As [`Log::open_by_copy`].
+    pub fn open_by_copy_in(files: F, directory: &Path) -> Result<Opened<F>, StorageError> {
+        let Some(newest) = newest_file(&files, directory)? else {
+            return Ok(Opened { log: Log::empty(files, directory), records: Vec::new(), dropped: None });
+        };
+        let path = file_path(directory, newest.number);
+        let file = files.open(&path).context(IoSnafu { action: "open", path: &path })?;
+        let mut opened = read_file(files, directory, newest.number, file)?;
+        let records: Vec<&[u8]> = opened.records.iter().map(Vec::as_slice).collect();
+        opened.log.rewrite(&records)?;
+        opened.log.remove_files(&newest.older);
+        Ok(opened)
+    }
+}
+
+/// The file in force.
+struct NewestFile {
+    number: u64,
+    /// The numbers of the files that it replaced.
+    older: Vec<u64>,
+}
+
+/// Finds the file in force, and makes its name durable: older files may be removed then, and it may be appended to. `None`
+/// if the directory is empty or doesn't exist.
+fn newest_file<F: FileSystem>(files: &F, directory: &Path) -> Result<Option<NewestFile>, StorageError> {
+    let names = match files.list_names(directory) {
+        Ok(names) => names,
+        Err(error) if error.kind() == ErrorKind::NotFound => return Ok(None),
+        Err(error) => return Err(error).context(IoSnafu { action: "list", path: directory }),
+    };
+    // Temporary files are never read, so one that a full disk refuses to remove does no harm.
+    for name in names.iter().filter(|name| is_temporary(name)) {
+        drop(files.remove(&directory.join(name)));
+    }
+    // Also where no file is left: a name that isn't there for good must not come back after a loss of power.
+    sync_directory(files, directory)?;
+    let mut older = file_numbers(&names);
+    Ok(older.pop().map(|number| NewestFile { number, older }))
+}
+
+fn read_file<F: FileSystem>(
+    files: F,
+    directory: &Path,
+    number: u64,
+    mut file: F::File,
+) -> Result<Opened<F>, StorageError> {
+    let path = file_path(directory, number);
+    let bytes = file.read_all().context(IoSnafu { action: "read", path: &path })?;
+    let Contents { records, complete_len, next_write_number } = read_contents(&path, &bytes)?;
+    let is_torn = complete_len < bytes.len();
+    let offset = complete_len as u64;
+    let dropped = is_torn.then_some(TornTail { path, offset });
+    let mut log = Log::opened(files, directory, number, file, offset, next_write_number);
+    if is_torn {
+        log.discard_torn_tail();
+    }
+    Ok(Opened { log, records, dropped })
+}
--- a/crates/storage/tests/fixtures.rs
+++ b/crates/storage/tests/fixtures.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::path::PathBuf;
 
-use crankpick_storage::Log;
+use crankpick_storage::{Log, Opened};
 use crankpick_test_support::Fixtures;
 
 const FIRST_WRITE: &[&[u8]] = &[b"alone"];
@@ -27,9 +27,9 @@
     let directory = empty_directory(&format!("read-{name}"));
     let file = directory.join(file_name);
     fs::copy(fixtures().path(name), &file).expect("copied");
-    let (log, records, report) = Log::open(&directory).expect("opened");
+    let Opened { log, records, dropped } = Log::open(&directory).expect("opened");
     assert_eq!(records, expected, "{name}");
-    assert!(report.dropped.is_none(), "{name}");
+    assert!(dropped.is_none(), "{name}");
     assert_eq!(log.path(), file);
     assert_eq!(log.size(), fs::metadata(&file).expect("there").len(), "{name}");
     fs::remove_dir_all(&directory).expect("removed");
@@ -38,7 +38,7 @@
 #[test]
 fn appended_writes_have_the_bytes_of_earlier_builds() {
     let directory = empty_directory("appended");
-    let (mut log, _, _) = Log::open(&directory).expect("opened");
+    let mut log = Log::open(&directory).expect("opened").log;
     log.append(FIRST_WRITE).expect("appended");
     log.append(SECOND_WRITE).expect("appended");
     fixtures().assert_bytes("appended.bin", &fs::read(directory.join("records-1")).expect("read"));
@@ -49,7 +49,7 @@
 #[test]
 fn a_rewritten_file_has_the_bytes_of_earlier_builds() {
     let directory = empty_directory("rewritten");
-    let (mut log, _, _) = Log::open(&directory).expect("opened");
+    let mut log = Log::open(&directory).expect("opened").log;
     log.append(FIRST_WRITE).expect("appended");
     log.rewrite(REWRITTEN).expect("rewritten");
     log.append(AFTER_REWRITE).expect("appended");
--- a/crates/storage/tests/log.rs
+++ b/crates/storage/tests/log.rs
@@ -4,7 +4,7 @@
 use std::io::Write;
 use std::path::{Path, PathBuf};
 
-use crankpick_storage::{Log, StorageError};
+use crankpick_storage::{Log, Opened, StorageError};
 
 /// A folder of its own, removed in the end.
 struct Folder(PathBuf);
@@ -28,7 +28,7 @@
 }
 
 fn records(folder: &Path) -> Vec<String> {
-    let (_, records, _) = Log::open(folder).expect("opened");
+    let records = Log::open(folder).expect("opened").records;
     texts(records)
 }
 
@@ -39,13 +39,13 @@
 #[test]
 fn what_was_appended_is_read_in_order() {
     let folder = Folder::new("order");
-    let (mut log, old, report) = Log::open(&folder.0).expect("made");
-    assert!(old.is_empty() && report.dropped.is_none());
+    let Opened { mut log, records: old, dropped } = Log::open(&folder.0).expect("made");
+    assert!(old.is_empty() && dropped.is_none());
     log.append(&[b"one", b"two"]).expect("appended");
     log.append(&[]).expect("nothing to do");
     log.append(&[b""]).expect("appended");
     drop(log);
-    let (mut log, old, _) = Log::open(&folder.0).expect("opened");
+    let Opened { mut log, records: old, .. } = Log::open(&folder.0).expect("opened");
     assert_eq!(texts(old), ["one", "two", ""]);
     log.append(&[b"three"]).expect("appended");
     assert_eq!(log.size(), fs::metadata(log.path()).expect("there").len());
@@ -55,7 +55,7 @@
 #[test]
 fn a_rewrite_stands_in_for_all_before_it() {
     let folder = Folder::new("rewrite");
-    let (mut log, _, _) = Log::open(&folder.0).expect("made");
+    let mut log = Log::open(&folder.0).expect("made").log;
     for _ in 0..100 {
         log.append(&[b"long ago"]).expect("appended");
     }
@@ -64,7 +64,7 @@
     assert!(log.size() < before / 50);
     log.append(&[b"later"]).expect("appended");
     assert_eq!(records(&folder.0), ["now", "later"]);
-    let (mut log, _, _) = Log::open(&folder.0).expect("opened");
+    let mut log = Log::open(&folder.0).expect("opened").log;
     log.rewrite(&[]).expect("rewritten");
     log.append(&[b"alone"]).expect("appended");
     assert_eq!(records(&folder.0), ["alone"]);
@@ -74,7 +74,7 @@
 #[test]
 fn a_last_write_torn_anywhere_is_dropped_whole() {
     let folder = Folder::new("torn");
-    let (mut log, _, _) = Log::open(&folder.0).expect("made");
+    let mut log = Log::open(&folder.0).expect("made").log;
     log.append(&[b"kept"]).expect("appended");
     let kept = log.size();
     log.append(&[b"first of two", b"second of two"]).expect("appended");
@@ -82,9 +82,9 @@
     let path = log.path().to_path_buf();
     for end in kept as usize..whole.len() {
         fs::write(&path, &whole[..end]).expect("torn");
-        let (mut log, old, report) = Log::open(&folder.0).expect("opened");
+        let Opened { mut log, records: old, dropped } = Log::open(&folder.0).expect("opened");
         assert_eq!(texts(old), ["kept"], "cut at {end}");
-        let offset = report.dropped.map(|torn| torn.offset);
+        let offset = dropped.map(|torn| torn.offset);
         assert_eq!(offset, (end as u64 > kept).then_some(kept));
         log.append(&[b"after"]).expect("appended");
         assert_eq!(records(&folder.0), ["kept", "after"]);
@@ -94,7 +94,7 @@
 #[test]
 fn a_last_write_with_a_hole_is_dropped_whole() {
     let folder = Folder::new("hole");
-    let (mut log, _, _) = Log::open(&folder.0).expect("made");
+    let mut log = Log::open(&folder.0).expect("made").log;
     log.append(&[b"kept"]).expect("appended");
     let kept = log.size() as usize;
     log.append(&[b"first of two", b"second of two"]).expect("appended");
@@ -113,7 +113,7 @@
 #[test]
 fn an_unsound_record_before_a_later_write_is_named() {
     let folder = Folder::new("unsound");
-    let (mut log, _, _) = Log::open(&folder.0).expect("made");
+    let mut log = Log::open(&folder.0).expect("made").log;
     log.append(&[b"kept"]).expect("appended");
     let kept = log.size();
     log.append(&[b"acknowledged"]).expect("appended");
@@ -134,7 +134,7 @@
 #[test]
 fn a_crash_at_any_step_of_a_rewrite_loses_nothing() {
     let folder = Folder::new("steps");
-    let (mut log, _, _) = Log::open(&folder.0).expect("made");
+    let mut log = Log::open(&folder.0).expect("made").log;
     log.append(&[b"old"]).expect("appended");
     let old = fs::read(log.path()).expect("read");
     log.rewrite(&[b"new"]).expect("rewritten");
@@ -157,7 +157,7 @@
 #[test]
 fn a_failed_rewrite_leaves_the_old_records() {
     let folder = Folder::new("failed");
-    let (mut log, _, _) = Log::open(&folder.0).expect("made");
+    let mut log = Log::open(&folder.0).expect("made").log;
     log.append(&[b"old"]).expect("appended");
     // A folder of that name makes the new file impossible.
     fs::create_dir(folder.0.join("records-2.new")).expect("made");
@@ -172,15 +172,15 @@
 #[test]
 fn what_a_refused_write_left_is_cut_off() {
     let folder = Folder::new("cut");
-    let (mut log, _, _) = Log::open(&folder.0).expect("made");
+    let mut log = Log::open(&folder.0).expect("made").log;
     log.append(&[b"kept"]).expect("appended");
     let end = log.size();
     let mut file = OpenOptions::new().append(true).open(log.path()).expect("opened");
     file.write_all(b"half a record").expect("written");
     drop(log);
-    let (mut log, old, report) = Log::open(&folder.0).expect("opened");
+    let Opened { mut log, records: old, dropped } = Log::open(&folder.0).expect("opened");
     assert_eq!(texts(old), ["kept"]);
-    assert_eq!(report.dropped.map(|torn| torn.offset), Some(end));
+    assert_eq!(dropped.map(|torn| torn.offset), Some(end));
     log.append(&[b"next"]).expect("appended");
     assert_eq!(records(&folder.0), ["kept", "next"]);
 }
@@ -188,7 +188,7 @@
 #[test]
 fn a_record_too_long_is_refused_and_nothing_is_written() {
     let folder = Folder::new("long");
-    let (mut log, _, _) = Log::open(&folder.0).expect("made");
+    let mut log = Log::open(&folder.0).expect("made").log;
     let long = vec![0; (32 << 20) + 1];
     assert!(matches!(log.append(&[&long]), Err(StorageError::RecordTooLong { .. })));
     assert_eq!(log.size(), 0);
--- a/crates/storage/tests/power_loss.rs
+++ b/crates/storage/tests/power_loss.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
-use crankpick_storage::{FileSystem, Log, OpenFile};
+use crankpick_storage::{FileSystem, Log, OpenFile, Opened};
 
 const FOLDER: &str = "/data/role";
 
@@ -323,7 +323,7 @@
 
 /// One process: opens the log, and appends and rewrites until it ends. False if the log couldn't be opened.
 fn live(disk: &Rc<RefCell<Disk>>, expected: &mut Expected, life: u64) -> bool {
-    let Ok((mut log, records, _)) = Log::open_in(Files(disk.clone()), Path::new(FOLDER)) else {
+    let Ok(Opened { mut log, records, .. }) = Log::open_in(Files(disk.clone()), Path::new(FOLDER)) else {
         return false;
     };
     let read = texts(records);
