Control: an operator may say that a machine is gone for good

Cause: a head whose chain is too short for `tolerate.nodes` waits for each machine with a disk that it has heard of. One that was gone for good before it had a vote kept a core of one machine from taking commands until it was restarted. Change: `DELETE /v1/machines/ADDRESS` and `crankpick-system gone`. The head stores the word (a record of its own, `MachineGone`, written only when used) before it answers; it ends when a process announces itself there. No clock drops a silent machine. Earlier builds can't read a file with that record; without it files are as before. What a process has heard of is still kept in memory only. Tests: `departure` of control (waits 60 s, then the word; power lost three times and rewrites; comes back; refusals), one over HTTP, bytes of the record in the fixtures, whose other lines are unchanged. The first assertion is the old behaviour.

--- a/crates/control-plane/src/api.rs
+++ b/crates/control-plane/src/api.rs
@@ -4,16 +4,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use crankpick_control::Departure;
 use crankpick_registry::{Heartbeat, HeartbeatError};
 use poem::http::{header, StatusCode};
 use poem::web::{Data, Path};
-use poem::{get, handler, put, Body, EndpointExt, Request, Response, Route};
+use poem::{delete, get, handler, put, Body, EndpointExt, Request, Response, Route};
 use serde_json::json;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use crate::event::{ApiRequest, Event, GetResponse, HeartbeatResponse, PutResponse};
+use crate::event::{ApiRequest, DepartureResponse, Event, GetResponse, HeartbeatResponse, PutResponse};
 
 /// The longest request body accepted for a configuration, in bytes.
 pub(crate) const MAX_CONFIGURATION_BYTES: usize = 8 << 20;
@@ -51,6 +52,7 @@
     Route::new()
         .at("/v1/config", get(get_configuration).put(put_configuration).patch(patch_configuration))
         .at("/v1/instances/:id", put(put_instance).delete(delete_instance))
+        .at("/v1/machines/:address", delete(declare_gone))
         .at("/v1/status", get(get_status))
         .data(api)
 }
@@ -109,7 +111,7 @@
             error_response(StatusCode::PRECONDITION_FAILED, "CTL-104", "another version is in place")
         }
         Some(PutResponse::Invalid(reason)) => error_response(StatusCode::BAD_REQUEST, "CTL-105", &reason),
-        Some(PutResponse::Redirect(peer)) => redirect(peer, api.port),
+        Some(PutResponse::Redirect(peer)) => redirect(peer, api.port, "/v1/config"),
         Some(PutResponse::Unknown) | None => retry_later("the change may be taken or not; send it again"),
     }
 }
@@ -130,13 +132,13 @@
         Some(GetResponse::NotFound) => {
             error_response(StatusCode::NOT_FOUND, "CTL-106", "no configuration was taken yet")
         }
-        Some(GetResponse::Redirect(peer)) => redirect(peer, api.port),
+        Some(GetResponse::Redirect(peer)) => redirect(peer, api.port, "/v1/config"),
         Some(GetResponse::Unknown) | None => retry_later("the newest version is not known here; ask again"),
     }
 }
 
-fn redirect(peer: SocketAddr, port: u16) -> Response {
-    let location = format!("http://{}:{port}/v1/config", peer.ip());
+fn redirect(peer: SocketAddr, port: u16, path: &str) -> Response {
+    let location = format!("http://{}:{port}{path}", peer.ip());
     Response::builder().status(StatusCode::TEMPORARY_REDIRECT).header(header::LOCATION, location).finish()
 }
 
@@ -177,6 +179,27 @@
     heartbeat_response(api.send_request(HEARTBEAT_TIMEOUT, |reply| ApiRequest::Leave { id, reply }).await)
 }
 
+#[handler]
+async fn declare_gone(Path(address): Path<String>, api: Data<&Api>) -> Response {
+    let Ok(machine) = address.parse() else {
+        return error_response(StatusCode::BAD_REQUEST, "CTL-114", "not an address with a port");
+    };
+    let request = |reply| ApiRequest::MachineGone { address: machine, reply };
+    match api.send_request(CHANGE_TIMEOUT, request).await {
+        Some(DepartureResponse::Answered(Departure::Recorded)) => json_body(StatusCode::OK, "{}"),
+        Some(DepartureResponse::Answered(Departure::StillHere)) => {
+            error_response(StatusCode::CONFLICT, "CTL-112", "the machine votes, or is heard: it isn't gone")
+        }
+        Some(DepartureResponse::Answered(Departure::UnknownMachine)) => {
+            error_response(StatusCode::NOT_FOUND, "CTL-113", "nothing is known of a machine at this address")
+        }
+        Some(DepartureResponse::Redirect(head)) => {
+            redirect(head, api.port, &format!("/v1/machines/{machine}"))
+        }
+        Some(DepartureResponse::Unknown) | None => retry_later("no head is known; send it again"),
+    }
+}
+
 #[handler]
 async fn get_status(api: Data<&Api>) -> Response {
     match api.send_request(HEARTBEAT_TIMEOUT, |reply| ApiRequest::Status { reply }).await {
--- a/crates/control-plane/src/event.rs
+++ b/crates/control-plane/src/event.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use crankpick_control::Departure;
 use crankpick_protocol::{GatewayIdentity, GatewayReport, HomeUpdate, TenantDemand, TenantGrant};
 use crankpick_registry::{Announcement, Digest, Heartbeat, HeartbeatError, ProcessId};
 use serde::{Deserialize, Serialize};
@@ -52,6 +53,13 @@
         /// The channel for the response.
         reply: oneshot::Sender<HeartbeatResponse>,
     },
+    /// Declares that a machine is gone for good.
+    MachineGone {
+        /// The internal address of the machine.
+        address: SocketAddr,
+        /// The channel for the response.
+        reply: oneshot::Sender<DepartureResponse>,
+    },
     /// Reads the status of this process, as JSON.
     Status {
         /// The channel for the response.
@@ -85,6 +93,17 @@
     Unknown,
 }
 
+/// The response to an operator who declares a machine to be gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DepartureResponse {
+    /// The answer of the head.
+    Answered(Departure),
+    /// The process at this address is the head.
+    Redirect(SocketAddr),
+    /// No head is known or reachable: the caller should retry.
+    Unknown,
+}
+
 /// The response to a read of the configuration.
 #[derive(Clone, Debug, PartialEq)]
 pub enum GetResponse {
--- a/crates/control-plane/src/host/api_requests.rs
+++ b/crates/control-plane/src/host/api_requests.rs
@@ -1,5 +1,7 @@
 //! Handles requests of the operator and of backends.
 
+use std::net::SocketAddr;
+
 use crankpick_configuration::{ConfigurationError, Patch};
 use crankpick_control::{Command, Input};
 use crankpick_registry::{Announcement, HeartbeatError, HeartbeatState, RegistrationOutcome};
@@ -7,7 +9,7 @@
 
 use super::Host;
 use crate::api::MAX_CONFIGURATION_BYTES;
-use crate::event::{ApiRequest, HeartbeatResponse, PutResponse};
+use crate::event::{ApiRequest, DepartureResponse, HeartbeatResponse, PutResponse};
 use crate::operator_requests::{next_patch_action, PatchAction, PendingPatch};
 use crate::quorum::Quorum;
 
@@ -31,6 +33,7 @@
                 let heard = self.components.registry.leave(now, &id);
                 self.answer_heartbeat(&id, heard, true, reply);
             }
+            ApiRequest::MachineGone { address, reply } => self.declare_gone(address, reply),
             ApiRequest::Status { reply } => {
                 let _caller_gone = reply.send(self.status());
             }
@@ -68,6 +71,23 @@
         }
     }
 
+    /// Gives an operator's word that a machine is gone to the replica if this process is the head, and sends the operator
+    /// there otherwise: only the head lets commands wait for machines.
+    fn declare_gone(&mut self, address: SocketAddr, reply: oneshot::Sender<DepartureResponse>) {
+        let replica = &self.components.replica;
+        let Some(head) = replica.view().head().and_then(|id| replica.view().member(id)) else {
+            let _caller_gone = reply.send(DepartureResponse::Unknown);
+            return;
+        };
+        if head.id != replica.id() {
+            let _caller_gone = reply.send(DepartureResponse::Redirect(head.address));
+            return;
+        }
+        if let Some(key) = self.operator_requests.begin_departure(reply) {
+            self.drive_replica(Input::MachineGone { key, address });
+        }
+    }
+
     /// Processes the deferred patches again.
     pub(super) fn drive_patches(&mut self) {
         for pending in self.operator_requests.take_patches() {
--- a/crates/control-plane/src/host/replication.rs
+++ b/crates/control-plane/src/host/replication.rs
@@ -34,6 +34,9 @@
                 Output::Send { to, message } => self.send_message(to, message),
                 Output::Persist { write_id, records } => self.persist(write_id, records),
                 Output::Answer { key, outcome } => self.operator_requests.finish_command(key, outcome),
+                Output::DepartureAnswer { key, departure } => {
+                    self.operator_requests.finish_departure(key, departure);
+                }
                 Output::Committed(entry) => self.apply_committed(&entry),
                 Output::ViewChanged(view) => self.apply_view(&view),
                 Output::Violation(violation) => self.report_violation(&violation),
--- a/crates/control-plane/src/operator_requests.rs
+++ b/crates/control-plane/src/operator_requests.rs
@@ -6,10 +6,10 @@
 
 use bytes::Bytes;
 use crankpick_configuration::Patch;
-use crankpick_control::{Command, CommandId, Entry, Now, Outcome, Replica};
+use crankpick_control::{Command, CommandId, Departure, Entry, Now, Outcome, Replica};
 use tokio::sync::oneshot;
 
-use crate::event::{GetResponse, PutResponse};
+use crate::event::{DepartureResponse, GetResponse, PutResponse};
 
 /// A read that can't be answered by then fails: callers move on to another process after a second.
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
@@ -19,6 +19,8 @@
 const MAX_COMMANDS: usize = 256;
 /// The most reads in flight.
 const MAX_READS: usize = 256;
+/// The most declarations that machines are gone, in flight.
+const MAX_DEPARTURES: usize = 32;
 /// The most patches that wait for their base.
 const MAX_DEFERRED_PATCHES: usize = 32;
 
@@ -29,6 +31,7 @@
     last_key: u64,
     reads: Vec<PendingRead>,
     patches: Vec<PendingPatch>,
+    departures: BTreeMap<CommandId, oneshot::Sender<DepartureResponse>>,
 }
 
 /// A patch whose base version is not known here yet.
@@ -83,6 +86,27 @@
         Some(key)
     }
 
+    /// Registers an operator's word that a machine is gone, to be given to the replica under the returned key. `None` if too
+    /// many wait.
+    pub fn begin_departure(&mut self, reply: oneshot::Sender<DepartureResponse>) -> Option<CommandId> {
+        self.departures.retain(|_, waiting| !waiting.is_closed());
+        if self.departures.len() >= MAX_DEPARTURES {
+            let _caller_gone = reply.send(DepartureResponse::Unknown);
+            return None;
+        }
+        self.last_key += 1;
+        let key = CommandId(self.last_key);
+        self.departures.insert(key, reply);
+        Some(key)
+    }
+
+    /// Answers an operator's word that a machine is gone.
+    pub fn finish_departure(&mut self, key: CommandId, departure: Departure) {
+        if let Some(reply) = self.departures.remove(&key) {
+            let _caller_gone = reply.send(DepartureResponse::Answered(departure));
+        }
+    }
+
     /// Fails the commands that can't be answered for lack of a majority. They may still be committed.
     pub fn expire_commands(&mut self, now: Now, replica: &Replica) {
         if self.commands.is_empty() || replica.view().epoch == 0 || replica.reaches_majority() {
--- a/crates/control-plane/tests/hosts/main.rs
+++ b/crates/control-plane/tests/hosts/main.rs
@@ -1,5 +1,6 @@
 //! Processes of the control plane on loopback addresses, called over HTTP.
 
+mod departures;
 mod disks;
 mod isolation;
 mod orders;
--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -4,7 +4,7 @@
 
 use crate::message::{Body, Sender};
 use crate::record::{Record, RecordBody};
-use crate::types::{EntryId, Now, WriteId};
+use crate::types::{CommandId, EntryId, Now, WriteId};
 
 /// What follows once records are synced.
 #[derive(Clone, Debug)]
@@ -17,6 +17,8 @@
     ViewEntered { epoch: u64 },
     /// This process's identity is synced.
     Identified,
+    /// An operator's word that a machine is gone is synced.
+    DepartureStored { key: CommandId },
 }
 
 /// A write that the host is carrying out.
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -24,6 +24,13 @@
         /// The command.
         command: Arc<Command>,
     },
+    /// An operator declares that the machine with this internal address is gone for good.
+    MachineGone {
+        /// The host's id for the declaration, repeated in the answer.
+        key: CommandId,
+        /// The internal address of the machine.
+        address: SocketAddr,
+    },
     /// The settings name other seeds.
     SeedsChanged(Vec<SocketAddr>),
     /// Another process of the core has announced itself at this address.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -36,7 +36,7 @@
 pub use record::{Record, RecordBody, RecordError, Snapshot};
 pub use replica::Replica;
 pub use types::{
-    Ballot, Command, CommandId, Entry, EntryHeader, EntryId, Member, MemberId, Now, Outcome, Rank,
+    Ballot, Command, CommandId, Departure, Entry, EntryHeader, EntryId, Member, MemberId, Now, Outcome, Rank,
     StateTransfer, View, WriteId,
 };
 
--- a/crates/control/src/output.rs
+++ b/crates/control/src/output.rs
@@ -7,7 +7,7 @@
 use crate::invariant::Violation;
 use crate::message::{Body, Message, Sender};
 use crate::record::Record;
-use crate::types::{CommandId, Entry, MemberId, Outcome, View, WriteId};
+use crate::types::{CommandId, Departure, Entry, MemberId, Outcome, View, WriteId};
 
 /// An action for the host.
 #[derive(Clone, Debug)]
@@ -34,6 +34,13 @@
         /// The result.
         outcome: Outcome,
     },
+    /// The answer to an operator who declared a machine to be gone.
+    DepartureAnswer {
+        /// The host's id for the declaration.
+        key: CommandId,
+        /// The answer.
+        departure: Departure,
+    },
     /// The newest entry known to be committed has changed.
     Committed(Arc<Entry>),
     /// The replica has entered another view.
--- a/crates/control/src/record.rs
+++ b/crates/control/src/record.rs
@@ -66,6 +66,13 @@
     Committed(EntryId),
     /// The complete durable state as of this record's number.
     Snapshot(Box<Snapshot>),
+    /// An operator declared a machine to be gone for good. Builds before this variant can't read it.
+    MachineGone {
+        /// The machine's internal address.
+        address: SocketAddr,
+        /// The id of the process that was known there, if any.
+        id: Option<MemberId>,
+    },
     /// Committed entries that a replica outside the chain lacked.
     CaughtUp {
         /// The entries.
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -8,6 +8,7 @@
 mod checks;
 mod command_handling;
 mod confirmation;
+mod departure;
 mod fencing;
 mod heartbeats;
 mod joining;
@@ -37,7 +38,7 @@
 use crate::proposer::Proposer;
 use crate::record::{Record, RecordBody};
 use crate::state::State;
-use crate::types::{Entry, MemberId, Now, View, WriteId};
+use crate::types::{Departure, Entry, MemberId, Now, View, WriteId};
 
 /// A process of the core: a replica of the chain, a member outside it, or a follower.
 #[derive(Clone, Debug)]
@@ -155,6 +156,7 @@
             Input::Persisted(write) => self.on_persisted(write),
             Input::WriteFailed(write) => self.disk.write_failed(self.now, write),
             Input::Submit { key, command } => self.submit(key, command),
+            Input::MachineGone { key, address } => self.declare_gone(key, address),
             Input::SeedsChanged(seeds) => self.options.seeds = seeds,
             Input::PeerDiscovered(address) => self.hello_if_isolated(address),
             Input::EpochUsed { address, epoch } => self.on_epoch_used(address, epoch),
@@ -243,6 +245,10 @@
             Effect::EntrySynced { epoch, id } => self.on_entry_synced(epoch, id),
             Effect::ViewEntered { epoch } => self.on_view_entry_synced(epoch),
             Effect::Identified => self.discovery.identified = true,
+            Effect::DepartureStored { key } => {
+                let departure = Departure::Recorded;
+                self.outbox.push(Output::DepartureAnswer { key, departure });
+            }
         }
     }
 }
--- a/crates/control/src/replica/joining.rs
+++ b/crates/control/src/replica/joining.rs
@@ -117,20 +117,22 @@
 
     /// The number of machines that could be replicas, as far as this process knows: the members, those that announced
     /// themselves, and, in a process that took part in the bootstrap, the seeds that haven't. Where any has a disk, only
-    /// those with one count.
+    /// those with one count. One that is only silent counts: it may hold the newest state, or come back. It ceases to
+    /// count once an operator declares it to be gone.
     pub(super) fn possible_replicas(&self) -> usize {
         let members = self.view.members.iter().map(|member| (member.address, member.durable));
         let own = (self.options.address, self.options.durable);
-        let known: Vec<(SocketAddr, bool)> =
-            members.chain(self.discovery.known_machines()).chain([own]).collect();
-        let any_durable = known.iter().any(|(_, durable)| *durable);
-        let mut machines: BTreeSet<SocketAddr> = known
+        let known = self.discovery.known_machines().map(|machine| (machine.address, machine.durable));
+        let candidates: Vec<(SocketAddr, bool)> = members.chain(known).chain([own]).collect();
+        let any_durable = candidates.iter().any(|(_, durable)| *durable);
+        let mut machines: BTreeSet<SocketAddr> = candidates
             .iter()
             .filter(|(_, durable)| *durable || !any_durable)
             .map(|(address, _)| *address)
             .collect();
         if self.discovery.first_start {
-            machines.extend(self.electorate());
+            let expected = self.electorate().into_iter();
+            machines.extend(expected.filter(|seed| !self.discovery.is_gone(*seed)));
         }
         machines.len()
     }
--- a/crates/control/src/replica/restore.rs
+++ b/crates/control/src/replica/restore.rs
@@ -22,7 +22,12 @@
             headers: self.state.headers(),
             entries: self.state.entries(),
         };
-        vec![Record { number: self.disk.number, body: RecordBody::Snapshot(Box::new(snapshot)) }]
+        // Records of their own, so that a snapshot without any can be read by earlier builds. They follow the snapshot:
+        // what has its number is skipped by none that knows them.
+        let gone = self.discovery.gone_machines();
+        let gone = gone.map(|(address, id)| RecordBody::MachineGone { address, id });
+        let bodies = std::iter::once(RecordBody::Snapshot(Box::new(snapshot))).chain(gone);
+        bodies.map(|body| Record { number: self.disk.number, body }).collect()
     }
 
     /// Replays records in order. A snapshot holds all up to its number: lower ones after it are skipped, and so is an
@@ -30,7 +35,7 @@
     pub(super) fn replay(&mut self, records: Vec<Record>) {
         for record in records {
             let is_superseded = match record.body {
-                RecordBody::Snapshot(_) => record.number < self.disk.number,
+                RecordBody::Snapshot(_) | RecordBody::MachineGone { .. } => record.number < self.disk.number,
                 _ => record.number <= self.disk.number,
             };
             if is_superseded {
@@ -61,6 +66,7 @@
             RecordBody::Appended { entry } => self.state.append(entry),
             RecordBody::Committed(id) => self.replay_committed(id),
             RecordBody::Snapshot(snapshot) => self.replay_snapshot(*snapshot),
+            RecordBody::MachineGone { address, id } => self.discovery.record_gone(address, id),
             RecordBody::CaughtUp { transfer } => {
                 self.state.install(&transfer);
                 self.replay_committed(self.state.last());
--- a/crates/control/src/types.rs
+++ b/crates/control/src/types.rs
@@ -110,6 +110,17 @@
     }
 }
 
+/// The answer to an operator who declares a machine to be gone for good.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Departure {
+    /// It is stored, and commands don't wait for that machine any more.
+    Recorded,
+    /// The machine votes, or is heard: nothing is changed.
+    StillHere,
+    /// Nothing is known of such a machine: nothing is changed.
+    UnknownMachine,
+}
+
 /// The number of a proposal in one Paxos instance. Ballots are compared by their fields in order.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Ballot {
--- a/crates/control/tests/serialized_form.rs
+++ b/crates/control/tests/serialized_form.rs
@@ -144,6 +144,8 @@
         ("Snapshot", RecordBody::Snapshot(Box::new(snapshot))),
         ("Snapshot-bare", RecordBody::Snapshot(Box::new(bare_snapshot))),
         ("CaughtUp", RecordBody::CaughtUp { transfer: transfer() }),
+        ("MachineGone", RecordBody::MachineGone { address: address(4), id: Some(MemberId(0xa4)) }),
+        ("MachineGone-unknown", RecordBody::MachineGone { address: address(6), id: None }),
     ]
 }
 
@@ -159,6 +161,7 @@
         RecordBody::Committed(_) => 6,
         RecordBody::Snapshot(_) => 7,
         RecordBody::CaughtUp { .. } => 8,
+        RecordBody::MachineGone { .. } => 9,
     }
 }
 
@@ -263,7 +266,7 @@
 #[test]
 fn records_keep_their_stored_bytes() {
     let bodies = record_bodies();
-    assert_all_sampled(bodies.iter().map(|(_, body)| record_variant(body)), 9);
+    assert_all_sampled(bodies.iter().map(|(_, body)| record_variant(body)), 10);
     let records = bodies.into_iter().zip(101..);
     check("records.hex", records.map(|((name, body), number)| (name, Record { number, body })).collect());
 }
--- a/crates/control/tests/simulation/checks.rs
+++ b/crates/control/tests/simulation/checks.rs
@@ -31,9 +31,16 @@
     pub views_changed: u64,
     pub refusals: u64,
     pub fences: Fences,
+    /// How many messages each process has sent that reached their receiver.
+    pub delivered: HashMap<usize, u64>,
 }
 
 impl Checks {
+    /// How many messages of a process have reached their receivers.
+    pub fn messages_of(&self, place: usize) -> u64 {
+        self.delivered.get(&place).copied().unwrap_or_default()
+    }
+
     pub fn breach(&mut self, text: String) {
         if self.breaches.len() < 8 {
             self.breaches.push(text);
--- a/crates/control/tests/simulation/mod.rs
+++ b/crates/control/tests/simulation/mod.rs
@@ -18,7 +18,8 @@
 use std::time::Duration;
 
 use crankpick_control::{
-    Body, Command, CommandId, EntryHeader, Input, Message, Outcome, Output, Record, Replica, Timing, WriteId,
+    Body, Command, CommandId, Departure, EntryHeader, Input, Message, Outcome, Output, Record, Replica,
+    Timing, WriteId,
 };
 
 use checks::Checks;
@@ -131,6 +132,8 @@
     pub messages: u64,
     /// All answers.
     pub heard: Vec<(CommandId, Outcome)>,
+    /// All answers to operators who declared machines to be gone.
+    pub departures: Vec<(CommandId, Departure)>,
     /// Prints what happens.
     pub verbose: bool,
     /// Those that stay down or sick at the end.
@@ -169,6 +172,7 @@
             operators: Operators::default(),
             messages: 0,
             heard: Vec::new(),
+            departures: Vec::new(),
             verbose: std::env::var_os("CONTROL_VERBOSE").is_some(),
             left_out: Vec::new(),
             lost_disks: Vec::new(),
@@ -375,6 +379,9 @@
                 let bytes = rmp_serde::to_vec(&message).expect("encoded");
                 let message: Message = rmp_serde::from_slice(&bytes).expect("decoded");
                 self.note_refusal(node, &message);
+                if let Some(sender) = self.addresses.get(&message.sender.address) {
+                    *self.checks.delivered.entry(*sender).or_default() += 1;
+                }
                 self.input(node, Input::Message(message));
             }
             Event::Persisted { node, life, write_id, refused } if life == self.nodes[node].life => {
@@ -437,6 +444,7 @@
                     self.heard.push((key, outcome));
                     self.operator_answered(place, key, outcome);
                 }
+                Output::DepartureAnswer { key, departure } => self.departures.push((key, departure)),
                 Output::Committed(entry) => {
                     assert!(!entry.command.is_inquiry(), "an inquiry was taken for a change");
                     self.check_durable(&entry);
--- a/crates/control/tests/unit/model.rs
+++ b/crates/control/tests/unit/model.rs
@@ -133,7 +133,7 @@
                     self.input(place, Input::Persisted(write_id));
                 }
                 Output::Answer { outcome: Outcome::Committed, key } => self.acknowledged.push(key.0),
-                Output::Answer { .. } => {}
+                Output::Answer { .. } | Output::DepartureAnswer { .. } => {}
                 Output::Committed(entry) => {
                     let known = *self.committed.entry(entry.id.position).or_insert(entry.id);
                     if known != entry.id {
--- a/crates/system/src/cli.rs
+++ b/crates/system/src/cli.rs
@@ -9,7 +9,7 @@
 use slog::Logger;
 use snafu::{ensure, ResultExt};
 
-use crate::error::{InvalidConfigurationSnafu, NoStatusSnafu, SystemError};
+use crate::error::{InvalidConfigurationSnafu, NoStatusSnafu, NotTakenSnafu, SystemError};
 use crate::signals;
 
 /// How long a process may take to answer `status`.
@@ -63,6 +63,8 @@
     Check(Check),
     /// Say how things stand at a process of the control plane
     Status(Status),
+    /// Declare that a machine of the control plane is gone for good, so that nothing waits for it any more
+    Gone(Gone),
 }
 
 /// Arguments of a role.
@@ -96,6 +98,16 @@
     at: SocketAddr,
 }
 
+/// Arguments of `gone`.
+#[derive(Args)]
+pub struct Gone {
+    /// The control address of any process of the control plane
+    #[arg(long, value_name = "ADDRESS")]
+    at: SocketAddr,
+    /// The internal address of the machine that is gone: its ip, and the first port of its port_range
+    machine: SocketAddr,
+}
+
 /// Runs a process of the control plane.
 pub fn control_plane((path, settings): &(PathBuf, Settings), log: Logger) -> Result<(), SystemError> {
     let runtime = signals::runtime()?;
@@ -158,6 +170,21 @@
     Ok(())
 }
 
+/// Declares that a machine is gone.
+pub fn gone(gone: &Gone) -> Result<(), SystemError> {
+    let runtime = signals::runtime()?;
+    let url = format!("http://{}/v1/machines/{}", gone.at, gone.machine);
+    let answer: Result<(reqwest::StatusCode, String), reqwest::Error> = runtime.block_on(async {
+        let client = reqwest::Client::builder().timeout(STATUS_TIMEOUT).build()?;
+        let response = client.delete(url).send().await?;
+        Ok((response.status(), response.text().await?))
+    });
+    let (status, text) = answer.context(NoStatusSnafu)?;
+    ensure!(status.is_success(), NotTakenSnafu { text });
+    println!("{}: nothing waits for it any more", gone.machine);
+    Ok(())
+}
+
 #[cfg(test)]
 #[path = "../tests/unit/cli.rs"]
 mod tests;
--- a/crates/system/src/error.rs
+++ b/crates/system/src/error.rs
@@ -56,6 +56,12 @@
         /// The host's error.
         source: ControlPlaneError,
     },
+    /// A process of the control plane refused a request.
+    #[snafu(display("SYS-110: not taken: {text}"))]
+    NotTaken {
+        /// The body of the answer, with a code of its own.
+        text: String,
+    },
     /// An operator's configuration isn't valid.
     #[snafu(display("{}", one_a_line(findings)))]
     InvalidConfiguration {
--- a/crates/system/src/main.rs
+++ b/crates/system/src/main.rs
@@ -35,5 +35,6 @@
         Command::ControlPlane(role) => cli::control_plane(&role.settings()?, log),
         Command::Check(check) => cli::check(check),
         Command::Status(status) => cli::status(status),
+        Command::Gone(gone) => cli::gone(gone),
     }
 }
