Control plane: refusals that arrive, grants that aren't dropped, answers at the end, codes for unreadable configurations

Cause: a refusal of `If-Match` or of the length came before the body was read, and was lost with its connection where an operator still sent; a grant for a gateway whose queue was full was dropped while it stayed reserved; commands, patches and reads under way at a process's end got no answer; a configuration that can't be read was logged without a code, by the control plane and by a gateway. Tests: 8 refusals of each kind over bodies of 12 and 4 MiB (on the old code the first finds no answer), a session whose queue is full.

--- a/crates/control-plane/src/api.rs
+++ b/crates/control-plane/src/api.rs
@@ -3,13 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use crankpick_control::Departure;
 use crankpick_registry::{Heartbeat, HeartbeatError};
 use poem::http::{header, StatusCode};
 use poem::web::{Data, Path};
 use poem::{delete, get, handler, put, Body, EndpointExt, Request, Response, Route};
 use serde_json::json;
+use tokio::io::AsyncReadExt;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -18,6 +19,8 @@
 
 /// The longest request body accepted for a configuration, in bytes.
 pub(crate) const MAX_CONFIGURATION_BYTES: usize = 8 << 20;
+/// A body that is too long is read up to here, so that its sender gets the answer. In bytes.
+const MAX_READ_BYTES: u64 = 32 << 20;
 /// The longest request body accepted for a heartbeat, in bytes.
 const MAX_HEARTBEAT_BYTES: usize = 64 << 10;
 /// The longest that a request for the configuration waits for its answer. Callers move on to another process after a
@@ -95,10 +98,12 @@
     api: &Api,
     request: impl FnOnce(u64, Bytes, oneshot::Sender<PutResponse>) -> ApiRequest,
 ) -> Response {
+    // Whatever is wrong, the body is read first: an answer over unread bytes may be lost with its connection.
+    let body = read_body(body, MAX_CONFIGURATION_BYTES).await;
     let Some(if_match) = if_match(http_request) else {
         return error_response(StatusCode::BAD_REQUEST, "CTL-102", "If-Match names no version");
     };
-    let Ok(body) = body.into_bytes_limit(MAX_CONFIGURATION_BYTES).await else {
+    let Some(body) = body else {
         return error_response(
             StatusCode::PAYLOAD_TOO_LARGE,
             "CTL-103",
@@ -116,6 +121,20 @@
     }
 }
 
+/// Reads a body to its end, however long it is up to a bound. `None` if it is longer than `max_bytes`, or was cut short.
+async fn read_body(body: Body, max_bytes: usize) -> Option<Bytes> {
+    let mut reader = body.into_async_read().take(MAX_READ_BYTES);
+    let mut bytes = BytesMut::new();
+    let mut is_too_long = false;
+    while reader.read_buf(&mut bytes).await.ok()? > 0 {
+        is_too_long |= bytes.len() > max_bytes;
+        if is_too_long {
+            bytes.clear();
+        }
+    }
+    (!is_too_long).then(|| bytes.freeze())
+}
+
 /// The version that a change builds on; 0 without an `If-Match` header, `None` if it isn't a number.
 ///
 /// Some callers send it as an entity tag, in quotes or as a weak one.
@@ -144,7 +163,7 @@
 
 #[handler]
 async fn put_instance(Path(id): Path<String>, body: Body, api: Data<&Api>) -> Response {
-    let Ok(body) = body.into_bytes_limit(MAX_HEARTBEAT_BYTES).await else {
+    let Some(body) = read_body(body, MAX_HEARTBEAT_BYTES).await else {
         return error_response(
             StatusCode::PAYLOAD_TOO_LARGE,
             "CTL-107",
--- a/crates/control-plane/src/host.rs
+++ b/crates/control-plane/src/host.rs
@@ -169,8 +169,9 @@
         self.components.replica.has_left() || self.now() >= since + SHUTDOWN_TIMEOUT
     }
 
-    /// Waits for the last messages to be sent.
-    async fn finish_shutdown(self) {
+    /// Answers what waits, and waits for the last messages to be sent.
+    async fn finish_shutdown(mut self) {
+        self.operator_requests.fail_all();
         let handed_over = self.components.replica.has_left();
         info!(self.components.log, "left"; "handed_over" => handed_over);
         tokio::time::sleep(2 * TICK_INTERVAL).await;
--- a/crates/control-plane/src/host/replication.rs
+++ b/crates/control-plane/src/host/replication.rs
@@ -15,6 +15,8 @@
 
 /// The code of a disk that refuses writes, in the log and in the status.
 pub(crate) const DISK_REFUSES_CODE: &str = "CTL-301";
+/// The code of a committed configuration that this build can't read.
+const UNREADABLE_CONFIGURATION_CODE: &str = "CTL-304";
 /// The code of a log that can't be rewritten, in the log and in the status.
 pub(crate) const REWRITE_FAILS_CODE: &str = "CTL-303";
 
@@ -125,7 +127,8 @@
         match crankpick_configuration::read(&entry.command.bytes) {
             Ok(configuration) => self.components.quotas.configure(&RoutingTable::compile(&configuration)),
             Err(error) => {
-                warn!(self.components.log, "a committed configuration can't be read"; "cause" => %error)
+                error!(self.components.log, "a committed configuration can't be read: quotas stay as they were";
+                    "code" => UNREADABLE_CONFIGURATION_CODE, "cause" => %error)
             }
         }
         info!(self.components.log, "configuration committed"; "generation" => version.generation);
--- a/crates/control-plane/src/operator_requests.rs
+++ b/crates/control-plane/src/operator_requests.rs
@@ -132,6 +132,22 @@
         let _caller_gone = command.reply.send(answer);
     }
 
+    /// Answers all that waits, as unknown: this process ends.
+    pub fn fail_all(&mut self) {
+        for (_, command) in std::mem::take(&mut self.commands) {
+            let _caller_gone = command.reply.send(PutResponse::Unknown);
+        }
+        for pending in std::mem::take(&mut self.patches) {
+            let _caller_gone = pending.reply.send(PutResponse::Unknown);
+        }
+        for read in std::mem::take(&mut self.reads) {
+            let _caller_gone = read.reply.send(GetResponse::Unknown);
+        }
+        for (_, reply) in std::mem::take(&mut self.departures) {
+            let _caller_gone = reply.send(DepartureResponse::Unknown);
+        }
+    }
+
     /// Keeps a patch until its base is known here; fails it if too many wait.
     pub fn defer_patch(&mut self, pending: PendingPatch) {
         if self.patches.len() >= MAX_DEFERRED_PATCHES {
--- a/crates/control-plane/src/sessions.rs
+++ b/crates/control-plane/src/sessions.rs
@@ -164,17 +164,21 @@
         self.open.retain(|_, session| !session.reported || session.send_update(None, Vec::new(), context));
     }
 
-    /// Sends grants to one gateway, unasked.
+    /// Sends grants to one gateway, unasked. One that reads too slowly is disconnected: a grant that is dropped would stay
+    /// reserved for it.
     pub fn push_grants(
         &mut self,
         holder_id: HolderId,
         grants: Vec<TenantGrant>,
         context: &UpdateContext<'_>,
     ) {
-        let session =
-            self.open.values_mut().find(|session| session.holder_id() == holder_id && session.reported);
-        if let Some(session) = session {
-            session.send_update(None, grants, context);
+        let is_holder = |session: &Session| session.holder_id() == holder_id && session.reported;
+        let Some((id, session)) = self.open.iter_mut().find(|(_, session)| is_holder(session)) else {
+            return;
+        };
+        let id = *id;
+        if !session.send_update(None, grants, context) {
+            self.open.remove(&id);
         }
     }
 
@@ -183,3 +187,7 @@
         self.open.values().map(|session| &session.gateway)
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/sessions.rs"]
+mod tests;
--- a/crates/control-plane/tests/hosts/orders.rs
+++ b/crates/control-plane/tests/hosts/orders.rs
@@ -99,3 +99,19 @@
     let refused = ends.iter().filter(|end| **end == StatusCode::PRECONDITION_FAILED).count();
     assert_eq!(refused, ends.len() - 1, "{ends:?}");
 }
+
+/// A refusal that is judged from the head, or because of the length, reaches an operator who is still sending.
+#[test]
+fn a_refusal_reaches_an_operator_who_sends_a_long_body() {
+    let core = Core::start(&[Machine::Disk]);
+    let long = " ".repeat(12 << 20);
+    for _ in 0..8 {
+        let too_long = core.put(0, "0", &long).expect("an answer");
+        assert_eq!(
+            (too_long.status, too_long.field("code")),
+            (StatusCode::PAYLOAD_TOO_LARGE, "CTL-103".into())
+        );
+        let unsound = core.put(0, "none", &long[..4 << 20]).expect("an answer");
+        assert_eq!((unsound.status, unsound.field("code")), (StatusCode::BAD_REQUEST, "CTL-102".into()));
+    }
+}
--- a/crates/system/src/home_link/configuration_slot.rs
+++ b/crates/system/src/home_link/configuration_slot.rs
@@ -59,7 +59,7 @@
                 self.unreadable = false;
             }
             Err(cause) => {
-                warn!(log, "a configuration can't be read"; "cause" => %cause);
+                warn!(log, "a configuration can't be read"; "code" => "SYS-111", "cause" => %cause);
                 self.unreadable = true;
             }
         }
