Protocol, registry, quota, control plane: names that needed explaining

Change: names alone. `PutResponse`, which also answers PATCH, is `ChangeResponse`; `CoreMember` `ControlPlaneMember`, `VERSION` `PROTOCOL_VERSION`, `MAX_UNPACKED_BYTES` `MAX_DECOMPRESSED_BYTES`; `settled` of three types `states_absence`; of quotas `valid`, `pool`, `active`, `left` `has_valid_total`, `pool_level`, `is_active`, `available`. Fields are stored by position, the status's keys stay. Result: the fixtures of all messages hold; the tests of the four crates pass.

--- a/crates/control-plane/src/api.rs
+++ b/crates/control-plane/src/api.rs
@@ -15,7 +15,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use crate::event::{ApiRequest, DepartureResponse, Event, GetResponse, HeartbeatResponse, PutResponse};
+use crate::event::{ApiRequest, ChangeResponse, DepartureResponse, Event, GetResponse, HeartbeatResponse};
 
 /// The longest request body accepted for a configuration, in bytes.
 pub(crate) const MAX_CONFIGURATION_BYTES: usize = 8 << 20;
@@ -96,7 +96,7 @@
     http_request: &Request,
     body: Body,
     api: &Api,
-    request: impl FnOnce(u64, Bytes, oneshot::Sender<PutResponse>) -> ApiRequest,
+    request: impl FnOnce(u64, Bytes, oneshot::Sender<ChangeResponse>) -> ApiRequest,
 ) -> Response {
     // Whatever is wrong, the body is read first: an answer over unread bytes may be lost with its connection.
     let body = read_body(body, MAX_CONFIGURATION_BYTES).await;
@@ -111,13 +111,13 @@
         );
     };
     match api.send_request(CHANGE_TIMEOUT, |reply| request(if_match, body, reply)).await {
-        Some(PutResponse::Committed) => json_body(StatusCode::OK, "{}"),
-        Some(PutResponse::Conflict) => {
+        Some(ChangeResponse::Committed) => json_body(StatusCode::OK, "{}"),
+        Some(ChangeResponse::Conflict) => {
             error_response(StatusCode::PRECONDITION_FAILED, "CTL-104", "another version is in place")
         }
-        Some(PutResponse::Invalid(reason)) => error_response(StatusCode::BAD_REQUEST, "CTL-105", &reason),
-        Some(PutResponse::Redirect(peer)) => redirect(peer, api.port, "/v1/config"),
-        Some(PutResponse::Unknown) | None => retry_later("the change may be taken or not; send it again"),
+        Some(ChangeResponse::Invalid(reason)) => error_response(StatusCode::BAD_REQUEST, "CTL-105", &reason),
+        Some(ChangeResponse::Redirect(peer)) => redirect(peer, api.port, "/v1/config"),
+        Some(ChangeResponse::Unknown) | None => retry_later("the change may be taken or not; send it again"),
     }
 }
 
--- a/crates/control-plane/src/event.rs
+++ b/crates/control-plane/src/event.rs
@@ -21,7 +21,7 @@
         /// The request body.
         body: Bytes,
         /// The channel for the response.
-        reply: oneshot::Sender<PutResponse>,
+        reply: oneshot::Sender<ChangeResponse>,
     },
     /// Changes named items of the configuration.
     Patch {
@@ -30,7 +30,7 @@
         /// The request body.
         body: Bytes,
         /// The channel for the response.
-        reply: oneshot::Sender<PutResponse>,
+        reply: oneshot::Sender<ChangeResponse>,
     },
     /// Reads the newest acknowledged configuration.
     Get {
@@ -80,7 +80,7 @@
 
 /// The response to a change of the configuration, by `PUT` or by `PATCH`.
 #[derive(Clone, Debug, PartialEq)]
-pub enum PutResponse {
+pub enum ChangeResponse {
     /// The change is committed.
     Committed,
     /// The current version is not the one that the change builds on.
--- a/crates/control-plane/src/host.rs
+++ b/crates/control-plane/src/host.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use crankpick_control::{Input, Now, Outputs, Replica};
-use crankpick_protocol::CoreMember;
+use crankpick_protocol::ControlPlaneMember;
 use crankpick_registry::{GatewayLeases, ProcessId, Registry};
 use slog::{info, Logger};
 use tokio::sync::mpsc::Receiver;
@@ -76,7 +76,7 @@
     operator_requests: OperatorRequests,
     sessions: Sessions,
     /// The processes that gateways may choose for their home: voters and all peers that are up.
-    homes: Vec<CoreMember>,
+    homes: Vec<ControlPlaneMember>,
     leaving_since: Option<Now>,
     current: Option<CurrentConfiguration>,
     log_rewriting: LogRewriting,
--- a/crates/control-plane/src/host/api_requests.rs
+++ b/crates/control-plane/src/host/api_requests.rs
@@ -9,7 +9,7 @@
 
 use super::Host;
 use crate::api::MAX_CONFIGURATION_BYTES;
-use crate::event::{ApiRequest, DepartureResponse, HeartbeatResponse, PutResponse};
+use crate::event::{ApiRequest, ChangeResponse, DepartureResponse, HeartbeatResponse};
 use crate::operator_requests::{next_patch_action, PatchAction, PendingPatch};
 use crate::quorum::Quorum;
 
@@ -45,12 +45,12 @@
         &mut self,
         if_match: u64,
         body: &[u8],
-        reply: oneshot::Sender<PutResponse>,
+        reply: oneshot::Sender<ChangeResponse>,
     ) {
         let generation = match check(body) {
             Ok(generation) => generation,
             Err(error) => {
-                let _caller_gone = reply.send(PutResponse::Invalid(error.to_string()));
+                let _caller_gone = reply.send(ChangeResponse::Invalid(error.to_string()));
                 return;
             }
         };
@@ -62,11 +62,11 @@
         self.drive_replica(Input::Submit { key, command: command.into() });
     }
 
-    fn patch_configuration(&mut self, if_match: u64, body: &[u8], reply: oneshot::Sender<PutResponse>) {
+    fn patch_configuration(&mut self, if_match: u64, body: &[u8], reply: oneshot::Sender<ChangeResponse>) {
         match Patch::read(body) {
             Ok(patch) => self.drive_patch(PendingPatch { since: self.now(), if_match, patch, reply }),
             Err(error) => {
-                let _caller_gone = reply.send(PutResponse::Invalid(error.to_string()));
+                let _caller_gone = reply.send(ChangeResponse::Invalid(error.to_string()));
             }
         }
     }
--- a/crates/control-plane/src/host/peer_messages.rs
+++ b/crates/control-plane/src/host/peer_messages.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use crankpick_control::Input;
-use crankpick_protocol::CoreMember;
+use crankpick_protocol::ControlPlaneMember;
 use crankpick_registry::{Announcement, ProcessId};
 use slog::info;
 
@@ -103,9 +103,9 @@
     /// Recomputes the homes: all voters, all peers that are up, and this process unless it is shutting down.
     pub(super) fn update_homes(&mut self) {
         let voters = self.components.replica.view().members.iter().map(home_of);
-        let own = CoreMember { address: self.components.address, zone: self.components.zone.clone() };
+        let own = ControlPlaneMember { address: self.components.address, zone: self.components.zone.clone() };
         let own = self.leaving_since.is_none().then_some(own);
-        let mut homes: Vec<CoreMember> = voters.chain(self.peers.homes()).chain(own).collect();
+        let mut homes: Vec<ControlPlaneMember> = voters.chain(self.peers.homes()).chain(own).collect();
         homes.sort_by_key(|home| home.address);
         homes.dedup_by_key(|home| home.address);
         self.homes = homes;
--- a/crates/control-plane/src/listener.rs
+++ b/crates/control-plane/src/listener.rs
@@ -7,7 +7,7 @@
 
 use crankpick_protocol::{
     accept_options, Caller, FrameReader, FrameWriter, GatewayIdentity, GatewayReport, Handshake, HomeUpdate,
-    ProtocolError, VERSION,
+    ProtocolError, PROTOCOL_VERSION,
 };
 use slog::{debug, Logger};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -56,7 +56,7 @@
     let mut reader = FrameReader::new(read);
     let next = timeout(HANDSHAKE_TIMEOUT, reader.next::<Handshake>()).await;
     let Some(handshake) = next.map_err(|_| ProtocolError::TimedOut)?? else { return Ok(()) };
-    if handshake.version != VERSION {
+    if handshake.version != PROTOCOL_VERSION {
         return Ok(());
     }
     match handshake.caller {
--- a/crates/control-plane/src/operator_requests.rs
+++ b/crates/control-plane/src/operator_requests.rs
@@ -9,7 +9,7 @@
 use crankpick_control::{Command, CommandId, Departure, Entry, Now, Outcome, Replica};
 use tokio::sync::oneshot;
 
-use crate::event::{DepartureResponse, GetResponse, PutResponse};
+use crate::event::{ChangeResponse, DepartureResponse, GetResponse};
 
 /// A read that can't be answered by then fails: callers move on to another process after a second.
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
@@ -43,7 +43,7 @@
     /// The decoded patch.
     pub patch: Patch,
     /// The channel for the response.
-    pub reply: oneshot::Sender<PutResponse>,
+    pub reply: oneshot::Sender<ChangeResponse>,
 }
 
 /// What to do with a patch, given the newest configuration that is known to be committed.
@@ -51,14 +51,14 @@
     /// Submit this command.
     Submit(Command),
     /// Respond now.
-    Answer(PutResponse),
+    Answer(ChangeResponse),
     /// Wait: the base may still be committed here.
     Wait,
 }
 
 struct PendingCommand {
     since: Now,
-    reply: oneshot::Sender<PutResponse>,
+    reply: oneshot::Sender<ChangeResponse>,
 }
 
 struct PendingRead {
@@ -73,11 +73,11 @@
         &mut self,
         now: Now,
         replica: &Replica,
-        reply: oneshot::Sender<PutResponse>,
+        reply: oneshot::Sender<ChangeResponse>,
     ) -> Option<CommandId> {
         self.commands.retain(|_, command| !command.reply.is_closed());
         if self.commands.len() >= MAX_COMMANDS || is_isolated_from_head(replica) {
-            let _caller_gone = reply.send(PutResponse::Unknown);
+            let _caller_gone = reply.send(ChangeResponse::Unknown);
             return None;
         }
         self.last_key += 1;
@@ -124,10 +124,12 @@
     pub fn finish_command(&mut self, key: CommandId, outcome: Outcome) {
         let Some(command) = self.commands.remove(&key) else { return };
         let answer = match outcome {
-            Outcome::Committed => PutResponse::Committed,
-            Outcome::Conflict { .. } => PutResponse::Conflict,
-            Outcome::Invalid { .. } => PutResponse::Invalid("generation is not above the current one".into()),
-            Outcome::Unknown => PutResponse::Unknown,
+            Outcome::Committed => ChangeResponse::Committed,
+            Outcome::Conflict { .. } => ChangeResponse::Conflict,
+            Outcome::Invalid { .. } => {
+                ChangeResponse::Invalid("generation is not above the current one".into())
+            }
+            Outcome::Unknown => ChangeResponse::Unknown,
         };
         let _caller_gone = command.reply.send(answer);
     }
@@ -135,10 +137,10 @@
     /// Answers all that waits, as unknown: this process ends.
     pub fn fail_all(&mut self) {
         for (_, command) in std::mem::take(&mut self.commands) {
-            let _caller_gone = command.reply.send(PutResponse::Unknown);
+            let _caller_gone = command.reply.send(ChangeResponse::Unknown);
         }
         for pending in std::mem::take(&mut self.patches) {
-            let _caller_gone = pending.reply.send(PutResponse::Unknown);
+            let _caller_gone = pending.reply.send(ChangeResponse::Unknown);
         }
         for read in std::mem::take(&mut self.reads) {
             let _caller_gone = read.reply.send(GetResponse::Unknown);
@@ -151,7 +153,7 @@
     /// Keeps a patch until its base is known here; fails it if too many wait.
     pub fn defer_patch(&mut self, pending: PendingPatch) {
         if self.patches.len() >= MAX_DEFERRED_PATCHES {
-            let _caller_gone = pending.reply.send(PutResponse::Unknown);
+            let _caller_gone = pending.reply.send(ChangeResponse::Unknown);
             return;
         }
         self.patches.push(pending);
@@ -217,19 +219,19 @@
         return match patch.apply(&base.command.bytes) {
             Ok(bytes) if bytes.len() > max_bytes => {
                 let text = format!("the configuration would have {} bytes, over {max_bytes}", bytes.len());
-                PatchAction::Answer(PutResponse::Invalid(text))
+                PatchAction::Answer(ChangeResponse::Invalid(text))
             }
             Ok(bytes) => {
                 PatchAction::Submit(Command { if_match, generation: patch.generation(), digest, bytes })
             }
-            Err(error) => PatchAction::Answer(PutResponse::Invalid(error.to_string())),
+            Err(error) => PatchAction::Answer(ChangeResponse::Invalid(error.to_string())),
         };
     }
     match immediate_refusal(replica) {
-        Some(GetResponse::Redirect(member)) => PatchAction::Answer(PutResponse::Redirect(member)),
-        Some(_) => PatchAction::Answer(PutResponse::Unknown),
+        Some(GetResponse::Redirect(member)) => PatchAction::Answer(ChangeResponse::Redirect(member)),
+        Some(_) => PatchAction::Answer(ChangeResponse::Unknown),
         None if now.saturating_sub(pending.since) >= READ_TIMEOUT => {
-            PatchAction::Answer(PutResponse::Unknown)
+            PatchAction::Answer(ChangeResponse::Unknown)
         }
         None => PatchAction::Wait,
     }
--- a/crates/control-plane/src/peers.rs
+++ b/crates/control-plane/src/peers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crankpick_control::Member;
-use crankpick_protocol::CoreMember;
+use crankpick_protocol::ControlPlaneMember;
 use crankpick_registry::{Now, ProcessId};
 
 /// A peer that sent no presence for so long is down.
@@ -16,8 +16,8 @@
 const MAX_PEERS: usize = 256;
 
 /// A member of the view, as it is sent to gateways.
-pub fn home_of(member: &Member) -> CoreMember {
-    CoreMember { address: member.address, zone: member.zone.clone() }
+pub fn home_of(member: &Member) -> ControlPlaneMember {
+    ControlPlaneMember { address: member.address, zone: member.zone.clone() }
 }
 
 /// A change of a peer's liveness.
@@ -100,9 +100,9 @@
     }
 
     /// The peers that are up, as they are sent to gateways.
-    pub fn homes(&self) -> impl Iterator<Item = CoreMember> + '_ {
+    pub fn homes(&self) -> impl Iterator<Item = ControlPlaneMember> + '_ {
         let up = self.known.iter().filter(|(_, known)| known.up);
-        up.map(|(address, known)| CoreMember { address: *address, zone: known.zone.clone() })
+        up.map(|(address, known)| ControlPlaneMember { address: *address, zone: known.zone.clone() })
     }
 
     /// The incarnations of the peers that are up.
--- a/crates/control-plane/src/redirector.rs
+++ b/crates/control-plane/src/redirector.rs
@@ -158,7 +158,7 @@
             members: self.search.view().members.iter().map(home_of).collect(),
             configuration: None,
             changes: None,
-            gateways: GatewayTotal { count: 0, settled: false },
+            gateways: GatewayTotal { count: 0, states_absence: false },
             grants: Vec::new(),
         };
         self.gateways.retain(|(open, updates)| *open != session || updates.try_send(update.clone()).is_ok());
--- a/crates/control-plane/src/sessions.rs
+++ b/crates/control-plane/src/sessions.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crankpick_protocol::{
-    compress, ConfigurationUpdate, ConfigurationVersion, CoreMember, GatewayIdentity, GatewayReport,
+    compress, ConfigurationUpdate, ConfigurationVersion, ControlPlaneMember, GatewayIdentity, GatewayReport,
     HomeUpdate, TenantGrant,
 };
 use crankpick_quota::HolderId;
@@ -42,7 +42,7 @@
     /// The registry of backends.
     pub registry: &'a Registry,
     /// The processes that gateways may choose for their home.
-    pub members: &'a [CoreMember],
+    pub members: &'a [ControlPlaneMember],
     /// The number of live gateways.
     pub gateways: GatewayTotal,
 }
@@ -54,7 +54,7 @@
     updates: Sender<HomeUpdate>,
     configuration: Option<ConfigurationVersion>,
     cursor: Option<Cursor>,
-    members: Vec<CoreMember>,
+    members: Vec<ControlPlaneMember>,
     reported: bool,
     accepts_compressed: bool,
 }
--- a/crates/control-plane/src/status.rs
+++ b/crates/control-plane/src/status.rs
@@ -136,7 +136,7 @@
         freshness_ms: inputs.replica.freshness(inputs.now).map(|age: Duration| age.as_millis()),
         generation: inputs.generation,
         backends: inputs.registry.len(),
-        backends_settled: inputs.registry.settled(inputs.now),
+        backends_settled: inputs.registry.states_absence(inputs.now),
         gateways_here: inputs.gateways.clone(),
         gateways: inputs.fleet_gateways,
         tenants_owned: inputs.tenants_owned,
--- a/crates/control-plane/tests/unit/sessions.rs
+++ b/crates/control-plane/tests/unit/sessions.rs
@@ -25,7 +25,7 @@
         current: None,
         registry: &registry,
         members: &[],
-        gateways: GatewayTotal { count: 1, settled: true },
+        gateways: GatewayTotal { count: 1, states_absence: true },
     };
     let mut sessions = Sessions::default();
     let (updates, mut queue) = channel(2);
--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -111,7 +111,7 @@
     pub fn demands(&self, now: Now, source: GrantSource) -> Vec<TenantDemand> {
         let mut holders = self.lock();
         let active = holders.iter_mut().filter_map(|(tenant, holder)| {
-            let active = holder.active(now);
+            let active = holder.is_active(now);
             active.then(|| TenantDemand { tenant: tenant.clone(), demand: holder.demand(now, source) })
         });
         active.collect()
--- a/crates/protocol/src/compression.rs
+++ b/crates/protocol/src/compression.rs
@@ -15,7 +15,7 @@
 use snafu::ResultExt;
 
 /// The longest document that is accepted after decompression, in bytes.
-pub const MAX_UNPACKED_BYTES: usize = 16 << 20;
+pub const MAX_DECOMPRESSED_BYTES: usize = 16 << 20;
 /// The first byte of a zlib stream with a window of 32 KiB. No JSON text begins with it.
 const ZLIB_FIRST_BYTE: u8 = 0x78;
 
@@ -37,9 +37,9 @@
         return Ok(Cow::Borrowed(document));
     }
     let mut unpacked = Vec::new();
-    let bound = MAX_UNPACKED_BYTES as u64 + 1;
+    let bound = MAX_DECOMPRESSED_BYTES as u64 + 1;
     ZlibDecoder::new(document).take(bound).read_to_end(&mut unpacked).context(DecompressionSnafu)?;
-    if unpacked.len() > MAX_UNPACKED_BYTES {
+    if unpacked.len() > MAX_DECOMPRESSED_BYTES {
         return Err(io::Error::from(io::ErrorKind::FileTooLarge)).context(DecompressionSnafu);
     }
     Ok(Cow::Owned(unpacked))
--- a/crates/protocol/src/home.rs
+++ b/crates/protocol/src/home.rs
@@ -74,7 +74,7 @@
 
 /// A process of the control plane, as it is known to gateways.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CoreMember {
+pub struct ControlPlaneMember {
     /// The address on which gateways reach it.
     pub address: SocketAddr,
     /// The zone of the process.
@@ -92,7 +92,7 @@
     /// that isn't known.
     pub freshness_ms: Option<u32>,
     /// All processes of the control plane; empty if unchanged since the last update.
-    pub members: Vec<CoreMember>,
+    pub members: Vec<ControlPlaneMember>,
     /// A configuration that the gateway lacks.
     pub configuration: Option<ConfigurationUpdate>,
     /// Registry changes that the gateway lacks.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -6,13 +6,13 @@
 mod frame;
 mod home;
 
-pub use compression::{compress, decompress, MAX_UNPACKED_BYTES};
+pub use compression::{compress, decompress, MAX_DECOMPRESSED_BYTES};
 pub use connection::{accept_options, dial, DialOptions};
 pub use error::ProtocolError;
 pub use frame::{encode, FrameReader, FrameWriter, MAX_FRAME_BYTES};
 pub use home::{
-    ConfigurationUpdate, ConfigurationVersion, CoreMember, GatewayIdentity, GatewayReport, HomeUpdate,
-    TenantDemand, TenantGrant,
+    ConfigurationUpdate, ConfigurationVersion, ControlPlaneMember, GatewayIdentity, GatewayReport,
+    HomeUpdate, TenantDemand, TenantGrant,
 };
 
 use std::net::SocketAddr;
@@ -20,7 +20,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The version of the protocol. A connection whose handshake has another one is closed.
-pub const VERSION: u16 = 1;
+pub const PROTOCOL_VERSION: u16 = 1;
 
 /// The first message on each connection, sent by the caller.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -34,7 +34,7 @@
 impl Handshake {
     /// The handshake of this build.
     pub fn new(caller: Caller) -> Self {
-        Handshake { version: VERSION, caller }
+        Handshake { version: PROTOCOL_VERSION, caller }
     }
 }
 
--- a/crates/protocol/tests/packed.rs
+++ b/crates/protocol/tests/compression.rs
@@ -1,7 +1,7 @@
 //! Packed configurations: whole again after it, much shorter, and bounded.
 
 use crankpick_protocol::{
-    compress, decompress, encode, FrameReader, GatewayReport, ProtocolError, MAX_UNPACKED_BYTES,
+    compress, decompress, encode, FrameReader, GatewayReport, ProtocolError, MAX_DECOMPRESSED_BYTES,
 };
 use serde::Serialize;
 
@@ -46,9 +46,12 @@
             "cut at {cut}"
         );
     }
-    let bomb = compress(&vec![b' '; MAX_UNPACKED_BYTES + 1]);
+    let bomb = compress(&vec![b' '; MAX_DECOMPRESSED_BYTES + 1]);
     assert!(matches!(decompress(&bomb), Err(ProtocolError::Decompression { .. })));
-    assert_eq!(decompress(&compress(&vec![b' '; MAX_UNPACKED_BYTES])).unwrap().len(), MAX_UNPACKED_BYTES);
+    assert_eq!(
+        decompress(&compress(&vec![b' '; MAX_DECOMPRESSED_BYTES])).unwrap().len(),
+        MAX_DECOMPRESSED_BYTES
+    );
 }
 
 /// A report as builds made it that knew nothing of packing.
--- a/crates/protocol/tests/fixtures.rs
+++ b/crates/protocol/tests/fixtures.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use crankpick_protocol::{
-    compress, decompress, encode, Caller, ConfigurationUpdate, ConfigurationVersion, CoreMember, FrameReader,
-    GatewayIdentity, GatewayReport, Handshake, HomeUpdate, TenantDemand, TenantGrant,
+    compress, decompress, encode, Caller, ConfigurationUpdate, ConfigurationVersion, ControlPlaneMember,
+    FrameReader, GatewayIdentity, GatewayReport, Handshake, HomeUpdate, TenantDemand, TenantGrant,
 };
 use crankpick_quota::{Demand, Grant, GrantSource, HeldLease, OwnerIncarnation};
 use crankpick_registry::{
@@ -134,15 +134,15 @@
         answers: Some(22),
         freshness_ms: Some(23),
         members: vec![
-            CoreMember { address: address(2), zone: "zone-b".into() },
-            CoreMember { address: address(3), zone: "zone-c".into() },
+            ControlPlaneMember { address: address(2), zone: "zone-b".into() },
+            ControlPlaneMember { address: address(3), zone: "zone-c".into() },
         ],
         configuration: Some(ConfigurationUpdate {
             version: configuration(),
             document: br#"{"generation":42}"#.to_vec(),
         }),
         changes: Some(changes()),
-        gateways: GatewayTotal { count: 24, settled: true },
+        gateways: GatewayTotal { count: 24, states_absence: true },
         grants: vec![
             TenantGrant { tenant: "owned".into(), grant: grant(GrantSource::OWNER) },
             TenantGrant { tenant: "leased".into(), grant: grant(GrantSource::home(25)) },
@@ -156,7 +156,7 @@
         members: Vec::new(),
         configuration: None,
         changes: None,
-        gateways: GatewayTotal { count: 0, settled: false },
+        gateways: GatewayTotal { count: 0, states_absence: false },
         grants: Vec::new(),
     };
     check_frame("update-empty.hex", &empty).await;
--- a/crates/quota/src/allocator.rs
+++ b/crates/quota/src/allocator.rs
@@ -167,7 +167,7 @@
     }
 
     /// Whether the total is valid: it has been set, and has not expired.
-    pub fn valid(&self, now: Now) -> bool {
+    pub fn has_valid_total(&self, now: Now) -> bool {
         self.total.valid_until > now
     }
 
@@ -177,7 +177,7 @@
     }
 
     /// The level of the pool, in units.
-    pub fn pool(&self) -> f64 {
+    pub fn pool_level(&self) -> f64 {
         self.pool.level()
     }
 
--- a/crates/quota/src/allocator/pool.rs
+++ b/crates/quota/src/allocator/pool.rs
@@ -67,7 +67,7 @@
 
     /// Takes back what has overflowed a holder's bucket, at most a lease's worth of the total rate.
     pub(super) fn take_back(&mut self, now: Now, returned: f64) {
-        if !self.valid(now) {
+        if !self.has_valid_total(now) {
             return;
         }
         let capacity = (self.pool_depth() - self.pool.level()).max(0.0);
--- a/crates/quota/src/allocator/shares.rs
+++ b/crates/quota/src/allocator/shares.rs
@@ -17,7 +17,7 @@
 impl Allocator {
     /// Makes a grant, and reserves it. `former` is a lease of a former owner that the holder has.
     pub(super) fn grant(&mut self, now: Now, holder: HolderId, former: Option<HeldLease>) -> Grant {
-        if !self.valid(now) {
+        if !self.has_valid_total(now) {
             return self.empty_grant();
         }
         let share = self.share_for(holder, former);
--- a/crates/quota/src/holder.rs
+++ b/crates/quota/src/holder.rs
@@ -124,7 +124,7 @@
     }
 
     /// Whether to send regular reports: there were requests in the last seconds, or a lease runs.
-    pub fn active(&mut self, now: Now) -> bool {
+    pub fn is_active(&mut self, now: Now) -> bool {
         self.estimate.rate(now) > 0.0 || self.leases.iter().any(|lease| lease.until > now)
     }
 
--- a/crates/quota/src/retry_budget.rs
+++ b/crates/quota/src/retry_budget.rs
@@ -66,7 +66,7 @@
 
     /// Takes one retry out of the budget; returns whether there was one.
     pub fn take(&mut self, now: Now) -> bool {
-        if self.left(now) < 1.0 {
+        if self.available(now) < 1.0 {
             return false;
         }
         let counts = self.counts.newest_mut();
@@ -75,7 +75,7 @@
     }
 
     /// The number of retries left at `now`; may be fractional or negative.
-    pub fn left(&mut self, now: Now) -> f64 {
+    pub fn available(&mut self, now: Now) -> f64 {
         self.advance(now);
         let requests: u32 = self.counts.newest(BINS).map(|counts| counts.requests).sum();
         let retries: u32 = self.counts.newest(BINS).map(|counts| counts.retries).sum();
--- a/crates/quota/tests/pending_grants.rs
+++ b/crates/quota/tests/pending_grants.rs
@@ -70,7 +70,7 @@
     assert!(
         !paid.is_empty(),
         "the pool fills, and what waits is paid: {}, {} holders",
-        home.pool(),
+        home.pool_level(),
         home.holders()
     );
     assert!(grants <= gateways.len(), "{grants} grants in a second");
@@ -87,10 +87,10 @@
         if let Some((_, grant)) = home.grant_pending(now).pop() {
             break grant;
         }
-        assert!(home.pool() < NEED, "{} are there and not paid at {now:?}", home.pool());
+        assert!(home.pool_level() < NEED, "{} are there and not paid at {now:?}", home.pool_level());
         home.report(now, gateway, Demand { rate: 0.0, need: NEED, ..Demand::default() });
         now += MILLISECOND;
-        assert!(now < Duration::from_secs(2), "the pool doesn't fill: {}", home.pool());
+        assert!(now < Duration::from_secs(2), "the pool doesn't fill: {}", home.pool_level());
     };
     assert!(paid.credit >= NEED, "{paid:?}");
 }
--- a/crates/quota/tests/retry_budget.rs
+++ b/crates/quota/tests/retry_budget.rs
@@ -64,5 +64,5 @@
         budget.deposit(now);
     }
     assert_eq!((0..10).filter(|_| budget.take(now)).count(), 3);
-    assert!(budget.left(Duration::from_secs(32)) > 3.0);
+    assert!(budget.available(Duration::from_secs(32)) > 3.0);
 }
--- a/crates/quota/tests/support/fleet.rs
+++ b/crates/quota/tests/support/fleet.rs
@@ -281,7 +281,7 @@
         let count = self.settings.gateways as u32;
         self.gateways[gateway].holder.set_floor(self.now, &self.settings.bounds, limit, count);
         self.retry_waiting(gateway);
-        if self.gateways[gateway].holder.active(self.now) {
+        if self.gateways[gateway].holder.is_active(self.now) {
             self.gateway_report(gateway);
         }
     }
--- a/crates/registry/src/changes.rs
+++ b/crates/registry/src/changes.rs
@@ -24,7 +24,7 @@
     pub full: bool,
     /// Whether a backend that the registry does not know is absent. False while the registry has just
     /// started, was frozen, or is isolated.
-    pub settled: bool,
+    pub states_absence: bool,
     /// The records that changed.
     pub records: Vec<BackendRecord>,
 }
--- a/crates/registry/src/gateway_count.rs
+++ b/crates/registry/src/gateway_count.rs
@@ -15,7 +15,7 @@
     /// The number of gateways.
     pub count: u32,
     /// Whether the process has been running and connected for long enough to know all gateways.
-    pub settled: bool,
+    pub states_absence: bool,
 }
 
 /// The number of gateways by which a gateway divides fleet-wide budgets. It rises at once and falls late,
@@ -40,7 +40,7 @@
             self.lower_since = None;
             return;
         }
-        if !total.settled {
+        if !total.states_absence {
             self.lower_since = None;
             return;
         }
--- a/crates/registry/src/gateway_leases.rs
+++ b/crates/registry/src/gateway_leases.rs
@@ -192,7 +192,7 @@
     /// The number of gateways. Rises at once; falls only after leases have ended, and no sooner than one
     /// further lease duration.
     pub fn total(&self, now: Now) -> GatewayTotal {
-        GatewayTotal { count: self.total, settled: !self.isolated && now >= self.grace_until }
+        GatewayTotal { count: self.total, states_absence: !self.isolated && now >= self.grace_until }
     }
 
     /// The gateways whose leases run.
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -88,7 +88,7 @@
 
     /// Whether this process has been running, not frozen and not isolated, for long enough that a backend
     /// which it does not know is absent.
-    pub fn settled(&self, now: Now) -> bool {
+    pub fn states_absence(&self, now: Now) -> bool {
         !self.isolated && now >= self.grace_until
     }
 
--- a/crates/registry/src/registry/replication.rs
+++ b/crates/registry/src/registry/replication.rs
@@ -41,7 +41,7 @@
         Changes {
             cursor: Cursor { incarnation: self.local_process, number: self.store.newest_change() },
             full: number.is_none(),
-            settled: self.settled(now),
+            states_absence: self.states_absence(now),
             records: entries.map(|entry| entry.subscriber_view(now)).collect(),
         }
     }
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -70,7 +70,7 @@
 }
 
 /// Builds tables from the updates of one home after the other. Records of a former home are kept until the
-/// current one, once it is settled, has sent all its records without them. A backend that once drained stays
+/// current one, once it states absence, has sent all its records without them. A backend that once drained stays
 /// draining.
 #[derive(Clone, Debug, Default)]
 pub struct TableBuilder {
@@ -107,7 +107,7 @@
             self.unconfirmed.remove(&update.id);
             changed |= self.merge(now, update);
         }
-        if changes.settled {
+        if changes.states_absence {
             changed |= self.end_unconfirmed(now);
         }
         self.cursor = Some(changes.cursor);
@@ -151,7 +151,7 @@
         true
     }
 
-    /// Ends the backends that a settled home has not sent. Their `seq` becomes 0, so that any later update
+    /// Ends the backends that a home which states absence has not sent. Their `seq` becomes 0, so that any later update
     /// revives them.
     fn end_unconfirmed(&mut self, now: Now) -> bool {
         let unconfirmed = std::mem::take(&mut self.unconfirmed);
--- a/crates/registry/tests/gateways.rs
+++ b/crates/registry/tests/gateways.rs
@@ -26,7 +26,7 @@
     second.peer_up(at(0), ProcessId(1));
     let update = first.renew(at(100), GatewayId(7), "n", "z", 1).unwrap();
     second.merge(at(100), &update);
-    assert_eq!(second.total(at(100)), GatewayTotal { count: 1, settled: false });
+    assert_eq!(second.total(at(100)), GatewayTotal { count: 1, states_absence: false });
     for step in 1..20 {
         assert!(first.renew(at(100 + 250 * step), GatewayId(7), "n", "z", 1 + step).is_none());
         first.tick(at(110 + 250 * step));
@@ -82,28 +82,28 @@
     for now in (250..20_000).step_by(250) {
         leases.tick(at(now));
     }
-    assert_eq!(leases.total(at(20_000)), GatewayTotal { count: 4, settled: false });
+    assert_eq!(leases.total(at(20_000)), GatewayTotal { count: 4, states_absence: false });
 
     let mut frozen = GatewayLeases::new(at(0), ProcessId(1));
     renew(&mut frozen, 100, 1, 1);
     assert_eq!(frozen.tick(at(30_000)), None);
-    assert_eq!(frozen.total(at(30_000)), GatewayTotal { count: 1, settled: false });
+    assert_eq!(frozen.total(at(30_000)), GatewayTotal { count: 1, states_absence: false });
 }
 
 #[test]
 fn a_gateway_believes_a_lower_count_late() {
     let mut count = GatewayCount::new();
     assert_eq!(count.count(), None);
-    count.update(at(0), GatewayTotal { count: 13, settled: true });
-    count.update(at(100), GatewayTotal { count: 1, settled: false });
-    count.update(at(9_000), GatewayTotal { count: 2, settled: false });
+    count.update(at(0), GatewayTotal { count: 13, states_absence: true });
+    count.update(at(100), GatewayTotal { count: 1, states_absence: false });
+    count.update(at(9_000), GatewayTotal { count: 2, states_absence: false });
     assert_eq!(count.count(), Some(13));
-    count.update(at(9_100), GatewayTotal { count: 9, settled: true });
-    count.update(at(13_000), GatewayTotal { count: 9, settled: true });
+    count.update(at(9_100), GatewayTotal { count: 9, states_absence: true });
+    count.update(at(13_000), GatewayTotal { count: 9, states_absence: true });
     assert_eq!(count.count(), Some(13));
-    count.update(at(13_200), GatewayTotal { count: 9, settled: true });
+    count.update(at(13_200), GatewayTotal { count: 9, states_absence: true });
     assert_eq!(count.count(), Some(9));
-    count.update(at(13_300), GatewayTotal { count: 10, settled: false });
+    count.update(at(13_300), GatewayTotal { count: 10, states_absence: false });
     assert_eq!(count.count(), Some(10));
 }
 
--- a/crates/registry/tests/rules.rs
+++ b/crates/registry/tests/rules.rs
@@ -193,10 +193,10 @@
     let mut registry = registry(at(0), 1);
     registry.heartbeat(at(100), "i", ready(1, 4)).unwrap();
     assert!(tick_until(&mut registry, 200, 4_000).len() == 1);
-    assert!(registry.settled(at(4_000)));
+    assert!(registry.states_absence(at(4_000)));
     registry.heartbeat(at(4_100), "i", ready(1, 5)).unwrap();
     assert_eq!(registry.tick(at(20_000)), None);
-    assert!(!registry.settled(at(20_000)));
+    assert!(!registry.states_absence(at(20_000)));
     assert_eq!(state(&registry, 20_000, "i"), Some(BackendState::Ready));
 }
 
@@ -229,7 +229,7 @@
     }
     // An isolated process does not speak about absence either.
     new.set_isolated(at(time), true);
-    assert!(!new.settled(at(time + 10_000)));
+    assert!(!new.states_absence(at(time + 10_000)));
 }
 
 #[test]
--- a/crates/registry/tests/serialized_format.rs
+++ b/crates/registry/tests/serialized_format.rs
@@ -150,7 +150,7 @@
 fn gateway_messages_keep_their_form() {
     assert_message("gateway-record-live", &gateway(true));
     assert_message("gateway-record-ended", &gateway(false));
-    assert_message("gateway-total", &GatewayTotal { count: 1_100, settled: true });
+    assert_message("gateway-total", &GatewayTotal { count: 1_100, states_absence: true });
     let address = "10.9.8.7:7101".parse().unwrap();
     assert_message("home-candidate", &HomeCandidate { address, zone: "hakata-c".to_owned() });
 }
@@ -166,9 +166,12 @@
 fn changes_and_cursors_keep_their_form() {
     let cursor = Cursor { incarnation: ProcessId(7), number: 81_234 };
     assert_message("cursor", &cursor);
-    let changes = Changes { cursor, full: true, settled: false, records: vec![record()] };
+    let changes = Changes { cursor, full: true, states_absence: false, records: vec![record()] };
     assert_message("changes", &changes);
-    assert_message("changes-empty", &Changes { cursor, full: false, settled: true, records: Vec::new() });
+    assert_message(
+        "changes-empty",
+        &Changes { cursor, full: false, states_absence: true, records: Vec::new() },
+    );
 }
 
 /// Two processes of different builds compare digests, so the sums themselves are part of the form.
--- a/crates/system/tests/unit/home_link.rs
+++ b/crates/system/tests/unit/home_link.rs
@@ -21,7 +21,7 @@
         members: Vec::new(),
         configuration: None,
         changes: None,
-        gateways: GatewayTotal { count: 1, settled: true },
+        gateways: GatewayTotal { count: 1, states_absence: true },
         grants: Vec::new(),
     }
 }
