--- a/crates/control/src/discovery.rs
+++ b/crates/control/src/discovery.rs
@@ -1,6 +1,6 @@
 //! What a process knows of processes outside its view: seeds, standbys that ask for a vote, and possible replicas.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -31,21 +31,10 @@
     /// Seeds that announced that they have no disk.
     volatile_seeds: Vec<SocketAddr>,
     join_requests: Vec<JoinRequest>,
-    /// Processes that announced themselves since the start and could vote.
-    known_machines: BTreeMap<SocketAddr, KnownMachine>,
-    /// Machines that an operator declared to be gone for good, with the id of the process that was known there.
-    gone_machines: BTreeMap<SocketAddr, Option<MemberId>>,
-}
-
-/// A process that announced itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct KnownMachine {
-    /// Its address.
-    pub(crate) address: SocketAddr,
-    /// Its id.
-    pub(crate) id: MemberId,
-    /// Whether it has a disk.
-    pub(crate) durable: bool,
+    /// Processes that announced themselves since the start and could vote, with whether they have a disk.
+    known_machines: BTreeMap<SocketAddr, bool>,
+    /// Machines that an operator declared to be gone for good.
+    gone_machines: BTreeSet<SocketAddr>,
 }
 
 /// A standby that asks for a vote.
@@ -71,7 +60,7 @@
             volatile_seeds: Vec::new(),
             join_requests: Vec::new(),
             known_machines: BTreeMap::new(),
-            gone_machines: BTreeMap::new(),
+            gone_machines: BTreeSet::new(),
         }
     }
 
@@ -79,38 +68,38 @@
     pub(crate) fn record_machine(&mut self, member: &Member) {
         let known = self.known_machines.contains_key(&member.address);
         if known || self.known_machines.len() < MAX_KNOWN_MACHINES {
-            let Member { id, address, durable, .. } = *member;
-            self.known_machines.insert(address, KnownMachine { address, id, durable });
-            self.gone_machines.remove(&address);
+            self.known_machines.insert(member.address, member.durable);
+            self.gone_machines.remove(&member.address);
         }
     }
 
-    /// The processes that announced themselves and weren't declared to be gone since.
-    pub(crate) fn known_machines(&self) -> impl Iterator<Item = KnownMachine> + '_ {
-        let is_here = |machine: &&KnownMachine| !self.is_gone(machine.address);
-        self.known_machines.values().filter(is_here).copied()
+    /// The addresses of the processes that announced themselves and weren't declared to be gone since, with whether they
+    /// have a disk.
+    pub(crate) fn known_machines(&self) -> impl Iterator<Item = (SocketAddr, bool)> + '_ {
+        let machines = self.known_machines.iter().map(|(address, durable)| (*address, *durable));
+        machines.filter(|(address, _)| !self.is_gone(*address))
     }
 
-    /// The id of the process that announced itself at an address.
-    pub(crate) fn known_id(&self, address: SocketAddr) -> Option<MemberId> {
-        self.known_machines.get(&address).map(|machine| machine.id)
+    /// Whether a process announced itself at an address since the start.
+    pub(crate) fn has_heard_of(&self, address: SocketAddr) -> bool {
+        self.known_machines.contains_key(&address)
     }
 
-    /// An operator declares that a machine is gone for good. `id` is that of the process that was known there, if any.
-    pub(crate) fn record_gone(&mut self, address: SocketAddr, id: Option<MemberId>) {
+    /// An operator declares that a machine is gone for good.
+    pub(crate) fn record_gone(&mut self, address: SocketAddr) {
         if self.gone_machines.len() < MAX_KNOWN_MACHINES {
-            self.gone_machines.insert(address, id);
+            self.gone_machines.insert(address);
         }
     }
 
     /// Whether a machine was declared to be gone and hasn't announced itself since.
     pub(crate) fn is_gone(&self, address: SocketAddr) -> bool {
-        self.gone_machines.contains_key(&address)
+        self.gone_machines.contains(&address)
     }
 
-    /// The machines that are gone, with the ids of the processes that were known there.
-    pub(crate) fn gone_machines(&self) -> impl Iterator<Item = (SocketAddr, Option<MemberId>)> + '_ {
-        self.gone_machines.iter().map(|(address, id)| (*address, *id))
+    /// The machines that are gone.
+    pub(crate) fn gone_machines(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.gone_machines.iter().copied()
     }
 
     /// Remembers a seed that announced itself. One with a disk takes part in the bootstrap only if it says so; one
--- a/crates/control/src/record.rs
+++ b/crates/control/src/record.rs
@@ -70,8 +70,6 @@
     MachineGone {
         /// The machine's internal address.
         address: SocketAddr,
-        /// The id of the process that was known there, if any.
-        id: Option<MemberId>,
     },
     /// Committed entries that a replica outside the chain lacked.
     CaughtUp {
--- a/crates/control/src/replica/departure.rs
+++ b/crates/control/src/replica/departure.rs
@@ -18,9 +18,8 @@
         if let Some(refusal) = self.departure_refusal(address) {
             return self.outbox.push(Output::DepartureAnswer { key, departure: refusal });
         }
-        let id = self.discovery.known_id(address);
-        self.discovery.record_gone(address, id);
-        self.disk.stage(RecordBody::MachineGone { address, id }, Some(Effect::DepartureStored { key }));
+        self.discovery.record_gone(address);
+        self.disk.stage(RecordBody::MachineGone { address }, Some(Effect::DepartureStored { key }));
     }
 
     fn departure_refusal(&self, address: SocketAddr) -> Option<Departure> {
@@ -32,7 +31,7 @@
             return Some(Departure::StillHere);
         }
         let is_expected = self.discovery.first_start && self.electorate().contains(&address);
-        let is_known = self.discovery.known_id(address).is_some() || self.discovery.is_gone(address);
+        let is_known = self.discovery.has_heard_of(address) || self.discovery.is_gone(address);
         (!is_expected && !is_known).then_some(Departure::UnknownMachine)
     }
 }
--- a/crates/control/src/replica/joining.rs
+++ b/crates/control/src/replica/joining.rs
@@ -122,8 +122,8 @@
     pub(super) fn possible_replicas(&self) -> usize {
         let members = self.view.members.iter().map(|member| (member.address, member.durable));
         let own = (self.options.address, self.options.durable);
-        let known = self.discovery.known_machines().map(|machine| (machine.address, machine.durable));
-        let candidates: Vec<(SocketAddr, bool)> = members.chain(known).chain([own]).collect();
+        let candidates: Vec<(SocketAddr, bool)> =
+            members.chain(self.discovery.known_machines()).chain([own]).collect();
         let any_durable = candidates.iter().any(|(_, durable)| *durable);
         let mut machines: BTreeSet<SocketAddr> = candidates
             .iter()
--- a/crates/control/src/replica/restore.rs
+++ b/crates/control/src/replica/restore.rs
@@ -25,7 +25,7 @@
         // Records of their own, so that a snapshot without any can be read by earlier builds. They follow the snapshot:
         // what has its number is skipped by none that knows them.
         let gone = self.discovery.gone_machines();
-        let gone = gone.map(|(address, id)| RecordBody::MachineGone { address, id });
+        let gone = gone.map(|address| RecordBody::MachineGone { address });
         let bodies = std::iter::once(RecordBody::Snapshot(Box::new(snapshot))).chain(gone);
         bodies.map(|body| Record { number: self.disk.number, body }).collect()
     }
@@ -66,7 +66,7 @@
             RecordBody::Appended { entry } => self.state.append(entry),
             RecordBody::Committed(id) => self.replay_committed(id),
             RecordBody::Snapshot(snapshot) => self.replay_snapshot(*snapshot),
-            RecordBody::MachineGone { address, id } => self.discovery.record_gone(address, id),
+            RecordBody::MachineGone { address } => self.discovery.record_gone(address),
             RecordBody::CaughtUp { transfer } => {
                 self.state.install(&transfer);
                 self.replay_committed(self.state.last());
--- a/crates/storage/src/opening.rs
+++ b/crates/storage/src/opening.rs
@@ -72,15 +72,14 @@
     ///
     /// As [`Log::open`].
     pub fn open_in(files: F, directory: &Path) -> Result<Opened<F>, StorageError> {
-        let Some(newest) = newest_file(&files, directory)? else {
-            return Ok(Opened { log: Log::empty(files, directory), records: Vec::new(), dropped: None });
+        let Some(mut newest) = newest_file(&files, directory)? else {
+            return Ok(Opened::empty(files, directory));
         };
-        let path = file_path(directory, newest.number);
-        let mut file = files.open(&path).context(IoSnafu { action: "open", path: &path })?;
         // A process may have ended between a write and its sync: what is read here must be durable.
-        file.sync().context(SyncSnafu { path: &path })?;
-        let opened = read_file(files, directory, newest.number, file)?;
-        opened.log.remove_files(&newest.older);
+        newest.file.sync().context(SyncSnafu { path: &newest.path })?;
+        let older = std::mem::take(&mut newest.older);
+        let opened = newest.read(files, directory)?;
+        opened.log.remove_files(&older);
         Ok(opened)
     }
 
@@ -90,29 +89,40 @@
     ///
     /// As [`Log::open_by_copy`].
     pub fn open_by_copy_in(files: F, directory: &Path) -> Result<Opened<F>, StorageError> {
-        let Some(newest) = newest_file(&files, directory)? else {
-            return Ok(Opened { log: Log::empty(files, directory), records: Vec::new(), dropped: None });
+        let Some(mut newest) = newest_file(&files, directory)? else {
+            return Ok(Opened::empty(files, directory));
         };
-        let path = file_path(directory, newest.number);
-        let file = files.open(&path).context(IoSnafu { action: "open", path: &path })?;
-        let mut opened = read_file(files, directory, newest.number, file)?;
+        let older = std::mem::take(&mut newest.older);
+        let mut opened = newest.read(files, directory)?;
         let records: Vec<&[u8]> = opened.records.iter().map(Vec::as_slice).collect();
         opened.log.rewrite(&records)?;
-        opened.log.remove_files(&newest.older);
+        opened.log.remove_files(&older);
         Ok(opened)
     }
 }
 
+impl<F: FileSystem> Opened<F> {
+    /// A log in which nothing was stored yet.
+    fn empty(files: F, directory: &Path) -> Self {
+        Opened { log: Log::empty(files, directory), records: Vec::new(), dropped: None }
+    }
+}
+
 /// The file in force.
-struct NewestFile {
+struct NewestFile<H> {
     number: u64,
+    path: PathBuf,
+    file: H,
     /// The numbers of the files that it replaced.
     older: Vec<u64>,
 }
 
-/// Finds the file in force, and makes its name durable: older files may be removed then, and it may be appended to. `None`
+/// Opens the file in force, and makes its name durable: older files may be removed then, and it may be appended to. `None`
 /// if the directory is empty or doesn't exist.
-fn newest_file<F: FileSystem>(files: &F, directory: &Path) -> Result<Option<NewestFile>, StorageError> {
+fn newest_file<F: FileSystem>(
+    files: &F,
+    directory: &Path,
+) -> Result<Option<NewestFile<F::File>>, StorageError> {
     let names = match files.list_names(directory) {
         Ok(names) => names,
         Err(error) if error.kind() == ErrorKind::NotFound => return Ok(None),
@@ -125,24 +135,28 @@
     // Also where no file is left: a name that isn't there for good must not come back after a loss of power.
     sync_directory(files, directory)?;
     let mut older = file_numbers(&names);
-    Ok(older.pop().map(|number| NewestFile { number, older }))
+    let Some(number) = older.pop() else { return Ok(None) };
+    let path = file_path(directory, number);
+    let file = files.open(&path).context(IoSnafu { action: "open", path: &path })?;
+    Ok(Some(NewestFile { number, path, file, older }))
 }
 
-fn read_file<F: FileSystem>(
-    files: F,
-    directory: &Path,
-    number: u64,
-    mut file: F::File,
-) -> Result<Opened<F>, StorageError> {
-    let path = file_path(directory, number);
-    let bytes = file.read_all().context(IoSnafu { action: "read", path: &path })?;
-    let Contents { records, complete_len, next_write_number } = read_contents(&path, &bytes)?;
-    let is_torn = complete_len < bytes.len();
-    let offset = complete_len as u64;
-    let dropped = is_torn.then_some(TornTail { path, offset });
-    let mut log = Log::opened(files, directory, number, file, offset, next_write_number);
-    if is_torn {
-        log.discard_torn_tail();
+impl<H: OpenFile> NewestFile<H> {
+    /// Reads all records, and cuts off a torn last write.
+    fn read<F: FileSystem<File = H>>(
+        mut self,
+        files: F,
+        directory: &Path,
+    ) -> Result<Opened<F>, StorageError> {
+        let bytes = self.file.read_all().context(IoSnafu { action: "read", path: &self.path })?;
+        let Contents { records, complete_len, next_write_number } = read_contents(&self.path, &bytes)?;
+        let is_torn = complete_len < bytes.len();
+        let offset = complete_len as u64;
+        let dropped = is_torn.then_some(TornTail { path: self.path, offset });
+        let mut log = Log::opened(files, directory, self.number, self.file, offset, next_write_number);
+        if is_torn {
+            log.discard_torn_tail();
+        }
+        Ok(Opened { log, records, dropped })
     }
-    Ok(Opened { log, records, dropped })
 }
