--- a/review/stand-ins/fleet.rs
+++ b/review/stand-ins/fleet.rs
@@ -3,6 +3,7 @@
 use std::fs::{self, File, OpenOptions};
 use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -153,7 +154,10 @@
             let log = settings.with_extension("log");
             let log =
                 OpenOptions::new().create(true).append(true).open(log).map_err(|error| error.to_string())?;
-            let child = Command::new("target/release/crankpick-system")
+            let mut command = Command::new("target/release/crankpick-system");
+            // SAFETY: `prctl` may be called between fork and exec.
+            unsafe { command.pre_exec(end_with_parent) };
+            let child = command
                 .arg(role.name())
                 .env("CRANKPICK_SETTINGS", &settings)
                 .stdin(Stdio::null())
@@ -227,6 +231,19 @@
     }
 }
 
+/// Has a new process killed if this one ends before it.
+fn end_with_parent() -> std::io::Result<()> {
+    extern "C" {
+        fn prctl(option: i32, value: u64) -> i32;
+    }
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(std::io::Error::last_os_error()),
+    }
+}
+
 /// Ports that are free at all machines.
 fn free_ports(net: [u8; 2], machines: usize) -> Option<[u16; 4]> {
     let ip = |machine: usize| Ipv4Addr::new(127, net[0], net[1], 2 + machine as u8);
--- a/review/stand-ins/late_beat.rs
+++ b/review/stand-ins/late_beat.rs
@@ -41,24 +41,26 @@
 pub fn run(folder: &Path, kill: bool, late: bool) -> Result<bool, String> {
     let record = Record::new(&folder.join("record.txt"))?;
     let work = std::env::temp_dir().join(format!("review-late-beat-{}", std::process::id()));
-    let result = play(&work, &record, kill, late);
+    let fleet = Arc::new(Fleet::new(&work, COUNTING, OTHERS)?);
+    let result = play(&fleet, &record, kill, late);
+    // Threads that are still under way hold the fleet too: it does not end by itself.
+    fleet.kill(|_| true);
     let _ = std::fs::remove_dir_all(&work);
     result
 }
 
-fn play(work: &Path, record: &Record, kill: bool, late: bool) -> Result<bool, String> {
-    let fleet = Arc::new(Fleet::new(work, COUNTING, OTHERS)?);
+fn play(fleet: &Arc<Fleet>, record: &Record, kill: bool, late: bool) -> Result<bool, String> {
     (0..fleet.machines).try_for_each(|machine| fleet.start(machine, true))?;
     fleet.configure(record, &configuration())?;
     let arrivals = Arrivals::default();
     let ending = Arc::new(AtomicBool::new(false));
     let mut backends = Vec::new();
     for number in 0..BACKENDS {
-        backends.push(Arc::new(Backend::start(&fleet, number, record, &arrivals)?));
+        backends.push(Arc::new(Backend::start(fleet, number, record, &arrivals)?));
     }
     // Backend 0 is the one that leaves; its heartbeats are sent by the story below.
     for backend in &backends[1..] {
-        let (backend, fleet, ending) = (Arc::clone(backend), Arc::clone(&fleet), Arc::clone(&ending));
+        let (backend, fleet, ending) = (Arc::clone(backend), Arc::clone(fleet), Arc::clone(&ending));
         spawn(move || {
             while !ending.load(Ordering::Relaxed) {
                 backend.beat(&fleet.controls());
@@ -76,7 +78,7 @@
         sleep(HEARTBEAT);
         backends[0].beat(&fleet.controls());
     }
-    let story = leave(&fleet, &backends[0], record, kill, late);
+    let story = leave(fleet, &backends[0], record, kill, late);
     ending.store(true, Ordering::Relaxed);
     let (acknowledged, in_touch) = story?;
     if !fleet.is_whole() {
@@ -164,7 +166,7 @@
         ids.join(" "),
     );
     record.line(&text);
-    println!("{text}");
+    crate::say(&text);
     Ok(after.is_empty())
 }
 
@@ -262,6 +264,7 @@
     while !ending.load(Ordering::Relaxed) {
         number += 1;
         let id = format!("m{machine}-{number}");
+        record.line(&format!("client of machine {machine}: sends {id}"));
         let answer = ask(&mut kept, front, &id);
         if answer.is_none() {
             kept = None;
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -12,6 +12,7 @@
 mod late_beat;
 mod resets;
 
+use std::io::Write;
 use std::path::PathBuf;
 use std::process::exit;
 
@@ -31,9 +32,9 @@
         _ => Err(format!("no case named {case}")),
     };
     match result {
-        Ok(true) => println!("the rule held"),
+        Ok(true) => say("the rule held"),
         Ok(false) => {
-            println!("the rule was broken");
+            say("the rule was broken");
             exit(1);
         }
         Err(cause) => {
@@ -43,6 +44,11 @@
     }
 }
 
+/// Prints a line; whether somebody reads it makes no difference to the case.
+fn say(text: &str) {
+    let _ = writeln!(std::io::stdout(), "{text}");
+}
+
 fn is_off(variable: &str) -> bool {
     std::env::var(variable).is_ok_and(|value| value == "0")
 }
--- a/review/stand-ins/resets.rs
+++ b/review/stand-ins/resets.rs
@@ -27,10 +27,11 @@
 const EVENTS: usize = 55;
 const EVENT_GAP: Duration = Duration::from_millis(30);
 const PATIENCE: Duration = Duration::from_secs(1);
-/// One machine of ten at a time has half of its connections reset, a few times in a row.
+/// One machine of ten at a time has half of its connections reset, a few times in a row. The bench lists a reset with a
+/// second's length: by that, no two are in force at once.
 const RESETS: usize = 30;
 const RESETS_IN_A_ROW: usize = 3;
-const RESET_GAP: Duration = Duration::from_millis(600);
+const RESET_GAP: Duration = Duration::from_millis(1_000);
 const QUIET: Duration = Duration::from_secs(2);
 
 /// A run at a backend.
@@ -56,19 +57,21 @@
 pub fn run(folder: &Path, trouble: bool) -> Result<bool, String> {
     let record = Record::new(&folder.join("record.txt"))?;
     let work = std::env::temp_dir().join(format!("review-resets-{}", std::process::id()));
-    let result = play(&work, &record, trouble);
+    let fleet = Arc::new(Fleet::new(&work, COUNTING, OTHERS)?);
+    let result = play(&fleet, &record, trouble);
+    // Threads that are still under way hold the fleet too: it does not end by itself.
+    fleet.kill(|_| true);
     let _ = std::fs::remove_dir_all(&work);
     result
 }
 
-fn play(work: &Path, record: &Record, trouble: bool) -> Result<bool, String> {
-    let fleet = Arc::new(Fleet::new(work, COUNTING, OTHERS)?);
+fn play(fleet: &Arc<Fleet>, record: &Record, trouble: bool) -> Result<bool, String> {
     (0..fleet.machines).try_for_each(|machine| fleet.start(machine, true))?;
     fleet.configure(record, &configuration())?;
     let (shared, ending) = (Shared::default(), Arc::new(AtomicBool::new(false)));
     for number in 0..BACKENDS {
-        let (id, address) = start_backend(&fleet, number, record, &shared)?;
-        let (fleet, ending) = (Arc::clone(&fleet), Arc::clone(&ending));
+        let (id, address) = start_backend(fleet, number, record, &shared)?;
+        let (fleet, ending) = (Arc::clone(fleet), Arc::clone(&ending));
         spawn(move || beat(number, &id, address, &fleet, &ending));
     }
     fleet.wait_until_ready(Duration::from_secs(15))?;
@@ -142,7 +145,7 @@
         first.join(" "),
     );
     record.line(&text);
-    println!("{text}");
+    crate::say(&text);
     Ok(beyond.len() <= ALLOWED)
 }
 
@@ -267,6 +270,7 @@
     while !ending.load(Ordering::Relaxed) {
         count += 1;
         let id = format!("m{machine}-{number}-{count}");
+        record.line(&format!("client: {id} is sent to machine {machine}"));
         let answer = ask(front, &id).unwrap_or_else(|error| format!("failed: {error}"));
         record.line(&format!("client: {id} at machine {machine} is answered {answer}"));
         shared.lock().unwrap().answered.insert(id, answer);
