--- a/crates/control-plane/src/disk.rs
+++ b/crates/control-plane/src/disk.rs
@@ -27,13 +27,47 @@
     ByCopy,
 }
 
-/// A handle to the disk thread. The thread ends when the handle is dropped.
-pub struct Disk {
-    writes: SyncSender<WriteRequest>,
+/// A kind of record that is stored in a log of its own.
+pub trait StoredRecord: Send + Sized + 'static {
+    /// Encodes the record.
+    ///
+    /// # Errors
+    ///
+    /// [`ControlPlaneError::Record`] if the encoder fails.
+    fn encode(&self) -> Result<Vec<u8>, ControlPlaneError>;
+
+    /// Decodes a record from the bytes that [`StoredRecord::encode`] made.
+    ///
+    /// # Errors
+    ///
+    /// [`ControlPlaneError::Record`] if the bytes aren't a record.
+    fn decode(bytes: &[u8]) -> Result<Self, ControlPlaneError>;
+
+    /// The event that tells the host of a finished write.
+    fn write_finished(result: WriteResult) -> Event;
+}
+
+impl StoredRecord for Record {
+    fn encode(&self) -> Result<Vec<u8>, ControlPlaneError> {
+        Record::encode(self).context(RecordSnafu)
+    }
+
+    fn decode(bytes: &[u8]) -> Result<Self, ControlPlaneError> {
+        Record::decode(bytes).context(RecordSnafu)
+    }
+
+    fn write_finished(result: WriteResult) -> Event {
+        Event::WriteFinished(result)
+    }
+}
+
+/// A handle to the disk thread of one log. The thread ends when the handle is dropped.
+pub struct Disk<R = Record> {
+    writes: SyncSender<WriteRequest<R>>,
 }
 
-impl Disk {
-    /// Reads the records in `directory` and starts the thread. Results are sent as [`Event::WriteFinished`].
+impl<R: StoredRecord> Disk<R> {
+    /// Reads the records in `directory` and starts the thread. Results are sent as [`StoredRecord::write_finished`] says.
     ///
     /// # Errors
     ///
@@ -42,14 +76,13 @@
         directory: &Path,
         mode: OpenMode,
         events: Sender<Event>,
-    ) -> Result<(Disk, Vec<Record>), ControlPlaneError> {
+    ) -> Result<(Disk<R>, Vec<R>), ControlPlaneError> {
         let opened = match mode {
             OpenMode::InPlace => Log::open(directory),
             OpenMode::ByCopy => Log::open_by_copy(directory),
         };
         let Opened { log, records: stored, .. } = opened.context(StorageSnafu)?;
-        let records: Result<Vec<Record>, _> = stored.iter().map(|bytes| Record::decode(bytes)).collect();
-        let records = records.context(RecordSnafu)?;
+        let records = stored.iter().map(|bytes| R::decode(bytes)).collect::<Result<Vec<R>, _>>()?;
         let (writes, queue) = sync_channel(MAX_QUEUED_WRITES);
         thread::Builder::new()
             .name("disk".into())
@@ -59,7 +92,7 @@
     }
 
     /// Queues a write. Returns false if the queue is full or the thread has ended.
-    pub fn write(&self, request: WriteRequest) -> bool {
+    pub fn write(&self, request: WriteRequest<R>) -> bool {
         match self.writes.try_send(request) {
             Ok(()) => true,
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => false,
@@ -67,7 +100,7 @@
     }
 }
 
-fn write_all(mut log: Log, queue: &Receiver<WriteRequest>, events: &Sender<Event>) {
+fn write_all<R: StoredRecord>(mut log: Log, queue: &Receiver<WriteRequest<R>>, events: &Sender<Event>) {
     let mut next = queue.recv().ok();
     while let Some(request) = next.take() {
         match request {
@@ -86,11 +119,11 @@
 
 /// Merges the queued appends into one write with one sync. Returns the ids of the merged writes, their records, and the
 /// first request that can't be merged.
-fn batch_appends(
+fn batch_appends<R>(
     first: u64,
-    mut records: Vec<Record>,
-    queue: &Receiver<WriteRequest>,
-) -> (Vec<u64>, Vec<Record>, Option<WriteRequest>) {
+    mut records: Vec<R>,
+    queue: &Receiver<WriteRequest<R>>,
+) -> (Vec<u64>, Vec<R>, Option<WriteRequest<R>>) {
     let mut write_ids = vec![first];
     while let Ok(request) = queue.try_recv() {
         match request {
@@ -104,12 +137,11 @@
     (write_ids, records, None)
 }
 
-fn encode(records: &[Record]) -> Result<Vec<Vec<u8>>, ControlPlaneError> {
-    let encoded: Result<Vec<Vec<u8>>, _> = records.iter().map(Record::encode).collect();
-    encoded.context(RecordSnafu)
+fn encode<R: StoredRecord>(records: &[R]) -> Result<Vec<Vec<u8>>, ControlPlaneError> {
+    records.iter().map(R::encode).collect()
 }
 
-fn append(log: &mut Log, write_ids: &[u64], records: &[Record], events: &Sender<Event>) {
+fn append<R: StoredRecord>(log: &mut Log, write_ids: &[u64], records: &[R], events: &Sender<Event>) {
     let appended = encode(records).and_then(|encoded| {
         let slices: Vec<&[u8]> = encoded.iter().map(Vec::as_slice).collect();
         log.append(&slices).context(StorageSnafu)
@@ -120,11 +152,11 @@
             Ok(()) => WriteResult::Synced { write_id, bytes },
             Err(error) => WriteResult::Failed { write_id, cause: error.to_string() },
         };
-        notify(events, result);
+        notify::<R>(events, result);
     }
 }
 
-fn rewrite(log: &mut Log, records: &[Record], events: &Sender<Event>) {
+fn rewrite<R: StoredRecord>(log: &mut Log, records: &[R], events: &Sender<Event>) {
     let rewritten = encode(records).and_then(|encoded| {
         let slices: Vec<&[u8]> = encoded.iter().map(Vec::as_slice).collect();
         log.rewrite(&slices).context(StorageSnafu)
@@ -134,10 +166,10 @@
         // The previous file stays in use: no data is lost, and a later rewrite retries.
         Err(error) => WriteResult::RewriteFailed { cause: error.to_string() },
     };
-    notify(events, result);
+    notify::<R>(events, result);
 }
 
-fn notify(events: &Sender<Event>, result: WriteResult) {
+fn notify<R: StoredRecord>(events: &Sender<Event>, result: WriteResult) {
     // The receiver is dropped only at shutdown.
-    let _ended = events.blocking_send(Event::WriteFinished(result));
+    let _ended = events.blocking_send(R::write_finished(result));
 }
--- a/crates/control-plane/src/disk_message.rs
+++ b/crates/control-plane/src/disk_message.rs
@@ -1,20 +1,18 @@
 //! Requests to the disk thread, and their results.
 
-use crankpick_control::Record;
-
 /// A request to the disk thread.
-pub enum WriteRequest {
+pub enum WriteRequest<R> {
     /// Appends records.
     Append {
         /// The id of this write, repeated in its result.
         write_id: u64,
         /// The records to append.
-        records: Vec<Record>,
+        records: Vec<R>,
     },
     /// Replaces the whole contents.
     Rewrite {
         /// The new contents.
-        records: Vec<Record>,
+        records: Vec<R>,
     },
 }
 
--- a/crates/control-plane/src/disk_opening.rs
+++ b/crates/control-plane/src/disk_opening.rs
@@ -6,14 +6,13 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use crankpick_control::Record;
 use crankpick_storage::StorageError;
 use slog::{warn, Logger};
 use snafu::ResultExt;
 use tokio::sync::mpsc::Sender;
 use tokio::time::sleep;
 
-use crate::disk::{Disk, OpenMode};
+use crate::disk::{Disk, OpenMode, StoredRecord};
 use crate::error::{ControlPlaneError, QuarantineSnafu};
 use crate::event::Event;
 
@@ -29,12 +28,12 @@
 /// # Errors
 ///
 /// The error of the last attempt.
-pub async fn open_disk(
+pub async fn open_disk<R: StoredRecord>(
     directory: &Path,
     events: &Sender<Event>,
     retry_interval: Duration,
     log: &Logger,
-) -> Result<(Disk, Vec<Record>), ControlPlaneError> {
+) -> Result<(Disk<R>, Vec<R>), ControlPlaneError> {
     let mut mode = OpenMode::InPlace;
     for _ in 1..MAX_ATTEMPTS {
         let error = match Disk::open(directory, mode, events.clone()) {
@@ -84,10 +83,13 @@
         .unwrap_or_else(|| name.with_extension(QUARANTINE_EXTENSION))
 }
 
-/// Renames all files except those already quarantined.
+/// Renames all files except those already quarantined. Directories hold other logs, which are left alone.
 fn quarantine_files(directory: &Path) -> Result<(), ControlPlaneError> {
     for entry in std::fs::read_dir(directory).context(QuarantineSnafu { path: directory })? {
         let path = entry.context(QuarantineSnafu { path: directory })?.path();
+        if path.is_dir() {
+            continue;
+        }
         if path.extension().is_none_or(|extension| extension != QUARANTINE_EXTENSION) {
             std::fs::rename(&path, unused_path(&path)).context(QuarantineSnafu { path: &path })?;
         }
--- a/crates/control-plane/src/event.rs
+++ b/crates/control-plane/src/event.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use crankpick_control::Departure;
 use crankpick_protocol::{GatewayIdentity, GatewayReport, HomeUpdate, TenantDemand, TenantGrant};
-use crankpick_registry::{Announcement, Digest, Heartbeat, HeartbeatError, ProcessId};
+use crankpick_registry::{Announcement, BackendDeparture, Digest, Heartbeat, HeartbeatError, ProcessId};
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc::Sender;
 use tokio::sync::oneshot;
@@ -155,6 +155,8 @@
     },
     /// A write to the disk has finished.
     WriteFinished(WriteResult),
+    /// A write of departures to the disk has finished.
+    DepartureWriteFinished(WriteResult),
     /// The seeds in the settings have changed. Holds the new internal addresses.
     SeedsChanged(Vec<SocketAddr>),
     /// The process was asked to shut down gracefully.
@@ -175,7 +177,7 @@
         /// The changes of the registry.
         announcements: Vec<Announcement>,
     },
-    /// Acknowledges that the changes of an `Announce` are in memory.
+    /// Acknowledges that the changes of an `Announce` are in memory, and the departures among them on disk.
     #[serde(rename = "Announced")]
     AnnounceAcknowledged {
         /// The number of the `Announce`.
@@ -221,6 +223,20 @@
         /// The changes of the registry.
         announcements: Vec<Announcement>,
     },
+    /// Asks for the departures that the receiver knows. Sent only on connections of [`Caller::DepartureReader`], which
+    /// earlier builds refuse.
+    ///
+    /// [`Caller::DepartureReader`]: crankpick_protocol::Caller::DepartureReader
+    DepartureQuery,
+    /// Answers a `DepartureQuery`, on a connection of the same kind.
+    DepartureReport {
+        /// The epoch of the sender's view.
+        epoch: u64,
+        /// Whether the sender has stored all departures that it had to store as a member of that view.
+        sound: bool,
+        /// All departures that the sender knows.
+        departures: Vec<BackendDeparture>,
+    },
 }
 
 #[cfg(test)]
--- a/crates/control-plane/src/host.rs
+++ b/crates/control-plane/src/host.rs
@@ -1,6 +1,7 @@
 //! The task that owns a member's state: handles events sequentially and performs the resulting actions.
 
 mod api_requests;
+mod departures;
 mod gateways;
 mod peer_messages;
 mod replication;
@@ -18,6 +19,9 @@
 use tokio::sync::mpsc::Receiver;
 use tokio::time::{interval, MissedTickBehavior};
 
+use crate::departure_record::{DepartureRecord, StoredDepartures};
+use crate::departure_store::DepartureStore;
+use crate::departure_sync::DepartureSync;
 use crate::disk::Disk;
 use crate::event::Event;
 use crate::fault_tolerance::ToleranceMonitor;
@@ -53,6 +57,12 @@
     pub outputs: Outputs,
     /// The disk; `None` if the state is kept in memory only.
     pub disk: Option<Disk>,
+    /// The disk of the departures of backends; `None` if they are kept in memory only.
+    pub departure_disk: Option<Disk<DepartureRecord>>,
+    /// The departures restored from disk.
+    pub stored_departures: StoredDepartures,
+    /// The interval of the backends' heartbeats.
+    pub heartbeat: Duration,
     /// The registry of backends.
     pub registry: Registry,
     /// The leases of gateways.
@@ -72,6 +82,8 @@
     connections: PeerConnections,
     peers: Peers,
     pending_announcements: PendingAnnouncements,
+    departure_store: DepartureStore,
+    departure_sync: DepartureSync,
     tolerance: ToleranceMonitor,
     operator_requests: OperatorRequests,
     sessions: Sessions,
@@ -82,21 +94,27 @@
     log_rewriting: LogRewriting,
     /// Whether the last write to the disk failed.
     disk_failing: bool,
+    /// Whether the last write of departures failed.
+    departure_disk_failing: bool,
     ticks: u64,
     digest_turn: usize,
 }
 
 impl Host {
     /// Creates a host that measures time from `started`.
-    pub fn new(components: HostComponents, started: Instant) -> Self {
+    pub fn new(mut components: HostComponents, started: Instant) -> Self {
+        let departure_sync = restore_departures(&mut components, started.elapsed());
         let connections = PeerConnections::new(components.address);
         let tolerance = ToleranceMonitor::new(components.replica.options().tolerate_nodes);
+        let departure_store = DepartureStore::new(components.departure_disk.is_some());
         Host {
             started,
             components,
             connections,
             peers: Peers::default(),
             pending_announcements: PendingAnnouncements::default(),
+            departure_store,
+            departure_sync,
             tolerance,
             operator_requests: OperatorRequests::default(),
             sessions: Sessions::default(),
@@ -105,6 +123,7 @@
             current: None,
             log_rewriting: LogRewriting::default(),
             disk_failing: false,
+            departure_disk_failing: false,
             ticks: 0,
             digest_turn: 0,
         }
@@ -114,6 +133,7 @@
     pub async fn run(mut self, mut events: Receiver<Event>) {
         let outputs = std::mem::take(&mut self.components.outputs);
         self.perform_outputs(outputs);
+        self.departures_view_changed();
         if let Some(entry) = self.components.replica.newest_committed().cloned() {
             self.apply_committed(&entry);
         }
@@ -147,6 +167,7 @@
             Event::GatewayReported { session, report } => self.handle_report(session, report),
             Event::GatewayDisconnected { session } => self.sessions.disconnected(session),
             Event::WriteFinished(result) => self.handle_write_result(result),
+            Event::DepartureWriteFinished(result) => self.handle_departure_write_result(result),
             Event::SeedsChanged(seeds) => {
                 self.components.seeds.clone_from(&seeds);
                 self.drive_replica(Input::SeedsChanged(seeds));
@@ -177,3 +198,23 @@
         tokio::time::sleep(2 * TICK_INTERVAL).await;
     }
 }
+
+/// Restores the departures from disk into the registry. Returns whether others must be read before it is complete.
+fn restore_departures(components: &mut HostComponents, now: Now) -> DepartureSync {
+    let options = components.replica.options();
+    let mut sync = DepartureSync::new(
+        components.replica.id(),
+        options.tolerate_nodes,
+        components.heartbeat,
+        options.bootstrap,
+    );
+    let stored = std::mem::take(&mut components.stored_departures);
+    sync.restore(components.replica.view(), stored.complete_epoch);
+    components.registry.merge_departures(now, &stored.departures);
+    // They are on disk already.
+    drop(components.registry.take_departures());
+    if !sync.is_informed() {
+        components.registry.require_departures();
+    }
+    sync
+}
--- a/crates/control-plane/src/host/api_requests.rs
+++ b/crates/control-plane/src/host/api_requests.rs
@@ -9,6 +9,7 @@
 
 use super::Host;
 use crate::api::MAX_CONFIGURATION_BYTES;
+use crate::departure_store::DurabilityWaiter;
 use crate::event::{ApiRequest, ChangeResponse, DepartureResponse, HeartbeatResponse};
 use crate::operator_requests::{next_patch_action, PatchAction, PendingPatch};
 use crate::quorum::Quorum;
@@ -112,7 +113,7 @@
     }
 
     /// Announces a backend's change to the peers and answers the backend. Draining and leaving are acknowledged once a
-    /// majority of the members has the change, other changes immediately. Without a reachable majority nothing is
+    /// majority of the members has stored the change, other changes immediately. Without a reachable majority nothing is
     /// acknowledged, so that the backend retries at another process.
     pub(super) fn answer_heartbeat(
         &mut self,
@@ -121,6 +122,7 @@
         is_departure: bool,
         reply: oneshot::Sender<HeartbeatResponse>,
     ) {
+        self.store_departures();
         let outcome = match registration {
             Ok(outcome) => outcome,
             Err(error) => {
@@ -144,7 +146,7 @@
         }
     }
 
-    /// Announces that a backend is draining or leaving, and answers it once a majority has the change. An unchanged
+    /// Announces that a backend is draining or leaving, and answers it once a majority has stored the change. An unchanged
     /// state is announced again, since an earlier announcement may not have reached a majority.
     pub(super) fn replicate_departure(
         &mut self,
@@ -163,6 +165,7 @@
         };
         let number = self.pending_announcements.add(now, quorum, self.peers.up(), pending, reply);
         self.announce(number, announcement);
+        self.when_departures_durable(DurabilityWaiter::OwnAnnouncement { number });
         self.expire_announcements();
     }
 
--- a/crates/control-plane/src/host/peer_messages.rs
+++ b/crates/control-plane/src/host/peer_messages.rs
@@ -9,6 +9,7 @@
 use slog::info;
 
 use super::{Host, SLOW_TICKS_PER_PRESENCE, TICKS_PER_SLOW_TICK};
+use crate::departure_store::DurabilityWaiter;
 use crate::event::PeerMessage;
 use crate::peers::{home_of, PeerChange};
 use crate::pending_announcements::Relay;
@@ -40,10 +41,15 @@
                 self.handle_demands(from, number, home, epoch, demands);
             }
             PeerMessage::QuotaGrants { number, grants } => self.handle_grants(number, grants),
+            PeerMessage::DepartureQuery => self.report_departures(from),
+            PeerMessage::DepartureReport { epoch, sound, departures } => {
+                self.handle_departure_report(from, epoch, sound, &departures);
+            }
         }
     }
 
-    /// Merges announcements from a peer, and acknowledges them if their number is not 0.
+    /// Merges announcements from a peer. If their number is not 0, acknowledges them once the departures among them are
+    /// durable.
     pub(super) fn handle_announcements(
         &mut self,
         from: SocketAddr,
@@ -56,8 +62,9 @@
             self.announce(0, corrections);
             self.components.gateways.merge(now, announcement);
         }
+        self.store_departures();
         if number > 0 {
-            self.connections.send(from, &PeerMessage::AnnounceAcknowledged { number });
+            self.when_departures_durable(DurabilityWaiter::PeerAnnouncement { peer: from, number });
         }
         self.push_updates();
     }
--- a/crates/control-plane/src/host/replication.rs
+++ b/crates/control-plane/src/host/replication.rs
@@ -100,6 +100,16 @@
     /// Logs when disk writes start to fail, and when they succeed again.
     fn report_disk(&mut self, written: Result<(), &str>) {
         let was_failing = std::mem::replace(&mut self.disk_failing, written.is_err());
+        self.log_disk(was_failing, written);
+    }
+
+    /// As [`Self::report_disk`], for writes of departures.
+    pub(super) fn report_departure_disk(&mut self, written: Result<(), &str>) {
+        let was_failing = std::mem::replace(&mut self.departure_disk_failing, written.is_err());
+        self.log_disk(was_failing, written);
+    }
+
+    fn log_disk(&self, was_failing: bool, written: Result<(), &str>) {
         match written {
             Ok(()) if was_failing => info!(self.components.log, "the disk takes writes again"),
             Err(cause) if !was_failing => {
@@ -148,5 +158,6 @@
             "chain" => chain.join(","));
         self.update_homes();
         self.components.quotas.view_changed(view);
+        self.departures_view_changed();
     }
 }
--- a/crates/control-plane/src/host/timers.rs
+++ b/crates/control-plane/src/host/timers.rs
@@ -22,6 +22,7 @@
         self.operator_requests.expire_commands(self.now(), &self.components.replica);
         self.drive_patches();
         self.expire_announcements();
+        self.tick_departures();
         self.process_quotas();
         if self.ticks.is_multiple_of(TICKS_PER_SLOW_TICK) {
             self.slow_tick(self.ticks / TICKS_PER_SLOW_TICK);
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -4,6 +4,9 @@
 //! processes redirect callers to a member.
 
 mod api;
+mod departure_record;
+mod departure_store;
+mod departure_sync;
 mod disk;
 mod disk_message;
 mod disk_opening;
--- a/crates/control-plane/src/listener.rs
+++ b/crates/control-plane/src/listener.rs
@@ -60,7 +60,9 @@
         return Ok(());
     }
     match handshake.caller {
-        Caller::Peer { address } => read_peer_messages(reader, address, events).await,
+        Caller::Peer { address } | Caller::DepartureReader { address } => {
+            read_peer_messages(reader, address, events).await
+        }
         Caller::Gateway(gateway) => serve_gateway(reader, write, session, gateway, events).await,
         Caller::Observer => Ok(()),
     }
--- a/crates/control-plane/src/peer_connections.rs
+++ b/crates/control-plane/src/peer_connections.rs
@@ -1,7 +1,8 @@
 //! Outgoing connections to the other control-plane processes.
 //!
 //! Each direction uses separate connections, opened by the sender: one for small and one for large messages, so that
-//! heartbeats aren't delayed behind a configuration on a slow link. Messages may be lost with a connection; senders retry
+//! heartbeats aren't delayed behind a configuration on a slow link, and one for the departures of backends, which earlier
+//! builds refuse. Messages may be lost with a connection; senders retry
 //! what must arrive.
 
 use std::collections::BTreeMap;
@@ -38,11 +39,31 @@
     open: BTreeMap<(SocketAddr, Lane), Sender<Bytes>>,
 }
 
-/// One of the two connections to a peer.
+/// One of the connections to a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Lane {
     Small,
     Large,
+    Departures,
+}
+
+impl Lane {
+    /// The connection for a message whose frame has this length in bytes.
+    fn of(message: &PeerMessage, frame_bytes: usize) -> Lane {
+        match message {
+            PeerMessage::DepartureQuery | PeerMessage::DepartureReport { .. } => Lane::Departures,
+            _ if frame_bytes > LARGE_FRAME_BYTES => Lane::Large,
+            _ => Lane::Small,
+        }
+    }
+
+    /// How the sender at this address introduces itself.
+    fn caller(self, address: SocketAddr) -> Caller {
+        match self {
+            Lane::Small | Lane::Large => Caller::Peer { address },
+            Lane::Departures => Caller::DepartureReader { address },
+        }
+    }
 }
 
 impl PeerConnections {
@@ -59,36 +80,37 @@
     /// Queues a message. It is lost if the connection fails or the peer reads too slowly.
     pub fn send(&mut self, to: SocketAddr, message: &PeerMessage) {
         let Ok(frame) = encode(message) else { return };
-        let lane = if frame.len() > LARGE_FRAME_BYTES { Lane::Large } else { Lane::Small };
+        let lane = Lane::of(message, frame.len());
+        let caller = lane.caller(self.local_address);
         let connection = self
             .open
             .entry((to, lane))
-            .or_insert_with(|| open_connection(self.local_address, to, self.dial_options));
+            .or_insert_with(|| open_connection(caller.clone(), to, self.dial_options));
         if connection.try_send(frame.clone()).is_ok() {
             return;
         }
         // Closed or full: replace the connection, starting with the newest message.
-        let connection = open_connection(self.local_address, to, self.dial_options);
+        let connection = open_connection(caller, to, self.dial_options);
         let _lost = connection.try_send(frame);
         self.open.insert((to, lane), connection);
     }
 }
 
-fn open_connection(local_address: SocketAddr, to: SocketAddr, dial_options: DialOptions) -> Sender<Bytes> {
+fn open_connection(caller: Caller, to: SocketAddr, dial_options: DialOptions) -> Sender<Bytes> {
     let (sender, queue) = channel(MAX_QUEUED_FRAMES);
-    tokio::spawn(run_connection(local_address, to, dial_options, queue));
+    tokio::spawn(run_connection(caller, to, dial_options, queue));
     sender
 }
 
 async fn run_connection(
-    local_address: SocketAddr,
+    caller: Caller,
     to: SocketAddr,
     dial_options: DialOptions,
     mut queue: Receiver<Bytes>,
 ) {
     let mut rng = Rng::with_seed(random_id());
     while let Ok(Some(first)) = timeout(IDLE_TIMEOUT, queue.recv()).await {
-        let finished = send_all(local_address, to, dial_options, first, &mut queue).await;
+        let finished = send_all(&caller, to, dial_options, first, &mut queue).await;
         if finished.is_ok() {
             return;
         }
@@ -104,7 +126,7 @@
 ///
 /// If the connection can't be opened or a write fails or times out.
 async fn send_all(
-    local_address: SocketAddr,
+    caller: &Caller,
     to: SocketAddr,
     dial_options: DialOptions,
     first: Bytes,
@@ -112,7 +134,7 @@
 ) -> Result<(), ProtocolError> {
     let stream = dial(to, dial_options).await?;
     let mut writer = FrameWriter::new(stream);
-    writer.send(&Handshake::new(Caller::Peer { address: local_address })).await?;
+    writer.send(&Handshake::new(caller.clone())).await?;
     let mut frame = first;
     loop {
         let write_timeout = WRITE_TIMEOUT + Duration::from_micros(frame.len() as u64);
--- a/crates/control-plane/src/pending_announcements.rs
+++ b/crates/control-plane/src/pending_announcements.rs
@@ -1,6 +1,6 @@
 //! Announcements waiting for acknowledgements by peers, and the backends whose responses depend on them.
 //!
-//! A backend that drains or leaves gets its response once a majority of the view's members has acknowledged the change
+//! A backend that drains or leaves gets its response once a majority of the view's members has stored the change
 //! (`quorum.rs` explains why that is sufficient) and every reachable peer has acknowledged it or timed out. Peers that have
 //! acknowledged the change relay it to those that have not. Without a majority the backend gets no acknowledgement.
 
@@ -43,6 +43,8 @@
     since: Now,
     peers: BTreeSet<SocketAddr>,
     acknowledged: BTreeSet<SocketAddr>,
+    /// Whether this process has stored the change itself.
+    stored: bool,
     quorum: Quorum,
     announcement: Announcement,
     reply: oneshot::Sender<HeartbeatResponse>,
@@ -51,9 +53,16 @@
 impl PendingAnnouncement {
     /// Whether enough peers have the announcement for the backend to be acknowledged.
     fn is_replicated(&self, now: Now) -> bool {
-        let has_all = self.peers.is_subset(&self.acknowledged);
-        let peers_timed_out = now >= self.since + PEER_TIMEOUT;
-        (has_all || peers_timed_out) && self.quorum.is_met_by(&self.acknowledged)
+        let has_all = self.stored && self.peers.is_subset(&self.acknowledged);
+        let timed_out = now >= self.since + PEER_TIMEOUT;
+        (has_all || timed_out) && self.has_majority()
+    }
+
+    fn has_majority(&self) -> bool {
+        match self.stored {
+            true => self.quorum.is_met_by(&self.acknowledged),
+            false => self.quorum.is_met_by_others(&self.acknowledged),
+        }
     }
 
     fn has_timed_out(&self, now: Now) -> bool {
@@ -91,16 +100,27 @@
         }
         let peers = peers.into_iter().collect();
         let acknowledged = BTreeSet::new();
-        let pending = PendingAnnouncement { since: now, peers, acknowledged, quorum, announcement, reply };
+        let stored = false;
+        let pending =
+            PendingAnnouncement { since: now, peers, acknowledged, stored, quorum, announcement, reply };
         self.pending.insert(self.last_number, pending);
         self.last_number
     }
 
     /// Records an acknowledgement. Returns the relay to request if the announcement is complete and some peers lack it.
     pub fn acknowledged(&mut self, now: Now, number: u64, peer: SocketAddr) -> Option<Relay> {
-        let pending = self.pending.get_mut(&number)?;
-        pending.acknowledged.insert(peer);
-        if !pending.is_replicated(now) {
+        self.pending.get_mut(&number)?.acknowledged.insert(peer);
+        self.finish_if_replicated(now, number)
+    }
+
+    /// Records that this process has stored the change. Returns the relay as [`Self::acknowledged`] does.
+    pub fn stored(&mut self, now: Now, number: u64) -> Option<Relay> {
+        self.pending.get_mut(&number)?.stored = true;
+        self.finish_if_replicated(now, number)
+    }
+
+    fn finish_if_replicated(&mut self, now: Now, number: u64) -> Option<Relay> {
+        if !self.pending.get(&number)?.is_replicated(now) {
             return None;
         }
         self.pending.remove(&number)?.acknowledge()
--- a/crates/control-plane/src/quorum.rs
+++ b/crates/control-plane/src/quorum.rs
@@ -39,6 +39,11 @@
         members + usize::from(self.counts_itself) >= self.majority
     }
 
+    /// Whether the processes in `acknowledged` form a majority without this process, which has not stored the change.
+    pub fn is_met_by_others(&self, acknowledged: &BTreeSet<SocketAddr>) -> bool {
+        self.others.intersection(acknowledged).count() >= self.majority
+    }
+
     /// The other members that haven't acknowledged.
     pub fn unacknowledged<'a>(
         &'a self,
--- a/crates/control-plane/src/redirector.rs
+++ b/crates/control-plane/src/redirector.rs
@@ -110,8 +110,11 @@
             Event::GatewayReported { session, report } => self.answer_gateway(session, report.number),
             Event::GatewayDisconnected { session } => self.gateways.retain(|(open, _)| *open != session),
             // The API answers requests itself; the other messages are intended for processes of the core.
-            Event::ApiRequest(_) | Event::PeerMessage { .. } | Event::WriteFinished(_) | Event::Terminate => {
-            }
+            Event::ApiRequest(_)
+            | Event::PeerMessage { .. }
+            | Event::WriteFinished(_)
+            | Event::DepartureWriteFinished(_)
+            | Event::Terminate => {}
         }
     }
 
--- a/crates/control-plane/src/start.rs
+++ b/crates/control-plane/src/start.rs
@@ -18,7 +18,8 @@
 use tokio::task::JoinHandle;
 
 use crate::api::{routes, Api};
-use crate::disk::Disk;
+use crate::departure_record::{DepartureRecord, StoredDepartures};
+use crate::disk::{Disk, StoredRecord};
 use crate::disk_opening::{open_disk, OPEN_RETRY_INTERVAL};
 use crate::error::{ControlPlaneError, ListenSnafu};
 use crate::event::Event;
@@ -33,6 +34,9 @@
 /// The capacity of the host's event queue; senders wait while it is full.
 const MAX_QUEUED_EVENTS: usize = 8_192;
 
+/// The directory of the departures' log, within that of the control state.
+const DEPARTURES_DIRECTORY: &str = "departures";
+
 /// The bound sockets of a process.
 pub struct Listeners {
     /// For the other processes of the fleet.
@@ -134,19 +138,35 @@
 /// Starts a member of the core: opens its disk, restores its replica, and serves the API.
 async fn start_member(context: StartContext<'_>) -> Result<JoinHandle<()>, ControlPlaneError> {
     let StartContext { settings, address, started, acceptor, port, events, queue, log } = context;
-    let (disk, records) = match &settings.data_dir {
-        Some(directory) => {
-            let (disk, records) = open_disk(directory, &events, OPEN_RETRY_INTERVAL, log).await?;
-            (Some(disk), records)
-        }
-        None => (None, Vec::new()),
-    };
-    let components = host_components(settings, address, disk, records, started, log);
+    let (disk, records) = open_log(settings.data_dir.as_deref(), &events, log).await?;
+    let directory = settings.data_dir.as_ref().map(|directory| directory.join(DEPARTURES_DIRECTORY));
+    let (departure_disk, departures) = open_log(directory.as_deref(), &events, log).await?;
+    let disks = Disks { disk, records, departure_disk, departures };
+    let components = host_components(settings, address, disks, started, log);
     let server = Server::new_with_acceptor(acceptor);
     tokio::spawn(server.run(routes(Api { events, port })));
     Ok(tokio::spawn(Host::new(components, started).run(queue)))
 }
 
+/// The logs on disk of a process, and their records.
+struct Disks {
+    disk: Option<Disk>,
+    records: Vec<Record>,
+    departure_disk: Option<Disk<DepartureRecord>>,
+    departures: Vec<DepartureRecord>,
+}
+
+/// Opens the log in `directory`, if there is one, and reads its records.
+async fn open_log<R: StoredRecord>(
+    directory: Option<&Path>,
+    events: &Sender<Event>,
+    log: &Logger,
+) -> Result<(Option<Disk<R>>, Vec<R>), ControlPlaneError> {
+    let Some(directory) = directory else { return Ok((None, Vec::new())) };
+    let (disk, records) = open_disk(directory, events, OPEN_RETRY_INTERVAL, log).await?;
+    Ok((Some(disk), records))
+}
+
 /// Starts a process outside the core, which redirects callers to members.
 fn start_redirector(context: StartContext<'_>) -> JoinHandle<()> {
     let StartContext { settings, address, started, acceptor, port, queue, log, .. } = context;
@@ -163,11 +183,11 @@
 fn host_components(
     settings: &Settings,
     address: SocketAddr,
-    disk: Option<Disk>,
-    records: Vec<Record>,
+    disks: Disks,
     started: Instant,
     log: &Logger,
 ) -> HostComponents {
+    let Disks { disk, records, departure_disk, departures } = disks;
     let process = ProcessId(random_id());
     let seeds: Vec<SocketAddr> = settings.internal_seeds();
     let options = Options {
@@ -191,6 +211,9 @@
         replica,
         outputs,
         disk,
+        departure_disk,
+        stored_departures: StoredDepartures::from_records(departures),
+        heartbeat: settings.heartbeat,
         registry: Registry::new(now, process, RegistrySettings::new(settings.heartbeat)),
         gateways: GatewayLeases::new(now, process),
         quotas: Quotas::new(process, address, quota_bounds(&settings.bounds)),
--- a/crates/control-plane/tests/hosts/main.rs
+++ b/crates/control-plane/tests/hosts/main.rs
@@ -1,5 +1,6 @@
 //! Tests of control-plane processes on loopback addresses, called over HTTP.
 
+mod backend_departures;
 mod configuration;
 mod departures;
 mod disks;
--- a/crates/control-plane/tests/hosts/support.rs
+++ b/crates/control-plane/tests/hosts/support.rs
@@ -7,6 +7,10 @@
 use std::time::{Duration, Instant};
 
 use crankpick_control_plane::{serve, Listeners};
+use crankpick_protocol::{
+    Caller, FrameReader, FrameWriter, GatewayIdentity, GatewayReport, Handshake, HomeUpdate,
+};
+use crankpick_registry::BackendRecord;
 use crankpick_settings::Settings;
 use reqwest::{Client, Method, RequestBuilder, StatusCode};
 use serde_json::Value;
@@ -32,6 +36,30 @@
     NonCandidate,
 }
 
+/// How many departures are under way at a time.
+const CONCURRENT_DEPARTURES: usize = 60;
+
+/// A call: the process, the method, the path and the body.
+type Call = (usize, Method, String, String);
+
+/// The result of many departures.
+#[derive(Debug)]
+pub struct Departures {
+    /// The acknowledged calls.
+    pub acknowledged: usize,
+    /// The time that they took.
+    pub took: Duration,
+}
+
+/// The size of a log on disk.
+#[derive(Debug)]
+pub struct DepartureLog {
+    /// The bytes of its file.
+    pub bytes: u64,
+    /// The writes to its file, each with a sync.
+    pub writes: u64,
+}
+
 /// An HTTP response.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -293,9 +321,61 @@
 
     /// Sends a backend's heartbeat.
     pub fn heartbeat(&self, at: usize, id: &str, state: &str, seq: u64) -> Option<Answer> {
-        let body =
-            format!(r#"{{"service":"s","address":"10.9.0.1:80","zone":"z","state":"{state}","seq":{seq}}}"#);
-        self.call(at, Method::PUT, &format!("/v1/instances/{id}"), None, &body)
+        let (at, method, path, body) = heartbeat_call(at, id, state, seq);
+        self.call(at, method, &path, None, &body)
+    }
+
+    /// Empties the disk of a killed process.
+    pub fn wipe_disk(&self, at: usize) {
+        let directory = self.directory.join(at.to_string());
+        std::fs::remove_dir_all(&directory).unwrap();
+        std::fs::create_dir_all(&directory).unwrap();
+    }
+
+    /// The backends to which a gateway that has just connected to this process may send requests.
+    pub fn receiving_backends(&self, at: usize) -> Vec<String> {
+        let address = SocketAddr::new(self.processes[at].control.ip(), self.internal_port);
+        self.caller.block_on(first_table(address))
+    }
+
+    /// Has backends drain and sign off, many at a time, each call repeated until it is acknowledged.
+    pub fn depart_concurrently(&self, at: usize, ids: &[String]) -> Departures {
+        let started = Instant::now();
+        let mut acknowledged = 0;
+        for batch in ids.chunks(CONCURRENT_DEPARTURES) {
+            let drains: Vec<Call> = batch.iter().map(|id| heartbeat_call(at, id, "draining", 1)).collect();
+            let sign_offs =
+                batch.iter().map(|id| (at, Method::DELETE, format!("/v1/instances/{id}"), String::new()));
+            for mut calls in [drains, sign_offs.collect()] {
+                while !calls.is_empty() {
+                    let borrowed: Vec<(usize, Method, &str, &str, &str)> = calls
+                        .iter()
+                        .map(|(at, method, path, body)| {
+                            (*at, method.clone(), path.as_str(), "", body.as_str())
+                        })
+                        .collect();
+                    let answers = self.call_concurrently(&borrowed);
+                    let is_acknowledged = |answer: &Option<Answer>| {
+                        answer.as_ref().is_some_and(|answer| answer.status == StatusCode::OK)
+                    };
+                    let mut answered = answers.iter().map(is_acknowledged);
+                    let before = calls.len();
+                    calls.retain(|_| answered.next() == Some(false));
+                    acknowledged += before - calls.len();
+                }
+            }
+        }
+        Departures { acknowledged, took: started.elapsed() }
+    }
+
+    /// The departures' log of a process.
+    pub fn departure_log(&self, at: usize) -> DepartureLog {
+        let directory = self.directory.join(at.to_string()).join("departures");
+        let mut bytes = Vec::new();
+        for entry in std::fs::read_dir(directory).unwrap() {
+            bytes = std::fs::read(entry.unwrap().path()).unwrap();
+        }
+        DepartureLog { bytes: bytes.len() as u64, writes: last_write_number(&bytes) }
     }
 
     /// Removes a backend.
@@ -313,6 +393,47 @@
     }
 }
 
+fn heartbeat_call(at: usize, id: &str, state: &str, seq: u64) -> Call {
+    let body =
+        format!(r#"{{"service":"s","address":"10.9.0.1:80","zone":"z","state":"{state}","seq":{seq}}}"#);
+    (at, Method::PUT, format!("/v1/instances/{id}"), body)
+}
+
+/// The number of the last write in a log's file: a frame has it at offset 8, the length of its payload at offset 20, and
+/// a header of 24 bytes.
+fn last_write_number(mut file: &[u8]) -> u64 {
+    let mut number = 0;
+    while let Some((header, rest)) = file.split_at_checked(24) {
+        number = u64::from_le_bytes(header[8..16].try_into().unwrap());
+        let length = u32::from_le_bytes(header[20..24].try_into().unwrap()) as usize;
+        file = &rest[length..];
+    }
+    number
+}
+
+/// The backends that may receive requests, by the first update that a new gateway gets at `address`.
+async fn first_table(address: SocketAddr) -> Vec<String> {
+    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    let (read, write) = stream.split();
+    let (mut reader, mut writer) = (FrameReader::new(read), FrameWriter::new(write));
+    let gateway = GatewayIdentity { node: "gateway".into(), incarnation: 1, zone: "z0".into() };
+    writer.send(&Handshake::new(Caller::Gateway(gateway))).await.unwrap();
+    let report = GatewayReport {
+        number: 1,
+        configuration: None,
+        cursor: None,
+        demands: Vec::new(),
+        accepts_compressed: true,
+    };
+    writer.send(&report).await.unwrap();
+    loop {
+        let update: HomeUpdate = reader.next().await.unwrap().expect("an update");
+        let Some(changes) = update.changes else { continue };
+        let receiving = changes.records.into_iter().filter(BackendRecord::may_receive);
+        return receiving.map(|record| record.id).collect();
+    }
+}
+
 async fn answer(request: RequestBuilder) -> Option<Answer> {
     let started = Instant::now();
     let response = request.send().await.ok()?;
--- a/crates/control-plane/tests/unit/disk_opening.rs
+++ b/crates/control-plane/tests/unit/disk_opening.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 
-use crankpick_control::{MemberId, RecordBody};
+use crankpick_control::{MemberId, Record, RecordBody};
 use crankpick_storage::Log;
 use slog::{o, Discard};
 use tokio::runtime::Builder;
--- a/crates/control-plane/tests/unit/pending_announcements.rs
+++ b/crates/control-plane/tests/unit/pending_announcements.rs
@@ -47,7 +47,15 @@
 
 impl TestAnnouncement {
     /// An announcement to `members`, of whom `up` count as reachable, added at 0 ms.
+    /// This process has stored it.
     fn started(members: &[u8], up: &[u8]) -> TestAnnouncement {
+        let mut test = TestAnnouncement::not_stored(members, up);
+        assert_eq!(test.stored(0), None);
+        test
+    }
+
+    /// As [`Self::started`], with a disk of this process that has not stored it yet.
+    fn not_stored(members: &[u8], up: &[u8]) -> TestAnnouncement {
         let mut announcements = PendingAnnouncements::default();
         let (reply, answer) = oneshot::channel();
         let up = up.iter().map(|number| peer(*number));
@@ -59,6 +67,10 @@
         self.announcements.acknowledged(at(ms), self.number, peer(number))
     }
 
+    fn stored(&mut self, ms: u64) -> Option<Relay> {
+        self.announcements.stored(at(ms), self.number)
+    }
+
     fn response(&mut self) -> Option<HeartbeatResponse> {
         match self.answer.try_recv() {
             Ok(answer) => Some(answer),
@@ -78,6 +90,28 @@
     assert_eq!(test.response(), Some(HeartbeatResponse::Acknowledged));
 }
 
+/// What is in memory alone is lost when all processes are killed.
+#[test]
+fn not_acknowledged_before_a_majority_has_stored_it() {
+    let mut test = TestAnnouncement::not_stored(&[1, 2, 3], &[2, 3]);
+    test.acknowledged(10, 2);
+    test.announcements.expire(at(300));
+    assert_eq!(test.response(), None, "one of three has stored it");
+    test.stored(310);
+    assert_eq!(test.response(), Some(HeartbeatResponse::Acknowledged));
+}
+
+#[test]
+fn acknowledged_by_a_majority_of_others_while_the_own_disk_is_slow() {
+    let mut test = TestAnnouncement::not_stored(&[1, 2, 3], &[2, 3]);
+    test.acknowledged(10, 2);
+    test.acknowledged(10, 3);
+    assert_eq!(test.response(), None);
+    test.announcements.expire(at(300));
+    assert_eq!(test.response(), Some(HeartbeatResponse::Acknowledged));
+    assert_eq!(test.stored(900), None);
+}
+
 #[test]
 fn acknowledged_by_a_majority_without_an_unresponsive_peer() {
     let mut test = TestAnnouncement::started(&[1, 2, 3], &[2, 3]);
--- a/crates/control-plane/tests/unit/wire.rs
+++ b/crates/control-plane/tests/unit/wire.rs
@@ -7,8 +7,8 @@
 use crankpick_protocol::{encode, FrameReader, TenantDemand, TenantGrant};
 use crankpick_quota::{Demand, Grant, GrantSource, HeldLease, OwnerIncarnation};
 use crankpick_registry::{
-    Announcement, Digest, GatewayId, GatewayRecord, Heartbeat, HeartbeatState, LoadedModel, ProcessId,
-    Registry, RegistrySettings,
+    Announcement, BackendDeparture, DepartureKind, Digest, GatewayId, GatewayRecord, Heartbeat,
+    HeartbeatState, LoadedModel, ProcessId, Registry, RegistrySettings,
 };
 use crankpick_test_support::Fixtures;
 
@@ -95,6 +95,14 @@
     vec![TenantGrant { tenant: "owned".into(), grant }]
 }
 
+fn departure_report() -> PeerMessage {
+    let departures = vec![
+        BackendDeparture { id: "backend-1".into(), kind: DepartureKind::Draining },
+        BackendDeparture { id: "backend-2".into(), kind: DepartureKind::SignedOff },
+    ];
+    PeerMessage::DepartureReport { epoch: 61, sound: true, departures }
+}
+
 fn replica_message() -> Message {
     let sender = Sender { id: MemberId(41), address: address(5) };
     Message { sender, target: Some(MemberId(42)), body: Body::Fetch }
@@ -121,6 +129,8 @@
             PeerMessage::QuotaDemands { number: 54, home: ProcessId(55), epoch: 56, demands: demands() },
         ),
         ("grants", PeerMessage::QuotaGrants { number: 57, grants: grants() }),
+        ("departure-query", PeerMessage::DepartureQuery),
+        ("departure-report", departure_report()),
         ("relay", PeerMessage::Relay { to: vec![address(7), address(8)], announcements: vec![gateways()] }),
     ];
     for (name, message) in &messages {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -46,6 +46,12 @@
         /// The address on which it listens for its peers.
         address: SocketAddr,
     },
+    /// Another process of the control plane, on a connection for the departures of backends. Builds that don't know it
+    /// close the connection.
+    DepartureReader {
+        /// The address on which it listens for its peers.
+        address: SocketAddr,
+    },
     /// A gateway that follows this process.
     Gateway(GatewayIdentity),
     /// A client that only observes. Nothing is sent to it.
--- a/crates/protocol/tests/fixtures.rs
+++ b/crates/protocol/tests/fixtures.rs
@@ -100,6 +100,8 @@
     check_frame("hello-peer.hex", &Handshake::new(Caller::Peer { address: address(1) })).await;
     let six = Caller::Peer { address: "[fd00::1]:7500".parse().unwrap() };
     check_frame("hello-peer-ipv6.hex", &Handshake::new(six)).await;
+    let reader = Handshake::new(Caller::DepartureReader { address: address(1) });
+    check_frame("hello-departure-reader.hex", &reader).await;
     check_frame("hello-gateway.hex", &Handshake::new(Caller::Gateway(gateway()))).await;
     check_frame("hello-observer.hex", &Handshake::new(Caller::Observer)).await;
 }
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -51,3 +51,28 @@
     let mut reader = written(bytes, 4).await;
     assert!(matches!(reader.next::<Handshake>().await, Err(ProtocolError::Malformed { .. })));
 }
+
+/// The callers as builds knew them that keep no departures of backends.
+#[derive(Debug, serde::Deserialize)]
+#[allow(dead_code, reason = "only decoding matters")]
+enum EarlierCaller {
+    Peer { address: std::net::SocketAddr },
+    Gateway(GatewayIdentity),
+    Observer,
+}
+
+#[derive(Debug, serde::Deserialize)]
+#[allow(dead_code, reason = "only decoding matters")]
+struct EarlierHandshake {
+    version: u16,
+    caller: EarlierCaller,
+}
+
+/// An earlier build closes that connection alone: messages that it knows come on others.
+#[tokio::test]
+async fn reader_of_departures_is_refused_by_earlier_builds() {
+    let reader = Handshake::new(Caller::DepartureReader { address: "10.1.2.3:7500".parse().unwrap() });
+    let mut frames = written(encode(&reader).unwrap().to_vec(), 9).await;
+    let error = frames.next::<EarlierHandshake>().await.unwrap_err();
+    assert_eq!(error.code(), "PRO-103");
+}
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod announcement;
 mod changes;
+mod departure;
 mod digest;
 mod freeze;
 mod gateway_count;
@@ -23,6 +24,7 @@
 
 pub use announcement::{Announcement, Digest};
 pub use changes::{Changes, Cursor};
+pub use departure::{BackendDeparture, DepartureKind};
 pub use gateway_count::{GatewayCount, GatewayTotal};
 pub use gateway_leases::{GatewayId, GatewayLeases, GatewayRecord};
 pub use heartbeat::{Heartbeat, HeartbeatError, HeartbeatState, LoadedModel};
--- a/crates/registry/src/record.rs
+++ b/crates/registry/src/record.rs
@@ -8,6 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::departure::{BackendDeparture, DepartureKind};
 use crate::heartbeat::{Heartbeat, HeartbeatState, LoadedModel};
 use crate::{Now, ProcessId};
 
@@ -121,14 +122,26 @@
         record
     }
 
-    /// The record of a backend of which only its sign-off is known.
-    pub(crate) fn signed_off(origin: ProcessId, id: &str) -> Self {
+    /// The record of a backend of which only its departure is known: a tombstone, until a heartbeat tells more of it.
+    pub(crate) fn departed(origin: ProcessId, departure: &BackendDeparture) -> Self {
         let unknown_address = SocketAddr::from(([0, 0, 0, 0], 0));
-        let mut record = Self { origin, deleted: true, ..Self::ready(id, "", unknown_address, "", 0) };
-        record.update_state();
+        let mut record = Self::ready(&departure.id, "", unknown_address, "", 0);
+        record.origin = origin;
+        record.draining = departure.kind == DepartureKind::Draining;
+        record.deleted = departure.kind == DepartureKind::SignedOff;
+        record.set_presence(0, Presence::Displaced);
         record
     }
 
+    /// How far the backend has departed; `None` if it has not.
+    pub fn departure(&self) -> Option<DepartureKind> {
+        match (self.deleted, self.draining) {
+            (true, _) => Some(DepartureKind::SignedOff),
+            (false, true) => Some(DepartureKind::Draining),
+            (false, false) => None,
+        }
+    }
+
     /// Whether new requests may be sent to it: it is ready, or silent and has never said that it drains.
     pub fn may_receive(&self) -> bool {
         matches!(self.state, BackendState::Ready | BackendState::Silent) && !self.draining
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -1,8 +1,10 @@
 //! The registry of a control-plane process: every backend it knows, from heartbeats and from its peers.
 //!
 //! The submodules hold what the registry does: [`registration`] takes the backends' own calls,
-//! [`replication`] exchanges records with peers and subscribers, and [`expiry`] ends what has not been seen.
+//! [`replication`] exchanges records with peers and subscribers, [`expiry`] ends what has not been seen, and [`departures`]
+//! holds what a process must know of departed backends before it believes a heartbeat.
 
+mod departures;
 mod expiry;
 mod registration;
 mod replication;
@@ -10,6 +12,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use self::departures::WithheldHeartbeats;
 use crate::announcement::Announcement;
 use crate::freeze::FreezeDetector;
 use crate::peers::Peers;
@@ -48,6 +51,10 @@
     /// Until then a backend that is missing here may still be known elsewhere, so absence is not stated.
     grace_until: Now,
     isolated: bool,
+    /// Whether this process knows all departures that were acknowledged.
+    departures_known: bool,
+    /// The heartbeats of unknown backends that arrived while departures were missing.
+    withheld: WithheldHeartbeats,
 }
 
 impl Registry {
@@ -62,6 +69,8 @@
             freezes: FreezeDetector::new(now, settings.freeze),
             grace_until,
             isolated: false,
+            departures_known: true,
+            withheld: WithheldHeartbeats::default(),
             settings,
         }
     }
@@ -87,9 +96,9 @@
     }
 
     /// Whether this process has been running, not frozen and not isolated, for long enough that a backend
-    /// which it does not know is absent.
+    /// which it does not know is absent. Never while it withholds heartbeats.
     pub fn states_absence(&self, now: Now) -> bool {
-        !self.isolated && now >= self.grace_until
+        !self.isolated && self.departures_known && now >= self.grace_until
     }
 
     /// Sets whether this process is cut off from the majority of the control plane.
--- a/crates/registry/src/registry/expiry.rs
+++ b/crates/registry/src/registry/expiry.rs
@@ -15,6 +15,7 @@
         self.mark_orphans(now);
         self.remove_tombstones(now);
         self.end_lost_backends(now);
+        self.withheld.expire(now, self.settings.silence);
         let silent = self.take_silent_backends(now);
         self.publish(now, silent).announcement
     }
--- a/crates/registry/src/registry/registration.rs
+++ b/crates/registry/src/registry/registration.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 
 use super::{LastHeartbeat, RegistrationOutcome, Registry};
+use crate::departure::{BackendDeparture, DepartureKind};
 use crate::heartbeat::{check_id, Heartbeat, HeartbeatError};
 use crate::record::{BackendRecord, BackendState, Presence};
 use crate::Now;
 
 impl Registry {
-    /// Takes a heartbeat of the backend `id`. One whose `seq` is not above the newest known changes nothing.
+    /// Takes a heartbeat of the backend `id`. One whose `seq` is not above the newest known changes nothing. One of an
+    /// unknown backend is withheld while this process may lack its departure.
     ///
     /// # Errors
     ///
@@ -22,9 +24,13 @@
         self.record_call(now);
         heartbeat.check(id)?;
         let known = self.store.get(id).map(|entry| entry.record.clone());
-        if known.is_none() && self.store.len() >= self.settings.max_backends {
+        if known.is_none() && self.store.len() + self.withheld.len() >= self.settings.max_backends {
             return Err(HeartbeatError::Full);
         }
+        if known.is_none() && self.must_withhold(&heartbeat) {
+            self.withheld.insert(now, id, heartbeat);
+            return Ok(RegistrationOutcome::default());
+        }
         if known.as_ref().is_some_and(|known| known.deleted || heartbeat.seq <= self.newest_seq(known)) {
             return Ok(RegistrationOutcome::default());
         }
@@ -54,11 +60,15 @@
         self.record_call(now);
         check_id(id)?;
         self.last_heartbeats.remove(id);
+        self.withheld.remove(id);
         let mut record = match self.store.get(id) {
             Some(entry) if entry.record.deleted => return Ok(RegistrationOutcome::default()),
             Some(entry) => entry.record.clone(),
             None if self.store.len() >= self.settings.max_backends => return Err(HeartbeatError::Full),
-            None => BackendRecord::signed_off(self.local_process, id),
+            None => {
+                let departure = BackendDeparture { id: id.to_owned(), kind: DepartureKind::SignedOff };
+                BackendRecord::departed(self.local_process, &departure)
+            }
         };
         record.deleted = true;
         record.update_state();
--- a/crates/registry/src/registry/replication.rs
+++ b/crates/registry/src/registry/replication.rs
@@ -74,7 +74,7 @@
     }
 
     /// Merges one record of a peer into the store.
-    fn merge_record(&mut self, now: Now, update: &BackendRecord) {
+    pub(super) fn merge_record(&mut self, now: Now, update: &BackendRecord) {
         if update.is_alive() && update.origin != self.local_process {
             self.peers.track(now, update.origin);
         }
--- a/crates/registry/src/store.rs
+++ b/crates/registry/src/store.rs
@@ -4,6 +4,7 @@
 use std::ops::Bound;
 use std::sync::Arc;
 
+use crate::departure::{BackendDeparture, DepartureKind};
 use crate::record::{BackendRecord, BackendState, Presence};
 use crate::{Now, ProcessId};
 
@@ -43,6 +44,8 @@
     newest_change: u64,
     /// The highest change number of a removed entry. A subscriber with a lower cursor may have missed it.
     newest_removed: u64,
+    /// The departures that were stored since the host last took them.
+    new_departures: Vec<BackendDeparture>,
 }
 
 impl RecordStore {
@@ -80,6 +83,7 @@
     /// Inserts or replaces the record of its id, as a new change.
     pub fn put(&mut self, now: Now, record: BackendRecord) {
         let id = self.shared_id(&record.id);
+        self.record_departure(&record);
         self.newest_change += 1;
         let entry = Entry { record, orphaned: false, changed_at: now, change_number: self.newest_change };
         if let Some(former) = self.entries.insert(id.clone(), entry) {
@@ -88,6 +92,21 @@
         self.ids_by_change.insert(self.newest_change, id);
     }
 
+    /// Removes and returns the departures that were stored since the last call.
+    pub fn take_departures(&mut self) -> Vec<BackendDeparture> {
+        std::mem::take(&mut self.new_departures)
+    }
+
+    /// Notes a departure that is stored for the first time.
+    fn record_departure(&mut self, record: &BackendRecord) {
+        let known: Option<DepartureKind> =
+            self.entries.get(record.id.as_str()).and_then(|entry| entry.record.departure());
+        let departure = record.departure();
+        if let Some(kind) = departure.filter(|_| departure > known) {
+            self.new_departures.push(BackendDeparture { id: record.id.clone(), kind });
+        }
+    }
+
     /// Ends the orphaning of all backends whose heartbeats `origin` received.
     pub fn clear_orphans_of(&mut self, now: Now, origin: ProcessId) {
         let orphans = self.entries.iter().filter(|(_, entry)| entry.orphaned);
