gateway: one check counts the backends that ran a request, and streams resume at those when no other may

Cause: a stream that breaks off behind an event chose its next backend without asking whether it may run once more; the four other ways asked, each by itself, and counted sends where the rule counts backends.

Change: `Executions` keeps the backends that may have run a request, registered before each send and withdrawn when the send provably didn't run. A stream that may run at no new backend resumes at one that has run it, so it still ends whole; one that drains gets nothing. A backend that has ended doesn't count: dropped by the registry, or silent and not to be connected to. Refusals become 502 only towards the client, so that a resumption waits for full backends as it was meant to. The dispatcher can be asked to choose among given backends.

Seen to fail on: six of nine tests of serving/executions.rs, among them "the only other backend that may execute the request" and "a request reaches a backend" (the stream was broken off with `retries` 1 where it may resume).

--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -48,8 +48,12 @@
             (_, 1) => 0.5,
             _ => 1.0,
         };
-        let candidates = self.candidates(index, kind, part.unwrap_or(random_key), sharing_likelihood);
-        let rotate = part.is_none() && self.lightly_loaded(now, index, &candidates);
+        let candidates = match request.restricted_to {
+            Some(backends) => self.restricted_candidates(index, backends),
+            None => self.candidates(index, kind, part.unwrap_or(random_key), sharing_likelihood),
+        };
+        let rotate =
+            part.is_none() && request.restricted_to.is_none() && self.lightly_loaded(now, index, &candidates);
         let next_in_rotation = if rotate { self.next_in_rotation(now, index, kind, request) } else { None };
         let selection = next_in_rotation.or_else(|| self.best_fit(now, index, request, &candidates, part));
         let Some(selection) = selection else { return self.no_candidate(request, &candidates) };
@@ -92,6 +96,20 @@
         candidates
     }
 
+    /// Those of the given backends that may receive the service's requests.
+    fn restricted_candidates(&self, index: usize, backends: &[BackendKey]) -> Vec<Candidate> {
+        let service = &self.services[index].view.name;
+        let may_receive = |key: &BackendKey| {
+            self.backend(*key).is_some_and(|backend| {
+                backend.gone_since.is_none()
+                    && backend.view.service == *service
+                    && matches!(backend.view.state, BackendState::Ready | BackendState::Silent)
+            })
+        };
+        let eligible = backends.iter().copied().filter(may_receive);
+        eligible.map(|key| Candidate { key, cached_probability: 0.0, penalty: 0.0 }).collect()
+    }
+
     /// Whether the group's load is at most `Weights::light_load_threshold` (0.1 by default) of its capacity.
     fn lightly_loaded(&self, now: Timestamp, index: usize, candidates: &[Candidate]) -> bool {
         let value = self.services[index].mean_load_units;
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -179,6 +179,12 @@
         self.backends.get(key.0 as usize)?.as_ref()
     }
 
+    /// The registration state of the backend `id`; `None` if it isn't known, or is gone.
+    pub fn backend_state(&self, id: &str) -> Option<BackendState> {
+        let backend = self.backend(*self.keys.get(id)?)?;
+        backend.gone_since.is_none().then_some(backend.view.state)
+    }
+
     /// Records the start of an attempt at a backend.
     pub fn begin(&mut self, now: Timestamp, key: BackendKey, request: &DispatchRequest) -> Ticket {
         self.detect_stall(now);
--- a/crates/dispatch/src/interface.rs
+++ b/crates/dispatch/src/interface.rs
@@ -134,6 +134,8 @@
     pub deadline: Duration,
     /// Backends that earlier attempts of this request were sent to.
     pub tried: &'a [BackendKey],
+    /// The only backends that the request may be sent to; `None` if it may be sent to any.
+    pub restricted_to: Option<&'a [BackendKey]>,
 }
 
 /// The backend selected for a request.
--- a/crates/dispatch/tests/support/fixture.rs
+++ b/crates/dispatch/tests/support/fixture.rs
@@ -63,6 +63,7 @@
         elapsed: Duration::ZERO,
         deadline: Duration::from_secs(10),
         tried: &[],
+        restricted_to: None,
     }
 }
 
--- a/crates/dispatch/tests/support/simulation.rs
+++ b/crates/dispatch/tests/support/simulation.rs
@@ -267,6 +267,7 @@
             elapsed,
             deadline: deadline.saturating_sub(elapsed),
             tried: &request.tried,
+            restricted_to: None,
         };
         let gateway = &mut self.gateways[request.gateway];
         let target = match gateway.choose(now, &dispatch_request) {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -39,6 +39,8 @@
 pub(crate) enum AttemptError {
     /// Nothing was written: the request cannot have been executed.
     NotSent,
+    /// As `NotSent`: no connection could be established.
+    Unreachable,
     /// The backend declared that it did not execute the request.
     Refused { retry_after: Option<Duration> },
     /// A different backend has this address; it did not execute the request.
@@ -194,7 +196,7 @@
         Err(ConnectError::Unreachable) => {
             shared.count(Cause::BackendUnreachable);
             guard.end(Outcome::NoConnection);
-            Err(AttemptError::NotSent)
+            Err(AttemptError::Unreachable)
         }
     }
 }
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -76,10 +76,12 @@
     /// Invariant violated: a request accepted after the shutdown signal was aborted at the end of the grace
     /// period.
     InvariantTakenTooLate,
+    /// Invariant violated: a request was to be sent to more backends than may execute it.
+    InvariantTooManyExecutions,
 }
 
 /// All causes with their names in logs and metrics.
-const CAUSES: [(Cause, &str); 34] = [
+const CAUSES: [(Cause, &str); 35] = [
     (Cause::ClientConnected, "client_connected"),
     (Cause::ClientEvicted, "client_evicted"),
     (Cause::ClientTimedOut, "client_timed_out"),
@@ -114,6 +116,7 @@
     (Cause::InvariantRequestUnanswered, "invariant_request_unanswered"),
     (Cause::InvariantRestCutShort, "invariant_rest_cut_short"),
     (Cause::InvariantTakenTooLate, "invariant_taken_too_late"),
+    (Cause::InvariantTooManyExecutions, "invariant_too_many_executions"),
 ];
 
 /// Number of events with one cause since the start.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -60,7 +60,7 @@
     check_time_left(shared, &request)?;
     request.policy.take_quota(shared, &request.size, request.deadline).await?;
     let mut forwarder = Forwarder::new(Arc::clone(shared), request);
-    let response = forwarder.forward(None).await?;
+    let response = forwarder.forward().await?;
     shared.count(Cause::Answered);
     Ok(client_response(forwarder, response))
 }
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -1,5 +1,8 @@
 //! Forwards one request to backends until one responds, within its deadline, the route's `retries` and the
 //! retry budget. A request that may have been executed and must not be executed twice is never resent.
+//!
+//! Every send passes [`Forwarder::send`], and its backend comes from [`Forwarder::select`]: both ask [`Executions`]
+//! whether the request may be executed there.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +17,8 @@
 use crate::backend_response::{self, BackendResponse};
 use crate::counters::Cause;
 use crate::event::EventId;
+use crate::executions::{Executions, Permission};
+use crate::invariant::Violation;
 use crate::outgoing::ClientRequest;
 use crate::refusal::Refusal;
 use crate::shared::Shared;
@@ -45,16 +50,31 @@
     TimedOut,
 }
 
+/// Whether the client has received part of the response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    /// Nothing: the client can be told that the request failed.
+    Nothing,
+    /// A part that ends with an event: the stream breaks off unless it resumes. It may resume at a backend that has
+    /// executed it before.
+    Events,
+}
+
 /// Forwards one request, with retries.
 pub(crate) struct Forwarder {
     shared: Arc<Shared>,
     request: Arc<ClientRequest>,
     service: String,
+    /// The backends that the request was sent to since it was received, or since its stream was broken off.
     tried: Vec<BackendKey>,
+    /// The backend whose stream was broken off last: another one is preferred.
+    broken_off_at: Option<BackendKey>,
+    /// All backends that the request was sent to, the last one last.
+    sent_to: Vec<BackendKey>,
     /// Sends that reached a backend.
     deliveries: u32,
-    /// Sends that may have been executed.
-    possible_executions: u32,
+    executions: Executions,
+    progress: Progress,
     /// Retry delay given by the last backend that refused.
     retry_after: Option<Duration>,
 }
@@ -70,13 +90,17 @@
     pub fn new(shared: Arc<Shared>, request: Arc<ClientRequest>) -> Self {
         let service = request.policy.route.pick_service(fastrand::u32(..)).to_owned();
         shared.retry_budgets.deposit(shared.now(), &service);
+        let executions = Executions::new(&request.policy.route);
         Forwarder {
             shared,
             request,
             service,
             tried: Vec::new(),
+            broken_off_at: None,
+            sent_to: Vec::new(),
             deliveries: 0,
-            possible_executions: 0,
+            executions,
+            progress: Progress::Nothing,
             retry_after: None,
         }
     }
@@ -89,9 +113,20 @@
         &self.shared
     }
 
-    /// Sends the request until a backend responds. A stream resumes after the event `resume_after`.
-    pub async fn forward(&mut self, resume_after: Option<&EventId>) -> Result<BackendResponse, Refusal> {
+    /// Sends the request until a backend responds.
+    pub async fn forward(&mut self) -> Result<BackendResponse, Refusal> {
         let target = self.first_target().await?;
+        let forwarded = self.forward_to(target, None).await;
+        forwarded.map_err(|refusal| match refusal {
+            Refusal::TimedOut => Refusal::TimedOut,
+            _ if !self.executions.is_empty() => Refusal::Unclear,
+            other => other,
+        })
+    }
+
+    /// Resumes a stream after the event `resume_after`, at the backend that [`Self::select`] returns.
+    pub async fn resume(&mut self, resume_after: Option<&EventId>) -> Result<BackendResponse, Refusal> {
+        let target = self.select()?;
         self.forward_to(target, resume_after).await
     }
 
@@ -100,7 +135,7 @@
         let hold_until = self.request.arrived + self.request.policy.route.slo.mul_f64(MAX_HOLD_FRACTION);
         let until = hold_until.min(self.request.deadline);
         loop {
-            let target = self.next_target();
+            let target = self.select();
             let left = until.saturating_duration_since(Instant::now());
             if !matches!(target, Err(Refusal::NoBackend)) || left.is_zero() {
                 return target;
@@ -109,34 +144,34 @@
         }
     }
 
-    /// Like [`Forwarder::forward`], starting with a backend that has already been selected.
+    /// Like [`Forwarder::resume`], starting with a backend that has already been selected.
     pub async fn forward_to(
         &mut self,
         mut target: Target,
         resume_after: Option<&EventId>,
     ) -> Result<BackendResponse, Refusal> {
         loop {
-            let outcome = self.send(&target, resume_after).await;
-            self.tried.push(target.backend);
+            let outcome = self.send(&target, resume_after).await?;
+            self.record_sent(target.backend);
             target = match outcome {
                 SendOutcome::Response(response) => {
-                    self.record_delivery(true);
+                    self.deliveries += 1;
                     match self.alternative_after_error(&response) {
                         Some(target) => target,
                         None => return self.check_status(*response),
                     }
                 }
                 SendOutcome::Failed(error) => {
-                    self.record_failure(error)?;
-                    self.next_target()?
+                    self.record_failure(&target, error);
+                    self.select()?
                 }
                 SendOutcome::Silent(next) => {
-                    self.record_delivery(true);
+                    self.deliveries += 1;
                     self.shared.count(Cause::BackendSilent);
                     next
                 }
                 SendOutcome::TimedOut => {
-                    self.record_delivery(true);
+                    self.deliveries += 1;
                     self.shared.count(Cause::DeadlinePassed);
                     return Err(Refusal::TimedOut);
                 }
@@ -146,55 +181,63 @@
 
     /// Another backend for a stream that has gone silent, if the request may be sent to it.
     pub fn alternative(&self) -> Option<Target> {
-        self.may_execute_again(0)
-            .then(|| self.choose(&self.tried))
+        self.may_execute_at_another()
+            .then(|| self.choose(&self.tried, None))
             .and_then(|choice| self.charge_retry(choice).ok())
     }
 
+    /// Prepares to resume a stream that was broken off.
+    pub fn begin_resuming(&mut self) {
+        self.progress = Progress::Events;
+        self.broken_off_at = self.sent_to.last().copied();
+        self.reset_tried();
+    }
+
     /// Allows backends that refused to be tried again.
     pub fn reset_tried(&mut self) {
         self.tried.clear();
         self.retry_after = None;
     }
 
-    /// Whether the request may be executed once more, given `pending` sends that may still be executed.
-    fn may_execute_again(&self, pending: u32) -> bool {
-        self.request.policy.route.repeatable()
-            && self.possible_executions + pending < self.request.policy.route.retries
+    fn record_sent(&mut self, backend: BackendKey) {
+        self.tried.push(backend);
+        self.sent_to.retain(|earlier| *earlier != backend);
+        self.sent_to.push(backend);
     }
 
-    fn record_delivery(&mut self, may_have_executed: bool) {
-        self.deliveries += 1;
-        self.possible_executions += u32::from(may_have_executed);
-    }
-
-    /// Records a failed send. Returns an error if the request must not be sent again.
-    fn record_failure(&mut self, error: AttemptError) -> Result<(), Refusal> {
+    /// Records a failed send.
+    fn record_failure(&mut self, target: &Target, error: AttemptError) {
         match error {
-            AttemptError::NotSent => {}
-            AttemptError::Misdirected => self.record_delivery(false),
+            AttemptError::NotSent => self.executions.retract(target),
+            AttemptError::Unreachable => {
+                self.executions.retract(target);
+                self.executions.unreachable(target);
+            }
+            AttemptError::Misdirected => {
+                self.executions.retract(target);
+                self.deliveries += 1;
+            }
             AttemptError::Refused { retry_after } => {
-                self.record_delivery(false);
+                self.executions.retract(target);
+                self.deliveries += 1;
                 self.retry_after = retry_after.or(Some(DEFAULT_RETRY_AFTER));
             }
-            AttemptError::Unclear => {
-                self.record_delivery(true);
-                if !self.may_execute_again(0) {
-                    self.shared.count(Cause::Unclear);
-                    return Err(Refusal::Unclear);
-                }
-            }
+            AttemptError::Unclear => self.deliveries += 1,
         }
-        Ok(())
+    }
+
+    /// Whether the request may be executed at a backend that has not executed it.
+    fn may_execute_at_another(&self) -> bool {
+        self.executions.permission(&self.shared.dispatcher()) == Permission::AnyBackend
     }
 
     /// Another backend to replace one that responded with a server error.
     fn alternative_after_error(&self, response: &BackendResponse) -> Option<Target> {
-        if !response.parts().status.is_server_error() || !self.may_execute_again(0) {
+        if !response.parts().status.is_server_error() || !self.may_execute_at_another() {
             return None;
         }
         self.shared.count(Cause::BackendError);
-        self.charge_retry(self.choose(&self.tried)).ok()
+        self.charge_retry(self.choose(&self.tried, None)).ok()
     }
 
     /// Refuses to pass on a status that promises non-execution if the backend did not confirm it with
@@ -209,16 +252,31 @@
     }
 
     /// Selects the backend for the next send.
-    fn next_target(&self) -> Result<Target, Refusal> {
+    fn select(&self) -> Result<Target, Refusal> {
         if self.request.time_left().is_zero() {
             self.shared.count(Cause::DeadlinePassed);
-            return Err(if self.possible_executions == 0 { Refusal::Expired } else { Refusal::TimedOut });
+            return Err(if self.executions.is_empty() { Refusal::Expired } else { Refusal::TimedOut });
         }
-        let target = self.charge_retry(self.choose(&self.tried));
-        target.map_err(|refusal| match self.possible_executions {
-            0 => refusal,
-            _ => Refusal::Unclear,
-        })
+        let permission = self.executions.permission(&self.shared.dispatcher());
+        match (permission, self.progress) {
+            (Permission::AnyBackend, Progress::Nothing) => self.charge_retry(self.choose(&self.tried, None)),
+            (Permission::AnyBackend, Progress::Events) => self.select_for_resuming(None),
+            (Permission::Among(backends), Progress::Events) => self.select_for_resuming(Some(&backends)),
+            (Permission::Among(_), Progress::Nothing) | (Permission::Nowhere, _) => {
+                self.shared.count(Cause::Unclear);
+                Err(Refusal::Unclear)
+            }
+        }
+    }
+
+    /// Selects the backend at which a stream resumes, preferably another one than that which broke it off.
+    fn select_for_resuming(&self, restricted_to: Option<&[BackendKey]>) -> Result<Target, Refusal> {
+        let avoided: Vec<BackendKey> = self.tried.iter().copied().chain(self.broken_off_at).collect();
+        let choice = match self.choose(&avoided, restricted_to) {
+            Choice::NoBackend => self.choose(&self.tried, restricted_to),
+            other => other,
+        };
+        self.charge_retry(choice)
     }
 
     /// Returns the selected backend if the send limit and the retry budget permit another send.
@@ -240,16 +298,26 @@
         if self.deliveries > 0 {
             if !self.shared.retry_budgets.try_take(self.shared.now(), &self.service) {
                 self.shared.count(Cause::RetryOverBudget);
-                return Err(Refusal::Full(self.retry_after.unwrap_or(DEFAULT_RETRY_AFTER)));
+                return Err(self.over_budget());
             }
             self.shared.count(Cause::Retried);
         }
         Ok(target)
     }
 
-    fn choose(&self, tried: &[BackendKey]) -> Choice {
+    /// The refusal if the retry budget is exhausted. It fills over seconds, and a client whose stream breaks off at once can
+    /// resume it by a request of its own, which needs no budget.
+    fn over_budget(&self) -> Refusal {
+        match self.progress {
+            Progress::Nothing => Refusal::Full(self.retry_after.unwrap_or(DEFAULT_RETRY_AFTER)),
+            Progress::Events => Refusal::Unclear,
+        }
+    }
+
+    fn choose(&self, tried: &[BackendKey], restricted_to: Option<&[BackendKey]>) -> Choice {
         let now = self.shared.now();
-        self.shared.dispatcher().choose(now, &self.dispatch_request(tried))
+        let dispatch_request = DispatchRequest { restricted_to, ..self.dispatch_request(tried) };
+        self.shared.dispatcher().choose(now, &dispatch_request)
     }
 
     fn dispatch_request<'a>(&'a self, tried: &'a [BackendKey]) -> DispatchRequest<'a> {
@@ -266,14 +334,24 @@
             elapsed: request.arrived.elapsed(),
             deadline: request.time_left(),
             tried,
+            restricted_to: None,
         }
     }
 
-    /// Sends the request once. Ends with a response that can be passed on, at the deadline, or after too
-    /// long a silence.
-    async fn send(&self, target: &Target, resume_after: Option<&EventId>) -> SendOutcome {
+    /// Sends the request once, unless it must not be executed by this backend. Ends with a response that can be passed
+    /// on, at the deadline, or after too long a silence.
+    async fn send(
+        &mut self,
+        target: &Target,
+        resume_after: Option<&EventId>,
+    ) -> Result<SendOutcome, Refusal> {
+        if !self.executions.permits(&self.shared.dispatcher(), target) {
+            self.shared.violated(Violation::TooManyExecutions);
+            return Err(Refusal::Unclear);
+        }
+        self.executions.begin(target);
         let (shared, request) = (&self.shared, &self.request);
-        let dispatch_request = self.dispatch_request(&self.tried);
+        let dispatch_request = self.dispatch_request(&self.sent_to);
         let sending = async {
             let received = attempt::send(shared, request, target, &dispatch_request, resume_after).await?;
             backend_response::read_start(request, &self.service, received)
@@ -286,14 +364,14 @@
         loop {
             tokio::select! {
                 biased;
-                sent = sending.as_mut() => return match sent {
+                sent = sending.as_mut() => return Ok(match sent {
                     Ok(response) => SendOutcome::Response(Box::new(response)),
                     Err(error) => SendOutcome::Failed(error),
-                },
-                () = sleep_until(request.deadline) => return SendOutcome::TimedOut,
-                () = sleep_until(silent_at), if self.may_execute_again(1) => {
+                }),
+                () = sleep_until(request.deadline) => return Ok(SendOutcome::TimedOut),
+                () = sleep_until(silent_at), if request.policy.route.repeatable() => {
                     if let Some(target) = self.alternative_after_silence(target.backend) {
-                        return SendOutcome::Silent(target);
+                        return Ok(SendOutcome::Silent(target));
                     }
                     silent_at = Instant::now() + ALTERNATIVE_CHECK_INTERVAL;
                 }
@@ -301,10 +379,14 @@
         }
     }
 
+    /// Another backend for a request to which this one has been silent, if the request may be sent to it.
     fn alternative_after_silence(&self, silent: BackendKey) -> Option<Target> {
+        if !self.may_execute_at_another() {
+            return None;
+        }
         let mut tried = self.tried.clone();
         tried.push(silent);
-        match self.choose(&tried) {
+        match self.choose(&tried, None) {
             Choice::Send(target) if self.shared.retry_budgets.try_take(self.shared.now(), &self.service) => {
                 self.shared.count(Cause::Retried);
                 Some(target)
@@ -313,8 +395,9 @@
         }
     }
 
-    /// Waits before backends that refused are tried again.
-    pub async fn wait_retry_after(&self, refusal: Refusal) {
-        sleep(refusal.retry_after().unwrap_or(DEFAULT_RETRY_AFTER)).await;
+    /// Waits before backends that refused or failed are tried again.
+    pub async fn wait_retry_after(&self, refusal: Option<Refusal>) {
+        let retry_after = refusal.and_then(|refusal| refusal.retry_after());
+        sleep(retry_after.unwrap_or(DEFAULT_RETRY_AFTER)).await;
     }
 }
--- a/crates/gateway/src/invariant.rs
+++ b/crates/gateway/src/invariant.rs
@@ -1,10 +1,11 @@
-//! Invariants of client connections, checked at runtime.
+//! Invariants of client connections and requests, checked at runtime.
 //!
 //! - The gateway does not close a connection by its own decision before every request read from it has been
 //!   answered.
 //! - An idle connection stays open for at least the time announced to its client, unless room is needed or
 //!   the process is shutting down.
 //! - No request accepted after the shutdown signal is still in flight at the end of the grace period.
+//! - No request is sent to a backend if it would then be executed by more backends than its route's `retries`.
 //!
 //! A violation is a bug. It is counted and logged, and the tests allow none.
 
@@ -19,6 +20,8 @@
     RestCutShort,
     /// A request accepted after the shutdown signal was aborted at the end of the grace period.
     TakenTooLate,
+    /// A request was to be sent to more backends than may execute it.
+    TooManyExecutions,
 }
 
 impl Violation {
@@ -27,6 +30,7 @@
             Violation::RequestUnanswered => "GWY-101",
             Violation::RestCutShort => "GWY-102",
             Violation::TakenTooLate => "GWY-103",
+            Violation::TooManyExecutions => "GWY-104",
         }
     }
 
@@ -41,6 +45,9 @@
             Violation::TakenTooLate => {
                 "invariant violated: a request accepted after the shutdown signal outlasted the grace period"
             }
+            Violation::TooManyExecutions => {
+                "invariant violated: a request was to be sent to more backends than may execute it"
+            }
         }
     }
 
@@ -49,6 +56,7 @@
             Violation::RequestUnanswered => Cause::InvariantRequestUnanswered,
             Violation::RestCutShort => Cause::InvariantRestCutShort,
             Violation::TakenTooLate => Cause::InvariantTakenTooLate,
+            Violation::TooManyExecutions => Cause::InvariantTooManyExecutions,
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod counters;
 mod event;
 mod exchange;
+mod executions;
 mod fleet_view;
 mod forwarder;
 mod freshness;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -129,25 +129,30 @@
         self.forwarder.request().policy.route.resume && self.last_id.is_some() && !self.has_event_without_id
     }
 
-    /// Resumes the stream at another backend after the last forwarded event.
+    /// Resumes the stream after the last forwarded event, at a backend that may execute the request.
     async fn resume(&mut self) -> Result<StreamItem, ResponseAborted> {
         if !self.resumable() {
             return Err(ResponseAborted);
         }
         let resume_until = self.last_event_at + self.max_silence.mul_f64(RESUME_FRACTION);
         let until = resume_until.min(self.forwarder.request().deadline);
+        self.forwarder.begin_resuming();
+        timeout_at(until, self.resume_until_started()).await.unwrap_or(Err(ResponseAborted))
+    }
+
+    /// Sends the request until a backend resumes the stream.
+    async fn resume_until_started(&mut self) -> Result<StreamItem, ResponseAborted> {
         let resume_after = self.last_id.clone();
         loop {
-            match timeout_at(until, self.forwarder.forward(resume_after.as_ref())).await {
-                Ok(Ok(response)) => return self.switch_to(response),
-                Ok(Err(refusal)) if refusal.retry_after().is_some() => {
-                    if timeout_at(until, self.forwarder.wait_retry_after(refusal)).await.is_err() {
-                        return Err(ResponseAborted);
-                    }
-                    self.forwarder.reset_tried();
+            match self.forwarder.resume(resume_after.as_ref()).await {
+                Ok(response @ BackendResponse::Stream(..)) => return self.switch_to(response),
+                Ok(_) => self.forwarder.wait_retry_after(None).await,
+                Err(refusal) if refusal.retry_after().is_some() => {
+                    self.forwarder.wait_retry_after(Some(refusal)).await;
                 }
-                Ok(Err(_)) | Err(_) => return Err(ResponseAborted),
+                Err(_) => return Err(ResponseAborted),
             }
+            self.forwarder.reset_tried();
         }
     }
 
--- a/crates/gateway/tests/serving/main.rs
+++ b/crates/gateway/tests/serving/main.rs
@@ -4,6 +4,7 @@
 mod bounds;
 mod client_connections;
 mod connections;
+mod executions;
 mod freshness;
 mod passing;
 mod retries;
