--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -8,6 +8,7 @@
 //! | `log` | what the processes say of themselves |
 //! | `admin` | calls to their second addresses |
 
+mod addresses;
 mod admin;
 mod log;
 mod process;
--- a/crates/lab/src/rig/process.rs
+++ b/crates/lab/src/rig/process.rs
@@ -1,6 +1,6 @@
 //! The processes of the program: their starts and ends, the faults that befall them, and what they cost.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::sync::atomic::Ordering;
@@ -10,11 +10,11 @@
 use crankpick_carry::clock::now_us;
 use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
 use serde_json::Value;
-use tokio::net::TcpListener;
 use tokio::process::{Child, Command};
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+use super::addresses::own_address;
 use super::log::{LogReader, Seen};
 use super::{told, Rig};
 use crate::history::Kind;
@@ -69,15 +69,6 @@
         .ok_or_else(|| "no crankpick beside this program: build it, or name it in CRANKPICK".into())
 }
 
-/// An address that nobody else uses while this run lasts: one of loopback's own for each process, drawn from
-/// this program's id, so that neither another run nor the near end of a connection takes its port.
-async fn own_address(run: u8, number: usize) -> Result<SocketAddr, String> {
-    let [.., high, low] = std::process::id().to_be_bytes();
-    let ip = Ipv4Addr::new(127, 1 + high % 120 + 120 * (run % 2), low, 2 + number as u8);
-    let listener = TcpListener::bind((ip, 0)).await.map_err(told)?;
-    listener.local_addr().map_err(told)
-}
-
 impl Rig {
     /// Starts all processes; each listens.
     pub async fn start_all(&mut self) -> Result<(), String> {
