--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -12,8 +13,9 @@
 use tokio::time::{sleep, sleep_until, Instant};
 
 use crate::configuration::{HEALTH_PATH, SERVICES};
+use crate::departure::{AcknowledgedDeparture, Announced, DepartureKind};
 use crate::fleet::Fleet;
-use crate::history::{Run, RunEnd};
+use crate::history::{BackendEnd, Run, RunEnd};
 use crate::layout::HEARTBEAT;
 use crate::relay::Relay;
 use crate::request::Task;
@@ -25,6 +27,8 @@
 /// How long it waits before the next proxy after one that failed.
 const NEXT_PROXY: Duration = Duration::from_millis(50);
 const SLOTS: u32 = 64;
+/// How often a backend announces that it leaves, before it gives up.
+const MOST_DEPARTURE_CALLS: u32 = 40;
 
 /// How a backend behaves.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -49,14 +53,23 @@
     /// The incarnation that runs; none while it is down.
     incarnation: watch::Sender<Option<u32>>,
     relay: Mutex<Option<Arc<Relay>>>,
+    announced: Mutex<Announced>,
+    last_seq: AtomicU64,
 }
 
 impl Backend {
     /// A backend that is down.
     pub fn new(fleet: &Arc<Fleet>, number: usize, seed: u64) -> Arc<Self> {
-        let (behaviour, relay) = (Mutex::default(), Mutex::default());
-        let incarnation = watch::Sender::new(None);
-        Arc::new(Backend { number, fleet: Arc::clone(fleet), seed, behaviour, incarnation, relay })
+        Arc::new(Backend {
+            number,
+            fleet: Arc::clone(fleet),
+            seed,
+            behaviour: Mutex::default(),
+            incarnation: watch::Sender::new(None),
+            relay: Mutex::default(),
+            announced: Mutex::default(),
+            last_seq: AtomicU64::new(0),
+        })
     }
 
     /// Starts its incarnation of this number.
@@ -66,6 +79,7 @@
         let address = relay.address;
         *lock(&self.relay) = Some(relay);
         *lock(&self.behaviour) = Behaviour::Sound;
+        *lock(&self.announced) = Announced::Ready;
         self.incarnation.send_replace(Some(number));
         tokio::spawn(Arc::clone(self).accept(listener, number));
         tokio::spawn(Arc::clone(self).announce(address, number));
@@ -74,9 +88,75 @@
 
     /// Ends it without a word: connections are reset.
     pub fn crash(&self) {
+        if let Some(backend) = self.running_id() {
+            let at = self.fleet.clock.now();
+            lock(&self.fleet.history).backend_ends.push(BackendEnd { backend, at });
+        }
         self.incarnation.send_replace(None);
     }
 
+    /// Announces that it leaves, until that is acknowledged; its number, unless it ended meanwhile or nobody acknowledged
+    /// it. A heartbeat that it sent before comes so late.
+    pub async fn depart(self: &Arc<Self>, kind: DepartureKind, late: Duration) -> Option<u32> {
+        let number = self.running()?;
+        let address = self.relay()?.address;
+        let held_up = self.next_seq();
+        tokio::spawn(Arc::clone(self).deliver_late(address, number, held_up, late));
+        let mut rng = Rng::with_seed(self.seed ^ u64::from(number) ^ held_up);
+        let _ = self.beat(self.any_machine(&mut rng), address, number, self.next_seq(), "ready").await;
+        *lock(&self.announced) = match kind {
+            DepartureKind::Draining => Announced::Draining,
+            DepartureKind::SignOff => Announced::SignedOff,
+        };
+        for _ in 0..MOST_DEPARTURE_CALLS {
+            let machine = self.any_machine(&mut rng);
+            let acknowledged = match kind {
+                DepartureKind::Draining => {
+                    self.beat(machine, address, number, self.next_seq(), "draining").await.is_some()
+                }
+                DepartureKind::SignOff => self.sign_off(machine, number).await,
+            };
+            if self.running() != Some(number) {
+                return None;
+            }
+            if acknowledged {
+                let departure =
+                    AcknowledgedDeparture { backend: self.id(number), acknowledged: self.fleet.clock.now() };
+                lock(&self.fleet.history).departures.push(departure);
+                return Some(number);
+            }
+            sleep(NEXT_PROXY).await;
+        }
+        self.fleet.note("departures that nobody acknowledged");
+        None
+    }
+
+    /// Signs off at a machine; whether that is acknowledged.
+    pub async fn sign_off(&self, machine: usize, number: u32) -> bool {
+        *lock(&self.announced) = Announced::SignedOff;
+        let head = format!("DELETE /v1/instances/{} HTTP/1.1", self.id(number));
+        let answer = self.fleet.call_control(machine, &head, "", HEARTBEAT_PATIENCE).await;
+        answer.is_ok_and(|answer| (200..300).contains(&answer.status))
+    }
+
+    /// Delivers a heartbeat that was held up on its way.
+    async fn deliver_late(self: Arc<Self>, address: SocketAddr, number: u32, seq: u64, late: Duration) {
+        sleep(late).await;
+        let mut rng = Rng::with_seed(self.seed ^ seq);
+        let machine = self.any_machine(&mut rng);
+        if self.beat(machine, address, number, seq, "ready").await.is_some() {
+            self.fleet.note("late heartbeats acknowledged");
+        }
+    }
+
+    fn any_machine(&self, rng: &mut Rng) -> usize {
+        rng.usize(..self.fleet.machines())
+    }
+
+    fn next_seq(&self) -> u64 {
+        self.last_seq.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
     /// The number of its incarnation, while it runs.
     pub fn running(&self) -> Option<u32> {
         *self.incarnation.borrow()
@@ -205,16 +285,25 @@
         }
     }
 
+    /// What its next heartbeat says; none once it has signed off or ended.
+    fn heartbeat_state(&self, number: u32) -> Option<&'static str> {
+        let announced = *lock(&self.announced);
+        match announced {
+            _ if self.running() != Some(number) => None,
+            Announced::Ready => Some("ready"),
+            Announced::Draining => Some("draining"),
+            Announced::SignedOff => None,
+        }
+    }
+
     /// Sends heartbeats until this incarnation ends.
     async fn announce(self: Arc<Self>, address: SocketAddr, number: u32) {
         let mut rng = Rng::with_seed(self.seed ^ u64::from(number));
         let mut at = rng.usize(..self.fleet.machines());
-        let mut seq = 0;
-        while self.running() == Some(number) {
+        while self.heartbeat_state(number).is_some() {
             let beat = Instant::now();
-            while self.running() == Some(number) {
-                seq += 1;
-                match self.beat(at, address, number, seq).await {
+            while let Some(state) = self.heartbeat_state(number) {
+                match self.beat(at, address, number, self.next_seq(), state).await {
                     Some(next) => {
                         at = next;
                         break;
@@ -230,12 +319,19 @@
     }
 
     /// One heartbeat; where the next one goes, if this one was acknowledged.
-    async fn beat(&self, at: usize, address: SocketAddr, number: u32, seq: u64) -> Option<usize> {
+    async fn beat(
+        &self,
+        at: usize,
+        address: SocketAddr,
+        number: u32,
+        seq: u64,
+        state: &str,
+    ) -> Option<usize> {
         let machines = self.fleet.machines();
         let body = json!({
             "service": SERVICES[self.number % SERVICES.len()], "address": address.to_string(),
             "zone": self.fleet.layout.zone(self.number % machines), "generation": "v1", "slots": SLOTS,
-            "state": "ready", "cold_left_ms": 0, "seq": seq,
+            "state": state, "cold_left_ms": 0, "seq": seq,
         });
         let head =
             format!("PUT /v1/instances/{} HTTP/1.1\r\nContent-Type: application/json", self.id(number));
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -6,6 +6,7 @@
 
 use crate::clock::Moment;
 use crate::history::{DisturbanceKind, EndOfRest, Exchange, History, Order, OrderEnd, Outcome, Run, RunEnd};
+use crate::{budget, departure};
 
 /// Within which an acknowledged configuration is in force everywhere.
 pub const CONFIG_APPLY: Duration = Duration::from_secs(2);
@@ -51,6 +52,10 @@
     ForeignAnswer,
     /// A backend ran what no client sent.
     Unasked,
+    /// A request reached a backend that had left for too long, sent on by a machine in touch.
+    Drained,
+    /// Requests ran on more backends than their routes' `retries`.
+    Budget,
     /// A process logged a broken invariant, or ended by itself.
     Process,
 }
@@ -104,6 +109,8 @@
     pub cut_lines: Vec<CutLine>,
     /// Connections at rest that were ended sooner than any idle timeout explains.
     pub early_ends: Vec<EndOfRest>,
+    /// Requests that ran on more backends than their routes' `retries`.
+    pub beyond_retries: usize,
 }
 
 /// A connection that was cut without an answer.
@@ -121,7 +128,7 @@
         self.violations.is_empty()
     }
 
-    fn add(&mut self, rule: Rule, text: String) {
+    pub(crate) fn add(&mut self, rule: Rule, text: String) {
         self.violations.push(Violation { rule, text });
     }
 }
@@ -133,6 +140,8 @@
     judge_readings(history, &mut verdict);
     judge_exchanges(history, &mut verdict);
     judge_runs(history, &mut verdict);
+    departure::judge(history, &mut verdict);
+    budget::judge(history, &mut verdict);
     verdict.early_ends = early_ends(history);
     for finding in &history.process_findings {
         verdict.add(Rule::Process, format!("{}: {}", finding.process, finding.text));
@@ -352,14 +361,23 @@
 
 /// The idle timeouts of all configurations that may be in force at some machine between two moments.
 fn timeouts_in_force(history: &History, from: Moment, to: Moment) -> Vec<Duration> {
+    orders_in_force(history, from, to).map(|order| order.idle_timeout).collect()
+}
+
+/// The configurations that may be in force at some machine between two moments.
+pub(crate) fn orders_in_force(
+    history: &History,
+    from: Moment,
+    to: Moment,
+) -> impl Iterator<Item = &Order> + '_ {
     let linger = if history.is_calm { CONFIG_APPLY } else { LIMIT_LINGER };
-    let replaced = |order: &Order| {
+    let replaced = move |order: &Order| {
         let newer = history.orders.iter().filter(|newer| newer.generation > order.generation);
         let acknowledged = newer.filter_map(Order::acknowledged).min();
         acknowledged.is_some_and(|acknowledged| acknowledged.plus(linger) < from)
     };
-    let sent = history.orders.iter().filter(|order| order.sent <= to);
-    sent.filter(|order| !replaced(order)).map(|order| order.idle_timeout).collect()
+    let sent = history.orders.iter().filter(move |order| order.sent <= to);
+    sent.filter(move |order| !replaced(order))
 }
 
 /// Connections ended at rest before four fifths of every idle timeout that may be in force, with nothing that
--- a/crates/soak/src/configuration.rs
+++ b/crates/soak/src/configuration.rs
@@ -41,6 +41,15 @@
     Drawn,
 }
 
+/// What all configurations of a run have in common.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Constants {
+    /// Whether changes may touch the idle timeout.
+    pub idle_timeouts: IdleTimeouts,
+    /// The `retries` of streams that may be resumed.
+    pub resumable_retries: u32,
+}
+
 /// A configuration and its idle timeout.
 #[derive(Clone, Debug)]
 pub struct Drawn {
@@ -51,12 +60,12 @@
 }
 
 /// Draws a configuration.
-pub fn draw(rng: &mut Rng, generation: u64, timeouts: IdleTimeouts) -> Drawn {
-    let idle_timeout = match timeouts {
+pub fn draw(rng: &mut Rng, generation: u64, constants: Constants) -> Drawn {
+    let idle_timeout = match constants.idle_timeouts {
         IdleTimeouts::Constant(timeout) => timeout,
         IdleTimeouts::Drawn => Duration::from_millis(IDLE_TIMEOUTS[rng.usize(..IDLE_TIMEOUTS.len())]),
     };
-    let mut routes: Vec<Value> = RouteKind::ALL.into_iter().map(|kind| route(rng, kind)).collect();
+    let mut routes: Vec<Value> = RouteKind::ALL.into_iter().map(|kind| route(rng, kind, constants)).collect();
     let extra = rng.usize(..=MOST_EXTRA_ROUTES);
     routes.extend((0..extra).map(|number| extra_route(rng, number)));
     let services = SERVICES.map(|name| json!({"name": name, "health_path": HEALTH_PATH, "max_conns": 400}));
@@ -71,7 +80,7 @@
     Drawn { document, idle_timeout }
 }
 
-fn route(rng: &mut Rng, kind: RouteKind) -> Value {
+fn route(rng: &mut Rng, kind: RouteKind, constants: Constants) -> Value {
     let word = match kind {
         RouteKind::Idempotent => "idempotent",
         RouteKind::Mutating => "mutating",
@@ -87,6 +96,9 @@
     if kind.is_stream() {
         route["gap_aim_ms"] = json!(400);
     }
+    if kind == RouteKind::Resumable {
+        route["retries"] = json!(constants.resumable_retries);
+    }
     route
 }
 
--- a/crates/soak/src/director.rs
+++ b/crates/soak/src/director.rs
@@ -8,13 +8,13 @@
 use tokio::time::{sleep, timeout, Instant};
 
 use crate::backend::{Backend, Behaviour};
+use crate::departure::DepartureKind;
 use crate::error::SoakError;
 use crate::fleet::Fleet;
 use crate::history::{DisturbanceKind, ProcessFinding};
 use crate::layout::{Role, GRACE};
-use crate::relay::Relay;
 use crate::sync::lock;
-use crate::trouble::{Target, Trouble, TroubleKind};
+use crate::trouble::{CoreKill, Target, Trouble, TroubleKind};
 
 /// A killed process is gone by then.
 const DEATH: Duration = Duration::from_secs(10);
@@ -83,10 +83,17 @@
             }
             TroubleKind::ResetControl { machine } => self.fleet.control_relay(machine).reset(),
             TroubleKind::CutBackend { backend, time } => {
-                self.disturb_way(&self.backends[backend], time, Relay::cut, Relay::join).await;
+                self.cut_backend(&self.backends[backend], time).await
             }
-            TroubleKind::ResetBackend { backend } => {
-                self.disturb_way(&self.backends[backend], Duration::ZERO, Relay::reset, |_| ()).await;
+            TroubleKind::ResetBackend { backend } => self.reset_backend(&self.backends[backend]),
+            TroubleKind::ResetInARow { times, gap } => {
+                for _ in 0..times {
+                    self.backends.iter().for_each(|backend| self.reset_backend(backend));
+                    sleep(gap).await;
+                }
+            }
+            TroubleKind::Depart { backend, kind, late, serves_on, kill } => {
+                self.depart(&self.backends[backend], kind, late, serves_on, kill).await;
             }
             TroubleKind::CrashBackend { backend, down } => self.crash(backend, down).await,
             TroubleKind::LoseAnswers { backend, time } => {
@@ -105,6 +112,7 @@
         let gates = targets.iter().filter(|target| target.role == Role::Gate);
         let disturbances: Vec<usize> =
             gates.map(|gate| self.fleet.disturb(gate.machine, DisturbanceKind::Killed)).collect();
+        let machines = self.disturb_machines(targets);
         for target in targets {
             self.fleet.process(target.machine, target.role).kill();
         }
@@ -119,6 +127,15 @@
             self.start(*target).await;
         }
         disturbances.into_iter().for_each(|disturbance| self.fleet.settle(disturbance));
+        self.settle_machines(machines);
+    }
+
+    fn disturb_machines(&self, targets: &[Target]) -> Vec<usize> {
+        targets.iter().map(|target| self.fleet.disturb_machine(target.machine, target.role)).collect()
+    }
+
+    fn settle_machines(&self, disturbances: Vec<usize>) {
+        disturbances.into_iter().for_each(|disturbance| self.fleet.settle_machine(disturbance));
     }
 
     fn lose_disk(&self, machine: usize) {
@@ -138,6 +155,7 @@
         let gates = targets.iter().filter(|target| target.role == Role::Gate);
         let disturbances: Vec<usize> =
             gates.map(|gate| self.fleet.disturb(gate.machine, DisturbanceKind::Paused)).collect();
+        let machines = self.disturb_machines(targets);
         for target in targets {
             self.fleet.process(target.machine, target.role).pause();
         }
@@ -146,11 +164,13 @@
             self.fleet.process(target.machine, target.role).resume();
         }
         disturbances.into_iter().for_each(|disturbance| self.fleet.settle(disturbance));
+        self.settle_machines(machines);
     }
 
     /// Short stops, far below any bound that clients heed: no disturbance that would explain anything.
     async fn slow(&self, targets: &[Target], time: Duration) {
         let until = Instant::now() + time;
+        let machines = self.disturb_machines(targets);
         while Instant::now() < until {
             for target in targets {
                 self.fleet.process(target.machine, target.role).pause();
@@ -161,11 +181,13 @@
             }
             sleep(SLOW_GO).await;
         }
+        self.settle_machines(machines);
     }
 
     async fn roll(&self, target: Target, down: Duration) {
         let process = self.fleet.process(target.machine, target.role);
         let is_gate = target.role == Role::Gate;
+        let machines = self.disturb_machines(&[target]);
         process.terminate();
         let mut ended = process.ended_within(STILL_ACCEPTED).await;
         let leaving = is_gate.then(|| self.fleet.disturb(target.machine, DisturbanceKind::Leaving));
@@ -182,18 +204,57 @@
         sleep(down).await;
         self.start(target).await;
         leaving.into_iter().for_each(|leaving| self.fleet.settle(leaving));
+        self.settle_machines(machines);
     }
 
-    /// Does something to the way to a backend, and takes it back so much later.
-    async fn disturb_way(&self, backend: &Backend, time: Duration, begin: fn(&Relay), end: fn(&Relay)) {
+    /// Cuts the way to a backend for a time.
+    async fn cut_backend(&self, backend: &Backend, time: Duration) {
         let (Some(relay), Some(id)) = (backend.relay(), backend.running_id()) else { return };
-        let disturbance = self.fleet.disturb_backend(id);
-        begin(&relay);
+        let disturbance = self.fleet.disturb_backend(id, true);
+        relay.cut();
         sleep(time).await;
-        end(&relay);
+        relay.join();
+        self.fleet.settle_backend(disturbance);
+    }
+
+    /// Resets all connections to a backend.
+    fn reset_backend(&self, backend: &Backend) {
+        let (Some(relay), Some(id)) = (backend.relay(), backend.running_id()) else { return };
+        let disturbance = self.fleet.disturb_backend(id, false);
+        relay.reset();
         self.fleet.settle_backend(disturbance);
     }
 
+    /// Has a backend leave, processes killed right behind the acknowledgement, and another backend take its place.
+    async fn depart(
+        &self,
+        backend: &Arc<Backend>,
+        kind: DepartureKind,
+        late: Duration,
+        serves_on: Duration,
+        kill: Option<CoreKill>,
+    ) {
+        let Some(number) = backend.depart(kind, late).await else { return };
+        let killing = async {
+            if let Some(CoreKill { targets, down, lost_disk }) = kill {
+                self.kill(&targets, down, lost_disk).await;
+            }
+        };
+        tokio::join!(killing, sleep(serves_on));
+        if backend.running() != Some(number) {
+            return;
+        }
+        if kind == DepartureKind::Draining {
+            for machine in 0..self.fleet.machines() {
+                if backend.sign_off(machine, number).await {
+                    break;
+                }
+            }
+        }
+        backend.crash();
+        let _ = backend.start(number + 1).await;
+    }
+
     async fn crash(&self, backend: usize, down: Duration) {
         let backend = &self.backends[backend];
         let Some(number) = backend.running() else { return };
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -10,6 +10,7 @@
 use tokio::time::timeout;
 
 use crate::clock::{Clock, Moment};
+use crate::departure::MachineDisturbance;
 use crate::error::{FileSnafu, PortsSnafu, SoakError};
 use crate::history::{BackendDisturbance, Disturbance, DisturbanceKind, History};
 use crate::layout::{Layout, Role};
@@ -116,10 +117,26 @@
         lock(&self.history).disturbances[disturbance].to = Some(now);
     }
 
+    /// Notes the beginning of a disturbance of a machine's processes; call it before its cause.
+    pub fn disturb_machine(&self, machine: usize, role: Role) -> usize {
+        let is_core = role == Role::ControlPlane && machine < self.layout.shape.counting;
+        let from = self.clock.now();
+        let mut history = lock(&self.history);
+        history.machine_disturbances.push(MachineDisturbance { machine, is_core, from, to: None });
+        history.machine_disturbances.len() - 1
+    }
+
+    /// Notes its end; call it after its cause was taken back.
+    pub fn settle_machine(&self, disturbance: usize) {
+        let now = self.clock.now();
+        lock(&self.history).machine_disturbances[disturbance].to = Some(now);
+    }
+
     /// Notes that the way to a backend is cut or reset from now on; call it before.
-    pub fn disturb_backend(&self, backend: String) -> usize {
+    pub fn disturb_backend(&self, backend: String, is_cut: bool) -> usize {
+        let from = self.clock.now();
         let mut history = lock(&self.history);
-        history.backend_disturbances.push(BackendDisturbance { backend, from: self.clock.now(), to: None });
+        history.backend_disturbances.push(BackendDisturbance { backend, is_cut, from, to: None });
         history.backend_disturbances.len() - 1
     }
 
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -6,6 +6,7 @@
 use serde_json::Value;
 
 use crate::clock::Moment;
+use crate::departure::{AcknowledgedDeparture, MachineDisturbance};
 
 /// How a route's requests may be treated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -223,6 +224,8 @@
 pub struct BackendDisturbance {
     /// The incarnation's id.
     pub backend: String,
+    /// Whether the way was cut; otherwise its connections were reset.
+    pub is_cut: bool,
     /// When it began; before it takes effect.
     pub from: Moment,
     /// When it ended; after it was taken back.
@@ -236,6 +239,15 @@
     }
 }
 
+/// The end of a backend.
+#[derive(Clone, Debug)]
+pub struct BackendEnd {
+    /// The incarnation's id.
+    pub backend: String,
+    /// When it ended; before its connections were reset.
+    pub at: Moment,
+}
+
 /// A line of a process's log that tells of a broken invariant, or an end that nobody caused.
 #[derive(Clone, Debug)]
 pub struct ProcessFinding {
@@ -270,6 +282,12 @@
     pub notes: BTreeMap<String, u64>,
     /// Connections at rest that their gateways ended.
     pub ends_of_rest: Vec<EndOfRest>,
+    /// What befell the processes of machines.
+    pub machine_disturbances: Vec<MachineDisturbance>,
+    /// Backends that left, as acknowledged.
+    pub departures: Vec<AcknowledgedDeparture>,
+    /// Backends that ended.
+    pub backend_ends: Vec<BackendEnd>,
 }
 
 impl History {
--- a/crates/soak/src/layout.rs
+++ b/crates/soak/src/layout.rs
@@ -9,6 +9,7 @@
 use fastrand::Rng;
 use snafu::ResultExt;
 
+use crate::departure::{CONTACT, DRAIN};
 use crate::error::{PortsSnafu, SoakError};
 
 /// From SIGTERM to SIGKILL.
@@ -197,6 +198,8 @@
         let _ = writeln!(text, "heartbeat_ms={}", HEARTBEAT.as_millis());
         let _ = writeln!(text, "tolerate.nodes={}", self.shape.tolerated);
         let _ = writeln!(text, "bounds.grace_s={}", GRACE.as_secs());
+        let _ = writeln!(text, "bounds.contact_ms={}", CONTACT.as_millis());
+        let _ = writeln!(text, "bounds.drain_ms={}", DRAIN.as_millis());
         text
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,15 +9,17 @@
 //! | `client`, `request`, `platform` | clients on kept connections, what they ask, and where their connections go |
 //! | `backend` | stand-ins for backends |
 //! | `operator`, `configuration`, `patch` | changes, whole or as patches, and reads of the configuration |
-//! | `history`, `check` | what was seen, and the invariants over it |
+//! | `history`, `check`, `departure`, `budget` | what was seen, and the invariants over it |
 //! | `wire`, `relay` | HTTP/1.1 on raw sockets; relays that cut and reset |
 //! | `log`, `clock`, `error` | the processes' logs, the run's clock, why a run can't be played |
 
 pub mod backend;
+pub mod budget;
 pub mod check;
 pub mod client;
 pub mod clock;
 pub mod configuration;
+pub mod departure;
 pub mod director;
 pub mod error;
 pub mod fleet;
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 use crate::client::Crowd;
-use crate::configuration::{draw, Drawn, IdleTimeouts};
+use crate::configuration::{draw, Constants, Drawn};
 use crate::fleet::{ControlAnswer, Fleet};
 use crate::history::{Order, OrderEnd, Reading};
 use crate::patch::{between, Patched};
@@ -38,7 +38,7 @@
 /// The operator.
 pub struct Operator {
     crowd: Arc<Crowd>,
-    timeouts: IdleTimeouts,
+    constants: Constants,
     /// Pauses between two changes, in milliseconds.
     pauses: Range<u64>,
     rng: Rng,
@@ -48,8 +48,8 @@
 
 impl Operator {
     /// An operator who has sent nothing yet.
-    pub fn new(crowd: &Arc<Crowd>, timeouts: IdleTimeouts, pauses: Range<u64>, seed: u64) -> Self {
-        Operator { crowd: Arc::clone(crowd), timeouts, pauses, rng: Rng::with_seed(seed), base: 0 }
+    pub fn new(crowd: &Arc<Crowd>, constants: Constants, pauses: Range<u64>, seed: u64) -> Self {
+        Operator { crowd: Arc::clone(crowd), constants, pauses, rng: Rng::with_seed(seed), base: 0 }
     }
 
     fn fleet(&self) -> &Arc<Fleet> {
@@ -76,12 +76,12 @@
     /// One change, or two at once on the same version; whether one was acknowledged.
     async fn change(&mut self, rival: bool) -> bool {
         let generation = self.base + self.rng.u64(1..6);
-        let drawn = draw(&mut self.rng, generation, self.timeouts);
+        let drawn = draw(&mut self.rng, generation, self.constants);
         let first = self.file(drawn);
         let seed = self.rng.u64(..);
         let answer = if rival {
             let other_generation = if self.rng.bool() { generation } else { generation + 1 };
-            let other = draw(&mut self.rng, other_generation, self.timeouts);
+            let other = draw(&mut self.rng, other_generation, self.constants);
             let second = self.file(other);
             let (one, other) =
                 tokio::join!(submit(&self.crowd, first, seed), submit(&self.crowd, second, !seed));
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -32,6 +32,18 @@
         for disturbance in &self.history.disturbances {
             let _ = writeln!(text, "{disturbance:?}");
         }
+        for disturbance in &self.history.machine_disturbances {
+            let _ = writeln!(text, "{disturbance:?}");
+        }
+        for disturbance in &self.history.backend_disturbances {
+            let _ = writeln!(text, "{disturbance:?}");
+        }
+        for departure in &self.history.departures {
+            let _ = writeln!(text, "{departure:?}");
+        }
+        for end in &self.history.backend_ends {
+            let _ = writeln!(text, "{end:?}");
+        }
         for order in &self.history.orders {
             let (generation, base, idle) = (order.generation, order.base, order.idle_timeout);
             let _ = writeln!(
@@ -103,6 +115,12 @@
             let begun = if *begun { "begun at a backend" } else { "begun nowhere" };
             writeln!(out, "  cut without an answer, {begun}, {reason}: {number}")?;
         }
+        writeln!(
+            out,
+            "  departures acknowledged: {}, requests that ran on more backends than allowed: {}",
+            history.departures.len(),
+            self.verdict.beyond_retries
+        )?;
         for (note, number) in &history.notes {
             writeln!(out, "  {note}: {number}")?;
         }
--- a/crates/soak/src/request.rs
+++ b/crates/soak/src/request.rs
@@ -11,6 +11,8 @@
 
 /// The longest work of a backend, and the longest stream.
 const MOST_WORK_MS: u64 = 300;
+/// The longest stream that may be resumed: several resets in a row fall into it.
+const MOST_RESUMABLE_MS: u64 = 1_200;
 const MOST_EVENTS: u32 = 12;
 const MOST_FILLER: usize = 4_000;
 /// How long clients wait.
@@ -46,12 +48,13 @@
     /// Draws one.
     pub fn draw(rng: &mut Rng, id: String) -> Self {
         let kind = match rng.u32(..10) {
-            0..=4 => RouteKind::Idempotent,
-            5..=7 => RouteKind::Mutating,
-            8 => RouteKind::Streaming,
+            0..=3 => RouteKind::Idempotent,
+            4..=6 => RouteKind::Mutating,
+            7 => RouteKind::Streaming,
             _ => RouteKind::Resumable,
         };
-        let work = Duration::from_millis(if rng.bool() { rng.u64(1..20) } else { rng.u64(1..=MOST_WORK_MS) });
+        let longest = if kind == RouteKind::Resumable { MOST_RESUMABLE_MS } else { MOST_WORK_MS };
+        let work = Duration::from_millis(if rng.bool() { rng.u64(1..20) } else { rng.u64(1..=longest) });
         let events = if kind.is_stream() { rng.u32(1..=MOST_EVENTS) } else { 0 };
         let filler = if rng.u32(..4) == 0 { rng.usize(..MOST_FILLER) } else { 0 };
         let task = Task { id, work, events, filler };
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -17,7 +17,7 @@
 use crate::check::{judge, Verdict};
 use crate::client::{Client, Crowd};
 use crate::clock::Moment;
-use crate::configuration::IdleTimeouts;
+use crate::configuration::{Constants, IdleTimeouts};
 use crate::director::Director;
 use crate::error::{FileSnafu, NotReadySnafu, SoakError};
 use crate::fleet::Fleet;
@@ -40,6 +40,8 @@
 /// Pauses between two changes.
 const QUICK_CHANGES_MS: Range<u64> = 200..1_600;
 const SLOW_CHANGES_MS: Range<u64> = 2_500..6_000;
+/// The `retries` of streams that may be resumed.
+const RESUMABLE_RETRIES: std::ops::RangeInclusive<u32> = 1..=2;
 /// The idle timeout where changes don't touch it, and before the first is known.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
@@ -93,6 +95,8 @@
     pub shape: Shape,
     /// Whether changes touch the idle timeout.
     pub idle_timeouts: IdleTimeouts,
+    /// The `retries` of streams that may be resumed.
+    pub resumable_retries: u32,
     /// Pauses between changes, in milliseconds.
     pub change_pauses: Range<u64>,
     /// The troubles.
@@ -107,13 +111,15 @@
         let constant = rng.bool();
         let drawn = if constant { IdleTimeouts::Constant(IDLE_TIMEOUT) } else { IdleTimeouts::Drawn };
         let change_pauses = if rng.bool() { QUICK_CHANGES_MS } else { SLOW_CHANGES_MS };
+        let resumable_retries = rng.u32(RESUMABLE_RETRIES);
         let shape = options.shape.unwrap_or(drawn_shape);
         let troubles = trouble::draw(&mut rng, &shape, options.seconds);
         let mut troubles = if options.quiet { Vec::new() } else { troubles };
         if options.slow {
             troubles.insert(0, trouble::all_slow(&shape, options.seconds));
         }
-        Plan { shape, idle_timeouts: options.idle_timeouts.unwrap_or(drawn), change_pauses, troubles }
+        let idle_timeouts = options.idle_timeouts.unwrap_or(drawn);
+        Plan { shape, idle_timeouts, resumable_retries, change_pauses, troubles }
     }
 }
 
@@ -176,7 +182,9 @@
         idle_timeout: watch::Sender::new(IDLE_TIMEOUT),
         stopping: AtomicBool::new(false),
     });
-    let mut operator = Operator::new(&crowd, plan.idle_timeouts, plan.change_pauses.clone(), rng.u64(..));
+    let constants =
+        Constants { idle_timeouts: plan.idle_timeouts, resumable_retries: plan.resumable_retries };
+    let mut operator = Operator::new(&crowd, constants, plan.change_pauses.clone(), rng.u64(..));
     let begun = timeout(PATIENCE, operator.begin()).await;
     let backends = start_backends(fleet, plan.shape.backends, &mut rng).await;
     if !begun.is_ok_and(|taken| taken) {
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -6,6 +6,7 @@
 use fastrand::Rng;
 
 use crate::clock::Moment;
+use crate::departure::DepartureKind;
 use crate::layout::{Role, Shape};
 
 /// Quiet time before the first troubles and between two groups of them.
@@ -20,6 +21,17 @@
 const DOWN_MS: std::ops::Range<u64> = 20..1_500;
 const SLOW_MS: std::ops::Range<u64> = 1_000..5_000;
 const LATE_MS: std::ops::Range<u64> = 100..2_500;
+const RESETS_IN_A_ROW: std::ops::Range<u32> = 3..9;
+const RESET_GAP_MS: std::ops::Range<u64> = 100..400;
+const LATE_HEARTBEAT_MS: std::ops::Range<u64> = 500..6_000;
+const SERVES_ON_MS: std::ops::Range<u64> = 1_000..6_000;
+/// The last departure begins so long before the end, and so long after the other troubles.
+const LAST_DEPARTURE_MS: u64 = 10_000;
+const CALM_BEFORE_DEPARTURE_MS: u64 = 3_000;
+/// Its heartbeat comes once machines are in touch again after the kill, and the backend still serves then.
+const LAST_DOWN_MS: std::ops::Range<u64> = 50..500;
+const LAST_LATE_HEARTBEAT_MS: std::ops::Range<u64> = 5_000..7_000;
+const LAST_SERVES_ON: Duration = Duration::from_millis(9_000);
 
 /// One trouble.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -136,6 +148,27 @@
         /// How long.
         time: Duration,
     },
+    /// All connections to all backends are reset several times in a row.
+    ResetInARow {
+        /// How often.
+        times: u32,
+        /// The pause between two resets.
+        gap: Duration,
+    },
+    /// A backend leaves, and serves on for a time; a heartbeat that it sent before comes late. Another one takes its
+    /// place.
+    Depart {
+        /// The backend.
+        backend: usize,
+        /// How it leaves.
+        kind: DepartureKind,
+        /// How late the heartbeat comes.
+        late: Duration,
+        /// How long the backend serves on behind the acknowledgement.
+        serves_on: Duration,
+        /// What is killed right behind the acknowledgement.
+        kill: Option<CoreKill>,
+    },
     /// A backend refuses.
     Refuse {
         /// The backend.
@@ -145,18 +178,37 @@
     },
 }
 
-/// Draws the troubles of a run of so many seconds.
+/// Processes that are killed right behind an acknowledgement.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CoreKill {
+    /// The processes: all of the core at least.
+    pub targets: Vec<Target>,
+    /// How long they are down.
+    pub down: Duration,
+    /// The counting machine whose disk is lost.
+    pub lost_disk: Option<usize>,
+}
+
+/// Draws the troubles of a run of so many seconds. The last ones of a run that is long enough are a departure with a kill
+/// of the core right behind its acknowledgement, and nothing else, so that machines are in touch again before a late
+/// heartbeat comes.
 pub fn draw(rng: &mut Rng, shape: &Shape, seconds: u64) -> Vec<Trouble> {
     let mut drawer = Drawer { rng, shape, disks_left: shape.tolerated };
     let mut troubles = Vec::new();
     let mut at = FIRST_MS;
-    while at + 1_000 < seconds * 1_000 {
+    let departure_at = (seconds * 1_000).checked_sub(LAST_DEPARTURE_MS).filter(|at| *at >= LAST_DEPARTURE_MS);
+    let until = departure_at.map_or(seconds * 1_000, |at| at - CALM_BEFORE_DEPARTURE_MS);
+    while at + 1_000 < until {
         for _ in 0..drawer.rng.usize(1..=MOST_TOGETHER) {
             let begins = at + drawer.rng.u64(TOGETHER_MS);
             troubles.push(Trouble { at: Moment::from_millis(begins), kind: drawer.kind() });
         }
         at += drawer.rng.u64(BETWEEN_MS);
     }
+    if let Some(at) = departure_at {
+        let kind = drawer.last_departure();
+        troubles.push(Trouble { at: Moment::from_millis(at), kind });
+    }
     troubles.sort_by_key(|trouble| trouble.at);
     troubles
 }
@@ -181,7 +233,7 @@
 
 impl Drawer<'_> {
     fn kind(&mut self) -> TroubleKind {
-        match self.rng.u32(..25) {
+        match self.rng.u32(..28) {
             0..=3 => TroubleKind::Kill { targets: vec![self.target()], down: self.down(), lost_disk: None },
             4 => TroubleKind::Kill { targets: self.core(), down: self.down(), lost_disk: None },
             5 => TroubleKind::Kill { targets: self.all(), down: self.down(), lost_disk: None },
@@ -196,6 +248,11 @@
             18 => TroubleKind::CutControl { machine: self.machine(), time: self.time(CUT_MS) },
             19 => TroubleKind::ResetControl { machine: self.machine() },
             20 => TroubleKind::Slow { targets: self.machine_whole(), time: self.time(SLOW_MS) },
+            21 | 22 => {
+                let times = self.rng.u32(RESETS_IN_A_ROW);
+                TroubleKind::ResetInARow { times, gap: self.time(RESET_GAP_MS) }
+            }
+            23 => self.departure(LATE_HEARTBEAT_MS, None),
             _ => self.of_backend(),
         }
     }
@@ -213,6 +270,23 @@
         }
     }
 
+    fn departure(&mut self, late_ms: std::ops::Range<u64>, kill: Option<CoreKill>) -> TroubleKind {
+        let kind = if self.rng.bool() { DepartureKind::SignOff } else { DepartureKind::Draining };
+        let late = self.time(late_ms);
+        let serves_on = if kill.is_some() { LAST_SERVES_ON } else { self.time(SERVES_ON_MS) };
+        TroubleKind::Depart { backend: self.rng.usize(..self.shape.backends), kind, late, serves_on, kill }
+    }
+
+    /// A departure whose acknowledgement is followed by a kill of the core or of all, with a lost disk if one may be
+    /// lost.
+    fn last_departure(&mut self) -> TroubleKind {
+        let targets = if self.rng.bool() { self.core() } else { self.all() };
+        let lost_disk =
+            (self.disks_left > 0 && self.rng.bool()).then(|| self.rng.usize(..self.shape.counting));
+        let down = self.time(LAST_DOWN_MS);
+        self.departure(LAST_LATE_HEARTBEAT_MS, Some(CoreKill { targets, down, lost_disk }))
+    }
+
     /// A disk is lost, its process killed alone or together with all others of the core.
     fn lose_disk(&mut self) -> TroubleKind {
         if self.disks_left == 0 {
@@ -315,6 +389,15 @@
                 write!(out, "backend {backend} answers {late:?} late for {time:?}")
             }
             TroubleKind::Refuse { backend, time } => write!(out, "backend {backend} refuses for {time:?}"),
+            TroubleKind::ResetInARow { times, gap } => {
+                write!(out, "connections to all backends reset {times} times, {gap:?} apart")
+            }
+            TroubleKind::Depart { backend, kind, late, serves_on, kill } => {
+                write!(out, "backend {backend} leaves ({kind:?}), serves on for {serves_on:?}, heartbeat {late:?} late")?;
+                let Some(CoreKill { targets, down, lost_disk }) = kill else { return Ok(()) };
+                write!(out, "; behind the acknowledgement kill {}, down for {down:?}", named(targets))?;
+                lost_disk.map_or(Ok(()), |machine| write!(out, ", disk of {machine} lost"))
+            }
         }
     }
 }
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -4,9 +4,10 @@
 
 use crankpick_soak::check::{judge, reason, Reason, Rule};
 use crankpick_soak::clock::Moment;
+use crankpick_soak::departure::{AcknowledgedDeparture, MachineDisturbance};
 use crankpick_soak::history::{
-    BackendDisturbance, Disturbance, DisturbanceKind, EndOfRest, Exchange, History, Order, OrderEnd, Outcome,
-    ProcessFinding, Reading, RouteKind, Run, RunEnd,
+    BackendDisturbance, BackendEnd, Disturbance, DisturbanceKind, EndOfRest, Exchange, History, Order,
+    OrderEnd, Outcome, ProcessFinding, Reading, RouteKind, Run, RunEnd,
 };
 use serde_json::json;
 
@@ -185,6 +186,7 @@
     let mut history = sound();
     history.exchanges[0].outcome = Outcome::CutMidAnswer;
     let disturbance = |backend: &str, from, to| BackendDisturbance {
+        is_cut: true,
         backend: backend.into(),
         from: at(from),
         to: Some(at(to)),
@@ -310,3 +312,109 @@
     history.runs.clear();
     assert_eq!(history.earliest_rest("c1-1", at(5_000)), at(5_000), "a refusal may come at once");
 }
+
+/// A backend that left at 3 s, by an acknowledgement, and ran a request at 5.02 s.
+fn departed() -> History {
+    let departure = AcknowledgedDeparture { backend: "i-0-1".into(), acknowledged: at(3_000) };
+    History { departures: vec![departure], ..sound() }
+}
+
+#[test]
+fn a_request_at_a_backend_that_has_left_breaks_drain() {
+    assert_eq!(rules(&departed()), [Rule::Drained]);
+    let mut soon = departed();
+    soon.departures[0].acknowledged = at(4_020);
+    assert_eq!(rules(&soon), [], "within the time that it is given");
+    let mut another = departed();
+    another.departures[0].backend = "i-1-1".into();
+    assert_eq!(rules(&another), [], "another backend");
+}
+
+#[test]
+fn a_machine_out_of_touch_breaks_no_drain() {
+    let disturbance = |machine, is_core, from, to| MachineDisturbance {
+        machine,
+        is_core,
+        from: at(from),
+        to: Some(at(to)),
+    };
+    let with = |disturbance| History { machine_disturbances: vec![disturbance], ..departed() };
+    assert_eq!(rules(&with(disturbance(0, false, 3_000, 3_600))), [], "its own processes");
+    assert_eq!(rules(&with(disturbance(0, false, 3_000, 3_500))), [Rule::Drained], "contact time ago");
+    assert_eq!(rules(&with(disturbance(1, false, 3_000, 3_600))), [Rule::Drained], "another machine");
+    assert_eq!(rules(&with(disturbance(1, true, 1_000, 2_100))), [], "the core");
+    assert_eq!(rules(&with(disturbance(1, true, 1_000, 2_000))), [Rule::Drained], "twice as long ago");
+    let still = MachineDisturbance { machine: 1, is_core: true, from: at(1_000), to: None };
+    assert_eq!(rules(&with(still)), [], "still under way");
+    let mut reset = departed();
+    let own = Disturbance { machine: 0, kind: DisturbanceKind::Reset, from: at(4_000), to: Some(at(4_000)) };
+    reset.disturbances.push(own);
+    assert_eq!(rules(&reset), [], "its connections were reset");
+    let mut held_up = departed();
+    let way =
+        BackendDisturbance { backend: "i-0-1".into(), is_cut: true, from: at(4_000), to: Some(at(4_000)) };
+    held_up.backend_disturbances.push(way);
+    assert_eq!(rules(&held_up), [], "held up on the way to the backend");
+}
+
+/// Requests with `retries` 2, each of which ran on so many backends.
+fn spread(requests: usize, backends: usize) -> History {
+    let mut history = sound();
+    history.exchanges.clear();
+    history.runs.clear();
+    history.orders[1].document["routes"] = json!([{"prefix": "/resume/", "retries": 2}]);
+    history.readings[1].document = history.orders[1].document.clone();
+    for request in 0..requests {
+        let id = format!("c1-{request}");
+        let runs = (0..backends).map(|backend| Run {
+            backend: format!("i-{backend}-1"),
+            target: format!("POST /resume/{id}/50/0/0"),
+            ..run(5_020)
+        });
+        history.runs.insert(id.clone(), runs.collect());
+        history.exchanges.push(Exchange { id, ..exchange(RouteKind::Resumable, answered(200)) });
+    }
+    history
+}
+
+#[test]
+fn more_than_three_requests_on_more_backends_than_retries_break_budget() {
+    assert_eq!(rules(&spread(4, 3)), [Rule::Budget; 4]);
+    assert_eq!(judge(&spread(3, 3)).beyond_retries, 3);
+    assert_eq!(rules(&spread(3, 3)), []);
+    assert_eq!(rules(&spread(9, 2)), []);
+}
+
+#[test]
+fn runs_are_counted_by_backends() {
+    let mut history = spread(4, 2);
+    for runs in history.runs.values_mut() {
+        let again = runs.clone();
+        runs.extend(again);
+    }
+    assert_eq!(rules(&history), []);
+}
+
+#[test]
+fn a_backend_that_ended_or_was_cut_off_meanwhile_does_not_count() {
+    let mut ended = spread(4, 3);
+    ended.backend_ends.push(BackendEnd { backend: "i-0-1".into(), at: at(5_050) });
+    assert_eq!(rules(&ended), []);
+    ended.backend_ends[0].at = at(5_150);
+    assert_eq!(rules(&ended).len(), 4, "later");
+    let way =
+        |is_cut| BackendDisturbance { backend: "i-0-1".into(), is_cut, from: at(5_030), to: Some(at(5_040)) };
+    let with = |way| History { backend_disturbances: vec![way], ..spread(4, 3) };
+    assert_eq!(rules(&with(way(true))), []);
+    assert_eq!(rules(&with(way(false))).len(), 4, "a reset is no end");
+}
+
+#[test]
+fn the_most_retries_of_all_configurations_that_may_be_in_force_count() {
+    let mut history = spread(4, 3);
+    history.orders[0].document["routes"] = json!([{"prefix": "/resume/", "retries": 3}]);
+    history.readings[0].document = history.orders[0].document.clone();
+    assert_eq!(rules(&history), [], "the older one may still be in force");
+    history.is_calm = true;
+    assert_eq!(rules(&history).len(), 4, "two seconds after the newer one is acknowledged it is not");
+}
--- a/crates/soak/tests/patch.rs
+++ b/crates/soak/tests/patch.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crankpick_configuration::Patch;
-use crankpick_soak::configuration::{draw, IdleTimeouts};
+use crankpick_soak::configuration::{draw, Constants, IdleTimeouts};
 use crankpick_soak::patch::between;
 use fastrand::Rng;
 use serde_json::Value;
@@ -11,9 +11,10 @@
 #[test]
 fn a_drawn_patch_makes_the_document_that_the_operator_expects() {
     let mut rng = Rng::with_seed(7);
+    let constants = Constants { idle_timeouts: IdleTimeouts::Drawn, resumable_retries: 2 };
     for generation in 1..200 {
-        let base = draw(&mut rng, generation, IdleTimeouts::Drawn);
-        let wanted = draw(&mut rng, generation + 1, IdleTimeouts::Drawn);
+        let base = draw(&mut rng, generation, constants);
+        let wanted = draw(&mut rng, generation + 1, constants);
         let patched = between(&base.document, base.idle_timeout, &wanted.document);
         let patch = Patch::read(patched.patch.to_string().as_bytes()).unwrap();
         let merged = patch.apply(base.document.to_string().as_bytes()).unwrap();
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+use crankpick_soak::departure::{CONTACT, DRAIN};
 use crankpick_soak::layout::{Role, Shape};
 use crankpick_soak::run::{Options, Plan};
 use crankpick_soak::trouble::TroubleKind;
@@ -33,10 +34,12 @@
     let mut lost = 0;
     for seed in 0..200 {
         let plan = Plan::draw(&options(seed));
-        let disks = plan.troubles.iter().filter(
-            |trouble| matches!(&trouble.kind, TroubleKind::Kill { lost_disk: Some(machine), .. } if *machine < plan.shape.counting),
-        );
-        let disks = disks.count();
+        let lost_disks = plan.troubles.iter().filter_map(|trouble| match &trouble.kind {
+            TroubleKind::Kill { lost_disk, .. } => *lost_disk,
+            TroubleKind::Depart { kill: Some(kill), .. } => kill.lost_disk,
+            _ => None,
+        });
+        let disks = lost_disks.filter(|machine| *machine < plan.shape.counting).count();
         assert!(disks <= plan.shape.tolerated, "seed {seed}");
         lost += disks;
     }
@@ -58,7 +61,7 @@
             kinds.insert(name.split_whitespace().next().unwrap_or_default().to_owned());
         }
     }
-    assert_eq!(kinds.len(), 15, "{kinds:?}");
+    assert_eq!(kinds.len(), 17, "{kinds:?}");
     assert!(near > 500, "{near}");
 }
 
@@ -76,3 +79,30 @@
     };
     assert!((0..20).any(whole));
 }
+
+/// A departure with a kill of the whole core behind its acknowledgement, and time for machines to be in touch again
+/// before the late heartbeat.
+#[test]
+fn a_run_ends_with_a_departure_that_the_core_does_not_outlive() {
+    for seed in 0..50 {
+        let plan = Plan::draw(&options(seed));
+        let (last, earlier) = plan.troubles.split_last().unwrap();
+        let TroubleKind::Depart { late, serves_on, kill: Some(kill), .. } = &last.kind else {
+            panic!("seed {seed}: {last}");
+        };
+        let core = kill.targets.iter().filter(|target| target.role == Role::ControlPlane);
+        assert!(core.count() >= plan.shape.counting, "seed {seed}");
+        assert!(*late > kill.down + 2 * CONTACT + DRAIN, "seed {seed}");
+        assert!(*serves_on > *late, "seed {seed}");
+        assert!(earlier.iter().all(|trouble| last.at.since(trouble.at) > CONTACT), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_short_run_has_no_last_departure() {
+    let plan = Plan::draw(&Options { seconds: 10, ..options(4) });
+    assert!(!plan
+        .troubles
+        .iter()
+        .any(|trouble| matches!(&trouble.kind, TroubleKind::Depart { kill: Some(_), .. })));
+}
--- a/crates/soak/tests/short_run.rs
+++ b/crates/soak/tests/short_run.rs
@@ -6,6 +6,7 @@
 use crankpick_soak::configuration::IdleTimeouts;
 use crankpick_soak::layout::Shape;
 use crankpick_soak::run::{run, Options, Report};
+use crankpick_soak::trouble::TroubleKind;
 
 fn folder(name: &str) -> PathBuf {
     std::env::temp_dir().join(format!("crankpick-soak-{}-{name}", std::process::id()))
@@ -46,3 +47,18 @@
     assert!(report.verdict.cuts.is_empty(), "{report}");
     assert!(report.history.exchanges.len() > 100, "{report}");
 }
+
+/// The length from which on a run ends with a departure that the core doesn't outlive.
+const WITH_DEPARTURE_S: u64 = 20;
+
+/// DRAIN and BUDGET: a sign-off and the kill of all control planes behind it, a late heartbeat, and connections that are
+/// reset in a row. On builds before both were mended this seed breaks each of them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_run_with_departures_and_resets_keeps_every_invariant() {
+    let options = Options { seconds: WITH_DEPARTURE_S, clients: 250, ..short("departures", 1) };
+    let report = played("departures", options).await;
+    let mut kinds = report.plan.troubles.iter().map(|trouble| &trouble.kind);
+    assert!(kinds.any(|kind| matches!(kind, TroubleKind::ResetInARow { .. })));
+    assert!(!report.history.departures.is_empty(), "{report}");
+    assert!(report.history.notes.contains_key("late heartbeats acknowledged"), "{report}");
+}
--- a/crates/soak/tests/support/mod.rs
+++ b/crates/soak/tests/support/mod.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crankpick_soak::backend::Backend;
-use crankpick_soak::configuration::{draw, IdleTimeouts};
+use crankpick_soak::configuration::{draw, Constants, IdleTimeouts};
 use crankpick_soak::fleet::Fleet;
 use crankpick_soak::history::RouteKind;
 use crankpick_soak::layout::{Layout, Role, Shape};
@@ -59,7 +59,9 @@
         let base = self.generation;
         self.generation += 1;
         let mut rng = fastrand::Rng::with_seed(self.generation);
-        let document = draw(&mut rng, self.generation, IdleTimeouts::Constant(idle_timeout)).document;
+        let idle_timeouts = IdleTimeouts::Constant(idle_timeout);
+        let document =
+            draw(&mut rng, self.generation, Constants { idle_timeouts, resumable_retries: 2 }).document;
         let head = format!("PUT /v1/config HTTP/1.1\r\nIf-Match: {base}\r\nContent-Type: application/json");
         let until = Instant::now() + SOON;
         loop {
